--- /dev/null
+++ b/crates/contract/src/lib.rs
@@ -0,0 +1,25 @@
+//! What processes promise each other.
+//!
+//! Values only: fences, leases, plans, orders, tickets, grants, claims and the
+//! messages between nodes that carry them, with their encoding.
+
+pub mod claim;
+pub mod fence;
+pub mod frame;
+pub mod lease;
+pub mod message;
+pub mod order;
+pub mod outcome;
+pub mod plan;
+pub mod request;
+pub mod table;
+
+pub use claim::{ClaimAnswer, ClaimGroup, ClaimRecord, ClaimState};
+pub use fence::{Epoch, Fence, Incarnation, Revision, Sequence};
+pub use lease::Lease;
+pub use message::{Heartbeat, NodeState, PeerMessage, ReplicaSet};
+pub use order::{Inventory, Order, OrderAction, OrderError, OrderResult, SourceTier};
+pub use outcome::{AttemptOutcome, Ran, Refusal, RefusalReason};
+pub use plan::{BackEndPlan, Standby};
+pub use request::{Attempt, Grant, PriorityClass, RequestId, Ticket, TicketId};
+pub use table::{Compare, Put, TableAnswer, TableRow, Transaction, TransactionId};
--- /dev/null
+++ b/crates/contract/src/table.rs
@@ -0,0 +1,77 @@
+//! Transactions of the platform's table service.
+
+use gorsebank_world::NodeId;
+use serde::{Deserialize, Serialize};
+
+use crate::fence::Incarnation;
+
+/// Names a transaction, so that its writer can find out whether it took effect.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct TransactionId {
+    /// The writing node.
+    pub node: NodeId,
+    /// The life of that node.
+    pub incarnation: Incarnation,
+    /// A number that grows within that life.
+    pub number: u64,
+}
+
+/// A condition on one row.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Compare {
+    /// The row.
+    pub key: String,
+    /// The table revision that last wrote the row; 0 if it must not exist.
+    pub modified: u64,
+}
+
+/// A row to write.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Put {
+    /// The row.
+    pub key: String,
+    /// JSON text.
+    pub value: String,
+}
+
+/// A transaction: when all conditions hold, all rows are written. In either
+/// case the rows under `read` prefixes are returned from one snapshot.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Transaction {
+    /// Conditions.
+    pub compares: Vec<Compare>,
+    /// Rows written when they hold.
+    pub puts: Vec<Put>,
+    /// Rows and prefixes (ending in `/`) that are read.
+    pub reads: Vec<String>,
+}
+
+/// A row read from the table.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TableRow {
+    /// The row's key.
+    pub key: String,
+    /// JSON text.
+    pub value: String,
+    /// The table revision that last wrote it.
+    pub modified: u64,
+}
+
+/// What became of a transaction.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum TableAnswer {
+    /// All conditions held and all rows were written at this table revision.
+    Committed {
+        /// The table revision.
+        revision: u64,
+        /// Rows read.
+        rows: Vec<TableRow>,
+    },
+    /// A condition did not hold; nothing was written.
+    Conflict {
+        /// Rows read.
+        rows: Vec<TableRow>,
+    },
+    /// No answer came: the transaction may or may not take effect, even later.
+    Unknown,
+}
--- /dev/null
+++ b/crates/coordination/src/claim_round.rs
@@ -0,0 +1,195 @@
+//! A front's side of claiming: asks the members of the claim group.
+//!
+//! In: claims wanted, members' answers, time. Out: messages to members and one
+//! verdict for each claim.
+
+use std::collections::{BTreeSet, HashMap};
+
+use gorsebank_contract::{ClaimAnswer, ClaimGroup, Epoch, PeerMessage, RequestId};
+use gorsebank_world::NodeId;
+
+use crate::settings::ClaimSettings;
+use crate::time::Timestamp;
+
+/// Pause before a claim is sent again to members that did not answer.
+const RESEND_INTERVAL: u64 = 200;
+
+/// The result of a claim.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ClaimVerdict {
+    /// The key belongs to this request: it may be sent once.
+    Won,
+    /// Another request has the key and may have run.
+    Taken,
+    /// No majority could be asked in time.
+    InDoubt {
+        /// When to come back, in milliseconds.
+        retry_after: u64,
+    },
+}
+
+/// What a round of claiming wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum RoundOutput {
+    /// Send a message to a member.
+    Send(NodeId, PeerMessage),
+    /// The claim is decided.
+    Decided(RequestId, ClaimVerdict),
+    /// Another group seems to be in force.
+    GroupSeen(ClaimGroup),
+}
+
+#[derive(Clone, Debug)]
+struct Round {
+    key: String,
+    epoch: Epoch,
+    recorded: BTreeSet<NodeId>,
+    sent: Timestamp,
+    expires: Timestamp,
+}
+
+/// The claims that wait for a majority.
+#[derive(Debug)]
+pub struct ClaimRounds {
+    settings: ClaimSettings,
+    group: ClaimGroup,
+    rounds: HashMap<RequestId, Round>,
+}
+
+impl ClaimRounds {
+    /// No claims.
+    pub fn new(settings: ClaimSettings) -> Self {
+        ClaimRounds {
+            settings,
+            group: ClaimGroup::default(),
+            rounds: HashMap::new(),
+        }
+    }
+
+    /// The group that is asked.
+    pub fn group(&self) -> &ClaimGroup {
+        &self.group
+    }
+
+    /// Takes in a group; an older one is ignored.
+    pub fn set_group(&mut self, group: ClaimGroup) -> bool {
+        if group.epoch <= self.group.epoch {
+            return false;
+        }
+        self.group = group;
+        true
+    }
+
+    /// Starts a claim.
+    pub fn start(&mut self, now: Timestamp, request: RequestId, key: String) -> Vec<RoundOutput> {
+        let round = Round {
+            key,
+            epoch: self.group.epoch,
+            recorded: BTreeSet::new(),
+            sent: now,
+            expires: now + self.settings.timeout,
+        };
+        let output = ask(&self.group, request, &round);
+        self.rounds.insert(request, round);
+        output
+    }
+
+    /// Takes in a member's answer.
+    pub fn answered(
+        &mut self,
+        member: &NodeId,
+        epoch: Epoch,
+        request: RequestId,
+        answer: ClaimAnswer,
+    ) -> Vec<RoundOutput> {
+        let Some(round) = self.rounds.get_mut(&request) else {
+            return Vec::new();
+        };
+        if round.epoch != epoch {
+            return Vec::new();
+        }
+        match answer {
+            ClaimAnswer::Recorded => {
+                round.recorded.insert(member.clone());
+                if round.recorded.len() < self.group.majority() {
+                    return Vec::new();
+                }
+                self.decide(request, ClaimVerdict::Won)
+            }
+            ClaimAnswer::Taken(_) => self.decide(request, ClaimVerdict::Taken),
+            ClaimAnswer::InDoubt(retry_after) => {
+                self.decide(request, ClaimVerdict::InDoubt { retry_after })
+            }
+            ClaimAnswer::WrongEpoch(group) => vec![RoundOutput::GroupSeen(group)],
+        }
+    }
+
+    fn decide(&mut self, request: RequestId, verdict: ClaimVerdict) -> Vec<RoundOutput> {
+        self.rounds.remove(&request);
+        vec![RoundOutput::Decided(request, verdict)]
+    }
+
+    /// Asks again where no answer came, and gives up what is late.
+    pub fn tick(&mut self, now: Timestamp) -> Vec<RoundOutput> {
+        let mut output = Vec::new();
+        let mut expired = Vec::new();
+        let mut requests: Vec<RequestId> = self.rounds.keys().copied().collect();
+        requests.sort_unstable();
+        for request in requests {
+            let Some(round) = self.rounds.get_mut(&request) else {
+                continue;
+            };
+            if round.expires <= now {
+                expired.push(request);
+                continue;
+            }
+            let moved = round.epoch != self.group.epoch;
+            if moved {
+                round.epoch = self.group.epoch;
+                round.recorded.clear();
+            }
+            if moved || now.since(round.sent) >= RESEND_INTERVAL {
+                round.sent = now;
+                output.extend(ask(&self.group, request, round));
+            }
+        }
+        for request in expired {
+            let retry_after = self.settings.timeout;
+            output.extend(self.decide(request, ClaimVerdict::InDoubt { retry_after }));
+        }
+        output
+    }
+
+    /// Tells the members that a claimed request ran, or will never run.
+    pub fn end(&mut self, request: RequestId, key: &str, withdrawn: bool) -> Vec<RoundOutput> {
+        self.rounds.remove(&request);
+        self.group
+            .members
+            .keys()
+            .map(|member| {
+                let message = PeerMessage::ClaimEnded {
+                    key: key.to_owned(),
+                    request,
+                    withdrawn,
+                };
+                RoundOutput::Send(member.clone(), message)
+            })
+            .collect()
+    }
+}
+
+fn ask(group: &ClaimGroup, request: RequestId, round: &Round) -> Vec<RoundOutput> {
+    group
+        .members
+        .keys()
+        .filter(|member| !round.recorded.contains(*member))
+        .map(|member| {
+            let message = PeerMessage::Claim {
+                epoch: round.epoch,
+                key: round.key.clone(),
+                request,
+            };
+            RoundOutput::Send(member.clone(), message)
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/coordination/src/configuration.rs
@@ -0,0 +1,290 @@
+//! The configuration as this node knows it.
+//!
+//! In: rows from the table or from other nodes. Out: answers about models,
+//! adapters and deployments. Each row carries the dense revision that wrote
+//! it, and a row is only ever replaced by one of a higher revision. Merging is
+//! therefore commutative and idempotent, and nothing reverts, in whatever
+//! order rows arrive.
+
+use std::collections::BTreeMap;
+
+use gorsebank_contract::Revision;
+use gorsebank_world::{
+    AdapterId, Artifact, BackEndId, DeploymentSpec, Labels, ModelId, QueueKey, Row, RowKey,
+    RowKind, Spec, VersionId,
+};
+use thiserror::Error;
+
+/// The version of a model for which no version row exists.
+pub const ONLY_VERSION: &str = "1";
+
+/// Why a requested model cannot be served.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum ResolveError {
+    /// There is no such model, adapter or version.
+    #[error("model `{0}` does not exist")]
+    Unknown(String),
+    /// The adapter belongs to another model.
+    #[error("adapter `{adapter}` belongs to model `{owner}`, not to `{model}`")]
+    AdapterOfAnotherModel {
+        /// The adapter.
+        adapter: String,
+        /// The model it belongs to.
+        owner: String,
+        /// The model that was asked for.
+        model: String,
+    },
+    /// No deployment selects the model.
+    #[error("no deployment selects model `{0}`")]
+    NotDeployed(String),
+}
+
+/// Rows that did not connect to what is known: some are missing between.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Gap {
+    /// The revision up to which everything is known.
+    pub complete: Revision,
+}
+
+/// All configuration rows up to a revision.
+#[derive(Clone, Debug, Default)]
+pub struct Configuration {
+    complete: Revision,
+    rows: BTreeMap<RowKey, Row>,
+    by_revision: BTreeMap<u64, RowKey>,
+}
+
+impl Configuration {
+    /// The revision up to which everything is known.
+    pub fn complete(&self) -> Revision {
+        self.complete
+    }
+
+    /// Takes in all rows above `above` up to `complete`; says whether anything
+    /// became known.
+    pub fn merge(
+        &mut self,
+        above: Revision,
+        complete: Revision,
+        rows: Vec<Row>,
+    ) -> Result<bool, Gap> {
+        if above > self.complete {
+            return Err(Gap {
+                complete: self.complete,
+            });
+        }
+        if complete <= self.complete {
+            return Ok(false);
+        }
+        for row in rows {
+            self.take(row);
+        }
+        self.complete = complete;
+        Ok(true)
+    }
+
+    fn take(&mut self, row: Row) {
+        if let Some(known) = self.rows.get(&row.key) {
+            if known.revision >= row.revision {
+                return;
+            }
+            self.by_revision.remove(&known.revision);
+        }
+        self.by_revision.insert(row.revision, row.key.clone());
+        self.rows.insert(row.key.clone(), row);
+    }
+
+    /// Rows above a revision.
+    pub fn rows_above(&self, above: Revision) -> Vec<Row> {
+        self.by_revision
+            .range(above.0 + 1..)
+            .filter_map(|(_, key)| self.rows.get(key))
+            .cloned()
+            .collect()
+    }
+
+    /// The row as last written, deleted or not.
+    pub fn row(&self, key: &RowKey) -> Option<&Row> {
+        self.rows.get(key)
+    }
+
+    /// Rows of a kind that were not deleted, by name.
+    pub fn live_rows(&self, kind: RowKind) -> impl Iterator<Item = &Row> {
+        self.named_from(kind, String::new())
+            .filter(|row| row.spec.is_some())
+    }
+
+    fn named_from(&self, kind: RowKind, prefix: String) -> impl Iterator<Item = &Row> {
+        let start = RowKey { kind, name: prefix };
+        self.rows
+            .range(start..)
+            .map(|(_, row)| row)
+            .take_while(move |row| row.key.kind == kind)
+    }
+
+    fn live(&self, kind: RowKind, name: &str) -> Option<&Row> {
+        let key = RowKey {
+            kind,
+            name: name.to_owned(),
+        };
+        self.rows.get(&key).filter(|row| row.spec.is_some())
+    }
+
+    /// What a request for `name` waits for: `model`, `model@version`,
+    /// `model+adapter` or `model@version+adapter`.
+    pub fn resolve(&self, name: &str) -> Result<QueueKey, ResolveError> {
+        let (base, adapter) = match name.split_once('+') {
+            Some((base, adapter)) => (base, Some(adapter)),
+            None => (name, None),
+        };
+        let (model, version) = match base.split_once('@') {
+            Some((model, version)) => (model, Some(version)),
+            None => (base, None),
+        };
+        let row = self
+            .live(RowKind::Model, model)
+            .ok_or_else(|| ResolveError::Unknown(name.to_owned()))?;
+        let deployment = self
+            .deployment_of(&row.labels)
+            .ok_or_else(|| ResolveError::NotDeployed(model.to_owned()))?;
+        let version = match version {
+            Some(version) => self.check_version(model, version, name)?,
+            None => self.newest_version(model, deployment),
+        };
+        let adapter = match adapter {
+            Some(adapter) => Some(self.check_adapter(model, adapter, name)?),
+            None => None,
+        };
+        Ok(QueueKey::Artifact(Artifact {
+            model: ModelId::from(model),
+            version,
+            adapter,
+        }))
+    }
+
+    fn check_version(
+        &self,
+        model: &str,
+        version: &str,
+        name: &str,
+    ) -> Result<VersionId, ResolveError> {
+        let stated = self.live(RowKind::Version, &format!("{model}@{version}"));
+        let implied = version == ONLY_VERSION && self.versions(model).next().is_none();
+        if stated.is_some() || implied {
+            Ok(VersionId::from(version))
+        } else {
+            Err(ResolveError::Unknown(name.to_owned()))
+        }
+    }
+
+    fn check_adapter(
+        &self,
+        model: &str,
+        adapter: &str,
+        name: &str,
+    ) -> Result<AdapterId, ResolveError> {
+        if self
+            .live(RowKind::Adapter, &format!("{model}+{adapter}"))
+            .is_some()
+        {
+            return Ok(AdapterId::from(adapter));
+        }
+        let suffix = format!("+{adapter}");
+        let owner = self
+            .live_rows(RowKind::Adapter)
+            .find_map(|row| row.key.name.strip_suffix(&suffix));
+        Err(match owner {
+            Some(owner) => ResolveError::AdapterOfAnotherModel {
+                adapter: adapter.to_owned(),
+                owner: owner.to_owned(),
+                model: model.to_owned(),
+            },
+            None => ResolveError::Unknown(name.to_owned()),
+        })
+    }
+
+    fn versions<'a>(&'a self, model: &'a str) -> impl Iterator<Item = &'a Row> {
+        let prefix = format!("{model}@");
+        self.named_from(RowKind::Version, prefix.clone())
+            .take_while(move |row| row.key.name.starts_with(&prefix))
+            .filter(|row| row.spec.is_some())
+    }
+
+    fn newest_version(&self, model: &str, deployment: &DeploymentSpec) -> VersionId {
+        self.versions(model)
+            .filter(|row| deployment.versions.matches(&row.labels))
+            .max_by_key(|row| row.revision)
+            .and_then(|row| row.key.name.split_once('@'))
+            .map_or_else(
+                || VersionId::from(ONLY_VERSION),
+                |(_, version)| VersionId::from(version),
+            )
+    }
+
+    fn deployment_of(&self, labels: &Labels) -> Option<&DeploymentSpec> {
+        self.live_rows(RowKind::Deployment)
+            .filter_map(|row| match &row.spec {
+                Some(Spec::Deployment(deployment)) => Some(deployment),
+                _ => None,
+            })
+            .find(|deployment| deployment.models.matches(labels))
+    }
+
+    /// The deployment that an artifact is served under.
+    pub fn deployment(&self, artifact: &Artifact) -> Option<&DeploymentSpec> {
+        let row = self.live(RowKind::Model, artifact.model.as_str())?;
+        self.deployment_of(&row.labels)
+    }
+
+    /// Accelerator memory of an artifact in bytes.
+    pub fn memory(&self, artifact: &Artifact) -> Option<u64> {
+        let model = &artifact.model;
+        if let Some(adapter) = &artifact.adapter {
+            let row = self.live(RowKind::Adapter, &format!("{model}+{adapter}"))?;
+            return match &row.spec {
+                Some(Spec::Adapter(adapter)) => Some(adapter.memory.as_u64()),
+                _ => None,
+            };
+        }
+        let version = format!("{model}@{}", artifact.version);
+        let row = self
+            .live(RowKind::Version, &version)
+            .or_else(|| self.live(RowKind::Model, model.as_str()))?;
+        match &row.spec {
+            Some(Spec::Version(version)) => Some(version.memory.as_u64()),
+            Some(Spec::Model(model)) => Some(model.memory.as_u64()),
+            _ => None,
+        }
+    }
+
+    /// A back end's labels: the platform's, overlaid with the operators'.
+    pub fn back_end_labels(&self, id: &BackEndId, platform: &Labels) -> Labels {
+        let mut labels = platform.clone();
+        if let Some(row) = self.live(RowKind::BackEnd, id.as_str()) {
+            for (key, value) in row.labels.iter() {
+                labels.set(key, value);
+            }
+        }
+        labels
+    }
+
+    /// Names that callers may ask for: models and their adapters.
+    pub fn served_names(&self) -> Vec<String> {
+        let models = self.live_rows(RowKind::Model);
+        let adapters = self.live_rows(RowKind::Adapter);
+        models
+            .chain(adapters)
+            .map(|row| row.key.name.clone())
+            .filter(|name| self.resolve(name).is_ok())
+            .collect()
+    }
+
+    /// Base artifacts and adapters of deployed models, for standing decisions.
+    pub fn deployed_artifacts(&self) -> Vec<Artifact> {
+        self.served_names()
+            .iter()
+            .filter_map(|name| self.resolve(name).ok())
+            .filter_map(|queue| queue.artifact().cloned())
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/placement/engine.rs
@@ -0,0 +1,429 @@
+//! One engine as the placement holder sees it: decided, wanted and observed.
+//!
+//! `committed` is the decision that the table has; `next` is what the holder
+//! wants it to have; `target` is what shall be loaded now; `inventory` is what
+//! the engine last reported. Orders follow from the difference between target
+//! and inventory, and only as far as every version of the decision that may be
+//! in force permits them.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use gorsebank_contract::{
+    BackEndPlan, Fence, Incarnation, Inventory, Order, OrderAction, OrderError, OrderResult,
+    Sequence, SourceTier,
+};
+use gorsebank_world::{Artifact, Machine, MachineState};
+
+use crate::settings::PlacementSettings;
+use crate::time::Timestamp;
+
+/// Pause before an order that was refused is given again.
+const REFUSED_PAUSE: u64 = 500;
+/// So many inspections without an answer put an engine out of service.
+const FAILED_INSPECTIONS: u32 = 2;
+/// A new holder waits so long for the first report of an engine.
+const FIRST_REPORT: u64 = 2_000;
+/// An engine that is listed no more is forgotten after so long.
+const FORGET_UNLISTED: u64 = 600_000;
+/// An idle engine is inspected so often.
+const QUIET_INSPECT_INTERVAL: u64 = 5_000;
+
+/// What an order's result means for the holder.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OrderOutcome {
+    /// Go on.
+    Continue,
+    /// A higher fence rules: step down.
+    Fenced,
+}
+
+#[derive(Clone, Debug)]
+struct InFlightOrder {
+    action: OrderAction,
+    sent: Timestamp,
+}
+
+/// The holder's record of one engine.
+#[derive(Debug)]
+pub struct Engine {
+    /// The machine as listed.
+    pub machine: Machine,
+    /// The decision in the table.
+    pub committed: BackEndPlan,
+    /// The decision in a transaction without an answer.
+    pub in_flight: Option<BackEndPlan>,
+    /// The decision that the holder wants.
+    pub next: BackEndPlan,
+    /// What shall be loaded now.
+    pub target: BTreeSet<Artifact>,
+    /// What the engine last reported.
+    pub inventory: Inventory,
+    /// The life of the engine that was inspected under this fence, and whether
+    /// a transaction committed since. Without the latter a holder that was
+    /// replaced unawares could order about an engine that restarted and forgot
+    /// the higher fence.
+    inspected: Option<(Incarnation, bool)>,
+    orders: BTreeMap<Sequence, InFlightOrder>,
+    /// Loads without an answer, which may yet start: their memory counts as
+    /// taken until the engine answered a later order.
+    doubtful: BTreeMap<Sequence, (Artifact, u64)>,
+    inspecting: Option<Sequence>,
+    next_inspection: Timestamp,
+    refused_until: Timestamp,
+    failed_inspections: u32,
+    last_answer: Timestamp,
+    sequence: Sequence,
+}
+
+impl Engine {
+    /// An engine that was not inspected yet.
+    pub fn new(now: Timestamp, machine: Machine, committed: BackEndPlan) -> Self {
+        let next = BackEndPlan {
+            capacity: machine.memory,
+            ..committed.clone()
+        };
+        Engine {
+            machine,
+            next,
+            committed,
+            in_flight: None,
+            target: BTreeSet::new(),
+            inventory: Inventory::default(),
+            inspected: None,
+            orders: BTreeMap::new(),
+            doubtful: BTreeMap::new(),
+            inspecting: None,
+            next_inspection: now,
+            refused_until: now,
+            failed_inspections: 0,
+            last_answer: now,
+            sequence: Sequence(0),
+        }
+    }
+
+    /// Whether orders may be given.
+    pub fn is_claimed(&self) -> bool {
+        matches!(self.inspected, Some((_, true)))
+    }
+
+    /// Whether the engine reported under this fence.
+    pub fn is_inspected(&self) -> bool {
+        self.inspected.is_some()
+    }
+
+    /// Whether it waits for a committed transaction before it takes orders.
+    pub fn wants_commit(&self) -> bool {
+        matches!(self.inspected, Some((_, false)))
+    }
+
+    /// The life of the engine that was inspected.
+    pub fn incarnation(&self) -> Option<Incarnation> {
+        self.inspected.map(|(incarnation, _)| incarnation)
+    }
+
+    /// A transaction committed that was sent after that life was inspected.
+    pub fn confirm(&mut self, life: Incarnation) {
+        if let Some((incarnation, confirmed)) = &mut self.inspected
+            && *incarnation == life
+        {
+            *confirmed = true;
+        }
+    }
+
+    /// Whether requests may be sent to it.
+    pub fn is_in_service(&self) -> bool {
+        self.machine.state == MachineState::Live
+            && self.is_inspected()
+            && self.failed_inspections < FAILED_INSPECTIONS
+    }
+
+    /// Whether its first report under this fence is still to be expected.
+    pub fn is_awaited(&self, now: Timestamp) -> bool {
+        !self.is_inspected() && now.since(self.last_answer) < FIRST_REPORT
+    }
+
+    /// Whether it is listed no more and has been silent for long.
+    pub fn is_forgettable(&self, now: Timestamp) -> bool {
+        self.machine.state == MachineState::Leaving && now.since(self.last_answer) > FORGET_UNLISTED
+    }
+
+    /// Somebody had trouble with it: look at it now.
+    pub fn suspect(&mut self, now: Timestamp) {
+        self.next_inspection = now;
+    }
+
+    /// Whether it may be chosen for new loads.
+    pub fn is_eligible(&self) -> bool {
+        self.is_claimed() && self.is_in_service()
+    }
+
+    /// Whether requests for the artifact may be sent here.
+    pub fn is_ready(&self, artifact: &Artifact) -> bool {
+        let loaded = |needed: &Artifact| {
+            self.inventory.loaded.contains_key(needed) && self.target.contains(needed)
+        };
+        self.is_in_service() && artifact.required().iter().all(loaded)
+    }
+
+    /// The versions of the decision that may be in force now or soon.
+    fn decisions(&self) -> impl Iterator<Item = &BackEndPlan> {
+        [
+            Some(&self.committed),
+            self.in_flight.as_ref(),
+            Some(&self.next),
+        ]
+        .into_iter()
+        .flatten()
+    }
+
+    /// Whether memory is reserved for the artifact by itself.
+    pub fn is_reserved(&self, artifact: &Artifact) -> bool {
+        self.decisions()
+            .all(|plan| plan.reservations.contains_key(artifact))
+    }
+
+    /// Whether the artifact may be loaded into the standby share.
+    pub fn is_standby(&self, artifact: &Artifact) -> bool {
+        self.decisions()
+            .all(|plan| plan.standby.members.contains_key(artifact))
+    }
+
+    /// Bytes of the standby share that are in use or about to be.
+    pub fn standby_used(&self) -> u64 {
+        self.memory_users()
+            .iter()
+            .filter(|(artifact, _)| !self.is_reserved(artifact))
+            .map(|(_, bytes)| bytes)
+            .sum()
+    }
+
+    /// Bytes of the standby share that another artifact may take.
+    pub fn standby_free(&self) -> u64 {
+        let share = self.decisions().map(|plan| plan.standby.bytes).min();
+        share.unwrap_or(0).saturating_sub(self.standby_used())
+    }
+
+    /// Everything that takes or may be about to take memory.
+    fn memory_users(&self) -> BTreeMap<&Artifact, u64> {
+        let mut users: BTreeMap<&Artifact, u64> = BTreeMap::new();
+        let held = self.inventory.loaded.iter().chain(&self.inventory.loading);
+        for (artifact, bytes) in held {
+            users.insert(artifact, *bytes);
+        }
+        for order in self.orders.values() {
+            if let OrderAction::Load { artifact, bytes } = &order.action {
+                users.insert(artifact, *bytes);
+            }
+        }
+        for (artifact, bytes) in self.doubtful.values() {
+            users.insert(artifact, *bytes);
+        }
+        users
+    }
+
+    /// Whether the artifact takes or may be about to take memory.
+    pub fn may_hold(&self, artifact: &Artifact) -> bool {
+        !self.is_inspected() || self.memory_users().contains_key(artifact)
+    }
+
+    /// Whether a load of the artifact is running or ordered.
+    pub fn is_loading(&self, artifact: &Artifact) -> bool {
+        let ordered = self.orders.values().any(
+            |order| matches!(&order.action, OrderAction::Load { artifact: other, .. } if other == artifact),
+        );
+        let doubtful = self.doubtful.values().any(|(other, _)| other == artifact);
+        ordered || doubtful || self.inventory.loading.contains_key(artifact)
+    }
+
+    /// Loads that are running or ordered.
+    pub fn load_count(&self) -> u32 {
+        self.memory_users()
+            .keys()
+            .filter(|artifact| self.is_loading(artifact))
+            .count() as u32
+    }
+
+    /// Whether a load of the artifact may be ordered now: it is wanted, not
+    /// there, its base is there, and memory is decided for it.
+    pub fn can_load(&self, now: Timestamp, artifact: &Artifact, bytes: u64) -> bool {
+        let has_base = artifact
+            .required()
+            .iter()
+            .all(|needed| needed == artifact || self.inventory.loaded.contains_key(needed));
+        let has_memory = self.is_reserved(artifact)
+            || (self.is_standby(artifact) && self.standby_free() >= bytes);
+        self.is_claimed()
+            && now >= self.refused_until
+            && self.target.contains(artifact)
+            && !self.may_hold(artifact)
+            && has_base
+            && has_memory
+    }
+
+    /// Artifacts that shall be unloaded now, adapters before their base.
+    pub fn unloads(&self, now: Timestamp) -> Vec<Artifact> {
+        if !self.is_claimed() || now < self.refused_until {
+            return Vec::new();
+        }
+        let unwanted: Vec<&Artifact> = self
+            .inventory
+            .loaded
+            .keys()
+            .filter(|artifact| !self.target.contains(*artifact))
+            .filter(|artifact| !self.has_unload_order(artifact))
+            .collect();
+        unwanted
+            .iter()
+            .filter(|artifact| artifact.adapter.is_some() || !self.has_adapter_of(artifact))
+            .map(|artifact| (*artifact).clone())
+            .collect()
+    }
+
+    fn has_unload_order(&self, artifact: &Artifact) -> bool {
+        self.orders.values().any(
+            |order| matches!(&order.action, OrderAction::Unload { artifact: other } if other == artifact),
+        )
+    }
+
+    fn has_adapter_of(&self, base: &Artifact) -> bool {
+        self.memory_users()
+            .keys()
+            .any(|artifact| artifact.adapter.is_some() && artifact.base() == *base)
+    }
+
+    /// Where the engine would load the artifact from.
+    pub fn tier(&self, artifact: &Artifact) -> SourceTier {
+        self.inventory
+            .cached
+            .get(artifact)
+            .copied()
+            .unwrap_or(SourceTier::Remote)
+    }
+
+    /// How long a load is expected to take, in milliseconds.
+    pub fn load_time(&self, artifact: &Artifact, bytes: u64, settings: &PlacementSettings) -> u64 {
+        let bandwidth = match self.tier(artifact) {
+            SourceTier::Memory => settings.memory_bandwidth,
+            SourceTier::Disk => settings.disk_bandwidth,
+            SourceTier::Remote => settings.store_bandwidth,
+        };
+        bytes.saturating_mul(1_000) / bandwidth.max(1)
+    }
+
+    /// When the load of the artifact is expected to end, if one is ordered.
+    pub fn expected_end(
+        &self,
+        artifact: &Artifact,
+        bytes: u64,
+        settings: &PlacementSettings,
+    ) -> Option<Timestamp> {
+        self.orders
+            .values()
+            .find(|order| matches!(&order.action, OrderAction::Load { artifact: other, .. } if other == artifact))
+            .map(|order| order.sent + self.load_time(artifact, bytes, settings))
+    }
+
+    /// An order to carry out `action`.
+    pub fn order(&mut self, now: Timestamp, fence: Fence, action: OrderAction) -> Order {
+        self.sequence = self.sequence.next();
+        let incarnation = match (&action, self.inspected) {
+            (OrderAction::Inspect, _) => None,
+            (_, inspected) => inspected.map(|(incarnation, _)| incarnation),
+        };
+        match &action {
+            OrderAction::Inspect => self.inspecting = Some(self.sequence),
+            _ => {
+                let order = InFlightOrder {
+                    action: action.clone(),
+                    sent: now,
+                };
+                self.orders.insert(self.sequence, order);
+            }
+        }
+        Order {
+            fence,
+            sequence: self.sequence,
+            incarnation,
+            action,
+        }
+    }
+
+    /// An inspection, if one is due: often while something is unclear.
+    pub fn inspection(
+        &mut self,
+        now: Timestamp,
+        fence: Fence,
+        settings: &PlacementSettings,
+    ) -> Option<Order> {
+        if self.inspecting.is_some() || now < self.next_inspection {
+            return None;
+        }
+        let is_unclear =
+            !self.is_claimed() || !self.inventory.loading.is_empty() || !self.doubtful.is_empty();
+        let interval = if is_unclear {
+            settings.inspect_interval
+        } else {
+            QUIET_INSPECT_INTERVAL
+        };
+        self.next_inspection = now + interval;
+        Some(self.order(now, fence, OrderAction::Inspect))
+    }
+
+    /// Takes in the result of an order.
+    pub fn answered(
+        &mut self,
+        now: Timestamp,
+        sequence: Sequence,
+        result: OrderResult,
+    ) -> OrderOutcome {
+        let was_inspection = self.inspecting == Some(sequence);
+        if was_inspection {
+            self.inspecting = None;
+        }
+        let order = self.orders.remove(&sequence);
+        if order.is_none() && !was_inspection {
+            return OrderOutcome::Continue;
+        }
+        match result {
+            OrderResult::Done(inventory) => self.observe(now, sequence, inventory),
+            OrderResult::Refused(OrderError::Fenced { .. }, _) => return OrderOutcome::Fenced,
+            OrderResult::Refused(_, inventory) => {
+                self.refused_until = now + REFUSED_PAUSE;
+                self.observe(now, sequence, inventory);
+            }
+            OrderResult::Unknown => {
+                self.failed_inspections += u32::from(was_inspection);
+                self.lost(now, sequence, order);
+            }
+        }
+        OrderOutcome::Continue
+    }
+
+    fn lost(&mut self, now: Timestamp, sequence: Sequence, order: Option<InFlightOrder>) {
+        let action = order.map(|order| order.action);
+        if let Some(OrderAction::Load { artifact, bytes }) = action {
+            self.doubtful.insert(sequence, (artifact, bytes));
+        }
+        self.next_inspection = self.next_inspection.min(now + REFUSED_PAUSE);
+    }
+
+    /// Takes in a report, unless a newer one is known. The engine refuses
+    /// every order before the one it answered, so none of those is in doubt.
+    fn observe(&mut self, now: Timestamp, sequence: Sequence, inventory: Inventory) {
+        let known = self.incarnation().unwrap_or_default();
+        if inventory.incarnation < known {
+            return;
+        }
+        self.last_answer = now;
+        self.failed_inspections = 0;
+        if inventory.incarnation > known {
+            self.orders.clear();
+            self.doubtful.clear();
+            self.inspected = Some((inventory.incarnation, false));
+        } else if inventory.version < self.inventory.version {
+            return;
+        }
+        self.doubtful.retain(|doubtful, _| *doubtful > sequence);
+        self.inventory = inventory;
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/placement/standby.rs
@@ -0,0 +1,113 @@
+//! Standing decisions: where dormant artifacts may wake without a transaction.
+//!
+//! In: deployed artifacts and the engines. Out: members added to the engines'
+//! standby shares, to be written with the holder's next transaction. While the
+//! table service is down, these decisions are all that models can wake under.
+
+use std::collections::{BTreeMap, HashMap};
+
+use gorsebank_world::{Artifact, BackEndId};
+
+use crate::placement::engine::Engine;
+use crate::settings::PlacementSettings;
+
+/// Members that are added in one round, to bound a transaction's size.
+const MEMBERS_PER_ROUND: usize = 100;
+
+/// An artifact with the engines it may be placed on.
+pub struct Dormant {
+    /// The artifact and what it needs, base first, with their bytes.
+    pub parts: Vec<(Artifact, u64)>,
+    /// Engines that its deployment selects.
+    pub allowed: Vec<BackEndId>,
+}
+
+/// Gives each artifact that has no standby membership one.
+pub fn assign(
+    dormant: &[Dormant],
+    engines: &mut BTreeMap<BackEndId, Engine>,
+    settings: &PlacementSettings,
+) {
+    let mut homes = homes_of(engines);
+    let mut added = 0;
+    for artifact in dormant {
+        let Some((wanted, _)) = artifact.parts.last() else {
+            continue;
+        };
+        if added >= MEMBERS_PER_ROUND {
+            return;
+        }
+        if homes.contains_key(wanted) {
+            continue;
+        }
+        let Some(home) = find_home(artifact, engines, &homes, settings) else {
+            continue;
+        };
+        if let Some(engine) = engines.get_mut(&home) {
+            add_member(engine, &artifact.parts);
+            added += 1;
+            for (part, _) in &artifact.parts {
+                homes.entry(part.clone()).or_insert_with(|| home.clone());
+            }
+        }
+    }
+}
+
+fn homes_of(engines: &BTreeMap<BackEndId, Engine>) -> HashMap<Artifact, BackEndId> {
+    engines
+        .iter()
+        .flat_map(|(id, engine)| {
+            let members = engine.next.standby.members.keys();
+            members.map(move |artifact| (artifact.clone(), id.clone()))
+        })
+        .collect()
+}
+
+/// An adapter goes where its base stands by; others where fewest members are.
+fn find_home(
+    artifact: &Dormant,
+    engines: &BTreeMap<BackEndId, Engine>,
+    homes: &HashMap<Artifact, BackEndId>,
+    settings: &PlacementSettings,
+) -> Option<BackEndId> {
+    let bytes: u64 = artifact.parts.iter().map(|(_, bytes)| bytes).sum();
+    let fits = |id: &BackEndId| {
+        engines
+            .get(id)
+            .is_some_and(|engine| engine.is_eligible() && share_can_hold(engine, bytes, settings))
+    };
+    let base_home = artifact.parts.first().and_then(|(base, _)| homes.get(base));
+    if let Some(home) = base_home
+        && fits(home)
+    {
+        return Some(home.clone());
+    }
+    artifact
+        .allowed
+        .iter()
+        .filter(|id| fits(id))
+        .min_by_key(|id| {
+            let members = engines
+                .get(*id)
+                .map_or(0, |engine| engine.next.standby.members.len());
+            (members, (*id).clone())
+        })
+        .cloned()
+}
+
+/// Whether the share is large enough, or can grow within its limit.
+fn share_can_hold(engine: &Engine, bytes: u64, settings: &PlacementSettings) -> bool {
+    let share = engine.next.standby.bytes;
+    let limit = (engine.next.capacity as f64 * settings.standby_share) as u64;
+    let growth = bytes.saturating_sub(share);
+    bytes <= share || (bytes <= limit && growth <= engine.next.free())
+}
+
+fn add_member(engine: &mut Engine, parts: &[(Artifact, u64)]) {
+    let bytes: u64 = parts.iter().map(|(_, bytes)| bytes).sum();
+    let standby = &mut engine.next.standby;
+    standby.bytes = standby.bytes.max(bytes);
+    for (part, bytes) in parts {
+        standby.members.insert(part.clone(), *bytes);
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/queue.rs
@@ -0,0 +1,404 @@
+//! The one waiting queue of a model, kept by its owner.
+//!
+//! In: tickets, released slots, the replica set, time. Out: grants and
+//! refusals, each as soon as it is known. Interactive tickets go before batch
+//! tickets, and within a class the earliest deadline goes first. A ticket that
+//! can no longer be served in time is refused the moment that is known.
+
+use std::collections::{BTreeMap, HashMap};
+
+use gorsebank_contract::{
+    Fence, Grant, PriorityClass, Refusal, RefusalReason, ReplicaSet, Ticket, TicketId,
+};
+use gorsebank_world::{BackEndId, NodeId, QueueKey};
+
+use crate::settings::RoutingSettings;
+use crate::time::Timestamp;
+
+/// Service time assumed before any was seen, in milliseconds.
+const INITIAL_SERVICE_TIME: f64 = 2_000.0;
+/// Weight of the newest service time in the running mean.
+const SERVICE_TIME_WEIGHT: f64 = 0.1;
+/// Least `Retry-After`, in milliseconds.
+const MIN_RETRY_AFTER: u64 = 1_000;
+/// Queues without tickets and running requests are dropped after so long.
+const IDLE_QUEUE_LIFE: u64 = 60_000;
+
+/// A decision about one ticket.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Decision {
+    /// The front may send the request.
+    Grant(NodeId, Grant),
+    /// The front must refuse the request.
+    Refuse(NodeId, TicketId, Refusal),
+}
+
+/// A replica that the queue may use.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Replica {
+    /// The back end.
+    pub back_end: BackEndId,
+    /// Requests that it runs at once at full speed.
+    pub slots: u32,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Place {
+    class: PriorityClass,
+    deadline: Timestamp,
+    number: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Waiting {
+    front: NodeId,
+    id: TicketId,
+}
+
+#[derive(Clone, Debug)]
+struct ReplicaUse {
+    slots: u32,
+    /// Slots that each front holds.
+    held: BTreeMap<NodeId, u32>,
+    suspended_until: Timestamp,
+}
+
+impl ReplicaUse {
+    fn used(&self) -> u32 {
+        self.held.values().sum()
+    }
+
+    fn free(&self) -> u32 {
+        self.slots.saturating_sub(self.used())
+    }
+}
+
+/// One model's waiting queue and the use of its replicas.
+#[derive(Debug)]
+pub struct ModelQueue {
+    key: QueueKey,
+    waiting: BTreeMap<Place, Waiting>,
+    places: HashMap<TicketId, Place>,
+    replicas: BTreeMap<BackEndId, ReplicaUse>,
+    replica_version: (Fence, u64),
+    expected: Option<Timestamp>,
+    no_place_until: Option<Timestamp>,
+    numbers: u64,
+    service_time: f64,
+    last_used: Timestamp,
+    last_demand: Option<Timestamp>,
+}
+
+impl ModelQueue {
+    /// An empty queue.
+    pub fn new(key: QueueKey, now: Timestamp) -> Self {
+        ModelQueue {
+            key,
+            waiting: BTreeMap::new(),
+            places: HashMap::new(),
+            replicas: BTreeMap::new(),
+            replica_version: (Fence(0), 0),
+            expected: None,
+            no_place_until: None,
+            numbers: 0,
+            service_time: INITIAL_SERVICE_TIME,
+            last_used: now,
+            last_demand: None,
+        }
+    }
+
+    /// Takes in a ticket; one that waits already is left where it is.
+    pub fn offer(
+        &mut self,
+        now: Timestamp,
+        front: NodeId,
+        ticket: &Ticket,
+        settings: &RoutingSettings,
+    ) -> Option<Decision> {
+        self.last_used = now;
+        if self.places.contains_key(&ticket.id) {
+            return None;
+        }
+        if self.waiting.len() >= settings.queue_limit {
+            let refusal = Refusal::not_run(RefusalReason::NoCapacity, Some(self.retry_after(now)));
+            return Some(Decision::Refuse(front, ticket.id, refusal));
+        }
+        self.numbers += 1;
+        let place = Place {
+            class: ticket.class,
+            deadline: now + ticket.remaining,
+            number: self.numbers,
+        };
+        self.places.insert(ticket.id, place);
+        self.waiting.insert(
+            place,
+            Waiting {
+                front,
+                id: ticket.id,
+            },
+        );
+        None
+    }
+
+    /// Takes a ticket out.
+    pub fn cancel(&mut self, id: TicketId) {
+        if let Some(place) = self.places.remove(&id) {
+            self.waiting.remove(&place);
+        }
+    }
+
+    /// Takes all tickets out, to be offered elsewhere.
+    pub fn hand_back(&mut self) -> Vec<(NodeId, TicketId)> {
+        self.places.clear();
+        std::mem::take(&mut self.waiting)
+            .into_values()
+            .map(|waiting| (waiting.front, waiting.id))
+            .collect()
+    }
+
+    /// Gives slots back that a front held.
+    pub fn release(&mut self, now: Timestamp, front: &NodeId, back_end: &BackEndId, slots: u32) {
+        self.last_used = now;
+        let Some(replica) = self.replicas.get_mut(back_end) else {
+            return;
+        };
+        if let Some(held) = replica.held.get_mut(front) {
+            *held = held.saturating_sub(slots);
+        }
+        replica.held.retain(|_, held| *held > 0);
+    }
+
+    /// Notes how long a request took from grant to release.
+    pub fn note_service_time(&mut self, milliseconds: u64) {
+        self.service_time += SERVICE_TIME_WEIGHT * (milliseconds as f64 - self.service_time);
+    }
+
+    /// Spares a back end that turned a request away.
+    pub fn suspend(&mut self, back_end: &BackEndId, until: Timestamp) {
+        if let Some(replica) = self.replicas.get_mut(back_end) {
+            replica.suspended_until = until;
+        }
+    }
+
+    /// Forgets what a front held that is gone, and the tickets it offered.
+    pub fn forget_front(&mut self, front: &NodeId) {
+        for replica in self.replicas.values_mut() {
+            replica.held.remove(front);
+        }
+        let gone: Vec<TicketId> = self
+            .waiting
+            .values()
+            .filter(|waiting| waiting.front == *front)
+            .map(|waiting| waiting.id)
+            .collect();
+        for id in gone {
+            self.cancel(id);
+        }
+    }
+
+    /// Fronts that hold slots or wait.
+    pub fn fronts(&self) -> Vec<NodeId> {
+        let holding = self
+            .replicas
+            .values()
+            .flat_map(|replica| replica.held.keys());
+        let waiting = self.waiting.values().map(|waiting| &waiting.front);
+        let mut fronts: Vec<NodeId> = holding.chain(waiting).cloned().collect();
+        fronts.sort();
+        fronts.dedup();
+        fronts
+    }
+
+    /// Takes in the placement holder's replica set, unless it is outdated.
+    /// `usable` are those of its back ends that may get work.
+    pub fn set_replicas(&mut self, now: Timestamp, set: &ReplicaSet, usable: Vec<Replica>) -> bool {
+        let version = (set.fence, set.version);
+        if version < self.replica_version {
+            return false;
+        }
+        self.replica_version = version;
+        self.expected = set.expected.map(|remaining| now + remaining);
+        self.no_place_until = set.no_place.map(|remaining| now + remaining);
+        self.use_replicas(usable);
+        true
+    }
+
+    /// Replaces the replicas, keeping what is known of their use.
+    pub fn use_replicas(&mut self, usable: Vec<Replica>) {
+        let mut former = std::mem::take(&mut self.replicas);
+        for replica in usable {
+            let known = former.remove(&replica.back_end);
+            let held = known.as_ref().map(|known| known.held.clone());
+            let replica_use = ReplicaUse {
+                slots: replica.slots,
+                held: held.unwrap_or_default(),
+                suspended_until: known.map_or(Timestamp(0), |known| known.suspended_until),
+            };
+            self.replicas.insert(replica.back_end, replica_use);
+        }
+    }
+
+    /// Takes a back end out that is leaving or gone.
+    pub fn remove_back_end(&mut self, back_end: &BackEndId) {
+        self.replicas.remove(back_end);
+    }
+
+    /// Grants what can be granted and refuses what can no longer be served.
+    pub fn pump(&mut self, now: Timestamp, settings: &RoutingSettings) -> Vec<Decision> {
+        let mut decisions = self.refuse_hopeless(now);
+        while let Some(decision) = self.grant_next(now, settings) {
+            decisions.push(decision);
+        }
+        decisions
+    }
+
+    fn grant_next(&mut self, now: Timestamp, settings: &RoutingSettings) -> Option<Decision> {
+        let place = *self.waiting.first_key_value()?.0;
+        let back_end = self.choose(now, place.class, settings)?;
+        let waiting = self.waiting.remove(&place)?;
+        self.places.remove(&waiting.id);
+        let credits = self.credits_for(&back_end, settings);
+        let replica = self.replicas.get_mut(&back_end)?;
+        *replica.held.entry(waiting.front.clone()).or_default() += 1 + credits;
+        let grant = Grant {
+            id: waiting.id,
+            queue: self.key.clone(),
+            back_end,
+            credits,
+        };
+        Some(Decision::Grant(waiting.front, grant))
+    }
+
+    fn choose(
+        &self,
+        now: Timestamp,
+        class: PriorityClass,
+        settings: &RoutingSettings,
+    ) -> Option<BackEndId> {
+        self.replicas
+            .iter()
+            .filter(|(_, replica)| replica.suspended_until <= now)
+            .filter(|(_, replica)| replica.used() < allowed_slots(replica.slots, class, settings))
+            .max_by_key(|(_, replica)| replica.free())
+            .map(|(back_end, _)| back_end.clone())
+    }
+
+    /// Credits only when nothing else waits, and never more than a quarter of
+    /// what is free, so that several fronts and the next ticket find room.
+    fn credits_for(&self, back_end: &BackEndId, settings: &RoutingSettings) -> u32 {
+        if !self.waiting.is_empty() {
+            return 0;
+        }
+        let free = self.replicas.get(back_end).map_or(0, ReplicaUse::free);
+        (free / 4).min(settings.credit_limit)
+    }
+
+    fn refuse_hopeless(&mut self, now: Timestamp) -> Vec<Decision> {
+        let hopeless: Vec<(Place, Refusal)> = self
+            .waiting
+            .keys()
+            .enumerate()
+            .filter_map(|(position, place)| {
+                self.judge(now, position, place)
+                    .map(|refusal| (*place, refusal))
+            })
+            .collect();
+        let mut decisions = Vec::new();
+        for (place, refusal) in hopeless {
+            if let Some(waiting) = self.waiting.remove(&place) {
+                self.places.remove(&waiting.id);
+                decisions.push(Decision::Refuse(waiting.front, waiting.id, refusal));
+            }
+        }
+        decisions
+    }
+
+    fn judge(&self, now: Timestamp, position: usize, place: &Place) -> Option<Refusal> {
+        if place.deadline <= now {
+            let retry_after = Some(self.retry_after(now));
+            return Some(Refusal::not_run(RefusalReason::DeadlinePassed, retry_after));
+        }
+        if let Some(until) = self.no_place_until
+            && until > now
+            && self.replicas.is_empty()
+        {
+            let retry_after = Some(until.since(now).max(MIN_RETRY_AFTER));
+            return Some(Refusal::not_run(RefusalReason::NoPlace, retry_after));
+        }
+        let start = self.expected_start(now, position)?;
+        if start <= place.deadline {
+            return None;
+        }
+        let retry_after = Some(self.retry_after(now));
+        Some(Refusal::not_run(RefusalReason::NoCapacity, retry_after))
+    }
+
+    /// When the ticket at `position` is expected to start, if that is known.
+    fn expected_start(&self, now: Timestamp, position: usize) -> Option<Timestamp> {
+        let slots: u32 = self.replicas.values().map(|replica| replica.slots).sum();
+        if slots == 0 {
+            return self.expected.map(|ready| ready.max(now));
+        }
+        let rounds = position as f64 / f64::from(slots);
+        Some(now + (rounds * self.service_time) as u64)
+    }
+
+    /// When a new ticket would be expected to start, in milliseconds from now.
+    fn retry_after(&self, now: Timestamp) -> u64 {
+        self.expected_start(now, self.waiting.len())
+            .map_or(MIN_RETRY_AFTER, |start| start.since(now))
+            .max(MIN_RETRY_AFTER)
+    }
+
+    /// Tickets that wait.
+    pub fn waiting_count(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Slots that fronts hold.
+    pub fn running_count(&self) -> u32 {
+        self.replicas.values().map(ReplicaUse::used).sum()
+    }
+
+    /// Time left of the most urgent ticket.
+    pub fn most_urgent(&self, now: Timestamp) -> Option<u64> {
+        self.waiting
+            .keys()
+            .map(|place| place.deadline)
+            .min()
+            .map(|deadline| deadline.since(now))
+    }
+
+    /// Whether the placement holder should hear of this queue now: soon after
+    /// a ticket waits, and now and then while the model is in use.
+    pub fn demand_due(&mut self, now: Timestamp, waiting_every: u64, used_every: u64) -> bool {
+        let interval = if !self.waiting.is_empty() {
+            waiting_every
+        } else if self.running_count() > 0 {
+            used_every
+        } else {
+            return false;
+        };
+        let due = self
+            .last_demand
+            .is_none_or(|last| now.since(last) >= interval);
+        if due {
+            self.last_demand = Some(now);
+        }
+        due
+    }
+
+    /// Whether the queue can be dropped.
+    pub fn is_forgettable(&self, now: Timestamp) -> bool {
+        self.waiting.is_empty()
+            && self.running_count() == 0
+            && now.since(self.last_used) > IDLE_QUEUE_LIFE
+    }
+}
+
+fn allowed_slots(slots: u32, class: PriorityClass, settings: &RoutingSettings) -> u32 {
+    match class {
+        PriorityClass::Interactive => slots,
+        PriorityClass::Batch => ((f64::from(slots) * settings.batch_share) as u32).max(1),
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/model/table.rs
@@ -0,0 +1,85 @@
+//! A transactional key-value table with revisions.
+
+use std::collections::BTreeMap;
+
+use gorsebank_contract::{TableAnswer, TableRow, Transaction};
+
+#[derive(Clone, Debug)]
+struct Value {
+    text: String,
+    modified: u64,
+}
+
+/// Rows with the revision that last wrote each.
+#[derive(Clone, Debug, Default)]
+pub struct TableModel {
+    revision: u64,
+    rows: BTreeMap<String, Value>,
+    transactions: u64,
+}
+
+impl TableModel {
+    /// Runs a transaction.
+    pub fn transact(&mut self, transaction: &Transaction) -> TableAnswer {
+        self.transactions += 1;
+        let holds = transaction
+            .compares
+            .iter()
+            .all(|compare| self.modified(&compare.key) == compare.modified);
+        if !holds {
+            return TableAnswer::Conflict {
+                rows: self.read(&transaction.reads),
+            };
+        }
+        if !transaction.puts.is_empty() {
+            self.revision += 1;
+        }
+        for put in &transaction.puts {
+            let value = Value {
+                text: put.value.clone(),
+                modified: self.revision,
+            };
+            self.rows.insert(put.key.clone(), value);
+        }
+        TableAnswer::Committed {
+            revision: self.revision,
+            rows: self.read(&transaction.reads),
+        }
+    }
+
+    fn modified(&self, key: &str) -> u64 {
+        self.rows.get(key).map_or(0, |value| value.modified)
+    }
+
+    fn read(&self, reads: &[String]) -> Vec<TableRow> {
+        reads
+            .iter()
+            .flat_map(|read| self.rows_under(read))
+            .collect()
+    }
+
+    /// The row `key`, or all rows under it if it ends in `/`.
+    pub fn rows_under(&self, key: &str) -> Vec<TableRow> {
+        let is_prefix = key.ends_with('/');
+        self.rows
+            .range(key.to_owned()..)
+            .take_while(|(name, _)| {
+                if is_prefix {
+                    name.starts_with(key)
+                } else {
+                    *name == key
+                }
+            })
+            .map(|(name, value)| TableRow {
+                key: name.clone(),
+                value: value.text.clone(),
+                modified: value.modified,
+            })
+            .collect()
+    }
+
+    /// Transactions run so far.
+    pub fn transaction_count(&self) -> u64 {
+        self.transactions
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/server/table.rs
@@ -0,0 +1,171 @@
+//! The table service: transactions of etcd's v3 JSON gateway.
+//!
+//! `PUT /fault` with `"none"`, `"down"` (nothing is carried out, no answer),
+//! `"silent"` (everything is carried out, no answer) or `"slow"` brings about
+//! outages.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::extract::State;
+use axum::http::StatusCode;
+use axum::routing::{post, put};
+use axum::{Json, Router};
+use gorsebank_contract::{Compare, Put, TableAnswer, TableRow, Transaction};
+use gorsebank_platform::etcd::{
+    Base64, KeyValue, Number, PutResponse, RangeRequest, RangeResponse, RequestOp, ResponseHeader,
+    ResponseOp, TxnRequest, TxnResponse,
+};
+use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
+
+use crate::model::table::TableModel;
+
+/// How long a slow table takes.
+const SLOW: Duration = Duration::from_millis(400);
+/// A call without an answer is held for so long.
+const HANG: Duration = Duration::from_secs(3);
+
+/// How the table fails.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum TableFault {
+    /// It works.
+    #[default]
+    None,
+    /// Nothing is carried out and nothing answered.
+    Down,
+    /// Everything is carried out and nothing answered.
+    Silent,
+    /// Answers take long.
+    Slow,
+}
+
+/// The stand-in's state.
+#[derive(Debug, Default)]
+pub struct TableServer {
+    table: Mutex<TableModel>,
+    fault: Mutex<TableFault>,
+}
+
+/// The routes of the table service.
+pub fn router(server: Arc<TableServer>) -> Router {
+    Router::new()
+        .route("/v3/kv/txn", post(txn))
+        .route("/v3/kv/range", post(range))
+        .route("/fault", put(set_fault))
+        .with_state(server)
+}
+
+async fn set_fault(State(server): State<Arc<TableServer>>, Json(fault): Json<TableFault>) {
+    *server.fault.lock() = fault;
+}
+
+async fn txn(
+    State(server): State<Arc<TableServer>>,
+    Json(request): Json<TxnRequest>,
+) -> Result<Json<TxnResponse>, StatusCode> {
+    let fault = *server.fault.lock();
+    if fault == TableFault::Down {
+        tokio::time::sleep(HANG).await;
+        return Err(StatusCode::SERVICE_UNAVAILABLE);
+    }
+    let response = carry_out(&server, &request);
+    match fault {
+        TableFault::Silent => {
+            tokio::time::sleep(HANG).await;
+            Err(StatusCode::GATEWAY_TIMEOUT)
+        }
+        TableFault::Slow => {
+            tokio::time::sleep(SLOW).await;
+            Ok(Json(response))
+        }
+        TableFault::None | TableFault::Down => Ok(Json(response)),
+    }
+}
+
+async fn range(
+    State(server): State<Arc<TableServer>>,
+    Json(request): Json<RangeRequest>,
+) -> Json<RangeResponse> {
+    let kvs = server
+        .table
+        .lock()
+        .rows_under(&read_key(&request))
+        .into_iter()
+        .map(key_value)
+        .collect();
+    Json(RangeResponse { kvs })
+}
+
+fn carry_out(server: &TableServer, request: &TxnRequest) -> TxnResponse {
+    let transaction = transaction(request);
+    let answer = server.table.lock().transact(&transaction);
+    let put_count = transaction.puts.len();
+    match answer {
+        TableAnswer::Committed { revision, rows } => TxnResponse {
+            header: ResponseHeader {
+                revision: Number(revision),
+            },
+            succeeded: true,
+            responses: responses(put_count, rows),
+        },
+        TableAnswer::Conflict { rows } => TxnResponse {
+            responses: responses(0, rows),
+            ..TxnResponse::default()
+        },
+        TableAnswer::Unknown => TxnResponse::default(),
+    }
+}
+
+fn transaction(request: &TxnRequest) -> Transaction {
+    let compares = request
+        .compare
+        .iter()
+        .map(|compare| Compare {
+            key: text(&compare.key),
+            modified: compare.mod_revision.0,
+        })
+        .collect();
+    let mut puts = Vec::new();
+    let mut reads = Vec::new();
+    for operation in &request.success {
+        match operation {
+            RequestOp::RequestPut(put) => puts.push(Put {
+                key: text(&put.key),
+                value: text(&put.value),
+            }),
+            RequestOp::RequestRange(range) => reads.push(read_key(range)),
+        }
+    }
+    Transaction {
+        compares,
+        puts,
+        reads,
+    }
+}
+
+/// The model reads one key, or a prefix that ends in `/`; that is all that
+/// gorsebank asks for.
+fn read_key(range: &RangeRequest) -> String {
+    text(&range.key)
+}
+
+fn responses(put_count: usize, rows: Vec<TableRow>) -> Vec<ResponseOp> {
+    let puts = (0..put_count).map(|_| ResponseOp::ResponsePut(PutResponse {}));
+    let kvs = rows.into_iter().map(key_value).collect();
+    let range = ResponseOp::ResponseRange(RangeResponse { kvs });
+    puts.chain([range]).collect()
+}
+
+fn key_value(row: TableRow) -> KeyValue {
+    KeyValue {
+        key: Base64(row.key.into_bytes()),
+        value: Base64(row.value.into_bytes()),
+        mod_revision: Number(row.modified),
+    }
+}
+
+fn text(bytes: &Base64) -> String {
+    String::from_utf8_lossy(&bytes.0).into_owned()
+}
--- /dev/null
+++ b/crates/gorsebank/src/commands/get.rs
@@ -0,0 +1,27 @@
+//! `gorsebank get`: shows configuration rows.
+
+use gorsebank_world::Row;
+use http::Method;
+
+use crate::admin_client::{AdminClient, encoded, row_path};
+use crate::arguments::GetArguments;
+use crate::table_view::print_rows;
+
+/// Shows the rows.
+pub async fn run(arguments: GetArguments) -> eyre::Result<()> {
+    let client = AdminClient::new(arguments.connection.node);
+    let kind = arguments.kind.as_str();
+    let rows = match &arguments.name {
+        Some(name) => {
+            let path = row_path(kind, name, None)?;
+            let row: Row = client.call::<(), _>(Method::GET, &path, None).await?;
+            vec![row]
+        }
+        None => {
+            let selector = encoded(arguments.selector.as_deref().unwrap_or_default());
+            let path = format!("/v1/configuration/{kind}?selector={selector}");
+            client.call::<(), _>(Method::GET, &path, None).await?
+        }
+    };
+    print_rows(&rows, arguments.connection.output)
+}
--- /dev/null
+++ b/crates/gorsebank/src/commands/mod.rs
@@ -0,0 +1,10 @@
+//! One module a command.
+
+pub mod apply;
+pub mod check_settings;
+pub mod delete;
+pub mod dev;
+pub mod get;
+pub mod label;
+pub mod node;
+pub mod status;
--- /dev/null
+++ b/crates/gorsebank/tests/whole_path.rs
@@ -0,0 +1,111 @@
+//! The whole path over separate processes: callers, three nodes, the platform
+//! and four back ends.
+
+mod support;
+
+use http::Method;
+use serde_json::json;
+
+use support::Deployment;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_cold_model_answers_at_every_node_and_is_loaded_once() {
+    let deployment = Deployment::start("whole-path", 3).await;
+    deployment.apply_basics().await;
+    let body = json!({
+        "model": "llama", "stream": true, "max_tokens": 5,
+        "messages": [{"role": "user", "content": "Explain the meter's history."}],
+    })
+    .to_string();
+    let calls = deployment
+        .nodes
+        .iter()
+        .map(|node| deployment.post(node.process.address, "/v1/chat/completions", &body));
+    for answer in futures_util::future::join_all(calls).await {
+        assert_eq!(answer.status, 200, "{}", answer.text);
+        assert_eq!(answer.event_numbers(), [0, 1, 2, 3, 4, 5, 6]);
+        assert!(answer.text.trim_end().ends_with("data: [DONE]"));
+    }
+    let loads = deployment
+        .engine_events()
+        .await
+        .iter()
+        .filter(|event| event["event"] == "loaded")
+        .count();
+    assert_eq!(loads, 1, "a burst at three routers is one cold start");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bad_input_gets_a_typed_error_and_other_requests_go_on() {
+    let deployment = Deployment::start("bad-input", 1).await;
+    deployment.apply_basics().await;
+    deployment
+        .apply("model", "other", json!({"kind": "model", "memory": "1GiB"}))
+        .await;
+    let adapter = json!({"kind": "adapter", "model": "other", "memory": "1GiB"});
+    deployment.apply("adapter", "other+north", adapter).await;
+    let address = deployment.nodes[0].process.address;
+    let large = json!({"model": "llama", "prompt": "x".repeat(5 << 20)}).to_string();
+    let body = json!({"model": "llama", "prompt": "x"}).to_string();
+    let cases: [(&[(&str, &str)], &str, u16, &str); 8] = [
+        (&[], "{\"model\":", 400, "invalid_body"),
+        (&[], "{\"model\": 7}", 400, "invalid_body"),
+        (&[], "{\"model\": \"none\"}", 404, "model_not_found"),
+        (
+            &[],
+            "{\"model\": \"llama+north\"}",
+            404,
+            "adapter_of_another_model",
+        ),
+        (&[], &large, 413, "body_too_large"),
+        (&[("request-timeout", "soon")], &body, 400, "invalid_header"),
+        (
+            &[("request-deadline", "2020-01-01T00:00:00Z")],
+            &body,
+            400,
+            "deadline_in_the_past",
+        ),
+        (&[("idempotency-key", "")], &body, 400, "invalid_header"),
+    ];
+    for (headers, body, status, code) in cases {
+        let answer = deployment
+            .send(Method::POST, address, "/v1/completions", headers, body)
+            .await;
+        assert_eq!(answer.status, status, "{code}: {}", answer.text);
+        assert_eq!(answer.json()["error"]["code"], code);
+        assert_eq!(answer.headers["gorsebank-ran"], "no");
+    }
+    let unknown = deployment.post(address, "/services/none/x", "").await;
+    assert_eq!(unknown.json()["error"]["code"], "service_not_found");
+    let good = deployment.post(address, "/v1/completions", &body).await;
+    assert_eq!(good.status, 200, "{}", good.text);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn garbage_between_nodes_closes_only_its_own_connection() {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+
+    let deployment = Deployment::start("garbage", 2).await;
+    deployment.apply_basics().await;
+    let too_long = u32::MAX.to_be_bytes();
+    let not_cbor = [0, 0, 0, 4, 0xff, 0xff, 0xff, 0xff];
+    for garbage in [&too_long[..], &not_cbor[..]] {
+        let mut stream = tokio::net::TcpStream::connect(deployment.nodes[0].nodes)
+            .await
+            .expect("the node accepts");
+        stream.write_all(garbage).await.expect("garbage is sent");
+        let mut rest = Vec::new();
+        stream
+            .read_to_end(&mut rest)
+            .await
+            .expect("the node closes");
+        assert!(rest.is_empty());
+    }
+    let body = json!({"model": "llama", "prompt": "x"}).to_string();
+    for node in &deployment.nodes {
+        let answer = deployment
+            .post(node.process.address, "/v1/completions", &body)
+            .await;
+        assert_eq!(answer.status, 200, "{}", answer.text);
+    }
+}
--- /dev/null
+++ b/crates/node/src/admin/configuration.rs
@@ -0,0 +1,144 @@
+//! Configuration rows: read, apply, label, delete.
+//!
+//! `?version=N` makes a change conditional on the row's version (0: the row
+//! must not exist). A change against another version is refused with status
+//! 409 and the current version.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use axum::Json;
+use axum::extract::{Path, Query, State};
+use gorsebank_coordination::{Change, Edit};
+use gorsebank_world::{Labels, Row, RowKey, RowKind, Selector, Spec};
+use serde::{Deserialize, Serialize};
+
+use crate::admin::error::AdminError;
+use crate::host::Host;
+
+/// A condition on the row's version.
+#[derive(Debug, Deserialize)]
+pub struct VersionQuery {
+    version: Option<u64>,
+}
+
+/// Which rows are listed.
+#[derive(Debug, Deserialize)]
+pub struct ListQuery {
+    selector: Option<String>,
+}
+
+/// Labels and content of a row.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RowContent {
+    /// Labels.
+    #[serde(default)]
+    pub labels: Labels,
+    /// Content.
+    pub spec: Spec,
+}
+
+fn row_key(kind: &str, name: &str) -> Result<RowKey, AdminError> {
+    let kind: RowKind = kind
+        .parse()
+        .map_err(|error| AdminError::not_found(format!("{error}")))?;
+    Ok(RowKey {
+        kind,
+        name: name.to_owned(),
+    })
+}
+
+/// `GET /v1/configuration/{kind}`.
+pub async fn list(
+    State(host): State<Arc<Host>>,
+    Path(kind): Path<String>,
+    Query(query): Query<ListQuery>,
+) -> Result<Json<Vec<Row>>, AdminError> {
+    let kind = row_key(&kind, "")?.kind;
+    let selector: Selector = query
+        .selector
+        .unwrap_or_default()
+        .parse()
+        .map_err(|error| AdminError::bad_request(format!("{error}")))?;
+    let rows = host.node().with_configuration(|configuration| {
+        configuration
+            .live_rows(kind)
+            .filter(|row| selector.matches(&row.labels))
+            .cloned()
+            .collect()
+    });
+    Ok(Json(rows))
+}
+
+/// `GET /v1/configuration/{kind}/{name}`.
+pub async fn read(
+    State(host): State<Arc<Host>>,
+    Path((kind, name)): Path<(String, String)>,
+) -> Result<Json<Row>, AdminError> {
+    let key = row_key(&kind, &name)?;
+    let row = host
+        .node()
+        .with_configuration(|configuration| configuration.row(&key).cloned());
+    row.filter(|row| row.spec.is_some())
+        .map(Json)
+        .ok_or_else(|| AdminError::not_found(format!("{key} does not exist")))
+}
+
+/// `PUT /v1/configuration/{kind}/{name}`.
+pub async fn apply(
+    State(host): State<Arc<Host>>,
+    Path((kind, name)): Path<(String, String)>,
+    Query(query): Query<VersionQuery>,
+    body: String,
+) -> Result<Json<Row>, AdminError> {
+    let key = row_key(&kind, &name)?;
+    let content: RowContent = parse(&key, &body)?;
+    let edit = Edit::Apply {
+        labels: content.labels,
+        spec: content.spec,
+    };
+    change(&host, key, query.version, edit).await
+}
+
+/// `PATCH /v1/configuration/{kind}/{name}`: labels to set or, with `null`, remove.
+pub async fn label(
+    State(host): State<Arc<Host>>,
+    Path((kind, name)): Path<(String, String)>,
+    Query(query): Query<VersionQuery>,
+    body: String,
+) -> Result<Json<Row>, AdminError> {
+    let key = row_key(&kind, &name)?;
+    let edits: BTreeMap<String, Option<String>> = parse(&key, &body)?;
+    change(&host, key, query.version, Edit::Label(edits)).await
+}
+
+/// `DELETE /v1/configuration/{kind}/{name}`.
+pub async fn delete(
+    State(host): State<Arc<Host>>,
+    Path((kind, name)): Path<(String, String)>,
+    Query(query): Query<VersionQuery>,
+) -> Result<Json<Row>, AdminError> {
+    let key = row_key(&kind, &name)?;
+    change(&host, key, query.version, Edit::Delete).await
+}
+
+fn parse<T: for<'de> Deserialize<'de>>(key: &RowKey, body: &str) -> Result<T, AdminError> {
+    serde_json::from_str(body).map_err(|error| AdminError::bad_request(format!("{key}: {error}")))
+}
+
+async fn change(
+    host: &Arc<Host>,
+    key: RowKey,
+    expected: Option<u64>,
+    edit: Edit,
+) -> Result<Json<Row>, AdminError> {
+    let change = Change {
+        key,
+        expected,
+        edit,
+    };
+    let row = host.change(change).await?;
+    log::info!("{} is at version {}", row.key, row.revision);
+    Ok(Json(row))
+}
--- /dev/null
+++ b/crates/node/src/admin/mod.rs
@@ -0,0 +1,28 @@
+//! The side towards operators: configuration, metrics and probes.
+
+pub mod configuration;
+pub mod error;
+pub mod probes;
+
+use std::sync::Arc;
+
+use axum::Router;
+use axum::routing::get;
+
+use crate::host::Host;
+
+/// The routes of the admin address.
+pub fn router(host: Arc<Host>) -> Router {
+    let row = get(configuration::read)
+        .put(configuration::apply)
+        .patch(configuration::label)
+        .delete(configuration::delete);
+    Router::new()
+        .route("/healthz", get(probes::healthy))
+        .route("/readyz", get(probes::ready))
+        .route("/metrics", get(probes::metrics))
+        .route("/v1/status", get(probes::status))
+        .route("/v1/configuration/{kind}", get(configuration::list))
+        .route("/v1/configuration/{kind}/{name}", row)
+        .with_state(host)
+}
--- /dev/null
+++ b/crates/node/src/caller/answer.rs
@@ -0,0 +1,80 @@
+//! Takes a request through its attempts to a response for the caller.
+
+use axum::body::Body;
+use axum::http::{HeaderValue, Response, header};
+use axum::response::IntoResponse;
+use gorsebank_contract::AttemptOutcome;
+use gorsebank_world::Machine;
+use hyper::body::Incoming;
+
+use crate::caller::attempt::{self, OutgoingRequest, REQUEST_ID_HEADER};
+use crate::caller::error::{CallerError, refusal_code};
+use crate::caller::request::OpenRequest;
+use crate::caller::stream;
+use crate::host::Command;
+
+/// Follows the decision logic's commands until there is an answer.
+pub async fn answer(mut open: OpenRequest, outgoing: OutgoingRequest) -> Response<Body> {
+    while let Some(command) = open.next_command().await {
+        match command {
+            Command::Refuse(refusal) => {
+                let code = refusal_code(refusal.reason);
+                let metrics = open.host().metrics();
+                metrics.refused.with_label_values(&[code]).inc();
+                return CallerError::Refused(refusal).into_response();
+            }
+            Command::Dispatch(id, machine) => {
+                let name = attempt::stream_name(id, &machine.id);
+                match attempt_at(&mut open, &outgoing, &machine, &name).await {
+                    Ok(Answer::Whole(response)) => {
+                        open.attempt_ended(AttemptOutcome::Completed);
+                        return response;
+                    }
+                    Ok(Answer::Stream(source)) => return stream::respond(open, *source),
+                    Err(outcome) => open.attempt_ended(outcome),
+                }
+            }
+        }
+    }
+    CallerError::Overloaded.into_response()
+}
+
+enum Answer {
+    Whole(Response<Body>),
+    Stream(Box<stream::StreamSource>),
+}
+
+async fn attempt_at(
+    open: &mut OpenRequest,
+    outgoing: &OutgoingRequest,
+    machine: &Machine,
+    name: &str,
+) -> Result<Answer, AttemptOutcome> {
+    let http = open.host().http().clone();
+    let limit = open.time_left();
+    let response = attempt::send(&http, machine.address, name, outgoing, limit).await?;
+    if is_event_stream(&response) {
+        let stall = open.host().settings().limits.stream_stall;
+        let mut source = stream::StreamSource::new(http, machine.address, name, response, stall);
+        source.fetch_first().await?;
+        open.note_first_byte();
+        return Ok(Answer::Stream(Box::new(source)));
+    }
+    let largest = open.host().settings().limits.answer.as_u64();
+    let whole = attempt::whole_body(response, largest, open.time_left()).await?;
+    open.note_first_byte();
+    let (mut head, body) = whole.into_parts();
+    head.headers = attempt::passed_on(&head.headers);
+    if let Ok(name) = HeaderValue::from_str(name) {
+        head.headers.insert(REQUEST_ID_HEADER, name);
+    }
+    Ok(Answer::Whole(Response::from_parts(head, Body::from(body))))
+}
+
+fn is_event_stream(response: &Response<Incoming>) -> bool {
+    response
+        .headers()
+        .get(header::CONTENT_TYPE)
+        .and_then(|value| value.to_str().ok())
+        .is_some_and(|kind| kind.starts_with("text/event-stream"))
+}
--- /dev/null
+++ b/crates/node/src/caller/mod.rs
@@ -0,0 +1,43 @@
+//! The side towards callers: the OpenAI-compatible API and application
+//! services, over HTTP.
+
+pub mod answer;
+pub mod application;
+pub mod attempt;
+pub mod error;
+pub mod headers;
+pub mod openai;
+pub mod request;
+pub mod resume;
+pub mod stream;
+
+use std::sync::Arc;
+
+use axum::Router;
+use axum::error_handling::HandleErrorLayer;
+use axum::routing::{any, get, post};
+use tower::ServiceBuilder;
+use tower::limit::ConcurrencyLimitLayer;
+use tower::load_shed::LoadShedLayer;
+
+use crate::host::Host;
+
+/// The routes for callers. The outer layers bound what one node takes on:
+/// beyond the limit a request is refused at once, before its body is read.
+pub fn router(host: Arc<Host>) -> Router {
+    let limit = host.settings().limits.open_requests;
+    let limits = ServiceBuilder::new()
+        .layer(HandleErrorLayer::new(error::overloaded))
+        .layer(LoadShedLayer::new())
+        .layer(ConcurrencyLimitLayer::new(limit));
+    Router::new()
+        .route("/v1/chat/completions", post(openai::chat))
+        .route("/v1/completions", post(openai::complete))
+        .route("/v1/models", get(openai::models))
+        .route("/v1/streams/{stream}", get(resume::resume))
+        .route("/services/{service}/{*path}", any(application::call))
+        .fallback(error::unknown_path)
+        .method_not_allowed_fallback(error::wrong_method)
+        .layer(limits)
+        .with_state(host)
+}
--- /dev/null
+++ b/crates/node/src/caller/openai.rs
@@ -0,0 +1,142 @@
+//! The OpenAI-compatible API.
+
+use std::sync::Arc;
+
+use axum::Json;
+use axum::body::{Body, Bytes};
+use axum::extract::State;
+use axum::http::{HeaderMap, HeaderValue, Method, Request, Response, header};
+use axum::response::IntoResponse;
+use gorsebank_contract::PriorityClass;
+use gorsebank_world::QueueKey;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use serde_json::{Map, Value, json};
+
+use crate::caller::answer;
+use crate::caller::attempt::OutgoingRequest;
+use crate::caller::error::CallerError;
+use crate::caller::headers;
+use crate::caller::request::{OpenRequest, RequestTerms};
+use crate::host::Host;
+
+/// `service_tier` of requests that can wait.
+const BATCH_TIER: &str = "flex";
+
+/// `POST /v1/chat/completions`.
+pub async fn chat(State(host): State<Arc<Host>>, request: Request<Body>) -> Response<Body> {
+    run(host, request, "/v1/chat/completions").await
+}
+
+/// `POST /v1/completions`.
+pub async fn complete(State(host): State<Arc<Host>>, request: Request<Body>) -> Response<Body> {
+    run(host, request, "/v1/completions").await
+}
+
+/// `GET /v1/models`.
+pub async fn models(State(host): State<Arc<Host>>) -> Json<Value> {
+    let names = host
+        .node()
+        .with_configuration(|configuration| configuration.served_names());
+    let data: Vec<Value> = names
+        .into_iter()
+        .map(|name| json!({"id": name, "object": "model", "owned_by": "gorsebank"}))
+        .collect();
+    Json(json!({"object": "list", "data": data}))
+}
+
+async fn run(host: Arc<Host>, request: Request<Body>, path: &str) -> Response<Body> {
+    match prepare(&host, request, path).await {
+        Ok((terms, outgoing)) => answer::answer(OpenRequest::open(&host, terms), outgoing).await,
+        Err(error) => refuse_invalid(&host, error),
+    }
+}
+
+/// Answers a request that is not valid.
+pub fn refuse_invalid(host: &Host, error: CallerError) -> Response<Body> {
+    let metrics = host.metrics();
+    metrics
+        .invalid_requests
+        .with_label_values(&[error.code()])
+        .inc();
+    error.into_response()
+}
+
+async fn prepare(
+    host: &Host,
+    request: Request<Body>,
+    path: &str,
+) -> Result<(RequestTerms, OutgoingRequest), CallerError> {
+    let (head, body) = request.into_parts();
+    let bytes = read_body(body, host.settings().limits.body.as_u64()).await?;
+    let mut fields: Map<String, Value> =
+        serde_json::from_slice(&bytes).map_err(|error| CallerError::Body(error.to_string()))?;
+    let queue = requested_queue(host, &fields)?;
+    let class = priority(&fields)?;
+    let key = headers::idempotency_key(&head.headers)?;
+    let terms = RequestTerms {
+        class,
+        time_allowed: time_allowed(host, &head.headers, class)?,
+        repeatable: key.is_none(),
+        key: key.map(|key| format!("{path} {key}")),
+        queue,
+    };
+    fields.insert("model".to_owned(), Value::from(terms.queue.to_string()));
+    let body = serde_json::to_vec(&fields).map_err(|error| CallerError::Body(error.to_string()))?;
+    let mut passed = head.headers;
+    passed.insert(
+        header::CONTENT_TYPE,
+        HeaderValue::from_static("application/json"),
+    );
+    let outgoing = OutgoingRequest {
+        method: Method::POST,
+        path: path.to_owned(),
+        headers: passed,
+        body: Bytes::from(body),
+        class,
+    };
+    Ok((terms, outgoing))
+}
+
+/// The whole body, if it is not too large.
+pub async fn read_body(body: Body, largest: u64) -> Result<Bytes, CallerError> {
+    let collected = Limited::new(body, largest as usize).collect().await;
+    match collected {
+        Ok(collected) => Ok(collected.to_bytes()),
+        Err(error) if error.downcast_ref::<LengthLimitError>().is_some() => {
+            Err(CallerError::BodyTooLarge(largest))
+        }
+        Err(error) => Err(CallerError::BodyCut(error.to_string())),
+    }
+}
+
+fn requested_queue(host: &Host, fields: &Map<String, Value>) -> Result<QueueKey, CallerError> {
+    match fields.get("model") {
+        Some(Value::String(name)) => host.node().resolve(name).map_err(CallerError::Model),
+        Some(_) => Err(CallerError::Body("field `model` is no text".to_owned())),
+        None => Err(CallerError::Body("field `model` is missing".to_owned())),
+    }
+}
+
+fn priority(fields: &Map<String, Value>) -> Result<PriorityClass, CallerError> {
+    match fields.get("service_tier") {
+        None | Some(Value::Null) => Ok(PriorityClass::Interactive),
+        Some(Value::String(tier)) if tier == BATCH_TIER => Ok(PriorityClass::Batch),
+        Some(Value::String(_)) => Ok(PriorityClass::Interactive),
+        Some(_) => Err(CallerError::Body(
+            "field `service_tier` is no text".to_owned(),
+        )),
+    }
+}
+
+fn time_allowed(
+    host: &Host,
+    headers: &HeaderMap,
+    class: PriorityClass,
+) -> Result<std::time::Duration, CallerError> {
+    let limits = &host.settings().limits;
+    let default = match class {
+        PriorityClass::Interactive => limits.interactive_deadline,
+        PriorityClass::Batch => limits.batch_deadline,
+    };
+    Ok(headers::time_allowed(headers)?.unwrap_or(default))
+}
--- /dev/null
+++ b/crates/node/src/logging.rs
@@ -0,0 +1,21 @@
+//! Logs by logforth: counters tell how much, lines tell of changes of state.
+
+use eyre::eyre;
+use logforth::append::Stderr;
+use logforth::filter::rustlog::RustLogFilterBuilder;
+use logforth::layout::{JsonLayout, TextLayout};
+
+use crate::settings::{LogFormat, LogSection};
+
+/// Sends log lines to standard error.
+pub fn start(section: &LogSection) -> eyre::Result<()> {
+    let filter = RustLogFilterBuilder::from_spec(&section.filter).build();
+    let append = match section.format {
+        LogFormat::Text => Stderr::default().with_layout(TextLayout::default().no_color()),
+        LogFormat::Json => Stderr::default().with_layout(JsonLayout::default()),
+    };
+    logforth::starter_log::builder()
+        .dispatch(|dispatch| dispatch.filter(filter).append(append))
+        .try_apply()
+        .map_err(|error| eyre!("logs cannot be started: {error}"))
+}
--- /dev/null
+++ b/crates/platform/src/table_client.rs
@@ -0,0 +1,142 @@
+//! The platform's table service, by etcd's v3 JSON gateway.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use gorsebank_contract::{TableAnswer, TableRow, Transaction};
+use http::Method;
+
+use crate::etcd::{
+    Base64, CompareMessage, KeyValue, Number, PutRequest, RangeRequest, RequestOp, ResponseOp,
+    TxnRequest, TxnResponse, prefix_end,
+};
+use crate::http_client::HttpClient;
+
+const TXN_PATH: &str = "/v3/kv/txn";
+
+/// A client of the table service; takes the next address when one fails.
+#[derive(Debug)]
+pub struct TableClient {
+    http: HttpClient,
+    addresses: Vec<SocketAddr>,
+    current: AtomicUsize,
+    prefix: String,
+    timeout: Duration,
+}
+
+impl TableClient {
+    /// A client that keeps its rows under `prefix`.
+    pub fn new(
+        http: HttpClient,
+        addresses: Vec<SocketAddr>,
+        prefix: String,
+        timeout: Duration,
+    ) -> Self {
+        TableClient {
+            http,
+            addresses,
+            current: AtomicUsize::new(0),
+            prefix,
+            timeout,
+        }
+    }
+
+    /// Runs a transaction. Any failure counts as unknown: the service may have
+    /// carried the transaction out, or may yet.
+    pub async fn transact(&self, transaction: &Transaction) -> TableAnswer {
+        let request = self.request(transaction);
+        let index = self.current.load(Ordering::Relaxed);
+        let Some(address) = self.addresses.get(index % self.addresses.len().max(1)) else {
+            return TableAnswer::Unknown;
+        };
+        let answer = self
+            .http
+            .call::<_, TxnResponse>(
+                Method::POST,
+                *address,
+                TXN_PATH,
+                Some(&request),
+                self.timeout,
+            )
+            .await;
+        match answer {
+            Ok((status, response)) if status.is_success() => self.answer(response),
+            _ => {
+                self.current.store(index.wrapping_add(1), Ordering::Relaxed);
+                TableAnswer::Unknown
+            }
+        }
+    }
+
+    fn request(&self, transaction: &Transaction) -> TxnRequest {
+        let compare = transaction
+            .compares
+            .iter()
+            .map(|compare| CompareMessage {
+                key: self.key(&compare.key),
+                target: "MOD".to_owned(),
+                result: "EQUAL".to_owned(),
+                mod_revision: Number(compare.modified),
+            })
+            .collect();
+        let puts = transaction.puts.iter().map(|put| {
+            RequestOp::RequestPut(PutRequest {
+                key: self.key(&put.key),
+                value: Base64(put.value.clone().into_bytes()),
+            })
+        });
+        let reads = || transaction.reads.iter().map(|read| self.range(read));
+        TxnRequest {
+            compare,
+            success: puts.chain(reads()).collect(),
+            failure: reads().collect(),
+        }
+    }
+
+    fn key(&self, key: &str) -> Base64 {
+        Base64(format!("{}{key}", self.prefix).into_bytes())
+    }
+
+    fn range(&self, read: &str) -> RequestOp {
+        let key = self.key(read);
+        let range_end = if read.ends_with('/') {
+            Base64(prefix_end(&key.0))
+        } else {
+            Base64::default()
+        };
+        RequestOp::RequestRange(RangeRequest { key, range_end })
+    }
+
+    fn answer(&self, response: TxnResponse) -> TableAnswer {
+        let rows = response
+            .responses
+            .into_iter()
+            .filter_map(|operation| match operation {
+                ResponseOp::ResponseRange(range) => Some(range.kvs),
+                ResponseOp::ResponsePut(_) => None,
+            })
+            .flatten()
+            .filter_map(|pair| self.row(pair))
+            .collect();
+        if response.succeeded {
+            TableAnswer::Committed {
+                revision: response.header.revision.0,
+                rows,
+            }
+        } else {
+            TableAnswer::Conflict { rows }
+        }
+    }
+
+    fn row(&self, pair: KeyValue) -> Option<TableRow> {
+        let key = String::from_utf8(pair.key.0).ok()?;
+        let key = key.strip_prefix(&self.prefix)?.to_owned();
+        let value = String::from_utf8(pair.value.0).ok()?;
+        Some(TableRow {
+            key,
+            value,
+            modified: pair.mod_revision.0,
+        })
+    }
+}
--- /dev/null
+++ b/crates/world/src/lib.rs
@@ -0,0 +1,20 @@
+//! Values that mirror the world gorsebank runs in.
+//!
+//! Nothing here decides anything or performs I/O. The types are shared by the
+//! decision logic, the node, the stand-ins and the replay tool.
+
+pub mod artifact;
+pub mod configuration;
+pub mod identity;
+pub mod labels;
+pub mod machine;
+pub mod selector;
+
+pub use artifact::{Artifact, QueueKey};
+pub use configuration::{
+    AdapterSpec, BackEndSpec, DeploymentSpec, ModelSpec, Row, RowKey, RowKind, Spec, VersionSpec,
+};
+pub use identity::{AdapterId, BackEndId, CellId, ModelId, NodeId, ServiceId, VersionId, ZoneId};
+pub use labels::Labels;
+pub use machine::{Machine, MachineList, MachineRole, MachineState, NodeEntry};
+pub use selector::Selector;
