--- a/crates/contract/src/message.rs
+++ b/crates/contract/src/message.rs
@@ -56,6 +56,32 @@
     pub machines: u64,
 }
 
+/// A replica that may be given work.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReplicaOffer {
+    /// The back end.
+    #[serde(rename = "b")]
+    pub back_end: BackEndId,
+    /// Requests that it runs at once for this artifact: its slots, shared with
+    /// the other artifacts that are in use on it.
+    #[serde(rename = "n")]
+    pub slots: u32,
+}
+
+/// Slots that a front holds.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeldSlots {
+    /// The queue.
+    #[serde(rename = "q")]
+    pub queue: QueueKey,
+    /// The back end.
+    #[serde(rename = "b")]
+    pub back_end: BackEndId,
+    /// How many.
+    #[serde(rename = "n")]
+    pub slots: u32,
+}
+
 /// The replicas of an artifact as the placement holder knows them.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReplicaSet {
@@ -70,7 +96,7 @@
     pub version: u64,
     /// Back ends that have it loaded and may be given work.
     #[serde(rename = "b")]
-    pub ready: Vec<BackEndId>,
+    pub ready: Vec<ReplicaOffer>,
     /// When another replica is expected, in milliseconds from now.
     #[serde(rename = "x")]
     pub expected: Option<u64>,
@@ -130,6 +156,10 @@
         #[serde(rename = "x", default, skip_serializing_if = "std::ops::Not::not")]
         troubled: bool,
     },
+    /// Front to owner, now and then: all slots that it holds of that owner, so
+    /// that a lost grant or release does not take a slot for good.
+    #[serde(rename = "hs")]
+    Held(Vec<HeldSlots>),
     /// Owner to holder: requests wait for an artifact, or keep using it.
     #[serde(rename = "dm")]
     Demand {
@@ -269,6 +299,7 @@
             PeerMessage::Returned(_) => "returned",
             PeerMessage::Cancel { .. } => "cancel",
             PeerMessage::Released { .. } => "released",
+            PeerMessage::Held(_) => "held",
             PeerMessage::Demand { .. } => "demand",
             PeerMessage::Replicas(_) => "replicas",
             PeerMessage::Suspect { .. } => "suspect",
--- a/crates/coordination/src/claim_group.rs
+++ b/crates/coordination/src/claim_group.rs
@@ -98,10 +98,17 @@
     }
 
     /// Goes on with a change, or starts one if members are missing.
-    pub fn tick(&mut self, now: Timestamp, view: &View) -> Vec<(NodeId, PeerMessage)> {
+    /// A change starts only while the table works: sealed members record
+    /// nothing until the next group is written.
+    pub fn tick(
+        &mut self,
+        now: Timestamp,
+        view: &View,
+        table_works: bool,
+    ) -> Vec<(NodeId, PeerMessage)> {
         match &self.step {
             Step::Steady => {
-                if self.change_is_due(now, view) {
+                if self.change_is_due(now, view) && table_works {
                     return self.start_change(now, view);
                 }
                 Vec::new()
--- a/crates/coordination/src/claim_round.rs
+++ b/crates/coordination/src/claim_round.rs
@@ -2,17 +2,25 @@
 //!
 //! In: claims wanted, members' answers, time. Out: messages to members and one
 //! verdict for each claim.
+//!
+//! For each key one member is asked first, and the others once it recorded the
+//! claim: of several requests that claim a key at the same moment the one that
+//! came first there wins, where otherwise each might get one member and none a
+//! majority. If the first member does not answer, the others are asked anyway.
 
 use std::collections::{BTreeSet, HashMap};
 
 use gorsebank_contract::{ClaimAnswer, ClaimGroup, Epoch, PeerMessage, RequestId};
 use gorsebank_world::NodeId;
 
+use crate::rendezvous;
 use crate::settings::ClaimSettings;
 use crate::time::Timestamp;
 
 /// Pause before a claim is sent again to members that did not answer.
 const RESEND_INTERVAL: u64 = 200;
+/// The first member is asked alone for so long, in milliseconds.
+const FIRST_MEMBER_PATIENCE: u64 = 60;
 
 /// The result of a claim.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -44,6 +52,8 @@
     key: String,
     epoch: Epoch,
     recorded: BTreeSet<NodeId>,
+    first_only: bool,
+    started: Timestamp,
     sent: Timestamp,
     expires: Timestamp,
 }
@@ -86,6 +96,8 @@
             key,
             epoch: self.group.epoch,
             recorded: BTreeSet::new(),
+            first_only: true,
+            started: now,
             sent: now,
             expires: now + self.settings.timeout,
         };
@@ -111,10 +123,14 @@
         match answer {
             ClaimAnswer::Recorded => {
                 round.recorded.insert(member.clone());
-                if round.recorded.len() < self.group.majority() {
+                if round.recorded.len() >= self.group.majority() {
+                    return self.decide(request, ClaimVerdict::Won);
+                }
+                if !std::mem::take(&mut round.first_only) {
                     return Vec::new();
                 }
-                self.decide(request, ClaimVerdict::Won)
+                let round = round.clone();
+                ask(&self.group, request, &round)
             }
             ClaimAnswer::Taken(_) => self.decide(request, ClaimVerdict::Taken),
             ClaimAnswer::InDoubt(retry_after) => {
@@ -148,7 +164,10 @@
                 round.epoch = self.group.epoch;
                 round.recorded.clear();
             }
-            if moved || now.since(round.sent) >= RESEND_INTERVAL {
+            let is_impatient =
+                round.first_only && now.since(round.started) >= FIRST_MEMBER_PATIENCE;
+            round.first_only &= !is_impatient;
+            if moved || is_impatient || now.since(round.sent) >= RESEND_INTERVAL {
                 round.sent = now;
                 output.extend(ask(&self.group, request, round));
             }
@@ -178,10 +197,16 @@
     }
 }
 
+/// Asks the members that have not recorded the claim: at first only one.
 fn ask(group: &ClaimGroup, request: RequestId, round: &Round) -> Vec<RoundOutput> {
-    group
-        .members
-        .keys()
+    let asked = if round.first_only {
+        1
+    } else {
+        group.members.len()
+    };
+    rendezvous::ranked(&round.key, group.members.keys())
+        .into_iter()
+        .take(asked)
         .filter(|member| !round.recorded.contains(*member))
         .map(|member| {
             let message = PeerMessage::Claim {
--- a/crates/coordination/src/front.rs
+++ b/crates/coordination/src/front.rs
@@ -11,7 +11,8 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 
 use gorsebank_contract::{
-    Attempt, AttemptOutcome, Grant, Ran, Refusal, RefusalReason, RequestId, Ticket, TicketId,
+    Attempt, AttemptOutcome, Grant, HeldSlots, Ran, Refusal, RefusalReason, RequestId, Ticket,
+    TicketId,
 };
 use gorsebank_world::{BackEndId, MachineState, NodeId, QueueKey};
 use rand_chacha::ChaCha8Rng;
@@ -23,7 +24,12 @@
 use crate::queues::Release;
 use crate::retry::{RetryBudget, backoff};
 use crate::settings::RoutingSettings;
-use crate::time::Timestamp;
+use crate::time::{Periodic, Timestamp};
+
+/// Owners are told so often which slots are held, in milliseconds.
+const ACCOUNT_INTERVAL: u64 = 5_000;
+/// So many slots are given back without waiting for the next tick.
+const RELEASE_BATCH: u32 = 4;
 
 /// What the front wants done.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -44,6 +50,8 @@
     Refuse(RequestId, Refusal),
     /// Give slots back to an owner.
     Release(NodeId, Release),
+    /// Tell an owner which slots are held.
+    Account(NodeId, Vec<HeldSlots>),
 }
 
 /// A slot at a back end, held for one request.
@@ -93,7 +101,7 @@
     expires: Timestamp,
 }
 
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 struct ReleaseKey {
     owner: NodeId,
     queue: QueueKey,
@@ -134,6 +142,9 @@
     unsent: HashSet<RequestId>,
     credits: HashMap<QueueKey, Vec<Credit>>,
     releases: HashMap<ReleaseKey, ReleaseSum>,
+    accounts: Periodic,
+    /// Owners that were told of held slots last time.
+    accounted: HashSet<NodeId>,
     budget: RetryBudget,
     random: ChaCha8Rng,
     counts: FrontCounts,
@@ -149,6 +160,8 @@
             unsent: HashSet::new(),
             credits: HashMap::new(),
             releases: HashMap::new(),
+            accounts: Periodic::every(ACCOUNT_INTERVAL),
+            accounted: HashSet::new(),
             random,
             counts: FrontCounts::default(),
         }
@@ -392,7 +405,7 @@
             pending.ran = Ran::Unknown;
         }
         self.give_back(now, &queue, &slot, ended, troubled);
-        match outcome {
+        let mut output = match outcome {
             AttemptOutcome::Completed => self.finish_completed(id.request),
             AttemptOutcome::NotSent | AttemptOutcome::NotStarted => self.try_again(now, id.request),
             AttemptOutcome::LostBeforeAnswer if repeatable => self.try_again(now, id.request),
@@ -404,7 +417,9 @@
                 self.remove(id.request);
                 Vec::new()
             }
-        }
+        };
+        output.extend(self.flush_releases(RELEASE_BATCH));
+        output
     }
 
     fn try_again(&mut self, now: Timestamp, request: RequestId) -> Vec<FrontOutput> {
@@ -521,10 +536,43 @@
             output.extend(self.attend(now, request, view, machines));
         }
         self.return_expired_credits(now, machines);
-        output.extend(self.flush_releases());
+        output.extend(self.flush_releases(1));
+        if self.accounts.due(now) {
+            output.extend(self.account());
+        }
         output
     }
 
+    /// All slots held, by owner; an owner of which none are held any more is
+    /// told so once.
+    fn account(&mut self) -> Vec<FrontOutput> {
+        let mut held: BTreeMap<NodeId, BTreeMap<(QueueKey, BackEndId), u32>> = BTreeMap::new();
+        let mut add = |owner: &NodeId, queue: &QueueKey, back_end: &BackEndId, slots: u32| {
+            let of_owner = held.entry(owner.clone()).or_default();
+            *of_owner
+                .entry((queue.clone(), back_end.clone()))
+                .or_default() += slots;
+        };
+        for pending in self.pending.values() {
+            if let Stage::Claiming(slot) | Stage::Running(slot) = &pending.stage {
+                add(&slot.owner, &pending.arrival.queue, &slot.back_end, 1);
+            }
+        }
+        for (queue, credits) in &self.credits {
+            for credit in credits {
+                add(&credit.owner, queue, &credit.back_end, credit.remaining);
+            }
+        }
+        let holding: HashSet<NodeId> = held.keys().cloned().collect();
+        for owner in self.accounted.difference(&holding) {
+            held.entry(owner.clone()).or_default();
+        }
+        self.accounted = holding;
+        held.into_iter()
+            .map(|(owner, slots)| FrontOutput::Account(owner, held_slots(slots)))
+            .collect()
+    }
+
     fn attend(
         &mut self,
         now: Timestamp,
@@ -604,19 +652,14 @@
         }
     }
 
-    /// Slots given back since the last call, one report a queue and back end.
-    pub fn flush_releases(&mut self) -> Vec<FrontOutput> {
-        let sums: BTreeMap<String, (ReleaseKey, ReleaseSum)> = self
+    /// Reports of at least `least` slots given back, one a queue and back end.
+    fn flush_releases(&mut self, least: u32) -> Vec<FrontOutput> {
+        let mut due: Vec<(ReleaseKey, ReleaseSum)> = self
             .releases
-            .drain()
-            .map(|(key, sum)| {
-                (
-                    format!("{}/{}/{}", key.owner, key.queue, key.back_end),
-                    (key, sum),
-                )
-            })
+            .extract_if(|_, sum| sum.slots >= least || sum.troubled)
             .collect();
-        sums.into_values()
+        due.sort_by(|one, other| one.0.cmp(&other.0));
+        due.into_iter()
             .map(|(key, sum)| {
                 let release = Release {
                     queue: key.queue,
@@ -632,6 +675,17 @@
     }
 }
 
+fn held_slots(slots: BTreeMap<(QueueKey, BackEndId), u32>) -> Vec<HeldSlots> {
+    slots
+        .into_iter()
+        .map(|((queue, back_end), slots)| HeldSlots {
+            queue,
+            back_end,
+            slots,
+        })
+        .collect()
+}
+
 fn takes_work(machines: &MachineTable, back_end: &BackEndId) -> bool {
     machines
         .back_end(back_end)
--- a/crates/coordination/src/node.rs
+++ b/crates/coordination/src/node.rs
@@ -469,6 +469,7 @@
                 };
                 self.released(turn, from, &release);
             }
+            PeerMessage::Held(held) => self.queues.lock().correct_held(now, from, &held),
             PeerMessage::Demand {
                 artifact,
                 waiting,
@@ -753,6 +754,9 @@
                 FrontOutput::Refuse(request, refusal) => {
                     turn.actions.push(Action::Refuse { request, refusal });
                 }
+                FrontOutput::Account(owner, held) => {
+                    self.send(turn, owner, PeerMessage::Held(held));
+                }
                 FrontOutput::Release(owner, release) => {
                     let message = PeerMessage::Released {
                         queue: release.queue,
--- a/crates/coordination/src/placement/engine.rs
+++ b/crates/coordination/src/placement/engine.rs
@@ -310,17 +310,28 @@
         bytes.saturating_mul(1_000) / bandwidth.max(1)
     }
 
-    /// When the load of the artifact is expected to end, if one is ordered.
-    pub fn expected_end(
-        &self,
-        artifact: &Artifact,
-        bytes: u64,
-        settings: &PlacementSettings,
-    ) -> Option<Timestamp> {
+    /// How long the ordered load of the artifact has been running.
+    pub fn load_elapsed(&self, now: Timestamp, artifact: &Artifact) -> Option<u64> {
         self.orders
             .values()
             .find(|order| matches!(&order.action, OrderAction::Load { artifact: other, .. } if other == artifact))
-            .map(|order| order.sent + self.load_time(artifact, bytes, settings))
+            .map(|order| now.since(order.sent))
+    }
+
+    /// The load that `result` ends well, with its bytes, and how long it took.
+    pub fn ended_load(
+        &self,
+        now: Timestamp,
+        sequence: Sequence,
+        result: &OrderResult,
+    ) -> Option<((Artifact, u64), u64)> {
+        let order = self.orders.get(&sequence)?;
+        match (&order.action, result) {
+            (OrderAction::Load { artifact, bytes }, OrderResult::Done(_)) => {
+                Some(((artifact.clone(), *bytes), now.since(order.sent)))
+            }
+            _ => None,
+        }
     }
 
     /// An order to carry out `action`.
@@ -424,6 +435,11 @@
             return;
         }
         self.doubtful.retain(|doubtful, _| *doubtful > sequence);
+        self.orders.retain(|ordered, order| {
+            let is_settled = matches!(&order.action, OrderAction::Load { artifact, .. }
+                if inventory.loaded.contains_key(artifact));
+            *ordered > sequence || !is_settled
+        });
         self.inventory = inventory;
     }
 }
--- a/crates/coordination/src/placement/lease_keeper.rs
+++ b/crates/coordination/src/placement/lease_keeper.rs
@@ -106,6 +106,13 @@
         self.in_flight.is_some()
     }
 
+    /// Whether the table answered not long ago and owes no answer for long.
+    pub fn is_fresh(&self, now: Timestamp) -> bool {
+        let age = now.since(self.last_commit);
+        age < self.settings.lease_interval + self.settings.table_timeout
+            && self.waiting_for(now) < self.settings.table_timeout
+    }
+
     /// How long the present transaction has been without an answer.
     pub fn waiting_for(&self, now: Timestamp) -> u64 {
         self.in_flight
--- a/crates/coordination/src/placement/mod.rs
+++ b/crates/coordination/src/placement/mod.rs
@@ -9,6 +9,7 @@
 
 pub mod engine;
 pub mod lease_keeper;
+pub mod load_pace;
 pub mod policy;
 pub mod scheduler;
 pub mod standby;
@@ -18,7 +19,8 @@
 
 use gorsebank_contract::{
     BackEndPlan, ClaimGroup, Fence, Incarnation, Inventory, Order, OrderAction, OrderResult,
-    PeerMessage, Put, ReplicaSet, Sequence, SourceTier, TableAnswer, TableRow, Transaction,
+    PeerMessage, Put, ReplicaOffer, ReplicaSet, Sequence, SourceTier, TableAnswer, TableRow,
+    Transaction,
 };
 use gorsebank_world::{Artifact, BackEndId, Machine, MachineRole, MachineState, NodeId};
 
@@ -29,6 +31,7 @@
 use crate::membership::{Identity, View};
 use crate::placement::engine::{Engine, OrderOutcome};
 use crate::placement::lease_keeper::{LeaseEvent, LeaseKeeper, cell_prefix};
+use crate::placement::load_pace::LoadPace;
 use crate::placement::policy::KeepAlivePolicy;
 use crate::placement::scheduler::{Choice, Wanted};
 use crate::placement::standby::Dormant;
@@ -43,10 +46,14 @@
 const IDLE_INTERVAL: u64 = 1_000;
 /// An artifact without a word from its owner for so long counts as idle.
 const SILENT_DEMAND: u64 = 25_000;
+/// Owners are told of an artifact's replicas for so long after their last word.
+const FORGOTTEN_DEMAND: u64 = 600_000;
 /// An artifact must have been idle for so long before another may evict it.
 const EVICTION_IDLE: u64 = 2_000;
 /// When to come back if an artifact has no place and none is in sight.
 const NO_PLACE_RETRY: u64 = 5_000;
+/// Expected times are told to owners in steps of so long.
+const EXPECTED_STEP: u64 = 1_000;
 /// Least time between two decisions to add a replica of one artifact.
 const SCALE_UP_INTERVAL: u64 = 3_000;
 
@@ -80,7 +87,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 struct Announced {
     owner: NodeId,
-    ready: Vec<BackEndId>,
+    ready: Vec<ReplicaOffer>,
     expected: Option<Timestamp>,
     no_place: bool,
 }
@@ -113,6 +120,7 @@
     needs: BTreeMap<Artifact, Need>,
     policy: KeepAlivePolicy,
     store: StoreBudget,
+    pace: LoadPace,
     groups: Option<ClaimGroupKeeper>,
     confirming: Vec<(BackEndId, Incarnation)>,
     writing_group: Option<ClaimGroup>,
@@ -134,6 +142,7 @@
         Placement {
             lease: LeaseKeeper::new(identity.clone(), settings.clone(), start),
             store: StoreBudget::new(&settings),
+            pace: LoadPace::default(),
             identity,
             settings,
             claim_settings,
@@ -212,13 +221,14 @@
         output.extend(self.inspect(now, fence));
         self.review(now, configuration);
         if let Some(groups) = &mut self.groups {
-            let messages = groups.tick(now, view);
+            let messages = groups.tick(now, view, self.lease.is_fresh(now));
             output.extend(
                 messages
                     .into_iter()
                     .map(|(to, message)| PlacementOutput::Send(to, message)),
             );
         }
+        self.note_late_loads(now, configuration);
         self.settle_reservations(configuration);
         output.extend(self.write(now));
         output.extend(self.give_orders(now, fence, configuration));
@@ -357,6 +367,22 @@
         }
     }
 
+    /// A load that takes longer than expected tells as much before it ends.
+    fn note_late_loads(&mut self, now: Timestamp, configuration: &Configuration) {
+        for engine in self.engines.values() {
+            for artifact in &engine.target {
+                let (Some(elapsed), Some(bytes)) = (
+                    engine.load_elapsed(now, artifact),
+                    configuration.memory(artifact),
+                ) else {
+                    continue;
+                };
+                let expected = engine.load_time(artifact, bytes, &self.settings);
+                self.pace.note_running(now, expected, elapsed);
+            }
+        }
+    }
+
     fn inspect(&mut self, now: Timestamp, fence: Fence) -> Vec<PlacementOutput> {
         let mut output = Vec::new();
         for engine in self.engines.values_mut() {
@@ -382,6 +408,10 @@
         let Some(engine) = self.engines.get_mut(back_end) else {
             return;
         };
+        if let Some((load, elapsed)) = engine.ended_load(now, sequence, &result) {
+            let expected = engine.load_time(&load.0, load.1, &self.settings);
+            self.pace.note(now, expected, elapsed);
+        }
         let was_inspected = engine.is_inspected();
         let former_life = engine.incarnation();
         match engine.answered(now, sequence, result) {
@@ -794,11 +824,11 @@
         let artifacts: Vec<Artifact> = self
             .needs
             .iter()
-            .filter(|(_, need)| now.since(need.heard) < SILENT_DEMAND)
+            .filter(|(_, need)| now.since(need.heard) < FORGOTTEN_DEMAND)
             .map(|(artifact, _)| artifact.clone())
             .collect();
         for artifact in artifacts {
-            let Some(state) = self.replica_state(&artifact, configuration) else {
+            let Some(state) = self.replica_state(now, &artifact, configuration) else {
                 continue;
             };
             let Some(need) = self.needs.get_mut(&artifact) else {
@@ -825,13 +855,66 @@
         output
     }
 
+    /// An engine's slots, shared among the artifacts that are in use on it.
+    fn slots_for(&self, engine: &Engine, artifact: &Artifact) -> u32 {
+        let others = engine
+            .target
+            .iter()
+            .filter(|other| *other != artifact)
+            .filter_map(|other| self.needs.get(other))
+            .filter(|need| need.waiting > 0 || need.running > 0)
+            .count() as u32;
+        (engine.machine.slots / (others + 1)).max(1)
+    }
+
+    /// When an artifact is expected to be ready on an engine: the load that
+    /// runs ends, or the store's backlog and a load are over. Rounded, so that
+    /// owners are not told of every small change.
+    fn expected_ready(
+        &self,
+        now: Timestamp,
+        engine: &Engine,
+        artifact: &Artifact,
+        configuration: &Configuration,
+    ) -> Option<Timestamp> {
+        let mut time = 0;
+        for part in artifact.required() {
+            let bytes = configuration.memory(&part)?;
+            time += match engine.load_elapsed(now, &part) {
+                Some(elapsed) => {
+                    let whole = engine.load_time(&part, bytes, &self.settings) as f64;
+                    ((whole * self.pace.factor(now)) as u64).saturating_sub(elapsed)
+                }
+                None if engine.inventory.loaded.contains_key(&part) => 0,
+                None => self.unstarted_time(now, engine, &part, bytes),
+            };
+        }
+        let rounded = (now + time).0.div_ceil(EXPECTED_STEP) * EXPECTED_STEP;
+        Some(Timestamp(rounded))
+    }
+
+    fn unstarted_time(
+        &self,
+        now: Timestamp,
+        engine: &Engine,
+        artifact: &Artifact,
+        bytes: u64,
+    ) -> u64 {
+        let load = engine.load_time(artifact, bytes, &self.settings) as f64;
+        let wait = match engine.tier(artifact) {
+            SourceTier::Remote => self.store.delay(self.waiting_loads()),
+            SourceTier::Memory | SourceTier::Disk => 0,
+        };
+        (load * self.pace.factor(now)) as u64 + wait
+    }
+
     fn replica_state(
         &self,
+        now: Timestamp,
         artifact: &Artifact,
         configuration: &Configuration,
     ) -> Option<Announced> {
         let need = self.needs.get(artifact)?;
-        let bytes = configuration.memory(artifact)?;
         let wanted_on: Vec<(&BackEndId, &Engine)> = self
             .engines
             .iter()
@@ -840,11 +923,15 @@
         let ready = wanted_on
             .iter()
             .filter(|(_, engine)| engine.is_ready(artifact))
-            .map(|(id, _)| (*id).clone())
+            .map(|(id, engine)| ReplicaOffer {
+                back_end: (*id).clone(),
+                slots: self.slots_for(engine, artifact),
+            })
             .collect();
         let expected = wanted_on
             .iter()
-            .filter_map(|(_, engine)| engine.expected_end(artifact, bytes, &self.settings))
+            .filter(|(_, engine)| !engine.is_ready(artifact))
+            .filter_map(|(_, engine)| self.expected_ready(now, engine, artifact, configuration))
             .min();
         let is_settled = self.engines.values().all(Engine::is_inspected);
         Some(Announced {
--- a/crates/coordination/src/queue.rs
+++ b/crates/coordination/src/queue.rs
@@ -15,8 +15,9 @@
 use crate::settings::RoutingSettings;
 use crate::time::Timestamp;
 
-/// Service time assumed before any was seen, in milliseconds.
-const INITIAL_SERVICE_TIME: f64 = 2_000.0;
+/// A front's account of its slots is not taken for so long after a grant to
+/// it, in milliseconds: it may have been written before the grant came.
+const ACCOUNT_DELAY: u64 = 2_000;
 /// Weight of the newest service time in the running mean.
 const SERVICE_TIME_WEIGHT: f64 = 0.1;
 /// Least `Retry-After`, in milliseconds.
@@ -84,7 +85,10 @@
     expected: Option<Timestamp>,
     no_place_until: Option<Timestamp>,
     numbers: u64,
-    service_time: f64,
+    /// Mean service time in milliseconds, once any was seen.
+    service_time: Option<f64>,
+    granted: BTreeMap<NodeId, Timestamp>,
+    reported_use: bool,
     last_used: Timestamp,
     last_demand: Option<Timestamp>,
 }
@@ -101,7 +105,9 @@
             expected: None,
             no_place_until: None,
             numbers: 0,
-            service_time: INITIAL_SERVICE_TIME,
+            service_time: None,
+            granted: BTreeMap::new(),
+            reported_use: false,
             last_used: now,
             last_demand: None,
         }
@@ -170,7 +176,35 @@
 
     /// Notes how long a request took from grant to release.
     pub fn note_service_time(&mut self, milliseconds: u64) {
-        self.service_time += SERVICE_TIME_WEIGHT * (milliseconds as f64 - self.service_time);
+        let newest = milliseconds as f64;
+        let mean = self.service_time.unwrap_or(newest);
+        self.service_time = Some(mean + SERVICE_TIME_WEIGHT * (newest - mean));
+    }
+
+    /// Takes a front's own account of the slots that it holds.
+    pub fn correct_held(
+        &mut self,
+        now: Timestamp,
+        front: &NodeId,
+        held: &HashMap<&BackEndId, u32>,
+    ) {
+        let is_fresh = self
+            .granted
+            .get(front)
+            .is_some_and(|granted| now.since(*granted) < ACCOUNT_DELAY);
+        if is_fresh {
+            return;
+        }
+        for (back_end, replica) in &mut self.replicas {
+            match held.get(back_end) {
+                Some(slots) => {
+                    replica.held.insert(front.clone(), *slots);
+                }
+                None => {
+                    replica.held.remove(front);
+                }
+            }
+        }
     }
 
     /// Spares a back end that turned a request away.
@@ -185,6 +219,7 @@
         for replica in self.replicas.values_mut() {
             replica.held.remove(front);
         }
+        self.granted.remove(front);
         let gone: Vec<TicketId> = self
             .waiting
             .values()
@@ -260,6 +295,7 @@
         let credits = self.credits_for(&back_end, settings);
         let replica = self.replicas.get_mut(&back_end)?;
         *replica.held.entry(waiting.front.clone()).or_default() += 1 + credits;
+        self.granted.insert(waiting.front.clone(), now);
         let grant = Grant {
             id: waiting.id,
             queue: self.key.clone(),
@@ -340,7 +376,7 @@
             return self.expected.map(|ready| ready.max(now));
         }
         let rounds = position as f64 / f64::from(slots);
-        Some(now + (rounds * self.service_time) as u64)
+        Some(now + (rounds * self.service_time?) as u64)
     }
 
     /// When a new ticket would be expected to start, in milliseconds from now.
@@ -370,20 +406,22 @@
     }
 
     /// Whether the placement holder should hear of this queue now: soon after
-    /// a ticket waits, and now and then while the model is in use.
+    /// a ticket waits, now and then while the model is in use, and at once when
+    /// it is no more.
     pub fn demand_due(&mut self, now: Timestamp, waiting_every: u64, used_every: u64) -> bool {
         let interval = if !self.waiting.is_empty() {
             waiting_every
         } else if self.running_count() > 0 {
             used_every
         } else {
-            return false;
+            return std::mem::take(&mut self.reported_use);
         };
         let due = self
             .last_demand
             .is_none_or(|last| now.since(last) >= interval);
         if due {
             self.last_demand = Some(now);
+            self.reported_use = true;
         }
         due
     }
--- a/crates/coordination/src/queues.rs
+++ b/crates/coordination/src/queues.rs
@@ -5,7 +5,7 @@
 
 use std::collections::{BTreeSet, HashMap};
 
-use gorsebank_contract::{NodeState, ReplicaSet, Ticket, TicketId};
+use gorsebank_contract::{HeldSlots, NodeState, ReplicaOffer, ReplicaSet, Ticket, TicketId};
 use gorsebank_world::{
     Artifact, BackEndId, MachineRole, MachineState, NodeId, QueueKey, ServiceId,
 };
@@ -98,6 +98,22 @@
         queue.pump(now, &self.settings)
     }
 
+    /// Takes a front's own account of the slots that it holds.
+    pub fn correct_held(&mut self, now: Timestamp, front: &NodeId, held: &[HeldSlots]) {
+        let mut accounts: HashMap<&QueueKey, HashMap<&BackEndId, u32>> = HashMap::new();
+        for slots in held {
+            accounts
+                .entry(&slots.queue)
+                .or_default()
+                .insert(&slots.back_end, slots.slots);
+        }
+        let nothing = HashMap::new();
+        for (key, queue) in &mut self.queues {
+            let account = accounts.get(key).unwrap_or(&nothing);
+            queue.correct_held(now, front, account);
+        }
+    }
+
     /// Takes in a replica set from the placement holder.
     pub fn set_replicas(
         &mut self,
@@ -112,7 +128,7 @@
         let usable = set
             .ready
             .iter()
-            .filter_map(|id| usable_replica(machines, id))
+            .filter_map(|offer| offered_replica(machines, offer))
             .collect();
         queue.set_replicas(now, set, usable);
         queue.pump(now, &self.settings)
@@ -253,6 +269,14 @@
     })
 }
 
+fn offered_replica(machines: &MachineTable, offer: &ReplicaOffer) -> Option<Replica> {
+    let replica = usable_replica(machines, &offer.back_end)?;
+    Some(Replica {
+        slots: offer.slots,
+        ..replica
+    })
+}
+
 fn service_replicas(machines: &MachineTable, service: &ServiceId) -> Vec<Replica> {
     let ids: BTreeSet<&BackEndId> = machines
         .back_ends()
--- a/crates/coordination/src/settings.rs
+++ b/crates/coordination/src/settings.rs
@@ -72,7 +72,7 @@
             grant_validity: 2_000,
             offer_interval: 1_000,
             queue_limit: 10_000,
-            attempts: 3,
+            attempts: 5,
             backoff: 50,
             backoff_limit: 2_000,
             retry_ratio: 0.1,
--- /dev/null
+++ b/crates/gorsebank/benches/warm_path.rs
@@ -0,0 +1,163 @@
+//! What a node adds to a request for a warm model, against the engine stand-in
+//! called directly, in one run.
+//!
+//! Criterion measures single calls one after another; an open-loop load of
+//! 2,000 requests a second then gives the 99th percentiles. Absolute times
+//! belong to the machine; the differences and ratios are what counts.
+
+#[path = "../tests/support/mod.rs"]
+mod support;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use criterion::Criterion;
+use hdrhistogram::Histogram;
+use serde_json::json;
+use tokio::runtime::Runtime;
+
+use support::Deployment;
+
+const PATH: &str = "/v1/completions";
+const REQUESTS_PER_SECOND: u64 = 2_000;
+const SECONDS: u64 = 5;
+const OPEN_STREAMS: usize = 200;
+
+fn body(model: &str, stream: bool, tokens: u64) -> String {
+    json!({"model": model, "prompt": "x", "max_tokens": tokens, "stream": stream}).to_string()
+}
+
+fn main() {
+    let runtime = Runtime::new().expect("a runtime");
+    let deployment = Arc::new(runtime.block_on(warm_deployment()));
+    let node = deployment.nodes[0].process.address;
+    let engine = runtime.block_on(warm_engine(&deployment));
+    one_by_one(&runtime, &deployment, node, engine);
+    under_load(&runtime, &deployment, node, engine);
+    memory_of_streams(&runtime, &deployment, node);
+}
+
+async fn warm_deployment() -> Deployment {
+    let deployment = Deployment::start("bench", 1).await;
+    deployment.apply_basics().await;
+    let address = deployment.nodes[0].process.address;
+    let answer = deployment
+        .post(address, PATH, &body("llama", false, 1))
+        .await;
+    assert_eq!(answer.status, 200, "{}", answer.text);
+    deployment
+}
+
+/// The engine that holds the model.
+async fn warm_engine(deployment: &Deployment) -> SocketAddr {
+    for engine in &deployment.engines {
+        let answer = deployment
+            .post(engine.address, PATH, &body("llama@1", false, 1))
+            .await;
+        if answer.status == 200 {
+            return engine.address;
+        }
+    }
+    panic!("no engine holds the model");
+}
+
+fn one_by_one(
+    runtime: &Runtime,
+    deployment: &Arc<Deployment>,
+    node: SocketAddr,
+    engine: SocketAddr,
+) {
+    let mut criterion = Criterion::default()
+        .sample_size(20)
+        .measurement_time(Duration::from_secs(5))
+        .configure_from_args();
+    let mut group = criterion.benchmark_group("one request of a warm model");
+    for (name, address, model) in [
+        ("direct", engine, "llama@1"),
+        ("through a node", node, "llama"),
+    ] {
+        let body = body(model, false, 1);
+        group.bench_function(name, |bencher| {
+            bencher
+                .to_async(runtime)
+                .iter(|| deployment.post(address, PATH, &body));
+        });
+    }
+    group.finish();
+    criterion.final_summary();
+}
+
+fn under_load(
+    runtime: &Runtime,
+    deployment: &Arc<Deployment>,
+    node: SocketAddr,
+    engine: SocketAddr,
+) {
+    // Two runs each, in turn, so that neither side has the warmer machine.
+    let mut direct = Histogram::new(3).expect("a histogram");
+    let mut through = Histogram::new(3).expect("a histogram");
+    for _ in 0..2 {
+        direct += runtime.block_on(load(deployment, engine, "llama@1"));
+        through += runtime.block_on(load(deployment, node, "llama"));
+    }
+    println!("open-loop load of {REQUESTS_PER_SECOND} requests/s, microseconds:");
+    for (name, quantile) in [("p50", 0.5), ("p99", 0.99), ("p99.9", 0.999)] {
+        let (direct, through) = (
+            direct.value_at_quantile(quantile),
+            through.value_at_quantile(quantile),
+        );
+        println!(
+            "  {name}: direct {direct}, through a node {through}, added {}, ratio {:.2}",
+            through as i64 - direct as i64,
+            through as f64 / direct as f64
+        );
+    }
+}
+
+async fn load(deployment: &Arc<Deployment>, address: SocketAddr, model: &str) -> Histogram<u64> {
+    let body = Arc::new(body(model, false, 1));
+    let mut calls = Vec::new();
+    let mut ticks = tokio::time::interval(Duration::from_millis(1));
+    let per_tick = REQUESTS_PER_SECOND / 1_000;
+    for _ in 0..SECONDS * 1_000 {
+        let due = ticks.tick().await.into_std();
+        for _ in 0..per_tick {
+            let (deployment, body) = (Arc::clone(deployment), Arc::clone(&body));
+            calls.push(tokio::spawn(async move {
+                let answer = deployment.post(address, PATH, &body).await;
+                assert_eq!(answer.status, 200, "{}", answer.text);
+                Instant::now() - due
+            }));
+        }
+    }
+    let mut histogram = Histogram::new(3).expect("a histogram");
+    for call in calls {
+        let time = call.await.expect("the call ends");
+        histogram
+            .record(time.as_micros() as u64)
+            .expect("the histogram grows as needed");
+    }
+    histogram
+}
+
+/// Resident memory that the node takes for each open stream.
+fn memory_of_streams(runtime: &Runtime, deployment: &Arc<Deployment>, node: SocketAddr) {
+    let process = &deployment.nodes[0].process;
+    let before = process.resident_bytes();
+    let body = Arc::new(body("llama", true, 300));
+    let calls: Vec<_> = (0..OPEN_STREAMS)
+        .map(|_| {
+            let (deployment, body) = (Arc::clone(deployment), Arc::clone(&body));
+            runtime.spawn(async move { deployment.post(node, PATH, &body).await })
+        })
+        .collect();
+    std::thread::sleep(Duration::from_millis(1_500));
+    let during = process.resident_bytes();
+    for call in calls {
+        call.abort();
+    }
+    let each = during.saturating_sub(before) / OPEN_STREAMS as u64;
+    println!("memory: {before} bytes before, {during} with {OPEN_STREAMS} requests open");
+    println!("memory per open stream: {each} bytes");
+}
--- /dev/null
+++ b/crates/replay/src/simulation/caller_events.rs
@@ -0,0 +1,202 @@
+//! What callers and operators do.
+
+use gorsebank_contract::{PriorityClass, RequestId};
+use gorsebank_coordination::{Arrival, ChangeError, ChangeId, Event, EventId, Timestamp};
+use gorsebank_world::{NodeId, QueueKey, Row};
+
+use crate::ablation::Ablation;
+use crate::history::{CallerEnd, CallerRecord, CallerTry, ChangeRecord};
+use crate::simulation::caller::CallerPlan;
+use crate::simulation::node_host::OpenRequest;
+use crate::simulation::operator;
+use crate::simulation::world::{MILLISECOND, SECOND, SimEvent, Simulation};
+use crate::trace::format::{ChangeEvent, RequestEvent};
+
+/// A caller whose connection was refused asks the next node after so long.
+const NEXT_NODE: u64 = 50 * MILLISECOND;
+/// A stopping node still takes connections for so long.
+pub(super) const LINGER: u64 = SECOND;
+
+impl Simulation {
+    pub(super) fn plan_callers(&mut self, index: usize, request: &RequestEvent) {
+        let spacing = request.over.as_micros() as u64 / u64::from(request.count.max(1));
+        for number in 0..request.count {
+            let at = self.now + spacing * u64::from(number);
+            let plan = self.caller_plan(index, number, at, request);
+            self.history.callers.push(CallerRecord {
+                of: plan.of.clone(),
+                class: request.class,
+                deadline: plan.deadline,
+                key: plan.key.clone(),
+                repeatable: plan.repeatable,
+                tries: Vec::new(),
+            });
+            self.callers.push(plan);
+            let caller = self.callers.len() - 1;
+            self.queue.add(at, SimEvent::CallerSends { caller });
+        }
+    }
+
+    fn caller_plan(
+        &self,
+        index: usize,
+        number: u32,
+        at: u64,
+        request: &RequestEvent,
+    ) -> CallerPlan {
+        let mut nodes: Vec<NodeId> = if request.nodes.is_empty() {
+            self.nodes.keys().cloned().collect()
+        } else {
+            request.nodes.iter().map(|id| id.as_str().into()).collect()
+        };
+        let first = number as usize % nodes.len();
+        nodes.rotate_left(first);
+        let own_key = request.keyed.then(|| format!("key-{index}-{number}"));
+        let key = request.key.clone().or(own_key);
+        let is_service = request.service.is_some();
+        let class = if self.ablation == Some(Ablation::Priorities) {
+            PriorityClass::Interactive
+        } else {
+            request.class
+        };
+        CallerPlan {
+            of: request
+                .service
+                .clone()
+                .or_else(|| request.model.clone())
+                .unwrap_or_default(),
+            is_service,
+            nodes,
+            class,
+            deadline: at + request.timeout.as_micros() as u64,
+            tokens: request.tokens,
+            repeatable: key.is_none() && !is_service,
+            key,
+            is_persistent: request.persistent,
+        }
+    }
+
+    pub(super) fn caller_sends(&mut self, caller: usize) {
+        let plan = self.callers[caller].clone();
+        if self.now >= plan.deadline {
+            return;
+        }
+        let tries = self.history.callers[caller].tries.len();
+        let chosen = (0..plan.nodes.len())
+            .map(|step| plan.nodes[(tries + step) % plan.nodes.len()].clone())
+            .find(|id| self.takes_connections(id));
+        let Some(id) = chosen else {
+            let event = SimEvent::CallerSends { caller };
+            return self.queue.add(self.now + NEXT_NODE, event);
+        };
+        self.history.callers[caller].tries.push(CallerTry {
+            node: id.clone(),
+            request: None,
+            at: self.now,
+            first_event: None,
+            received: Vec::new(),
+            end: None,
+        });
+        self.arrive_at(caller, &id, &plan);
+    }
+
+    fn takes_connections(&self, id: &NodeId) -> bool {
+        self.nodes
+            .get(id)
+            .is_some_and(|node| node.node.is_some() && !node.is_stopping)
+    }
+
+    fn arrive_at(&mut self, caller: usize, id: &NodeId, plan: &CallerPlan) {
+        let attempt = self.history.callers[caller].tries.len() - 1;
+        let Some(node) = self.nodes.get_mut(id) else {
+            return;
+        };
+        let Some(running) = &node.node else {
+            return;
+        };
+        let queue = if plan.is_service {
+            Ok(QueueKey::Service(plan.of.as_str().into()))
+        } else {
+            running.resolve(&plan.of)
+        };
+        let request: RequestId = running.new_request();
+        self.history.callers[caller].tries[attempt].request = Some(request);
+        let Ok(queue) = queue else {
+            // The model is not known here (yet): refused as not found.
+            let end = CallerEnd::Refused {
+                reason: gorsebank_contract::RefusalReason::NoPlace,
+                ran: gorsebank_contract::Ran::No,
+                retry_after: Some(1_000),
+            };
+            return self.caller_ends((caller, attempt), end);
+        };
+        node.open.insert(
+            request,
+            OpenRequest {
+                caller: (caller, attempt),
+                attempt: None,
+            },
+        );
+        let event = Event::RequestArrived(Arrival {
+            request,
+            queue,
+            class: plan.class,
+            deadline: Timestamp(plan.deadline / MILLISECOND),
+            repeatable: plan.repeatable,
+            key: plan.key.clone(),
+        });
+        let life = node.life;
+        self.schedule_for_node(self.now, id, life, event);
+    }
+
+    pub(super) fn caller_receives(&mut self, caller: (usize, usize), id: EventId) {
+        let now = self.now;
+        let record = &mut self.history.callers[caller.0].tries[caller.1];
+        record.first_event.get_or_insert(now);
+        record.received.push((id.stream, id.number));
+    }
+
+    pub(super) fn caller_ends(&mut self, caller: (usize, usize), end: CallerEnd) {
+        let now = self.now;
+        let record = &mut self.history.callers[caller.0].tries[caller.1];
+        if record.end.is_some() {
+            return;
+        }
+        let asks_again = end == CallerEnd::NodeDied && self.callers[caller.0].is_persistent;
+        record.end = Some((now, end));
+        if asks_again {
+            let event = SimEvent::CallerSends { caller: caller.0 };
+            self.queue.add(now + NEXT_NODE, event);
+        }
+    }
+
+    pub(super) fn operator_changes(&mut self, event: &ChangeEvent) {
+        let id = NodeId::from(event.node.as_str());
+        let Some(running) = self.nodes.get(&id).and_then(|node| node.node.as_ref()) else {
+            return;
+        };
+        let change = operator::change_of(event, running);
+        let number = ChangeId(self.history.changes.len() as u64);
+        self.history.changes.push(ChangeRecord {
+            key: change.key.clone(),
+            accepted: None,
+            error: None,
+            labels: event.labels.clone(),
+        });
+        self.changes.insert(number, self.history.changes.len() - 1);
+        let life = self.life(&id);
+        let event = Event::ChangeRequested { id: number, change };
+        self.schedule_for_node(self.now, &id, life, event);
+    }
+
+    pub(super) fn change_answered(&mut self, id: ChangeId, result: Result<Row, ChangeError>) {
+        let Some(index) = self.changes.remove(&id) else {
+            return;
+        };
+        let record = &mut self.history.changes[index];
+        match result {
+            Ok(row) => record.accepted = Some((row.revision, self.now)),
+            Err(error) => record.error = Some(error.to_string()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/replay/src/simulation/node_events.rs
@@ -0,0 +1,481 @@
+//! What a node's shell does in the world: messages, transactions, orders,
+//! requests to back ends and their answers.
+
+use gorsebank_contract::{
+    AttemptOutcome, Order, OrderAction, OrderResult, PeerMessage, Refusal, RequestId, TableAnswer,
+    TicketId, Transaction,
+};
+use gorsebank_coordination::{Action, Event, StreamGuard, TransactionTag, Verdict};
+use gorsebank_world::{Machine, MachineRole, NodeId};
+
+use crate::ablation::Ablation;
+use crate::history::CallerEnd;
+use crate::simulation::back_end::{Call, stream_name};
+use crate::simulation::network::{MACHINE_LIST, TABLE};
+use crate::simulation::node_host::OpenAttempt;
+use crate::simulation::world::{MILLISECOND, SECOND, SimEvent, Simulation, StreamEnd, StreamItem};
+use crate::trace::format::TableMode;
+
+/// A call of the platform is given up after so long.
+const PLATFORM_TIMEOUT: u64 = SECOND;
+/// A connection must be established within so long.
+const CONNECT_TIMEOUT: u64 = SECOND;
+/// A long order whose connection was cut is given up after so long.
+const ORDER_TIMEOUT: u64 = 30 * SECOND;
+/// A slow table answers after so long.
+const SLOW_TABLE: u64 = 500 * MILLISECOND;
+/// Times that a stream is resumed without an event in between.
+const MAX_RESUMES: u32 = 4;
+/// Pause before a stream is resumed again; doubles each time.
+const RESUME_PAUSE: u64 = 100 * MILLISECOND;
+
+impl Simulation {
+    pub(super) fn life(&self, node: &NodeId) -> u32 {
+        self.nodes.get(node).map_or(0, |node| node.life)
+    }
+
+    pub(super) fn latency(&mut self, from: &str, to: &str) -> Option<u64> {
+        self.network.latency(self.now, from, to, &mut self.random)
+    }
+
+    /// When something sent now arrives; things on one link stay in order.
+    pub(super) fn arrival(&mut self, from: &str, to: &str) -> Option<u64> {
+        let at = self.now + self.latency(from, to)?;
+        let last = self
+            .last_on_link
+            .entry((from.to_owned(), to.to_owned()))
+            .or_default();
+        *last = at.max(*last + 1);
+        Some(*last)
+    }
+
+    pub(super) fn perform(&mut self, id: &NodeId, action: Action) {
+        match action {
+            Action::Send { to, message } => self.send(id, &to, message),
+            Action::Transact { tag, transaction } => self.transact(id, tag, transaction),
+            Action::Order { machine, order } => self.give_order(id, &machine, order),
+            Action::ReadMachineList => self.read_list(id),
+            Action::Dispatch {
+                id: ticket,
+                machine,
+            } => self.dispatch(id, ticket, &machine),
+            Action::Refuse { request, refusal } => self.refuse(id, request, refusal),
+            Action::AnswerChange { id, result } => self.change_answered(id, result),
+        }
+    }
+
+    fn send(&mut self, from: &NodeId, to: &NodeId, message: PeerMessage) {
+        if self.ablation == Some(Ablation::Claims) && self.answer_blindly(from, to, &message) {
+            return;
+        }
+        if self.ablation == Some(Ablation::ConfigurationRepair)
+            && matches!(message, PeerMessage::ConfigurationWanted { .. })
+        {
+            return;
+        }
+        let is_list = matches!(message, PeerMessage::Machines { .. });
+        let hides_list = self.ablation == Some(Ablation::MachineList);
+        if is_list && hides_list && self.nodes.get(to).is_some_and(|node| node.has_read_list) {
+            return;
+        }
+        let Some(at) = self.arrival(from.as_str(), to.as_str()) else {
+            return;
+        };
+        let life = self.life(to);
+        let event = Event::Received {
+            from: from.clone(),
+            message,
+        };
+        self.schedule_for_node(at, to, life, event);
+    }
+
+    /// Answers a claim as recorded without asking anyone.
+    fn answer_blindly(&mut self, from: &NodeId, to: &NodeId, message: &PeerMessage) -> bool {
+        let PeerMessage::Claim { epoch, request, .. } = message else {
+            return false;
+        };
+        let event = Event::Received {
+            from: to.clone(),
+            message: PeerMessage::ClaimAnswered {
+                epoch: *epoch,
+                request: *request,
+                answer: gorsebank_contract::ClaimAnswer::Recorded,
+            },
+        };
+        let life = self.life(from);
+        self.schedule_for_node(self.now + MILLISECOND, from, life, event);
+        true
+    }
+
+    pub(super) fn schedule_for_node(&mut self, at: u64, node: &NodeId, life: u32, event: Event) {
+        let event = SimEvent::ToNode {
+            node: node.clone(),
+            life,
+            event: Box::new(event),
+        };
+        self.queue.add(at, event);
+    }
+
+    fn transact(&mut self, id: &NodeId, tag: TransactionTag, transaction: Transaction) {
+        let life = self.life(id);
+        match self.arrival(id.as_str(), TABLE) {
+            Some(at) => self.queue.add(
+                at,
+                SimEvent::TableArrives {
+                    node: id.clone(),
+                    life,
+                    tag,
+                    transaction: Box::new(transaction),
+                },
+            ),
+            None => self.table_unknown(id, life, tag),
+        }
+    }
+
+    fn table_unknown(&mut self, id: &NodeId, life: u32, tag: TransactionTag) {
+        let event = Event::TableAnswered {
+            tag,
+            answer: TableAnswer::Unknown,
+        };
+        self.schedule_for_node(self.now + PLATFORM_TIMEOUT, id, life, event);
+    }
+
+    pub(super) fn table_arrives(
+        &mut self,
+        node: NodeId,
+        life: u32,
+        tag: TransactionTag,
+        transaction: &Transaction,
+    ) {
+        let mode = self.table.mode(self.now);
+        if mode == TableMode::Down {
+            return self.table_unknown(&node, life, tag);
+        }
+        let (answer, decisions) = self.table.transact(self.now, transaction, self.ablation);
+        self.history.decisions.extend(decisions);
+        let delay = if mode == TableMode::Slow {
+            SLOW_TABLE
+        } else {
+            0
+        };
+        match self.arrival(TABLE, node.as_str()) {
+            Some(at) if mode != TableMode::Silent => {
+                self.schedule_for_node(
+                    at + delay,
+                    &node,
+                    life,
+                    Event::TableAnswered { tag, answer },
+                );
+            }
+            _ => self.table_unknown(&node, life, tag),
+        }
+    }
+
+    fn read_list(&mut self, id: &NodeId) {
+        let life = self.life(id);
+        if let Some(at) = self.arrival(id.as_str(), MACHINE_LIST) {
+            let node = id.clone();
+            self.queue.add(at, SimEvent::ListArrives { node, life });
+        }
+    }
+
+    pub(super) fn list_arrives(&mut self, id: NodeId, life: u32) {
+        let hidden = self.ablation == Some(Ablation::MachineList);
+        let Some(node) = self.nodes.get_mut(&id) else {
+            return;
+        };
+        if hidden && node.has_read_list {
+            return;
+        }
+        node.has_read_list = true;
+        let list = self.list.read(self.now);
+        if let Some(at) = self.arrival(MACHINE_LIST, id.as_str()) {
+            self.schedule_for_node(at, &id, life, Event::MachineListRead(list));
+        }
+    }
+
+    fn give_order(&mut self, id: &NodeId, machine: &Machine, order: Order) {
+        let life = self.life(id);
+        let unknown = Event::OrderAnswered {
+            back_end: machine.id.clone(),
+            fence: order.fence,
+            sequence: order.sequence,
+            result: OrderResult::Unknown,
+        };
+        let timeout = match order.action {
+            OrderAction::Inspect => PLATFORM_TIMEOUT,
+            _ => ORDER_TIMEOUT,
+        };
+        match self.arrival(id.as_str(), machine.id.as_str()) {
+            Some(at) => {
+                let event = SimEvent::OrderArrives {
+                    node: id.clone(),
+                    life,
+                    back_end: machine.id.clone(),
+                    order: Box::new(order),
+                };
+                self.queue.add(at, event);
+                self.schedule_for_node(self.now + timeout, id, life, unknown);
+            }
+            None => self.schedule_for_node(self.now + CONNECT_TIMEOUT, id, life, unknown),
+        }
+    }
+
+    fn dispatch(&mut self, id: &NodeId, ticket: TicketId, machine: &Machine) {
+        let life = self.life(id);
+        let stream = stream_name(ticket, &machine.id);
+        let Some(node) = self.nodes.get_mut(id) else {
+            return;
+        };
+        let Some(open) = node.open.get_mut(&ticket.request) else {
+            return;
+        };
+        open.attempt = Some(OpenAttempt {
+            id: ticket,
+            back_end: machine.id.clone(),
+            guard: StreamGuard::new(stream.as_str(), 0),
+            stream,
+            connection: 0,
+            resumes: 0,
+            has_begun: false,
+        });
+        let plan = self.callers[open.caller.0].clone();
+        let call = Call {
+            node: (id.clone(), life),
+            id: ticket,
+            artifact: self.artifact_of(id, &plan.of, plan.is_service),
+            class: plan.class,
+            tokens: plan.tokens,
+            key: plan.key.clone(),
+            repeatable: plan.repeatable,
+        };
+        let to = StreamEnd {
+            node: id.clone(),
+            life,
+            request: ticket.request,
+            connection: 0,
+        };
+        let times_out = plan.deadline.max(self.now);
+        let event = SimEvent::AttemptTimesOut {
+            to: to.clone(),
+            id: ticket,
+        };
+        self.queue.add(times_out, event);
+        match self.arrival(id.as_str(), machine.id.as_str()) {
+            Some(at) => self.queue.add(
+                at,
+                SimEvent::CallArrives {
+                    back_end: machine.id.clone(),
+                    call: Box::new(call),
+                },
+            ),
+            None => self.queue.add(
+                self.now + CONNECT_TIMEOUT,
+                SimEvent::StreamArrives {
+                    to,
+                    item: StreamItem::NotSent,
+                },
+            ),
+        }
+    }
+
+    fn artifact_of(
+        &self,
+        id: &NodeId,
+        of: &str,
+        is_service: bool,
+    ) -> Option<gorsebank_world::Artifact> {
+        if is_service {
+            return None;
+        }
+        let node = self.nodes.get(id)?.node.as_ref()?;
+        node.resolve(of).ok()?.artifact().cloned()
+    }
+
+    pub(super) fn stream_arrives(&mut self, to: StreamEnd, item: StreamItem) {
+        match self.defer(&to.node, to.life) {
+            Some(0) => return,
+            Some(resumes) => {
+                let event = SimEvent::StreamArrives { to, item };
+                return self.queue.add(resumes, event);
+            }
+            None => {}
+        }
+        let checks = self.ablation != Some(Ablation::StreamChecks);
+        let Some(open) = self
+            .nodes
+            .get_mut(&to.node)
+            .and_then(|node| node.open.get_mut(&to.request))
+        else {
+            return;
+        };
+        let caller = open.caller;
+        let Some(attempt) = open.attempt.as_mut() else {
+            return;
+        };
+        if attempt.connection != to.connection {
+            return;
+        }
+        match item {
+            StreamItem::NotSent => self.attempt_ended(&to, AttemptOutcome::NotSent),
+            StreamItem::NotStarted => self.attempt_ended(&to, AttemptOutcome::NotStarted),
+            StreamItem::Broken => self.reconnect(&to),
+            StreamItem::Event { id, is_last } => {
+                let verdict = if checks {
+                    attempt.guard.judge(&id, is_last)
+                } else {
+                    Verdict::Forward
+                };
+                match verdict {
+                    Verdict::Duplicate => {}
+                    Verdict::Gap | Verdict::Foreign => self.reconnect(&to),
+                    Verdict::Forward => {
+                        attempt.has_begun = true;
+                        attempt.resumes = 0;
+                        self.caller_receives(caller, id);
+                        if is_last {
+                            self.attempt_completed(&to);
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    /// Asks for the rest of a stream; an application's answer cannot be resumed.
+    fn reconnect(&mut self, to: &StreamEnd) {
+        let Some(attempt) = self.open_attempt(to) else {
+            return;
+        };
+        attempt.connection += 1;
+        attempt.resumes += 1;
+        let (back_end, stream) = (attempt.back_end.clone(), attempt.stream.clone());
+        let (resumes, next) = (attempt.resumes, attempt.guard.next());
+        let to = StreamEnd {
+            connection: attempt.connection,
+            ..to.clone()
+        };
+        let is_engine = self
+            .back_ends
+            .get(&back_end)
+            .is_some_and(|back_end| back_end.entry.role == MachineRole::Engine);
+        if !is_engine || resumes > MAX_RESUMES {
+            return self.attempt_lost(&to);
+        }
+        let pause = if resumes > 1 {
+            RESUME_PAUSE << (resumes - 2)
+        } else {
+            0
+        };
+        match self.arrival(to.node.as_str(), back_end.as_str()) {
+            Some(at) => self.queue.add(
+                at + pause,
+                SimEvent::ResumeArrives {
+                    back_end,
+                    to,
+                    stream,
+                    next,
+                },
+            ),
+            None => self.queue.add(
+                self.now + CONNECT_TIMEOUT + pause,
+                SimEvent::StreamArrives {
+                    to,
+                    item: StreamItem::Broken,
+                },
+            ),
+        }
+    }
+
+    fn open_attempt(&mut self, to: &StreamEnd) -> Option<&mut OpenAttempt> {
+        self.nodes
+            .get_mut(&to.node)?
+            .open
+            .get_mut(&to.request)?
+            .attempt
+            .as_mut()
+    }
+
+    fn attempt_lost(&mut self, to: &StreamEnd) {
+        let has_begun = self
+            .open_attempt(to)
+            .is_some_and(|attempt| attempt.has_begun);
+        if has_begun {
+            self.attempt_ended(to, AttemptOutcome::LostDuringAnswer);
+            self.finish_request(&to.node, to.request, CallerEnd::Interrupted);
+        } else {
+            let honest = self.ablation != Some(Ablation::HonestOutcomes);
+            let outcome = if honest {
+                AttemptOutcome::LostBeforeAnswer
+            } else {
+                AttemptOutcome::NotSent
+            };
+            self.attempt_ended(to, outcome);
+        }
+    }
+
+    pub(super) fn attempt_times_out(&mut self, to: &StreamEnd, id: TicketId) {
+        match self.defer(&to.node, to.life) {
+            Some(0) => return,
+            Some(resumes) => {
+                let event = SimEvent::AttemptTimesOut { to: to.clone(), id };
+                return self.queue.add(resumes, event);
+            }
+            None => {}
+        }
+        let waits = self
+            .open_attempt(to)
+            .is_some_and(|attempt| attempt.id == id && !attempt.has_begun);
+        if waits {
+            self.attempt_lost(to);
+        }
+    }
+
+    fn attempt_ended(&mut self, to: &StreamEnd, outcome: AttemptOutcome) {
+        let Some(open) = self
+            .nodes
+            .get_mut(&to.node)
+            .and_then(|node| node.open.get_mut(&to.request))
+        else {
+            return;
+        };
+        let Some(attempt) = open.attempt.take() else {
+            return;
+        };
+        let id = attempt.id;
+        self.tell(&to.node, Event::AttemptEnded { id, outcome });
+    }
+
+    fn attempt_completed(&mut self, to: &StreamEnd) {
+        let Some(attempt) = self.open_attempt(to) else {
+            return;
+        };
+        let whole = attempt.stream.clone();
+        let whole = self.wholes.get(&whole).copied().unwrap_or(0);
+        self.attempt_ended(to, AttemptOutcome::Completed);
+        let end = CallerEnd::Answered { whole };
+        self.finish_request(&to.node, to.request, end);
+    }
+
+    fn refuse(&mut self, id: &NodeId, request: RequestId, refusal: Refusal) {
+        if self.ablation == Some(Ablation::Refusals) {
+            return;
+        }
+        let end = CallerEnd::Refused {
+            reason: refusal.reason,
+            ran: refusal.ran,
+            retry_after: refusal.retry_after,
+        };
+        self.finish_request(id, request, end);
+    }
+
+    fn finish_request(&mut self, id: &NodeId, request: RequestId, end: CallerEnd) {
+        let open = self
+            .nodes
+            .get_mut(id)
+            .and_then(|node| node.open.remove(&request));
+        if let Some(open) = open {
+            self.caller_ends(open.caller, end);
+        }
+    }
+}
--- /dev/null
+++ b/crates/replay/src/simulation/platform.rs
@@ -0,0 +1,149 @@
+//! The platform: table service, machine list and weight store with their faults.
+
+use std::collections::VecDeque;
+
+use gorsebank_contract::{BackEndPlan, TableAnswer, Transaction};
+use gorsebank_emulator::model::store::StoreModel;
+use gorsebank_emulator::model::table::TableModel;
+use gorsebank_world::{BackEndId, MachineList};
+
+use crate::ablation::Ablation;
+use crate::history::DecisionRecord;
+use crate::trace::format::TableMode;
+
+/// The table service.
+#[derive(Debug, Default)]
+pub struct Table {
+    /// Its rows.
+    pub model: TableModel,
+    mode: TableMode,
+    mode_until: u64,
+}
+
+impl Table {
+    /// Makes it fail.
+    pub fn fail(&mut self, mode: TableMode, until: u64) {
+        self.mode = mode;
+        self.mode_until = until;
+    }
+
+    /// How it works now.
+    pub fn mode(&self, now: u64) -> TableMode {
+        if now < self.mode_until {
+            self.mode
+        } else {
+            TableMode::Up
+        }
+    }
+
+    /// Carries a transaction out; gives the answer and the decisions it wrote.
+    pub fn transact(
+        &mut self,
+        now: u64,
+        transaction: &Transaction,
+        ablation: Option<Ablation>,
+    ) -> (TableAnswer, Vec<DecisionRecord>) {
+        let answer = if ablation == Some(Ablation::Conditions) {
+            let unconditional = Transaction {
+                compares: Vec::new(),
+                ..transaction.clone()
+            };
+            self.model.transact(&unconditional)
+        } else {
+            self.model.transact(transaction)
+        };
+        let is_committed = matches!(answer, TableAnswer::Committed { .. });
+        let decisions = if is_committed {
+            decisions_of(now, transaction)
+        } else {
+            Vec::new()
+        };
+        (answer, decisions)
+    }
+}
+
+fn decisions_of(now: u64, transaction: &Transaction) -> Vec<DecisionRecord> {
+    transaction
+        .puts
+        .iter()
+        .filter_map(|put| {
+            let (_, id) = put.key.split_once("/plans/")?;
+            let plan: BackEndPlan = serde_json::from_str(&put.value).ok()?;
+            Some(DecisionRecord {
+                at: now,
+                back_end: BackEndId::from(id),
+                plan,
+            })
+        })
+        .collect()
+}
+
+/// The machine list with its lag.
+#[derive(Debug)]
+pub struct LaggingList {
+    lag: u64,
+    newest: MachineList,
+    visible: VecDeque<(u64, MachineList)>,
+}
+
+impl LaggingList {
+    /// A list that is visible at once; later ones are after `lag`.
+    pub fn new(list: MachineList, lag: u64) -> Self {
+        LaggingList {
+            lag,
+            visible: VecDeque::from([(0, list.clone())]),
+            newest: list,
+        }
+    }
+
+    /// Changes the list; gives the time from which readers see it.
+    pub fn change(&mut self, now: u64, edit: impl FnOnce(&mut MachineList)) -> u64 {
+        edit(&mut self.newest);
+        let visible_at = now + self.lag;
+        self.visible.push_back((visible_at, self.newest.clone()));
+        visible_at
+    }
+
+    /// What readers see.
+    pub fn read(&mut self, now: u64) -> MachineList {
+        while self.visible.get(1).is_some_and(|(at, _)| *at <= now) {
+            self.visible.pop_front();
+        }
+        self.visible
+            .front()
+            .map(|(_, list)| list.clone())
+            .unwrap_or_default()
+    }
+}
+
+/// The weight store with its slow times.
+#[derive(Debug)]
+pub struct Store {
+    /// Its limits.
+    pub model: StoreModel,
+    slow_until: u64,
+}
+
+impl Store {
+    /// A store at full speed.
+    pub fn new(model: StoreModel) -> Self {
+        Store {
+            model,
+            slow_until: 0,
+        }
+    }
+
+    /// Makes loads take longer.
+    pub fn slow_down(&mut self, slowdown: f64, until: u64) {
+        self.model.slowdown = slowdown;
+        self.slow_until = until;
+    }
+
+    /// Starts a load; gives the time that it takes, in milliseconds.
+    pub fn start(&mut self, now: u64, bytes: u64) -> u64 {
+        if now >= self.slow_until {
+            self.model.slowdown = 1.0;
+        }
+        self.model.start(now / 1_000, bytes)
+    }
+}
--- /dev/null
+++ b/crates/replay/tests/checker.rs
@@ -0,0 +1,252 @@
+//! Each rule's checker is given a broken history and must see it.
+
+use std::collections::BTreeMap;
+
+use gorsebank_contract::{BackEndPlan, PriorityClass, Ran, RefusalReason, RequestId};
+use gorsebank_emulator::model::engine::{EngineEvent, EngineRecord};
+use gorsebank_replay::checker::{Rule, check};
+use gorsebank_replay::history::{
+    CallerEnd, CallerRecord, CallerTry, ChangeRecord, ConfigurationReading, DecisionRecord,
+    EngineHistory, Execution, History, LeaveRecord,
+};
+use gorsebank_world::{Artifact, BackEndId, RowKey, RowKind};
+
+const SECOND: u64 = 1_000_000;
+
+fn artifact() -> Artifact {
+    "llama@1".parse().expect("an artifact")
+}
+
+fn engine_history(events: &[EngineEvent]) -> History {
+    let records = events
+        .iter()
+        .enumerate()
+        .map(|(index, event)| EngineRecord {
+            at: 100 * (index as u64 + 1),
+            event: event.clone(),
+        })
+        .collect();
+    let engine = EngineHistory {
+        memory: 10,
+        records,
+    };
+    History {
+        engines: BTreeMap::from([(BackEndId::from("engine"), engine)]),
+        end: 100 * SECOND,
+        ..History::default()
+    }
+}
+
+fn decision(at: u64, bytes: Option<u64>) -> DecisionRecord {
+    let mut plan = BackEndPlan {
+        capacity: 10,
+        ..BackEndPlan::default()
+    };
+    if let Some(bytes) = bytes {
+        plan.reservations.insert(artifact(), bytes);
+    }
+    DecisionRecord {
+        at,
+        back_end: BackEndId::from("engine"),
+        plan,
+    }
+}
+
+fn load(bytes: u64) -> EngineEvent {
+    EngineEvent::LoadStarted {
+        artifact: artifact(),
+        bytes,
+    }
+}
+
+fn caller(end: Option<(u64, CallerEnd)>, received: &[(&str, u64)]) -> CallerRecord {
+    CallerRecord {
+        of: "llama".to_owned(),
+        class: PriorityClass::Interactive,
+        deadline: 10 * SECOND,
+        key: None,
+        repeatable: true,
+        tries: vec![CallerTry {
+            node: "n1".into(),
+            request: Some(RequestId(1, 1)),
+            at: SECOND,
+            first_event: None,
+            received: received
+                .iter()
+                .map(|(stream, number)| ((*stream).to_owned(), *number))
+                .collect(),
+            end,
+        }],
+    }
+}
+
+fn with_caller(caller: CallerRecord) -> History {
+    History {
+        callers: vec![caller],
+        end: 100 * SECOND,
+        ..History::default()
+    }
+}
+
+fn execution(at: u64, key: Option<&str>) -> Execution {
+    Execution {
+        at,
+        back_end: BackEndId::from("app"),
+        request: RequestId(1, 1),
+        key: key.map(str::to_owned),
+        repeatable: key.is_none(),
+    }
+}
+
+fn assert_caught(history: &History, rule: Rule) {
+    let violations = check(history, &[]);
+    assert!(
+        violations.iter().any(|violation| violation.rule == rule),
+        "{rule:?} was not caught: {violations:?}"
+    );
+}
+
+#[test]
+fn a_sound_history_has_no_violations() {
+    let mut history = engine_history(&[EngineEvent::Started, load(5)]);
+    history.decisions.push(decision(50_000, Some(5)));
+    let own = format!("{}-1@engine", RequestId(1, 1));
+    let end = Some((2 * SECOND, CallerEnd::Answered { whole: 2 }));
+    history
+        .callers
+        .push(caller(end, &[(own.as_str(), 0), (own.as_str(), 1)]));
+    assert_eq!(check(&history, &[]), []);
+}
+
+#[test]
+fn a_load_without_a_decision_is_caught() {
+    assert_caught(&engine_history(&[load(5)]), Rule::Replicas);
+}
+
+#[test]
+fn a_decision_taken_back_too_early_is_caught() {
+    let mut history = engine_history(&[EngineEvent::Started, load(5)]);
+    history.decisions.push(decision(50_000, Some(5)));
+    history.decisions.push(decision(900_000, None));
+    assert_caught(&history, Rule::Replicas);
+}
+
+#[test]
+fn overcommitted_memory_is_caught() {
+    assert_caught(&engine_history(&[load(11)]), Rule::Memory);
+    let refused = EngineEvent::OverCommitRefused {
+        artifact: artifact(),
+    };
+    assert_caught(&engine_history(&[refused]), Rule::Memory);
+}
+
+#[test]
+fn a_decision_larger_than_the_engine_is_caught() {
+    let mut history = History::default();
+    history.decisions.push(decision(0, Some(11)));
+    assert_caught(&history, Rule::Memory);
+}
+
+#[test]
+fn a_dropped_and_a_late_request_are_caught() {
+    assert_caught(&with_caller(caller(None, &[])), Rule::Served);
+    let refused = CallerEnd::Refused {
+        reason: RefusalReason::DeadlinePassed,
+        ran: Ran::No,
+        retry_after: None,
+    };
+    let late = caller(Some((12 * SECOND, refused)), &[]);
+    assert_caught(&with_caller(late), Rule::Served);
+}
+
+#[test]
+fn incomplete_doubled_and_foreign_answers_are_caught() {
+    let own = format!("{}-1@engine", RequestId(1, 1));
+    let foreign = format!("{}-1@engine", RequestId(2, 2));
+    let own = own.as_str();
+    for received in [
+        &[(own, 0)][..],
+        &[(own, 0), (own, 0), (own, 1)][..],
+        &[(own, 1), (own, 0)][..],
+        &[(own, 0), (foreign.as_str(), 1)][..],
+    ] {
+        let end = Some((2 * SECOND, CallerEnd::Answered { whole: 2 }));
+        assert_caught(&with_caller(caller(end, received)), Rule::WholeAnswer);
+    }
+}
+
+#[test]
+fn a_false_refusal_is_caught() {
+    let refused = CallerEnd::Refused {
+        reason: RefusalReason::RetriesExhausted,
+        ran: Ran::No,
+        retry_after: None,
+    };
+    let mut history = with_caller(caller(Some((2 * SECOND, refused)), &[]));
+    history.executions.push(execution(SECOND, None));
+    assert_caught(&history, Rule::Refusal);
+}
+
+#[test]
+fn a_key_that_ran_twice_is_caught() {
+    let mut history = History::default();
+    history.executions.push(execution(SECOND, Some("k")));
+    history.executions.push(execution(2 * SECOND, Some("k")));
+    assert_caught(&history, Rule::Once);
+}
+
+#[test]
+fn late_work_for_a_leaving_back_end_is_caught() {
+    let mut history = History::default();
+    history.leaves.push(LeaveRecord {
+        back_end: BackEndId::from("app"),
+        visible: SECOND,
+    });
+    history.executions.push(execution(7 * SECOND, None));
+    assert_caught(&history, Rule::Leaving);
+}
+
+#[test]
+fn a_request_cut_by_a_planned_stop_is_caught() {
+    let cut = caller(Some((5 * SECOND, CallerEnd::NodeDied)), &[]);
+    let mut history = with_caller(cut);
+    history.planned_stops.push(("n1".into(), 4 * SECOND));
+    assert_caught(&history, Rule::PlannedStop);
+}
+
+#[test]
+fn reverted_missing_and_doubly_accepted_configuration_is_caught() {
+    let key = RowKey {
+        kind: RowKind::Model,
+        name: "llama".to_owned(),
+    };
+    let reading = |at: u64, version: u64| ConfigurationReading {
+        at: at * SECOND,
+        node: "n1".into(),
+        life: 1,
+        versions: BTreeMap::from([(key.clone(), version)]),
+        undisturbed_since: 0,
+    };
+    let change = |revision: u64| ChangeRecord {
+        key: key.clone(),
+        accepted: Some((revision, SECOND)),
+        error: None,
+        labels: BTreeMap::new(),
+    };
+    let reverted = History {
+        readings: vec![reading(1, 5), reading(2, 4)],
+        ..History::default()
+    };
+    assert_caught(&reverted, Rule::Configuration);
+    let missing = History {
+        changes: vec![change(6)],
+        readings: vec![reading(60, 5)],
+        ..History::default()
+    };
+    assert_caught(&missing, Rule::Configuration);
+    let doubly = History {
+        changes: vec![change(6), change(6)],
+        ..History::default()
+    };
+    assert_caught(&doubly, Rule::Configuration);
+}
