Watch engines from every node and do placement work only where something changed

Cause: the placement holder inspected each engine every 5 s and walked all wanted artifacts on each tick; at 263 engines a cell that alone is beyond 16 KB/s and 1.1% of a core.

Ruled out: longer inspection intervals for the holder alone, which would make the loss of an engine known only after that interval.

Change: each engine has one watcher, by rendezvous, that reads a short report each second and tells the holder only of changes; the holder inspects on such word, and every 60 s besides. Work lists of an engine are made anew only when it changed. Rows are shared. The simulator no longer starts a node twice.

--- a/crates/contract/src/message.rs
+++ b/crates/contract/src/message.rs
@@ -4,12 +4,14 @@
 //! message; the names in the code are whole.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use gorsebank_world::{Artifact, BackEndId, CellId, MachineList, QueueKey, Row, ZoneId};
 use serde::{Deserialize, Serialize};
 
 use crate::claim::{ClaimAnswer, ClaimGroup, ClaimRecord};
 use crate::fence::{Epoch, Fence, Incarnation, Revision};
+use crate::order::EngineReport;
 use crate::outcome::Refusal;
 use crate::request::{Grant, RequestId, Ticket, TicketId};
 
@@ -186,6 +188,16 @@
         #[serde(rename = "b")]
         back_end: BackEndId,
     },
+    /// Watcher to holder: an engine's report changed, or it does not answer.
+    #[serde(rename = "rp")]
+    Report {
+        /// The engine.
+        #[serde(rename = "b")]
+        back_end: BackEndId,
+        /// Its report, or `None` if it did not answer.
+        #[serde(rename = "r")]
+        report: Option<EngineReport>,
+    },
     /// The machine list, spread by those that read it.
     #[serde(rename = "ml")]
     Machines {
@@ -213,7 +225,7 @@
         /// Upper end, inclusive.
         complete: Revision,
         /// The rows; a row written several times appears once.
-        rows: Vec<Row>,
+        rows: Vec<Arc<Row>>,
     },
     /// Front to claim member: record this key for this request.
     #[serde(rename = "cl")]
@@ -302,6 +314,7 @@
             PeerMessage::Held(_) => "held",
             PeerMessage::Demand { .. } => "demand",
             PeerMessage::Replicas(_) => "replicas",
+            PeerMessage::Report { .. } => "report",
             PeerMessage::Suspect { .. } => "suspect",
             PeerMessage::Machines { .. } => "machines",
             PeerMessage::MachinesWanted => "machines_wanted",
--- a/crates/contract/src/order.rs
+++ b/crates/contract/src/order.rs
@@ -78,6 +78,17 @@
     }
 }
 
+/// What an engine reports of itself, in short.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineReport {
+    /// The life of the engine process.
+    #[serde(rename = "i")]
+    pub incarnation: Incarnation,
+    /// The version of its inventory.
+    #[serde(rename = "v")]
+    pub version: u64,
+}
+
 /// Why an engine did not carry out an order.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(tag = "error", rename_all = "snake_case")]
--- a/crates/coordination/src/configuration.rs
+++ b/crates/coordination/src/configuration.rs
@@ -7,6 +7,7 @@
 //! order rows arrive.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use gorsebank_contract::Revision;
 use gorsebank_world::{
@@ -50,8 +51,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Configuration {
     complete: Revision,
-    rows: BTreeMap<RowKey, Row>,
-    by_revision: BTreeMap<u64, RowKey>,
+    rows: BTreeMap<RowKey, Arc<Row>>,
+    by_revision: BTreeMap<u64, Arc<Row>>,
 }
 
 impl Configuration {
@@ -66,7 +67,7 @@
         &mut self,
         above: Revision,
         complete: Revision,
-        rows: Vec<Row>,
+        rows: Vec<Arc<Row>>,
     ) -> Result<bool, Gap> {
         if above > self.complete {
             return Err(Gap {
@@ -83,29 +84,28 @@
         Ok(true)
     }
 
-    fn take(&mut self, row: Row) {
+    fn take(&mut self, row: Arc<Row>) {
         if let Some(known) = self.rows.get(&row.key) {
             if known.revision >= row.revision {
                 return;
             }
             self.by_revision.remove(&known.revision);
         }
-        self.by_revision.insert(row.revision, row.key.clone());
+        self.by_revision.insert(row.revision, Arc::clone(&row));
         self.rows.insert(row.key.clone(), row);
     }
 
     /// Rows above a revision.
-    pub fn rows_above(&self, above: Revision) -> Vec<Row> {
+    pub fn rows_above(&self, above: Revision) -> Vec<Arc<Row>> {
         self.by_revision
             .range(above.0 + 1..)
-            .filter_map(|(_, key)| self.rows.get(key))
-            .cloned()
+            .map(|(_, row)| Arc::clone(row))
             .collect()
     }
 
     /// The row as last written, deleted or not.
     pub fn row(&self, key: &RowKey) -> Option<&Row> {
-        self.rows.get(key)
+        self.rows.get(key).map(AsRef::as_ref)
     }
 
     /// Rows of a kind that were not deleted, by name.
@@ -115,19 +115,22 @@
     }
 
     fn named_from(&self, kind: RowKind, prefix: String) -> impl Iterator<Item = &Row> {
-        let start = RowKey { kind, name: prefix };
+        let start = RowKey {
+            kind,
+            name: prefix.into(),
+        };
         self.rows
             .range(start..)
-            .map(|(_, row)| row)
+            .map(|(_, row)| row.as_ref())
             .take_while(move |row| row.key.kind == kind)
     }
 
     fn live(&self, kind: RowKind, name: &str) -> Option<&Row> {
         let key = RowKey {
             kind,
-            name: name.to_owned(),
+            name: name.into(),
         };
-        self.rows.get(&key).filter(|row| row.spec.is_some())
+        self.row(&key).filter(|row| row.spec.is_some())
     }
 
     /// What a request for `name` waits for: `model`, `model@version`,
@@ -224,7 +227,7 @@
     fn deployment_of(&self, labels: &Labels) -> Option<&DeploymentSpec> {
         self.live_rows(RowKind::Deployment)
             .filter_map(|row| match &row.spec {
-                Some(Spec::Deployment(deployment)) => Some(deployment),
+                Some(Spec::Deployment(deployment)) => Some(deployment.as_ref()),
                 _ => None,
             })
             .find(|deployment| deployment.models.matches(labels))
@@ -274,7 +277,7 @@
         let adapters = self.live_rows(RowKind::Adapter);
         models
             .chain(adapters)
-            .map(|row| row.key.name.clone())
+            .map(|row| row.key.name.to_string())
             .filter(|name| self.resolve(name).is_ok())
             .collect()
     }
--- a/crates/coordination/src/configuration_check.rs
+++ b/crates/coordination/src/configuration_check.rs
@@ -87,7 +87,7 @@
     let user = configuration
         .live_rows(RowKind::Version)
         .chain(configuration.live_rows(RowKind::Adapter))
-        .find(|row| model_of(row) == Some(key.name.as_str()));
+        .find(|row| model_of(row) == Some(key.name.as_ref()));
     match user {
         Some(row) => Err(invalid(key, &format!("{} still refers to it", row.key))),
         None => Ok(()),
@@ -195,7 +195,7 @@
     check_name(key, part)?;
     let model_key = RowKey {
         kind: RowKind::Model,
-        name: model.to_owned(),
+        name: model.into(),
     };
     let exists = configuration
         .row(&model_key)
--- a/crates/coordination/src/configuration_writer.rs
+++ b/crates/coordination/src/configuration_writer.rs
@@ -7,6 +7,7 @@
 //! the second conflicts and reads this node's writer row, which names it.
 
 use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
 
 use gorsebank_contract::{
     Compare, Incarnation, Put, Revision, TableAnswer, TableRow, Transaction, TransactionId,
@@ -46,7 +47,7 @@
     /// ...up to this one.
     pub complete: Revision,
     /// The rows.
-    pub rows: Vec<Row>,
+    pub rows: Vec<Arc<Row>>,
 }
 
 /// What the writer wants done.
@@ -242,7 +243,7 @@
         let learned = Learned {
             above: Revision(write.row.revision - 1),
             complete: Revision(write.row.revision),
-            rows: vec![write.row.clone()],
+            rows: vec![Arc::new(write.row.clone())],
         };
         let mut output = vec![WriterOutput::Learned(learned)];
         let position = self
@@ -287,6 +288,7 @@
             .iter()
             .filter(|row| row.key.starts_with(ROWS_PREFIX))
             .filter_map(|row| serde_json::from_str::<Row>(&row.value).ok())
+            .map(Arc::new)
             .collect();
         vec![WriterOutput::Learned(Learned {
             above: Revision(0),
--- a/crates/coordination/src/event.rs
+++ b/crates/coordination/src/event.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 
 use gorsebank_contract::{
-    AttemptOutcome, Fence, Order, OrderResult, PeerMessage, PriorityClass, Refusal, RequestId,
-    Sequence, TableAnswer, TicketId, Transaction,
+    AttemptOutcome, EngineReport, Fence, Order, OrderResult, PeerMessage, PriorityClass, Refusal,
+    RequestId, Sequence, TableAnswer, TicketId, Transaction,
 };
 use gorsebank_world::{
     BackEndId, Labels, Machine, MachineList, NodeId, QueueKey, Row, RowKey, Spec,
@@ -142,6 +142,13 @@
         /// The result.
         result: OrderResult,
     },
+    /// An engine's short report was read, or it did not answer.
+    ReportRead {
+        /// The engine.
+        back_end: BackEndId,
+        /// The report.
+        report: Option<EngineReport>,
+    },
     /// An operator wants a change.
     ChangeRequested {
         /// Names it.
@@ -177,6 +184,11 @@
         /// The order.
         order: Order,
     },
+    /// Read an engine's short report and bring it back.
+    ReadReport {
+        /// The engine.
+        machine: Machine,
+    },
     /// Read the platform's machine list.
     ReadMachineList,
     /// Send a waiting request to a back end.
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod settings;
 pub mod stream;
 pub mod time;
+pub mod watcher;
 
 pub use configuration::{Configuration, ResolveError};
 pub use event::{Action, Arrival, Change, ChangeError, ChangeId, Edit, Event, TransactionTag};
--- a/crates/coordination/src/node.rs
+++ b/crates/coordination/src/node.rs
@@ -5,8 +5,8 @@
 //! Lock order. Snapshots (`machines`, then `configuration` for reading) are
 //! taken before any other lock, and `configuration` for writing only with no
 //! other lock held. Of `membership`, `placement`, `queues`, `front`, `claims`
-//! and `writer` a worker holds one at a time; what one decides for another is
-//! passed on as a value after its lock is free.
+//! `watcher` and `writer` a worker holds one at a time; what one decides for
+//! another is passed on as a value after its lock is free.
 
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -31,6 +31,7 @@
 use crate::queues::{Demand, Queues, Release};
 use crate::settings::CoordinationSettings;
 use crate::time::{Periodic, Timestamp};
+use crate::watcher::Watcher;
 
 /// Nodes of a cell that read the platform's machine list.
 const MACHINE_LIST_READERS: usize = 2;
@@ -82,6 +83,7 @@
     front: Mutex<Front>,
     claims: Mutex<Claims>,
     writer: Mutex<ConfigurationWriter>,
+    watcher: Mutex<Watcher>,
     machine_list_reads: Mutex<Periodic>,
     requests: AtomicU64,
 }
@@ -127,6 +129,7 @@
                 identity.node.clone(),
                 identity.incarnation,
             )),
+            watcher: Mutex::default(),
             machine_list_reads: Mutex::new(Periodic::every(
                 settings.membership.machine_list_interval,
             )),
@@ -292,6 +295,17 @@
                     .order_answered(now, &back_end, fence, sequence, result);
                 self.tick_placement(turn);
             }
+            Event::ReportRead { back_end, report } => {
+                let view = self.view();
+                let news = self.watcher.lock().read(&back_end, report, view.fence);
+                if let (Some(news), Some(holder)) = (news, &view.holder) {
+                    let message = PeerMessage::Report {
+                        back_end: news.back_end,
+                        report: news.report,
+                    };
+                    self.send(turn, holder.clone(), message);
+                }
+            }
             Event::ChangeRequested { id, change } => {
                 if self.membership.lock().state() == NodeState::Leaving {
                     let result = Err(ChangeError::Stopping);
@@ -314,6 +328,7 @@
         self.membership.lock().expire(now);
         self.send_heartbeats(turn);
         self.read_machine_list(turn);
+        self.read_reports(turn);
         self.tick_placement(turn);
         self.tick_queues(turn);
         let (view, machines) = (self.view(), self.machines());
@@ -366,6 +381,18 @@
         }
     }
 
+    fn read_reports(&self, turn: &mut Turn) {
+        let (view, machines) = (self.view(), self.machines());
+        let due = self
+            .watcher
+            .lock()
+            .tick(turn.now, &self.identity.node, &view, &machines);
+        turn.actions.extend(
+            due.into_iter()
+                .map(|machine| Action::ReadReport { machine }),
+        );
+    }
+
     fn tick_placement(&self, turn: &mut Turn) {
         let (view, machines) = (self.view(), self.machines());
         let output = {
@@ -495,6 +522,10 @@
                 let decisions = self.queues.lock().set_replicas(now, &set, &machines);
                 self.apply_decisions(turn, decisions);
             }
+            PeerMessage::Report { back_end, report } => {
+                self.placement.lock().reported(now, &back_end, report);
+                self.tick_placement(turn);
+            }
             PeerMessage::Suspect { back_end } => self.placement.lock().suspected(now, &back_end),
             PeerMessage::Machines { version, machines } => {
                 let replaced = self.machines().received(version, machines);
--- a/crates/coordination/src/placement/engine.rs
+++ b/crates/coordination/src/placement/engine.rs
@@ -9,8 +9,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use gorsebank_contract::{
-    BackEndPlan, Fence, Incarnation, Inventory, Order, OrderAction, OrderError, OrderResult,
-    Sequence, SourceTier,
+    BackEndPlan, EngineReport, Fence, Incarnation, Inventory, Order, OrderAction, OrderError,
+    OrderResult, Sequence, SourceTier,
 };
 use gorsebank_world::{Artifact, Machine, MachineState};
 
@@ -25,8 +25,9 @@
 const FIRST_REPORT: u64 = 2_000;
 /// An engine that is listed no more is forgotten after so long.
 const FORGET_UNLISTED: u64 = 600_000;
-/// An idle engine is inspected so often.
-const QUIET_INSPECT_INTERVAL: u64 = 5_000;
+/// An engine of which nothing new is heard is inspected so often: watchers say
+/// when something changed, and this finds what their words were lost about.
+const QUIET_INSPECT_INTERVAL: u64 = 60_000;
 
 /// What an order's result means for the holder.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -55,7 +56,15 @@
     /// The decision that the holder wants.
     pub next: BackEndPlan,
     /// What shall be loaded now.
-    pub target: BTreeSet<Artifact>,
+    target: BTreeSet<Artifact>,
+    /// Something changed since the work lists were made.
+    stale: bool,
+    /// Wanted and not there.
+    missing: Vec<Artifact>,
+    /// There and not wanted.
+    surplus: Vec<Artifact>,
+    /// `next` may differ from `committed`.
+    pub plan_changed: bool,
     /// What the engine last reported.
     pub inventory: Inventory,
     /// The life of the engine that was inspected under this fence, and whether
@@ -88,6 +97,10 @@
             committed,
             in_flight: None,
             target: BTreeSet::new(),
+            stale: true,
+            missing: Vec::new(),
+            surplus: Vec::new(),
+            plan_changed: true,
             inventory: Inventory::default(),
             inspected: None,
             orders: BTreeMap::new(),
@@ -101,6 +114,76 @@
         }
     }
 
+    /// What shall be loaded now.
+    pub fn target(&self) -> &BTreeSet<Artifact> {
+        &self.target
+    }
+
+    /// Wants artifacts to be loaded.
+    pub fn want(&mut self, artifacts: impl IntoIterator<Item = Artifact>) {
+        self.target.extend(artifacts);
+        self.stale = true;
+    }
+
+    /// Wants an artifact, and the adapters that need it, no more.
+    pub fn give_up(&mut self, artifact: &Artifact) {
+        self.target
+            .retain(|other| other != artifact && other.base() != *artifact);
+        self.stale = true;
+    }
+
+    /// Wants nothing any more.
+    pub fn give_up_all(&mut self) {
+        self.target.clear();
+        self.stale = true;
+    }
+
+    /// A decision took effect.
+    pub fn committed(&mut self) {
+        if let Some(plan) = self.in_flight.take() {
+            self.committed = plan;
+            self.stale = true;
+        }
+    }
+
+    /// Makes the work lists anew if something changed; says whether it did.
+    pub fn refresh(&mut self) -> bool {
+        if !std::mem::take(&mut self.stale) {
+            return false;
+        }
+        self.missing = self
+            .target
+            .iter()
+            .filter(|artifact| !self.may_hold(artifact))
+            .cloned()
+            .collect();
+        self.surplus = self
+            .inventory
+            .loaded
+            .keys()
+            .filter(|artifact| !self.target.contains(*artifact))
+            .cloned()
+            .collect();
+        true
+    }
+
+    /// Wanted and not there, as of the last refresh.
+    pub fn missing(&self) -> &[Artifact] {
+        &self.missing
+    }
+
+    /// Loads that were ordered and have not ended, with their bytes and times.
+    pub fn running_loads(&self, now: Timestamp) -> impl Iterator<Item = (&Artifact, u64, u64)> {
+        self.orders
+            .values()
+            .filter_map(move |order| match &order.action {
+                OrderAction::Load { artifact, bytes } => {
+                    Some((artifact, *bytes, now.since(order.sent)))
+                }
+                _ => None,
+            })
+    }
+
     /// Whether orders may be given.
     pub fn is_claimed(&self) -> bool {
         matches!(self.inspected, Some((_, true)))
@@ -152,6 +235,17 @@
         self.next_inspection = now;
     }
 
+    /// Its watcher read its report, or got no answer.
+    pub fn reported(&mut self, now: Timestamp, report: Option<EngineReport>) {
+        let known = EngineReport {
+            incarnation: self.incarnation().unwrap_or_default(),
+            version: self.inventory.version,
+        };
+        if report != Some(known) {
+            self.suspect(now);
+        }
+    }
+
     /// Whether it may be chosen for new loads.
     pub fn is_eligible(&self) -> bool {
         self.is_claimed() && self.is_in_service()
@@ -265,17 +359,13 @@
         if !self.is_claimed() || now < self.refused_until {
             return Vec::new();
         }
-        let unwanted: Vec<&Artifact> = self
-            .inventory
-            .loaded
-            .keys()
+        self.surplus
+            .iter()
+            .filter(|artifact| self.inventory.loaded.contains_key(*artifact))
             .filter(|artifact| !self.target.contains(*artifact))
             .filter(|artifact| !self.has_unload_order(artifact))
-            .collect();
-        unwanted
-            .iter()
             .filter(|artifact| artifact.adapter.is_some() || !self.has_adapter_of(artifact))
-            .map(|artifact| (*artifact).clone())
+            .cloned()
             .collect()
     }
 
@@ -344,6 +434,7 @@
         match &action {
             OrderAction::Inspect => self.inspecting = Some(self.sequence),
             _ => {
+                self.stale = true;
                 let order = InFlightOrder {
                     action: action.clone(),
                     sent: now,
@@ -369,8 +460,10 @@
         if self.inspecting.is_some() || now < self.next_inspection {
             return None;
         }
-        let is_unclear =
-            !self.is_claimed() || !self.inventory.loading.is_empty() || !self.doubtful.is_empty();
+        let is_unclear = !self.is_claimed()
+            || self.failed_inspections > 0
+            || !self.inventory.loading.is_empty()
+            || !self.doubtful.is_empty();
         let interval = if is_unclear {
             settings.inspect_interval
         } else {
@@ -392,6 +485,7 @@
             self.inspecting = None;
         }
         let order = self.orders.remove(&sequence);
+        self.stale = true;
         if order.is_none() && !was_inspection {
             return OrderOutcome::Continue;
         }
--- a/crates/coordination/src/placement/mod.rs
+++ b/crates/coordination/src/placement/mod.rs
@@ -18,9 +18,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use gorsebank_contract::{
-    BackEndPlan, ClaimGroup, Fence, Incarnation, Inventory, Order, OrderAction, OrderResult,
-    PeerMessage, Put, ReplicaOffer, ReplicaSet, Sequence, SourceTier, TableAnswer, TableRow,
-    Transaction,
+    BackEndPlan, ClaimGroup, EngineReport, Fence, Incarnation, Inventory, Order, OrderAction,
+    OrderResult, PeerMessage, Put, ReplicaOffer, ReplicaSet, Sequence, SourceTier, TableAnswer,
+    TableRow, Transaction,
 };
 use gorsebank_world::{Artifact, BackEndId, Machine, MachineRole, MachineState, NodeId};
 
@@ -175,7 +175,7 @@
     pub fn targets(&self) -> BTreeMap<BackEndId, Vec<Artifact>> {
         self.engines
             .iter()
-            .map(|(id, engine)| (id.clone(), engine.target.iter().cloned().collect()))
+            .map(|(id, engine)| (id.clone(), engine.target().iter().cloned().collect()))
             .collect()
     }
 
@@ -228,7 +228,7 @@
                     .map(|(to, message)| PlacementOutput::Send(to, message)),
             );
         }
-        self.note_late_loads(now, configuration);
+        self.note_late_loads(now);
         self.settle_reservations(configuration);
         output.extend(self.write(now));
         output.extend(self.give_orders(now, fence, configuration));
@@ -286,9 +286,7 @@
 
     fn committed(&mut self) -> Vec<PlacementOutput> {
         for engine in self.engines.values_mut() {
-            if let Some(plan) = engine.in_flight.take() {
-                engine.committed = plan;
-            }
+            engine.committed();
         }
         for (id, life) in std::mem::take(&mut self.confirming) {
             if let Some(engine) = self.engines.get_mut(&id) {
@@ -368,15 +366,9 @@
     }
 
     /// A load that takes longer than expected tells as much before it ends.
-    fn note_late_loads(&mut self, now: Timestamp, configuration: &Configuration) {
+    fn note_late_loads(&mut self, now: Timestamp) {
         for engine in self.engines.values() {
-            for artifact in &engine.target {
-                let (Some(elapsed), Some(bytes)) = (
-                    engine.load_elapsed(now, artifact),
-                    configuration.memory(artifact),
-                ) else {
-                    continue;
-                };
+            for (artifact, bytes, elapsed) in engine.running_loads(now) {
                 let expected = engine.load_time(artifact, bytes, &self.settings);
                 self.pace.note_running(now, expected, elapsed);
             }
@@ -420,7 +412,7 @@
                 if engine.is_inspected() && !was_inspected {
                     adopt(engine);
                 } else if engine.incarnation() != former_life {
-                    engine.target.clear();
+                    engine.give_up_all();
                 }
             }
         }
@@ -433,6 +425,13 @@
         }
     }
 
+    /// A watcher told of an engine.
+    pub fn reported(&mut self, now: Timestamp, back_end: &BackEndId, report: Option<EngineReport>) {
+        if let Some(engine) = self.engines.get_mut(back_end) {
+            engine.reported(now, report);
+        }
+    }
+
     /// Takes in what a queue owner needs.
     pub fn demanded(
         &mut self,
@@ -485,7 +484,7 @@
         let holders: Vec<&Engine> = self
             .engines
             .values()
-            .filter(|engine| engine.target.contains(artifact))
+            .filter(|engine| engine.target().contains(artifact))
             .filter(|engine| engine.machine.state == MachineState::Live)
             .collect();
         let in_service = holders
@@ -534,7 +533,7 @@
         let eligible = self.engines.values().filter(|engine| {
             let machine = &engine.machine;
             let labels = configuration.back_end_labels(&machine.id, &machine.labels);
-            deployment.back_ends.matches(&labels) && !engine.target.contains(artifact)
+            deployment.back_ends.matches(&labels) && !engine.target().contains(artifact)
         });
         let idle = |id: &BackEndId, candidate: &Artifact| self.idle_on(now, id, candidate);
         scheduler::choose(&wanted, eligible, &idle, &self.settings)
@@ -548,13 +547,8 @@
     fn waiting_loads(&self) -> u32 {
         self.engines
             .values()
-            .flat_map(|engine| {
-                engine
-                    .target
-                    .iter()
-                    .filter(|artifact| !engine.may_hold(artifact))
-            })
-            .count() as u32
+            .map(|engine| engine.missing().len() as u32)
+            .sum()
     }
 
     /// How long an artifact has been idle on an engine; `None` while it, or an
@@ -564,7 +558,7 @@
         let mut shortest = self.idle_time(now, artifact);
         if artifact.adapter.is_none() {
             let dependents = engine
-                .target
+                .target()
                 .iter()
                 .filter(|other| other.adapter.is_some() && other.base() == *artifact);
             for dependent in dependents {
@@ -588,9 +582,9 @@
             return;
         };
         for victim in &choice.victims {
-            give_up(engine, victim);
+            engine.give_up(victim);
         }
-        engine.target.extend(artifact.required());
+        engine.want(artifact.required());
     }
 
     fn review(&mut self, now: Timestamp, configuration: &Configuration) {
@@ -633,7 +627,7 @@
     fn review_idle(&mut self, now: Timestamp, configuration: &Configuration) {
         let mut expired = Vec::new();
         for (id, engine) in &self.engines {
-            for artifact in &engine.target {
+            for artifact in engine.target() {
                 if self.is_expired(now, id, artifact, configuration) {
                     expired.push((id.clone(), artifact.clone()));
                 }
@@ -641,7 +635,7 @@
         }
         for (id, artifact) in expired {
             if let Some(engine) = self.engines.get_mut(&id) {
-                give_up(engine, &artifact);
+                engine.give_up(&artifact);
             }
         }
     }
@@ -666,12 +660,12 @@
     /// neither wanted nor there.
     fn settle_reservations(&mut self, configuration: &Configuration) {
         for engine in self.engines.values_mut() {
-            if !engine.is_claimed() {
+            let is_changed = engine.refresh();
+            if !engine.is_claimed() || (!is_changed && engine.missing().is_empty()) {
                 continue;
             }
             drop_reservations(engine);
-            let wanted: Vec<Artifact> = engine.target.iter().cloned().collect();
-            for artifact in wanted {
+            for artifact in engine.missing().to_vec() {
                 if let Some(bytes) = configuration.memory(&artifact) {
                     reserve(engine, &artifact, bytes);
                 }
@@ -688,7 +682,7 @@
         let confirm = self.engines.values().any(Engine::wants_commit);
         let (number, transaction) = self.lease.decide(now, puts, confirm)?;
         for engine in self.engines.values_mut() {
-            if engine.next != engine.committed {
+            if std::mem::take(&mut engine.plan_changed) && engine.next != engine.committed {
                 engine.in_flight = Some(engine.next.clone());
             }
         }
@@ -711,7 +705,7 @@
         let plans = self
             .engines
             .iter()
-            .filter(|(_, engine)| engine.next != engine.committed)
+            .filter(|(_, engine)| engine.plan_changed && engine.next != engine.committed)
             .map(|(id, engine)| Put {
                 key: format!("{prefix}plans/{id}"),
                 value: to_json(&engine.next),
@@ -782,7 +776,7 @@
     fn possible_loads(&self, now: Timestamp, configuration: &Configuration) -> Vec<PossibleLoad> {
         let mut loads = Vec::new();
         for (id, engine) in &self.engines {
-            for artifact in &engine.target {
+            for artifact in engine.missing() {
                 let Some(bytes) = configuration.memory(artifact) else {
                     continue;
                 };
@@ -803,7 +797,7 @@
     /// an adapter of it on the same engine; far off if none does.
     fn urgency(&self, now: Timestamp, engine: &Engine, artifact: &Artifact) -> Timestamp {
         engine
-            .target
+            .target()
             .iter()
             .filter(|other| *other == artifact || other.base() == *artifact)
             .filter_map(|other| self.needs.get(other))
@@ -858,7 +852,7 @@
     /// An engine's slots, shared among the artifacts that are in use on it.
     fn slots_for(&self, engine: &Engine, artifact: &Artifact) -> u32 {
         let others = engine
-            .target
+            .target()
             .iter()
             .filter(|other| *other != artifact)
             .filter_map(|other| self.needs.get(other))
@@ -918,7 +912,7 @@
         let wanted_on: Vec<(&BackEndId, &Engine)> = self
             .engines
             .iter()
-            .filter(|(_, engine)| engine.target.contains(artifact))
+            .filter(|(_, engine)| engine.target().contains(artifact))
             .collect();
         let ready = wanted_on
             .iter()
@@ -967,15 +961,7 @@
         .filter(|artifact| engine.next.permits(artifact))
         .cloned()
         .collect();
-    engine.target.extend(decided);
-}
-
-/// Unloads an artifact, and the adapters that need it, as soon as nothing runs
-/// on them.
-fn give_up(engine: &mut Engine, artifact: &Artifact) {
-    engine
-        .target
-        .retain(|other| other != artifact && other.base() != *artifact);
+    engine.want(decided);
 }
 
 fn drop_reservations(engine: &mut Engine) {
@@ -983,11 +969,12 @@
         .next
         .reservations
         .keys()
-        .filter(|artifact| !engine.target.contains(*artifact) && !engine.may_hold(artifact))
+        .filter(|artifact| !engine.target().contains(*artifact) && !engine.may_hold(artifact))
         .cloned()
         .collect();
     for artifact in ended {
         engine.next.reservations.remove(&artifact);
+        engine.plan_changed = true;
     }
 }
 
@@ -1000,6 +987,7 @@
         return;
     }
     engine.next.reservations.insert(artifact.clone(), bytes);
+    engine.plan_changed = true;
 }
 
 fn parts_of(artifact: &Artifact, configuration: &Configuration) -> Option<Vec<(Artifact, u64)>> {
--- a/crates/coordination/src/placement/scheduler.rs
+++ b/crates/coordination/src/placement/scheduler.rs
@@ -67,7 +67,7 @@
     let missing: Vec<&(Artifact, u64)> = wanted
         .parts
         .iter()
-        .filter(|(artifact, _)| !engine.target.contains(artifact))
+        .filter(|(artifact, _)| !engine.target().contains(artifact))
         .collect();
     let bytes: u64 = missing.iter().map(|(_, bytes)| bytes).sum();
     let load_time: u64 = missing
--- a/crates/coordination/src/placement/standby.rs
+++ b/crates/coordination/src/placement/standby.rs
@@ -110,4 +110,5 @@
     for (part, bytes) in parts {
         standby.members.insert(part.clone(), *bytes);
     }
+    engine.plan_changed = true;
 }
--- a/crates/emulator/src/model/engine.rs
+++ b/crates/emulator/src/model/engine.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 
 use gorsebank_contract::{
-    Fence, Incarnation, Inventory, Order, OrderAction, OrderError, OrderResult, Sequence,
-    SourceTier,
+    EngineReport, Fence, Incarnation, Inventory, Order, OrderAction, OrderError, OrderResult,
+    Sequence, SourceTier,
 };
 use gorsebank_world::Artifact;
 use serde::{Deserialize, Serialize};
@@ -259,8 +259,17 @@
         &self.history
     }
 
+    /// What the engine reports in short.
+    pub fn report(&self) -> EngineReport {
+        EngineReport {
+            incarnation: self.incarnation,
+            version: self.version,
+        }
+    }
+
     fn record(&mut self, at: u64, event: EngineEvent) {
-        self.version += 1;
+        let changes_inventory = !matches!(event, EngineEvent::Ran { .. });
+        self.version += u64::from(changes_inventory);
         self.history.push(EngineRecord { at, event });
     }
 }
--- a/crates/emulator/src/server/engine.rs
+++ b/crates/emulator/src/server/engine.rs
@@ -17,9 +17,9 @@
 use axum::routing::{get, post};
 use axum::{Json, Router};
 use futures_util::stream;
-use gorsebank_contract::{Order, OrderResult, SourceTier};
+use gorsebank_contract::{EngineReport, Order, OrderResult, SourceTier};
 use gorsebank_platform::HttpClient;
-use gorsebank_platform::engine_client::{ORDERS_PATH, OrderAnswer};
+use gorsebank_platform::engine_client::{ORDERS_PATH, OrderAnswer, REPORT_PATH};
 use gorsebank_world::Artifact;
 use parking_lot::Mutex;
 use serde::Deserialize;
@@ -197,6 +197,7 @@
         .route("/v1/models", get(models))
         .route("/v1/streams/{stream}", get(resume).delete(cancel))
         .route(ORDERS_PATH, post(order))
+        .route(REPORT_PATH, get(report))
         .route("/history", get(history))
         .with_state(server)
 }
@@ -205,6 +206,10 @@
     Json(server.model.lock().history().to_vec())
 }
 
+async fn report(State(server): State<Arc<EngineServer>>) -> Json<EngineReport> {
+    Json(server.model.lock().report())
+}
+
 async fn models(State(server): State<Arc<EngineServer>>) -> Json<Value> {
     let inventory = server.model.lock().inventory();
     let data: Vec<Value> = inventory
--- a/crates/gorsebank/src/table_view.rs
+++ b/crates/gorsebank/src/table_view.rs
@@ -18,7 +18,7 @@
     for row in rows {
         table.add_row([
             row.key.kind.to_string(),
-            row.key.name.clone(),
+            row.key.name.to_string(),
             row.revision.to_string(),
             labels(row),
             content(row),
--- a/crates/node/src/admin/configuration.rs
+++ b/crates/node/src/admin/configuration.rs
@@ -45,7 +45,7 @@
         .map_err(|error| AdminError::not_found(format!("{error}")))?;
     Ok(RowKey {
         kind,
-        name: name.to_owned(),
+        name: name.into(),
     })
 }
 
--- a/crates/node/src/host.rs
+++ b/crates/node/src/host.rs
@@ -149,6 +149,9 @@
             Action::Order { machine, order } => {
                 tokio::spawn(Arc::clone(self).order(machine, order));
             }
+            Action::ReadReport { machine } => {
+                tokio::spawn(Arc::clone(self).read_report(machine));
+            }
             Action::ReadMachineList => {
                 tokio::spawn(Arc::clone(self).read_machine_list());
             }
@@ -210,6 +213,14 @@
         });
     }
 
+    async fn read_report(self: Arc<Self>, machine: Machine) {
+        let report = self.engines.report(machine.address).await;
+        self.handle(Event::ReportRead {
+            back_end: machine.id,
+            report,
+        });
+    }
+
     async fn read_machine_list(self: Arc<Self>) {
         match self.machine_list.read().await {
             Ok((list, errors)) => {
--- a/crates/platform/src/engine_client.rs
+++ b/crates/platform/src/engine_client.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use gorsebank_contract::{Inventory, Order, OrderAction, OrderError, OrderResult};
+use gorsebank_contract::{EngineReport, Inventory, Order, OrderAction, OrderError, OrderResult};
 use http::Method;
 use serde::{Deserialize, Serialize};
 
@@ -11,6 +11,8 @@
 
 /// Where engines take orders.
 pub const ORDERS_PATH: &str = "/v1/orders";
+/// Where engines report.
+pub const REPORT_PATH: &str = "/v1/report";
 /// An inspection is answered within this time.
 const INSPECT_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// A load or unload is answered, when done, within this time.
@@ -38,6 +40,18 @@
         EngineClient { http }
     }
 
+    /// Reads an engine's short report.
+    pub async fn report(&self, address: SocketAddr) -> Option<EngineReport> {
+        let answer = self
+            .http
+            .call::<(), EngineReport>(Method::GET, address, REPORT_PATH, None, INSPECT_TIMEOUT)
+            .await;
+        match answer {
+            Ok((status, report)) if status.is_success() => Some(report),
+            _ => None,
+        }
+    }
+
     /// Sends an order and waits until it is carried out or refused.
     pub async fn order(&self, address: SocketAddr, order: &Order) -> OrderResult {
         let limit = match order.action {
--- a/crates/replay/src/simulation/back_end_events.rs
+++ b/crates/replay/src/simulation/back_end_events.rs
@@ -85,6 +85,23 @@
         }
     }
 
+    pub(super) fn report_arrives(&mut self, node: NodeId, life: u32, id: BackEndId) {
+        if self.back_end_defer(&id).is_some() {
+            return self.report_unknown(&node, life, id);
+        }
+        let report = self.back_ends.get(&id).map(|it| it.engine.report());
+        match self.arrival(id.as_str(), node.as_str()) {
+            Some(at) => {
+                let event = Event::ReportRead {
+                    back_end: id,
+                    report,
+                };
+                self.schedule_for_node(at, &node, life, event);
+            }
+            None => self.report_unknown(&node, life, id),
+        }
+    }
+
     /// Without fences an engine takes every order for the newest.
     fn perhaps_unfenced(&mut self, back_end: &BackEndId, order: Order) -> Order {
         if self.ablation != Some(Ablation::Fences) {
--- a/crates/replay/src/simulation/faults.rs
+++ b/crates/replay/src/simulation/faults.rs
@@ -124,7 +124,10 @@
         let name = self.name_of(process);
         let starts = lasting.map(|lasting| self.now + microseconds(lasting));
         let id = NodeId::from(name.as_str());
-        if self.nodes.contains_key(&id) {
+        if let Some(node) = self.nodes.get(&id) {
+            if node.node.is_none() {
+                return;
+            }
             self.kill_node(&id);
             if let Some(at) = starts {
                 self.queue.add(at, SimEvent::NodeStarts { node: id });
@@ -132,6 +135,9 @@
             return;
         }
         let id = BackEndId::from(name.as_str());
+        if self.back_ends.get(&id).is_none_or(|it| !it.is_alive) {
+            return;
+        }
         self.back_end_dies(&id);
         if let Some(at) = starts {
             self.queue.add(at, SimEvent::BackEndStarts { back_end: id });
--- a/crates/replay/src/simulation/node_events.rs
+++ b/crates/replay/src/simulation/node_events.rs
@@ -54,6 +54,7 @@
             Action::Send { to, message } => self.send(id, &to, message),
             Action::Transact { tag, transaction } => self.transact(id, tag, transaction),
             Action::Order { machine, order } => self.give_order(id, &machine, order),
+            Action::ReadReport { machine } => self.read_report(id, &machine),
             Action::ReadMachineList => self.read_list(id),
             Action::Dispatch {
                 id: ticket,
@@ -221,6 +222,34 @@
         }
     }
 
+    fn read_report(&mut self, id: &NodeId, machine: &Machine) {
+        let life = self.life(id);
+        match self.arrival(id.as_str(), machine.id.as_str()) {
+            Some(at) => self.queue.add(
+                at,
+                SimEvent::ReportArrives {
+                    node: id.clone(),
+                    life,
+                    back_end: machine.id.clone(),
+                },
+            ),
+            None => self.report_unknown(id, life, machine.id.clone()),
+        }
+    }
+
+    pub(super) fn report_unknown(
+        &mut self,
+        id: &NodeId,
+        life: u32,
+        back_end: gorsebank_world::BackEndId,
+    ) {
+        let event = Event::ReportRead {
+            back_end,
+            report: None,
+        };
+        self.schedule_for_node(self.now + PLATFORM_TIMEOUT, id, life, event);
+    }
+
     fn dispatch(&mut self, id: &NodeId, ticket: TicketId, machine: &Machine) {
         let life = self.life(id);
         let stream = stream_name(ticket, &machine.id);
--- a/crates/replay/src/simulation/operator.rs
+++ b/crates/replay/src/simulation/operator.rs
@@ -11,7 +11,7 @@
 pub fn change_of(event: &ChangeEvent, node: &Node) -> Change {
     let key = RowKey {
         kind: event.kind,
-        name: event.name.clone(),
+        name: event.name.as_str().into(),
     };
     let seen = node
         .with_configuration(|configuration| configuration.row(&key).map_or(0, |row| row.revision));
--- a/crates/replay/src/simulation/world.rs
+++ b/crates/replay/src/simulation/world.rs
@@ -57,6 +57,12 @@
     },
     /// A node's reading reaches the machine list.
     ListArrives { node: NodeId, life: u32 },
+    /// A node's reading reaches an engine.
+    ReportArrives {
+        node: NodeId,
+        life: u32,
+        back_end: BackEndId,
+    },
     /// An order reaches an engine.
     OrderArrives {
         node: NodeId,
@@ -293,6 +299,11 @@
                 tag,
                 transaction,
             } => self.table_arrives(node, life, tag, &transaction),
+            SimEvent::ReportArrives {
+                node,
+                life,
+                back_end,
+            } => self.report_arrives(node, life, back_end),
             SimEvent::ListArrives { node, life } => self.list_arrives(node, life),
             SimEvent::OrderArrives {
                 node,
@@ -355,7 +366,7 @@
     pub(super) fn node_starts(&mut self, id: &NodeId) {
         let now = self.now;
         let (settings, seed) = (self.settings.clone(), self.seed);
-        let Some(node) = self.nodes.get_mut(id) else {
+        let Some(node) = self.nodes.get_mut(id).filter(|node| node.node.is_none()) else {
             return;
         };
         node.start(now, &settings, seed);
@@ -495,7 +506,7 @@
     for (index, entry) in header.rows.iter().enumerate() {
         let key = RowKey {
             kind: entry.spec.kind(),
-            name: entry.name.clone(),
+            name: entry.name.as_str().into(),
         };
         let row = Row {
             revision: index as u64 + 1,
--- a/crates/replay/tests/checker.rs
+++ b/crates/replay/tests/checker.rs
@@ -218,7 +218,7 @@
 fn reverted_missing_and_doubly_accepted_configuration_is_caught() {
     let key = RowKey {
         kind: RowKind::Model,
-        name: "llama".to_owned(),
+        name: "llama".into(),
     };
     let reading = |at: u64, version: u64| ConfigurationReading {
         at: at * SECOND,
--- a/crates/world/src/configuration.rs
+++ b/crates/world/src/configuration.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 use std::str::FromStr;
+use std::sync::Arc;
 
 use bytesize::ByteSize;
 use serde::{Deserialize, Serialize};
@@ -71,8 +72,8 @@
 pub struct RowKey {
     /// The kind.
     pub kind: RowKind,
-    /// The name within the kind.
-    pub name: String,
+    /// The name within the kind; shared, since every node holds every row.
+    pub name: Arc<str>,
 }
 
 impl fmt::Display for RowKey {
@@ -149,7 +150,7 @@
 #[serde(tag = "kind", rename_all = "snake_case")]
 pub enum Spec {
     /// A deployment.
-    Deployment(DeploymentSpec),
+    Deployment(Box<DeploymentSpec>),
     /// A model.
     Model(ModelSpec),
     /// A version.
