Number connections of different tries apart in the simulator

Ruled out: the front, which numbers attempts. Change: first connections differ by try, and a request that waited for a process that died is dropped.

--- a/crates/replay/src/simulation/back_end.rs
+++ b/crates/replay/src/simulation/back_end.rs
@@ -174,6 +174,12 @@
     format!("{}-{}@{back_end}", id.request, id.attempt.0)
 }
 
+/// The number of the first connection of a try; those of other tries differ.
+pub fn first_connection(id: TicketId) -> u32 {
+    const CONNECTIONS_PER_TRY: u32 = 1_000;
+    id.attempt.0 * CONNECTIONS_PER_TRY
+}
+
 /// The request that a stream belongs to, for records.
 pub fn request_of(id: TicketId) -> RequestId {
     id.request
--- a/crates/replay/src/simulation/back_end_events.rs
+++ b/crates/replay/src/simulation/back_end_events.rs
@@ -8,7 +8,7 @@
 
 use crate::ablation::Ablation;
 use crate::history::Execution;
-use crate::simulation::back_end::{Call, request_of, stream_name};
+use crate::simulation::back_end::{Call, first_connection, request_of, stream_name};
 use crate::simulation::world::{
     MILLISECOND, OrderReply, SECOND, SimEvent, Simulation, StreamEnd, StreamItem,
 };
@@ -165,12 +165,22 @@
         self.schedule_for_node(at, &reply.node, reply.life, event);
     }
 
-    pub(super) fn call_arrives(&mut self, id: BackEndId, call: Box<Call>) {
+    pub(super) fn call_arrives(&mut self, id: BackEndId, waited: Option<u32>, call: Box<Call>) {
         let to = stream_end(&call);
+        let life = self.back_ends.get(&id).map_or(0, |it| it.life);
+        if waited.is_some_and(|waited| waited != life) {
+            // The process died with the request unread; its end of the
+            // connection broke then.
+            return;
+        }
         match self.back_end_defer(&id) {
             Some(0) => return self.stream_to(&id, to, StreamItem::NotSent),
             Some(resumes) => {
-                let event = SimEvent::CallArrives { back_end: id, call };
+                let event = SimEvent::CallArrives {
+                    back_end: id,
+                    waited: Some(life),
+                    call,
+                };
                 return self.queue.add(resumes, event);
             }
             None => {}
@@ -425,6 +435,6 @@
         node: call.node.0.clone(),
         life: call.node.1,
         request: call.id.request,
-        connection: 0,
+        connection: first_connection(call.id),
     }
 }
--- a/crates/replay/src/simulation/node_events.rs
+++ b/crates/replay/src/simulation/node_events.rs
@@ -10,7 +10,7 @@
 
 use crate::ablation::Ablation;
 use crate::history::CallerEnd;
-use crate::simulation::back_end::{Call, stream_name};
+use crate::simulation::back_end::{Call, first_connection, stream_name};
 use crate::simulation::network::{MACHINE_LIST, TABLE};
 use crate::simulation::node_host::OpenAttempt;
 use crate::simulation::world::{MILLISECOND, SECOND, SimEvent, Simulation, StreamEnd, StreamItem};
@@ -264,7 +264,7 @@
             back_end: machine.id.clone(),
             guard: StreamGuard::new(stream.as_str(), 0),
             stream,
-            connection: 0,
+            connection: first_connection(ticket),
             resumes: 0,
             has_begun: false,
         });
@@ -282,7 +282,7 @@
             node: id.clone(),
             life,
             request: ticket.request,
-            connection: 0,
+            connection: first_connection(ticket),
         };
         let times_out = plan.deadline.max(self.now);
         let event = SimEvent::AttemptTimesOut {
@@ -295,6 +295,7 @@
                 at,
                 SimEvent::CallArrives {
                     back_end: machine.id.clone(),
+                    waited: None,
                     call: Box::new(call),
                 },
             ),
--- a/crates/replay/src/simulation/world.rs
+++ b/crates/replay/src/simulation/world.rs
@@ -78,9 +78,11 @@
         is_remote: bool,
         reply: OrderReply,
     },
-    /// A request reaches a back end.
+    /// A request reaches a back end; if it has waited for a process that
+    /// stood still, the life of that process.
     CallArrives {
         back_end: BackEndId,
+        waited: Option<u32>,
         call: Box<Call>,
     },
     /// A back end has made an event of an answer.
@@ -318,7 +320,11 @@
                 is_remote,
                 reply,
             } => self.load_ends(&back_end, life, &artifact, is_remote, reply),
-            SimEvent::CallArrives { back_end, call } => self.call_arrives(back_end, call),
+            SimEvent::CallArrives {
+                back_end,
+                waited,
+                call,
+            } => self.call_arrives(back_end, waited, call),
             SimEvent::EventMade {
                 back_end,
                 life,
