--- /dev/null
+++ b/crates/coordination/tests/configuration.rs
@@ -0,0 +1,125 @@
+//! Configuration never reverts, in whatever order rows arrive.
+
+use std::sync::Arc;
+
+use gorsebank_contract::Revision;
+use gorsebank_coordination::{Configuration, ResolveError};
+use gorsebank_world::{Labels, Row, RowKey, RowKind, Spec};
+use proptest::prelude::*;
+use serde_json::{Value, json};
+
+fn row(revision: u64, name: &str, spec: Value) -> Arc<Row> {
+    let spec: Spec = serde_json::from_value(spec).expect("a spec");
+    Arc::new(Row {
+        key: RowKey {
+            kind: spec.kind(),
+            name: name.into(),
+        },
+        revision,
+        labels: Labels::default(),
+        spec: Some(spec),
+    })
+}
+
+fn model(revision: u64, name: &str) -> Arc<Row> {
+    row(revision, name, json!({"kind": "model", "memory": "1GiB"}))
+}
+
+fn versions(configuration: &Configuration) -> Vec<(String, u64)> {
+    configuration
+        .live_rows(RowKind::Model)
+        .map(|row| (row.key.name.to_string(), row.revision))
+        .collect()
+}
+
+#[test]
+fn a_gap_is_named_and_nothing_is_taken() {
+    let mut configuration = Configuration::default();
+    let gap = configuration
+        .merge(Revision(3), Revision(4), vec![model(4, "a")])
+        .expect_err("rows are missing");
+    assert_eq!(gap.complete, Revision(0));
+    assert_eq!(versions(&configuration), []);
+}
+
+#[test]
+fn names_are_resolved() {
+    let mut configuration = Configuration::default();
+    let rows = vec![
+        row(
+            1,
+            "all",
+            json!({"kind": "deployment", "versions": "stage=stable"}),
+        ),
+        model(2, "llama"),
+        model(3, "other"),
+        row(
+            4,
+            "other+north",
+            json!({"kind": "adapter", "model": "other", "memory": "1GiB"}),
+        ),
+        row(
+            5,
+            "llama+north",
+            json!({"kind": "adapter", "model": "llama", "memory": "1GiB"}),
+        ),
+        row(
+            6,
+            "other+south",
+            json!({"kind": "adapter", "model": "other", "memory": "1GiB"}),
+        ),
+    ];
+    configuration
+        .merge(Revision(0), Revision(6), rows)
+        .expect("no gap");
+    let resolved = |name: &str| configuration.resolve(name).map(|queue| queue.to_string());
+    assert_eq!(resolved("llama"), Ok("llama@1".to_owned()));
+    assert_eq!(resolved("llama+north"), Ok("llama@1+north".to_owned()));
+    assert_eq!(
+        resolved("none"),
+        Err(ResolveError::Unknown("none".to_owned()))
+    );
+    assert_eq!(
+        resolved("llama@9"),
+        Err(ResolveError::Unknown("llama@9".to_owned()))
+    );
+    assert!(matches!(
+        resolved("llama+south"),
+        Err(ResolveError::AdapterOfAnotherModel { .. })
+    ));
+}
+
+proptest! {
+    /// Deltas of one history, delivered in any order and any number of times,
+    /// never lower a row's version, and end in the same state once complete.
+    #[test]
+    fn rows_never_revert(
+        names in proptest::collection::vec(0..5u8, 1..30),
+        deliveries in proptest::collection::vec((0..30usize, 0..30usize), 0..80),
+    ) {
+        let history: Vec<Arc<Row>> = names
+            .iter()
+            .enumerate()
+            .map(|(index, name)| model(index as u64 + 1, &format!("m{name}")))
+            .collect();
+        let mut configuration = Configuration::default();
+        let mut before = Vec::new();
+        for (start, length) in deliveries {
+            let above = start.min(history.len());
+            let complete = (above + length).min(history.len());
+            let rows = history[above..complete].to_vec();
+            let _ = configuration.merge(Revision(above as u64), Revision(complete as u64), rows);
+            let after = versions(&configuration);
+            for (name, version) in &before {
+                let now = after.iter().find(|(other, _)| other == name);
+                prop_assert!(now.is_some_and(|(_, now)| now >= version));
+            }
+            before = after;
+        }
+        let length = Revision(history.len() as u64);
+        let _ = configuration.merge(Revision(0), length, history.clone());
+        let mut whole = Configuration::default();
+        let _ = whole.merge(Revision(0), length, history);
+        prop_assert_eq!(versions(&configuration), versions(&whole));
+    }
+}
--- a/crates/replay/src/lib.rs
+++ b/crates/replay/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod checker;
 pub mod history;
 pub mod run;
+pub mod scale;
 pub mod simulation;
 pub mod summary;
 pub mod trace;
--- a/crates/replay/src/main.rs
+++ b/crates/replay/src/main.rs
@@ -6,6 +6,7 @@
 use clap::{Parser, Subcommand};
 use gorsebank_replay::ablation::Ablation;
 use gorsebank_replay::run::{self, RunOptions, SeedRange};
+use gorsebank_replay::scale::{self, ScaleOptions};
 
 /// Replays recorded traces against stated outcomes.
 #[derive(Debug, Parser)]
@@ -32,21 +33,31 @@
         #[arg(required = true)]
         paths: Vec<PathBuf>,
     },
+    /// Run hollow nodes and print what each role costs, as JSON.
+    Scale {
+        /// Nodes.
+        #[arg(long)]
+        nodes: usize,
+        /// Engines.
+        #[arg(long)]
+        runners: usize,
+        /// Adapters.
+        #[arg(long)]
+        adapters: usize,
+        /// Seconds of virtual time that are measured.
+        #[arg(long, default_value_t = 30)]
+        seconds: u64,
+        /// Seed.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Milliseconds between two heartbeats.
+        #[arg(long, default_value_t = 1_000)]
+        heartbeat: u64,
+    },
 }
 
 fn main() -> ExitCode {
-    let Command::Run {
-        seeds,
-        without,
-        figures,
-        paths,
-    } = Arguments::parse().command;
-    match run::run(&RunOptions {
-        seeds,
-        without,
-        figures,
-        paths,
-    }) {
+    match execute(Arguments::parse().command) {
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::FAILURE,
         Err(error) => {
@@ -55,3 +66,39 @@
         }
     }
 }
+
+/// Says whether all was well.
+fn execute(command: Command) -> eyre::Result<bool> {
+    match command {
+        Command::Run {
+            seeds,
+            without,
+            figures,
+            paths,
+        } => Ok(run::run(&RunOptions {
+            seeds,
+            without,
+            figures,
+            paths,
+        })?),
+        Command::Scale {
+            nodes,
+            runners,
+            adapters,
+            seconds,
+            seed,
+            heartbeat,
+        } => {
+            let report = scale::run(ScaleOptions {
+                nodes,
+                runners,
+                adapters,
+                seconds,
+                seed,
+                heartbeat,
+            });
+            println!("{}", serde_json::to_string_pretty(&report)?);
+            Ok(true)
+        }
+    }
+}
