--- a/crates/contract/src/message.rs
+++ b/crates/contract/src/message.rs
@@ -130,6 +130,9 @@
     /// Owner to front: offer these again, this node owns the queue no more.
     #[serde(rename = "rt")]
     Returned(Vec<TicketId>),
+    /// Owner to front: requests wait; give back slots that are not in use.
+    #[serde(rename = "rc")]
+    Recall(QueueKey),
     /// Front to owner: the request waits no more.
     #[serde(rename = "cx")]
     Cancel {
@@ -309,6 +312,7 @@
             PeerMessage::Grants(_) => "grants",
             PeerMessage::Refused { .. } => "refused",
             PeerMessage::Returned(_) => "returned",
+            PeerMessage::Recall(_) => "recall",
             PeerMessage::Cancel { .. } => "cancel",
             PeerMessage::Released { .. } => "released",
             PeerMessage::Held(_) => "held",
--- a/crates/contract/src/request.rs
+++ b/crates/contract/src/request.rs
@@ -77,6 +77,14 @@
     pub back_end: BackEndId,
     /// Further requests of the same queue that the front may send there
     /// within the grant's validity, without asking.
-    #[serde(rename = "n")]
+    #[serde(rename = "n", default, skip_serializing_if = "is_zero")]
     pub credits: u32,
+    /// Nothing waits: once the request has ended, the front may keep the slot
+    /// for its next request instead of giving it back.
+    #[serde(rename = "k", default, skip_serializing_if = "std::ops::Not::not")]
+    pub retainable: bool,
+}
+
+fn is_zero(number: &u32) -> bool {
+    *number == 0
 }
--- a/crates/coordination/src/configuration.rs
+++ b/crates/coordination/src/configuration.rs
@@ -282,12 +282,29 @@
             .collect()
     }
 
-    /// Base artifacts and adapters of deployed models, for standing decisions.
-    pub fn deployed_artifacts(&self) -> Vec<Artifact> {
-        self.served_names()
+    /// Deployed artifacts whose own rows changed above a revision; `None` if
+    /// rows changed that many artifacts may depend on.
+    pub fn artifacts_changed_above(&self, above: Revision) -> Option<Vec<Artifact>> {
+        let rows = self.rows_above(above);
+        let is_narrow = rows
             .iter()
-            .filter_map(|name| self.resolve(name).ok())
+            .all(|row| matches!(row.key.kind, RowKind::Adapter | RowKind::BackEnd));
+        is_narrow.then(|| {
+            rows.iter()
+                .filter(|row| row.key.kind == RowKind::Adapter)
+                .filter_map(|row| self.resolve(&row.key.name).ok())
+                .filter_map(|queue| queue.artifact().cloned())
+                .collect()
+        })
+    }
+
+    /// Base artifacts and adapters of deployed models, for standing decisions.
+    pub fn deployed_artifacts(&self) -> impl Iterator<Item = Artifact> {
+        let models = self.live_rows(RowKind::Model);
+        let adapters = self.live_rows(RowKind::Adapter);
+        models
+            .chain(adapters)
+            .filter_map(|row| self.resolve(&row.key.name).ok())
             .filter_map(|queue| queue.artifact().cloned())
-            .collect()
     }
 }
--- a/crates/coordination/src/front.rs
+++ b/crates/coordination/src/front.rs
@@ -28,6 +28,8 @@
 
 /// Owners are told so often which slots are held, in milliseconds.
 const ACCOUNT_INTERVAL: u64 = 5_000;
+/// After a recall no slots of the queue are kept for so long, in milliseconds.
+const RECALL_LIFE: u64 = 5_000;
 /// So many slots are given back without waiting for the next tick.
 const RELEASE_BATCH: u32 = 4;
 
@@ -60,6 +62,8 @@
     owner: NodeId,
     back_end: BackEndId,
     since: Timestamp,
+    /// It may be kept for the next request once this one has ended.
+    retainable: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -99,6 +103,8 @@
     back_end: BackEndId,
     remaining: u32,
     expires: Timestamp,
+    /// Kept from a request that ended, not granted for itself.
+    is_retained: bool,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -136,12 +142,17 @@
 /// All requests of this node that have no final answer yet.
 #[derive(Debug)]
 pub struct Front {
+    this: NodeId,
     settings: RoutingSettings,
     pending: HashMap<RequestId, Pending>,
     /// Requests that are not yet sent: these have deadlines to watch.
     unsent: HashSet<RequestId>,
     credits: HashMap<QueueKey, Vec<Credit>>,
     releases: HashMap<ReleaseKey, ReleaseSum>,
+    /// Owners that were heard with a machine list no newer than this node's.
+    current_owners: HashMap<NodeId, Timestamp>,
+    /// Queues whose slots were recalled, until when none are kept.
+    recalled: HashMap<QueueKey, Timestamp>,
     accounts: Periodic,
     /// Owners that were told of held slots last time.
     accounted: HashSet<NodeId>,
@@ -152,14 +163,17 @@
 
 impl Front {
     /// A front without requests.
-    pub fn new(settings: RoutingSettings, random: ChaCha8Rng) -> Self {
+    pub fn new(this: NodeId, settings: RoutingSettings, random: ChaCha8Rng) -> Self {
         Front {
+            this,
             budget: RetryBudget::new(&settings),
             settings,
             pending: HashMap::new(),
             unsent: HashSet::new(),
             credits: HashMap::new(),
             releases: HashMap::new(),
+            current_owners: HashMap::new(),
+            recalled: HashMap::new(),
             accounts: Periodic::every(ACCOUNT_INTERVAL),
             accounted: HashSet::new(),
             random,
@@ -230,16 +244,71 @@
         queue: &QueueKey,
         machines: &MachineTable,
     ) -> Option<Slot> {
-        let credits = self.credits.get_mut(queue)?;
-        let credit = credits.iter_mut().find(|credit| {
-            credit.remaining > 0 && credit.expires > now && takes_work(machines, &credit.back_end)
-        })?;
-        credit.remaining -= 1;
-        Some(Slot {
-            owner: credit.owner.clone(),
-            back_end: credit.back_end.clone(),
-            since: now,
-        })
+        let mut credits = self.credits.remove(queue)?;
+        let usable = credits.iter_mut().find(|credit| {
+            credit.remaining > 0
+                && credit.expires > now
+                && takes_work(machines, &credit.back_end)
+                && (!credit.is_retained || self.is_current(now, &credit.owner))
+        });
+        let slot = usable.map(|credit| {
+            credit.remaining -= 1;
+            Slot {
+                owner: credit.owner.clone(),
+                back_end: credit.back_end.clone(),
+                since: now,
+                retainable: true,
+            }
+        });
+        credits.retain(|credit| credit.remaining > 0);
+        if !credits.is_empty() {
+            self.credits.insert(queue.clone(), credits);
+        }
+        slot
+    }
+
+    /// Whether this node knows of every leaving back end that the owner knew
+    /// of a moment ago. Without that a kept slot might be used again and again
+    /// at a back end that is leaving.
+    fn is_current(&self, now: Timestamp, owner: &NodeId) -> bool {
+        let heard = self.current_owners.get(owner);
+        *owner == self.this
+            || heard.is_some_and(|heard| now.since(*heard) < self.settings.grant_validity)
+    }
+
+    /// A node was heard; `is_current` if its machine list is no newer than
+    /// this node's.
+    pub fn heard(&mut self, now: Timestamp, node: &NodeId, is_current: bool) {
+        if is_current {
+            self.current_owners.insert(node.clone(), now);
+        }
+    }
+
+    /// The owner of a queue has requests waiting: unused slots go back.
+    pub fn recalled(&mut self, now: Timestamp, queue: &QueueKey) -> Vec<FrontOutput> {
+        let until = now + RECALL_LIFE;
+        self.recalled.insert(queue.clone(), until);
+        for credit in self.credits.remove(queue).unwrap_or_default() {
+            self.return_credit(queue.clone(), credit);
+        }
+        self.flush_releases(1)
+    }
+
+    /// Keeps the slot of a request that has ended, if that is allowed.
+    fn retain(&mut self, now: Timestamp, queue: &QueueKey, slot: &Slot) -> bool {
+        let is_recalled = self.recalled.get(queue).is_some_and(|until| *until > now);
+        if !slot.retainable || is_recalled || !self.is_current(now, &slot.owner) {
+            return false;
+        }
+        let credit = Credit {
+            owner: slot.owner.clone(),
+            back_end: slot.back_end.clone(),
+            remaining: 1,
+            expires: now + self.settings.grant_validity,
+            is_retained: true,
+        };
+        self.credits.entry(queue.clone()).or_default().push(credit);
+        true
     }
 
     fn offer(&mut self, now: Timestamp, request: RequestId, view: &View) -> Vec<FrontOutput> {
@@ -300,12 +369,14 @@
                     back_end: grant.back_end.clone(),
                     remaining: grant.credits,
                     expires: now + self.settings.grant_validity,
+                    is_retained: false,
                 });
         }
         let slot = Slot {
             owner: owner.clone(),
             back_end: grant.back_end.clone(),
             since: now,
+            retainable: grant.retainable,
         };
         let waits = self.pending.get(&grant.id.request).is_some_and(|pending| {
             pending.attempt == grant.id.attempt && matches!(pending.stage, Stage::Waiting { .. })
@@ -404,7 +475,9 @@
         if outcome == AttemptOutcome::LostBeforeAnswer {
             pending.ran = Ran::Unknown;
         }
-        self.give_back(now, &queue, &slot, ended, troubled);
+        if !(ended && self.retain(now, &queue, &slot)) {
+            self.give_back(now, &queue, &slot, ended, troubled);
+        }
         let mut output = match outcome {
             AttemptOutcome::Completed => self.finish_completed(id.request),
             AttemptOutcome::NotSent | AttemptOutcome::NotStarted => self.try_again(now, id.request),
@@ -621,13 +694,18 @@
         }
         self.credits.retain(|_, credits| !credits.is_empty());
         for (queue, credit) in unused {
-            let key = ReleaseKey {
-                owner: credit.owner,
-                queue,
-                back_end: credit.back_end,
-            };
-            self.releases.entry(key).or_default().slots += credit.remaining;
+            self.return_credit(queue, credit);
         }
+        self.recalled.retain(|_, until| *until > now);
+    }
+
+    fn return_credit(&mut self, queue: QueueKey, credit: Credit) {
+        let key = ReleaseKey {
+            owner: credit.owner,
+            queue,
+            back_end: credit.back_end,
+        };
+        self.releases.entry(key).or_default().slots += credit.remaining;
     }
 
     fn give_back(
--- a/crates/coordination/src/node.rs
+++ b/crates/coordination/src/node.rs
@@ -120,7 +120,11 @@
             )),
             placement: Mutex::new(placement),
             queues: Mutex::new(Queues::new(settings.routing.clone())),
-            front: Mutex::new(Front::new(settings.routing.clone(), random)),
+            front: Mutex::new(Front::new(
+                identity.node.clone(),
+                settings.routing.clone(),
+                random,
+            )),
             claims: Mutex::new(Claims {
                 rounds: ClaimRounds::new(settings.claims.clone()),
                 member: ClaimMember::new(settings.claims.clone()),
@@ -479,6 +483,10 @@
                 let output = self.front.lock().returned(now, &ids, &view);
                 self.apply_front(turn, output);
             }
+            PeerMessage::Recall(queue) => {
+                let output = self.front.lock().recalled(now, &queue);
+                self.apply_front(turn, output);
+            }
             PeerMessage::Cancel { queue, id } => self.queues.lock().cancel(&queue, id),
             PeerMessage::Released {
                 queue,
@@ -515,7 +523,9 @@
                         .lock()
                         .demanded(now, from, &demand, &configuration);
                 }
-                self.tick_placement(turn);
+                if demand.waiting > 0 {
+                    self.tick_placement(turn);
+                }
             }
             PeerMessage::Replicas(set) => {
                 let machines = self.machines();
@@ -649,6 +659,8 @@
         if is_same_cell && heartbeat.epoch > own_epoch {
             self.send(turn, from.clone(), PeerMessage::ClaimGroupWanted);
         }
+        let is_current = is_same_cell && heartbeat.machines <= own_machines;
+        self.front.lock().heard(turn.now, from, is_current);
         self.membership.lock().observe(turn.now, from, heartbeat);
     }
 
@@ -753,6 +765,9 @@
                 Decision::Grant(front, grant) => {
                     self.send(turn, front, PeerMessage::Grants(vec![grant]));
                 }
+                Decision::Recall(front, queue) => {
+                    self.send(turn, front, PeerMessage::Recall(queue));
+                }
                 Decision::Refuse(front, id, refusal) => {
                     self.send(turn, front, PeerMessage::Refused { id, refusal });
                 }
--- a/crates/coordination/src/placement/scheduler.rs
+++ b/crates/coordination/src/placement/scheduler.rs
@@ -16,6 +16,8 @@
 const EVICTION_COST: u64 = 500;
 /// Cost of a table transaction before the load, in milliseconds.
 const TRANSACTION_COST: u64 = 20;
+/// Cost of each artifact in use on the engine, with which slots are shared.
+const BUSY_NEIGHBOUR_COST: u64 = 1_000;
 /// Cost of a load that shares the engine with another, in milliseconds.
 const SHARED_ENGINE_COST: u64 = 200;
 
@@ -74,7 +76,13 @@
         .iter()
         .map(|(artifact, bytes)| part_time(wanted, engine, artifact, *bytes, settings))
         .sum();
-    let sharing = u64::from(engine.load_count()) * SHARED_ENGINE_COST;
+    let loads = u64::from(engine.load_count()) * SHARED_ENGINE_COST;
+    let busy = engine
+        .target()
+        .iter()
+        .filter(|artifact| idle(&engine.machine.id, artifact).is_none())
+        .count() as u64;
+    let sharing = loads + busy * BUSY_NEIGHBOUR_COST;
     let (victims, room_cost) = make_room(wanted, engine, &missing, bytes, idle)?;
     Some(Choice {
         back_end: engine.machine.id.clone(),
--- a/crates/coordination/src/placement/standby.rs
+++ b/crates/coordination/src/placement/standby.rs
@@ -12,7 +12,7 @@
 use crate::settings::PlacementSettings;
 
 /// Members that are added in one round, to bound a transaction's size.
-const MEMBERS_PER_ROUND: usize = 100;
+pub const MEMBERS_PER_ROUND: usize = 4_000;
 
 /// An artifact with the engines it may be placed on.
 pub struct Dormant {
@@ -22,25 +22,50 @@
     pub allowed: Vec<BackEndId>,
 }
 
-/// Gives each artifact that has no standby membership one.
+/// Engines by the artifact that stands by on them.
+pub type Homes = HashMap<Artifact, BackEndId>;
+
+/// Where each artifact stands by.
+pub fn homes_of(engines: &BTreeMap<BackEndId, Engine>) -> Homes {
+    engines
+        .iter()
+        .flat_map(|(id, engine)| {
+            let members = engine.next.standby.members.keys();
+            members.map(move |artifact| (artifact.clone(), id.clone()))
+        })
+        .collect()
+}
+
+/// Where these artifacts and their bases stand by.
+pub fn homes_among(engines: &BTreeMap<BackEndId, Engine>, artifacts: &[Artifact]) -> Homes {
+    let mut homes = Homes::new();
+    for part in artifacts.iter().flat_map(Artifact::required) {
+        let home = engines
+            .iter()
+            .find(|(_, engine)| engine.next.standby.members.contains_key(&part));
+        if let Some((id, _)) = home {
+            homes.insert(part, id.clone());
+        }
+    }
+    homes
+}
+
+/// Gives each of these artifacts a home, as far as there is room; says whether
+/// some are left for another round.
 pub fn assign(
     dormant: &[Dormant],
     engines: &mut BTreeMap<BackEndId, Engine>,
+    homes: &mut Homes,
     settings: &PlacementSettings,
-) {
-    let mut homes = homes_of(engines);
+) -> bool {
     let mut added = 0;
+    let mut is_left = false;
     for artifact in dormant {
-        let Some((wanted, _)) = artifact.parts.last() else {
-            continue;
-        };
         if added >= MEMBERS_PER_ROUND {
-            return;
-        }
-        if homes.contains_key(wanted) {
-            continue;
+            return true;
         }
-        let Some(home) = find_home(artifact, engines, &homes, settings) else {
+        let Some(home) = find_home(artifact, engines, homes, settings) else {
+            is_left = true;
             continue;
         };
         if let Some(engine) = engines.get_mut(&home) {
@@ -51,23 +76,14 @@
             }
         }
     }
-}
-
-fn homes_of(engines: &BTreeMap<BackEndId, Engine>) -> HashMap<Artifact, BackEndId> {
-    engines
-        .iter()
-        .flat_map(|(id, engine)| {
-            let members = engine.next.standby.members.keys();
-            members.map(move |artifact| (artifact.clone(), id.clone()))
-        })
-        .collect()
+    is_left
 }
 
 /// An adapter goes where its base stands by; others where fewest members are.
 fn find_home(
     artifact: &Dormant,
     engines: &BTreeMap<BackEndId, Engine>,
-    homes: &HashMap<Artifact, BackEndId>,
+    homes: &Homes,
     settings: &PlacementSettings,
 ) -> Option<BackEndId> {
     let bytes: u64 = artifact.parts.iter().map(|(_, bytes)| bytes).sum();
--- a/crates/coordination/src/queue.rs
+++ b/crates/coordination/src/queue.rs
@@ -22,6 +22,10 @@
 const SERVICE_TIME_WEIGHT: f64 = 0.1;
 /// Least `Retry-After`, in milliseconds.
 const MIN_RETRY_AFTER: u64 = 1_000;
+/// Fronts are asked for unused slots so often while requests wait.
+const RECALL_INTERVAL: u64 = 1_000;
+/// A front that got so many grants within the life of one gets credits.
+const STEADY_GRANTS: u32 = 4;
 /// Queues without tickets and running requests are dropped after so long.
 const IDLE_QUEUE_LIFE: u64 = 60_000;
 
@@ -32,6 +36,8 @@
     Grant(NodeId, Grant),
     /// The front must refuse the request.
     Refuse(NodeId, TicketId, Refusal),
+    /// The front must give back slots that are not in use.
+    Recall(NodeId, QueueKey),
 }
 
 /// A replica that the queue may use.
@@ -74,6 +80,14 @@
     }
 }
 
+/// Grants to one front: the last, and how many since when.
+#[derive(Clone, Copy, Debug)]
+struct GrantRecord {
+    last: Timestamp,
+    since: Timestamp,
+    count: u32,
+}
+
 /// One model's waiting queue and the use of its replicas.
 #[derive(Debug)]
 pub struct ModelQueue {
@@ -87,7 +101,8 @@
     numbers: u64,
     /// Mean service time in milliseconds, once any was seen.
     service_time: Option<f64>,
-    granted: BTreeMap<NodeId, Timestamp>,
+    granted: BTreeMap<NodeId, GrantRecord>,
+    last_recall: Timestamp,
     reported_use: bool,
     last_used: Timestamp,
     last_demand: Option<Timestamp>,
@@ -107,6 +122,7 @@
             numbers: 0,
             service_time: None,
             granted: BTreeMap::new(),
+            last_recall: Timestamp(0),
             reported_use: false,
             last_used: now,
             last_demand: None,
@@ -191,7 +207,7 @@
         let is_fresh = self
             .granted
             .get(front)
-            .is_some_and(|granted| now.since(*granted) < ACCOUNT_DELAY);
+            .is_some_and(|record| now.since(record.last) < ACCOUNT_DELAY);
         if is_fresh {
             return;
         }
@@ -284,23 +300,46 @@
         while let Some(decision) = self.grant_next(now, settings) {
             decisions.push(decision);
         }
+        decisions.extend(self.recall(now));
         decisions
     }
 
+    /// While requests wait for want of slots, fronts give back what they keep.
+    fn recall(&mut self, now: Timestamp) -> Vec<Decision> {
+        let is_due = now.since(self.last_recall) >= RECALL_INTERVAL;
+        if self.waiting.is_empty() || !is_due || self.running_count() == 0 {
+            return Vec::new();
+        }
+        self.last_recall = now;
+        self.fronts()
+            .into_iter()
+            .map(|front| Decision::Recall(front, self.key.clone()))
+            .collect()
+    }
+
     fn grant_next(&mut self, now: Timestamp, settings: &RoutingSettings) -> Option<Decision> {
         let place = *self.waiting.first_key_value()?.0;
         let back_end = self.choose(now, place.class, settings)?;
         let waiting = self.waiting.remove(&place)?;
         self.places.remove(&waiting.id);
-        let credits = self.credits_for(&back_end, settings);
+        let record = self.note_grant(now, &waiting.front, settings.grant_validity);
+        let is_steady = record.count >= STEADY_GRANTS;
+        let free = self.replicas.get(&back_end).map_or(0, ReplicaUse::free);
+        let slots = self.replicas.get(&back_end).map_or(0, |it| it.slots);
+        let retainable = self.waiting.is_empty() && free > slots / 4;
+        let credits = if is_steady && retainable {
+            (free / 4).min(settings.credit_limit)
+        } else {
+            0
+        };
         let replica = self.replicas.get_mut(&back_end)?;
         *replica.held.entry(waiting.front.clone()).or_default() += 1 + credits;
-        self.granted.insert(waiting.front.clone(), now);
         let grant = Grant {
             id: waiting.id,
             queue: self.key.clone(),
             back_end,
             credits,
+            retainable,
         };
         Some(Decision::Grant(waiting.front, grant))
     }
@@ -319,14 +358,19 @@
             .map(|(back_end, _)| back_end.clone())
     }
 
-    /// Credits only when nothing else waits, and never more than a quarter of
-    /// what is free, so that several fronts and the next ticket find room.
-    fn credits_for(&self, back_end: &BackEndId, settings: &RoutingSettings) -> u32 {
-        if !self.waiting.is_empty() {
-            return 0;
+    fn note_grant(&mut self, now: Timestamp, front: &NodeId, window: u64) -> GrantRecord {
+        let record = self.granted.entry(front.clone()).or_insert(GrantRecord {
+            last: now,
+            since: now,
+            count: 0,
+        });
+        if now.since(record.since) > window {
+            record.since = now;
+            record.count = 0;
         }
-        let free = self.replicas.get(back_end).map_or(0, ReplicaUse::free);
-        (free / 4).min(settings.credit_limit)
+        record.last = now;
+        record.count += 1;
+        *record
     }
 
     fn refuse_hopeless(&mut self, now: Timestamp) -> Vec<Decision> {
--- a/crates/coordination/src/settings.rs
+++ b/crates/coordination/src/settings.rs
@@ -70,7 +70,7 @@
     fn default() -> Self {
         RoutingSettings {
             grant_validity: 2_000,
-            offer_interval: 1_000,
+            offer_interval: 3_000,
             queue_limit: 10_000,
             attempts: 5,
             backoff: 50,
--- a/crates/node/src/host.rs
+++ b/crates/node/src/host.rs
@@ -20,7 +20,7 @@
 use crate::settings::{NodeSettings, PeerSection};
 
 /// Between two ticks of the decision logic.
-const TICK_INTERVAL: Duration = Duration::from_millis(20);
+const TICK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// What a waiting request is told.
 #[derive(Debug)]
--- a/crates/replay/src/scale/account.rs
+++ b/crates/replay/src/scale/account.rs
@@ -36,6 +36,7 @@
             Role::Membership
         }
         PeerMessage::Tickets(_)
+        | PeerMessage::Recall(_)
         | PeerMessage::Cancel { .. }
         | PeerMessage::Released { .. }
         | PeerMessage::Held(_)
@@ -92,11 +93,16 @@
 pub struct Account {
     /// By the role that sends or handles.
     pub roles: BTreeMap<Role, Cost>,
+    /// Messages and bytes sent, by kind of message.
+    pub kinds: BTreeMap<&'static str, (u64, u64)>,
 }
 
 impl Account {
     /// Counts a message.
-    pub fn sent(&mut self, role: Role, bytes: u64) {
+    pub fn sent(&mut self, role: Role, kind: &'static str, bytes: u64) {
+        let of_kind = self.kinds.entry(kind).or_default();
+        of_kind.0 += 1;
+        of_kind.1 += bytes;
         let cost = self.roles.entry(role).or_default();
         cost.messages += 1;
         cost.bytes += bytes;
@@ -121,5 +127,6 @@
     /// Forgets everything so far.
     pub fn clear(&mut self) {
         self.roles.clear();
+        self.kinds.clear();
     }
 }
--- a/crates/replay/src/scale/report.rs
+++ b/crates/replay/src/scale/report.rs
@@ -52,14 +52,39 @@
     /// Resident memory of the process for each node, in bytes. Rows of the
     /// configuration are shared between hollow nodes.
     pub resident_bytes_per_node: u64,
+    /// Resident memory of one node's own copy of the configuration, in bytes.
+    pub configuration_bytes: u64,
     /// Costs by role.
     pub roles: BTreeMap<Role, RoleReport>,
+    /// Messages and bytes a second for each node, by kind of message.
+    pub kinds: BTreeMap<&'static str, KindReport>,
     /// All roles together.
     pub total: RoleReport,
     /// Placement holders only, all roles together.
     pub holders: RoleReport,
 }
 
+/// One kind of message, mean over nodes.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct KindReport {
+    /// Messages sent a second.
+    pub messages_per_second: f64,
+    /// Bytes sent a second.
+    pub bytes_per_second: f64,
+}
+
+/// Messages by kind, mean over nodes.
+pub fn kinds_of(accounts: &[&Account], seconds: f64) -> BTreeMap<&'static str, KindReport> {
+    let scale = 1.0 / (seconds * accounts.len().max(1) as f64);
+    let mut kinds: BTreeMap<&'static str, KindReport> = BTreeMap::new();
+    for (kind, (messages, bytes)) in accounts.iter().flat_map(|account| &account.kinds) {
+        let report = kinds.entry(kind).or_default();
+        report.messages_per_second += *messages as f64 * scale;
+        report.bytes_per_second += *bytes as f64 * scale;
+    }
+    kinds
+}
+
 /// The cost of one role, or of all if `role` is `None`, for each of `accounts`.
 pub fn summarize(accounts: &[&Account], role: Option<Role>, seconds: f64) -> RoleReport {
     let costs: Vec<(f64, f64, f64)> = accounts
--- a/crates/replay/src/scale/world.rs
+++ b/crates/replay/src/scale/world.rs
@@ -2,14 +2,16 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
 use std::time::Instant;
 
 use gorsebank_contract::frame::{Envelope, encode};
 use gorsebank_contract::{
-    AttemptOutcome, Incarnation, OrderResult, PriorityClass, Put, Transaction,
+    AttemptOutcome, Incarnation, OrderResult, PriorityClass, Put, Revision, Transaction,
 };
 use gorsebank_coordination::{
-    Action, Arrival, Change, ChangeId, CoordinationSettings, Edit, Event, Identity, Node, Timestamp,
+    Action, Arrival, Change, ChangeId, Configuration, CoordinationSettings, Edit, Event, Identity,
+    Node, Timestamp,
 };
 use gorsebank_emulator::model::engine::{EngineModel, OrderStart};
 use gorsebank_emulator::model::table::TableModel;
@@ -21,7 +23,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::scale::account::{Account, role_of_event, role_of_message};
-use crate::scale::report::{ScaleReport, summarize};
+use crate::scale::report::{ScaleReport, kinds_of, summarize};
 use crate::scale::workload::{Rates, gap, target};
 use crate::simulation::queue::EventQueue;
 
@@ -36,8 +38,15 @@
 const FAR_LATENCY: u64 = 30 * MILLISECOND;
 /// How long a load takes.
 const LOAD_TIME: u64 = 4 * SECOND;
-/// The run settles for so long before it is measured.
-const WARM_UP: u64 = 40 * SECOND;
+/// Limits of a cell's weight store: with 263 runners to a cell, 26 times the
+/// 10 of today, so are its limits.
+const STORE_STARTS: f64 = 2.0 * 26.0;
+const STORE_CONCURRENCY: u32 = 8 * 26;
+/// Operators look so often whether changes are in force.
+const LOOK: u64 = 200 * MILLISECOND;
+/// The run settles for so long before it is measured; placement holders give
+/// every adapter its standing decision in that time.
+const WARM_UP: u64 = 90 * SECOND;
 /// Bytes of a frame's length prefix.
 const FRAME_PREFIX: u64 = 4;
 /// Nodes in a cell at the target: 1,300 in 38 zones.
@@ -71,6 +80,7 @@
     Arrive,
     Wake,
     Change,
+    Look,
 }
 
 struct HollowNode {
@@ -111,13 +121,14 @@
 
 /// Runs hollow nodes and reports what each role cost.
 pub fn run(options: ScaleOptions) -> ScaleReport {
+    let configuration_bytes = configuration_memory(&options);
     let memory_before = resident_bytes();
     let mut world = World::new(options);
     world.run_until(WARM_UP);
     world.start_measuring();
     world.run_until(WARM_UP + options.seconds * SECOND);
     let memory = resident_bytes().saturating_sub(memory_before);
-    world.report(memory)
+    world.report(memory, configuration_bytes)
 }
 
 impl World {
@@ -148,6 +159,7 @@
         world.queue.add(SECOND, ScaleEvent::Arrive);
         world.queue.add(20 * SECOND, ScaleEvent::Wake);
         world.queue.add(20 * SECOND, ScaleEvent::Change);
+        world.queue.add(20 * SECOND, ScaleEvent::Look);
         world
     }
 
@@ -161,6 +173,8 @@
         let mut settings = CoordinationSettings::default();
         settings.membership.heartbeat_interval = self.options.heartbeat;
         settings.membership.failure_timeout = self.options.heartbeat * 4;
+        settings.placement.store_starts_per_second = STORE_STARTS;
+        settings.placement.store_concurrency = STORE_CONCURRENCY;
         let node = Node::new(identity, settings, Timestamp(0), index as u64);
         self.index.insert(entry.id.clone(), index);
         self.nodes.push(HollowNode {
@@ -193,6 +207,10 @@
             ScaleEvent::Arrive => self.arrive(),
             ScaleEvent::Wake => self.wake(),
             ScaleEvent::Change => self.change(),
+            ScaleEvent::Look => {
+                self.look_at_changes();
+                self.queue.add(self.now + LOOK, ScaleEvent::Look);
+            }
         }
     }
 
@@ -290,13 +308,14 @@
             return;
         };
         let role = role_of_message(&message);
+        let kind = message.kind();
         let from_id = self.nodes[from].node.identity().node.clone();
         let envelope = Envelope {
             from: from_id,
             message,
         };
         let bytes = encode(&envelope).map_or(0, |frame| frame.len() as u64 + FRAME_PREFIX);
-        self.nodes[from].account.sent(role, bytes);
+        self.nodes[from].account.sent(role, kind, bytes);
         let is_near = self.nodes[from].cell == self.nodes[receiver].cell;
         let latency = if is_near { LATENCY } else { FAR_LATENCY };
         let event = Event::Received {
@@ -348,10 +367,8 @@
         self.tell(index, Event::RequestArrived(arrival));
     }
 
-    /// An operator labels an adapter at a random node; earlier changes are
-    /// looked at for being in force everywhere.
+    /// An operator labels an adapter at a random node.
     fn change(&mut self) {
-        self.look_at_changes();
         if self.options.adapters > 0 {
             let index = self.random.random_range(0..self.nodes.len());
             let adapter = self.random.random_range(0..self.options.adapters);
@@ -397,7 +414,7 @@
         self.counts = Counts::default();
     }
 
-    fn report(&self, memory: u64) -> ScaleReport {
+    fn report(&self, memory: u64, configuration_bytes: u64) -> ScaleReport {
         let seconds = self.options.seconds as f64;
         let accounts: Vec<&Account> = self.nodes.iter().map(|hollow| &hollow.account).collect();
         let holders: Vec<&Account> = self
@@ -431,7 +448,9 @@
             changes: self.change_numbers,
             slowest_change: self.counts.slowest_change,
             resident_bytes_per_node: memory / self.nodes.len().max(1) as u64,
+            configuration_bytes,
             roles,
+            kinds: kinds_of(&accounts, seconds),
             total: summarize(&accounts, None, seconds),
             holders: summarize(&holders, None, seconds),
         }
@@ -564,6 +583,29 @@
     }
 }
 
+/// Resident memory that a configuration takes in a node that shares it with
+/// nobody.
+fn configuration_memory(options: &ScaleOptions) -> u64 {
+    let texts: Vec<String> = first_rows(options)
+        .puts
+        .into_iter()
+        .filter(|put| put.key.starts_with("configuration/rows/"))
+        .map(|put| put.value)
+        .collect();
+    let complete = Revision(texts.len() as u64);
+    let before = resident_bytes();
+    let rows: Vec<Arc<Row>> = texts
+        .iter()
+        .filter_map(|text| serde_json::from_str::<Row>(text).ok())
+        .map(Arc::new)
+        .collect();
+    let mut configuration = Configuration::default();
+    let merged = configuration.merge(Revision(0), complete, rows);
+    let memory = resident_bytes().saturating_sub(before);
+    assert_eq!(merged, Ok(true), "the rows connect");
+    memory
+}
+
 /// Resident memory of this process, as the kernel accounts for it.
 fn resident_bytes() -> u64 {
     let Ok(status) = std::fs::read_to_string("/proc/self/status") else {
