Change roles of engines by label, and wait for memory that will be free

Cause: orders to change role had no use; and artifacts that would fit once others were idle were refused as having no place.

Change: the label engine_role of a back end takes an engine out of serving and back: its models are given up, and the role changes once nothing holds memory. no_place is said only if no engine is large enough. Engines' slots are overbooked by half among artifacts, which their own batching evens out.

--- a/crates/contract/src/lib.rs
+++ b/crates/contract/src/lib.rs
@@ -18,7 +18,9 @@
 pub use fence::{Epoch, Fence, Incarnation, Revision, Sequence};
 pub use lease::Lease;
 pub use message::{Heartbeat, HeldSlots, NodeState, PeerMessage, ReplicaOffer, ReplicaSet};
-pub use order::{EngineReport, Inventory, Order, OrderAction, OrderError, OrderResult, SourceTier};
+pub use order::{
+    EngineReport, EngineRole, Inventory, Order, OrderAction, OrderError, OrderResult, SourceTier,
+};
 pub use outcome::{AttemptOutcome, Ran, Refusal, RefusalReason};
 pub use plan::{BackEndPlan, Standby};
 pub use request::{Attempt, Grant, PriorityClass, RequestId, Ticket, TicketId};
--- a/crates/contract/src/order.rs
+++ b/crates/contract/src/order.rs
@@ -1,9 +1,11 @@
 //! Fenced orders to model engines, and what engines answer.
 
 use std::collections::BTreeMap;
+use std::str::FromStr;
 
 use gorsebank_world::Artifact;
 use serde::{Deserialize, Serialize};
+use thiserror::Error;
 
 use crate::fence::{Fence, Incarnation, Sequence};
 
@@ -19,6 +21,43 @@
     Remote,
 }
 
+/// What an engine does with its accelerators. Models are placed only on
+/// engines that serve; any other role takes all of the memory.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum EngineRole {
+    /// Loads models and serves requests.
+    #[default]
+    Serve,
+    /// Computes prompts for other engines.
+    Prefill,
+    /// Generates from prompts that other engines computed.
+    Decode,
+}
+
+impl EngineRole {
+    /// The label of a back end by which operators choose its role.
+    pub const LABEL: &'static str = "engine_role";
+}
+
+/// A text that is no role.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[error("`{0}` is no role: expected serve, prefill or decode")]
+pub struct EngineRoleError(String);
+
+impl FromStr for EngineRole {
+    type Err = EngineRoleError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "serve" => Ok(EngineRole::Serve),
+            "prefill" => Ok(EngineRole::Prefill),
+            "decode" => Ok(EngineRole::Decode),
+            _ => Err(EngineRoleError(text.to_owned())),
+        }
+    }
+}
+
 /// What an engine is told to do.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(tag = "action", rename_all = "snake_case")]
@@ -32,6 +71,11 @@
         /// Accelerator memory in bytes.
         bytes: u64,
     },
+    /// Take another role; refused unless nothing is loaded.
+    ChangeRole {
+        /// The role.
+        role: EngineRole,
+    },
     /// Unload an artifact; refused while requests run on it.
     Unload {
         /// The artifact.
@@ -61,6 +105,9 @@
     pub incarnation: Incarnation,
     /// Grows with every change within that life, so that a late report is known.
     pub version: u64,
+    /// What the engine does with its accelerators.
+    #[serde(default)]
+    pub role: EngineRole,
     /// Loaded artifacts with their bytes.
     pub loaded: BTreeMap<Artifact, u64>,
     /// Artifacts whose load is running, with their bytes.
--- a/crates/coordination/src/configuration.rs
+++ b/crates/coordination/src/configuration.rs
@@ -9,7 +9,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use gorsebank_contract::Revision;
+use gorsebank_contract::{EngineRole, Revision};
 use gorsebank_world::{
     AdapterId, Artifact, BackEndId, DeploymentSpec, Labels, ModelId, QueueKey, Row, RowKey,
     RowKind, Spec, VersionId,
@@ -271,6 +271,14 @@
         labels
     }
 
+    /// The role that operators chose for an engine.
+    pub fn engine_role(&self, id: &BackEndId) -> EngineRole {
+        self.live(RowKind::BackEnd, id.as_str())
+            .and_then(|row| row.labels.get(EngineRole::LABEL))
+            .and_then(|role| role.parse().ok())
+            .unwrap_or_default()
+    }
+
     /// Names that callers may ask for: models and their adapters.
     pub fn served_names(&self) -> Vec<String> {
         let models = self.live_rows(RowKind::Model);
--- a/crates/coordination/src/configuration_check.rs
+++ b/crates/coordination/src/configuration_check.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use gorsebank_contract::EngineRole;
 use gorsebank_world::{BackEndSpec, Labels, Row, RowKey, RowKind, Spec};
 
 use crate::configuration::Configuration;
@@ -149,6 +150,12 @@
         .labels
         .iter()
         .find(|(key, value)| key.is_empty() || !is_word(key) || !is_word(value));
+    if let Some(role) = row.labels.get(EngineRole::LABEL)
+        && row.key.kind == RowKind::BackEnd
+    {
+        let checked: Result<EngineRole, _> = role.parse();
+        checked.map_err(|error| invalid(&row.key, &error.to_string()))?;
+    }
     match wrong {
         Some((key, value)) => Err(invalid(
             &row.key,
--- a/crates/coordination/src/placement/announce.rs
+++ b/crates/coordination/src/placement/announce.rs
@@ -9,11 +9,13 @@
 use crate::configuration::Configuration;
 use crate::placement::engine::Engine;
 use crate::placement::need::Announced;
-use crate::placement::{Placement, PlacementOutput};
+use crate::placement::{Placement, PlacementOutput, parts_of};
 use crate::time::Timestamp;
 
 /// When to come back if an artifact has no place and none is in sight.
 const NO_PLACE_RETRY: u64 = 5_000;
+/// So many times its slots an engine is promised to several artifacts.
+const OVERBOOKING: f64 = 1.5;
 /// Expected times are told to owners in steps of so long.
 const EXPECTED_STEP: u64 = 1_000;
 
@@ -60,7 +62,8 @@
         output
     }
 
-    /// An engine's slots, shared among the artifacts that are in use on it.
+    /// An engine's slots, shared among the artifacts that are in use on it and
+    /// overbooked a little, since they are seldom busy at the same moment.
     pub(super) fn slots_for(&self, engine: &Engine, artifact: &Artifact) -> u32 {
         let others = engine
             .target()
@@ -69,7 +72,9 @@
             .filter_map(|other| self.needs.get(other))
             .filter(|need| need.waiting > 0 || need.running > 0)
             .count() as u32;
-        (engine.machine.slots / (others + 1)).max(1)
+        let slots = engine.machine.slots;
+        let share = f64::from(slots) * OVERBOOKING / f64::from(others + 1);
+        (share as u32).clamp(1, slots)
     }
 
     /// When an artifact is expected to be ready on an engine: the load that
@@ -113,6 +118,25 @@
         (load * self.pace.factor(now)) as u64 + wait
     }
 
+    /// Whether an engine that may hold the artifact is large enough for it, if
+    /// everything else on it were gone.
+    fn fits_somewhere(&self, artifact: &Artifact, configuration: &Configuration) -> bool {
+        let Some(parts) = parts_of(artifact, configuration) else {
+            return false;
+        };
+        let Some(deployment) = configuration.deployment(artifact) else {
+            return false;
+        };
+        let bytes: u64 = parts.iter().map(|(_, bytes)| bytes).sum();
+        self.engines.values().any(|engine| {
+            let machine = &engine.machine;
+            let labels = configuration.back_end_labels(&machine.id, &machine.labels);
+            engine.is_eligible()
+                && engine.next.capacity >= bytes + engine.next.standby.bytes
+                && deployment.back_ends.matches(&labels)
+        })
+    }
+
     fn replica_state(
         &self,
         now: Timestamp,
@@ -143,7 +167,10 @@
             owner: need.owner.clone(),
             ready,
             expected,
-            no_place: wanted_on.is_empty() && is_settled && need.is_wanted(),
+            no_place: wanted_on.is_empty()
+                && is_settled
+                && need.is_wanted()
+                && !self.fits_somewhere(artifact, configuration),
         })
     }
 }
--- a/crates/coordination/src/placement/engine.rs
+++ b/crates/coordination/src/placement/engine.rs
@@ -9,8 +9,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use gorsebank_contract::{
-    BackEndPlan, EngineReport, Fence, Incarnation, Inventory, Order, OrderAction, OrderError,
-    OrderResult, Sequence, SourceTier,
+    BackEndPlan, EngineReport, EngineRole, Fence, Incarnation, Inventory, Order, OrderAction,
+    OrderError, OrderResult, Sequence, SourceTier,
 };
 use gorsebank_world::{Artifact, Machine, MachineState};
 
@@ -63,6 +63,8 @@
     missing: Vec<Artifact>,
     /// There and not wanted.
     surplus: Vec<Artifact>,
+    /// The role that operators chose.
+    role: EngineRole,
     /// `next` may differ from `committed`.
     pub plan_changed: bool,
     /// What the engine last reported.
@@ -100,6 +102,7 @@
             stale: true,
             missing: Vec::new(),
             surplus: Vec::new(),
+            role: EngineRole::Serve,
             plan_changed: true,
             inventory: Inventory::default(),
             inspected: None,
@@ -248,7 +251,36 @@
 
     /// Whether it may be chosen for new loads.
     pub fn is_eligible(&self) -> bool {
-        self.is_claimed() && self.is_in_service()
+        self.is_claimed() && self.is_in_service() && self.serves()
+    }
+
+    /// Whether it has, and shall have, the role in which models are loaded.
+    fn serves(&self) -> bool {
+        self.role == EngineRole::Serve && self.inventory.role == EngineRole::Serve
+    }
+
+    /// Wants the engine to have a role; one that serves no more gives up what
+    /// it holds first.
+    pub fn choose_role(&mut self, role: EngineRole) {
+        self.role = role;
+        if !self.serves() && !self.target.is_empty() {
+            self.give_up_all();
+        }
+    }
+
+    /// Whether the role can be changed now: it differs, and nothing takes
+    /// memory or may be about to.
+    pub fn role_change(&self, now: Timestamp) -> Option<EngineRole> {
+        let is_changing = self
+            .orders
+            .values()
+            .any(|order| matches!(order.action, OrderAction::ChangeRole { .. }));
+        let is_due = self.is_claimed()
+            && now >= self.refused_until
+            && self.role != self.inventory.role
+            && !is_changing
+            && self.memory_users().is_empty();
+        is_due.then_some(self.role)
     }
 
     /// Whether requests for the artifact may be sent here.
@@ -347,6 +379,7 @@
         let has_memory = self.is_reserved(artifact)
             || (self.is_standby(artifact) && self.standby_free() >= bytes);
         self.is_claimed()
+            && self.serves()
             && now >= self.refused_until
             && self.target.contains(artifact)
             && !self.may_hold(artifact)
--- a/crates/coordination/src/placement/orders.rs
+++ b/crates/coordination/src/placement/orders.rs
@@ -29,7 +29,12 @@
         configuration: &Configuration,
     ) -> Vec<PlacementOutput> {
         let mut output = Vec::new();
-        for engine in self.engines.values_mut() {
+        for (id, engine) in &mut self.engines {
+            engine.choose_role(configuration.engine_role(id));
+            if let Some(role) = engine.role_change(now) {
+                let order = engine.order(now, fence, OrderAction::ChangeRole { role });
+                output.push(PlacementOutput::Order(engine.machine.clone(), order));
+            }
             for artifact in engine.unloads(now) {
                 let order = engine.order(now, fence, OrderAction::Unload { artifact });
                 output.push(PlacementOutput::Order(engine.machine.clone(), order));
--- a/crates/emulator/src/model/engine.rs
+++ b/crates/emulator/src/model/engine.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 
 use gorsebank_contract::{
-    EngineReport, Fence, Incarnation, Inventory, Order, OrderAction, OrderError, OrderResult,
-    Sequence, SourceTier,
+    EngineReport, EngineRole, Fence, Incarnation, Inventory, Order, OrderAction, OrderError,
+    OrderResult, Sequence, SourceTier,
 };
 use gorsebank_world::Artifact;
 use serde::{Deserialize, Serialize};
@@ -32,6 +32,11 @@
         /// The artifact.
         artifact: Artifact,
     },
+    /// The engine took another role; any but `serve` takes all memory.
+    RoleChanged {
+        /// The role.
+        role: EngineRole,
+    },
     /// An order would have taken more memory than there is.
     OverCommitRefused {
         /// The artifact.
@@ -77,6 +82,7 @@
     incarnation: Incarnation,
     version: u64,
     highest: (Fence, Sequence),
+    role: EngineRole,
     loaded: BTreeMap<Artifact, u64>,
     loading: BTreeMap<Artifact, u64>,
     cached: BTreeMap<Artifact, SourceTier>,
@@ -97,6 +103,7 @@
             incarnation,
             version: 0,
             highest: (Fence(0), Sequence(0)),
+            role: EngineRole::Serve,
             loaded: BTreeMap::new(),
             loading: BTreeMap::new(),
             cached,
@@ -128,6 +135,7 @@
         match &order.action {
             OrderAction::Inspect => self.settle(),
             OrderAction::Load { artifact, bytes } => self.load(now, artifact, *bytes),
+            OrderAction::ChangeRole { role } => self.change_role(now, *role),
             OrderAction::Unload { artifact } => self.unload(now, artifact),
         }
     }
@@ -148,6 +156,15 @@
         Ok(())
     }
 
+    fn change_role(&mut self, now: u64, role: EngineRole) -> OrderStart {
+        if !self.loaded.is_empty() || !self.loading.is_empty() {
+            return self.refuse(OrderError::Busy);
+        }
+        self.role = role;
+        self.record(now, EngineEvent::RoleChanged { role });
+        self.settle()
+    }
+
     fn load(&mut self, now: u64, artifact: &Artifact, bytes: u64) -> OrderStart {
         if self.loaded.contains_key(artifact) {
             return self.settle();
@@ -158,7 +175,7 @@
         if artifact.adapter.is_some() && !self.loaded.contains_key(&artifact.base()) {
             return self.refuse(OrderError::Missing);
         }
-        if self.used() + bytes > self.memory {
+        if self.role != EngineRole::Serve || self.used() + bytes > self.memory {
             let artifact = artifact.clone();
             self.record(now, EngineEvent::OverCommitRefused { artifact });
             return self.refuse(OrderError::OutOfMemory);
@@ -242,6 +259,7 @@
         Inventory {
             incarnation: self.incarnation,
             version: self.version,
+            role: self.role,
             loaded: self.loaded.clone(),
             loading: self.loading.clone(),
             cached: self.cached.clone(),
--- a/crates/platform/src/engine_client.rs
+++ b/crates/platform/src/engine_client.rs
@@ -56,7 +56,9 @@
     pub async fn order(&self, address: SocketAddr, order: &Order) -> OrderResult {
         let limit = match order.action {
             OrderAction::Inspect => INSPECT_TIMEOUT,
-            OrderAction::Load { .. } | OrderAction::Unload { .. } => CHANGE_TIMEOUT,
+            OrderAction::Load { .. }
+            | OrderAction::Unload { .. }
+            | OrderAction::ChangeRole { .. } => CHANGE_TIMEOUT,
         };
         let answer = self
             .http
--- a/crates/replay/src/checker/memory.rs
+++ b/crates/replay/src/checker/memory.rs
@@ -41,7 +41,9 @@
                 held.remove(artifact);
             }
             EngineEvent::OverCommitRefused { artifact } => refused = Some(artifact),
-            EngineEvent::Loaded { .. } | EngineEvent::Ran { .. } => {}
+            EngineEvent::Loaded { .. }
+            | EngineEvent::RoleChanged { .. }
+            | EngineEvent::Ran { .. } => {}
         }
         let used: u64 = held.values().sum();
         if used > engine.memory || refused.is_some() {
