Play traces over real processes, and bring about failures in tests over them

Cause: rules were proved in virtual time alone.

Ruled out: ports from the system's range for outgoing connections; one start of 13 failed since its port had been taken meanwhile. Ports now come from below that range.

--- a/crates/contract/src/request.rs
+++ b/crates/contract/src/request.rs
@@ -1,9 +1,11 @@
 //! Requests on their way: tickets and grants.
 
 use std::fmt;
+use std::str::FromStr;
 
 use gorsebank_world::{BackEndId, QueueKey};
 use serde::{Deserialize, Serialize};
+use thiserror::Error;
 
 /// Names a request; unique over all nodes and their lives.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -15,6 +17,23 @@
     }
 }
 
+/// A text that is no request id.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[error("`{0}` is no request id")]
+pub struct RequestIdError(String);
+
+impl FromStr for RequestId {
+    type Err = RequestIdError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        const SCOPE_DIGITS: usize = 16;
+        let refuse = || RequestIdError(text.to_owned());
+        let (scope, number) = text.split_at_checked(SCOPE_DIGITS).ok_or_else(refuse)?;
+        let digits = |digits: &str| u64::from_str_radix(digits, 16).map_err(|_| refuse());
+        Ok(RequestId(digits(scope)?, digits(number)?))
+    }
+}
+
 /// The number of a try of one request, from 1.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
--- a/crates/coordination/src/node.rs
+++ b/crates/coordination/src/node.rs
@@ -12,7 +12,9 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
-use gorsebank_contract::{ClaimGroup, NodeState, PeerMessage, RequestId, Revision, TicketId};
+use gorsebank_contract::{
+    ClaimGroup, Epoch, NodeState, PeerMessage, RequestId, Revision, TicketId,
+};
 use gorsebank_world::{MachineList, NodeEntry, NodeId, QueueKey};
 use parking_lot::{Mutex, RwLock};
 use rand::SeedableRng;
@@ -58,6 +60,8 @@
     pub queues: usize,
     /// Claims recorded here.
     pub claims: usize,
+    /// The claim epoch that is known here.
+    pub claim_epoch: Epoch,
     /// Loads ordered by this node.
     pub loads_ordered: u64,
     /// What became of requests.
@@ -197,6 +201,10 @@
             let front = self.front.lock();
             (front.pending_count(), front.counts())
         };
+        let (claims, claim_epoch) = {
+            let claims = self.claims.lock();
+            (claims.member.record_count(), claims.rounds.group().epoch)
+        };
         NodeStatus {
             view,
             revision,
@@ -205,7 +213,8 @@
             pending,
             waiting,
             queues,
-            claims: self.claims.lock().member.record_count(),
+            claims,
+            claim_epoch,
             loads_ordered,
             front,
         }
--- a/crates/emulator/src/model/engine.rs
+++ b/crates/emulator/src/model/engine.rs
@@ -88,6 +88,7 @@
     cached: BTreeMap<Artifact, SourceTier>,
     running: BTreeMap<Artifact, u32>,
     history: Vec<EngineRecord>,
+    prints: bool,
 }
 
 impl EngineModel {
@@ -109,6 +110,7 @@
             cached,
             running: BTreeMap::new(),
             history: Vec::new(),
+            prints: false,
         };
         engine.record(now, EngineEvent::Started);
         engine
@@ -285,9 +287,28 @@
         }
     }
 
+    /// Prints every record from now on, so that it outlives the process.
+    pub fn print_history(&mut self) {
+        self.prints = true;
+        for record in &self.history {
+            print_record(record);
+        }
+    }
+
     fn record(&mut self, at: u64, event: EngineEvent) {
         let changes_inventory = !matches!(event, EngineEvent::Ran { .. });
         self.version += u64::from(changes_inventory);
-        self.history.push(EngineRecord { at, event });
+        let record = EngineRecord { at, event };
+        if self.prints {
+            print_record(&record);
+        }
+        self.history.push(record);
+    }
+}
+
+/// A record as a JSON line on standard output.
+fn print_record(record: &impl Serialize) {
+    if let Ok(line) = serde_json::to_string(record) {
+        println!("{line}");
     }
 }
--- a/crates/emulator/src/server/application.rs
+++ b/crates/emulator/src/server/application.rs
@@ -33,6 +33,18 @@
 #[derive(Debug, Default)]
 pub struct ApplicationServer {
     history: Mutex<Vec<Execution>>,
+    prints: bool,
+}
+
+impl ApplicationServer {
+    /// A service that has run nothing; `prints` makes it print what runs, a
+    /// JSON line each.
+    pub fn new(prints: bool) -> Self {
+        ApplicationServer {
+            prints,
+            ..ApplicationServer::default()
+        }
+    }
 }
 
 /// The routes of the service.
@@ -73,11 +85,17 @@
         return (StatusCode::SERVICE_UNAVAILABLE, headers).into_response();
     }
     let request = header(REQUEST_ID_HEADER).unwrap_or_default();
-    server.history.lock().push(Execution {
+    let execution = Execution {
         request: request.clone(),
         key: header("idempotency-key"),
         call: format!("{method} {}", uri.path()),
-    });
+    };
+    if server.prints
+        && let Ok(line) = serde_json::to_string(&execution)
+    {
+        println!("{line}");
+    }
+    server.history.lock().push(execution);
     tokio::time::sleep(Duration::from_millis(behaviour.delay)).await;
     if behaviour.fail.as_deref() == Some("after") {
         return broken_answer();
--- a/crates/emulator/src/server/engine.rs
+++ b/crates/emulator/src/server/engine.rs
@@ -115,6 +115,11 @@
         }
     }
 
+    /// Prints what happens, a JSON line a record.
+    pub fn print_history(&self) {
+        self.model.lock().print_history();
+    }
+
     async fn fetch(&self, artifact: &Artifact, bytes: u64, tier: SourceTier) -> bool {
         let local = |bandwidth: u64| Duration::from_millis(bytes * 1_000 / bandwidth.max(1));
         match tier {
--- a/crates/emulator/src/server/serve.rs
+++ b/crates/emulator/src/server/serve.rs
@@ -4,18 +4,28 @@
 
 use axum::Router;
 use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
 
 /// Binds `address`; gives the bound address and the task that serves.
 pub async fn serve(
     address: SocketAddr,
     router: Router,
-) -> std::io::Result<(SocketAddr, tokio::task::JoinHandle<()>)> {
-    let listener = TcpListener::bind(address).await?;
+) -> std::io::Result<(SocketAddr, JoinHandle<()>)> {
+    let listener = bind(address).await?;
     let bound = listener.local_addr()?;
-    let task = tokio::spawn(async move {
+    Ok((bound, start(listener, router)))
+}
+
+/// Binds `address`.
+pub async fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
+    TcpListener::bind(address).await
+}
+
+/// Starts to serve.
+pub fn start(listener: TcpListener, router: Router) -> JoinHandle<()> {
+    tokio::spawn(async move {
         if let Err(error) = axum::serve(listener, router).await {
-            log::error!("stand-in on {bound} stopped: {error}");
+            log::error!("stand-in stopped: {error}");
         }
-    });
-    Ok((bound, task))
+    })
 }
--- a/crates/gorsebank/benches/warm_path.rs
+++ b/crates/gorsebank/benches/warm_path.rs
@@ -14,24 +14,19 @@
 
 use criterion::Criterion;
 use hdrhistogram::Histogram;
-use serde_json::json;
 use tokio::runtime::Runtime;
 
-use support::Deployment;
+use support::{Deployment, completion};
 
 const PATH: &str = "/v1/completions";
 const REQUESTS_PER_SECOND: u64 = 2_000;
 const SECONDS: u64 = 5;
 const OPEN_STREAMS: usize = 200;
 
-fn body(model: &str, stream: bool, tokens: u64) -> String {
-    json!({"model": model, "prompt": "x", "max_tokens": tokens, "stream": stream}).to_string()
-}
-
 fn main() {
     let runtime = Runtime::new().expect("a runtime");
     let deployment = Arc::new(runtime.block_on(warm_deployment()));
-    let node = deployment.nodes[0].process.address;
+    let node = deployment.callers("n1");
     let engine = runtime.block_on(warm_engine(&deployment));
     one_by_one(&runtime, &deployment, node, engine);
     under_load(&runtime, &deployment, node, engine);
@@ -40,10 +35,9 @@
 
 async fn warm_deployment() -> Deployment {
     let deployment = Deployment::start("bench", 1).await;
-    deployment.apply_basics().await;
-    let address = deployment.nodes[0].process.address;
+    let address = deployment.callers("n1");
     let answer = deployment
-        .post(address, PATH, &body("llama", false, 1))
+        .post(address, PATH, &completion("llama", false, 1))
         .await;
     assert_eq!(answer.status, 200, "{}", answer.text);
     deployment
@@ -51,12 +45,11 @@
 
 /// The engine that holds the model.
 async fn warm_engine(deployment: &Deployment) -> SocketAddr {
-    for engine in &deployment.engines {
-        let answer = deployment
-            .post(engine.address, PATH, &body("llama@1", false, 1))
-            .await;
+    for engine in deployment.live.back_ends.values() {
+        let body = completion("llama@1", false, 1);
+        let answer = deployment.post(engine.address(), PATH, &body).await;
         if answer.status == 200 {
-            return engine.address;
+            return engine.address();
         }
     }
     panic!("no engine holds the model");
@@ -77,7 +70,7 @@
         ("direct", engine, "llama@1"),
         ("through a node", node, "llama"),
     ] {
-        let body = body(model, false, 1);
+        let body = completion(model, false, 1);
         group.bench_function(name, |bencher| {
             bencher
                 .to_async(runtime)
@@ -116,7 +109,7 @@
 }
 
 async fn load(deployment: &Arc<Deployment>, address: SocketAddr, model: &str) -> Histogram<u64> {
-    let body = Arc::new(body(model, false, 1));
+    let body = Arc::new(completion(model, false, 1));
     let mut calls = Vec::new();
     let mut ticks = tokio::time::interval(Duration::from_millis(1));
     let per_tick = REQUESTS_PER_SECOND / 1_000;
@@ -143,9 +136,10 @@
 
 /// Resident memory that the node takes for each open stream.
 fn memory_of_streams(runtime: &Runtime, deployment: &Arc<Deployment>, node: SocketAddr) {
-    let process = &deployment.nodes[0].process;
-    let before = process.resident_bytes();
-    let body = Arc::new(body("llama", true, 300));
+    let process = &deployment.live.nodes["n1"];
+    let resident = || process.resident_bytes().expect("its memory is known");
+    let before = resident();
+    let body = Arc::new(completion("llama", true, 300));
     let calls: Vec<_> = (0..OPEN_STREAMS)
         .map(|_| {
             let (deployment, body) = (Arc::clone(deployment), Arc::clone(&body));
@@ -153,7 +147,7 @@
         })
         .collect();
     std::thread::sleep(Duration::from_millis(1_500));
-    let during = process.resident_bytes();
+    let during = resident();
     for call in calls {
         call.abort();
     }
--- a/crates/gorsebank/src/bin/gorsebank-standin.rs
+++ b/crates/gorsebank/src/bin/gorsebank-standin.rs
@@ -76,19 +76,26 @@
         /// Checkpoints on the machine's disk, such as `model@1`.
         #[arg(long)]
         on_disk: Vec<Artifact>,
+        /// Print what happens, a JSON line a record.
+        #[arg(long)]
+        print_history: bool,
     },
     /// An application service.
-    Application,
+    Application {
+        /// Print what runs, a JSON line each.
+        #[arg(long)]
+        print_history: bool,
+    },
 }
 
 #[tokio::main]
 async fn main() -> eyre::Result<()> {
     let arguments = Arguments::parse();
-    let router = router(arguments.standin)?;
-    let (address, task) = serve::serve(arguments.listen, router)
+    let listener = serve::bind(arguments.listen)
         .await
         .wrap_err_with(|| format!("cannot listen on {}", arguments.listen))?;
-    println!("listening on {address}");
+    println!("listening on {}", listener.local_addr()?);
+    let task = serve::start(listener, router(arguments.standin)?);
     task.await.map_err(|error| eyre!("server failed: {error}"))
 }
 
@@ -119,6 +126,7 @@
             prefill,
             token,
             on_disk,
+            print_history,
         } => {
             let cached: BTreeMap<Artifact, SourceTier> = on_disk
                 .into_iter()
@@ -134,8 +142,14 @@
                 cached,
             };
             let server = EngineServer::new(settings, WeightSource::Remote(store));
+            if print_history {
+                server.print_history();
+            }
             engine::router(Arc::new(server))
         }
-        Standin::Application => application::router(Arc::new(ApplicationServer::default())),
+        Standin::Application { print_history } => {
+            let server = ApplicationServer::new(print_history);
+            application::router(Arc::new(server))
+        }
     })
 }
--- a/crates/gorsebank/tests/whole_path.rs
+++ b/crates/gorsebank/tests/whole_path.rs
@@ -6,32 +6,26 @@
 use http::Method;
 use serde_json::json;
 
-use support::Deployment;
+use support::{Deployment, completion};
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_cold_model_answers_at_every_node_and_is_loaded_once() {
     let deployment = Deployment::start("whole-path", 3).await;
-    deployment.apply_basics().await;
     let body = json!({
         "model": "llama", "stream": true, "max_tokens": 5,
         "messages": [{"role": "user", "content": "Explain the meter's history."}],
     })
     .to_string();
-    let calls = deployment
-        .nodes
-        .iter()
-        .map(|node| deployment.post(node.process.address, "/v1/chat/completions", &body));
+    let calls = ["n1", "n2", "n3"].map(|node| {
+        let address = deployment.callers(node);
+        deployment.post(address, "/v1/chat/completions", &body)
+    });
     for answer in futures_util::future::join_all(calls).await {
         assert_eq!(answer.status, 200, "{}", answer.text);
         assert_eq!(answer.event_numbers(), [0, 1, 2, 3, 4, 5, 6]);
         assert!(answer.text.trim_end().ends_with("data: [DONE]"));
     }
-    let loads = deployment
-        .engine_events()
-        .await
-        .iter()
-        .filter(|event| event["event"] == "loaded")
-        .count();
+    let loads = deployment.count_events("loaded");
     assert_eq!(loads, 1, "a burst at three routers is one cold start");
 }
 
@@ -41,18 +35,13 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn bad_input_gets_a_typed_error_and_other_requests_go_on() {
     let deployment = Deployment::start("bad-input", 1).await;
-    deployment.apply_basics().await;
-    deployment
-        .apply("model", "other", json!({"kind": "model", "memory": "1GiB"}))
-        .await;
-    let adapter = json!({"kind": "adapter", "model": "other", "memory": "1GiB"});
-    deployment.apply("adapter", "other+north", adapter).await;
-    let address = deployment.nodes[0].process.address;
+    let address = deployment.callers("n1");
     let large = json!({"model": "llama", "prompt": "x".repeat(5 << 20)}).to_string();
-    let body = json!({"model": "llama", "prompt": "x"}).to_string();
-    let cases: [Case; 8] = [
+    let body = completion("llama", false, 2);
+    let cases: [Case; 9] = [
         (&[], "{\"model\":", 400, "invalid_body"),
         (&[], "{\"model\": 7}", 400, "invalid_body"),
+        (&[], "{\"prompt\": \"x\"}", 400, "invalid_body"),
         (&[], "{\"model\": \"none\"}", 404, "model_not_found"),
         (
             &[],
@@ -75,27 +64,47 @@
             .send(Method::POST, address, "/v1/completions", headers, body)
             .await;
         assert_eq!(answer.status, status, "{code}: {}", answer.text);
-        assert_eq!(answer.json()["error"]["code"], code);
+        assert_eq!(answer.code(), code);
         assert_eq!(answer.headers["gorsebank-ran"], "no");
     }
     let unknown = deployment.post(address, "/services/none/x", "").await;
-    assert_eq!(unknown.json()["error"]["code"], "service_not_found");
+    assert_eq!(unknown.code(), "service_not_found");
+    let wrong_method = deployment.get(address, "/v1/completions").await;
+    assert_eq!(wrong_method.code(), "method_not_allowed");
     let good = deployment.post(address, "/v1/completions", &body).await;
     assert_eq!(good.status, 200, "{}", good.text);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_cut_body_loses_only_its_own_request() {
+    use tokio::io::AsyncWriteExt;
+
+    let deployment = Deployment::start("cut-body", 1).await;
+    let address = deployment.callers("n1");
+    let mut stream = tokio::net::TcpStream::connect(address)
+        .await
+        .expect("it accepts");
+    let head = "POST /v1/completions HTTP/1.1\r\nhost: x\r\ncontent-length: 100\r\n\r\n{\"mod";
+    stream.write_all(head.as_bytes()).await.expect("it is sent");
+    drop(stream);
+    let good = deployment
+        .post(address, "/v1/completions", &completion("llama", false, 2))
+        .await;
+    assert_eq!(good.status, 200, "{}", good.text);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn garbage_between_nodes_closes_only_its_own_connection() {
     use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
     let deployment = Deployment::start("garbage", 2).await;
-    deployment.apply_basics().await;
+    let nodes = deployment.live.addresses("n1").expect("it exists").nodes;
     let too_long = u32::MAX.to_be_bytes();
     let not_cbor = [0, 0, 0, 4, 0xff, 0xff, 0xff, 0xff];
     for garbage in [&too_long[..], &not_cbor[..]] {
-        let mut stream = tokio::net::TcpStream::connect(deployment.nodes[0].nodes)
+        let mut stream = tokio::net::TcpStream::connect(nodes)
             .await
-            .expect("the node accepts");
+            .expect("it accepts");
         stream.write_all(garbage).await.expect("garbage is sent");
         let mut rest = Vec::new();
         stream
@@ -104,10 +113,10 @@
             .expect("the node closes");
         assert!(rest.is_empty());
     }
-    let body = json!({"model": "llama", "prompt": "x"}).to_string();
-    for node in &deployment.nodes {
+    for node in ["n1", "n2"] {
+        let address = deployment.callers(node);
         let answer = deployment
-            .post(node.process.address, "/v1/completions", &body)
+            .post(address, "/v1/completions", &completion("llama", false, 2))
             .await;
         assert_eq!(answer.status, 200, "{}", answer.text);
     }
--- a/crates/node/src/admin/probes.rs
+++ b/crates/node/src/admin/probes.rs
@@ -49,6 +49,8 @@
     pub fence: u64,
     /// The configuration revision in force here.
     pub revision: u64,
+    /// The claim epoch in force, 0 if none is known yet.
+    pub claim_epoch: u64,
     /// Requests without a final answer.
     pub pending: usize,
     /// Loads ordered by this node.
@@ -64,6 +66,7 @@
         holder: status.view.holder.as_ref().map(ToString::to_string),
         fence: status.view.fence.0,
         revision: status.revision.0,
+        claim_epoch: status.claim_epoch.0,
         pending: status.pending,
         loads_ordered: status.loads_ordered,
     })
--- a/crates/node/src/caller/answer.rs
+++ b/crates/node/src/caller/answer.rs
@@ -21,7 +21,11 @@
                 let code = refusal_code(refusal.reason);
                 let metrics = open.host().metrics();
                 metrics.refused.with_label_values(&[code]).inc();
-                return CallerError::Refused(refusal).into_response();
+                let mut response = CallerError::Refused(refusal).into_response();
+                if let Ok(id) = HeaderValue::from_str(&open.request().to_string()) {
+                    response.headers_mut().insert(REQUEST_ID_HEADER, id);
+                }
+                return response;
             }
             Command::Dispatch(id, machine) => {
                 let name = attempt::stream_name(id, &machine.id);
--- a/crates/node/src/caller/request.rs
+++ b/crates/node/src/caller/request.rs
@@ -66,6 +66,11 @@
         }
     }
 
+    /// Its id.
+    pub fn request(&self) -> RequestId {
+        self.request
+    }
+
     /// The node that it was taken by.
     pub fn host(&self) -> &Arc<Host> {
         &self.host
--- a/crates/replay/src/checker/mod.rs
+++ b/crates/replay/src/checker/mod.rs
@@ -66,6 +66,18 @@
     }
 }
 
+/// Violations of the rules that cannot depend on timing, for live replays.
+pub fn check_untimed(history: &History) -> Vec<Violation> {
+    let rules = [
+        memory::check(history),
+        whole_answer::check(history),
+        refusal::check(history),
+        once::check(history),
+        planned_stop::check(history),
+    ];
+    rules.into_iter().flatten().collect()
+}
+
 /// All violations of the rules and of the stated outcomes.
 pub fn check(history: &History, outcomes: &[Outcome]) -> Vec<Violation> {
     let rules = [
--- a/crates/replay/src/lib.rs
+++ b/crates/replay/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod ablation;
 pub mod checker;
 pub mod history;
+pub mod live;
 pub mod run;
 pub mod scale;
 pub mod simulation;
--- /dev/null
+++ b/crates/replay/src/live/deployment.rs
@@ -0,0 +1,494 @@
+//! The world of a trace as real processes: table, store, a machine list for
+//! each node, back ends and nodes, with a relay on every link of a node.
+
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::{Duration, Instant};
+
+use eyre::{Context, bail, eyre};
+use gorsebank_platform::HttpClient;
+use gorsebank_world::MachineRole;
+use http::Method;
+use serde_json::{Value, json};
+
+use crate::live::process::Process;
+use crate::live::relay::Relay;
+use crate::simulation::node_host::CELL;
+use crate::trace::format::{BackEndEntry, Header, NodePlace};
+
+/// Everything must be up within this time.
+const START_LIMIT: Duration = Duration::from_secs(60);
+const CALL_LIMIT: Duration = Duration::from_secs(20);
+
+/// The programs that are started.
+#[derive(Clone, Debug)]
+pub struct Binaries {
+    /// `gorsebank`.
+    pub gorsebank: PathBuf,
+    /// `gorsebank-standin`.
+    pub standin: PathBuf,
+}
+
+impl Binaries {
+    /// The programs beside this one.
+    pub fn beside_this() -> eyre::Result<Self> {
+        let this = std::env::current_exe()?;
+        let directory = this
+            .parent()
+            .ok_or_else(|| eyre!("this program is in no directory"))?;
+        let found = |name: &str| {
+            let path = directory.join(name);
+            if path.exists() {
+                Ok(path)
+            } else {
+                Err(eyre!("{} is missing: build the workspace", path.display()))
+            }
+        };
+        Ok(Binaries {
+            gorsebank: found("gorsebank")?,
+            standin: found("gorsebank-standin")?,
+        })
+    }
+}
+
+/// Addresses of one node.
+#[derive(Clone, Copy, Debug)]
+pub struct NodeAddresses {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For other nodes.
+    pub nodes: SocketAddr,
+    /// For operators.
+    pub admin: SocketAddr,
+}
+
+/// Two ends of a link: a node, and what it reaches.
+type LinkEnds = (String, String);
+
+/// The running processes.
+pub struct LiveDeployment {
+    binaries: Binaries,
+    header: Header,
+    directory: PathBuf,
+    http: HttpClient,
+    /// The table service.
+    pub table: Process,
+    /// The weight store.
+    pub store: Process,
+    lists: BTreeMap<String, Process>,
+    /// Back ends that run, by name.
+    pub back_ends: BTreeMap<String, Process>,
+    back_end_addresses: BTreeMap<String, SocketAddr>,
+    back_end_states: BTreeMap<String, &'static str>,
+    /// Lines of back ends that are gone.
+    past_lines: BTreeMap<String, Vec<String>>,
+    /// Nodes that run, by name.
+    pub nodes: BTreeMap<String, Process>,
+    addresses: BTreeMap<String, NodeAddresses>,
+    relays: BTreeMap<LinkEnds, Relay>,
+}
+
+/// Ports that are given out: below those that the system takes for outgoing
+/// connections, so that none is taken before its process binds it.
+const PORTS: std::ops::Range<u32> = 10_000..30_000;
+
+/// An address that nobody listens on, and that is given out once.
+fn free_address() -> eyre::Result<SocketAddr> {
+    static GIVEN: AtomicU32 = AtomicU32::new(0);
+    let first = std::process::id().wrapping_mul(101);
+    for _ in PORTS {
+        let offset = first.wrapping_add(GIVEN.fetch_add(1, Ordering::Relaxed));
+        let port = (PORTS.start + offset % PORTS.len() as u32) as u16;
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+        if TcpListener::bind(address).is_ok() {
+            return Ok(address);
+        }
+    }
+    bail!("no port is free")
+}
+
+impl LiveDeployment {
+    /// Starts everything and writes the header's rows; `name` keeps the files
+    /// of several deployments apart.
+    pub async fn start(binaries: Binaries, name: &str, header: &Header) -> eyre::Result<Self> {
+        let directory =
+            std::env::temp_dir().join(format!("gorsebank-{name}-{}", std::process::id()));
+        std::fs::create_dir_all(&directory)?;
+        let table = Process::start(&binaries.standin, &["table"])?;
+        let store = start_store(&binaries, header)?;
+        let mut deployment = LiveDeployment {
+            binaries,
+            header: header.clone(),
+            directory,
+            http: HttpClient::default(),
+            table,
+            store,
+            lists: BTreeMap::new(),
+            back_ends: BTreeMap::new(),
+            back_end_addresses: BTreeMap::new(),
+            back_end_states: BTreeMap::new(),
+            past_lines: BTreeMap::new(),
+            nodes: BTreeMap::new(),
+            addresses: BTreeMap::new(),
+            relays: BTreeMap::new(),
+        };
+        for entry in &header.back_ends {
+            let address = free_address()?;
+            deployment
+                .back_end_addresses
+                .insert(entry.id.clone(), address);
+            deployment.back_end_states.insert(entry.id.clone(), "live");
+            deployment.start_back_end(&entry.id)?;
+        }
+        for place in &header.nodes {
+            let addresses = NodeAddresses {
+                callers: free_address()?,
+                nodes: free_address()?,
+                admin: free_address()?,
+            };
+            deployment.addresses.insert(place.id.clone(), addresses);
+        }
+        deployment.start_relays().await?;
+        deployment.start_lists()?;
+        for place in &header.nodes {
+            deployment.start_node(&place.id)?;
+        }
+        deployment.wait_until_ready().await?;
+        deployment.apply_rows().await?;
+        Ok(deployment)
+    }
+
+    async fn start_relays(&mut self) -> eyre::Result<()> {
+        let mut targets: Vec<(String, SocketAddr)> = self
+            .back_end_addresses
+            .iter()
+            .map(|(id, address)| (id.clone(), *address))
+            .collect();
+        targets.push(("table".to_owned(), self.table.address()));
+        for (id, addresses) in &self.addresses {
+            targets.push((id.clone(), addresses.nodes));
+        }
+        for from in self.addresses.keys() {
+            for (to, target) in &targets {
+                if from != to {
+                    let relay = Relay::start(*target).await?;
+                    self.relays.insert((from.clone(), to.clone()), relay);
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn start_lists(&mut self) -> eyre::Result<()> {
+        let lag = format!("{}ms", self.header.machine_list_lag.as_millis());
+        for id in self.addresses.keys() {
+            let file = self.directory.join(format!("machines-{id}.json"));
+            std::fs::write(&file, json!(self.machine_groups(id)).to_string())?;
+            let file = file.to_string_lossy().into_owned();
+            let arguments = ["machines", "--file", file.as_str(), "--lag", lag.as_str()];
+            let process = Process::start(&self.binaries.standin, &arguments)?;
+            self.lists.insert(id.clone(), process);
+        }
+        Ok(())
+    }
+
+    /// The machine list as the node `for_node` reads it: every other process
+    /// is behind a relay.
+    fn machine_groups(&self, for_node: &str) -> Vec<Value> {
+        let relayed = |to: &str, direct: SocketAddr| {
+            let link = (for_node.to_owned(), to.to_owned());
+            self.relays.get(&link).map_or(direct, Relay::address)
+        };
+        let mut groups = Vec::new();
+        for entry in &self.header.back_ends {
+            let address = relayed(&entry.id, self.back_end_addresses[&entry.id]);
+            groups.push(back_end_group(
+                entry,
+                address,
+                self.back_end_states[&entry.id],
+            ));
+        }
+        for place in &self.header.nodes {
+            let address = relayed(&place.id, self.addresses[&place.id].nodes);
+            groups.push(json!({"targets": [address.to_string()], "labels": {
+                "role": "node", "id": place.id, "zone": place.zone, "cell": CELL,
+            }}));
+        }
+        groups
+    }
+
+    /// Starts a back end, for the first time or again.
+    pub fn start_back_end(&mut self, id: &str) -> eyre::Result<()> {
+        let entry = self
+            .header
+            .back_ends
+            .iter()
+            .find(|entry| entry.id == id)
+            .ok_or_else(|| eyre!("there is no back end `{id}`"))?;
+        let listen = self.back_end_addresses[id].to_string();
+        let store = self.store.address().to_string();
+        let arguments = back_end_arguments(entry, &listen, &store);
+        let arguments: Vec<&str> = arguments.iter().map(String::as_str).collect();
+        let process = Process::start(&self.binaries.standin, &arguments)?;
+        self.back_ends.insert(id.to_owned(), process);
+        Ok(())
+    }
+
+    /// Kills a back end; what it printed stays known.
+    pub fn kill_back_end(&mut self, id: &str) {
+        if let Some(mut process) = self.back_ends.remove(id) {
+            process.kill();
+            let lines = process.lines();
+            self.past_lines
+                .entry(id.to_owned())
+                .or_default()
+                .extend(lines);
+        }
+    }
+
+    /// Everything that a back end printed in all its lives.
+    pub fn lines_of(&self, id: &str) -> Vec<String> {
+        let mut lines = self.past_lines.get(id).cloned().unwrap_or_default();
+        lines.extend(
+            self.back_ends
+                .get(id)
+                .map(Process::lines)
+                .unwrap_or_default(),
+        );
+        lines
+    }
+
+    /// Name, role and memory of every back end.
+    pub fn described_back_ends(&self) -> Vec<(String, MachineRole, u64)> {
+        self.header
+            .back_ends
+            .iter()
+            .map(|entry| (entry.id.clone(), entry.role, entry.memory.as_u64()))
+            .collect()
+    }
+
+    /// Starts a node, for the first time or again.
+    pub fn start_node(&mut self, id: &str) -> eyre::Result<()> {
+        let place = self
+            .header
+            .nodes
+            .iter()
+            .find(|place| place.id == id)
+            .ok_or_else(|| eyre!("there is no node `{id}`"))?;
+        let file = self.directory.join(format!("{id}.toml"));
+        std::fs::write(&file, self.node_settings(place))?;
+        let file = file.to_string_lossy().into_owned();
+        let arguments = ["node", "--settings", file.as_str()];
+        let process = Process::start(&self.binaries.gorsebank, &arguments)?;
+        self.nodes.insert(id.to_owned(), process);
+        Ok(())
+    }
+
+    fn node_settings(&self, place: &NodePlace) -> String {
+        let addresses = self.addresses[&place.id];
+        let table = self.relays[&(place.id.clone(), "table".to_owned())].address();
+        let store = &self.header.store;
+        format!(
+            "[node]\nid = \"{}\"\nzone = \"{}\"\ncell = \"{CELL}\"\nlisten_callers = \"{}\"\n\
+             listen_nodes = \"{}\"\nlisten_admin = \"{}\"\n\
+             [platform]\ntables = [\"{table}\"]\nmachine_list = \"{}\"\n\
+             [membership]\nheartbeat_interval = \"200ms\"\nfailure_timeout = \"1s\"\n\
+             machine_list_interval = \"200ms\"\n\
+             [placement]\nstore_starts_per_second = {:?}\nstore_concurrency = {}\n\
+             store_bandwidth = \"{}B\"\n[drain]\nlinger = \"500ms\"\n",
+            place.id,
+            place.zone,
+            addresses.callers,
+            addresses.nodes,
+            addresses.admin,
+            self.lists[&place.id].address(),
+            store.starts_per_second,
+            store.concurrency,
+            store.bandwidth.as_u64(),
+        )
+    }
+
+    /// Addresses of a node.
+    pub fn addresses(&self, id: &str) -> Option<NodeAddresses> {
+        self.addresses.get(id).copied()
+    }
+
+    /// Names of all nodes.
+    pub fn node_ids(&self) -> Vec<String> {
+        self.addresses.keys().cloned().collect()
+    }
+
+    /// Changes every link between two ends; `*` stands for every process.
+    pub fn change_links(
+        &self,
+        between: (&str, &str),
+        edit: impl Fn(&mut crate::live::relay::LinkState),
+    ) {
+        let is_end = |pattern: &str, process: &str| pattern == "*" || pattern == process;
+        for ((from, to), relay) in &self.relays {
+            let there = is_end(between.0, from) && is_end(between.1, to);
+            let back = is_end(between.0, to) && is_end(between.1, from);
+            if there || back {
+                relay.change(&edit);
+            }
+        }
+    }
+
+    /// Says in every machine list that a back end is leaving.
+    pub async fn list_as_leaving(&mut self, id: &str) -> eyre::Result<()> {
+        self.back_end_states.insert(id.to_owned(), "leaving");
+        for (node, list) in &self.lists {
+            let groups = self.machine_groups(node);
+            self.put(list.address(), "/machines", &json!(groups))
+                .await?;
+        }
+        Ok(())
+    }
+
+    /// Sends a JSON body by PUT, to which stand-ins answer nothing.
+    pub async fn put(&self, address: SocketAddr, path: &str, body: &Value) -> eyre::Result<()> {
+        let request = http::Request::put(format!("http://{address}{path}"))
+            .header("content-type", "application/json")
+            .body(http_body_util::Full::new(bytes::Bytes::from(
+                body.to_string(),
+            )))?;
+        let answer = self.http.send(request).await?;
+        if !answer.status().is_success() {
+            bail!("{path}: {}", answer.status());
+        }
+        Ok(())
+    }
+
+    /// A node's state, if it answers.
+    pub async fn status(&self, id: &str) -> Option<Value> {
+        let admin = self.addresses.get(id)?.admin;
+        let limit = Duration::from_secs(2);
+        let answer = self
+            .http
+            .call::<(), Value>(Method::GET, admin, "/v1/status", None, limit)
+            .await;
+        answer.ok().map(|(_, status)| status)
+    }
+
+    /// Waits until every running node knows the holder and all others.
+    pub async fn wait_until_ready(&self) -> eyre::Result<()> {
+        let until = Instant::now() + START_LIMIT;
+        while !self.is_ready().await {
+            if Instant::now() > until {
+                bail!("the nodes were not ready within {START_LIMIT:?}");
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        Ok(())
+    }
+
+    async fn is_ready(&self) -> bool {
+        for id in self.nodes.keys() {
+            let Some(status) = self.status(id).await else {
+                return false;
+            };
+            let live = status["live_nodes"].as_array().map_or(0, Vec::len);
+            let has_claims = status["claim_epoch"].as_u64() > Some(0);
+            if status["holder"].is_null() || live != self.nodes.len() || !has_claims {
+                return false;
+            }
+        }
+        true
+    }
+
+    async fn apply_rows(&self) -> eyre::Result<()> {
+        let first = self.node_ids().into_iter().next();
+        let Some(node) = first.and_then(|id| self.addresses(&id)) else {
+            bail!("there are no nodes");
+        };
+        for row in &self.header.rows {
+            let path = format!("/v1/configuration/{}/{}", row.spec.kind(), row.name);
+            let content = json!({"labels": row.labels, "spec": row.spec});
+            let (status, answer) = self
+                .http
+                .call::<Value, Value>(Method::PUT, node.admin, &path, Some(&content), CALL_LIMIT)
+                .await?;
+            if !status.is_success() {
+                bail!("{path}: {answer}");
+            }
+        }
+        self.wait_until_configured().await
+    }
+
+    /// Waits until all nodes have the same configuration.
+    pub async fn wait_until_configured(&self) -> eyre::Result<()> {
+        let until = Instant::now() + START_LIMIT;
+        loop {
+            let mut revisions = Vec::new();
+            for id in self.nodes.keys() {
+                let status = self.status(id).await;
+                revisions.push(status.map(|status| status["revision"].clone()));
+            }
+            if revisions.windows(2).all(|pair| pair[0] == pair[1]) {
+                return Ok(());
+            }
+            if Instant::now() > until {
+                bail!("the configuration did not reach every node");
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+}
+
+impl Drop for LiveDeployment {
+    fn drop(&mut self) {
+        // A directory that cannot be removed is left to the system.
+        let _ = std::fs::remove_dir_all(&self.directory);
+    }
+}
+
+fn start_store(binaries: &Binaries, header: &Header) -> eyre::Result<Process> {
+    let store = &header.store;
+    let arguments = [
+        "store".to_owned(),
+        "--starts-per-second".to_owned(),
+        store.starts_per_second.to_string(),
+        "--concurrency".to_owned(),
+        store.concurrency.to_string(),
+        "--bandwidth".to_owned(),
+        format!("{}B", store.bandwidth.as_u64()),
+    ];
+    let arguments: Vec<&str> = arguments.iter().map(String::as_str).collect();
+    Process::start(&binaries.standin, &arguments).wrap_err("the weight store")
+}
+
+fn back_end_arguments(entry: &BackEndEntry, listen: &str, store: &str) -> Vec<String> {
+    let mut arguments = vec!["--listen".to_owned(), listen.to_owned()];
+    let mut add = |name: &str, value: String| arguments.extend([name.to_owned(), value]);
+    match entry.role {
+        MachineRole::Application => arguments.push("application".to_owned()),
+        MachineRole::Engine => {
+            add("engine", "--store".to_owned());
+            arguments.push(store.to_owned());
+            let mut add = |name: &str, value: String| arguments.extend([name.to_owned(), value]);
+            add("--memory", format!("{}B", entry.memory.as_u64()));
+            add("--slots", entry.slots.to_string());
+            add("--prefill", format!("{}ms", entry.prefill.as_millis()));
+            add("--token", format!("{}ms", entry.token.as_millis()));
+            for artifact in entry.cached.keys() {
+                add("--on-disk", artifact.to_string());
+            }
+        }
+    }
+    arguments.push("--print-history".to_owned());
+    arguments
+}
+
+fn back_end_group(entry: &BackEndEntry, address: SocketAddr, state: &str) -> Value {
+    let role = match entry.role {
+        MachineRole::Engine => "engine",
+        MachineRole::Application => "application",
+    };
+    json!({"targets": [address.to_string()], "labels": {
+        "role": role, "id": entry.id, "zone": entry.zone, "service": entry.service,
+        "memory": format!("{}B", entry.memory.as_u64()), "slots": entry.slots.to_string(),
+        "state": state,
+    }})
+}
--- a/crates/replay/src/main.rs
+++ b/crates/replay/src/main.rs
@@ -5,8 +5,10 @@
 
 use clap::{Parser, Subcommand};
 use gorsebank_replay::ablation::Ablation;
+use gorsebank_replay::live::{self, Binaries};
 use gorsebank_replay::run::{self, RunOptions, SeedRange};
 use gorsebank_replay::scale::{self, ScaleOptions};
+use gorsebank_replay::summary::Summary;
 
 /// Replays recorded traces against stated outcomes.
 #[derive(Debug, Parser)]
@@ -26,6 +28,10 @@
         /// Take a mechanism away.
         #[arg(long, value_enum)]
         without: Option<Ablation>,
+        /// Play over real processes on loopback, once; the programs `gorsebank`
+        /// and `gorsebank-standin` must be beside this one.
+        #[arg(long)]
+        live: bool,
         /// Print figures of the first seed of every trace.
         #[arg(long)]
         figures: bool,
@@ -67,20 +73,52 @@
     }
 }
 
+/// Plays traces over real processes, one after another.
+fn run_live(paths: &[PathBuf], figures: bool) -> eyre::Result<bool> {
+    let runtime = tokio::runtime::Runtime::new()?;
+    let binaries = Binaries::beside_this()?;
+    let (mut passed, mut failed) = (0, 0);
+    for trace in run::read_all(paths)? {
+        let (history, violations) = runtime.block_on(live::play_live(binaries.clone(), &trace))?;
+        let name = &trace.header.trace;
+        if violations.is_empty() {
+            passed += 1;
+            println!("ok     {name} (live)");
+        } else {
+            failed += 1;
+            println!("FAILED {name} (live)");
+            for violation in &violations {
+                println!("  {violation}");
+            }
+        }
+        if figures {
+            println!("  {}", Summary::of(&history));
+        }
+    }
+    println!("{passed} passed, {failed} failed");
+    Ok(failed == 0)
+}
+
 /// Says whether all was well.
 fn execute(command: Command) -> eyre::Result<bool> {
     match command {
         Command::Run {
             seeds,
             without,
+            live,
             figures,
             paths,
-        } => Ok(run::run(&RunOptions {
-            seeds,
-            without,
-            figures,
-            paths,
-        })?),
+        } => {
+            if live {
+                return run_live(&paths, figures);
+            }
+            Ok(run::run(&RunOptions {
+                seeds,
+                without,
+                figures,
+                paths,
+            })?)
+        }
         Command::Scale {
             nodes,
             runners,
--- a/crates/replay/src/simulation/caller_events.rs
+++ b/crates/replay/src/simulation/caller_events.rs
@@ -6,7 +6,7 @@
 
 use crate::ablation::Ablation;
 use crate::history::{CallerEnd, CallerRecord, CallerTry, ChangeRecord};
-use crate::simulation::caller::CallerPlan;
+use crate::simulation::caller::{self, CallerPlan};
 use crate::simulation::node_host::OpenRequest;
 use crate::simulation::operator;
 use crate::simulation::world::{MILLISECOND, SECOND, SimEvent, Simulation};
@@ -19,63 +19,25 @@
 
 impl Simulation {
     pub(super) fn plan_callers(&mut self, index: usize, request: &RequestEvent) {
-        let spacing = request.over.as_micros() as u64 / u64::from(request.count.max(1));
-        for number in 0..request.count {
-            let at = self.now + spacing * u64::from(number);
-            let plan = self.caller_plan(index, number, at, request);
+        let nodes: Vec<NodeId> = self.nodes.keys().cloned().collect();
+        for (at, mut plan) in caller::plans(&nodes, index, self.now, request) {
             self.history.callers.push(CallerRecord {
                 of: plan.of.clone(),
-                class: request.class,
+                class: plan.class,
                 deadline: plan.deadline,
                 key: plan.key.clone(),
                 repeatable: plan.repeatable,
                 tries: Vec::new(),
             });
+            if self.ablation == Some(Ablation::Priorities) {
+                plan.class = PriorityClass::Interactive;
+            }
             self.callers.push(plan);
             let caller = self.callers.len() - 1;
             self.queue.add(at, SimEvent::CallerSends { caller });
         }
     }
 
-    fn caller_plan(
-        &self,
-        index: usize,
-        number: u32,
-        at: u64,
-        request: &RequestEvent,
-    ) -> CallerPlan {
-        let mut nodes: Vec<NodeId> = if request.nodes.is_empty() {
-            self.nodes.keys().cloned().collect()
-        } else {
-            request.nodes.iter().map(|id| id.as_str().into()).collect()
-        };
-        let first = number as usize % nodes.len();
-        nodes.rotate_left(first);
-        let own_key = request.keyed.then(|| format!("key-{index}-{number}"));
-        let key = request.key.clone().or(own_key);
-        let is_service = request.service.is_some();
-        let class = if self.ablation == Some(Ablation::Priorities) {
-            PriorityClass::Interactive
-        } else {
-            request.class
-        };
-        CallerPlan {
-            of: request
-                .service
-                .clone()
-                .or_else(|| request.model.clone())
-                .unwrap_or_default(),
-            is_service,
-            nodes,
-            class,
-            deadline: at + request.timeout.as_micros() as u64,
-            tokens: request.tokens,
-            repeatable: key.is_none() && !is_service,
-            key,
-            is_persistent: request.persistent,
-        }
-    }
-
     pub(super) fn caller_sends(&mut self, caller: usize) {
         let plan = self.callers[caller].clone();
         if self.now >= plan.deadline {
