--- a/crates/contract/src/message.rs
+++ b/crates/contract/src/message.rs
@@ -180,6 +180,10 @@
         /// Time left of the most urgent, in milliseconds.
         #[serde(rename = "d")]
         remaining: u64,
+        /// Fence and version of the replica set that the owner has, so that it
+        /// is told again if it has lost one.
+        #[serde(rename = "k")]
+        known: (Fence, u64),
     },
     /// Holder to owner: the artifact's replicas.
     #[serde(rename = "rs")]
--- a/crates/coordination/src/node.rs
+++ b/crates/coordination/src/node.rs
@@ -444,6 +444,7 @@
                 waiting: demand.waiting,
                 running: demand.running,
                 remaining: demand.remaining,
+                known: demand.known,
             };
             self.send(turn, holder.clone(), message);
         }
@@ -519,12 +520,14 @@
                 waiting,
                 running,
                 remaining,
+                known,
             } => {
                 let demand = Demand {
                     artifact,
                     waiting,
                     running,
                     remaining,
+                    known,
                 };
                 {
                     let configuration = self.configuration.read();
--- a/crates/coordination/src/placement/announce.rs
+++ b/crates/coordination/src/placement/announce.rs
@@ -41,7 +41,8 @@
             let Some(need) = self.needs.get_mut(&artifact) else {
                 continue;
             };
-            if need.announced.as_ref() == Some(&state) {
+            let told = need.announced.as_ref().map(|(_, told)| told);
+            if told == Some(&state) {
                 continue;
             }
             self.versions += 1;
@@ -57,7 +58,7 @@
                 state.owner.clone(),
                 PeerMessage::Replicas(set),
             ));
-            need.announced = Some(state);
+            need.announced = Some((self.versions, state));
         }
         output
     }
@@ -66,8 +67,7 @@
     /// overbooked a little, since they are seldom busy at the same moment.
     pub(super) fn slots_for(&self, engine: &Engine, artifact: &Artifact) -> u32 {
         let others = engine
-            .target()
-            .iter()
+            .targets()
             .filter(|other| *other != artifact)
             .filter_map(|other| self.needs.get(other))
             .filter(|need| need.waiting > 0 || need.running > 0)
@@ -147,7 +147,7 @@
         let wanted_on: Vec<(&BackEndId, &Engine)> = self
             .engines
             .iter()
-            .filter(|(_, engine)| engine.target().contains(artifact))
+            .filter(|(_, engine)| engine.wants(artifact))
             .collect();
         let ready = wanted_on
             .iter()
--- a/crates/coordination/src/placement/decisions.rs
+++ b/crates/coordination/src/placement/decisions.rs
@@ -107,7 +107,7 @@
         .next
         .reservations
         .keys()
-        .filter(|artifact| !engine.target().contains(*artifact) && !engine.may_hold(artifact))
+        .filter(|artifact| !engine.wants(artifact) && !engine.may_hold(artifact))
         .cloned()
         .collect();
     for artifact in ended {
--- a/crates/coordination/src/placement/engine.rs
+++ b/crates/coordination/src/placement/engine.rs
@@ -6,7 +6,7 @@
 //! and inventory, and only as far as every version of the decision that may be
 //! in force permits them.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use gorsebank_contract::{
     BackEndPlan, EngineReport, EngineRole, Fence, Incarnation, Inventory, Order, OrderAction,
@@ -21,6 +21,8 @@
 const REFUSED_PAUSE: u64 = 500;
 /// So many inspections without an answer put an engine out of service.
 const FAILED_INSPECTIONS: u32 = 2;
+/// What could not be given memory for so long is looked for elsewhere.
+const STUCK: u64 = 5_000;
 /// A new holder waits so long for the first report of an engine.
 const FIRST_REPORT: u64 = 2_000;
 /// An engine that is listed no more is forgotten after so long.
@@ -38,6 +40,13 @@
     Fenced,
 }
 
+/// An artifact that shall be loaded.
+#[derive(Clone, Copy, Debug)]
+struct Wish {
+    bytes: u64,
+    since: Timestamp,
+}
+
 #[derive(Clone, Debug)]
 struct InFlightOrder {
     action: OrderAction,
@@ -56,7 +65,7 @@
     /// The decision that the holder wants.
     pub next: BackEndPlan,
     /// What shall be loaded now.
-    target: BTreeSet<Artifact>,
+    target: BTreeMap<Artifact, Wish>,
     /// Something changed since the work lists were made.
     stale: bool,
     /// Wanted and not there.
@@ -98,7 +107,7 @@
             next,
             committed,
             in_flight: None,
-            target: BTreeSet::new(),
+            target: BTreeMap::new(),
             stale: true,
             missing: Vec::new(),
             surplus: Vec::new(),
@@ -118,20 +127,94 @@
     }
 
     /// What shall be loaded now.
-    pub fn target(&self) -> &BTreeSet<Artifact> {
-        &self.target
+    pub fn targets(&self) -> impl Iterator<Item = &Artifact> {
+        self.target.keys()
     }
 
-    /// Wants artifacts to be loaded.
-    pub fn want(&mut self, artifacts: impl IntoIterator<Item = Artifact>) {
-        self.target.extend(artifacts);
+    /// Whether the artifact shall be loaded now.
+    pub fn wants(&self, artifact: &Artifact) -> bool {
+        self.target.contains_key(artifact)
+    }
+
+    /// Wants artifacts, with their bytes, to be loaded.
+    pub fn want(&mut self, now: Timestamp, artifacts: impl IntoIterator<Item = (Artifact, u64)>) {
+        for (artifact, bytes) in artifacts {
+            self.target
+                .entry(artifact)
+                .or_insert(Wish { bytes, since: now });
+        }
         self.stale = true;
     }
 
+    /// Wants what could not be loaded for long no more; gives it back, so that
+    /// another place is looked for.
+    pub fn give_up_stuck(&mut self, now: Timestamp) -> Vec<Artifact> {
+        let stuck: Vec<Artifact> = self
+            .target
+            .iter()
+            .filter(|(_, wish)| now.since(wish.since) > STUCK)
+            .map(|(artifact, _)| artifact)
+            .filter(|artifact| !self.may_hold(artifact) && !self.is_decided(artifact))
+            .cloned()
+            .collect();
+        for artifact in &stuck {
+            self.give_up(artifact);
+        }
+        stuck
+    }
+
+    fn is_decided(&self, artifact: &Artifact) -> bool {
+        self.next.reservations.contains_key(artifact)
+    }
+
+    /// Wanted artifacts that are not there and have no reservation, with their
+    /// bytes.
+    fn lacking(&self) -> impl Iterator<Item = (&Artifact, u64)> {
+        self.target
+            .iter()
+            .filter(|(artifact, _)| !self.may_hold(artifact) && !self.is_decided(artifact))
+            .map(|(artifact, wish)| (artifact, wish.bytes))
+    }
+
+    /// Bytes that could be reserved for a further artifact, once what is given
+    /// up is gone and what is wanted has its memory.
+    pub fn free_to_reserve(&self) -> u64 {
+        let released: u64 = self
+            .inventory
+            .loaded
+            .iter()
+            .filter(|(artifact, _)| !self.wants(artifact) && self.is_decided(artifact))
+            .map(|(_, bytes)| bytes)
+            .sum();
+        let promised: u64 = self
+            .lacking()
+            .filter(|(artifact, _)| !self.is_standby(artifact))
+            .map(|(_, bytes)| bytes)
+            .sum();
+        (self.next.free() + released).saturating_sub(promised)
+    }
+
+    /// Bytes of the standby share for a further artifact, in the same sense.
+    pub fn standby_to_spare(&self) -> u64 {
+        let released: u64 = self
+            .inventory
+            .loaded
+            .iter()
+            .filter(|(artifact, _)| !self.wants(artifact) && !self.is_reserved(artifact))
+            .map(|(_, bytes)| bytes)
+            .sum();
+        let promised: u64 = self
+            .lacking()
+            .filter(|(artifact, _)| self.is_standby(artifact))
+            .map(|(_, bytes)| bytes)
+            .sum();
+        (self.standby_free() + released).saturating_sub(promised)
+    }
+
     /// Wants an artifact, and the adapters that need it, no more.
     pub fn give_up(&mut self, artifact: &Artifact) {
         self.target
-            .retain(|other| other != artifact && other.base() != *artifact);
+            .retain(|other, _| other != artifact && other.base() != *artifact);
         self.stale = true;
     }
 
@@ -156,7 +239,7 @@
         }
         self.missing = self
             .target
-            .iter()
+            .keys()
             .filter(|artifact| !self.may_hold(artifact))
             .cloned()
             .collect();
@@ -164,7 +247,7 @@
             .inventory
             .loaded
             .keys()
-            .filter(|artifact| !self.target.contains(*artifact))
+            .filter(|artifact| !self.wants(artifact))
             .cloned()
             .collect();
         true
@@ -285,9 +368,8 @@
 
     /// Whether requests for the artifact may be sent here.
     pub fn is_ready(&self, artifact: &Artifact) -> bool {
-        let loaded = |needed: &Artifact| {
-            self.inventory.loaded.contains_key(needed) && self.target.contains(needed)
-        };
+        let loaded =
+            |needed: &Artifact| self.inventory.loaded.contains_key(needed) && self.wants(needed);
         self.is_in_service() && artifact.required().iter().all(loaded)
     }
 
@@ -381,7 +463,7 @@
         self.is_claimed()
             && self.serves()
             && now >= self.refused_until
-            && self.target.contains(artifact)
+            && self.wants(artifact)
             && !self.may_hold(artifact)
             && has_base
             && has_memory
@@ -395,7 +477,7 @@
         self.surplus
             .iter()
             .filter(|artifact| self.inventory.loaded.contains_key(*artifact))
-            .filter(|artifact| !self.target.contains(*artifact))
+            .filter(|artifact| !self.wants(artifact))
             .filter(|artifact| !self.has_unload_order(artifact))
             .filter(|artifact| artifact.adapter.is_some() || !self.has_adapter_of(artifact))
             .cloned()
--- a/crates/coordination/src/placement/mod.rs
+++ b/crates/coordination/src/placement/mod.rs
@@ -142,7 +142,7 @@
     pub fn targets(&self) -> BTreeMap<BackEndId, Vec<Artifact>> {
         self.engines
             .iter()
-            .map(|(id, engine)| (id.clone(), engine.target().iter().cloned().collect()))
+            .map(|(id, engine)| (id.clone(), engine.targets().cloned().collect()))
             .collect()
     }
 
@@ -376,14 +376,14 @@
             let expected = engine.load_time(&load.0, load.1, &self.settings);
             self.pace.note(now, expected, elapsed);
         }
-        self.dirty.extend(engine.target().iter().cloned());
+        self.dirty.extend(engine.targets().cloned());
         let was_inspected = engine.is_inspected();
         let former_life = engine.incarnation();
         match engine.answered(now, sequence, result) {
             OrderOutcome::Fenced => self.step_down(now),
             OrderOutcome::Continue => {
                 if engine.is_inspected() && !was_inspected {
-                    adopt(engine);
+                    adopt(now, engine);
                     self.all_dirty = true;
                 } else if engine.incarnation() != former_life {
                     engine.give_up_all();
@@ -414,17 +414,17 @@
 
 /// What a new holder finds loaded, or being loaded, under a decision is wanted
 /// until its keep-alive time is over.
-fn adopt(engine: &mut Engine) {
+fn adopt(now: Timestamp, engine: &mut Engine) {
     let held = engine
         .inventory
         .loaded
-        .keys()
-        .chain(engine.inventory.loading.keys());
-    let decided: Vec<Artifact> = held
-        .filter(|artifact| engine.next.permits(artifact))
-        .cloned()
+        .iter()
+        .chain(&engine.inventory.loading);
+    let decided: Vec<(Artifact, u64)> = held
+        .filter(|(artifact, _)| engine.next.permits(artifact))
+        .map(|(artifact, bytes)| (artifact.clone(), *bytes))
         .collect();
-    engine.want(decided);
+    engine.want(now, decided);
 }
 
 fn parts_of(artifact: &Artifact, configuration: &Configuration) -> Option<Vec<(Artifact, u64)>> {
--- a/crates/coordination/src/placement/need.rs
+++ b/crates/coordination/src/placement/need.rs
@@ -18,7 +18,8 @@
     pub heard: Timestamp,
     pub idle_since: Option<Timestamp>,
     pub scaled: Timestamp,
-    pub announced: Option<Announced>,
+    /// What the owner was told last, and under which version.
+    pub announced: Option<(u64, Announced)>,
 }
 
 /// The replica set as last announced to the owner.
--- a/crates/coordination/src/placement/orders.rs
+++ b/crates/coordination/src/placement/orders.rs
@@ -103,8 +103,7 @@
     /// an adapter of it on the same engine; far off if none does.
     fn urgency(&self, now: Timestamp, engine: &Engine, artifact: &Artifact) -> Timestamp {
         engine
-            .target()
-            .iter()
+            .targets()
             .filter(|other| *other == artifact || other.base() == *artifact)
             .filter_map(|other| self.needs.get(other))
             .filter(|need| need.is_wanted())
--- a/crates/coordination/src/placement/replicas.rs
+++ b/crates/coordination/src/placement/replicas.rs
@@ -2,6 +2,7 @@
 //!
 //! In: what queue owners need. Out: targets of engines.
 
+use gorsebank_contract::Fence;
 use gorsebank_world::{Artifact, BackEndId, MachineState, NodeId};
 
 use crate::configuration::Configuration;
@@ -60,16 +61,16 @@
         demand: &Demand,
         configuration: &Configuration,
     ) {
-        if self.fence().is_none() {
+        let Some(fence) = self.fence() else {
             return;
-        }
-        self.note_need(now, owner, demand);
+        };
+        self.note_need(now, fence, owner, demand);
         if demand.waiting > 0 || demand.running > 0 {
             self.ensure(now, &demand.artifact, configuration);
         }
     }
 
-    fn note_need(&mut self, now: Timestamp, owner: &NodeId, demand: &Demand) {
+    fn note_need(&mut self, now: Timestamp, fence: Fence, owner: &NodeId, demand: &Demand) {
         let artifact = &demand.artifact;
         let is_idle = demand.waiting == 0 && demand.running == 0;
         let need = self
@@ -81,6 +82,10 @@
         need.running = demand.running;
         need.deadline = now + demand.remaining;
         need.heard = now;
+        let told = need.announced.as_ref().map(|(version, _)| *version);
+        if told.is_some_and(|version| demand.known != (fence, version)) {
+            need.announced = None;
+        }
         let was_idle = need.idle_since.is_some();
         if is_idle {
             need.idle_since.get_or_insert(now);
@@ -96,8 +101,8 @@
     /// Artifacts that share engines with this one get other shares of slots.
     fn mark_neighbours(&mut self, artifact: &Artifact) {
         for engine in self.engines.values() {
-            if engine.target().contains(artifact) {
-                self.dirty.extend(engine.target().iter().cloned());
+            if engine.wants(artifact) {
+                self.dirty.extend(engine.targets().cloned());
             }
         }
     }
@@ -122,7 +127,7 @@
             let Some(choice) = self.choose(now, artifact, configuration) else {
                 return;
             };
-            self.take_up(artifact, &choice);
+            self.take_up(now, artifact, &choice, configuration);
         }
     }
 
@@ -141,7 +146,7 @@
             .filter(|engine| engine.machine.state == MachineState::Live);
         for engine in live {
             present.typical_slots = present.typical_slots.max(engine.machine.slots);
-            if engine.target().contains(artifact) && engine.is_in_service() {
+            if engine.wants(artifact) && engine.is_in_service() {
                 present.in_service += 1;
                 present.slots += self.slots_for(engine, artifact);
                 present.is_coming |= !engine.is_ready(artifact);
@@ -166,7 +171,7 @@
         let eligible = self.engines.values().filter(|engine| {
             let machine = &engine.machine;
             let labels = configuration.back_end_labels(&machine.id, &machine.labels);
-            deployment.back_ends.matches(&labels) && !engine.target().contains(artifact)
+            deployment.back_ends.matches(&labels) && !engine.wants(artifact)
         });
         let idle = |id: &BackEndId, candidate: &Artifact| self.idle_on(now, id, candidate);
         scheduler::choose(&wanted, eligible, &idle, &self.settings)
@@ -205,8 +210,7 @@
         let mut shortest = self.idle_time(now, artifact);
         if artifact.adapter.is_none() {
             let dependents = engine
-                .target()
-                .iter()
+                .targets()
                 .filter(|other| other.adapter.is_some() && other.base() == *artifact);
             for dependent in dependents {
                 shortest = shortest.min(self.idle_time(now, dependent));
@@ -215,7 +219,14 @@
         shortest.filter(|idle| *idle >= EVICTION_IDLE)
     }
 
-    fn take_up(&mut self, artifact: &Artifact, choice: &Choice) {
+    fn take_up(
+        &mut self,
+        now: Timestamp,
+        artifact: &Artifact,
+        choice: &Choice,
+        configuration: &Configuration,
+    ) {
+        let parts = parts_of(artifact, configuration).unwrap_or_default();
         let Some(engine) = self.engines.get_mut(&choice.back_end) else {
             return;
         };
@@ -224,6 +235,6 @@
         for victim in &choice.victims {
             engine.give_up(victim);
         }
-        engine.want(artifact.required());
+        engine.want(now, parts);
     }
 }
--- a/crates/coordination/src/placement/review.rs
+++ b/crates/coordination/src/placement/review.rs
@@ -25,6 +25,10 @@
             self.review_standby(configuration);
         }
         if self.idle_reviews.due(now) {
+            for engine in self.engines.values_mut() {
+                let stuck = engine.give_up_stuck(now);
+                self.dirty.extend(stuck);
+            }
             self.review_idle(now, configuration);
             self.forget_needs(now);
         }
@@ -100,7 +104,7 @@
     fn review_idle(&mut self, now: Timestamp, configuration: &Configuration) {
         let mut expired = Vec::new();
         for (id, engine) in &self.engines {
-            for artifact in engine.target() {
+            for artifact in engine.targets() {
                 if self.is_expired(now, id, artifact, configuration) {
                     expired.push((id.clone(), artifact.clone()));
                 }
@@ -119,9 +123,7 @@
         let engines = &self.engines;
         self.needs.retain(|artifact, need| {
             now.since(need.heard) < FORGOTTEN_DEMAND
-                || engines
-                    .values()
-                    .any(|engine| engine.target().contains(artifact))
+                || engines.values().any(|engine| engine.wants(artifact))
         });
     }
 
--- a/crates/coordination/src/placement/scheduler.rs
+++ b/crates/coordination/src/placement/scheduler.rs
@@ -69,7 +69,7 @@
     let missing: Vec<&(Artifact, u64)> = wanted
         .parts
         .iter()
-        .filter(|(artifact, _)| !engine.target().contains(artifact))
+        .filter(|(artifact, _)| !engine.wants(artifact))
         .collect();
     let bytes: u64 = missing.iter().map(|(_, bytes)| bytes).sum();
     let load_time: u64 = missing
@@ -78,8 +78,7 @@
         .sum();
     let loads = u64::from(engine.load_count()) * SHARED_ENGINE_COST;
     let busy = engine
-        .target()
-        .iter()
+        .targets()
         .filter(|artifact| idle(&engine.machine.id, artifact).is_none())
         .count() as u64;
     let sharing = loads + busy * BUSY_NEIGHBOUR_COST;
@@ -117,18 +116,27 @@
     let all_standby = missing
         .iter()
         .all(|(artifact, _)| engine.is_standby(artifact));
-    if all_standby && engine.standby_free() >= bytes {
+    if all_standby && engine.standby_to_spare() >= bytes {
         return Some((Vec::new(), 0));
     }
-    if wanted.table_works && engine.next.free() >= bytes {
+    if wanted.table_works && engine.free_to_reserve() >= bytes {
         return Some((Vec::new(), TRANSACTION_COST));
     }
     let standby = all_standby
-        .then(|| evict(wanted, engine, bytes, engine.standby_free(), false, idle))
+        .then(|| {
+            evict(
+                wanted,
+                engine,
+                bytes,
+                engine.standby_to_spare(),
+                false,
+                idle,
+            )
+        })
         .flatten();
     let reserved = wanted
         .table_works
-        .then(|| evict(wanted, engine, bytes, engine.next.free(), true, idle))
+        .then(|| evict(wanted, engine, bytes, engine.free_to_reserve(), true, idle))
         .flatten();
     let victims = [standby, reserved]
         .into_iter()
@@ -150,6 +158,7 @@
     let loaded = &engine.inventory.loaded;
     let mut candidates: Vec<(u64, &Artifact, u64)> = loaded
         .iter()
+        .filter(|(artifact, _)| engine.wants(artifact))
         .filter(|(artifact, _)| engine.is_reserved(artifact) == reserved)
         .filter(|(artifact, _)| !wanted.parts.iter().any(|(part, _)| part == *artifact))
         .filter_map(|(artifact, bytes)| {
--- a/crates/coordination/src/queue.rs
+++ b/crates/coordination/src/queue.rs
@@ -430,6 +430,11 @@
             .max(MIN_RETRY_AFTER)
     }
 
+    /// Fence and version of the replica set that is in use.
+    pub fn replica_version(&self) -> (Fence, u64) {
+        self.replica_version
+    }
+
     /// Tickets that wait.
     pub fn waiting_count(&self) -> usize {
         self.waiting.len()
--- a/crates/coordination/src/queues.rs
+++ b/crates/coordination/src/queues.rs
@@ -5,7 +5,7 @@
 
 use std::collections::{BTreeSet, HashMap};
 
-use gorsebank_contract::{HeldSlots, NodeState, ReplicaOffer, ReplicaSet, Ticket, TicketId};
+use gorsebank_contract::{Fence, HeldSlots, NodeState, ReplicaOffer, ReplicaSet, Ticket, TicketId};
 use gorsebank_world::{
     Artifact, BackEndId, MachineRole, MachineState, NodeId, QueueKey, ServiceId,
 };
@@ -34,6 +34,8 @@
     pub running: u32,
     /// Time left of the most urgent, in milliseconds.
     pub remaining: u64,
+    /// Fence and version of the replica set that the owner has.
+    pub known: (Fence, u64),
 }
 
 /// All queues of which this node is or was owner.
@@ -219,6 +221,7 @@
                 waiting: queue.waiting_count() as u32,
                 running: queue.running_count(),
                 remaining: queue.most_urgent(now).unwrap_or(0),
+                known: queue.replica_version(),
             });
         }
         demands
--- a/crates/coordination/src/settings.rs
+++ b/crates/coordination/src/settings.rs
@@ -111,8 +111,8 @@
     pub keep_alive_min: u64,
     /// An idle artifact stays loaded at most so long.
     pub keep_alive_max: u64,
-    /// A replica that nothing waits for is withdrawn so long before its unload.
-    pub withdrawal: u64,
+    /// Whether models are loaded ahead of their expected return.
+    pub prewarm: bool,
 }
 
 impl Default for PlacementSettings {
@@ -130,7 +130,7 @@
             memory_bandwidth: 20_000_000_000,
             keep_alive_min: 60_000,
             keep_alive_max: 3_600_000,
-            withdrawal: 2_500,
+            prewarm: true,
         }
     }
 }
--- a/crates/replay/src/history.rs
+++ b/crates/replay/src/history.rs
@@ -5,7 +5,7 @@
 
 use gorsebank_contract::{BackEndPlan, PriorityClass, Ran, RefusalReason, RequestId};
 use gorsebank_emulator::model::engine::EngineRecord;
-use gorsebank_world::{BackEndId, NodeId, RowKey};
+use gorsebank_world::{Artifact, BackEndId, NodeId, RowKey};
 
 /// How a caller's request ended. Times are microseconds from the start.
 #[derive(Clone, Debug, PartialEq)]
@@ -69,8 +69,12 @@
 pub struct Execution {
     /// When.
     pub at: u64,
+    /// Until when, if it is not cut short.
+    pub until: u64,
     /// Where.
     pub back_end: BackEndId,
+    /// On what.
+    pub artifact: Option<Artifact>,
     /// The node's id of the request.
     pub request: RequestId,
     /// The idempotency key.
--- a/crates/replay/src/lib.rs
+++ b/crates/replay/src/lib.rs
@@ -6,6 +6,8 @@
 
 pub mod ablation;
 pub mod checker;
+pub mod compare;
+pub mod generate;
 pub mod history;
 pub mod live;
 pub mod run;
--- a/crates/replay/src/live/player.rs
+++ b/crates/replay/src/live/player.rs
@@ -379,6 +379,8 @@
                 let (id, _) = request.split_once('-')?;
                 Some(Execution {
                     at: record.at * 1_000,
+                    until: record.at * 1_000,
+                    artifact: None,
                     back_end: back_end.clone(),
                     request: id.parse().ok()?,
                     key: None,
@@ -394,6 +396,8 @@
     let (id, _) = ran.request.split_once('-')?;
     Some(Execution {
         at: 0,
+        until: 0,
+        artifact: None,
         back_end: back_end.clone(),
         request: id.parse().ok()?,
         key: ran.key.clone(),
--- a/crates/replay/src/main.rs
+++ b/crates/replay/src/main.rs
@@ -2,13 +2,18 @@
 
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::time::Duration;
 
 use clap::{Parser, Subcommand};
 use gorsebank_replay::ablation::Ablation;
+use gorsebank_replay::compare::{self, Figures, Policy};
+use gorsebank_replay::generate::{self, Deployment};
 use gorsebank_replay::live::{self, Binaries};
 use gorsebank_replay::run::{self, RunOptions, SeedRange};
 use gorsebank_replay::scale::{self, ScaleOptions};
 use gorsebank_replay::summary::Summary;
+use gorsebank_replay::trace::Trace;
+use rayon::prelude::*;
 
 /// Replays recorded traces against stated outcomes.
 #[derive(Debug, Parser)]
@@ -39,6 +44,30 @@
         #[arg(required = true)]
         paths: Vec<PathBuf>,
     },
+    /// Generate a day-long trace at the sizes of today.
+    Generate {
+        /// Whose day.
+        #[arg(long, value_enum)]
+        deployment: Deployment,
+        /// Seed.
+        #[arg(long)]
+        seed: u64,
+    },
+    /// Play placement policies on the same traces, side by side.
+    Compare {
+        /// Seed of the replay.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Keep-alive times of the baselines.
+        #[arg(long, value_delimiter = ',', default_value = "2m,10m,30m,2h")]
+        keep_alive: Vec<humantime::Duration>,
+        /// Weights of our policy beside the one that the trace states.
+        #[arg(long, value_delimiter = ',')]
+        weights: Vec<f64>,
+        /// Traces, or directories of traces.
+        #[arg(required = true)]
+        paths: Vec<PathBuf>,
+    },
     /// Run hollow nodes and print what each role costs, as JSON.
     Scale {
         /// Nodes.
@@ -99,6 +128,43 @@
     Ok(failed == 0)
 }
 
+/// Prints the figures of every policy on a trace.
+fn compare_on(trace: &Trace, policies: &[Policy], seed: u64) {
+    let figures: Vec<Figures> = policies
+        .par_iter()
+        .map(|policy| compare::play(trace, *policy, seed))
+        .collect();
+    println!("{} ({})", trace.header.trace, trace.header.about);
+    println!(
+        "{:<20} {:>6} {:>8} {:>8} {:>8} {:>8} {:>10} {:>8} {:>6} {:>6}",
+        "policy",
+        "cold",
+        "p50 ms",
+        "p99 ms",
+        "max ms",
+        "all p99",
+        "idle hours",
+        "refused",
+        "failed",
+        "loads"
+    );
+    for (policy, figures) in policies.iter().zip(figures) {
+        println!(
+            "{:<20} {:>6} {:>8} {:>8} {:>8} {:>8} {:>10.1} {:>8} {:>6} {:>6}",
+            policy.to_string(),
+            figures.cold_requests,
+            figures.cold_p50,
+            figures.cold_p99,
+            figures.cold_max,
+            figures.all_p99,
+            figures.idle_hours,
+            figures.refusals,
+            figures.failures,
+            figures.loads
+        );
+    }
+}
+
 /// Says whether all was well.
 fn execute(command: Command) -> eyre::Result<bool> {
     match command {
@@ -119,6 +185,30 @@
                 paths,
             })?)
         }
+        Command::Generate { deployment, seed } => {
+            for line in generate::day(deployment, seed) {
+                println!("{line}");
+            }
+            Ok(true)
+        }
+        Command::Compare {
+            seed,
+            keep_alive,
+            weights,
+            paths,
+        } => {
+            let mut policies = vec![Policy::Ours(None)];
+            policies.extend(weights.into_iter().map(|weight| Policy::Ours(Some(weight))));
+            for keep in keep_alive.into_iter().map(Duration::from) {
+                policies.push(Policy::FixedKeepAlive(keep));
+                policies.push(Policy::RoutersAlone(keep));
+                policies.push(Policy::Clairvoyant(keep));
+            }
+            for trace in run::read_all(&paths)? {
+                compare_on(&trace, &policies, seed);
+            }
+            Ok(true)
+        }
         Command::Scale {
             nodes,
             runners,
--- a/crates/replay/src/simulation/back_end_events.rs
+++ b/crates/replay/src/simulation/back_end_events.rs
@@ -221,6 +221,8 @@
         self.wholes.insert(stream.clone(), plan.events);
         self.history.executions.push(Execution {
             at: now,
+            until: plan.made_at(plan.events - 1),
+            artifact: call.artifact.clone(),
             back_end: id.clone(),
             request: request_of(call.id),
             key: call.key.clone(),
--- a/crates/replay/src/simulation/world.rs
+++ b/crates/replay/src/simulation/world.rs
@@ -32,7 +32,7 @@
 pub const MILLISECOND: u64 = 1_000;
 /// Microseconds in a second.
 pub const SECOND: u64 = 1_000_000;
-/// Between two ticks of a node.
+/// Between two ticks of a node, unless the trace says otherwise.
 const TICK: u64 = 50 * MILLISECOND;
 /// Between two readings of the configuration by operators.
 const PROBE: u64 = 500 * MILLISECOND;
@@ -179,6 +179,8 @@
     pub(super) random: ChaCha8Rng,
     pub(super) seed: u64,
     pub(super) settings: CoordinationSettings,
+    /// Between two ticks of a node.
+    tick: u64,
     pub(super) ablation: Option<Ablation>,
     pub(super) trace: Trace,
     pub(super) nodes: BTreeMap<NodeId, SimNode>,
@@ -235,6 +237,10 @@
             random: ChaCha8Rng::seed_from_u64(seed),
             seed,
             settings: settings(header),
+            tick: header
+                .settings
+                .tick
+                .map_or(TICK, |tick| tick.as_micros() as u64),
             ablation,
             trace: trace.clone(),
             nodes,
@@ -390,8 +396,8 @@
             return;
         }
         self.tell(&node, Event::Tick);
-        self.queue
-            .add(self.now + TICK, SimEvent::Tick { node, life });
+        let next = self.now + self.tick;
+        self.queue.add(next, SimEvent::Tick { node, life });
     }
 
     fn node_event(&mut self, node: NodeId, life: u32, event: Box<Event>) {
@@ -464,6 +470,9 @@
     if let Some(most) = stated.keep_alive_max {
         placement.keep_alive_max = most.as_millis() as u64;
     }
+    if let Some(prewarm) = stated.prewarm {
+        placement.prewarm = prewarm;
+    }
     if let Some(share) = stated.standby_share {
         placement.standby_share = share;
     }
--- a/crates/replay/tests/checker.rs
+++ b/crates/replay/tests/checker.rs
@@ -91,6 +91,8 @@
 fn execution(at: u64, key: Option<&str>) -> Execution {
     Execution {
         at,
+        until: at,
+        artifact: None,
         back_end: BackEndId::from("app"),
         request: RequestId(1, 1),
         key: key.map(str::to_owned),
