Keep artifacts by what they are worth: returns against their share of memory

Arrivals between bursts have no memory, so a histogram of gaps tells little; models differ in rate and size instead.

Change: an artifact stays while its estimated rate of returns, which falls as it stays idle, times the value of a cold start exceeds its share of an engine. Main-memory caches of engine stand-ins are bounded; the clairvoyant bound knows that a second load is from main memory.

--- a/crates/coordination/src/placement/policy.rs
+++ b/crates/coordination/src/placement/policy.rs
@@ -1,117 +1,97 @@
 //! How long an idle artifact stays loaded.
 //!
-//! In: when each artifact became idle and busy again. Out: a keep-alive time.
-//! Each artifact has a histogram of its idle times, after Shahrad et al.
-//! (USENIX ATC 2020). A deployment's `cold_start_weight` chooses the quantile:
-//! the more it weighs cold starts, the more of the returns are covered.
+//! In: when each artifact was wanted again after it had been idle. Out: a
+//! keep-alive time. An artifact is worth its memory as long as the cold starts
+//! it saves are worth more than the accelerator time it holds:
+//!
+//! `rate * value of a cold start > share of the engine's memory`
+//!
+//! The rate is estimated from the artifact's returns, older ones counting
+//! less, and falls while it stays idle. So artifacts that return often stay,
+//! and rare or large ones go at once, where a fixed time treats all alike. A
+//! deployment's `cold_start_weight` sets the value of a cold start.
 
 use std::collections::HashMap;
 
 use gorsebank_world::Artifact;
 
 use crate::settings::PlacementSettings;
+use crate::time::Timestamp;
 
-/// Width of a histogram bin in milliseconds.
-const BIN_WIDTH: u64 = 60_000;
-/// Bins; longer idle times count as out of range.
-const BINS: usize = 60;
-/// Idle times needed before the histogram is trusted.
-const TRUSTED_COUNT: u32 = 4;
-/// A histogram is not followed if more than this share of idle times is out
-/// of range.
-const MAX_OUT_OF_RANGE: f64 = 0.5;
-
-/// Idle times of one artifact.
-#[derive(Clone, Debug)]
-struct IdleHistogram {
-    bins: [u8; BINS],
-    out_of_range: u8,
-}
+/// Milliseconds in an hour.
+const HOUR: f64 = 3_600_000.0;
+/// A return counts half after so many hours.
+const HALF_LIFE_HOURS: f64 = 4.0;
+/// Returns that an artifact is credited with before any was seen, and the hours
+/// in which they would have been: what rare models do.
+const PRIOR_RETURNS: f64 = 0.3;
+const PRIOR_HOURS: f64 = 1.0;
+/// Accelerator hours that a cold start is worth at a weight of one half.
+const COLD_START_VALUE: f64 = 0.15;
+/// The value grows with the odds of the weight, up to so many times.
+const MAX_ODDS: f64 = 50.0;
 
-impl Default for IdleHistogram {
-    fn default() -> Self {
-        IdleHistogram {
-            bins: [0; BINS],
-            out_of_range: 0,
-        }
-    }
+/// Returns of one artifact, older ones counting less.
+#[derive(Clone, Copy, Debug)]
+struct Returns {
+    count: f64,
+    first: Timestamp,
+    updated: Timestamp,
 }
 
-impl IdleHistogram {
-    fn add(&mut self, idle: u64) {
-        let index = (idle / BIN_WIDTH) as usize;
-        let count = match self.bins.get_mut(index) {
-            Some(bin) => bin,
-            None => &mut self.out_of_range,
-        };
-        *count = count.saturating_add(1);
-        if *count == u8::MAX {
-            self.halve();
-        }
+impl Returns {
+    fn count_at(&self, now: Timestamp) -> f64 {
+        let hours = now.since(self.updated) as f64 / HOUR;
+        self.count * (-hours / HALF_LIFE_HOURS).exp2()
     }
 
-    fn halve(&mut self) {
-        for bin in &mut self.bins {
-            *bin /= 2;
-        }
-        self.out_of_range /= 2;
-    }
-
-    fn in_range(&self) -> u32 {
-        self.bins.iter().map(|bin| u32::from(*bin)).sum()
-    }
-
-    /// The idle time that `quantile` of the returns come within, if the
-    /// histogram can tell.
-    fn quantile(&self, quantile: f64) -> Option<u64> {
-        let in_range = self.in_range();
-        let total = in_range + u32::from(self.out_of_range);
-        let is_scattered = f64::from(self.out_of_range) > f64::from(total) * MAX_OUT_OF_RANGE;
-        if total < TRUSTED_COUNT || is_scattered {
-            return None;
-        }
-        let wanted = (f64::from(in_range) * quantile).ceil() as u32;
-        let mut seen = 0;
-        for (index, bin) in self.bins.iter().enumerate() {
-            seen += u32::from(*bin);
-            if seen >= wanted {
-                return Some((index as u64 + 1) * BIN_WIDTH);
-            }
-        }
-        None
+    /// The hours over which the count extends.
+    fn window_at(&self, now: Timestamp) -> f64 {
+        let hours = now.since(self.first) as f64 / HOUR;
+        let longest = HALF_LIFE_HOURS / std::f64::consts::LN_2;
+        longest * (1.0 - (-hours / longest).exp())
     }
 }
 
 /// Keep-alive times from what was seen of each artifact.
 #[derive(Debug, Default)]
 pub struct KeepAlivePolicy {
-    histograms: HashMap<Artifact, IdleHistogram>,
+    returns: HashMap<Artifact, Returns>,
 }
 
 impl KeepAlivePolicy {
-    /// Notes that an artifact was wanted again after `idle` milliseconds.
-    pub fn returned(&mut self, artifact: &Artifact, idle: u64) {
-        self.histograms
-            .entry(artifact.clone())
-            .or_default()
-            .add(idle);
+    /// Notes that an artifact was wanted after it had been idle, or for the
+    /// first time.
+    pub fn returned(&mut self, now: Timestamp, artifact: &Artifact) {
+        let returns = self.returns.entry(artifact.clone()).or_insert(Returns {
+            count: 0.0,
+            first: now,
+            updated: now,
+        });
+        returns.count = returns.count_at(now) + 1.0;
+        returns.updated = now;
     }
 
-    /// How long an artifact stays loaded without use, in milliseconds.
+    /// How long an artifact that has been idle since `idle_since` stays loaded,
+    /// in milliseconds. `share` is its part of an engine's memory.
     pub fn keep_alive(
         &self,
+        idle_since: Timestamp,
         artifact: &Artifact,
+        share: f64,
         cold_start_weight: f64,
         settings: &PlacementSettings,
     ) -> u64 {
-        let range = settings
-            .keep_alive_max
-            .saturating_sub(settings.keep_alive_min);
-        let unknown = settings.keep_alive_min + (range as f64 * cold_start_weight) as u64;
-        self.histograms
-            .get(artifact)
-            .and_then(|histogram| histogram.quantile(cold_start_weight))
-            .unwrap_or(unknown)
-            .clamp(settings.keep_alive_min, settings.keep_alive_max)
+        let (count, window) = match self.returns.get(artifact) {
+            Some(returns) => (returns.count_at(idle_since), returns.window_at(idle_since)),
+            None => (0.0, 0.0),
+        };
+        let odds = cold_start_weight / (1.0 - cold_start_weight).max(1.0 / MAX_ODDS);
+        let value = COLD_START_VALUE * odds;
+        // The time at which the estimated rate, which falls while the artifact
+        // is idle, is worth its share no more.
+        let worth = value * (count + PRIOR_RETURNS) / share.max(f64::EPSILON);
+        let hours = (worth - window - PRIOR_HOURS).max(0.0);
+        ((hours * HOUR) as u64).clamp(settings.keep_alive_min, settings.keep_alive_max)
     }
 }
--- a/crates/coordination/src/placement/replicas.rs
+++ b/crates/coordination/src/placement/replicas.rs
@@ -73,6 +73,7 @@
     fn note_need(&mut self, now: Timestamp, fence: Fence, owner: &NodeId, demand: &Demand) {
         let artifact = &demand.artifact;
         let is_idle = demand.waiting == 0 && demand.running == 0;
+        let is_new = !self.needs.contains_key(artifact);
         let need = self
             .needs
             .entry(artifact.clone())
@@ -89,8 +90,8 @@
         let was_idle = need.idle_since.is_some();
         if is_idle {
             need.idle_since.get_or_insert(now);
-        } else if let Some(since) = need.idle_since.take() {
-            self.policy.returned(artifact, now.since(since));
+        } else if need.idle_since.take().is_some() || is_new {
+            self.policy.returned(now, artifact);
         }
         self.dirty.insert(artifact.clone());
         if is_idle != was_idle {
--- a/crates/coordination/src/placement/review.rs
+++ b/crates/coordination/src/placement/review.rs
@@ -134,12 +134,24 @@
         artifact: &Artifact,
         configuration: &Configuration,
     ) -> bool {
-        let Some(deployment) = configuration.deployment(artifact) else {
+        let (Some(deployment), Some(bytes)) = (
+            configuration.deployment(artifact),
+            configuration.memory(artifact),
+        ) else {
             return true;
         };
-        let weight = deployment.cold_start_weight;
-        let keep_alive = self.policy.keep_alive(artifact, weight, &self.settings);
-        self.idle_on(now, id, artifact)
-            .is_some_and(|idle| idle >= keep_alive)
+        let (Some(idle), Some(engine)) = (self.idle_on(now, id, artifact), self.engines.get(id))
+        else {
+            return false;
+        };
+        let share = bytes as f64 / engine.next.capacity.max(1) as f64;
+        let keep_alive = self.policy.keep_alive(
+            now - idle,
+            artifact,
+            share,
+            deployment.cold_start_weight,
+            &self.settings,
+        );
+        idle >= keep_alive
     }
 }
--- a/crates/coordination/src/settings.rs
+++ b/crates/coordination/src/settings.rs
@@ -111,8 +111,6 @@
     pub keep_alive_min: u64,
     /// An idle artifact stays loaded at most so long.
     pub keep_alive_max: u64,
-    /// Whether models are loaded ahead of their expected return.
-    pub prewarm: bool,
 }
 
 impl Default for PlacementSettings {
@@ -128,9 +126,8 @@
             store_bandwidth: 2_000_000_000,
             disk_bandwidth: 4_000_000_000,
             memory_bandwidth: 20_000_000_000,
-            keep_alive_min: 60_000,
+            keep_alive_min: 20_000,
             keep_alive_max: 3_600_000,
-            prewarm: true,
         }
     }
 }
--- a/crates/emulator/src/model/engine.rs
+++ b/crates/emulator/src/model/engine.rs
@@ -1,6 +1,6 @@
 //! A model engine: fenced orders, accelerator memory, running requests.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 use gorsebank_contract::{
     EngineReport, EngineRole, Fence, Incarnation, Inventory, Order, OrderAction, OrderError,
@@ -86,6 +86,9 @@
     loaded: BTreeMap<Artifact, u64>,
     loading: BTreeMap<Artifact, u64>,
     cached: BTreeMap<Artifact, SourceTier>,
+    /// Checkpoints that loads left in main memory, oldest first, with their
+    /// bytes. They take as much main memory as there is accelerator memory.
+    recent: VecDeque<(Artifact, u64)>,
     running: BTreeMap<Artifact, u32>,
     history: Vec<EngineRecord>,
     prints: bool,
@@ -108,6 +111,7 @@
             loaded: BTreeMap::new(),
             loading: BTreeMap::new(),
             cached,
+            recent: VecDeque::new(),
             running: BTreeMap::new(),
             history: Vec::new(),
             prints: false,
@@ -202,12 +206,27 @@
             return OrderResult::Refused(OrderError::LoadFailed, self.inventory());
         };
         self.loaded.insert(artifact.clone(), bytes);
-        self.cached.insert(artifact.clone(), SourceTier::Memory);
+        self.remember(artifact, bytes);
         let artifact = artifact.clone();
         self.record(now, EngineEvent::Loaded { artifact });
         OrderResult::Done(self.inventory())
     }
 
+    /// Keeps the checkpoint in main memory; the oldest ones go to disk.
+    fn remember(&mut self, artifact: &Artifact, bytes: u64) {
+        self.recent.retain(|(other, _)| other != artifact);
+        self.recent.push_back((artifact.clone(), bytes));
+        self.cached.insert(artifact.clone(), SourceTier::Memory);
+        let mut total: u64 = self.recent.iter().map(|(_, bytes)| bytes).sum();
+        while total > self.memory {
+            let Some((oldest, bytes)) = self.recent.pop_front() else {
+                return;
+            };
+            total -= bytes;
+            self.cached.insert(oldest, SourceTier::Disk);
+        }
+    }
+
     fn unload(&mut self, now: u64, artifact: &Artifact) -> OrderStart {
         let has_adapters = self
             .loaded
--- a/crates/replay/src/compare/clairvoyant.rs
+++ b/crates/replay/src/compare/clairvoyant.rs
@@ -46,7 +46,12 @@
                 let idle = usage.at.saturating_sub(loaded_until.unwrap_or(usage.at));
                 result.idle_hours += idle as f64 / HOUR * load.share;
             } else {
-                ready_at = usage.at + load.time;
+                let time = if loaded_until.is_some() {
+                    load.again
+                } else {
+                    load.time
+                };
+                ready_at = usage.at + time;
                 result.loads += 1;
             }
             let start = usage.at.max(ready_at);
@@ -111,7 +116,10 @@
 }
 
 struct FastestLoad {
+    /// The first load, in microseconds.
     time: u64,
+    /// Any later one: the checkpoint is in an engine's main memory.
+    again: u64,
     prefill: u64,
     share: f64,
 }
@@ -135,6 +143,7 @@
             };
             FastestLoad {
                 time: bytes * 1_000 / (bandwidth / 1_000).max(1),
+                again: bytes * 1_000 / (MEMORY_BANDWIDTH / 1_000),
                 prefill: engine.prefill.as_micros() as u64,
                 share: bytes as f64 / engine.memory.as_u64().max(1) as f64,
             }
--- a/crates/replay/src/compare/policies.rs
+++ b/crates/replay/src/compare/policies.rs
@@ -75,7 +75,6 @@
     let mut trace = trace.clone();
     trace.header.settings.keep_alive_min = Some(keep);
     trace.header.settings.keep_alive_max = Some(keep);
-    trace.header.settings.prewarm = Some(false);
     trace
 }
 
--- a/crates/replay/src/simulation/world.rs
+++ b/crates/replay/src/simulation/world.rs
@@ -470,9 +470,6 @@
     if let Some(most) = stated.keep_alive_max {
         placement.keep_alive_max = most.as_millis() as u64;
     }
-    if let Some(prewarm) = stated.prewarm {
-        placement.prewarm = prewarm;
-    }
     if let Some(share) = stated.standby_share {
         placement.standby_share = share;
     }
--- a/crates/replay/src/trace/format.rs
+++ b/crates/replay/src/trace/format.rs
@@ -177,9 +177,6 @@
     /// Share of memory for dormant models.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub standby_share: Option<f64>,
-    /// Whether models are loaded ahead of their expected return.
-    #[serde(skip_serializing_if = "Option::is_none")]
-    pub prewarm: Option<bool>,
     /// Between two ticks of a node; longer for day-long traces.
     #[serde(with = "humantime_serde", skip_serializing_if = "Option::is_none")]
     pub tick: Option<Duration>,
