--- a/crates/gorsebank/benches/warm_path.rs
+++ b/crates/gorsebank/benches/warm_path.rs
@@ -13,7 +13,9 @@
 use std::time::{Duration, Instant};
 
 use criterion::Criterion;
+use gorsebank_platform::etcd::Base64;
 use hdrhistogram::Histogram;
+use serde_json::{Value, json};
 use tokio::runtime::Runtime;
 
 use support::{Deployment, completion};
@@ -22,6 +24,8 @@
 const REQUESTS_PER_SECOND: u64 = 2_000;
 const SECONDS: u64 = 5;
 const OPEN_STREAMS: usize = 200;
+const ADAPTERS: u64 = 62_000;
+const ROWS_PER_TRANSACTION: usize = 500;
 
 fn main() {
     let runtime = Runtime::new().expect("a runtime");
@@ -31,6 +35,7 @@
     one_by_one(&runtime, &deployment, node, engine);
     under_load(&runtime, &deployment, node, engine);
     memory_of_streams(&runtime, &deployment, node);
+    runtime.block_on(memory_of_configuration(&deployment));
 }
 
 async fn warm_deployment() -> Deployment {
@@ -134,6 +139,63 @@
     histogram
 }
 
+/// Resident memory of a node that learned the target's adapters from the table.
+async fn memory_of_configuration(deployment: &Deployment) {
+    let resident = || {
+        deployment.live.nodes["n1"]
+            .resident_bytes()
+            .expect("it is known")
+    };
+    let before = resident();
+    let status = deployment.live.status("n1").await.expect("a status");
+    let first = status["revision"].as_u64().expect("a revision") + 1;
+    let rows: Vec<(String, String)> = (0..ADAPTERS)
+        .map(|number| adapter_row(first, number))
+        .collect();
+    for chunk in rows.chunks(ROWS_PER_TRANSACTION) {
+        put_rows(deployment, chunk).await;
+    }
+    let newest = first + ADAPTERS - 1;
+    let head = json!({"revision": newest}).to_string();
+    put_rows(deployment, &[("configuration/head".to_owned(), head)]).await;
+    deployment
+        .wait_until("the node has the configuration", async || {
+            let status = deployment.live.status("n1").await;
+            status.is_some_and(|status| status["revision"].as_u64() == Some(newest))
+        })
+        .await;
+    let after = resident();
+    println!("memory: {before} bytes before, {after} with {ADAPTERS} adapters");
+}
+
+fn adapter_row(first: u64, number: u64) -> (String, String) {
+    let name = format!("other+adapter-{number}");
+    let row = json!({
+        "key": {"kind": "adapter", "name": name}, "revision": first + number, "labels": {},
+        "spec": {"kind": "adapter", "model": "other", "memory": "1.0 GiB"},
+    });
+    (
+        format!("configuration/rows/adapter/{name}"),
+        row.to_string(),
+    )
+}
+
+/// Writes rows into the table as the node's writers do.
+async fn put_rows(deployment: &Deployment, rows: &[(String, String)]) {
+    let puts: Vec<Value> = rows
+        .iter()
+        .map(|(key, value)| {
+            let key = Base64(format!("gorsebank/{key}").into_bytes());
+            let value = Base64(value.clone().into_bytes());
+            json!({"request_put": {"key": key, "value": value}})
+        })
+        .collect();
+    let body = json!({"success": puts}).to_string();
+    let table = deployment.live.table.address();
+    let answer = deployment.post(table, "/v3/kv/txn", &body).await;
+    assert_eq!(answer.status, 200, "{}", answer.text);
+}
+
 /// Resident memory that the node takes for each open stream.
 fn memory_of_streams(runtime: &Runtime, deployment: &Arc<Deployment>, node: SocketAddr) {
     let process = &deployment.live.nodes["n1"];
--- a/crates/replay/src/main.rs
+++ b/crates/replay/src/main.rs
@@ -68,6 +68,15 @@
         #[arg(required = true)]
         paths: Vec<PathBuf>,
     },
+    /// Plot the reports of scale runs as SVG files.
+    ScalePlot {
+        /// Where the plots go.
+        #[arg(long)]
+        directory: PathBuf,
+        /// Reports (JSON), by growing number of nodes.
+        #[arg(required = true)]
+        reports: Vec<PathBuf>,
+    },
     /// Run hollow nodes and print what each role costs, as JSON.
     Scale {
         /// Nodes.
@@ -209,6 +218,14 @@
             }
             Ok(true)
         }
+        Command::ScalePlot { directory, reports } => {
+            let reports: Vec<serde_json::Value> = reports
+                .iter()
+                .map(|report| Ok(serde_json::from_str(&std::fs::read_to_string(report)?)?))
+                .collect::<eyre::Result<_>>()?;
+            scale::plot::draw(&reports, &directory)?;
+            Ok(true)
+        }
         Command::Scale {
             nodes,
             runners,
--- a/crates/replay/src/scale/mod.rs
+++ b/crates/replay/src/scale/mod.rs
@@ -5,6 +5,7 @@
 //! as simple as they can be: they answer after a fixed time.
 
 pub mod account;
+pub mod plot;
 pub mod report;
 pub mod workload;
 pub mod world;
