Record traces from callers

Cause: traces could be written or generated, not recorded. Change: gorsebank-replay record stands between callers and a node, passes every request on and writes it down with its moment. Measured: what_callers_ask_becomes_a_trace.

--- /dev/null
+++ b/crates/gorsebank/tests/recording.rs
@@ -0,0 +1,57 @@
+//! A trace recorded from callers can be replayed.
+
+mod support;
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use gorsebank_replay::record::{RecordOptions, record};
+use gorsebank_replay::run::play_seed;
+use gorsebank_replay::trace::Trace;
+use http::Method;
+use tokio::sync::oneshot;
+
+use support::{Deployment, completion};
+
+#[tokio::test(flavor = "multi_thread")]
+async fn what_callers_ask_becomes_a_trace() {
+    let deployment = Deployment::start("recording", 1).await;
+    let traces = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../traces");
+    let out = std::env::temp_dir().join(format!("gorsebank-record-{}.jsonl", std::process::id()));
+    let listen = std::net::TcpListener::bind("127.0.0.1:0")
+        .and_then(|listener| listener.local_addr())
+        .expect("a port is free");
+    let options = RecordOptions {
+        listen,
+        node: deployment.callers("n1"),
+        header: traces.join("served/burst-of-one-cold-model.jsonl"),
+        out: out.clone(),
+    };
+    let (stop, stopped) = oneshot::channel::<()>();
+    let recorder = tokio::spawn(async move {
+        let stopped = async {
+            let _ = stopped.await;
+        };
+        record(&options, stopped).await
+    });
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let body = completion("llama", true, 4);
+    let answer = deployment.post(listen, "/v1/completions", &body).await;
+    assert_eq!(
+        answer.event_numbers(),
+        [0, 1, 2, 3, 4, 5],
+        "it was passed on"
+    );
+    let headers = [("idempotency-key", "k1")];
+    let path = "/services/customer-api/x";
+    let answer = deployment
+        .send(Method::POST, listen, path, &headers, "5")
+        .await;
+    assert_eq!(answer.status, 200, "{}", answer.text);
+    stop.send(()).expect("the recorder listens");
+    recorder.await.expect("it ends").expect("it recorded");
+    let trace = Trace::read(&out).expect("the trace can be read");
+    std::fs::remove_file(&out).expect("the file is there");
+    assert_eq!(trace.events.len(), 2);
+    assert_eq!(play_seed(&trace, 1, None).violations, []);
+}
--- a/crates/replay/src/lib.rs
+++ b/crates/replay/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod generate;
 pub mod history;
 pub mod live;
+pub mod record;
 pub mod run;
 pub mod scale;
 pub mod simulation;
--- a/crates/replay/src/main.rs
+++ b/crates/replay/src/main.rs
@@ -1,5 +1,6 @@
 //! The replay tool.
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
@@ -9,6 +10,7 @@
 use gorsebank_replay::compare::{self, Figures, Policy};
 use gorsebank_replay::generate::{self, Deployment};
 use gorsebank_replay::live::{self, Binaries};
+use gorsebank_replay::record::{self, RecordOptions};
 use gorsebank_replay::run::{self, RunOptions, SeedRange};
 use gorsebank_replay::scale::{self, ScaleOptions};
 use gorsebank_replay::summary::Summary;
@@ -44,6 +46,21 @@
         #[arg(required = true)]
         paths: Vec<PathBuf>,
     },
+    /// Record a trace from callers, who ask this program instead of a node.
+    Record {
+        /// Where callers ask.
+        #[arg(long, default_value = "127.0.0.1:8070")]
+        listen: SocketAddr,
+        /// The node that requests are passed on to.
+        #[arg(long)]
+        node: SocketAddr,
+        /// A trace whose header the recorded one gets.
+        #[arg(long)]
+        header: PathBuf,
+        /// The file that is written.
+        #[arg(long)]
+        out: PathBuf,
+    },
     /// Generate a day-long trace at the sizes of today.
     Generate {
         /// Whose day.
@@ -111,6 +128,22 @@
     }
 }
 
+/// Returns on SIGINT or SIGTERM.
+async fn stopped() {
+    use tokio::signal::unix::{SignalKind, signal};
+
+    let (Ok(mut interrupt), Ok(mut terminate)) = (
+        signal(SignalKind::interrupt()),
+        signal(SignalKind::terminate()),
+    ) else {
+        return;
+    };
+    tokio::select! {
+        _ = interrupt.recv() => {}
+        _ = terminate.recv() => {}
+    }
+}
+
 /// Plays traces over real processes, one after another.
 fn run_live(paths: &[PathBuf], figures: bool) -> eyre::Result<bool> {
     let runtime = tokio::runtime::Runtime::new()?;
@@ -194,6 +227,22 @@
                 paths,
             })?)
         }
+        Command::Record {
+            listen,
+            node,
+            header,
+            out,
+        } => {
+            let options = RecordOptions {
+                listen,
+                node,
+                header,
+                out,
+            };
+            let runtime = tokio::runtime::Runtime::new()?;
+            runtime.block_on(record::record(&options, stopped()))?;
+            Ok(true)
+        }
         Command::Generate { deployment, seed } => {
             for line in generate::day(deployment, seed) {
                 println!("{line}");
