--- a/crates/coordination/src/front.rs
+++ b/crates/coordination/src/front/mod.rs
@@ -8,7 +8,10 @@
 //! sent at most once, and only after its key was claimed. A refusal says that
 //! a request did not run only if no attempt of it may have.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+mod credits;
+mod slots;
+
+use std::collections::{HashMap, HashSet};
 
 use gorsebank_contract::{
     Attempt, AttemptOutcome, Grant, HeldSlots, Ran, Refusal, RefusalReason, RequestId, Ticket,
@@ -28,8 +31,6 @@
 
 /// Owners are told so often which slots are held, in milliseconds.
 const ACCOUNT_INTERVAL: u64 = 5_000;
-/// After a recall no slots of the queue are kept for so long, in milliseconds.
-const RECALL_LIFE: u64 = 5_000;
 /// So many slots are given back without waiting for the next tick.
 const RELEASE_BATCH: u32 = 4;
 
@@ -238,79 +239,6 @@
         self.offer(now, request, view)
     }
 
-    fn take_credit(
-        &mut self,
-        now: Timestamp,
-        queue: &QueueKey,
-        machines: &MachineTable,
-    ) -> Option<Slot> {
-        let mut credits = self.credits.remove(queue)?;
-        let usable = credits.iter_mut().find(|credit| {
-            credit.remaining > 0
-                && credit.expires > now
-                && takes_work(machines, &credit.back_end)
-                && (!credit.is_retained || self.is_current(now, &credit.owner))
-        });
-        let slot = usable.map(|credit| {
-            credit.remaining -= 1;
-            Slot {
-                owner: credit.owner.clone(),
-                back_end: credit.back_end.clone(),
-                since: now,
-                retainable: true,
-            }
-        });
-        credits.retain(|credit| credit.remaining > 0);
-        if !credits.is_empty() {
-            self.credits.insert(queue.clone(), credits);
-        }
-        slot
-    }
-
-    /// Whether this node knows of every leaving back end that the owner knew
-    /// of a moment ago. Without that a kept slot might be used again and again
-    /// at a back end that is leaving.
-    fn is_current(&self, now: Timestamp, owner: &NodeId) -> bool {
-        let heard = self.current_owners.get(owner);
-        *owner == self.this
-            || heard.is_some_and(|heard| now.since(*heard) < self.settings.grant_validity)
-    }
-
-    /// A node was heard; `is_current` if its machine list is no newer than
-    /// this node's.
-    pub fn heard(&mut self, now: Timestamp, node: &NodeId, is_current: bool) {
-        if is_current {
-            self.current_owners.insert(node.clone(), now);
-        }
-    }
-
-    /// The owner of a queue has requests waiting: unused slots go back.
-    pub fn recalled(&mut self, now: Timestamp, queue: &QueueKey) -> Vec<FrontOutput> {
-        let until = now + RECALL_LIFE;
-        self.recalled.insert(queue.clone(), until);
-        for credit in self.credits.remove(queue).unwrap_or_default() {
-            self.return_credit(queue.clone(), credit);
-        }
-        self.flush_releases(1)
-    }
-
-    /// Keeps the slot of a request that has ended, if that is allowed.
-    fn retain(&mut self, now: Timestamp, queue: &QueueKey, slot: &Slot) -> bool {
-        let is_recalled = self.recalled.get(queue).is_some_and(|until| *until > now);
-        if !slot.retainable || is_recalled || !self.is_current(now, &slot.owner) {
-            return false;
-        }
-        let credit = Credit {
-            owner: slot.owner.clone(),
-            back_end: slot.back_end.clone(),
-            remaining: 1,
-            expires: now + self.settings.grant_validity,
-            is_retained: true,
-        };
-        self.credits.entry(queue.clone()).or_default().push(credit);
-        true
-    }
-
     fn offer(&mut self, now: Timestamp, request: RequestId, view: &View) -> Vec<FrontOutput> {
         let Some(pending) = self.pending.get_mut(&request) else {
             return Vec::new();
@@ -616,36 +544,6 @@
         output
     }
 
-    /// All slots held, by owner; an owner of which none are held any more is
-    /// told so once.
-    fn account(&mut self) -> Vec<FrontOutput> {
-        let mut held: BTreeMap<NodeId, BTreeMap<(QueueKey, BackEndId), u32>> = BTreeMap::new();
-        let mut add = |owner: &NodeId, queue: &QueueKey, back_end: &BackEndId, slots: u32| {
-            let of_owner = held.entry(owner.clone()).or_default();
-            *of_owner
-                .entry((queue.clone(), back_end.clone()))
-                .or_default() += slots;
-        };
-        for pending in self.pending.values() {
-            if let Stage::Claiming(slot) | Stage::Running(slot) = &pending.stage {
-                add(&slot.owner, &pending.arrival.queue, &slot.back_end, 1);
-            }
-        }
-        for (queue, credits) in &self.credits {
-            for credit in credits {
-                add(&credit.owner, queue, &credit.back_end, credit.remaining);
-            }
-        }
-        let holding: HashSet<NodeId> = held.keys().cloned().collect();
-        for owner in self.accounted.difference(&holding) {
-            held.entry(owner.clone()).or_default();
-        }
-        self.accounted = holding;
-        held.into_iter()
-            .map(|(owner, slots)| FrontOutput::Account(owner, held_slots(slots)))
-            .collect()
-    }
-
     fn attend(
         &mut self,
         now: Timestamp,
@@ -678,90 +576,6 @@
             _ => Vec::new(),
         }
     }
-
-    fn return_expired_credits(&mut self, now: Timestamp, machines: &MachineTable) {
-        let mut unused = Vec::new();
-        for (queue, credits) in &mut self.credits {
-            credits.retain(|credit| {
-                let kept = credit.remaining > 0
-                    && credit.expires > now
-                    && takes_work(machines, &credit.back_end);
-                if !kept && credit.remaining > 0 {
-                    unused.push((queue.clone(), credit.clone()));
-                }
-                kept
-            });
-        }
-        self.credits.retain(|_, credits| !credits.is_empty());
-        for (queue, credit) in unused {
-            self.return_credit(queue, credit);
-        }
-        self.recalled.retain(|_, until| *until > now);
-    }
-
-    fn return_credit(&mut self, queue: QueueKey, credit: Credit) {
-        let key = ReleaseKey {
-            owner: credit.owner,
-            queue,
-            back_end: credit.back_end,
-        };
-        self.releases.entry(key).or_default().slots += credit.remaining;
-    }
-
-    fn give_back(
-        &mut self,
-        now: Timestamp,
-        queue: &QueueKey,
-        slot: &Slot,
-        ended: bool,
-        troubled: bool,
-    ) {
-        let key = ReleaseKey {
-            owner: slot.owner.clone(),
-            queue: queue.clone(),
-            back_end: slot.back_end.clone(),
-        };
-        let sum = self.releases.entry(key).or_default();
-        sum.slots += 1;
-        sum.troubled |= troubled;
-        if ended {
-            sum.ended += 1;
-            sum.service_time += now.since(slot.since);
-        }
-    }
-
-    /// Reports of at least `least` slots given back, one a queue and back end.
-    fn flush_releases(&mut self, least: u32) -> Vec<FrontOutput> {
-        let mut due: Vec<(ReleaseKey, ReleaseSum)> = self
-            .releases
-            .extract_if(|_, sum| sum.slots >= least || sum.troubled)
-            .collect();
-        due.sort_by(|one, other| one.0.cmp(&other.0));
-        due.into_iter()
-            .map(|(key, sum)| {
-                let release = Release {
-                    queue: key.queue,
-                    back_end: key.back_end,
-                    slots: sum.slots,
-                    service_time: (sum.ended > 0)
-                        .then(|| sum.service_time / u64::from(sum.ended.max(1))),
-                    troubled: sum.troubled,
-                };
-                FrontOutput::Release(key.owner, release)
-            })
-            .collect()
-    }
-}
-
-fn held_slots(slots: BTreeMap<(QueueKey, BackEndId), u32>) -> Vec<HeldSlots> {
-    slots
-        .into_iter()
-        .map(|((queue, back_end), slots)| HeldSlots {
-            queue,
-            back_end,
-            slots,
-        })
-        .collect()
 }
 
 fn takes_work(machines: &MachineTable, back_end: &BackEndId) -> bool {
--- /dev/null
+++ b/crates/coordination/src/node/receive.rs
@@ -0,0 +1,244 @@
+//! What a node does with messages of other nodes.
+
+use gorsebank_contract::{Heartbeat, PeerMessage};
+use gorsebank_world::NodeId;
+
+use crate::configuration_writer::Learned;
+use crate::node::{Node, Turn, machines_message};
+use crate::queues::{Demand, Release};
+
+impl Node {
+    pub(super) fn receive(&self, turn: &mut Turn, from: &NodeId, message: PeerMessage) {
+        let now = turn.now;
+        match message {
+            PeerMessage::Heartbeat(heartbeat) => self.heard(turn, from, heartbeat),
+            PeerMessage::Tickets(tickets) => {
+                let machines = self.machines();
+                let (decisions, demands) = {
+                    let mut queues = self.queues.lock();
+                    let decisions = queues.offer(now, from, &tickets, &machines);
+                    (decisions, queues.demands(now))
+                };
+                self.apply_decisions(turn, decisions);
+                let view = self.view();
+                self.send_demands(turn, &view, demands);
+            }
+            PeerMessage::Grants(grants) => {
+                let (view, machines) = (self.view(), self.machines());
+                for grant in grants {
+                    let output = self
+                        .front
+                        .lock()
+                        .granted(now, from, grant, &view, &machines);
+                    self.apply_front(turn, output);
+                }
+            }
+            PeerMessage::Refused { id, refusal } => {
+                let output = self.front.lock().refused(id, refusal);
+                self.apply_front(turn, output);
+            }
+            PeerMessage::Returned(ids) => {
+                let view = self.view();
+                let output = self.front.lock().returned(now, &ids, &view);
+                self.apply_front(turn, output);
+            }
+            PeerMessage::Recall(queue) => {
+                let output = self.front.lock().recalled(now, &queue);
+                self.apply_front(turn, output);
+            }
+            PeerMessage::Cancel { queue, id } => self.queues.lock().cancel(&queue, id),
+            PeerMessage::Released {
+                queue,
+                back_end,
+                slots,
+                service_time,
+                troubled,
+            } => {
+                let release = Release {
+                    queue,
+                    back_end,
+                    slots,
+                    service_time,
+                    troubled,
+                };
+                self.released(turn, from, &release);
+            }
+            PeerMessage::Held(held) => self.queues.lock().correct_held(now, from, &held),
+            PeerMessage::Demand {
+                artifact,
+                waiting,
+                running,
+                remaining,
+                known,
+            } => {
+                let demand = Demand {
+                    artifact,
+                    waiting,
+                    running,
+                    remaining,
+                    known,
+                };
+                {
+                    let configuration = self.configuration.read();
+                    self.placement
+                        .lock()
+                        .demanded(now, from, &demand, &configuration);
+                }
+                if demand.waiting > 0 {
+                    self.tick_placement(turn);
+                }
+            }
+            PeerMessage::Replicas(set) => {
+                let machines = self.machines();
+                let decisions = self.queues.lock().set_replicas(now, &set, &machines);
+                self.apply_decisions(turn, decisions);
+            }
+            PeerMessage::Report { back_end, report } => {
+                self.placement.lock().reported(now, &back_end, report);
+                self.tick_placement(turn);
+            }
+            PeerMessage::Suspect { back_end } => self.placement.lock().suspected(now, &back_end),
+            PeerMessage::Machines { version, machines } => {
+                let replaced = self.machines().received(version, machines);
+                self.take_machines(turn, replaced, false);
+            }
+            PeerMessage::MachinesWanted => {
+                let message = machines_message(&self.machines());
+                self.send(turn, from.clone(), message);
+            }
+            PeerMessage::ConfigurationWanted { above } => {
+                let message = self.configuration_above(above);
+                self.send(turn, from.clone(), message);
+            }
+            PeerMessage::Configuration {
+                above,
+                complete,
+                rows,
+            } => {
+                let learned = Learned {
+                    above,
+                    complete,
+                    rows,
+                };
+                self.learn(turn, learned, Some(from));
+            }
+            message => self.receive_claim_message(turn, from, message),
+        }
+    }
+
+    pub(super) fn receive_claim_message(
+        &self,
+        turn: &mut Turn,
+        from: &NodeId,
+        message: PeerMessage,
+    ) {
+        let now = turn.now;
+        match message {
+            PeerMessage::Claim {
+                epoch,
+                key,
+                request,
+            } => {
+                let answer = self.claims.lock().member.claim(now, epoch, &key, request);
+                let message = PeerMessage::ClaimAnswered {
+                    epoch,
+                    request,
+                    answer,
+                };
+                self.send(turn, from.clone(), message);
+            }
+            PeerMessage::ClaimAnswered {
+                epoch,
+                request,
+                answer,
+            } => {
+                let output = self
+                    .claims
+                    .lock()
+                    .rounds
+                    .answered(from, epoch, request, answer);
+                self.apply_rounds(turn, output);
+            }
+            PeerMessage::ClaimEnded {
+                key,
+                request,
+                withdrawn,
+            } => self.claims.lock().member.end(&key, request, withdrawn),
+            PeerMessage::ClaimSeal { current, next } => {
+                let sealed = self.claims.lock().member.seal(current, next);
+                if let Some(records) = sealed {
+                    let message = PeerMessage::ClaimSealed { next, records };
+                    self.send(turn, from.clone(), message);
+                }
+            }
+            PeerMessage::ClaimSealed { next, records } => {
+                if let Some(groups) = self.placement.lock().claim_groups() {
+                    groups.sealed(from, next, records);
+                }
+            }
+            PeerMessage::ClaimInstall {
+                group,
+                records,
+                quarantine,
+            } => {
+                let epoch = group.epoch;
+                let taken = self
+                    .claims
+                    .lock()
+                    .member
+                    .install(now, group, records, quarantine);
+                if taken {
+                    let message = PeerMessage::ClaimInstalled { epoch };
+                    self.send(turn, from.clone(), message);
+                }
+            }
+            PeerMessage::ClaimInstalled { epoch } => {
+                if let Some(groups) = self.placement.lock().claim_groups() {
+                    groups.installed(from, epoch);
+                }
+                self.tick_placement(turn);
+            }
+            PeerMessage::ClaimGroupChanged(group) => self.take_group(turn, group),
+            PeerMessage::ClaimGroupWanted => {
+                let group = self.claims.lock().rounds.group().clone();
+                let message = PeerMessage::ClaimGroupChanged(group);
+                self.send(turn, from.clone(), message);
+            }
+            _ => {}
+        }
+    }
+
+    pub(super) fn heard(&self, turn: &mut Turn, from: &NodeId, heartbeat: Heartbeat) {
+        let own_revision = self.configuration.read().complete();
+        let own_machines = self.machines().version();
+        let own_epoch = self.claims.lock().rounds.group().epoch;
+        let is_same_cell = heartbeat.cell == self.identity.cell;
+        if heartbeat.revision > own_revision {
+            let message = PeerMessage::ConfigurationWanted {
+                above: own_revision,
+            };
+            self.send(turn, from.clone(), message);
+        }
+        if is_same_cell && heartbeat.machines > own_machines {
+            self.send(turn, from.clone(), PeerMessage::MachinesWanted);
+        }
+        if is_same_cell && heartbeat.epoch > own_epoch {
+            self.send(turn, from.clone(), PeerMessage::ClaimGroupWanted);
+        }
+        let is_current = is_same_cell && heartbeat.machines <= own_machines;
+        self.front.lock().heard(turn.now, from, is_current);
+        self.membership.lock().observe(turn.now, from, heartbeat);
+    }
+
+    pub(super) fn released(&self, turn: &mut Turn, from: &NodeId, release: &Release) {
+        let decisions = self.queues.lock().release(turn.now, from, release);
+        self.apply_decisions(turn, decisions);
+        if !release.troubled {
+            return;
+        }
+        if let Some(holder) = self.view().holder.clone() {
+            let back_end = release.back_end.clone();
+            self.send(turn, holder, PeerMessage::Suspect { back_end });
+        }
+    }
+}
--- a/crates/coordination/src/placement/engine.rs
+++ b/crates/coordination/src/placement/engine/mod.rs
@@ -6,11 +6,14 @@
 //! and inventory, and only as far as every version of the decision that may be
 //! in force permits them.
 
+mod exchange;
+mod memory;
+
 use std::collections::BTreeMap;
 
 use gorsebank_contract::{
-    BackEndPlan, EngineReport, EngineRole, Fence, Incarnation, Inventory, Order, OrderAction,
-    OrderError, OrderResult, Sequence, SourceTier,
+    BackEndPlan, EngineReport, EngineRole, Incarnation, Inventory, OrderAction, Sequence,
+    SourceTier,
 };
 use gorsebank_world::{Artifact, Machine, MachineState};
 
@@ -163,54 +166,6 @@
         stuck
     }
 
-    fn is_decided(&self, artifact: &Artifact) -> bool {
-        self.next.reservations.contains_key(artifact)
-    }
-
-    /// Wanted artifacts that are not there and have no reservation, with their
-    /// bytes.
-    fn lacking(&self) -> impl Iterator<Item = (&Artifact, u64)> {
-        self.target
-            .iter()
-            .filter(|(artifact, _)| !self.may_hold(artifact) && !self.is_decided(artifact))
-            .map(|(artifact, wish)| (artifact, wish.bytes))
-    }
-
-    /// Bytes that could be reserved for a further artifact, once what is given
-    /// up is gone and what is wanted has its memory.
-    pub fn free_to_reserve(&self) -> u64 {
-        let released: u64 = self
-            .inventory
-            .loaded
-            .iter()
-            .filter(|(artifact, _)| !self.wants(artifact) && self.is_decided(artifact))
-            .map(|(_, bytes)| bytes)
-            .sum();
-        let promised: u64 = self
-            .lacking()
-            .filter(|(artifact, _)| !self.is_standby(artifact))
-            .map(|(_, bytes)| bytes)
-            .sum();
-        (self.next.free() + released).saturating_sub(promised)
-    }
-
-    /// Bytes of the standby share for a further artifact, in the same sense.
-    pub fn standby_to_spare(&self) -> u64 {
-        let released: u64 = self
-            .inventory
-            .loaded
-            .iter()
-            .filter(|(artifact, _)| !self.wants(artifact) && !self.is_reserved(artifact))
-            .map(|(_, bytes)| bytes)
-            .sum();
-        let promised: u64 = self
-            .lacking()
-            .filter(|(artifact, _)| self.is_standby(artifact))
-            .map(|(_, bytes)| bytes)
-            .sum();
-        (self.standby_free() + released).saturating_sub(promised)
-    }
-
     /// Wants an artifact, and the adapters that need it, no more.
     pub fn give_up(&mut self, artifact: &Artifact) {
         self.target
@@ -373,84 +328,6 @@
         self.is_in_service() && artifact.required().iter().all(loaded)
     }
 
-    /// The versions of the decision that may be in force now or soon.
-    fn decisions(&self) -> impl Iterator<Item = &BackEndPlan> {
-        [
-            Some(&self.committed),
-            self.in_flight.as_ref(),
-            Some(&self.next),
-        ]
-        .into_iter()
-        .flatten()
-    }
-
-    /// Whether memory is reserved for the artifact by itself.
-    pub fn is_reserved(&self, artifact: &Artifact) -> bool {
-        self.decisions()
-            .all(|plan| plan.reservations.contains_key(artifact))
-    }
-
-    /// Whether the artifact may be loaded into the standby share.
-    pub fn is_standby(&self, artifact: &Artifact) -> bool {
-        self.decisions()
-            .all(|plan| plan.standby.members.contains_key(artifact))
-    }
-
-    /// Bytes of the standby share that are in use or about to be.
-    pub fn standby_used(&self) -> u64 {
-        self.memory_users()
-            .iter()
-            .filter(|(artifact, _)| !self.is_reserved(artifact))
-            .map(|(_, bytes)| bytes)
-            .sum()
-    }
-
-    /// Bytes of the standby share that another artifact may take.
-    pub fn standby_free(&self) -> u64 {
-        let share = self.decisions().map(|plan| plan.standby.bytes).min();
-        share.unwrap_or(0).saturating_sub(self.standby_used())
-    }
-
-    /// Everything that takes or may be about to take memory.
-    fn memory_users(&self) -> BTreeMap<&Artifact, u64> {
-        let mut users: BTreeMap<&Artifact, u64> = BTreeMap::new();
-        let held = self.inventory.loaded.iter().chain(&self.inventory.loading);
-        for (artifact, bytes) in held {
-            users.insert(artifact, *bytes);
-        }
-        for order in self.orders.values() {
-            if let OrderAction::Load { artifact, bytes } = &order.action {
-                users.insert(artifact, *bytes);
-            }
-        }
-        for (artifact, bytes) in self.doubtful.values() {
-            users.insert(artifact, *bytes);
-        }
-        users
-    }
-
-    /// Whether the artifact takes or may be about to take memory.
-    pub fn may_hold(&self, artifact: &Artifact) -> bool {
-        !self.is_inspected() || self.memory_users().contains_key(artifact)
-    }
-
-    /// Whether a load of the artifact is running or ordered.
-    pub fn is_loading(&self, artifact: &Artifact) -> bool {
-        let ordered = self.orders.values().any(
-            |order| matches!(&order.action, OrderAction::Load { artifact: other, .. } if other == artifact),
-        );
-        let doubtful = self.doubtful.values().any(|(other, _)| other == artifact);
-        ordered || doubtful || self.inventory.loading.contains_key(artifact)
-    }
-
-    /// Loads that are running or ordered.
-    pub fn load_count(&self) -> u32 {
-        self.memory_users()
-            .keys()
-            .filter(|artifact| self.is_loading(artifact))
-            .count() as u32
-    }
-
     /// Whether a load of the artifact may be ordered now: it is wanted, not
     /// there, its base is there, and memory is decided for it.
     pub fn can_load(&self, now: Timestamp, artifact: &Artifact, bytes: u64) -> bool {
@@ -522,133 +399,4 @@
             .find(|order| matches!(&order.action, OrderAction::Load { artifact: other, .. } if other == artifact))
             .map(|order| now.since(order.sent))
     }
-
-    /// The load that `result` ends well, with its bytes, and how long it took.
-    pub fn ended_load(
-        &self,
-        now: Timestamp,
-        sequence: Sequence,
-        result: &OrderResult,
-    ) -> Option<((Artifact, u64), u64)> {
-        let order = self.orders.get(&sequence)?;
-        match (&order.action, result) {
-            (OrderAction::Load { artifact, bytes }, OrderResult::Done(_)) => {
-                Some(((artifact.clone(), *bytes), now.since(order.sent)))
-            }
-            _ => None,
-        }
-    }
-
-    /// An order to carry out `action`.
-    pub fn order(&mut self, now: Timestamp, fence: Fence, action: OrderAction) -> Order {
-        self.sequence = self.sequence.next();
-        let incarnation = match (&action, self.inspected) {
-            (OrderAction::Inspect, _) => None,
-            (_, inspected) => inspected.map(|(incarnation, _)| incarnation),
-        };
-        match &action {
-            OrderAction::Inspect => self.inspecting = Some(self.sequence),
-            _ => {
-                self.stale = true;
-                let order = InFlightOrder {
-                    action: action.clone(),
-                    sent: now,
-                };
-                self.orders.insert(self.sequence, order);
-            }
-        }
-        Order {
-            fence,
-            sequence: self.sequence,
-            incarnation,
-            action,
-        }
-    }
-
-    /// An inspection, if one is due: often while something is unclear.
-    pub fn inspection(
-        &mut self,
-        now: Timestamp,
-        fence: Fence,
-        settings: &PlacementSettings,
-    ) -> Option<Order> {
-        if self.inspecting.is_some() || now < self.next_inspection {
-            return None;
-        }
-        let is_unclear = !self.is_claimed()
-            || self.failed_inspections > 0
-            || !self.inventory.loading.is_empty()
-            || !self.doubtful.is_empty();
-        let interval = if is_unclear {
-            settings.inspect_interval
-        } else {
-            QUIET_INSPECT_INTERVAL
-        };
-        self.next_inspection = now + interval;
-        Some(self.order(now, fence, OrderAction::Inspect))
-    }
-
-    /// Takes in the result of an order.
-    pub fn answered(
-        &mut self,
-        now: Timestamp,
-        sequence: Sequence,
-        result: OrderResult,
-    ) -> OrderOutcome {
-        let was_inspection = self.inspecting == Some(sequence);
-        if was_inspection {
-            self.inspecting = None;
-        }
-        let order = self.orders.remove(&sequence);
-        self.stale = true;
-        if order.is_none() && !was_inspection {
-            return OrderOutcome::Continue;
-        }
-        match result {
-            OrderResult::Done(inventory) => self.observe(now, sequence, inventory),
-            OrderResult::Refused(OrderError::Fenced { .. }, _) => return OrderOutcome::Fenced,
-            OrderResult::Refused(_, inventory) => {
-                self.refused_until = now + REFUSED_PAUSE;
-                self.observe(now, sequence, inventory);
-            }
-            OrderResult::Unknown => {
-                self.failed_inspections += u32::from(was_inspection);
-                self.lost(now, sequence, order);
-            }
-        }
-        OrderOutcome::Continue
-    }
-
-    fn lost(&mut self, now: Timestamp, sequence: Sequence, order: Option<InFlightOrder>) {
-        let action = order.map(|order| order.action);
-        if let Some(OrderAction::Load { artifact, bytes }) = action {
-            self.doubtful.insert(sequence, (artifact, bytes));
-        }
-        self.next_inspection = self.next_inspection.min(now + REFUSED_PAUSE);
-    }
-
-    /// Takes in a report, unless a newer one is known. The engine refuses
-    /// every order before the one it answered, so none of those is in doubt.
-    fn observe(&mut self, now: Timestamp, sequence: Sequence, inventory: Inventory) {
-        let known = self.incarnation().unwrap_or_default();
-        if inventory.incarnation < known {
-            return;
-        }
-        self.last_answer = now;
-        self.failed_inspections = 0;
-        if inventory.incarnation > known {
-            self.orders.clear();
-            self.doubtful.clear();
-            self.inspected = Some((inventory.incarnation, false));
-        } else if inventory.version < self.inventory.version {
-            return;
-        }
-        self.doubtful.retain(|doubtful, _| *doubtful > sequence);
-        self.orders.retain(|ordered, order| {
-            let is_settled = matches!(&order.action, OrderAction::Load { artifact, .. }
-                if inventory.loaded.contains_key(artifact));
-            *ordered > sequence || !is_settled
-        });
-        self.inventory = inventory;
-    }
 }
