--- a/crates/node/src/host.rs
+++ b/crates/node/src/host.rs
@@ -47,6 +47,8 @@
     changes: Mutex<HashMap<ChangeId, oneshot::Sender<Result<Row, ChangeError>>>>,
     change_numbers: AtomicU64,
     stopping: AtomicBool,
+    /// Whether the table answered the last transaction; `None` before any.
+    table_answers: Mutex<Option<bool>>,
 }
 
 impl Host {
@@ -80,6 +82,7 @@
             changes: Mutex::default(),
             change_numbers: AtomicU64::new(0),
             stopping: AtomicBool::new(false),
+            table_answers: Mutex::new(None),
         })
     }
 
@@ -200,6 +203,7 @@
             .transactions
             .with_label_values(&[outcome])
             .inc();
+        *self.table_answers.lock() = Some(answer != TableAnswer::Unknown);
         self.handle(Event::TableAnswered { tag, answer });
     }
 
@@ -234,6 +238,11 @@
         }
     }
 
+    /// Whether the table answered the last transaction; `None` before any.
+    pub fn table_answers(&self) -> Option<bool> {
+        *self.table_answers.lock()
+    }
+
     /// Registers a request, so that commands for it reach the receiver.
     pub fn register(&self, request: RequestId) -> mpsc::UnboundedReceiver<Command> {
         let (sender, receiver) = mpsc::unbounded_channel();
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod metrics;
 pub mod process;
 pub mod settings;
+pub mod state_log;
 
 pub use host::Host;
 pub use process::{NodeProcess, ProcessError};
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -20,7 +20,7 @@
 use crate::host::Host;
 use crate::metrics::Metrics;
 use crate::settings::NodeSettings;
-use crate::{admin, caller, listener};
+use crate::{admin, caller, listener, state_log};
 
 /// Between two looks at whether the node is drained.
 const DRAIN_POLL: Duration = Duration::from_millis(50);
@@ -97,6 +97,7 @@
                 admin::router(Arc::clone(&host)),
             )),
             tokio::spawn(Arc::clone(&host).run_ticks()),
+            tokio::spawn(state_log::run(Arc::clone(&host))),
         ];
         Ok(NodeProcess {
             host,
