Measure nodes over direct links, and loads of the target's size as they are

Cause: the bench called the engine straight but the node through a relay of the test's own, which added 3.4 ms at the 99th percentile; a node that read 62,000 adapters from the table kept 30 MB that it needed for a moment; and scale runs told the holder that a load takes 53 s where the run's engines took 4 s, so 103 of 123 wake-ups were refused at once.

--- a/crates/gorsebank/benches/warm_path.rs
+++ b/crates/gorsebank/benches/warm_path.rs
@@ -14,6 +14,7 @@
 
 use criterion::Criterion;
 use gorsebank_platform::etcd::Base64;
+use gorsebank_replay::live::LinkKind;
 use hdrhistogram::Histogram;
 use serde_json::{Value, json};
 use tokio::runtime::Runtime;
@@ -25,6 +26,8 @@
 const SECONDS: u64 = 5;
 const OPEN_STREAMS: usize = 200;
 const ADAPTERS: u64 = 62_000;
+/// What a large answer took for a moment is given back within this time.
+const SETTLING: Duration = Duration::from_secs(15);
 const ROWS_PER_TRANSACTION: usize = 500;
 
 fn main() {
@@ -39,7 +42,7 @@
 }
 
 async fn warm_deployment() -> Deployment {
-    let deployment = Deployment::start("bench", 1).await;
+    let deployment = Deployment::start_over("bench", 1, LinkKind::Direct).await;
     let address = deployment.callers("n1");
     let answer = deployment
         .post(address, PATH, &completion("llama", false, 1))
@@ -164,8 +167,11 @@
             status.is_some_and(|status| status["revision"].as_u64() == Some(newest))
         })
         .await;
+    let at_once = resident();
+    tokio::time::sleep(SETTLING).await;
     let after = resident();
-    println!("memory: {before} bytes before, {after} with {ADAPTERS} adapters");
+    println!("memory: {before} bytes before, {at_once} just after reading {ADAPTERS} adapters");
+    println!("memory: {after} bytes {SETTLING:?} later");
 }
 
 fn adapter_row(first: u64, number: u64) -> (String, String) {
--- a/crates/gorsebank/tests/support/mod.rs
+++ b/crates/gorsebank/tests/support/mod.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use gorsebank_platform::HttpClient;
-use gorsebank_replay::live::{Binaries, LiveDeployment};
+use gorsebank_replay::live::{Binaries, LinkKind, LiveDeployment};
 use gorsebank_replay::trace::Header;
 use http::{HeaderMap, Method, Request, StatusCode};
 use http_body_util::{BodyExt, Full};
@@ -49,11 +49,16 @@
 impl Deployment {
     /// Starts everything; `name` keeps files of different tests apart.
     pub async fn start(name: &str, nodes: usize) -> Self {
+        Deployment::start_over(name, nodes, LinkKind::Relayed).await
+    }
+
+    /// The same over links of a kind.
+    pub async fn start_over(name: &str, nodes: usize, links: LinkKind) -> Self {
         let binaries = Binaries {
             gorsebank: PathBuf::from(env!("CARGO_BIN_EXE_gorsebank")),
             standin: PathBuf::from(env!("CARGO_BIN_EXE_gorsebank-standin")),
         };
-        let live = LiveDeployment::start(binaries, name, &header(nodes))
+        let live = LiveDeployment::start(binaries, name, &header(nodes), links)
             .await
             .expect("the deployment starts");
         Deployment {
--- a/crates/replay/src/live/deployment.rs
+++ b/crates/replay/src/live/deployment.rs
@@ -64,6 +64,15 @@
     pub admin: SocketAddr,
 }
 
+/// Whether processes reach each other through relays.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LinkKind {
+    /// Through relays, which can be cut and slowed.
+    Relayed,
+    /// Straight, for measurements.
+    Direct,
+}
+
 /// Two ends of a link: a node, and what it reaches.
 type LinkEnds = (String, String);
 
@@ -112,7 +121,12 @@
 impl LiveDeployment {
     /// Starts everything and writes the header's rows; `name` keeps the files
     /// of several deployments apart.
-    pub async fn start(binaries: Binaries, name: &str, header: &Header) -> eyre::Result<Self> {
+    pub async fn start(
+        binaries: Binaries,
+        name: &str,
+        header: &Header,
+        links: LinkKind,
+    ) -> eyre::Result<Self> {
         let directory =
             std::env::temp_dir().join(format!("gorsebank-{name}-{}", std::process::id()));
         std::fs::create_dir_all(&directory)?;
@@ -150,7 +164,9 @@
             };
             deployment.addresses.insert(place.id.clone(), addresses);
         }
-        deployment.start_relays().await?;
+        if links == LinkKind::Relayed {
+            deployment.start_relays().await?;
+        }
         deployment.start_lists()?;
         for place in &header.nodes {
             deployment.start_node(&place.id)?;
@@ -194,16 +210,19 @@
         Ok(())
     }
 
+    /// Where a node reaches a process.
+    fn address_for(&self, from: &str, to: &str, direct: SocketAddr) -> SocketAddr {
+        let link = (from.to_owned(), to.to_owned());
+        self.relays.get(&link).map_or(direct, Relay::address)
+    }
+
     /// The machine list as the node `for_node` reads it: every other process
     /// is behind a relay.
     fn machine_groups(&self, for_node: &str) -> Vec<Value> {
-        let relayed = |to: &str, direct: SocketAddr| {
-            let link = (for_node.to_owned(), to.to_owned());
-            self.relays.get(&link).map_or(direct, Relay::address)
-        };
         let mut groups = Vec::new();
         for entry in &self.header.back_ends {
-            let address = relayed(&entry.id, self.back_end_addresses[&entry.id]);
+            let direct = self.back_end_addresses[&entry.id];
+            let address = self.address_for(for_node, &entry.id, direct);
             groups.push(back_end_group(
                 entry,
                 address,
@@ -211,7 +230,8 @@
             ));
         }
         for place in &self.header.nodes {
-            let address = relayed(&place.id, self.addresses[&place.id].nodes);
+            let direct = self.addresses[&place.id].nodes;
+            let address = self.address_for(for_node, &place.id, direct);
             groups.push(json!({"targets": [address.to_string()], "labels": {
                 "role": "node", "id": place.id, "zone": place.zone, "cell": CELL,
             }}));
@@ -288,7 +308,7 @@
 
     fn node_settings(&self, place: &NodePlace) -> String {
         let addresses = self.addresses[&place.id];
-        let table = self.relays[&(place.id.clone(), "table".to_owned())].address();
+        let table = self.address_for(&place.id, "table", self.table.address());
         let store = &self.header.store;
         format!(
             "[node]\nid = \"{}\"\nzone = \"{}\"\ncell = \"{CELL}\"\nlisten_callers = \"{}\"\n\
--- a/crates/replay/src/live/player.rs
+++ b/crates/replay/src/live/player.rs
@@ -18,7 +18,7 @@
 use crate::checker::{self, Violation};
 use crate::history::{CallerEnd, CallerRecord, CallerTry, EngineHistory, Execution, History};
 use crate::live::callers::LiveCall;
-use crate::live::deployment::{Binaries, LiveDeployment};
+use crate::live::deployment::{Binaries, LinkKind, LiveDeployment};
 use crate::simulation::caller::{self, CallerPlan};
 use crate::trace::Trace;
 use crate::trace::format::{ChangeEvent, FaultEvent, TableMode, TraceEvent};
@@ -57,7 +57,8 @@
     trace: &Trace,
 ) -> eyre::Result<(History, Vec<Violation>)> {
     let name = format!("live-{}", trace.header.trace);
-    let deployment = LiveDeployment::start(binaries, &name, &trace.header).await?;
+    let deployment =
+        LiveDeployment::start(binaries, &name, &trace.header, LinkKind::Relayed).await?;
     let mut player = Player {
         deployment,
         http: HttpClient::default(),
--- a/crates/replay/src/scale/report.rs
+++ b/crates/replay/src/scale/report.rs
@@ -42,6 +42,8 @@
     pub sent_on_credit: u64,
     /// Wake-ups of dormant adapters.
     pub wakes: u64,
+    /// Of these, refused.
+    pub wakes_refused: u64,
     /// Table transactions a second, over all nodes.
     pub transactions_per_second: f64,
     /// Configuration changes accepted, and the longest time until one was in
--- a/crates/replay/src/scale/world.rs
+++ b/crates/replay/src/scale/world.rs
@@ -1,13 +1,13 @@
 //! The world of a scale run: cells of hollow nodes with engines between them.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::time::Instant;
 
 use gorsebank_contract::frame::{Envelope, encode};
 use gorsebank_contract::{
-    AttemptOutcome, Incarnation, OrderResult, PriorityClass, Put, Revision, Transaction,
+    AttemptOutcome, Incarnation, OrderResult, PriorityClass, Put, RequestId, Revision, Transaction,
 };
 use gorsebank_coordination::{
     Action, Arrival, Change, ChangeId, Configuration, CoordinationSettings, Edit, Event, Identity,
@@ -55,6 +55,9 @@
 /// are 42 each.
 const SLOTS: u32 = 64;
 const GIB: u64 = 1 << 30;
+/// Accelerator memory of a base model and of an adapter.
+const MODEL_BYTES: u64 = 100 * GIB;
+const ADAPTER_BYTES: u64 = GIB;
 
 /// The size of a run.
 #[derive(Clone, Copy, Debug)]
@@ -108,6 +111,8 @@
     changes: BTreeMap<u64, u64>,
     change_numbers: u64,
     counts: Counts,
+    /// Requests for dormant adapters.
+    waking: HashSet<RequestId>,
 }
 
 #[derive(Default)]
@@ -115,6 +120,7 @@
     requests: u64,
     refused: u64,
     wakes: u64,
+    wakes_refused: u64,
     transactions: u64,
     slowest_change: u64,
 }
@@ -151,6 +157,7 @@
             changes: BTreeMap::new(),
             change_numbers: 0,
             counts: Counts::default(),
+            waking: HashSet::new(),
         };
         world.configuration_table.transact(&first_rows(&options));
         for (index, entry) in entries.iter().enumerate() {
@@ -175,6 +182,7 @@
         settings.membership.failure_timeout = self.options.heartbeat * 4;
         settings.placement.store_starts_per_second = STORE_STARTS;
         settings.placement.store_concurrency = STORE_CONCURRENCY;
+        settings.placement.store_bandwidth = MODEL_BYTES / (LOAD_TIME / SECOND);
         let node = Node::new(identity, settings, Timestamp(0), index as u64);
         self.index.insert(entry.id.clone(), index);
         self.nodes.push(HollowNode {
@@ -294,7 +302,13 @@
                 let time = target::SERVICE_MILLISECONDS * MILLISECOND;
                 self.deliver(time, index, event);
             }
-            Action::Refuse { .. } => self.counts.refused += 1,
+            Action::Refuse { request, .. } => {
+                if self.waking.remove(&request) {
+                    self.counts.wakes_refused += 1;
+                } else {
+                    self.counts.refused += 1;
+                }
+            }
             Action::AnswerChange { result, .. } => {
                 if let Ok(row) = result {
                     self.changes.insert(row.revision, self.now);
@@ -332,8 +346,8 @@
         let busy = target::MODELS.div_ceil(cells).max(1);
         let cell = self.nodes[index].cell;
         let model = (cell + cells * self.random.random_range(0..busy)) % target::MODELS;
-        self.request(index, &model_name(model));
         self.counts.requests += 1;
+        self.request(index, &model_name(model), false);
         let next = self.now + gap(self.rates.requests, &mut self.random);
         self.queue.add(next, ScaleEvent::Arrive);
     }
@@ -343,21 +357,25 @@
         if self.options.adapters > 0 {
             let index = self.random.random_range(0..self.nodes.len());
             let adapter = self.random.random_range(0..self.options.adapters);
-            self.request(index, &adapter_name(adapter));
             self.counts.wakes += 1;
+            self.request(index, &adapter_name(adapter), true);
         }
         let next = self.now + gap(self.rates.wakes, &mut self.random);
         self.queue.add(next, ScaleEvent::Wake);
     }
 
-    fn request(&mut self, index: usize, name: &str) {
+    fn request(&mut self, index: usize, name: &str, is_wake: bool) {
         let node = &self.nodes[index].node;
         let Ok(queue) = node.resolve(name) else {
             self.counts.refused += 1;
             return;
         };
+        let request = node.new_request();
+        if is_wake {
+            self.waking.insert(request);
+        }
         let arrival = Arrival {
-            request: node.new_request(),
+            request,
             queue,
             class: PriorityClass::Interactive,
             deadline: Timestamp(self.now / MILLISECOND + 30_000),
@@ -444,6 +462,7 @@
             requests_unrefused: self.counts.requests.saturating_sub(self.counts.refused),
             sent_on_credit: on_credit,
             wakes: self.counts.wakes,
+            wakes_refused: self.counts.wakes_refused,
             transactions_per_second: self.counts.transactions as f64 / seconds,
             changes: self.change_numbers,
             slowest_change: self.counts.slowest_change,
@@ -545,13 +564,13 @@
     };
     let mut specs = vec![("all".to_owned(), Spec::Deployment(Box::new(deployment)))];
     for model in 0..target::MODELS {
-        let memory = bytesize::ByteSize::gib(100);
+        let memory = bytesize::ByteSize::b(MODEL_BYTES);
         specs.push((model_name(model), Spec::Model(ModelSpec { memory })));
     }
     for adapter in 0..options.adapters {
         let spec = AdapterSpec {
             model: model_name(adapter % target::MODELS).into(),
-            memory: bytesize::ByteSize::gib(1),
+            memory: bytesize::ByteSize::b(ADAPTER_BYTES),
         };
         specs.push((adapter_name(adapter), Spec::Adapter(spec)));
     }
