--- a/crates/coordination/src/configuration.rs
+++ b/crates/coordination/src/configuration.rs
@@ -103,6 +103,22 @@
             .collect()
     }
 
+    /// At most `limit` rows above a revision, the lowest revisions first, and
+    /// the revision up to which they are everything.
+    pub fn delta_above(&self, above: Revision, limit: usize) -> (Vec<Arc<Row>>, Revision) {
+        let rows: Vec<Arc<Row>> = self
+            .by_revision
+            .range(above.0 + 1..)
+            .take(limit)
+            .map(|(_, row)| Arc::clone(row))
+            .collect();
+        let complete = match rows.last() {
+            Some(last) if rows.len() == limit => Revision(last.revision),
+            _ => self.complete,
+        };
+        (rows, complete)
+    }
+
     /// The row as last written, deleted or not.
     pub fn row(&self, key: &RowKey) -> Option<&Row> {
         self.rows.get(key).map(AsRef::as_ref)
--- a/crates/coordination/src/node/spread.rs
+++ b/crates/coordination/src/node/spread.rs
@@ -10,13 +10,18 @@
 use crate::machines::MachineTable;
 use crate::node::{Node, Turn, machines_message};
 
+/// Configuration rows in one message at the most: a frame has 8 MiB, and the
+/// target's 62,000 adapters would nearly fill it.
+const ROWS_PER_MESSAGE: usize = 2_000;
+
 impl Node {
     pub(super) fn configuration_above(&self, above: Revision) -> PeerMessage {
         let configuration = self.configuration.read();
+        let (rows, complete) = configuration.delta_above(above, ROWS_PER_MESSAGE);
         PeerMessage::Configuration {
             above,
-            complete: configuration.complete(),
-            rows: configuration.rows_above(above),
+            complete,
+            rows,
         }
     }
 
@@ -29,6 +34,15 @@
                 .write()
                 .merge(learned.above, learned.complete, learned.rows.clone());
         match merged {
+            Ok(true) if learned.rows.len() >= ROWS_PER_MESSAGE => {
+                // Others hear of so much by heartbeat, and ask for it in parts;
+                // there may be more where this came from.
+                if let Some(from) = from {
+                    let above = learned.complete;
+                    let message = PeerMessage::ConfigurationWanted { above };
+                    self.send(turn, from.clone(), message);
+                }
+            }
             Ok(true) => {
                 let message = PeerMessage::Configuration {
                     above: learned.above,
--- a/crates/coordination/tests/configuration.rs
+++ b/crates/coordination/tests/configuration.rs
@@ -90,6 +90,29 @@
 }
 
 proptest! {
+    /// A configuration that is passed on in parts arrives whole.
+    #[test]
+    fn parts_make_the_whole(
+        names in proptest::collection::vec(0..9u8, 1..40),
+        limit in 1..7usize,
+    ) {
+        let mut source = Configuration::default();
+        for (index, name) in names.iter().enumerate() {
+            let revision = index as u64 + 1;
+            let rows = vec![model(revision, &format!("m{name}"))];
+            let merged = source.merge(Revision(revision - 1), Revision(revision), rows);
+            prop_assert_eq!(merged, Ok(true));
+        }
+        let mut copy = Configuration::default();
+        while copy.complete() < source.complete() {
+            let above = copy.complete();
+            let (rows, complete) = source.delta_above(above, limit);
+            prop_assert!(rows.len() <= limit);
+            prop_assert_eq!(copy.merge(above, complete, rows), Ok(true));
+        }
+        prop_assert_eq!(versions(&copy), versions(&source));
+    }
+
     /// Deltas of one history, delivered in any order and any number of times,
     /// never lower a row's version, and end in the same state once complete.
     #[test]
