--- a/crates/coordination/src/placement/mod.rs
+++ b/crates/coordination/src/placement/mod.rs
@@ -24,8 +24,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use gorsebank_contract::{
-    BackEndPlan, ClaimGroup, EngineReport, Fence, Incarnation, Inventory, Order, OrderResult,
-    PeerMessage, Sequence, TableAnswer, TableRow, Transaction,
+    BackEndPlan, ClaimGroup, EngineReport, Fence, Incarnation, Order, OrderResult, PeerMessage,
+    Sequence, TableAnswer, TableRow, Transaction,
 };
 use gorsebank_world::{Artifact, BackEndId, Machine, MachineRole, MachineState, NodeId};
 
@@ -138,14 +138,6 @@
         self.loads_ordered
     }
 
-    /// What each engine shall hold now, for operators.
-    pub fn targets(&self) -> BTreeMap<BackEndId, Vec<Artifact>> {
-        self.engines
-            .iter()
-            .map(|(id, engine)| (id.clone(), engine.targets().cloned().collect()))
-            .collect()
-    }
-
     /// Decides nothing more; the next holder takes over.
     pub fn stop(&mut self) {
         self.stopping = true;
@@ -272,11 +264,6 @@
         vec![PlacementOutput::GroupInForce(group)]
     }
 
-    /// The claim group in force, if this node holds the lease.
-    pub fn claim_group(&self) -> Option<&ClaimGroup> {
-        self.groups.as_ref().map(ClaimGroupKeeper::current)
-    }
-
     /// The keeper of the claim group, if this node holds the lease.
     pub fn claim_groups(&mut self) -> Option<&mut ClaimGroupKeeper> {
         self.groups.as_mut()
@@ -406,11 +393,6 @@
             engine.reported(now, report);
         }
     }
-
-    /// Artifacts that the engine reported, for tests and operators.
-    pub fn inventory(&self, id: &BackEndId) -> Option<&Inventory> {
-        self.engines.get(id).map(|engine| &engine.inventory)
-    }
 }
 
 /// What a new holder finds loaded, or being loaded, under a decision is wanted
--- a/crates/coordination/src/watcher.rs
+++ b/crates/coordination/src/watcher.rs
@@ -100,9 +100,4 @@
             report,
         })
     }
-
-    /// Engines that this node watches.
-    pub fn count(&self) -> usize {
-        self.watched.len()
-    }
 }
