--- a/crates/coordination/src/claim_member.rs
+++ b/crates/coordination/src/claim_member.rs
@@ -8,7 +8,8 @@
 //! Records live in memory alone: a restarted member has another incarnation
 //! and belongs to no group until it is installed in one.
 
-use std::collections::{BTreeMap, HashMap};
+use crate::collections::HashMap;
+use std::collections::BTreeMap;
 
 use gorsebank_contract::{ClaimAnswer, ClaimGroup, ClaimRecord, ClaimState, Epoch, RequestId};
 
--- a/crates/coordination/src/claim_round.rs
+++ b/crates/coordination/src/claim_round.rs
@@ -8,7 +8,8 @@
 //! came first there wins, where otherwise each might get one member and none a
 //! majority. If the first member does not answer, the others are asked anyway.
 
-use std::collections::{BTreeSet, HashMap};
+use crate::collections::HashMap;
+use std::collections::BTreeSet;
 
 use gorsebank_contract::{ClaimAnswer, ClaimGroup, Epoch, PeerMessage, RequestId};
 use gorsebank_world::NodeId;
@@ -72,7 +73,7 @@
         ClaimRounds {
             settings,
             group: ClaimGroup::default(),
-            rounds: HashMap::new(),
+            rounds: HashMap::default(),
         }
     }
 
--- a/crates/coordination/src/front/mod.rs
+++ b/crates/coordination/src/front/mod.rs
@@ -11,7 +11,7 @@
 mod credits;
 mod slots;
 
-use std::collections::{HashMap, HashSet};
+use crate::collections::{HashMap, HashSet};
 
 use gorsebank_contract::{
     Attempt, AttemptOutcome, Grant, HeldSlots, Ran, Refusal, RefusalReason, RequestId, Ticket,
@@ -169,14 +169,14 @@
             this,
             budget: RetryBudget::new(&settings),
             settings,
-            pending: HashMap::new(),
-            unsent: HashSet::new(),
-            credits: HashMap::new(),
-            releases: HashMap::new(),
-            current_owners: HashMap::new(),
-            recalled: HashMap::new(),
+            pending: HashMap::default(),
+            unsent: HashSet::default(),
+            credits: HashMap::default(),
+            releases: HashMap::default(),
+            current_owners: HashMap::default(),
+            recalled: HashMap::default(),
             accounts: Periodic::every(ACCOUNT_INTERVAL),
-            accounted: HashSet::new(),
+            accounted: HashSet::default(),
             random,
             counts: FrontCounts::default(),
         }
--- a/crates/coordination/src/front/slots.rs
+++ b/crates/coordination/src/front/slots.rs
@@ -1,6 +1,7 @@
 //! Gives slots back to owners, and tells them which are held.
 
-use std::collections::{BTreeMap, HashSet};
+use crate::collections::HashSet;
+use std::collections::BTreeMap;
 
 use gorsebank_contract::HeldSlots;
 use gorsebank_world::{BackEndId, NodeId, QueueKey};
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod claim_group;
 pub mod claim_member;
 pub mod claim_round;
+pub mod collections;
 pub mod configuration;
 pub mod configuration_check;
 pub mod configuration_writer;
--- a/crates/coordination/src/placement/policy.rs
+++ b/crates/coordination/src/placement/policy.rs
@@ -11,7 +11,7 @@
 //! and rare or large ones go at once, where a fixed time treats all alike. A
 //! deployment's `cold_start_weight` sets the value of a cold start.
 
-use std::collections::HashMap;
+use crate::collections::HashMap;
 
 use gorsebank_world::Artifact;
 
--- a/crates/coordination/src/placement/standby.rs
+++ b/crates/coordination/src/placement/standby.rs
@@ -4,7 +4,8 @@
 //! standby shares, to be written with the holder's next transaction. While the
 //! table service is down, these decisions are all that models can wake under.
 
-use std::collections::{BTreeMap, HashMap};
+use crate::collections::HashMap;
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use gorsebank_world::{Artifact, BackEndId};
@@ -39,7 +40,7 @@
 
 /// Where these artifacts and their bases stand by.
 pub fn homes_among(engines: &BTreeMap<BackEndId, Engine>, artifacts: &[Artifact]) -> Homes {
-    let mut homes = Homes::new();
+    let mut homes = Homes::default();
     for part in artifacts.iter().flat_map(Artifact::required) {
         let home = engines
             .iter()
--- a/crates/coordination/src/queue.rs
+++ b/crates/coordination/src/queue.rs
@@ -5,7 +5,8 @@
 //! tickets, and within a class the earliest deadline goes first. A ticket that
 //! can no longer be served in time is refused the moment that is known.
 
-use std::collections::{BTreeMap, HashMap};
+use crate::collections::HashMap;
+use std::collections::BTreeMap;
 
 use gorsebank_contract::{
     Fence, Grant, PriorityClass, Refusal, RefusalReason, ReplicaSet, Ticket, TicketId,
@@ -114,7 +115,7 @@
         ModelQueue {
             key,
             waiting: BTreeMap::new(),
-            places: HashMap::new(),
+            places: HashMap::default(),
             replicas: BTreeMap::new(),
             replica_version: (Fence(0), 0),
             expected: None,
--- a/crates/coordination/src/queues.rs
+++ b/crates/coordination/src/queues.rs
@@ -3,7 +3,8 @@
 //! In: tickets, releases, replica sets, the machine list, time. Out: decisions
 //! about tickets, and demand for the placement holder.
 
-use std::collections::{BTreeSet, HashMap};
+use crate::collections::HashMap;
+use std::collections::BTreeSet;
 
 use gorsebank_contract::{Fence, HeldSlots, NodeState, ReplicaOffer, ReplicaSet, Ticket, TicketId};
 use gorsebank_world::{
@@ -52,7 +53,7 @@
     pub fn new(settings: RoutingSettings) -> Self {
         Queues {
             settings,
-            queues: HashMap::new(),
+            queues: HashMap::default(),
             reviews: Periodic::every(REVIEW_INTERVAL),
             fronts_version: 0,
         }
@@ -102,14 +103,14 @@
 
     /// Takes a front's own account of the slots that it holds.
     pub fn correct_held(&mut self, now: Timestamp, front: &NodeId, held: &[HeldSlots]) {
-        let mut accounts: HashMap<&QueueKey, HashMap<&BackEndId, u32>> = HashMap::new();
+        let mut accounts: HashMap<&QueueKey, HashMap<&BackEndId, u32>> = HashMap::default();
         for slots in held {
             accounts
                 .entry(&slots.queue)
                 .or_default()
                 .insert(&slots.back_end, slots.slots);
         }
-        let nothing = HashMap::new();
+        let nothing = HashMap::default();
         for (key, queue) in &mut self.queues {
             let account = accounts.get(key).unwrap_or(&nothing);
             queue.correct_held(now, front, account);
