Give three pieces of logic that stood twice one place each

Cause: the rows of a table answer were taken out in two functions, whether a ticket waits was asked in three places, and a caller's record was built twice. Change: TableAnswer::into_rows, Front::is_waiting, CallerRecord::new. Behaviour is as before.

--- a/crates/contract/src/table.rs
+++ b/crates/contract/src/table.rs
@@ -75,3 +75,13 @@
     /// No answer came: the transaction may or may not take effect, even later.
     Unknown,
 }
+
+impl TableAnswer {
+    /// Rows that were read; none if there was no answer.
+    pub fn into_rows(self) -> Vec<TableRow> {
+        match self {
+            TableAnswer::Committed { rows, .. } | TableAnswer::Conflict { rows } => rows,
+            TableAnswer::Unknown => Vec::new(),
+        }
+    }
+}
--- a/crates/coordination/src/configuration_writer.rs
+++ b/crates/coordination/src/configuration_writer.rs
@@ -218,8 +218,8 @@
                 self.resume_at = now + RESEND_PAUSE;
                 Vec::new()
             }
-            (Step::ReadHead, answer) => self.head_read(now, &rows_of(answer), configuration),
-            (Step::ReadAll, answer) => self.all_read(&rows_of(answer), configuration),
+            (Step::ReadHead, answer) => self.head_read(now, &answer.into_rows(), configuration),
+            (Step::ReadAll, answer) => self.all_read(&answer.into_rows(), configuration),
             (Step::Write(write), TableAnswer::Committed { .. }) => self.written(*write),
             (Step::Write(write), TableAnswer::Conflict { rows }) => {
                 if self.wrote(&rows, &write.id) {
@@ -378,13 +378,6 @@
     }
 }
 
-fn rows_of(answer: TableAnswer) -> Vec<TableRow> {
-    match answer {
-        TableAnswer::Committed { rows, .. } | TableAnswer::Conflict { rows } => rows,
-        TableAnswer::Unknown => Vec::new(),
-    }
-}
-
 /// Labels to set and to remove, as commands give them: `key=value` and `key-`.
 pub fn parse_label_edits(
     edits: &[String],
--- a/crates/coordination/src/front/mod.rs
+++ b/crates/coordination/src/front/mod.rs
@@ -279,6 +279,13 @@
         vec![FrontOutput::Dispatch(pending.ticket_id(), back_end)]
     }
 
+    /// Whether this try of the request waits in an owner's queue.
+    fn is_waiting(&self, id: TicketId) -> bool {
+        self.pending.get(&id.request).is_some_and(|pending| {
+            pending.attempt == id.attempt && matches!(pending.stage, Stage::Waiting { .. })
+        })
+    }
+
     /// Takes in a grant.
     pub fn granted(
         &mut self,
@@ -306,10 +313,7 @@
             since: now,
             retainable: grant.retainable,
         };
-        let waits = self.pending.get(&grant.id.request).is_some_and(|pending| {
-            pending.attempt == grant.id.attempt && matches!(pending.stage, Stage::Waiting { .. })
-        });
-        if !waits {
+        if !self.is_waiting(grant.id) {
             self.give_back(now, &grant.queue, &slot, false, false);
             return Vec::new();
         }
@@ -322,10 +326,7 @@
 
     /// Takes in an owner's refusal.
     pub fn refused(&mut self, id: TicketId, refusal: Refusal) -> Vec<FrontOutput> {
-        let waits = self.pending.get(&id.request).is_some_and(|pending| {
-            pending.attempt == id.attempt && matches!(pending.stage, Stage::Waiting { .. })
-        });
-        if !waits {
+        if !self.is_waiting(id) {
             return Vec::new();
         }
         self.finish_refused(id.request, refusal.reason, refusal.retry_after)
@@ -335,10 +336,7 @@
     pub fn returned(&mut self, now: Timestamp, ids: &[TicketId], view: &View) -> Vec<FrontOutput> {
         let mut output = Vec::new();
         for id in ids {
-            let waits = self.pending.get(&id.request).is_some_and(|pending| {
-                pending.attempt == id.attempt && matches!(pending.stage, Stage::Waiting { .. })
-            });
-            if waits {
+            if self.is_waiting(*id) {
                 output.extend(self.offer(now, id.request, view));
             }
         }
--- a/crates/coordination/src/placement/lease_keeper.rs
+++ b/crates/coordination/src/placement/lease_keeper.rs
@@ -254,7 +254,7 @@
             return None;
         }
         let key = lease_key(&self.identity.cell);
-        let rows = rows_of(answer);
+        let rows = answer.into_rows();
         let row = rows.iter().find(|row| row.key == key);
         let known = row.and_then(|row| serde_json::from_str::<Lease>(&row.value).ok());
         let former = known.map_or(Fence(0), |lease| lease.fence);
@@ -334,10 +334,3 @@
         .is_some_and(|holder| view.active().any(|node| node == holder));
     !has_holder && view.is_among_first(DUTY, &identity.node, CANDIDATES)
 }
-
-fn rows_of(answer: TableAnswer) -> Vec<TableRow> {
-    match answer {
-        TableAnswer::Committed { rows, .. } | TableAnswer::Conflict { rows } => rows,
-        TableAnswer::Unknown => Vec::new(),
-    }
-}
--- a/crates/replay/src/history.rs
+++ b/crates/replay/src/history.rs
@@ -7,6 +7,8 @@
 use gorsebank_emulator::model::engine::EngineRecord;
 use gorsebank_world::{Artifact, BackEndId, NodeId, RowKey};
 
+use crate::simulation::caller::CallerPlan;
+
 /// How a caller's request ended. Times are microseconds from the start.
 #[derive(Clone, Debug, PartialEq)]
 pub enum CallerEnd {
@@ -64,6 +66,20 @@
     pub tries: Vec<CallerTry>,
 }
 
+impl CallerRecord {
+    /// A caller that has not sent anything yet.
+    pub fn new(plan: &CallerPlan) -> Self {
+        CallerRecord {
+            of: plan.of.clone(),
+            class: plan.class,
+            deadline: plan.deadline,
+            key: plan.key.clone(),
+            repeatable: plan.repeatable,
+            tries: Vec::new(),
+        }
+    }
+}
+
 /// A request that ran at a back end.
 #[derive(Clone, Debug)]
 pub struct Execution {
--- a/crates/replay/src/live/player.rs
+++ b/crates/replay/src/live/player.rs
@@ -149,14 +149,7 @@
     fn call(&mut self, at: u64, plan: CallerPlan) {
         let index = {
             let mut history = self.history.lock();
-            history.callers.push(CallerRecord {
-                of: plan.of.clone(),
-                class: plan.class,
-                deadline: plan.deadline,
-                key: plan.key.clone(),
-                repeatable: plan.repeatable,
-                tries: Vec::new(),
-            });
+            history.callers.push(CallerRecord::new(&plan));
             history.callers.len() - 1
         };
         let caller = Caller {
--- a/crates/replay/src/simulation/caller_events.rs
+++ b/crates/replay/src/simulation/caller_events.rs
@@ -21,14 +21,7 @@
     pub(super) fn plan_callers(&mut self, index: usize, request: &RequestEvent) {
         let nodes: Vec<NodeId> = self.nodes.keys().cloned().collect();
         for (at, mut plan) in caller::plans(&nodes, index, self.now, request) {
-            self.history.callers.push(CallerRecord {
-                of: plan.of.clone(),
-                class: plan.class,
-                deadline: plan.deadline,
-                key: plan.key.clone(),
-                repeatable: plan.repeatable,
-                tries: Vec::new(),
-            });
+            self.history.callers.push(CallerRecord::new(&plan));
             if self.ablation == Some(Ablation::Priorities) {
                 plan.class = PriorityClass::Interactive;
             }
