--- a/crates/emulator/src/server/machine_list.rs
+++ b/crates/emulator/src/server/machine_list.rs
@@ -9,7 +9,7 @@
 use axum::extract::State;
 use axum::routing::{get, put};
 use axum::{Json, Router};
-use gorsebank_platform::machine_list::TargetGroup;
+use gorsebank_clients::machine_list::TargetGroup;
 use parking_lot::Mutex;
 
 use crate::server::clock::Clock;
--- a/crates/emulator/src/server/table.rs
+++ b/crates/emulator/src/server/table.rs
@@ -11,11 +11,11 @@
 use axum::http::StatusCode;
 use axum::routing::{post, put};
 use axum::{Json, Router};
-use gorsebank_contract::{Compare, Put, TableAnswer, TableRow, Transaction};
-use gorsebank_platform::etcd::{
+use gorsebank_clients::etcd::{
     Base64, KeyValue, Number, PutResponse, RangeRequest, RangeResponse, RequestOp, ResponseHeader,
     ResponseOp, TxnRequest, TxnResponse,
 };
+use gorsebank_contract::{Compare, Put, TableAnswer, TableRow, Transaction};
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 
--- /dev/null
+++ b/crates/fleet/src/back_end.rs
@@ -0,0 +1,77 @@
+//! What is known of a back end: its own report, and what the placement holder
+//! says that it ordered there.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use gorsebank_world::{AdapterId, BackEndId, ModelId, ServiceId, ZoneId};
+use serde::{Deserialize, Serialize};
+
+/// Models with their adapters.
+pub type Holdings = BTreeMap<ModelId, BTreeSet<AdapterId>>;
+
+/// What a back end says of itself through discovery.
+#[derive(Clone, Debug, PartialEq)]
+pub struct BackEndReport {
+    /// Its name; another one after each start.
+    pub id: BackEndId,
+    /// The service it belongs to.
+    pub service: ServiceId,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its zone.
+    pub zone: ZoneId,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it says that it is about to leave.
+    pub draining: bool,
+    /// Models and adapters that it holds.
+    pub holdings: Holdings,
+    /// Models of which it keeps a copy in host memory.
+    pub in_memory: BTreeSet<ModelId>,
+    /// Models of which it keeps a copy on disk.
+    pub on_disk: BTreeSet<ModelId>,
+}
+
+/// The answer of an engine to a question about its state, somewhat stale.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct EngineReport {
+    /// Models and adapters that it holds.
+    pub holdings: Holdings,
+    /// Adapters on their way, as model and adapter.
+    pub pending: BTreeSet<(ModelId, AdapterId)>,
+    /// Whether an order is under way.
+    pub busy: bool,
+    /// Orders that it has taken since its start.
+    pub sequence: u64,
+    /// Models of which it keeps a copy in host memory.
+    pub in_memory: BTreeSet<ModelId>,
+    /// Models of which it keeps a copy on disk.
+    pub on_disk: BTreeSet<ModelId>,
+}
+
+/// A load that the placement holder has ordered.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PlannedLoad {
+    /// The model.
+    pub model: ModelId,
+    /// Expected time until it can serve, in milliseconds from the row's writing.
+    pub ready_in: u64,
+}
+
+/// The placement holder's row on one back end. It is written before an unload
+/// is ordered and after a load was seen to be done, so that gateways need not
+/// wait for the back end's own report.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PlacedRow {
+    /// The holder's generation.
+    pub fence: u64,
+    /// What the back end holds and goes on holding.
+    pub holdings: Holdings,
+    /// A model that is about to be unloaded: nothing more is sent for it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub unloading: Option<ModelId>,
+    /// A load under way or about to be ordered.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub loading: Option<PlannedLoad>,
+}
--- /dev/null
+++ b/crates/fleet/src/lease.rs
@@ -0,0 +1,211 @@
+//! The placement lease: one row of the table, kept by conditional writes.
+//!
+//! In: the row as read, the outcome of writes, steady time. Out: what to do
+//! next. The fence is the table's version of the write that took the lease, so
+//! it rises with every holder and no clock is compared between nodes.
+//!
+//! Invariants: a holder gives orders only until `lease x ORDER_PART` after it
+//! *sent* its last successful write; another node takes the lease only when it
+//! has seen the same version for `lease x TAKE_PART`. A crash at any line
+//! leaves a row that nobody renews.
+
+use gorsebank_coordination::Timestamp;
+use gorsebank_world::NodeId;
+use serde::{Deserialize, Serialize};
+
+/// Part of the lease within which its holder gives orders.
+const ORDER_PART: f64 = 0.8;
+/// Part of the lease after which another node takes it.
+const TAKE_PART: f64 = 1.3;
+/// Part of the lease after which it is renewed.
+const RENEW_PART: f64 = 0.35;
+/// Part of the lease between two looks at another's lease.
+const LOOK_PART: f64 = 0.4;
+
+/// The row.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaseRow {
+    /// Who holds it; none once it was handed back.
+    pub holder: Option<NodeId>,
+    /// A random number of the holder's process.
+    pub process: u64,
+    /// Counts the writes of that process.
+    pub write: u64,
+}
+
+/// What to do next.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum LeaseStep {
+    /// Nothing until this time.
+    Wait(Timestamp),
+    /// Read the row.
+    Read,
+    /// Write `row` if the row still has version `expected` (0: absent).
+    Write {
+        /// Version that the row must have.
+        expected: u64,
+        /// The new row.
+        row: LeaseRow,
+    },
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Role {
+    Follower,
+    Holder { fence: u64, renewed: Timestamp },
+}
+
+/// One node's part in keeping the lease.
+#[derive(Debug)]
+pub struct LeaseKeeper {
+    node: NodeId,
+    process: u64,
+    lease: u64,
+    role: Role,
+    writes: u64,
+    version: Option<u64>,
+    free: bool,
+    seen_since: Timestamp,
+    looked: Option<Timestamp>,
+    sent: Timestamp,
+}
+
+impl LeaseKeeper {
+    /// A follower. `process` is a random number, `lease` is in milliseconds.
+    pub fn new(node: NodeId, process: u64, lease: u64) -> Self {
+        LeaseKeeper {
+            node,
+            process,
+            lease,
+            role: Role::Follower,
+            writes: 0,
+            version: None,
+            free: false,
+            seen_since: Timestamp(0),
+            looked: None,
+            sent: Timestamp(0),
+        }
+    }
+
+    /// The fence under which orders may be given at `now`.
+    pub fn fence(&self, now: Timestamp) -> Option<u64> {
+        let Role::Holder { fence, renewed } = self.role else {
+            return None;
+        };
+        let valid = now.since(renewed) < self.part(ORDER_PART);
+        valid.then_some(fence)
+    }
+
+    /// Whether this node took the lease and has not lost it since.
+    pub fn is_holder(&self) -> bool {
+        matches!(self.role, Role::Holder { .. })
+    }
+
+    /// What to do next. `may_hold` is false on a node that is about to stop.
+    pub fn step(&mut self, now: Timestamp, may_hold: bool) -> LeaseStep {
+        if let Role::Holder { renewed, .. } = self.role {
+            return self.holder_step(now, renewed, may_hold);
+        }
+        let next_look = self.looked.map(|at| at + self.part(LOOK_PART));
+        let Some(version) = self.version else {
+            return match next_look {
+                Some(at) if at > now => LeaseStep::Wait(at),
+                _ => LeaseStep::Read,
+            };
+        };
+        let take_at = if self.free {
+            now
+        } else {
+            self.seen_since + self.part(TAKE_PART)
+        };
+        if may_hold && now >= take_at {
+            return self.write(now, version, Some(self.node.clone()));
+        }
+        match next_look {
+            Some(at) if at > now => LeaseStep::Wait(at),
+            _ => LeaseStep::Read,
+        }
+    }
+
+    fn holder_step(&mut self, now: Timestamp, renewed: Timestamp, may_hold: bool) -> LeaseStep {
+        let Some(version) = self.version else {
+            return LeaseStep::Read;
+        };
+        if !may_hold {
+            return self.write(now, version, None);
+        }
+        let renew_at = renewed + self.part(RENEW_PART);
+        if now < renew_at {
+            return LeaseStep::Wait(renew_at);
+        }
+        self.write(now, version, Some(self.node.clone()))
+    }
+
+    fn write(&mut self, now: Timestamp, expected: u64, holder: Option<NodeId>) -> LeaseStep {
+        self.writes += 1;
+        self.sent = now;
+        let row = LeaseRow {
+            holder,
+            process: self.process,
+            write: self.writes,
+        };
+        LeaseStep::Write { expected, row }
+    }
+
+    /// The row was read: its version (0 if absent) and content.
+    pub fn read(&mut self, now: Timestamp, version: u64, row: Option<&LeaseRow>) {
+        self.looked = Some(now);
+        if self.version != Some(version) {
+            self.version = Some(version);
+            self.seen_since = now;
+        }
+        self.free = row.is_none_or(|row| row.holder.is_none());
+        let own = row.filter(|row| row.process == self.process && row.holder.is_some());
+        match own {
+            Some(row) if row.write == self.writes => self.hold(version),
+            // An earlier write stands: the last one had no answer and may still take effect.
+            Some(_) if self.is_holder() => {}
+            _ => self.role = Role::Follower,
+        }
+    }
+
+    /// The write took effect as `version`.
+    pub fn written(&mut self, now: Timestamp, version: u64, row: &LeaseRow) {
+        self.version = Some(version);
+        self.seen_since = now;
+        self.looked = Some(now);
+        self.free = row.holder.is_none();
+        if row.holder.is_some() {
+            self.hold(version);
+        } else {
+            self.role = Role::Follower;
+        }
+    }
+
+    /// The write had no answer: it may take effect later. The row is read next.
+    pub fn unanswered(&mut self) {
+        self.version = None;
+    }
+
+    /// The condition of the write did not hold.
+    pub fn refused(&mut self) {
+        self.version = None;
+        self.role = Role::Follower;
+    }
+
+    /// Time from which the holder's validity counts is when the write was sent.
+    fn hold(&mut self, version: u64) {
+        let fence = match self.role {
+            Role::Holder { fence, .. } => fence,
+            Role::Follower => version,
+        };
+        self.role = Role::Holder {
+            fence,
+            renewed: self.sent,
+        };
+    }
+
+    fn part(&self, part: f64) -> u64 {
+        (self.lease as f64 * part) as u64
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,24 @@
+//! Decisions of a gateway over a fleet of back ends, without I/O: which route a
+//! request takes, which back end gets it, whether it may be sent again, what
+//! the placement holder loads where.
+//!
+//! In: configuration, reports of back ends, demand, time. Out: choices as
+//! values. `gorsebank-gateway` carries them out; nothing here reads a clock,
+//! a socket or a global.
+
+pub mod back_end;
+pub mod choice;
+pub mod configuration;
+pub mod demand;
+pub mod events;
+pub mod health;
+pub mod lease;
+pub mod placement;
+pub mod retry_window;
+pub mod split;
+
+pub use back_end::{BackEndReport, EngineReport, Holdings, PlacedRow, PlannedLoad};
+pub use configuration::{Configuration, Engine, Limits, ModelSpec, RequestKind, Route, Service};
+pub use demand::{Demand, DemandRow, ModelDemand};
+pub use lease::{LeaseKeeper, LeaseRow, LeaseStep};
+pub use retry_window::{RetryShare, RetryWindow};
--- /dev/null
+++ b/crates/fleet/src/placement/engine.rs
@@ -0,0 +1,474 @@
+//! One engine as the holder knows it, and the next thing to do there.
+//!
+//! `observed` is what discovery shows, often late; `known` is what the engine
+//! itself answered together with its sequence number, moved on by orders that
+//! were acknowledged since. Only `known` sizes an order.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use gorsebank_coordination::Timestamp;
+use gorsebank_world::{AdapterId, ModelId, ServiceId};
+
+use super::pace::LoadPace;
+use super::totals::Totals;
+use super::{Action, ActionKind, OrderKind};
+use crate::back_end::{BackEndReport, EngineReport, Holdings, PlacedRow, PlannedLoad};
+use crate::configuration::{Engine, ModelSpec};
+
+/// Reports are stale by some 100 ms: after an order without an answer, or one
+/// that was refused, the state is asked for this much later, in milliseconds.
+const SETTLE_TIME: u64 = 400;
+/// Pause between two questions while a load runs over its time, in milliseconds.
+const LOAD_POLL: u64 = 250;
+/// Pause between two questions while an adapter is on its way, in milliseconds.
+const ADAPTER_POLL: u64 = 100;
+/// Adapters that may be on their way to one engine at once.
+const ADAPTERS_IN_TRANSIT: usize = 4;
+/// A goal that was not reached in this time is given up, in milliseconds.
+const GOAL_LIFETIME: u64 = 15_000;
+/// A row is kept up for this long after the last change, in milliseconds.
+const ROW_LIFETIME: u64 = 5_000;
+
+/// What came of an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OrderResult {
+    /// It is under way.
+    Accepted,
+    /// It is in force already.
+    InForce,
+    /// Another order is under way, or the sequence number differs.
+    Conflict,
+    /// The engine has seen a higher fence.
+    Fenced,
+    /// It was refused for good.
+    Refused,
+    /// No answer: it may be carried out, even later.
+    Unanswered,
+}
+
+#[derive(Debug)]
+struct Known {
+    holdings: Holdings,
+    pending: BTreeSet<(ModelId, AdapterId)>,
+    busy: bool,
+    sequence: u64,
+}
+
+/// A model that the holder wants on an engine.
+#[derive(Clone, Debug)]
+pub struct Goal {
+    /// The model.
+    pub model: ModelId,
+    /// Since when.
+    pub since: Timestamp,
+    /// When it is expected to serve.
+    pub ready_at: Timestamp,
+    /// Models that may leave for it, the cheapest first.
+    pub victims: Vec<ModelId>,
+}
+
+/// One engine.
+#[derive(Debug)]
+pub struct EngineState {
+    observed: BackEndReport,
+    known: Option<Known>,
+    goal: Option<Goal>,
+    unloading: Option<ModelId>,
+    wanted_adapters: BTreeSet<(ModelId, AdapterId)>,
+    in_flight: bool,
+    ask_at: Timestamp,
+    check: bool,
+    changed: Option<Timestamp>,
+}
+
+impl EngineState {
+    /// An engine that discovery has just shown.
+    pub fn new(now: Timestamp, observed: BackEndReport) -> Self {
+        EngineState {
+            observed,
+            known: None,
+            goal: None,
+            unloading: None,
+            wanted_adapters: BTreeSet::new(),
+            in_flight: false,
+            ask_at: now,
+            check: false,
+            changed: None,
+        }
+    }
+
+    /// Takes in a newer row of discovery.
+    pub fn observe(&mut self, _now: Timestamp, report: &BackEndReport) {
+        self.observed = report.clone();
+    }
+
+    /// Takes over from a former holder.
+    pub fn inherit(&mut self, row: &PlacedRow) {
+        self.check = row.loading.is_some() || row.unloading.is_some();
+        self.unloading = row.unloading.clone();
+    }
+
+    /// Whether it takes requests for `service`.
+    pub fn serves(&self, service: &ServiceId) -> bool {
+        self.observed.service == *service && !self.observed.draining
+    }
+
+    /// Holdings as well as they are known.
+    pub fn holdings(&self) -> &Holdings {
+        match &self.known {
+            Some(known) => &known.holdings,
+            None => &self.observed.holdings,
+        }
+    }
+
+    /// Whether it holds the model and goes on holding it.
+    pub fn keeps(&self, model: &ModelId) -> bool {
+        self.unloading.as_ref() != Some(model) && self.holdings().contains_key(model)
+    }
+
+    /// The model that is wanted here, if any.
+    pub fn goal(&self) -> Option<&Goal> {
+        self.goal.as_ref()
+    }
+
+    /// Whether a new goal may be set.
+    pub fn is_free(&self) -> bool {
+        let busy = self.known.as_ref().is_some_and(|known| known.busy);
+        self.goal.is_none() && !self.check && !busy && self.unloading.is_none()
+    }
+
+    /// Sets a goal.
+    pub fn aim(
+        &mut self,
+        now: Timestamp,
+        model: ModelId,
+        expected: Duration,
+        victims: Vec<ModelId>,
+    ) {
+        self.changed = Some(now);
+        self.goal = Some(Goal {
+            model,
+            since: now,
+            ready_at: now + expected.as_millis() as u64,
+            victims,
+        });
+    }
+
+    /// Adapters that are wanted here.
+    pub fn want_adapter(&mut self, model: ModelId, adapter: AdapterId) {
+        self.wanted_adapters.insert((model, adapter));
+    }
+
+    /// Forgets adapters that were wanted.
+    pub fn clear_adapters(&mut self) {
+        self.wanted_adapters.clear();
+    }
+
+    /// Adapters here, on their way or wanted.
+    pub fn adapter_count(&self) -> usize {
+        let held: usize = self.holdings().values().map(BTreeSet::len).sum();
+        let pending = self.known.as_ref().map_or(0, |known| known.pending.len());
+        held + pending + self.wanted_adapters.len()
+    }
+
+    /// Whether the adapter is here, on its way or wanted.
+    pub fn has_adapter(&self, model: &ModelId, adapter: &AdapterId) -> bool {
+        let key = (model.clone(), adapter.clone());
+        let held = self.holdings().get(model);
+        held.is_some_and(|adapters| adapters.contains(adapter))
+            || self.wanted_adapters.contains(&key)
+            || self
+                .known
+                .as_ref()
+                .is_some_and(|known| known.pending.contains(&key))
+    }
+
+    /// Memory that is not taken, in megabytes.
+    pub fn free_memory(&self, spec: &Engine) -> f64 {
+        let pending = self.known.iter().flat_map(|known| &known.pending);
+        let pending: f64 = pending
+            .filter_map(|(model, _)| Some(spec.models.get(model)?.adapter_mb))
+            .sum();
+        spec.memory_mb - held_memory(spec, self.holdings()) - pending
+    }
+
+    /// Time of a load here, by where the engine has a copy.
+    pub fn load_time(&self, model: &ModelId, spec: &ModelSpec) -> Duration {
+        if self.observed.in_memory.contains(model) {
+            spec.load_from_memory
+        } else if self.observed.on_disk.contains(model) {
+            spec.load_from_disk
+        } else {
+            spec.load
+        }
+    }
+
+    /// Whether a load here takes nothing from the weight store.
+    pub fn has_copy(&self, model: &ModelId) -> bool {
+        self.observed.in_memory.contains(model) || self.observed.on_disk.contains(model)
+    }
+
+    /// The next thing to do, if there is one.
+    pub fn next_action(
+        &mut self,
+        now: Timestamp,
+        spec: &Engine,
+        totals: &Totals,
+        pace: &mut LoadPace,
+    ) -> Option<Action> {
+        self.settle_goal(now);
+        let waits = self.check || self.goal.is_some() || !self.wanted_adapters.is_empty();
+        let pending = self
+            .known
+            .as_ref()
+            .is_some_and(|known| known.busy || !known.pending.is_empty());
+        if self.in_flight || !(waits || pending) || self.observed.draining {
+            return None;
+        }
+        let Some(known) = &self.known else {
+            return self.ask(now, "state unknown");
+        };
+        if known.busy {
+            return self.ask(now, "order under way");
+        }
+        let sequence = known.sequence;
+        let (order, reason) = match self.next_order(now, spec, totals, pace) {
+            Some(order) => order,
+            None if pending => return self.ask(now, "adapter on its way"),
+            None => return None,
+        };
+        self.in_flight = true;
+        self.changed = Some(now);
+        let kind = ActionKind::Order { order, sequence };
+        Some(self.action(kind, reason))
+    }
+
+    fn next_order(
+        &mut self,
+        now: Timestamp,
+        spec: &Engine,
+        totals: &Totals,
+        pace: &mut LoadPace,
+    ) -> Option<(OrderKind, &'static str)> {
+        if let Some(order) = self.goal_order(now, spec, pace) {
+            return Some(order);
+        }
+        self.adapter_order(spec, totals)
+    }
+
+    fn goal_order(
+        &mut self,
+        now: Timestamp,
+        spec: &Engine,
+        pace: &mut LoadPace,
+    ) -> Option<(OrderKind, &'static str)> {
+        let model = self.goal.as_ref()?.model.clone();
+        let wanted = spec.models.get(&model)?;
+        if self.free_memory(spec) >= wanted.memory_mb {
+            let from_store = !self.has_copy(&model);
+            if from_store && !pace.allows(now, spec.loads_per_second) {
+                return None;
+            }
+            if from_store {
+                pace.note(now);
+            }
+            let expected = self.load_time(&model, wanted);
+            let goal = self.goal.as_mut()?;
+            goal.ready_at = now + expected.as_millis() as u64;
+            return Some((OrderKind::LoadModel(model), "demand"));
+        }
+        let held = self.holdings();
+        let victims = self.goal.as_ref()?.victims.iter();
+        let victim = victims.cloned().find(|victim| held.contains_key(victim))?;
+        self.unloading = Some(victim.clone());
+        Some((OrderKind::UnloadModel(victim), "room for a model in demand"))
+    }
+
+    fn adapter_order(&self, spec: &Engine, totals: &Totals) -> Option<(OrderKind, &'static str)> {
+        let known = self.known.as_ref()?;
+        let (model, adapter) = self
+            .wanted_adapters
+            .iter()
+            .filter(|(model, _)| known.holdings.contains_key(model))
+            .max_by(|one, other| {
+                let rate = |key: &(ModelId, AdapterId)| totals.adapter_rate(&key.0, &key.1);
+                rate(one).total_cmp(&rate(other))
+            })?;
+        if known.pending.len() >= ADAPTERS_IN_TRANSIT {
+            return None;
+        }
+        let held: usize = known.holdings.values().map(BTreeSet::len).sum();
+        let memory = spec.models.get(model)?.adapter_mb;
+        let fits = held + known.pending.len() < spec.adapter_slots;
+        if fits && self.free_memory(spec) >= memory {
+            let order = OrderKind::LoadAdapter(model.clone(), adapter.clone());
+            return Some((order, "adapter in demand"));
+        }
+        let (model, adapter) = self.idle_adapter(totals)?;
+        let order = OrderKind::UnloadAdapter(model, adapter);
+        Some((order, "room for an adapter in demand"))
+    }
+
+    fn idle_adapter(&self, totals: &Totals) -> Option<(ModelId, AdapterId)> {
+        let known = self.known.as_ref()?;
+        let held = known.holdings.iter().flat_map(|(model, adapters)| {
+            adapters
+                .iter()
+                .map(move |adapter| (model.clone(), adapter.clone()))
+        });
+        held.min_by(|one, other| {
+            let rate = |key: &(ModelId, AdapterId)| totals.adapter_rate(&key.0, &key.1);
+            rate(one).total_cmp(&rate(other))
+        })
+    }
+
+    /// Ends a goal that was reached or is too old.
+    fn settle_goal(&mut self, now: Timestamp) {
+        let Some(goal) = &self.goal else {
+            return;
+        };
+        let known = self.known.as_ref();
+        let reached =
+            known.is_some_and(|known| !known.busy && known.holdings.contains_key(&goal.model));
+        let old = now.since(goal.since) > GOAL_LIFETIME;
+        if !self.in_flight && (reached || old) {
+            self.changed = Some(now);
+            self.goal = None;
+        }
+    }
+
+    fn ask(&mut self, now: Timestamp, reason: &'static str) -> Option<Action> {
+        if now < self.ask_at {
+            return None;
+        }
+        self.in_flight = true;
+        Some(self.action(ActionKind::Report, reason))
+    }
+
+    fn action(&self, kind: ActionKind, reason: &'static str) -> Action {
+        Action {
+            engine: self.observed.id.clone(),
+            kind,
+            reason,
+        }
+    }
+
+    /// The engine told its state, or did not answer.
+    pub fn reported(&mut self, now: Timestamp, report: Option<EngineReport>) {
+        self.in_flight = false;
+        let Some(report) = report else {
+            self.known = None;
+            self.ask_at = now + SETTLE_TIME;
+            return;
+        };
+        let is_stale = |known: &Known| report.sequence < known.sequence;
+        if self.known.as_ref().is_some_and(is_stale) {
+            self.ask_at = now + ADAPTER_POLL;
+            return;
+        }
+        self.check = false;
+        self.changed = Some(now);
+        if !report.busy {
+            self.unloading = None;
+        }
+        self.ask_at = now + if report.busy { LOAD_POLL } else { ADAPTER_POLL };
+        self.observed.in_memory.extend(report.in_memory);
+        self.observed.on_disk.extend(report.on_disk);
+        self.known = Some(Known {
+            holdings: report.holdings,
+            pending: report.pending,
+            busy: report.busy,
+            sequence: report.sequence,
+        });
+    }
+
+    /// An order had this result.
+    pub fn ordered(&mut self, now: Timestamp, order: &OrderKind, result: OrderResult) {
+        self.in_flight = false;
+        self.changed = Some(now);
+        match result {
+            OrderResult::Accepted => self.accepted(now, order),
+            OrderResult::InForce if matches!(order, OrderKind::UnloadAdapter(..)) => {
+                self.accepted(now, order);
+            }
+            OrderResult::Refused => {
+                self.goal = None;
+                self.unknown(now);
+            }
+            _ => self.unknown(now),
+        }
+    }
+
+    /// The order was taken, so the sequence number is one higher.
+    fn accepted(&mut self, now: Timestamp, order: &OrderKind) {
+        let Some(known) = &mut self.known else {
+            return;
+        };
+        known.sequence += 1;
+        match order {
+            OrderKind::LoadModel(_) => {
+                known.busy = true;
+                let ready_at = self.goal.as_ref().map(|goal| goal.ready_at);
+                self.ask_at = ready_at.unwrap_or(now + LOAD_POLL);
+            }
+            OrderKind::UnloadModel(_) => {
+                known.busy = true;
+                self.ask_at = now + LOAD_POLL;
+            }
+            OrderKind::LoadAdapter(model, adapter) => {
+                known.pending.insert((model.clone(), adapter.clone()));
+                self.ask_at = now + ADAPTER_POLL;
+            }
+            // Its place counts as taken until a report shows it free.
+            OrderKind::UnloadAdapter(..) => self.unknown(now),
+        }
+    }
+
+    /// Nothing is known any more; the state is asked once stale answers are past.
+    fn unknown(&mut self, now: Timestamp) {
+        self.known = None;
+        self.unloading = None;
+        self.check = true;
+        self.ask_at = now + SETTLE_TIME;
+    }
+
+    /// The action was not begun.
+    pub fn abandoned(&mut self, now: Timestamp) {
+        self.in_flight = false;
+        self.unknown(now);
+    }
+
+    /// The row for gateways, while there is anything newer than discovery to say.
+    pub fn row(&self, now: Timestamp, fence: u64) -> Option<PlacedRow> {
+        let changed = self.changed?;
+        let settled = self.goal.is_none() && self.unloading.is_none();
+        if settled && now.since(changed) > ROW_LIFETIME {
+            return None;
+        }
+        let mut holdings = self.holdings().clone();
+        if let Some(leaving) = &self.unloading {
+            holdings.remove(leaving);
+        }
+        let loading = self.goal.as_ref().map(|goal| PlannedLoad {
+            model: goal.model.clone(),
+            ready_in: goal.ready_at.since(now),
+        });
+        Some(PlacedRow {
+            fence,
+            holdings,
+            unloading: self.unloading.clone(),
+            loading,
+        })
+    }
+}
+
+/// Memory of models and adapters, in megabytes. An unknown model fills the engine.
+fn held_memory(spec: &Engine, holdings: &Holdings) -> f64 {
+    let memory = |(model, adapters): (&ModelId, &BTreeSet<AdapterId>)| match spec.models.get(model)
+    {
+        Some(model) => model.memory_mb + model.adapter_mb * adapters.len() as f64,
+        None => spec.memory_mb,
+    };
+    holdings.iter().map(memory).sum()
+}
--- /dev/null
+++ b/crates/fleet/src/placement/goals.rs
@@ -0,0 +1,209 @@
+//! Chooses which models are wanted where.
+//!
+//! A load pays when the demand it serves is worth more than what has to leave
+//! for it. The value of a model is its rate of requests; of one replica among
+//! several, its share of that rate.
+
+use gorsebank_coordination::Timestamp;
+use gorsebank_world::{AdapterId, ModelId};
+
+use super::engine::EngineState;
+use super::pace::LoadPace;
+use super::totals::Totals;
+use crate::configuration::{Engine, ModelSpec};
+
+/// Worth of one waiting request, in requests a second.
+const WAITING_WORTH: f64 = 0.3;
+/// A running request makes a model this much dearer to lose.
+const RUNNING_WORTH: f64 = 0.25;
+/// A load must be worth this much more than what leaves for it.
+const ADVANTAGE: f64 = 1.3;
+/// Part of an engine's slots that one model's replica should fill at most.
+const REPLICA_LOAD: f64 = 0.12;
+/// Worth of a further replica against its share of the rate.
+const REPLICA_WORTH: f64 = 0.5;
+/// A load from the weight store costs so much, in requests a second.
+const STORE_LOAD_COST: f64 = 0.02;
+
+/// A model that should be loaded once more.
+struct Wish {
+    model: ModelId,
+    worth: f64,
+}
+
+/// Sets goals at engines that have none.
+pub fn choose(
+    now: Timestamp,
+    spec: &Engine,
+    totals: &Totals,
+    engines: &mut [&mut EngineState],
+    pace: &mut LoadPace,
+) {
+    for wish in wishes(spec, totals, engines) {
+        if !pace.allows(now, spec.loads_per_second) {
+            return;
+        }
+        place(now, spec, totals, engines, &wish);
+    }
+}
+
+fn wishes(spec: &Engine, totals: &Totals, engines: &[&mut EngineState]) -> Vec<Wish> {
+    let mut wishes: Vec<Wish> = totals
+        .models()
+        .filter(|(model, _)| spec.models.contains_key(model))
+        .filter_map(|(model, demand)| {
+            let replicas = replicas(engines, model);
+            let coming = coming(engines, model);
+            let worth = if replicas + coming == 0 {
+                demand.rate + WAITING_WORTH * f64::from(demand.waiting)
+            } else if coming == 0 && is_crowded(spec, demand.running, replicas) {
+                REPLICA_WORTH * demand.rate / (replicas + 1) as f64
+            } else {
+                return None;
+            };
+            let model = model.clone();
+            Some(Wish { model, worth })
+        })
+        .collect();
+    wishes.sort_by(|one, other| other.worth.total_cmp(&one.worth));
+    wishes
+}
+
+fn is_crowded(spec: &Engine, running: u32, replicas: usize) -> bool {
+    f64::from(running) > REPLICA_LOAD * f64::from(spec.slots) * replicas as f64
+}
+
+fn replicas(engines: &[&mut EngineState], model: &ModelId) -> usize {
+    engines.iter().filter(|engine| engine.keeps(model)).count()
+}
+
+fn coming(engines: &[&mut EngineState], model: &ModelId) -> usize {
+    let aims = |engine: &&&mut EngineState| {
+        engine
+            .goal()
+            .is_some_and(|goal| goal.model == *model && !engine.keeps(model))
+    };
+    engines.iter().filter(aims).count()
+}
+
+fn place(
+    now: Timestamp,
+    spec: &Engine,
+    totals: &Totals,
+    engines: &mut [&mut EngineState],
+    wish: &Wish,
+) {
+    let Some(wanted) = spec.models.get(&wish.model) else {
+        return;
+    };
+    let best = (0..engines.len())
+        .filter(|index| engines[*index].is_free() && !engines[*index].keeps(&wish.model))
+        .map(|index| (index, make_room(spec, totals, engines, index, wish, wanted)))
+        .min_by(|one, other| one.1.loss.total_cmp(&other.1.loss));
+    let Some((index, room)) = best else {
+        return;
+    };
+    if wish.worth > room.loss * ADVANTAGE {
+        let expected = engines[index].load_time(&wish.model, wanted);
+        engines[index].aim(now, wish.model.clone(), expected, room.victims);
+    }
+}
+
+/// What has to leave an engine, and what that costs in requests a second.
+struct Room {
+    loss: f64,
+    victims: Vec<ModelId>,
+}
+
+fn make_room(
+    spec: &Engine,
+    totals: &Totals,
+    engines: &[&mut EngineState],
+    index: usize,
+    wish: &Wish,
+    wanted: &ModelSpec,
+) -> Room {
+    let engine = &engines[index];
+    let mut missing = wanted.memory_mb - engine.free_memory(spec);
+    let mut costs: Vec<(f64, f64, &ModelId)> = engine
+        .holdings()
+        .keys()
+        .map(|model| {
+            let memory = spec.models.get(model).map_or(0.0, |spec| spec.memory_mb);
+            (
+                value(totals, model, replicas(engines, model)),
+                memory,
+                model,
+            )
+        })
+        .collect();
+    costs.sort_by(|one, other| one.0.total_cmp(&other.0));
+    let from_store = !engine.has_copy(&wish.model);
+    let mut loss = if from_store { STORE_LOAD_COST } else { 0.0 };
+    let mut victims = Vec::new();
+    for (cost, memory, model) in costs {
+        if missing <= 0.0 {
+            break;
+        }
+        loss += cost;
+        missing -= memory;
+        victims.push(model.clone());
+    }
+    if missing > 0.0 {
+        loss = f64::INFINITY;
+    }
+    Room { loss, victims }
+}
+
+/// What one replica of a model is worth, in requests a second.
+fn value(totals: &Totals, model: &ModelId, replicas: usize) -> f64 {
+    let shares = replicas.max(1) as f64;
+    let running = RUNNING_WORTH * f64::from(totals.running(model));
+    let waiting = WAITING_WORTH * f64::from(totals.waiting(model));
+    (totals.rate(model) + running + waiting) / shares
+}
+
+/// Gives each adapter that requests wait for to the engine with most room.
+pub fn assign_adapters(
+    _now: Timestamp,
+    spec: &Engine,
+    totals: &Totals,
+    engines: &mut [&mut EngineState],
+) {
+    for engine in engines.iter_mut() {
+        engine.clear_adapters();
+    }
+    for (model, _) in totals.models() {
+        let Some(missing) = totals.missing_adapters(model) else {
+            continue;
+        };
+        for adapter in missing {
+            assign_adapter(spec, engines, model, adapter);
+        }
+    }
+}
+
+fn assign_adapter(
+    spec: &Engine,
+    engines: &mut [&mut EngineState],
+    model: &ModelId,
+    adapter: &AdapterId,
+) {
+    if !spec.models.contains_key(model) {
+        return;
+    }
+    let holders = engines.iter_mut().filter(|engine| engine.keeps(model));
+    let mut holders: Vec<&mut &mut EngineState> = holders.collect();
+    if holders
+        .iter()
+        .any(|engine| engine.has_adapter(model, adapter))
+    {
+        return;
+    }
+    let roomiest = holders
+        .iter_mut()
+        .min_by_key(|engine| (!engine.is_free(), engine.adapter_count()));
+    if let Some(engine) = roomiest {
+        engine.want_adapter(model.clone(), adapter.clone());
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/placement/mod.rs
@@ -0,0 +1,171 @@
+//! Placement by the holder: which engine loads, unloads or keeps which model
+//! and adapter.
+//!
+//! In: reports of engines, demand of all gateways, outcomes of orders, time.
+//! Out: actions, at most one at a time for each engine.
+//!
+//! Invariant: an order is sized by holdings that are known for a sequence
+//! number of the engine, and is sent on the condition of just that number. An
+//! order that is carried out late, or another holder's, changes the number; so
+//! memory and adapter places are never overcommitted, whatever was lost.
+
+mod engine;
+mod goals;
+mod pace;
+mod totals;
+
+use std::collections::BTreeMap;
+
+use gorsebank_coordination::Timestamp;
+use gorsebank_world::{AdapterId, BackEndId, ModelId, ServiceId};
+
+use crate::back_end::{BackEndReport, EngineReport, PlacedRow};
+use crate::configuration::{Configuration, Engine};
+use crate::demand::DemandRow;
+
+use engine::EngineState;
+pub use engine::OrderResult;
+use pace::LoadPace;
+use totals::Totals;
+
+/// What an engine is ordered to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum OrderKind {
+    /// Load a model.
+    LoadModel(ModelId),
+    /// Unload a model with its adapters.
+    UnloadModel(ModelId),
+    /// Load an adapter of a model that is there.
+    LoadAdapter(ModelId, AdapterId),
+    /// Unload an adapter.
+    UnloadAdapter(ModelId, AdapterId),
+}
+
+/// What to do at an engine.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ActionKind {
+    /// Ask what it holds.
+    Report,
+    /// Give an order, on the condition that it has taken `sequence` orders.
+    Order {
+        /// The order.
+        order: OrderKind,
+        /// Orders that the engine must have taken.
+        sequence: u64,
+    },
+}
+
+/// One thing to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Action {
+    /// The engine.
+    pub engine: BackEndId,
+    /// What to do there.
+    pub kind: ActionKind,
+    /// Why, for the logs.
+    pub reason: &'static str,
+}
+
+/// The holder's view and plans.
+#[derive(Debug, Default)]
+pub struct Planner {
+    engines: BTreeMap<BackEndId, EngineState>,
+    pace: BTreeMap<ServiceId, LoadPace>,
+}
+
+impl Planner {
+    /// Takes in the back ends that discovery shows.
+    pub fn observe(&mut self, now: Timestamp, reports: &[BackEndReport]) {
+        self.engines
+            .retain(|id, _| reports.iter().any(|report| report.id == *id));
+        for report in reports {
+            match self.engines.get_mut(&report.id) {
+                Some(engine) => engine.observe(now, report),
+                None => {
+                    let engine = EngineState::new(now, report.clone());
+                    self.engines.insert(report.id.clone(), engine);
+                }
+            }
+        }
+    }
+
+    /// A former holder's row: the engine is asked before anything else is done there.
+    pub fn inherit(&mut self, id: &BackEndId, row: &PlacedRow) {
+        if let Some(engine) = self.engines.get_mut(id) {
+            engine.inherit(row);
+        }
+    }
+
+    /// What to do now.
+    pub fn plan(
+        &mut self,
+        now: Timestamp,
+        configuration: &Configuration,
+        rows: &[DemandRow],
+    ) -> Vec<Action> {
+        let mut actions = Vec::new();
+        for (service, spec) in configuration.engine_services() {
+            let totals = Totals::new(service, rows);
+            self.plan_service(now, service, spec, &totals, &mut actions);
+        }
+        actions
+    }
+
+    fn plan_service(
+        &mut self,
+        now: Timestamp,
+        service: &ServiceId,
+        spec: &Engine,
+        totals: &Totals,
+        actions: &mut Vec<Action>,
+    ) {
+        let mut engines: Vec<&mut EngineState> = self
+            .engines
+            .values_mut()
+            .filter(|engine| engine.serves(service))
+            .collect();
+        let pace = self.pace.entry(service.clone()).or_default();
+        goals::choose(now, spec, totals, &mut engines, pace);
+        goals::assign_adapters(now, spec, totals, &mut engines);
+        for engine in engines {
+            if let Some(action) = engine.next_action(now, spec, totals, pace) {
+                actions.push(action);
+            }
+        }
+    }
+
+    /// An engine answered the question for its state.
+    pub fn reported(&mut self, now: Timestamp, id: &BackEndId, report: Option<EngineReport>) {
+        if let Some(engine) = self.engines.get_mut(id) {
+            engine.reported(now, report);
+        }
+    }
+
+    /// An order had this result.
+    pub fn ordered(
+        &mut self,
+        now: Timestamp,
+        id: &BackEndId,
+        order: &OrderKind,
+        result: OrderResult,
+    ) {
+        if let Some(engine) = self.engines.get_mut(id) {
+            engine.ordered(now, order, result);
+        }
+    }
+
+    /// An action could not be begun.
+    pub fn abandoned(&mut self, now: Timestamp, id: &BackEndId) {
+        if let Some(engine) = self.engines.get_mut(id) {
+            engine.abandoned(now);
+        }
+    }
+
+    /// The rows that gateways should know, for engines with anything to say.
+    pub fn rows(&self, now: Timestamp, fence: u64) -> Vec<(BackEndId, PlacedRow)> {
+        self.engines
+            .iter()
+            .filter_map(|(id, engine)| Some((id.clone(), engine.row(now, fence)?)))
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/admission.rs
@@ -0,0 +1,256 @@
+//! Picks the back end of the next attempt, waits for one, or refuses.
+//!
+//! A request waits only for what is expected within its objective: an adapter
+//! on its way, or a load that ends in time. Otherwise it is refused at once
+//! and told when the model will be there.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use gorsebank_coordination::Timestamp;
+use gorsebank_fleet::choice::{Candidate, cheapest};
+use gorsebank_world::{AdapterId, BackEndId, ModelId};
+use tokio::time::{Instant, timeout_at};
+
+use crate::back_end::BackEnd;
+use crate::failure::Failure;
+use crate::lines::{self, Rank};
+use crate::request::Call;
+
+/// Time from a wish until a load is ordered, until one is seen to be.
+const ORDER_DELAY: Duration = Duration::from_millis(500);
+/// Time from the end of a load until the first event.
+const FIRST_EVENT: Duration = Duration::from_millis(300);
+/// Part of the objective that a wait for a load may take.
+const LOAD_WAIT_PART: f64 = 0.95;
+/// Part of the objective that a wait for an adapter may take.
+const ADAPTER_WAIT_PART: f64 = 0.75;
+/// Part of the objective that a wait for any back end may take.
+const BACK_END_WAIT_PART: f64 = 0.24;
+/// Least pause that a refused caller is asked for.
+const LEAST_PAUSE: Duration = Duration::from_millis(250);
+/// Latencies count between these bounds, against the mean of the peers.
+const LATENCY_BOUNDS: (f64, f64) = (0.5, 8.0);
+
+/// What stands in the way of sending a request.
+enum Obstacle {
+    /// No back end of the service can take it.
+    NoBackEnd,
+    /// The adapter is not loaded where the model is.
+    NoAdapter,
+    /// The model is not loaded; a load is expected to end in this time.
+    NoModel(Duration),
+}
+
+/// A back end for the next attempt; none of `tried`, if others are there.
+pub async fn admit(call: &Call, tried: &[BackEndId]) -> Result<Arc<BackEnd>, Failure> {
+    let mut changes = call.shared.subscribe();
+    let began = Instant::now();
+    let mut waiting = None;
+    loop {
+        changes.mark_unchanged();
+        let obstacle = match pick(call, tried) {
+            Ok(back_end) => {
+                call.shared.metrics.queued(began.elapsed());
+                return Ok(back_end);
+            }
+            Err(obstacle) => obstacle,
+        };
+        let wait_until = wish(call, &obstacle)?;
+        if waiting.is_none() {
+            waiting = Waiting::begin(call);
+        }
+        if timeout_at(wait_until, changes.changed()).await.is_err() {
+            return Err(refuse(call, &obstacle));
+        }
+    }
+}
+
+/// Tells the placement holder what is missing. Out: how long it is worth waiting.
+fn wish(call: &Call, obstacle: &Obstacle) -> Result<Instant, Failure> {
+    let objective = call.route.objective;
+    let now = Instant::now();
+    let until = match obstacle {
+        Obstacle::NoBackEnd => call.arrived + objective.mul_f64(BACK_END_WAIT_PART),
+        Obstacle::NoAdapter => {
+            note_wish(call, call.ticket.adapter.as_ref());
+            call.arrived + objective.mul_f64(ADAPTER_WAIT_PART)
+        }
+        Obstacle::NoModel(expected) => {
+            note_wish(call, None);
+            let ready = now + *expected + FIRST_EVENT;
+            let latest = call.arrived + objective.mul_f64(LOAD_WAIT_PART);
+            if ready > latest {
+                return Err(refuse(call, obstacle));
+            }
+            latest
+        }
+    };
+    if now >= until {
+        return Err(refuse(call, obstacle));
+    }
+    Ok(until.min(call.deadline))
+}
+
+fn note_wish(call: &Call, adapter: Option<&AdapterId>) {
+    let Some(model) = &call.ticket.model else {
+        return;
+    };
+    let now = call.shared.now();
+    let mut demand = call.shared.demand.lock();
+    if demand.wish(now, &call.service, model, adapter) {
+        call.shared.urgent_demand.notify_one();
+    }
+}
+
+fn refuse(call: &Call, obstacle: &Obstacle) -> Failure {
+    let (reason, pause) = match obstacle {
+        Obstacle::NoBackEnd => ("no_back_end", LEAST_PAUSE),
+        Obstacle::NoAdapter => ("no_adapter", LEAST_PAUSE),
+        Obstacle::NoModel(expected) => ("no_model", (*expected + LEAST_PAUSE).max(LEAST_PAUSE)),
+    };
+    call.refuse(reason, pause)
+}
+
+/// Counts as waiting for the model until it is dropped.
+struct Waiting<'a> {
+    call: &'a Call,
+    model: &'a ModelId,
+}
+
+impl<'a> Waiting<'a> {
+    fn begin(call: &'a Call) -> Option<Self> {
+        let model = call.ticket.model.as_ref()?;
+        let mut demand = call.shared.demand.lock();
+        demand.waiting(&call.service, model, 1);
+        Some(Waiting { call, model })
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        let mut demand = self.call.shared.demand.lock();
+        demand.waiting(&self.call.service, self.model, -1);
+    }
+}
+
+fn pick(call: &Call, tried: &[BackEndId]) -> Result<Arc<BackEnd>, Obstacle> {
+    let now = call.shared.now();
+    let service = &call.service;
+    let model = needed_model(call);
+    let Some(model) = model else {
+        let members = call
+            .shared
+            .directory(|directory| directory.members(service));
+        return choose(call, now, members, tried).ok_or(Obstacle::NoBackEnd);
+    };
+    let adapter = call.ticket.adapter.as_ref();
+    let places = call
+        .shared
+        .directory(|directory| directory.places(now, service, model, adapter));
+    if let Some(back_end) = choose(call, now, places.ready, tried) {
+        call.shared.demand.lock().fulfilled(service, model, adapter);
+        return Ok(back_end);
+    }
+    if places.without_adapter > 0 {
+        return Err(Obstacle::NoAdapter);
+    }
+    let expected = match places.loading_until {
+        Some(until) => Duration::from_millis(until.since(now)),
+        None => load_time(call, model) + ORDER_DELAY,
+    };
+    Err(Obstacle::NoModel(expected))
+}
+
+/// The model that a back end must hold, if the service's back ends are engines.
+fn needed_model(call: &Call) -> Option<&ModelId> {
+    let service = call.configuration.service(&call.service)?;
+    service.engine.as_ref()?;
+    call.ticket.model.as_ref()
+}
+
+fn load_time(call: &Call, model: &ModelId) -> Duration {
+    let service = call.configuration.service(&call.service);
+    let engine = service.and_then(|service| service.engine.as_ref());
+    let spec = engine.and_then(|engine| engine.models.get(model));
+    spec.map_or(Duration::from_secs(2), |spec| spec.load)
+}
+
+/// The cheapest of the back ends; those that were tried, or do not answer, come last.
+fn choose(
+    call: &Call,
+    now: Timestamp,
+    back_ends: Vec<Arc<BackEnd>>,
+    tried: &[BackEndId],
+) -> Option<Arc<BackEnd>> {
+    let untried: Vec<Arc<BackEnd>> = back_ends
+        .into_iter()
+        .filter(|back_end| !tried.contains(&back_end.id))
+        .collect();
+    let answering: Vec<Arc<BackEnd>> = untried
+        .iter()
+        .filter(|back_end| !back_end.health().is_paused(now))
+        .cloned()
+        .collect();
+    let eligible = if answering.is_empty() {
+        untried
+    } else {
+        answering
+    };
+    let candidates = candidates(call, now, &eligible);
+    let index = cheapest(&candidates, &mut rand::rng())?;
+    let chosen = eligible[index].clone();
+    if let (Some(model), Some(part)) = (&call.ticket.model, call.ticket.shared_parts.last()) {
+        chosen.note_prompt(model, part);
+    }
+    log_choice(call, &chosen, eligible.len());
+    Some(chosen)
+}
+
+fn candidates(call: &Call, now: Timestamp, back_ends: &[Arc<BackEnd>]) -> Vec<Candidate> {
+    let latencies: Vec<Option<f64>> = back_ends
+        .iter()
+        .map(|back_end| back_end.health().latency())
+        .collect();
+    let known: Vec<f64> = latencies.iter().flatten().copied().collect();
+    let mean = known.iter().sum::<f64>() / known.len().max(1) as f64;
+    back_ends
+        .iter()
+        .zip(latencies)
+        .map(|(back_end, latency)| Candidate {
+            in_flight: back_end.in_flight(),
+            same_zone: back_end.same_zone,
+            failure_rate: back_end.health().failure_rate(now),
+            relative_latency: relative(latency, mean),
+            warm_prompt: has_warm_prompt(call, back_end),
+        })
+        .collect()
+}
+
+fn relative(latency: Option<f64>, mean: f64) -> f64 {
+    match latency {
+        Some(latency) if mean > 0.0 => (latency / mean).clamp(LATENCY_BOUNDS.0, LATENCY_BOUNDS.1),
+        _ => 1.0,
+    }
+}
+
+fn has_warm_prompt(call: &Call, back_end: &BackEnd) -> bool {
+    match (&call.ticket.model, call.ticket.shared_parts.last()) {
+        (Some(model), Some(part)) => back_end.has_prompt(model, part),
+        _ => false,
+    }
+}
+
+fn log_choice(call: &Call, chosen: &BackEnd, eligible: usize) {
+    let health = chosen.health();
+    let fields = format_args!(
+        "request={} back_end={} eligible={eligible} in_flight={} latency_ms={:.0} waited_ms={} priority={}",
+        call.ticket.id,
+        chosen.id,
+        chosen.in_flight(),
+        health.latency().unwrap_or(0.0),
+        call.arrived.elapsed().as_millis(),
+        call.route.priority,
+    );
+    lines::write(Rank::Served, "chosen", fields);
+}
--- /dev/null
+++ b/crates/gateway/src/attempt.rs
@@ -0,0 +1,266 @@
+//! Sends a request once, and says truthfully what came of it.
+//!
+//! Only three things show that a back end did not run a request: nothing was
+//! written, the back end says so, or another incarnation answered. Everything
+//! else, silence included, may have run.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::HeaderName;
+use http::response::Parts;
+use http::{HeaderMap, Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use tokio::time::{Instant, timeout_at};
+
+use crate::back_end::{BackEnd, Connection, InFlight};
+use crate::lines::{self, Rank};
+use crate::ports::{AnswerMarks, AttemptHead};
+use crate::request::Call;
+
+/// Kept connections that are tried before a new one is made.
+const KEPT_TRIES: usize = 3;
+/// Names how long a back end keeps an idle connection.
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+
+/// An answer whose body has not been read yet.
+#[derive(Debug)]
+pub struct Answer {
+    /// Its head.
+    pub head: Parts,
+    /// Its body.
+    pub body: Incoming,
+    /// What the head says.
+    pub marks: AnswerMarks,
+    /// Who answers.
+    pub back_end: Arc<BackEnd>,
+    connection: Connection,
+    in_flight: InFlight,
+    sent: Instant,
+}
+
+/// What came of an attempt.
+#[derive(Debug)]
+pub enum AttemptEnd {
+    /// A head arrived that belongs to the request.
+    Answered(Box<Answer>),
+    /// Nothing was sent.
+    NotSent(&'static str),
+    /// It may have run.
+    MayHaveRun(&'static str),
+}
+
+/// Sends `call` to `back_end`; a head must arrive before `head_until`.
+pub async fn send(
+    call: &Call,
+    back_end: &Arc<BackEnd>,
+    last_event: Option<&str>,
+    head_until: Instant,
+) -> AttemptEnd {
+    let in_flight = back_end.begin();
+    let sent = Instant::now();
+    let end = send_on_connection(call, back_end, last_event, head_until, in_flight).await;
+    let result = match &end {
+        AttemptEnd::Answered(answer) => {
+            call.shared.metrics.answered(sent.elapsed());
+            answer.head.status.as_str().to_owned()
+        }
+        AttemptEnd::NotSent(reason) | AttemptEnd::MayHaveRun(reason) => (*reason).to_owned(),
+    };
+    call.shared
+        .metrics
+        .attempts
+        .with_label_values(&[&result])
+        .inc();
+    if !matches!(&end, AttemptEnd::Answered(answer) if answer.head.status.is_success()) {
+        let exposed = matches!(end, AttemptEnd::MayHaveRun(_));
+        let fields = format_args!(
+            "request={} back_end={} result={result} may_have_run={exposed} attempt={} took_ms={}",
+            call.ticket.id,
+            back_end.id,
+            call.attempts.load(Ordering::Relaxed),
+            sent.elapsed().as_millis(),
+        );
+        lines::write(Rank::Decision, "attempt", fields);
+    }
+    end
+}
+
+async fn send_on_connection(
+    call: &Call,
+    back_end: &Arc<BackEnd>,
+    last_event: Option<&str>,
+    head_until: Instant,
+    in_flight: InFlight,
+) -> AttemptEnd {
+    for _ in 0..KEPT_TRIES {
+        let Some(connection) = back_end.kept_connection() else {
+            break;
+        };
+        match exchange(call, back_end, last_event, head_until, connection).await {
+            Exchange::Unsent => {}
+            Exchange::Failed(reason) => return failed(call, back_end, reason),
+            Exchange::Head(answer) => return accept(call, back_end, *answer, in_flight),
+        }
+    }
+    let connecting = timeout_at(head_until, back_end.connect()).await;
+    let connection = match connecting {
+        Ok(Ok(connection)) => connection,
+        Ok(Err(_)) | Err(_) => {
+            back_end.note(|health| health.unreachable(call.shared.now()));
+            return AttemptEnd::NotSent("not_connected");
+        }
+    };
+    match exchange(call, back_end, last_event, head_until, connection).await {
+        Exchange::Unsent => {
+            back_end.note(|health| health.unreachable(call.shared.now()));
+            AttemptEnd::NotSent("connection_closed")
+        }
+        Exchange::Failed(reason) => failed(call, back_end, reason),
+        Exchange::Head(answer) => accept(call, back_end, *answer, in_flight),
+    }
+}
+
+fn failed(call: &Call, back_end: &BackEnd, reason: &'static str) -> AttemptEnd {
+    call.expose();
+    back_end.note(|health| health.unreachable(call.shared.now()));
+    AttemptEnd::MayHaveRun(reason)
+}
+
+struct Head {
+    parts: Parts,
+    body: Incoming,
+    connection: Connection,
+    sent: Instant,
+}
+
+enum Exchange {
+    /// The connection was closed before anything was written.
+    Unsent,
+    /// Something was written, and no head came.
+    Failed(&'static str),
+    /// A head came.
+    Head(Box<Head>),
+}
+
+async fn exchange(
+    call: &Call,
+    back_end: &BackEnd,
+    last_event: Option<&str>,
+    head_until: Instant,
+    mut connection: Connection,
+) -> Exchange {
+    // A back end may have begun to leave while a connection was made.
+    let active = |directory: &crate::directory::Directory| directory.is_active(&back_end.id);
+    if !call.shared.directory(active) {
+        return Exchange::Unsent;
+    }
+    let request = request(call, back_end, last_event);
+    let sent = Instant::now();
+    let sending = connection.sender.try_send_request(request);
+    match timeout_at(head_until, sending).await {
+        Ok(Ok(response)) => {
+            let (parts, body) = response.into_parts();
+            Exchange::Head(Box::new(Head {
+                parts,
+                body,
+                connection,
+                sent,
+            }))
+        }
+        Ok(Err(mut error)) => match error.take_message() {
+            Some(_) => Exchange::Unsent,
+            None => Exchange::Failed("connection_lost"),
+        },
+        Err(_) => Exchange::Failed("no_head"),
+    }
+}
+
+fn request(call: &Call, back_end: &BackEnd, last_event: Option<&str>) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(call.body.clone()));
+    *request.method_mut() = call.head.method.clone();
+    *request.uri_mut() = call.head.uri.clone();
+    *request.headers_mut() = call.head.headers.clone();
+    let head = AttemptHead {
+        back_end: &back_end.id,
+        time_left: call.deadline.saturating_duration_since(Instant::now()),
+        priority: call.route.priority,
+        last_event,
+    };
+    call.shared
+        .platform
+        .mark_attempt(request.headers_mut(), &head);
+    request
+}
+
+/// Checks that the answer is to this very request.
+fn accept(call: &Call, back_end: &Arc<BackEnd>, head: Head, in_flight: InFlight) -> AttemptEnd {
+    let platform = &call.shared.platform;
+    let marks = platform.answer_marks(head.parts.status, &head.parts.headers);
+    let belongs = marks.request_id.as_deref() == Some(call.ticket.id.as_str());
+    if !belongs && !call.ticket.id.is_empty() {
+        return failed(call, back_end, "foreign_answer");
+    }
+    if !marks.not_run {
+        call.expose();
+    }
+    AttemptEnd::Answered(Box::new(Answer {
+        head: head.parts,
+        body: head.body,
+        marks,
+        back_end: back_end.clone(),
+        connection: head.connection,
+        in_flight,
+        sent: head.sent,
+    }))
+}
+
+impl Answer {
+    /// Whether the back end failed the request itself.
+    pub fn is_failure(&self) -> bool {
+        self.head.status.is_server_error()
+    }
+
+    /// Whether the status promises that the request did not run, without the
+    /// back end having said so.
+    pub fn promises_falsely(&self) -> bool {
+        let promise = matches!(
+            self.head.status,
+            StatusCode::SERVICE_UNAVAILABLE
+                | StatusCode::TOO_MANY_REQUESTS
+                | StatusCode::REQUEST_TIMEOUT
+                | StatusCode::MISDIRECTED_REQUEST
+        );
+        promise && !self.marks.not_run
+    }
+
+    /// Reads the body whole and keeps the connection. None if it broke off.
+    pub async fn read_whole(&mut self, until: Instant) -> Option<Bytes> {
+        let body = timeout_at(until, (&mut self.body).collect()).await;
+        body.ok()?.ok().map(|whole| whole.to_bytes())
+    }
+
+    /// The body was read to its end: the connection may serve again.
+    pub fn keep_connection(self) {
+        let rest = stated_rest(&self.head.headers);
+        self.back_end.keep(self.connection, rest);
+        drop(self.in_flight);
+    }
+
+    /// Time from the send until now.
+    pub fn age(&self) -> Duration {
+        self.sent.elapsed()
+    }
+}
+
+/// How long the back end keeps an idle connection, if it says so.
+fn stated_rest(headers: &HeaderMap) -> Option<Duration> {
+    let value = headers.get(KEEP_ALIVE)?.to_str().ok()?;
+    let seconds = value
+        .split(',')
+        .find_map(|part| part.trim().strip_prefix("timeout="))?;
+    Some(Duration::from_secs(seconds.parse().ok()?))
+}
--- /dev/null
+++ b/crates/gateway/src/back_end.rs
@@ -0,0 +1,202 @@
+//! One back end as this gateway uses it: connections, requests in flight, health.
+//!
+//! A connection carries one request at a time and returns to the pool only
+//! after a whole answer that matched its request. Whatever is in doubt is
+//! closed, which also cancels the request at the back end.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use gorsebank_coordination::Timestamp;
+use gorsebank_fleet::BackEndReport;
+use gorsebank_fleet::health::Health;
+use gorsebank_world::{AdapterId, BackEndId, ModelId, ServiceId};
+use http_body_util::Full;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use parking_lot::Mutex;
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+use tokio::time::{Instant, timeout};
+
+/// Longest time to establish a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
+/// A connection without a stated rest is kept idle for so long.
+const DEFAULT_REST: Duration = Duration::from_secs(4);
+/// A connection is used only within this part of the rest that the back end states.
+const REST_PART: f64 = 0.6;
+/// What a back end said it does not hold is not asked there for so long, in milliseconds.
+const ABSENCE_LIFETIME: u64 = 1_500;
+/// Idle connections kept for one back end.
+const MAX_IDLE: usize = 16;
+
+/// A back end.
+#[derive(Debug)]
+pub struct BackEnd {
+    /// What it said of itself when it was first seen.
+    pub id: BackEndId,
+    /// Its service.
+    pub service: ServiceId,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Whether it is in this gateway's zone.
+    pub same_zone: bool,
+    in_flight: AtomicU32,
+    gone: AtomicBool,
+    idle: Mutex<Vec<Connection>>,
+    health: Mutex<Health>,
+    absent: Mutex<HashMap<(ModelId, Option<AdapterId>), Timestamp>>,
+    warm_parts: Mutex<HashMap<(ModelId, String), ()>>,
+}
+
+/// An open connection to a back end. Dropping it closes it at once.
+#[derive(Debug)]
+pub struct Connection {
+    /// Sends requests on it.
+    pub sender: SendRequest<Full<Bytes>>,
+    task: AbortHandle,
+    used: Instant,
+    rest: Duration,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// A request that counts as in flight until this is dropped.
+#[derive(Debug)]
+pub struct InFlight(Arc<BackEnd>);
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.in_flight.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+impl BackEnd {
+    /// A back end that discovery has just shown.
+    pub fn new(report: &BackEndReport, same_zone: bool) -> Self {
+        BackEnd {
+            id: report.id.clone(),
+            service: report.service.clone(),
+            address: report.address,
+            same_zone,
+            in_flight: AtomicU32::new(0),
+            gone: AtomicBool::new(false),
+            idle: Mutex::new(Vec::new()),
+            health: Mutex::new(Health::default()),
+            absent: Mutex::new(HashMap::new()),
+            warm_parts: Mutex::new(HashMap::new()),
+        }
+    }
+
+    /// Counts a request as in flight.
+    pub fn begin(self: &Arc<Self>) -> InFlight {
+        self.in_flight.fetch_add(1, Ordering::Relaxed);
+        InFlight(self.clone())
+    }
+
+    /// Requests of this gateway in flight.
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight.load(Ordering::Relaxed)
+    }
+
+    /// Its answers of late.
+    pub fn health(&self) -> Health {
+        *self.health.lock()
+    }
+
+    /// Notes an answer.
+    pub fn note(&self, note: impl FnOnce(&mut Health)) {
+        note(&mut self.health.lock());
+    }
+
+    /// It left: idle connections are closed, those in use end with their request.
+    pub fn retire(&self) {
+        self.gone.store(true, Ordering::Relaxed);
+        self.idle.lock().clear();
+    }
+
+    /// It said that it does not hold this.
+    pub fn note_absent(&self, now: Timestamp, model: &ModelId, adapter: Option<&AdapterId>) {
+        let key = (model.clone(), adapter.cloned());
+        self.absent.lock().insert(key, now);
+    }
+
+    /// Whether it said so of late.
+    pub fn is_absent(&self, now: Timestamp, model: &ModelId, adapter: Option<&AdapterId>) -> bool {
+        let mut absent = self.absent.lock();
+        if absent.is_empty() {
+            return false;
+        }
+        absent.retain(|_, noted| now.since(*noted) < ABSENCE_LIFETIME);
+        absent.contains_key(&(model.clone(), adapter.cloned()))
+    }
+
+    /// It is being sent a prompt with this shared part.
+    pub fn note_prompt(&self, model: &ModelId, part: &str) {
+        let key = (model.clone(), part.to_owned());
+        self.warm_parts.lock().insert(key, ());
+    }
+
+    /// Whether it was sent a prompt with this shared part.
+    pub fn has_prompt(&self, model: &ModelId, part: &str) -> bool {
+        let parts = self.warm_parts.lock();
+        !parts.is_empty() && parts.contains_key(&(model.clone(), part.to_owned()))
+    }
+
+    /// A kept connection that is ready, if there is one.
+    pub fn kept_connection(&self) -> Option<Connection> {
+        let mut idle = self.idle.lock();
+        idle.retain(Connection::is_usable);
+        let index = idle
+            .iter()
+            .rposition(|connection| connection.sender.is_ready())?;
+        Some(idle.remove(index))
+    }
+
+    /// A new connection.
+    pub async fn connect(&self) -> std::io::Result<Connection> {
+        let connecting = TcpStream::connect(self.address);
+        let stream = timeout(CONNECT_TIMEOUT, connecting).await??;
+        stream.set_nodelay(true)?;
+        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let (sender, connection) = handshake.map_err(std::io::Error::other)?;
+        let task = tokio::spawn(async move {
+            // The request on it learns of any error from its own side.
+            let _ = connection.await;
+        });
+        Ok(Connection {
+            sender,
+            task: task.abort_handle(),
+            used: Instant::now(),
+            rest: DEFAULT_REST,
+        })
+    }
+
+    /// Keeps a connection after a whole answer. `rest` is what the answer says.
+    pub fn keep(&self, mut connection: Connection, rest: Option<Duration>) {
+        if self.gone.load(Ordering::Relaxed) {
+            return;
+        }
+        connection.used = Instant::now();
+        connection.rest = rest.map_or(DEFAULT_REST, |rest| rest.mul_f64(REST_PART));
+        let mut idle = self.idle.lock();
+        idle.retain(Connection::is_usable);
+        if idle.len() < MAX_IDLE {
+            idle.push(connection);
+        }
+    }
+}
+
+impl Connection {
+    fn is_usable(&self) -> bool {
+        !self.sender.is_closed() && self.used.elapsed() < self.rest
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/demand_writer.rs
@@ -0,0 +1,139 @@
+//! Writes this gateway's demand to its row, for the placement holder.
+//!
+//! In: demand of callers. Out: one row, written at once when something is
+//! missing and otherwise only when it says something new. The row's key is the
+//! node's name, so the number of rows bounds the number of gateways.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use gorsebank_contract::{Compare, Put, TableAnswer, Transaction};
+use gorsebank_fleet::{DemandRow, ModelDemand};
+use tokio::time::{Instant, sleep, timeout};
+
+use crate::shared::Shared;
+
+/// Pause between two rows at least.
+const LEAST_PAUSE: Duration = Duration::from_millis(120);
+/// Pause between two rows that say nothing urgent.
+const USUAL_PAUSE: Duration = Duration::from_millis(1_500);
+/// Rows are written this often even without news, so that a reader can tell
+/// that the gateway lives.
+const REFRESH: Duration = Duration::from_secs(6);
+/// The number of gateways is read this often.
+const COUNT_PAUSE: Duration = Duration::from_secs(10);
+/// Rates that differ by less than this part are the same.
+const SAME_RATE: f64 = 0.3;
+
+/// Writes rows until the process stops.
+pub async fn run(shared: Arc<Shared>) {
+    let mut writer = Writer {
+        key: format!(
+            "{}/{}",
+            shared.platform.tables().demand,
+            shared.settings.node
+        ),
+        version: None,
+        written: None,
+        counted: None,
+        shared,
+    };
+    while !writer.shared.is_stopping() {
+        let urgent = timeout(USUAL_PAUSE, writer.shared.urgent_demand.notified())
+            .await
+            .is_ok();
+        writer.turn(urgent).await;
+        sleep(LEAST_PAUSE).await;
+    }
+}
+
+struct Writer {
+    shared: Arc<Shared>,
+    key: String,
+    version: Option<u64>,
+    written: Option<(DemandRow, Instant)>,
+    counted: Option<Instant>,
+}
+
+impl Writer {
+    async fn turn(&mut self, urgent: bool) {
+        let count_due = self.counted.is_none_or(|at| at.elapsed() > COUNT_PAUSE);
+        if (count_due || self.version.is_none()) && !self.read().await {
+            return;
+        }
+        let row = self.shared.demand.lock().row(self.shared.now());
+        if urgent || self.is_news(&row) {
+            self.write(row).await;
+        }
+    }
+
+    fn is_news(&self, row: &DemandRow) -> bool {
+        match &self.written {
+            None => true,
+            Some((_, at)) if at.elapsed() > REFRESH => true,
+            Some((former, _)) => differs(former, row),
+        }
+    }
+
+    /// Reads the version of the own row, and how many gateways there are.
+    async fn read(&mut self) -> bool {
+        let platform = self.shared.platform.clone();
+        let table = platform.tables().demand;
+        let Ok(snapshot) = platform.table().read(table).await else {
+            return false;
+        };
+        let own = snapshot.rows.iter().find(|row| row.key == self.key);
+        self.version = Some(own.map_or(0, |row| row.modified));
+        self.counted = Some(Instant::now());
+        self.shared.set_gateways(snapshot.rows.len());
+        true
+    }
+
+    async fn write(&mut self, row: DemandRow) {
+        let Ok(value) = serde_json::to_string(&row) else {
+            return;
+        };
+        let transaction = Transaction {
+            compares: vec![Compare {
+                key: self.key.clone(),
+                modified: self.version.unwrap_or(0),
+            }],
+            puts: vec![Put {
+                key: self.key.clone(),
+                value,
+            }],
+            reads: Vec::new(),
+        };
+        match self.shared.platform.table().transact(transaction).await {
+            TableAnswer::Committed { revision, .. } => {
+                self.version = Some(revision);
+                self.written = Some((row, Instant::now()));
+            }
+            // Someone else's write of this row can only be an earlier one of
+            // this node: its version is read again before the next write.
+            TableAnswer::Conflict { .. } | TableAnswer::Unknown => self.version = None,
+        }
+    }
+}
+
+fn differs(former: &DemandRow, row: &DemandRow) -> bool {
+    if former.services.len() != row.services.len() {
+        return true;
+    }
+    row.services.iter().any(|(service, models)| {
+        let Some(known) = former.services.get(service) else {
+            return true;
+        };
+        models.iter().any(|(model, demand)| {
+            let known = known.get(model);
+            known.is_none_or(|known| model_differs(known, demand))
+        })
+    })
+}
+
+fn model_differs(former: &ModelDemand, demand: &ModelDemand) -> bool {
+    let change = (former.rate - demand.rate).abs();
+    change > SAME_RATE * former.rate.max(0.2)
+        || (former.waiting == 0) != (demand.waiting == 0)
+        || former.missing_adapters != demand.missing_adapters
+}
--- /dev/null
+++ b/crates/gateway/src/failure.rs
@@ -0,0 +1,89 @@
+//! Why a request gets no answer of a back end, and what the caller is told.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderValue, Response, StatusCode, header};
+use http_body_util::{BodyExt, Full};
+
+use crate::ports::Platform;
+use crate::request::AnswerBody;
+
+/// Why a request failed at the gateway.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// No configuration is known yet.
+    NoConfiguration,
+    /// No route fits.
+    NoRoute,
+    /// The body is larger than allowed.
+    BodyTooLarge,
+    /// The body could not be read.
+    BadBody,
+    /// It was not run and never will be.
+    Refused {
+        /// Why.
+        reason: &'static str,
+        /// When it makes sense to come back.
+        retry_after: Duration,
+    },
+    /// It may have run, and there is no answer.
+    Unknown {
+        /// Why.
+        reason: &'static str,
+    },
+    /// It may have run, and time is up.
+    TimedOut,
+}
+
+impl Failure {
+    /// The status that says no more than is true.
+    pub fn status(&self) -> StatusCode {
+        match self {
+            Failure::NoConfiguration | Failure::Refused { .. } => StatusCode::SERVICE_UNAVAILABLE,
+            Failure::NoRoute => StatusCode::NOT_FOUND,
+            Failure::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Failure::BadBody => StatusCode::BAD_REQUEST,
+            Failure::Unknown { .. } => StatusCode::BAD_GATEWAY,
+            Failure::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+        }
+    }
+
+    /// A word for logs and counters.
+    pub fn reason(&self) -> &'static str {
+        match self {
+            Failure::NoConfiguration => "no_configuration",
+            Failure::NoRoute => "no_route",
+            Failure::BodyTooLarge => "body_too_large",
+            Failure::BadBody => "bad_body",
+            Failure::Refused { reason, .. } | Failure::Unknown { reason } => reason,
+            Failure::TimedOut => "timed_out",
+        }
+    }
+
+    /// The answer to the caller.
+    pub fn answer(&self, platform: &dyn Platform) -> Response<AnswerBody> {
+        let text = Bytes::from(format!("{}\n", self.reason()));
+        let body = Full::new(text)
+            .map_err(|never| match never {})
+            .boxed_unsync();
+        let mut response = Response::new(body);
+        *response.status_mut() = self.status();
+        let content_type = HeaderValue::from_static("text/plain; charset=utf-8");
+        response
+            .headers_mut()
+            .insert(header::CONTENT_TYPE, content_type);
+        if let Some(pause) = self.retry_after() {
+            platform.mark_retry_after(response.headers_mut(), pause);
+        }
+        response
+    }
+
+    fn retry_after(&self) -> Option<Duration> {
+        match self {
+            Failure::Refused { retry_after, .. } => Some(*retry_after),
+            Failure::NoConfiguration => Some(Duration::from_millis(500)),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,34 @@
+//! A gateway: forwards callers' requests to a fleet of back ends, byte for
+//! byte, and takes part in placing models on them.
+//!
+//! Every process is the same. What must last, and what gateways tell each
+//! other, is rows of a table; what differs between platforms is behind
+//! [`ports::Platform`]. Layers, from the caller inwards: [`server`] keeps
+//! connections, [`request`] reads one request and finds its route,
+//! [`admission`] picks a back end or refuses, [`attempt`] sends once,
+//! [`plain`] and [`stream`] turn attempts into one answer. Beside them
+//! [`watch`] follows the tables, [`demand_writer`] tells what is asked for,
+//! and [`holder`] places models while this process has the lease.
+
+pub mod admission;
+pub mod attempt;
+pub mod back_end;
+pub mod demand_writer;
+pub mod directory;
+pub mod failure;
+pub mod holder;
+pub mod lines;
+pub mod metrics;
+pub mod orders;
+pub mod plain;
+pub mod ports;
+pub mod process;
+pub mod request;
+pub mod server;
+pub mod settings;
+pub mod shared;
+pub mod stream;
+pub mod watch;
+
+pub use process::run;
+pub use settings::GatewaySettings;
--- /dev/null
+++ b/crates/gateway/src/lines.rs
@@ -0,0 +1,136 @@
+//! Log lines: one `key=value` line for each decision, to standard output.
+//!
+//! In: typed lines through [`write`]. Out: lines that a thread of its own
+//! writes, so that a reader that has stopped reading holds nothing up: when
+//! the queue is full, lines are dropped and counted. Volume is bounded by a
+//! budget a second for each rank, and lines of failures have a budget apart.
+
+use std::fmt;
+use std::io::Write as _;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{SyncSender, TrySendError, sync_channel};
+use std::sync::{Arc, OnceLock};
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
+
+use eyre::eyre;
+use logforth::append::Append;
+use logforth::record::{Level, Record};
+use logforth::{Diagnostic, Error};
+use parking_lot::Mutex;
+
+/// Lines that wait for the writer at most.
+const QUEUE_LINES: usize = 2_048;
+/// Lines about served requests a second.
+const SERVED_PER_SECOND: u32 = 40;
+/// Lines about anything else a second.
+const OTHER_PER_SECOND: u32 = 300;
+
+static LEFT_OUT: AtomicU64 = AtomicU64::new(0);
+static LIMITS: OnceLock<Mutex<LineBudget>> = OnceLock::new();
+
+/// How much a line matters when there are too many.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Rank {
+    /// A request that was served.
+    Served,
+    /// A failed request, or a change of what the process believes.
+    Decision,
+}
+
+#[derive(Debug)]
+struct LineBudget {
+    second: Instant,
+    served: u32,
+    other: u32,
+}
+
+/// Starts the log. `node` stands in every line.
+pub fn start(node: &str) -> eyre::Result<()> {
+    let (sender, receiver) = sync_channel::<String>(QUEUE_LINES);
+    std::thread::Builder::new()
+        .name("log".to_owned())
+        .spawn(move || {
+            let mut output = std::io::stdout();
+            for line in receiver {
+                // A reader that went away is no reason to stop serving.
+                let _ = output.write_all(line.as_bytes());
+            }
+        })?;
+    let append = QueueAppend {
+        node: Arc::from(node),
+        sender,
+    };
+    logforth::starter_log::builder()
+        .dispatch(|dispatch| dispatch.append(append))
+        .try_apply()
+        .map_err(|error| eyre!("logs cannot be started: {error}"))
+}
+
+/// Writes a line: what it is about, then its fields.
+pub fn write(rank: Rank, event: &str, fields: fmt::Arguments<'_>) {
+    if !allowed(rank) {
+        LEFT_OUT.fetch_add(1, Ordering::Relaxed);
+        return;
+    }
+    match rank {
+        Rank::Served => log::info!("event={event} {fields}"),
+        Rank::Decision => log::warn!("event={event} {fields}"),
+    }
+}
+
+/// Lines that were left out since the start.
+pub fn left_out() -> u64 {
+    LEFT_OUT.load(Ordering::Relaxed)
+}
+
+fn allowed(rank: Rank) -> bool {
+    let budget = LIMITS.get_or_init(|| {
+        Mutex::new(LineBudget {
+            second: Instant::now(),
+            served: 0,
+            other: 0,
+        })
+    });
+    let mut budget = budget.lock();
+    if budget.second.elapsed().as_secs() >= 1 {
+        budget.second = Instant::now();
+        budget.served = 0;
+        budget.other = 0;
+    }
+    let (count, most) = match rank {
+        Rank::Served => (&mut budget.served, SERVED_PER_SECOND),
+        Rank::Decision => (&mut budget.other, OTHER_PER_SECOND),
+    };
+    *count += 1;
+    *count <= most
+}
+
+#[derive(Debug)]
+struct QueueAppend {
+    node: Arc<str>,
+    sender: SyncSender<String>,
+}
+
+impl Append for QueueAppend {
+    fn append(&self, record: &Record, _: &[Box<dyn Diagnostic>]) -> Result<(), Error> {
+        if record.level() > Level::Info && record.level() != Level::Warn {
+            return Ok(());
+        }
+        let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+        let milliseconds = since_epoch.map_or(0, |time| time.as_millis());
+        let line = format!(
+            "time_ms={milliseconds} node={} left_out={} {}\n",
+            self.node,
+            left_out(),
+            record.payload()
+        );
+        if let Err(TrySendError::Full(_)) = self.sender.try_send(line) {
+            LEFT_OUT.fetch_add(1, Ordering::Relaxed);
+        }
+        Ok(())
+    }
+
+    fn flush(&self) -> Result<(), Error> {
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/metrics.rs
@@ -0,0 +1,111 @@
+//! Counters and histograms of a gateway, in the Prometheus text format.
+
+use std::time::Duration;
+
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+};
+
+/// Bounds of latency histograms, in seconds.
+const LATENCY_BUCKETS: [f64; 12] = [
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0,
+];
+
+/// All figures.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    /// Requests that ended, by outcome.
+    pub requests: IntCounterVec,
+    /// Sends to back ends, by result.
+    pub attempts: IntCounterVec,
+    /// Orders to engines, by result.
+    pub orders: IntCounterVec,
+    /// Calls of the table, by result.
+    pub table_calls: IntCounterVec,
+    /// Changes of the lease as this process saw them, by kind.
+    pub lease_changes: IntCounterVec,
+    /// Requests that are being served.
+    pub open_requests: IntGauge,
+    /// Log lines that were left out.
+    pub lines_left_out: IntGauge,
+    queue: Histogram,
+    first_byte: Histogram,
+    whole: Histogram,
+}
+
+impl Metrics {
+    /// All figures at zero.
+    pub fn new() -> eyre::Result<Self> {
+        let registry = Registry::new();
+        let metrics = Metrics {
+            requests: counters("gateway_requests_total", "Requests by outcome", "outcome")?,
+            attempts: counters("gateway_attempts_total", "Sends by result", "result")?,
+            orders: counters("gateway_orders_total", "Orders by result", "result")?,
+            table_calls: counters("gateway_table_calls_total", "Table calls", "result")?,
+            lease_changes: counters("gateway_lease_changes_total", "Lease changes", "kind")?,
+            open_requests: IntGauge::new("gateway_open_requests", "Requests being served")?,
+            lines_left_out: IntGauge::new("gateway_lines_left_out", "Log lines left out")?,
+            queue: latency("gateway_queue_seconds", "Wait for a back end")?,
+            first_byte: latency("gateway_first_byte_seconds", "Send to first byte")?,
+            whole: latency("gateway_whole_seconds", "Arrival to end of answer")?,
+            registry,
+        };
+        metrics.register()?;
+        Ok(metrics)
+    }
+
+    fn register(&self) -> eyre::Result<()> {
+        let counters = [
+            &self.requests,
+            &self.attempts,
+            &self.orders,
+            &self.table_calls,
+            &self.lease_changes,
+        ];
+        for counter in counters {
+            self.registry.register(Box::new(counter.clone()))?;
+        }
+        for gauge in [&self.open_requests, &self.lines_left_out] {
+            self.registry.register(Box::new(gauge.clone()))?;
+        }
+        for histogram in [&self.queue, &self.first_byte, &self.whole] {
+            self.registry.register(Box::new(histogram.clone()))?;
+        }
+        Ok(())
+    }
+
+    /// A request waited so long for a back end.
+    pub fn queued(&self, time: Duration) {
+        self.queue.observe(time.as_secs_f64());
+    }
+
+    /// A back end's answer began so long after the send.
+    pub fn answered(&self, time: Duration) {
+        self.first_byte.observe(time.as_secs_f64());
+    }
+
+    /// A request ended so long after its arrival.
+    pub fn ended(&self, outcome: &str, time: Duration) {
+        self.requests.with_label_values(&[outcome]).inc();
+        self.whole.observe(time.as_secs_f64());
+    }
+
+    /// The text that a collector reads.
+    pub fn text(&self) -> eyre::Result<Vec<u8>> {
+        let left_out = i64::try_from(crate::lines::left_out())?;
+        self.lines_left_out.set(left_out);
+        let mut text = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
+        Ok(text)
+    }
+}
+
+fn counters(name: &str, help: &str, label: &str) -> eyre::Result<IntCounterVec> {
+    Ok(IntCounterVec::new(Opts::new(name, help), &[label])?)
+}
+
+fn latency(name: &str, help: &str) -> eyre::Result<Histogram> {
+    let options = HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS.to_vec());
+    Ok(Histogram::with_opts(options)?)
+}
--- /dev/null
+++ b/crates/gateway/src/orders.rs
@@ -0,0 +1,89 @@
+//! Gives orders to engines and asks for their state, for the placement holder.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use gorsebank_fleet::EngineReport;
+use gorsebank_fleet::placement::OrderResult;
+use http::{Request, Response};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use tokio::time::timeout;
+
+use crate::back_end::{BackEnd, Connection};
+use crate::lines::{self, Rank};
+use crate::ports::FencedOrder;
+use crate::shared::Shared;
+
+/// An engine answers within this time, or not at all.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// Asks an engine for its state.
+pub async fn ask(shared: &Shared, engine: &Arc<BackEnd>) -> Option<EngineReport> {
+    let request = shared.platform.report_request(&engine.id);
+    let (response, connection) = timeout(ANSWER_TIMEOUT, send(engine, request))
+        .await
+        .ok()??;
+    let status = response.status();
+    let body = timeout(ANSWER_TIMEOUT, response.into_body().collect())
+        .await
+        .ok()?
+        .ok()?;
+    engine.keep(connection, None);
+    if !status.is_success() {
+        return None;
+    }
+    match shared.platform.report(&body.to_bytes()) {
+        Ok(report) => Some(report),
+        Err(error) => {
+            let fields = format_args!("engine={} error=\"{error}\"", engine.id);
+            lines::write(Rank::Decision, "report_refused", fields);
+            None
+        }
+    }
+}
+
+/// Gives an order. `still_valid` is asked right before it is written.
+pub async fn order(
+    shared: &Shared,
+    engine: &Arc<BackEnd>,
+    order: &FencedOrder<'_>,
+    still_valid: impl Fn() -> bool,
+) -> OrderResult {
+    let request = shared.platform.order_request(order);
+    let sending = send_if(engine, request, still_valid);
+    let Ok(Some((response, connection))) = timeout(ANSWER_TIMEOUT, sending).await else {
+        return OrderResult::Unanswered;
+    };
+    let result = shared.platform.order_result(response.status());
+    if let Ok(Ok(_)) = timeout(ANSWER_TIMEOUT, response.into_body().collect()).await {
+        engine.keep(connection, None);
+    }
+    result
+}
+
+async fn send(
+    engine: &Arc<BackEnd>,
+    request: Request<Bytes>,
+) -> Option<(Response<Incoming>, Connection)> {
+    send_if(engine, request, || true).await
+}
+
+/// A connection is made first, so that nothing lies between the check and the write.
+async fn send_if(
+    engine: &Arc<BackEnd>,
+    request: Request<Bytes>,
+    still_valid: impl Fn() -> bool,
+) -> Option<(Response<Incoming>, Connection)> {
+    let mut connection = match engine.kept_connection() {
+        Some(connection) => connection,
+        None => engine.connect().await.ok()?,
+    };
+    if !still_valid() {
+        return None;
+    }
+    let request = request.map(Full::new);
+    let response = connection.sender.send_request(request).await.ok()?;
+    Some((response, connection))
+}
--- /dev/null
+++ b/crates/gateway/src/request.rs
@@ -0,0 +1,304 @@
+//! One request of a caller: its route, its body, its deadline, its end.
+//!
+//! In: a request as the connection gives it. Out: an answer, and one log line
+//! that says how it ended. When the caller leaves, the future is dropped and
+//! with it every attempt.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use gorsebank_fleet::{Configuration, Route};
+use gorsebank_world::ServiceId;
+use http::header::{self, HeaderName};
+use http::request::Parts;
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Version};
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use thiserror::Error;
+use tokio::time::{Instant, timeout_at};
+
+use crate::failure::Failure;
+use crate::lines::{self, Rank};
+use crate::ports::Ticket;
+use crate::shared::Shared;
+use crate::{plain, stream};
+
+/// An answer broke off; the caller's connection is closed with it.
+#[derive(Clone, Copy, Debug, Error)]
+#[error("the answer broke off")]
+pub struct Broken;
+
+/// The body of an answer.
+pub type AnswerBody = UnsyncBoxBody<Bytes, Broken>;
+
+/// Headers that concern one connection only.
+const CONNECTION_HEADERS: [HeaderName; 7] = [
+    header::CONNECTION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+];
+/// More of them, which the library has no names for.
+const MORE_CONNECTION_HEADERS: [&str; 2] = ["keep-alive", "proxy-connection"];
+/// A stopping process begins no stream this long after the stop, in milliseconds.
+const LAST_STREAM: u64 = 2_800;
+/// A stopping process begins no other request this long after the stop.
+const LAST_REQUEST: u64 = 5_500;
+
+/// A request that was read whole, with what is needed to send it.
+pub struct Call {
+    /// State of the process.
+    pub shared: Arc<Shared>,
+    /// The configuration at its arrival.
+    pub configuration: Arc<Configuration>,
+    /// Its route.
+    pub route: Arc<Route>,
+    /// The service that it goes to.
+    pub service: ServiceId,
+    /// What its head says.
+    pub ticket: Ticket,
+    /// Method, path and headers as they are sent on.
+    pub head: Parts,
+    /// Its body.
+    pub body: Bytes,
+    /// When its head was read.
+    pub arrived: Instant,
+    /// When it must have its answer.
+    pub deadline: Instant,
+    /// Sends so far.
+    pub attempts: AtomicU32,
+    exposed: AtomicBool,
+}
+
+impl Call {
+    /// A back end may have run it.
+    pub fn expose(&self) {
+        self.exposed.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether a back end may have run it.
+    pub fn is_exposed(&self) -> bool {
+        self.exposed.load(Ordering::Relaxed)
+    }
+
+    /// A refusal, or what is still true if it may have run.
+    pub fn refuse(&self, reason: &'static str, retry_after: Duration) -> Failure {
+        if self.is_exposed() {
+            return Failure::Unknown { reason };
+        }
+        Failure::Refused {
+            reason,
+            retry_after,
+        }
+    }
+
+    /// Writes the line of the request's end and counts it.
+    pub fn log_end(&self, outcome: &str, status: u16, back_end: &str) {
+        let rank = if outcome == "served" {
+            Rank::Served
+        } else {
+            Rank::Decision
+        };
+        let total = self.arrived.elapsed();
+        self.shared.metrics.ended(outcome, total);
+        let model = self
+            .ticket
+            .model
+            .as_ref()
+            .map_or("-", |model| model.as_str());
+        let adapter = self.ticket.adapter.as_ref();
+        lines::write(
+            rank,
+            "request_end",
+            format_args!(
+                "request={} outcome={outcome} status={status} route={} service={} back_end={back_end} \
+                 model={model} adapter={} attempts={} exposed={} total_ms={} left_ms={} configuration={}",
+                self.ticket.id,
+                self.route.name,
+                self.service,
+                adapter.map_or("-", |adapter| adapter.as_str()),
+                self.attempts.load(Ordering::Relaxed),
+                self.is_exposed(),
+                total.as_millis(),
+                self.deadline
+                    .saturating_duration_since(Instant::now())
+                    .as_millis(),
+                self.configuration.version,
+            ),
+        );
+    }
+}
+
+/// Serves one request.
+pub async fn handle(shared: Arc<Shared>, request: Request<Incoming>) -> Response<AnswerBody> {
+    let arrived = Instant::now();
+    shared.metrics.open_requests.inc();
+    let open = OpenRequest(shared.clone());
+    let mut response = match read(&shared, request, arrived).await {
+        Ok(call) => serve(call).await,
+        Err(failure) => {
+            shared.metrics.ended(failure.reason(), arrived.elapsed());
+            failure.answer(shared.platform.as_ref())
+        }
+    };
+    if shared.is_stopping() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    drop(open);
+    response
+}
+
+struct OpenRequest(Arc<Shared>);
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        self.0.metrics.open_requests.dec();
+    }
+}
+
+async fn serve(call: Call) -> Response<AnswerBody> {
+    let call = Arc::new(call);
+    let served = if call.route.kind.is_stream() {
+        timeout_at(call.deadline, stream::serve(call.clone())).await
+    } else {
+        timeout_at(call.deadline, plain::serve(&call)).await
+    };
+    let failure = match served {
+        Ok(Ok(response)) => return response,
+        Ok(Err(failure)) => failure,
+        Err(_) if call.is_exposed() => Failure::TimedOut,
+        Err(_) => call.refuse("deadline", Duration::from_millis(500)),
+    };
+    call.log_end(failure.reason(), failure.status().as_u16(), "-");
+    failure.answer(call.shared.platform.as_ref())
+}
+
+async fn read(
+    shared: &Arc<Shared>,
+    request: Request<Incoming>,
+    arrived: Instant,
+) -> Result<Call, Failure> {
+    let (mut head, body) = request.into_parts();
+    let ticket = shared.platform.ticket(&head.headers);
+    let configuration = shared.configuration().ok_or(Failure::NoConfiguration)?;
+    let Some(route) = find_route(&configuration, &head) else {
+        log_unrouted(&ticket, &head, configuration.version);
+        return Err(Failure::NoRoute);
+    };
+    let held = ticket
+        .deadline
+        .map_or(route.timeout, |own| own.min(route.timeout));
+    let deadline = arrived + held;
+    let limit = configuration.limits.max_body_bytes;
+    let body = read_body(body, limit, deadline).await?;
+    let service = shared.split(&route.services).ok_or(Failure::NoRoute)?;
+    shared.count_request(&service);
+    strip_connection_headers(&mut head.headers);
+    head.headers.remove(header::CONTENT_LENGTH);
+    head.version = Version::HTTP_11;
+    let call = Call {
+        shared: shared.clone(),
+        configuration,
+        route,
+        service,
+        ticket,
+        head,
+        body,
+        arrived,
+        deadline,
+        attempts: AtomicU32::new(0),
+        exposed: AtomicBool::new(false),
+    };
+    refuse_while_stopping(&call)?;
+    Ok(call)
+}
+
+/// A request that a stopping process could not finish is better off elsewhere.
+fn refuse_while_stopping(call: &Call) -> Result<(), Failure> {
+    let Some(since) = call.shared.stopping_for() else {
+        return Ok(());
+    };
+    let last = if call.route.kind.is_stream() {
+        LAST_STREAM
+    } else {
+        LAST_REQUEST
+    };
+    if since < last {
+        return Ok(());
+    }
+    let failure = call.refuse("stopping", Duration::ZERO);
+    call.log_end(failure.reason(), failure.status().as_u16(), "-");
+    Err(failure)
+}
+
+fn find_route(configuration: &Configuration, head: &Parts) -> Option<Arc<Route>> {
+    let named = head.headers.get(header::HOST);
+    let host = match named.and_then(|host| host.to_str().ok()) {
+        Some(host) => host,
+        None => head.uri.host()?,
+    };
+    configuration.route(host, head.uri.path()).cloned()
+}
+
+fn log_unrouted(ticket: &Ticket, head: &Parts, version: u64) {
+    let host = head.headers.get(header::HOST);
+    let fields = format_args!(
+        "request={} outcome=no_route status=404 host={host:?} path={} configuration={version}",
+        ticket.id,
+        head.uri.path(),
+    );
+    lines::write(Rank::Decision, "request_end", fields);
+}
+
+async fn read_body(body: Incoming, limit: usize, deadline: Instant) -> Result<Bytes, Failure> {
+    let reading = Limited::new(body, limit).collect();
+    match timeout_at(deadline, reading).await {
+        Ok(Ok(whole)) => Ok(whole.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Failure::BodyTooLarge),
+        Ok(Err(_)) => Err(Failure::BadBody),
+        Err(_) => Err(Failure::Refused {
+            reason: "body_late",
+            retry_after: Duration::ZERO,
+        }),
+    }
+}
+
+/// Takes out headers that concern one connection only.
+pub fn strip_connection_headers(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named {
+        headers.remove(name);
+    }
+    for name in CONNECTION_HEADERS {
+        headers.remove(name);
+    }
+    for name in MORE_CONNECTION_HEADERS {
+        headers.remove(name);
+    }
+}
+
+/// The head of an answer as the caller gets it.
+pub fn answer_head(call: &Call, status: StatusCode, headers: &HeaderMap) -> Response<()> {
+    let mut response = Response::new(());
+    *response.status_mut() = status;
+    let mut headers = headers.clone();
+    strip_connection_headers(&mut headers);
+    if call.head.method != Method::HEAD {
+        headers.remove(header::CONTENT_LENGTH);
+    }
+    *response.headers_mut() = headers;
+    response
+}
--- /dev/null
+++ b/crates/gateway/src/settings.rs
@@ -0,0 +1,48 @@
+//! Settings of a gateway. The platform's adapter fills them from its own file.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use gorsebank_fleet::RetryShare;
+use gorsebank_world::{NodeId, ZoneId};
+
+/// Settings of one process.
+#[derive(Clone, Debug, PartialEq)]
+pub struct GatewaySettings {
+    /// The process's name; the same after a restart.
+    pub node: NodeId,
+    /// Its zone.
+    pub zone: ZoneId,
+    /// Address for callers.
+    pub listen_callers: SocketAddr,
+    /// Address at which readiness is asked.
+    pub listen_readiness: SocketAddr,
+    /// Address and path of the figures.
+    pub metrics: Option<MetricsAddress>,
+    /// Bounds that the deployment sets.
+    pub bounds: Bounds,
+}
+
+/// Where figures are served.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct MetricsAddress {
+    /// Address.
+    pub listen: SocketAddr,
+    /// Path.
+    pub path: String,
+}
+
+/// Bounds that the deployment sets.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Bounds {
+    /// The retry budget of all gateways.
+    pub retries: RetryShare,
+    /// Length of the placement lease.
+    pub lease: Duration,
+    /// From a planned stop until the process is killed.
+    pub grace: Duration,
+    /// From a back end's leaving until it must get nothing new.
+    pub drain: Duration,
+    /// From a change of the configuration until it must be in force.
+    pub configuration: Duration,
+}
--- /dev/null
+++ b/crates/gateway/src/shared.rs
@@ -0,0 +1,186 @@
+//! What all requests of a process share.
+//!
+//! Lock order: `configuration`, `directory`, `demand`, `retries`. No lock is
+//! held over an await.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+
+use gorsebank_coordination::Timestamp;
+use gorsebank_fleet::split::Split;
+use gorsebank_fleet::{Configuration, Demand, RetryWindow};
+use gorsebank_world::ServiceId;
+use parking_lot::{Mutex, RwLock};
+use tokio::sync::{Notify, watch};
+use tokio::time::Instant;
+
+use crate::directory::Directory;
+use crate::metrics::Metrics;
+use crate::ports::Platform;
+use crate::settings::GatewaySettings;
+
+/// Gateways are reckoned to be at least so many, until the table was read.
+const LEAST_GATEWAYS: usize = 4;
+/// Gateways that may have joined and are not yet known.
+const UNKNOWN_GATEWAYS: usize = 2;
+
+/// State of a process.
+pub struct Shared {
+    /// Settings at the start.
+    pub settings: GatewaySettings,
+    /// The platform.
+    pub platform: Arc<dyn Platform>,
+    /// Figures.
+    pub metrics: Metrics,
+    /// Demand of this gateway's callers.
+    pub demand: Mutex<Demand>,
+    /// Rings when demand says something that should be written at once.
+    pub urgent_demand: Notify,
+    configuration: RwLock<Option<Arc<Configuration>>>,
+    directory: RwLock<Directory>,
+    retries: Mutex<HashMap<ServiceId, RetryWindow>>,
+    split: Mutex<Split>,
+    changes: watch::Sender<u64>,
+    gateways: AtomicUsize,
+    stopping: AtomicBool,
+    stopping_since: AtomicU64,
+    back_ends_read: AtomicBool,
+    start: Instant,
+}
+
+impl Shared {
+    /// State of a process that has just started.
+    pub fn new(settings: GatewaySettings, platform: Arc<dyn Platform>) -> eyre::Result<Self> {
+        let directory = Directory::new(settings.zone.clone());
+        Ok(Shared {
+            settings,
+            platform,
+            metrics: Metrics::new()?,
+            demand: Mutex::default(),
+            urgent_demand: Notify::new(),
+            configuration: RwLock::new(None),
+            directory: RwLock::new(directory),
+            retries: Mutex::default(),
+            split: Mutex::new(Split::new(rand::random())),
+            changes: watch::channel(0).0,
+            gateways: AtomicUsize::new(LEAST_GATEWAYS),
+            stopping: AtomicBool::new(false),
+            stopping_since: AtomicU64::new(0),
+            back_ends_read: AtomicBool::new(false),
+            start: Instant::now(),
+        })
+    }
+
+    /// Steady time since the start.
+    pub fn now(&self) -> Timestamp {
+        Timestamp(self.start.elapsed().as_millis() as u64)
+    }
+
+    /// The configuration in force.
+    pub fn configuration(&self) -> Option<Arc<Configuration>> {
+        self.configuration.read().clone()
+    }
+
+    /// Puts a configuration in force, unless a newer one is. True if it is news.
+    pub fn set_configuration(&self, configuration: Configuration) -> bool {
+        let mut current = self.configuration.write();
+        let known = current.as_ref().map_or(0, |known| known.version);
+        if configuration.version <= known {
+            return false;
+        }
+        *current = Some(Arc::new(configuration));
+        drop(current);
+        self.changed();
+        true
+    }
+
+    /// Reads the directory.
+    pub fn directory<T>(&self, read: impl FnOnce(&Directory) -> T) -> T {
+        read(&self.directory.read())
+    }
+
+    /// Changes the directory, and wakes requests that wait.
+    pub fn change_directory(&self, change: impl FnOnce(&mut Directory)) {
+        change(&mut self.directory.write());
+        self.changed();
+    }
+
+    /// The back ends' table was read for the first time.
+    pub fn note_back_ends_read(&self) {
+        self.back_ends_read.store(true, Ordering::Relaxed);
+    }
+
+    /// Rings whenever configuration or directory change.
+    pub fn subscribe(&self) -> watch::Receiver<u64> {
+        self.changes.subscribe()
+    }
+
+    /// The service of the next request on a route.
+    pub fn split(&self, services: &[(ServiceId, u32)]) -> Option<ServiceId> {
+        if let [(only, _)] = services {
+            return Some(only.clone());
+        }
+        self.split.lock().next(services).cloned()
+    }
+
+    /// Counts a request to a service for the retry budget.
+    pub fn count_request(&self, service: &ServiceId) {
+        self.with_window(service, |window, now| window.request(now));
+    }
+
+    /// Takes one retry out of this gateway's share, if there is one.
+    pub fn withdraw_retry(&self, service: &ServiceId) -> bool {
+        let gateways = self.gateways.load(Ordering::Relaxed) + UNKNOWN_GATEWAYS;
+        self.with_window(service, |window, now| window.withdraw(now, gateways))
+    }
+
+    fn with_window<T>(
+        &self,
+        service: &ServiceId,
+        act: impl FnOnce(&mut RetryWindow, Timestamp) -> T,
+    ) -> T {
+        let now = self.now();
+        let share = self.settings.bounds.retries;
+        let mut retries = self.retries.lock();
+        let window = retries
+            .entry(service.clone())
+            .or_insert_with(|| RetryWindow::new(share));
+        act(window, now)
+    }
+
+    /// So many gateways have ever written a row.
+    pub fn set_gateways(&self, count: usize) {
+        let count = count.max(LEAST_GATEWAYS);
+        self.gateways.store(count, Ordering::Relaxed);
+    }
+
+    /// Begins a planned stop.
+    pub fn stop(&self) {
+        self.stopping_since.store(self.now().0, Ordering::Relaxed);
+        self.stopping.store(true, Ordering::Relaxed);
+        self.changed();
+    }
+
+    /// Whether a planned stop has begun.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
+    /// Milliseconds since the planned stop began.
+    pub fn stopping_for(&self) -> Option<u64> {
+        let since = Timestamp(self.stopping_since.load(Ordering::Relaxed));
+        self.is_stopping().then(|| self.now().since(since))
+    }
+
+    /// Whether callers should be sent here.
+    pub fn is_ready(&self) -> bool {
+        !self.is_stopping()
+            && self.back_ends_read.load(Ordering::Relaxed)
+            && self.configuration.read().is_some()
+    }
+
+    fn changed(&self) {
+        self.changes.send_modify(|count| *count += 1);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/stream.rs
@@ -0,0 +1,308 @@
+//! Requests that are answered by events.
+//!
+//! Whole events are passed on as they arrive. When a back end breaks off, a
+//! resumable stream goes on at another one after the last whole event, and only
+//! after the old connection was closed; any other stream breaks off visibly.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::StreamExt;
+use gorsebank_fleet::events::EventSplitter;
+use gorsebank_world::ModelId;
+use http::{Response, StatusCode};
+use http_body::Frame;
+use http_body_util::{BodyExt, StreamBody};
+use tokio::sync::mpsc;
+use tokio::time::{Instant, timeout_at};
+use tokio_stream::wrappers::ReceiverStream;
+
+use crate::admission::admit;
+use crate::attempt::{Answer, AttemptEnd, send};
+use crate::back_end::BackEnd;
+use crate::failure::Failure;
+use crate::lines::{self, Rank};
+use crate::plain::{Attempts, Next, settle};
+use crate::request::{AnswerBody, Broken, Call, answer_head};
+
+/// Events that wait for a slow caller at most.
+const WAITING_EVENTS: usize = 16;
+/// A back end that says nothing for so many pause objectives is given up.
+const SILENT_PAUSES: u32 = 4;
+/// Least silence after which a back end is given up.
+const LEAST_SILENCE: Duration = Duration::from_millis(1_000);
+/// Silence after which one is given up where no pause objective is set.
+const DEFAULT_SILENCE: Duration = Duration::from_secs(3);
+/// A back end is given so many objectives to begin its answer.
+const FIRST_EVENT_FACTOR: f64 = 1.6;
+
+/// Counts as running on a model until it is dropped.
+struct Running {
+    call: Arc<Call>,
+    model: Option<ModelId>,
+}
+
+impl Running {
+    fn begin(call: &Arc<Call>) -> Self {
+        let model = call.ticket.model.clone();
+        if let Some(model) = &model {
+            let mut demand = call.shared.demand.lock();
+            demand.running(&call.service, model, 1);
+        }
+        Running {
+            call: call.clone(),
+            model,
+        }
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        if let Some(model) = &self.model {
+            let mut demand = self.call.shared.demand.lock();
+            demand.running(&self.call.service, model, -1);
+        }
+    }
+}
+
+/// Serves a stream: out comes its head; a task passes on the events.
+pub async fn serve(call: Arc<Call>) -> Result<Response<AnswerBody>, Failure> {
+    note_arrival(&call);
+    let running = Running::begin(&call);
+    let mut attempts = Attempts::default();
+    loop {
+        let back_end = admit(&call, &attempts.tried).await?;
+        attempts.begin(&call, &back_end.id);
+        let until = head_deadline(&call, &attempts);
+        let last_event = call.ticket.last_event.clone();
+        let next = match send(&call, &back_end, last_event.as_deref(), until).await {
+            AttemptEnd::NotSent(_) => attempts.not_sent(&call),
+            AttemptEnd::MayHaveRun(reason) => attempts.may_have_run(&call, reason),
+            AttemptEnd::Answered(answer) if answer.head.status == StatusCode::OK => {
+                return Ok(relay(call, running, attempts, *answer));
+            }
+            AttemptEnd::Answered(answer) => {
+                match settle(&call, &mut attempts, *answer, until).await {
+                    Ok(response) => return Ok(response),
+                    Err(next) => next,
+                }
+            }
+        };
+        if let Next::Over(failure) = next {
+            return Err(failure);
+        }
+    }
+}
+
+fn note_arrival(call: &Call) {
+    let Some(model) = &call.ticket.model else {
+        return;
+    };
+    let now = call.shared.now();
+    let adapter = call.ticket.adapter.as_ref();
+    let mut demand = call.shared.demand.lock();
+    demand.arrived(now, &call.service, model, adapter);
+}
+
+fn head_deadline(call: &Call, attempts: &Attempts) -> Instant {
+    if !call.route.kind.may_repeat() || attempts.ran + 1 >= call.route.max_attempts {
+        return call.deadline;
+    }
+    let patience = call.route.objective.mul_f64(FIRST_EVENT_FACTOR);
+    (Instant::now() + patience).min(call.deadline)
+}
+
+fn relay(
+    call: Arc<Call>,
+    running: Running,
+    attempts: Attempts,
+    answer: Answer,
+) -> Response<AnswerBody> {
+    let head = answer_head(&call, answer.head.status, &answer.head.headers);
+    let (sender, receiver) = mpsc::channel(WAITING_EVENTS);
+    let relay = Relay {
+        last_event: call.ticket.last_event.clone(),
+        call,
+        attempts,
+        sender,
+        first_event: None,
+        events: 0,
+        _running: running,
+    };
+    tokio::spawn(relay.run(answer));
+    let frames = ReceiverStream::new(receiver).map(|event| event.map(Frame::data));
+    head.map(|()| StreamBody::new(frames).boxed_unsync())
+}
+
+/// Why a back end's part of a stream ended.
+enum PartEnd {
+    /// The stream is whole.
+    Whole,
+    /// The caller has left.
+    CallerLeft,
+    /// Time is up.
+    TimedOut,
+    /// The back end broke off, or fell silent.
+    Broken(&'static str),
+}
+
+/// Passes on one stream.
+struct Relay {
+    call: Arc<Call>,
+    attempts: Attempts,
+    sender: mpsc::Sender<Result<Bytes, Broken>>,
+    last_event: Option<String>,
+    first_event: Option<Duration>,
+    events: u64,
+    _running: Running,
+}
+
+impl Relay {
+    async fn run(mut self, answer: Answer) {
+        let mut answer = answer;
+        loop {
+            let back_end = answer.back_end.clone();
+            let end = self.pass_events(&mut answer).await;
+            let reason = match end {
+                PartEnd::Whole => {
+                    let latency = self.first_event.unwrap_or_default().as_millis() as u64;
+                    let now = self.call.shared.now();
+                    back_end.note(|health| health.answered(now, latency));
+                    answer.keep_connection();
+                    return self.end("served", back_end.id.as_str());
+                }
+                PartEnd::CallerLeft => return self.end("caller_left", back_end.id.as_str()),
+                PartEnd::TimedOut => {
+                    let _ = self.sender.try_send(Err(Broken));
+                    return self.end("timed_out", back_end.id.as_str());
+                }
+                PartEnd::Broken(reason) => reason,
+            };
+            // Closing the connection cancels the request before it goes on elsewhere.
+            drop(answer);
+            back_end.note(|health| health.unreachable(self.call.shared.now()));
+            match self.resume(reason).await {
+                Some(next) => answer = next,
+                None => {
+                    let _ = self.sender.send(Err(Broken)).await;
+                    return self.end(reason, back_end.id.as_str());
+                }
+            }
+        }
+    }
+
+    async fn pass_events(&mut self, answer: &mut Answer) -> PartEnd {
+        let mut splitter = EventSplitter::default();
+        loop {
+            let silent_at = Instant::now() + self.patience();
+            let until = silent_at.min(self.call.deadline);
+            let frame = tokio::select! {
+                () = self.sender.closed() => return PartEnd::CallerLeft,
+                frame = timeout_at(until, answer.body.frame()) => frame,
+            };
+            let data = match frame {
+                Err(_) if Instant::now() >= self.call.deadline => return PartEnd::TimedOut,
+                Err(_) => return PartEnd::Broken("silent"),
+                Ok(None) if splitter.has_partial() => return PartEnd::Broken("partial_event"),
+                Ok(None) => return PartEnd::Whole,
+                Ok(Some(Err(_))) => return PartEnd::Broken("connection_lost"),
+                Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
+            };
+            if splitter.push(&data).is_err() {
+                return PartEnd::Broken("event_too_long");
+            }
+            while let Some(event) = splitter.next_event() {
+                if self.is_repeated(event.id.as_deref()) {
+                    continue;
+                }
+                if self.sender.send(Ok(event.bytes)).await.is_err() {
+                    return PartEnd::CallerLeft;
+                }
+                self.note_event(event.id);
+            }
+        }
+    }
+
+    fn note_event(&mut self, id: Option<String>) {
+        self.events += 1;
+        let arrived = self.call.arrived;
+        self.first_event.get_or_insert_with(|| arrived.elapsed());
+        if id.is_some() {
+            self.last_event = id;
+        }
+    }
+
+    /// Whether the caller has an event with this number, or a higher one.
+    fn is_repeated(&self, id: Option<&str>) -> bool {
+        let number = id.and_then(|id| id.parse::<u64>().ok());
+        let last = self
+            .last_event
+            .as_ref()
+            .and_then(|id| id.parse::<u64>().ok());
+        matches!((number, last), (Some(number), Some(last)) if number <= last)
+    }
+
+    /// How long a back end may say nothing.
+    fn patience(&self) -> Duration {
+        if !self.call.route.kind.may_repeat() {
+            return self.call.route.timeout;
+        }
+        let pause = self.call.route.pause_objective;
+        let silence = pause.map_or(DEFAULT_SILENCE, |pause| pause * SILENT_PAUSES);
+        let silence = silence.max(LEAST_SILENCE);
+        if self.events == 0 {
+            return silence.max(self.call.route.objective.mul_f64(FIRST_EVENT_FACTOR));
+        }
+        silence
+    }
+
+    /// An answer of another back end that goes on after the last event.
+    async fn resume(&mut self, reason: &'static str) -> Option<Answer> {
+        let mut next = self.attempts.may_have_run(&self.call, reason);
+        while let Next::Again = next {
+            let back_end = admit(&self.call, &self.attempts.tried).await.ok()?;
+            self.attempts.begin(&self.call, &back_end.id);
+            self.log_resumed(reason, &back_end);
+            let until = self.call.deadline;
+            let last_event = self.last_event.as_deref();
+            next = match send(&self.call, &back_end, last_event, until).await {
+                AttemptEnd::NotSent(_) => self.attempts.not_sent(&self.call),
+                AttemptEnd::MayHaveRun(reason) => self.attempts.may_have_run(&self.call, reason),
+                AttemptEnd::Answered(answer) if answer.head.status == StatusCode::OK => {
+                    return Some(*answer);
+                }
+                AttemptEnd::Answered(answer) if answer.marks.not_run => {
+                    self.attempts.not_run(&self.call)
+                }
+                AttemptEnd::Answered(_) => self.attempts.may_have_run(&self.call, "resume_refused"),
+            };
+        }
+        None
+    }
+
+    fn log_resumed(&self, reason: &str, back_end: &BackEnd) {
+        let fields = format_args!(
+            "request={} reason={reason} events={} back_end={} last_event={:?}",
+            self.call.ticket.id, self.events, back_end.id, self.last_event
+        );
+        lines::write(Rank::Decision, "stream_resumed", fields);
+    }
+
+    fn end(&self, outcome: &str, back_end: &str) {
+        let fields = format_args!(
+            "request={} events={} first_event_ms={}",
+            self.call.ticket.id,
+            self.events,
+            self.first_event.unwrap_or_default().as_millis()
+        );
+        let rank = if outcome == "served" {
+            Rank::Served
+        } else {
+            Rank::Decision
+        };
+        lines::write(rank, "stream_end", fields);
+        self.call
+            .log_end(outcome, StatusCode::OK.as_u16(), back_end);
+    }
+}
--- a/crates/gorsebank/benches/warm_path.rs
+++ b/crates/gorsebank/benches/warm_path.rs
@@ -13,7 +13,7 @@
 use std::time::{Duration, Instant};
 
 use criterion::Criterion;
-use gorsebank_platform::etcd::Base64;
+use gorsebank_clients::etcd::Base64;
 use gorsebank_replay::live::LinkKind;
 use hdrhistogram::Histogram;
 use serde_json::{Value, json};
--- a/crates/gorsebank/src/admin_client.rs
+++ b/crates/gorsebank/src/admin_client.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use eyre::{Context, bail, eyre};
+use gorsebank_clients::HttpClient;
 use gorsebank_node::admin::error::AdminError;
-use gorsebank_platform::HttpClient;
 use http::{Method, StatusCode};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
--- a/crates/gorsebank/src/arguments.rs
+++ b/crates/gorsebank/src/arguments.rs
@@ -20,10 +20,15 @@
 pub enum Command {
     /// Run a node.
     Node(NodeArguments),
+    /// Run a gateway on the users' platform.
+    Gateway(GatewayArguments),
     /// Check a settings file.
     CheckSettings {
         /// The file.
         file: PathBuf,
+        /// It is a gateway's file, filled by the users' platform.
+        #[arg(long)]
+        gateway: bool,
     },
     /// Run a node with an embedded platform and two emulated engines.
     Dev(DevArguments),
@@ -65,6 +70,18 @@
     pub listen_admin: Option<SocketAddr>,
 }
 
+/// Arguments of `gateway`.
+#[derive(Debug, Args)]
+pub struct GatewayArguments {
+    /// Settings file, as the platform fills it; by default the one that the
+    /// platform names in the environment.
+    #[arg(long)]
+    pub settings: Option<PathBuf>,
+    /// Port and path at which figures are served, such as `9100/metrics`.
+    #[arg(long)]
+    pub metrics: Option<String>,
+}
+
 /// Arguments of `dev`.
 #[derive(Debug, Args)]
 pub struct DevArguments {
--- a/crates/gorsebank/src/commands/check_settings.rs
+++ b/crates/gorsebank/src/commands/check_settings.rs
@@ -3,10 +3,15 @@
 use std::path::Path;
 
 use gorsebank_node::NodeSettings;
+use gorsebank_platform::NodeSettings as GatewayFile;
 
-/// Checks the file.
-pub fn run(file: &Path) -> eyre::Result<()> {
-    NodeSettings::read(file)?;
+/// Checks the file; a gateway's is read as the users' platform fills it.
+pub fn run(file: &Path, gateway: bool) -> eyre::Result<()> {
+    if gateway {
+        GatewayFile::read(file, None)?;
+    } else {
+        NodeSettings::read(file)?;
+    }
     println!("{}: ok", file.display());
     Ok(())
 }
--- a/crates/gorsebank/src/commands/dev.rs
+++ b/crates/gorsebank/src/commands/dev.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use eyre::{Context, bail};
+use gorsebank_clients::machine_list::TargetGroup;
 use gorsebank_emulator::model::store::StoreSettings;
 use gorsebank_emulator::server::application::ApplicationServer;
 use gorsebank_emulator::server::engine::{EngineServer, EngineSettings, WeightSource};
@@ -16,7 +17,6 @@
 use gorsebank_emulator::server::{application, engine, machine_list, serve, table};
 use gorsebank_node::admin::probes::StatusReport;
 use gorsebank_node::{NodeProcess, NodeSettings, logging};
-use gorsebank_platform::machine_list::TargetGroup;
 use http::Method;
 
 use crate::admin_client::AdminClient;
--- /dev/null
+++ b/crates/gorsebank/src/commands/gateway.rs
@@ -0,0 +1,20 @@
+//! `gorsebank gateway`: runs a gateway on the users' platform.
+
+use std::sync::Arc;
+
+use gorsebank_gateway::lines;
+use gorsebank_platform::{NodeSettings, UsersPlatform, settings_path};
+
+use crate::arguments::GatewayArguments;
+
+/// Runs the gateway until it is told to stop.
+pub async fn run(arguments: GatewayArguments) -> eyre::Result<()> {
+    let path = match arguments.settings {
+        Some(path) => path,
+        None => settings_path()?,
+    };
+    let settings = NodeSettings::read(&path, arguments.metrics.as_deref())?;
+    lines::start(settings.gateway.node.as_str())?;
+    let platform = Arc::new(UsersPlatform::new(&settings));
+    gorsebank_gateway::run(settings.gateway, platform).await
+}
--- a/crates/gorsebank/src/main.rs
+++ b/crates/gorsebank/src/main.rs
@@ -1,4 +1,4 @@
-//! The gorsebank program: `node`, `dev`, and the operators' commands.
+//! The gorsebank program: `node`, `gateway`, `dev`, and the operators' commands.
 
 mod admin_client;
 mod arguments;
@@ -8,12 +8,14 @@
 use std::process::ExitCode;
 
 use clap::Parser;
+use eyre::WrapErr;
+use tokio::runtime::{Builder, Runtime};
 
 use crate::arguments::{Arguments, Command};
 
-#[tokio::main]
-async fn main() -> ExitCode {
-    match run(Arguments::parse().command).await {
+fn main() -> ExitCode {
+    let command = Arguments::parse().command;
+    match runtime(&command).and_then(|runtime| runtime.block_on(run(command))) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("error: {error:#}");
@@ -22,10 +24,20 @@
     }
 }
 
+/// A gateway has part of one core: more threads would only take turns on it.
+fn runtime(command: &Command) -> eyre::Result<Runtime> {
+    let mut builder = match command {
+        Command::Gateway(_) => Builder::new_current_thread(),
+        _ => Builder::new_multi_thread(),
+    };
+    builder.enable_all().build().wrap_err("no runtime")
+}
+
 async fn run(command: Command) -> eyre::Result<()> {
     match command {
         Command::Node(arguments) => commands::node::run(arguments).await,
-        Command::CheckSettings { file } => commands::check_settings::run(&file),
+        Command::Gateway(arguments) => commands::gateway::run(arguments).await,
+        Command::CheckSettings { file, gateway } => commands::check_settings::run(&file, gateway),
         Command::Dev(arguments) => commands::dev::run(arguments).await,
         Command::Get(arguments) => commands::get::run(arguments).await,
         Command::Apply(arguments) => commands::apply::run(arguments).await,
--- a/crates/gorsebank/tests/failures.rs
+++ b/crates/gorsebank/tests/failures.rs
@@ -180,7 +180,7 @@
 
 fn decoded(value: &Value) -> String {
     let text = value.clone();
-    serde_json::from_value::<gorsebank_platform::etcd::Base64>(text)
+    serde_json::from_value::<gorsebank_clients::etcd::Base64>(text)
         .map(|bytes| String::from_utf8_lossy(&bytes.0).into_owned())
         .unwrap_or_default()
 }
--- a/crates/gorsebank/tests/support/mod.rs
+++ b/crates/gorsebank/tests/support/mod.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use gorsebank_platform::HttpClient;
+use gorsebank_clients::HttpClient;
 use gorsebank_replay::live::{Binaries, LinkKind, LiveDeployment};
 use gorsebank_replay::trace::Header;
 use http::{HeaderMap, Method, Request, StatusCode};
--- a/crates/node/src/caller/attempt.rs
+++ b/crates/node/src/caller/attempt.rs
@@ -8,8 +8,8 @@
 
 use axum::body::Bytes;
 use axum::http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, header};
+use gorsebank_clients::{HttpClient, HttpError};
 use gorsebank_contract::{AttemptOutcome, PriorityClass, TicketId};
-use gorsebank_platform::{HttpClient, HttpError};
 use gorsebank_world::BackEndId;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
--- a/crates/node/src/host.rs
+++ b/crates/node/src/host.rs
@@ -6,11 +6,11 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
+use gorsebank_clients::{EngineClient, HttpClient, MachineListClient, TableClient};
 use gorsebank_contract::{Order, Refusal, RequestId, TableAnswer, TicketId, Transaction};
 use gorsebank_coordination::{
     Action, Change, ChangeError, ChangeId, Event, Node, Timestamp, TransactionTag,
 };
-use gorsebank_platform::{EngineClient, HttpClient, MachineListClient, TableClient};
 use gorsebank_world::{Machine, NodeId, Row};
 use parking_lot::Mutex;
 use tokio::sync::{mpsc, oneshot};
--- a/crates/replay/src/live/deployment.rs
+++ b/crates/replay/src/live/deployment.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use eyre::{Context, bail, eyre};
-use gorsebank_platform::HttpClient;
+use gorsebank_clients::HttpClient;
 use gorsebank_world::MachineRole;
 use http::Method;
 use serde_json::{Value, json};
--- a/crates/replay/src/live/player.rs
+++ b/crates/replay/src/live/player.rs
@@ -4,10 +4,10 @@
 use std::time::{Duration, Instant};
 
 use eyre::bail;
+use gorsebank_clients::HttpClient;
 use gorsebank_coordination::rendezvous;
 use gorsebank_emulator::model::engine::EngineRecord;
 use gorsebank_emulator::server::application;
-use gorsebank_platform::HttpClient;
 use gorsebank_world::{BackEndId, MachineRole, NodeId};
 use http::Method;
 use nix::sys::signal::Signal;
