--- a/crates/fleet/src/choice.rs
+++ b/crates/fleet/src/choice.rs
@@ -4,6 +4,8 @@
 
 /// A back end in another zone must be this much less loaded.
 const OTHER_ZONE_FACTOR: f64 = 1.25;
+/// A back end to which a connection must be made first costs this much more.
+const CONNECT_FACTOR: f64 = 1.4;
 /// Weight of a failed request against a served one.
 const FAILURE_WEIGHT: f64 = 8.0;
 /// A back end that has read the prompt's shared part before costs this much less.
@@ -24,6 +26,8 @@
     pub relative_latency: f64,
     /// Whether it has read the shared part of the prompt.
     pub warm_prompt: bool,
+    /// Whether a kept connection to it is at hand.
+    pub connected: bool,
 }
 
 /// The expected cost of one more request.
@@ -38,9 +42,14 @@
     } else {
         1.0
     };
+    let connect = if candidate.connected {
+        1.0
+    } else {
+        CONNECT_FACTOR
+    };
     let failures = 1.0 + FAILURE_WEIGHT * candidate.failure_rate;
     let load = f64::from(candidate.in_flight) + 1.0;
-    load * zone * prompt * failures * candidate.relative_latency
+    load * zone * prompt * connect * failures * candidate.relative_latency
 }
 
 /// The index of the cheapest candidate; nearly equal ones are chosen by chance.
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -223,6 +223,7 @@
             failure_rate: back_end.health().failure_rate(now),
             relative_latency: relative(latency, mean),
             warm_prompt: has_warm_prompt(call, back_end),
+            connected: back_end.has_connection(),
         })
         .collect()
 }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -257,7 +257,7 @@
 }
 
 /// How long the back end keeps an idle connection, if it says so.
-fn stated_rest(headers: &HeaderMap) -> Option<Duration> {
+pub fn stated_rest(headers: &HeaderMap) -> Option<Duration> {
     let value = headers.get(KEEP_ALIVE)?.to_str().ok()?;
     let seconds = value
         .split(',')
--- a/crates/gateway/src/back_end.rs
+++ b/crates/gateway/src/back_end.rs
@@ -28,7 +28,7 @@
 /// A connection without a stated rest is kept idle for so long.
 const DEFAULT_REST: Duration = Duration::from_secs(4);
 /// A connection is used only within this part of the rest that the back end states.
-const REST_PART: f64 = 0.6;
+const REST_PART: f64 = 0.85;
 /// What a back end said it does not hold is not asked there for so long, in milliseconds.
 const ABSENCE_LIFETIME: u64 = 1_500;
 /// Idle connections kept for one back end.
@@ -161,6 +161,12 @@
         Some(idle.remove(index))
     }
 
+    /// Whether a kept connection is at hand.
+    pub fn has_connection(&self) -> bool {
+        let idle = self.idle.lock();
+        idle.iter().any(Connection::is_usable)
+    }
+
     /// A new connection.
     pub async fn connect(&self) -> std::io::Result<Connection> {
         let connecting = TcpStream::connect(self.address);
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -11,6 +11,7 @@
 use hyper::body::Incoming;
 use tokio::time::timeout;
 
+use crate::attempt::stated_rest;
 use crate::back_end::{BackEnd, Connection};
 use crate::lines::{self, Rank};
 use crate::ports::FencedOrder;
@@ -26,11 +27,12 @@
         .await
         .ok()??;
     let status = response.status();
+    let rest = stated_rest(response.headers());
     let body = timeout(ANSWER_TIMEOUT, response.into_body().collect())
         .await
         .ok()?
         .ok()?;
-    engine.keep(connection, None);
+    engine.keep(connection, rest);
     if !status.is_success() {
         return None;
     }
@@ -57,8 +59,9 @@
         return OrderResult::Unanswered;
     };
     let result = shared.platform.order_result(response.status());
+    let rest = stated_rest(response.headers());
     if let Ok(Ok(_)) = timeout(ANSWER_TIMEOUT, response.into_body().collect()).await {
-        engine.keep(connection, None);
+        engine.keep(connection, rest);
     }
     result
 }
