Hold callers that come back; refuse early or not at all; end waits before a stop's grace

Change: a load that is not ordered yet gets a fifth of the objective, then the caller is refused early; one that is past that, or has come back (it has less time than callers of its route have at first), is held as long as a late answer is possible. Waits now end with the time in which a stopping process begins requests, in parts of the grace.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -1,8 +1,9 @@
 //! Picks the back end of the next attempt, waits for one, or refuses.
 //!
-//! A request waits only for what is expected within its objective: an adapter
-//! on its way, or a load that ends in time. Otherwise it is refused at once
-//! and told when the model will be there.
+//! A request waits for what is expected within its objective: an adapter on its
+//! way, or a load that ends in time. Otherwise it is refused early and told when
+//! the model will be there. A caller that has come back is not sent away again
+//! as long as a late answer is possible.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -21,14 +22,24 @@
 const ORDER_DELAY: Duration = Duration::from_millis(500);
 /// Time from the end of a load until the first event.
 const FIRST_EVENT: Duration = Duration::from_millis(300);
-/// Part of the objective that a wait for a load may take.
-const LOAD_WAIT_PART: f64 = 0.95;
+/// Part of the objective within which a served request is in time.
+const IN_TIME_PART: f64 = 0.95;
+/// Part of the objective within which a refusal costs the caller little.
+const EARLY_PART: f64 = 0.22;
 /// Part of the objective that a wait for an adapter may take.
-const ADAPTER_WAIT_PART: f64 = 0.75;
-/// Part of the objective that a wait for any back end may take.
-const BACK_END_WAIT_PART: f64 = 0.24;
+const ADAPTER_WAIT_PART: f64 = 0.9;
+/// Callers give a silent answer up after the longest of this time ...
+const LEAST_CALLER_PATIENCE: Duration = Duration::from_secs(2);
+/// ... so many objectives ...
+const PATIENCE_OBJECTIVES: u32 = 4;
+/// ... and so many pause objectives.
+const PATIENCE_PAUSES: u32 = 8;
+/// Part of a caller's patience that is used.
+const PATIENCE_PART: f64 = 0.85;
 /// Least pause that a refused caller is asked for.
 const LEAST_PAUSE: Duration = Duration::from_millis(250);
+/// A caller that waits for a load is asked to come back this much after it.
+const LOAD_SLACK: Duration = Duration::from_millis(600);
 /// Latencies count between these bounds, against the mean of the peers.
 const LATENCY_BOUNDS: (f64, f64) = (0.5, 8.0);
 
@@ -39,7 +50,14 @@
     /// The adapter, where the model is loaded.
     Adapter,
     /// The model; a load is expected to end in this time.
-    Model(Duration),
+    Model(ExpectedLoad),
+}
+
+/// When a load is expected to end.
+#[derive(Clone, Copy)]
+struct ExpectedLoad {
+    time: Duration,
+    ordered: bool,
 }
 
 /// A back end for the next attempt; none of `tried`, if others are there.
@@ -56,40 +74,72 @@
             }
             Err(missing) => missing,
         };
-        let wait_until = wish(call, &missing)?;
+        wish(call, &missing);
+        let until = worth_waiting(call, &missing).ok_or_else(|| refuse(call, &missing))?;
         if waiting.is_none() {
             waiting = Waiting::begin(call);
         }
-        if timeout_at(wait_until, changes.changed()).await.is_err() {
-            return Err(refuse(call, &missing));
-        }
+        // When time is up, the next turn decides by what is known then.
+        let _ = timeout_at(until, changes.changed()).await;
     }
 }
 
-/// Tells the placement holder what is missing. Out: how long it is worth waiting.
-fn wish(call: &Call, missing: &Missing) -> Result<Instant, Failure> {
-    let objective = call.route.objective;
+/// Until when a wait for what is missing is worth it; none if it is not.
+fn worth_waiting(call: &Call, missing: &Missing) -> Option<Instant> {
     let now = Instant::now();
+    let objective = call.route.objective;
+    let give_up = call.arrived + caller_patience(call).mul_f64(PATIENCE_PART);
+    let give_up = give_up.min(call.deadline);
     let until = match missing {
-        Missing::BackEnd => call.arrived + objective.mul_f64(BACK_END_WAIT_PART),
-        Missing::Adapter => {
-            note_wish(call, call.ticket.adapter.as_ref());
-            call.arrived + objective.mul_f64(ADAPTER_WAIT_PART)
-        }
-        Missing::Model(expected) => {
-            note_wish(call, None);
-            let ready = now + *expected + FIRST_EVENT;
-            let latest = call.arrived + objective.mul_f64(LOAD_WAIT_PART);
-            if ready > latest {
-                return Err(refuse(call, missing));
-            }
-            latest
-        }
+        _ if call.returning && !matches!(missing, Missing::Model(_)) => give_up,
+        Missing::BackEnd => call.arrived + objective.mul_f64(EARLY_PART),
+        Missing::Adapter => call.arrived + objective.mul_f64(ADAPTER_WAIT_PART),
+        Missing::Model(load) => wait_for_load(call, now, *load, give_up)?,
     };
-    if now >= until {
-        return Err(refuse(call, missing));
+    let until = match call.time_to_begin() {
+        Some(left) => until.min(now + left),
+        None => until,
+    };
+    (now < until).then_some(until)
+}
+
+/// A load that ends in time is waited for. One that is not yet ordered gets a
+/// moment; and once a refusal would gain nothing, a late answer is better.
+fn wait_for_load(
+    call: &Call,
+    now: Instant,
+    load: ExpectedLoad,
+    give_up: Instant,
+) -> Option<Instant> {
+    let objective = call.route.objective;
+    let ready = now + load.time + FIRST_EVENT;
+    let in_time = call.arrived + objective.mul_f64(IN_TIME_PART);
+    if ready <= in_time {
+        return Some(in_time);
+    }
+    let early = call.arrived + objective.mul_f64(EARLY_PART);
+    if !load.ordered && now < early && load.time < objective {
+        return Some(early);
+    }
+    let refusal_gains = now <= early && !call.returning;
+    (!refusal_gains && ready <= give_up).then_some(give_up)
+}
+
+/// How long the caller waits for the first event.
+fn caller_patience(call: &Call) -> Duration {
+    let pauses = call.route.pause_objective.unwrap_or_default() * PATIENCE_PAUSES;
+    LEAST_CALLER_PATIENCE
+        .max(call.route.objective * PATIENCE_OBJECTIVES)
+        .max(pauses)
+}
+
+/// Tells the placement holder what is missing.
+fn wish(call: &Call, missing: &Missing) {
+    match missing {
+        Missing::BackEnd => {}
+        Missing::Adapter => note_wish(call, call.ticket.adapter.as_ref()),
+        Missing::Model(_) => note_wish(call, None),
     }
-    Ok(until.min(call.deadline))
 }
 
 fn note_wish(call: &Call, adapter: Option<&AdapterId>) {
@@ -107,7 +157,7 @@
     let (reason, pause) = match missing {
         Missing::BackEnd => ("no_back_end", LEAST_PAUSE),
         Missing::Adapter => ("no_adapter", LEAST_PAUSE),
-        Missing::Model(expected) => ("no_model", (*expected + LEAST_PAUSE).max(LEAST_PAUSE)),
+        Missing::Model(load) => ("no_model", load.time + LOAD_SLACK),
     };
     call.refuse(reason, pause)
 }
@@ -155,11 +205,17 @@
     if places.without_adapter > 0 {
         return Err(Missing::Adapter);
     }
-    let expected = match places.loading_until {
-        Some(until) => Duration::from_millis(until.since(now)),
-        None => load_time(call, model) + ORDER_DELAY,
+    let load = match places.loading_until {
+        Some(until) => ExpectedLoad {
+            time: Duration::from_millis(until.since(now)),
+            ordered: true,
+        },
+        None => ExpectedLoad {
+            time: load_time(call, model) + ORDER_DELAY,
+            ordered: false,
+        },
     };
-    Err(Missing::Model(expected))
+    Err(Missing::Model(load))
 }
 
 /// The model that a back end must hold, if the service's back ends are engines.
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -31,6 +31,7 @@
         settings.node, settings.zone, settings.listen_callers
     );
     lines::write(Rank::Decision, "start", fields);
+    let grace = settings.bounds.grace;
     let shared = Arc::new(Shared::new(settings, platform)?);
     watch::start(&shared);
     tokio::spawn(demand_writer::run(shared.clone()));
@@ -48,7 +49,7 @@
     wait_for_stop().await?;
     lines::write(Rank::Decision, "stop", format_args!("phase=begun"));
     shared.stop();
-    connections.drain(DRAIN_POLL).await;
+    connections.drain(grace, DRAIN_POLL).await;
     lines::write(Rank::Decision, "stop", format_args!("phase=drained"));
     Ok(())
 }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -46,10 +46,10 @@
 ];
 /// More of them, which the library has no names for.
 const MORE_CONNECTION_HEADERS: [&str; 2] = ["keep-alive", "proxy-connection"];
-/// A stopping process begins no stream this long after the stop, in milliseconds.
-const LAST_STREAM: u64 = 2_800;
-/// A stopping process begins no other request this long after the stop.
-const LAST_REQUEST: u64 = 5_500;
+/// Part of the grace of a planned stop after which no stream is begun.
+const LAST_STREAM: f64 = 0.35;
+/// Part of the grace of a planned stop after which no other request is begun.
+const LAST_REQUEST: f64 = 0.69;
 
 /// A request that was read whole, with what is needed to send it.
 pub struct Call {
@@ -71,6 +71,9 @@
     pub arrived: Instant,
     /// When it must have its answer.
     pub deadline: Instant,
+    /// Whether the caller has less time than callers of this route have at
+    /// first: it has most likely been refused before.
+    pub returning: bool,
     /// Sends so far.
     pub attempts: AtomicU32,
     exposed: AtomicBool,
@@ -87,6 +90,19 @@
         self.exposed.load(Ordering::Relaxed)
     }
 
+    /// In a stopping process: how much time is left to send it to a back end, so
+    /// that its answer can end before the process is killed.
+    pub fn time_to_begin(&self) -> Option<Duration> {
+        let since = self.shared.stopping_for()?;
+        let last = if self.route.kind.is_stream() {
+            LAST_STREAM
+        } else {
+            LAST_REQUEST
+        };
+        let last = self.shared.settings.bounds.grace.mul_f64(last);
+        Some(last.saturating_sub(Duration::from_millis(since)))
+    }
+
     /// A refusal, or what is still true if it may have run.
     pub fn refuse(&self, reason: &'static str, retry_after: Duration) -> Failure {
         if self.is_exposed() {
@@ -196,6 +212,7 @@
         .deadline
         .map_or(route.timeout, |own| own.min(route.timeout));
     let deadline = arrived + held;
+    let returning = shared.is_returning(&route.name, ticket.deadline);
     let limit = configuration.limits.max_body_bytes;
     let body = read_body(body, limit, deadline).await?;
     let service = shared.split(&route.services).ok_or(Failure::NoRoute)?;
@@ -213,6 +230,7 @@
         body,
         arrived,
         deadline,
+        returning,
         attempts: AtomicU32::new(0),
         exposed: AtomicBool::new(false),
     };
@@ -222,15 +240,7 @@
 
 /// A request that a stopping process could not finish is better off elsewhere.
 fn refuse_while_stopping(call: &Call) -> Result<(), Failure> {
-    let Some(since) = call.shared.stopping_for() else {
-        return Ok(());
-    };
-    let last = if call.route.kind.is_stream() {
-        LAST_STREAM
-    } else {
-        LAST_REQUEST
-    };
-    if since < last {
+    if call.time_to_begin() != Some(Duration::ZERO) {
         return Ok(());
     }
     let failure = call.refuse("stopping", Duration::ZERO);
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -29,8 +29,8 @@
 const DEFAULT_HEADER_BYTES: usize = 16 * 1024;
 /// Pause after an accept failed, for instance for want of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-/// Idle connections are closed this long after a stop began.
-const CLOSE_IDLE_AFTER: Duration = Duration::from_millis(3_000);
+/// Part of the grace of a planned stop after which idle connections are closed.
+const CLOSE_IDLE_PART: f64 = 0.37;
 
 /// Open connections of callers.
 #[derive(Clone)]
@@ -50,8 +50,8 @@
 
 impl Connections {
     /// Waits until callers have gone elsewhere, then until every request has ended.
-    pub async fn drain(&self, poll: Duration) {
-        sleep(CLOSE_IDLE_AFTER).await;
+    pub async fn drain(&self, grace: Duration, poll: Duration) {
+        sleep(grace.mul_f64(CLOSE_IDLE_PART)).await;
         self.close_idle.send_replace(true);
         while self.open.load(Ordering::Relaxed) > 0 {
             sleep(poll).await;
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -1,11 +1,12 @@
 //! What all requests of a process share.
 //!
-//! Lock order: `configuration`, `directory`, `demand`, `retries`. No lock is
-//! held over an await.
+//! Lock order: `configuration`, `directory`, `demand`, `retries`, then any other.
+//! No lock is held over an await.
 
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::time::Duration;
 
 use gorsebank_coordination::Timestamp;
 use gorsebank_fleet::split::Split;
@@ -22,6 +23,8 @@
 
 /// Gateways are reckoned to be at least so many, until the table was read.
 const LEAST_GATEWAYS: usize = 4;
+/// A caller with so much less time than usual has tried before.
+const RETURNING_MARGIN: Duration = Duration::from_millis(100);
 /// Gateways that may have joined and are not yet known.
 const UNKNOWN_GATEWAYS: usize = 2;
 
@@ -41,6 +44,7 @@
     directory: RwLock<Directory>,
     retries: Mutex<HashMap<ServiceId, RetryWindow>>,
     split: Mutex<Split>,
+    usual_deadlines: Mutex<HashMap<Arc<str>, Duration>>,
     changes: watch::Sender<u64>,
     gateways: AtomicUsize,
     stopping: AtomicBool,
@@ -63,6 +67,7 @@
             directory: RwLock::new(directory),
             retries: Mutex::default(),
             split: Mutex::new(Split::new(rand::random())),
+            usual_deadlines: Mutex::default(),
             changes: watch::channel(0).0,
             gateways: AtomicUsize::new(LEAST_GATEWAYS),
             stopping: AtomicBool::new(false),
@@ -124,6 +129,17 @@
         self.split.lock().next(services).cloned()
     }
 
+    /// Whether a caller has less time than callers of the route have at first.
+    pub fn is_returning(&self, route: &Arc<str>, deadline: Option<Duration>) -> bool {
+        let Some(deadline) = deadline else {
+            return false;
+        };
+        let mut usual = self.usual_deadlines.lock();
+        let usual = usual.entry(route.clone()).or_insert(deadline);
+        *usual = deadline.max(*usual);
+        deadline + RETURNING_MARGIN < *usual
+    }
+
     /// Counts a request to a service for the retry budget.
     pub fn count_request(&self, service: &ServiceId) {
         self.with_window(service, |window, now| window.request(now));
