--- a/crates/fleet/src/configuration.rs
+++ b/crates/fleet/src/configuration.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use gorsebank_world::{ModelId, ServiceId};
+use gorsebank_world::{AdapterId, ModelId, ServiceId};
 
 /// How often a request may run, and how it is answered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -70,6 +70,8 @@
     pub memory_mb: f64,
     /// Memory of one adapter, in megabytes.
     pub adapter_mb: f64,
+    /// Its adapters.
+    pub adapters: Vec<AdapterId>,
     /// Time of a load from the weight store.
     pub load: Duration,
     /// Time of a load from the engine's host memory.
--- a/crates/fleet/src/placement/goals.rs
+++ b/crates/fleet/src/placement/goals.rs
@@ -22,6 +22,10 @@
 const REPLICA_LOAD: f64 = 0.12;
 /// Worth of a further replica against its share of the rate.
 const REPLICA_WORTH: f64 = 0.5;
+/// A model with this many requests a second gets its adapters before they are asked for.
+const PREFETCH_RATE: f64 = 0.4;
+/// Adapter places of an engine that are not filled ahead of demand.
+const PLACES_KEPT_BACK: usize = 1;
 /// A load from the weight store costs so much, in requests a second.
 const STORE_LOAD_COST: f64 = 0.02;
 
@@ -178,7 +182,25 @@
             continue;
         };
         for adapter in missing {
-            assign_adapter(spec, engines, model, adapter);
+            assign_adapter(spec, engines, model, adapter, spec.adapter_slots);
+        }
+    }
+    prefetch_adapters(spec, totals, engines);
+}
+
+/// Fills free places with adapters of models in demand, before they are asked
+/// for. Places are kept back for those that are asked for.
+fn prefetch_adapters(spec: &Engine, totals: &Totals, engines: &mut [&mut EngineState]) {
+    let places = spec.adapter_slots.saturating_sub(PLACES_KEPT_BACK);
+    for (model, demand) in totals.models() {
+        let Some(known) = spec.models.get(model) else {
+            continue;
+        };
+        if demand.rate < PREFETCH_RATE {
+            continue;
+        }
+        for adapter in &known.adapters {
+            assign_adapter(spec, engines, model, adapter, places);
         }
     }
 }
@@ -188,6 +210,7 @@
     engines: &mut [&mut EngineState],
     model: &ModelId,
     adapter: &AdapterId,
+    places: usize,
 ) {
     if !spec.models.contains_key(model) {
         return;
@@ -203,7 +226,9 @@
     let roomiest = holders
         .iter_mut()
         .min_by_key(|engine| (!engine.is_free(), engine.adapter_count()));
-    if let Some(engine) = roomiest {
+    // A full engine makes room only for an adapter that is asked for.
+    let may_evict = places == spec.adapter_slots;
+    if let Some(engine) = roomiest.filter(|engine| may_evict || engine.adapter_count() < places) {
         engine.want_adapter(model.clone(), adapter.clone());
     }
 }
