--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -16,7 +16,7 @@
 /// Part of the lease within which its holder gives orders.
 const ORDER_PART: f64 = 0.8;
 /// Part of the lease after which another node takes it.
-const TAKE_PART: f64 = 1.3;
+const TAKE_PART: f64 = 1.1;
 /// Part of the lease after which it is renewed.
 const RENEW_PART: f64 = 0.35;
 /// Part of the lease between two looks at another's lease.
@@ -159,7 +159,7 @@
             self.version = Some(version);
             self.seen_since = now;
         }
-        self.free = row.is_none_or(|row| row.holder.is_none());
+        self.free = row.is_none_or(|row| self.is_left_behind(row));
         let own = row.filter(|row| row.process == self.process && row.holder.is_some());
         match own {
             Some(row) if row.write == self.writes => self.hold(version),
@@ -169,6 +169,15 @@
         }
     }
 
+    /// Whether nobody can hold the lease any more: it was handed back, or it was
+    /// taken by a former process of this very node.
+    fn is_left_behind(&self, row: &LeaseRow) -> bool {
+        match &row.holder {
+            None => true,
+            Some(holder) => *holder == self.node && row.process != self.process,
+        }
+    }
+
     /// The write took effect as `version`.
     pub fn written(&mut self, now: Timestamp, version: u64, row: &LeaseRow) {
         self.version = Some(version);
