--- a/crates/fleet/src/placement/engine.rs
+++ b/crates/fleet/src/placement/engine.rs
@@ -21,6 +21,8 @@
 const SETTLE_TIME: u64 = 400;
 /// Pause between two questions while a load runs over its time, in milliseconds.
 const LOAD_POLL: u64 = 100;
+/// An idle model is unloaded, and a report shows it, after this time, in milliseconds.
+const UNLOAD_TIME: u64 = 120;
 /// Pause between two questions while an adapter is on its way, in milliseconds.
 const ADAPTER_POLL: u64 = 50;
 /// Adapters that may be on their way to one engine at once.
@@ -372,7 +374,8 @@
         if !report.busy {
             self.unloading = None;
         }
-        self.ask_at = now + if report.busy { LOAD_POLL } else { ADAPTER_POLL };
+        let is_short = !report.busy || self.unloading.is_some();
+        self.ask_at = now + if is_short { ADAPTER_POLL } else { LOAD_POLL };
         self.observed.in_memory.extend(report.in_memory);
         self.observed.on_disk.extend(report.on_disk);
         self.known = Some(Known {
@@ -414,7 +417,7 @@
             }
             OrderKind::UnloadModel(_) => {
                 known.busy = true;
-                self.ask_at = now + LOAD_POLL;
+                self.ask_at = now + UNLOAD_TIME;
             }
             OrderKind::LoadAdapter(model, adapter) => {
                 known.pending.insert((model.clone(), adapter.clone()));
