--- a/crates/fleet/src/configuration.rs
+++ b/crates/fleet/src/configuration.rs
@@ -70,6 +70,8 @@
     pub memory_mb: f64,
     /// Memory of one adapter, in megabytes.
     pub adapter_mb: f64,
+    /// Its place in the operator's list; 0 is the first.
+    pub rank: usize,
     /// Its adapters.
     pub adapters: Vec<AdapterId>,
     /// Time of a load from the weight store.
--- a/crates/fleet/src/placement/engine.rs
+++ b/crates/fleet/src/placement/engine.rs
@@ -242,10 +242,18 @@
         };
         self.in_flight = true;
         self.changed = Some(now);
+        self.note_on_its_way(&order);
         let kind = ActionKind::Order { order, sequence };
         Some(self.action(kind, reason))
     }
 
+    /// An adapter counts as on its way from the moment of the order.
+    fn note_on_its_way(&mut self, order: &OrderKind) {
+        if let (OrderKind::LoadAdapter(model, adapter), Some(known)) = (order, &mut self.known) {
+            known.pending.insert((model.clone(), adapter.clone()));
+        }
+    }
+
     fn next_order(
         &mut self,
         now: Timestamp,
@@ -392,9 +400,10 @@
         self.changed = Some(now);
         match result {
             OrderResult::Accepted => self.accepted(now, order),
-            OrderResult::InForce if matches!(order, OrderKind::UnloadAdapter(..)) => {
-                self.accepted(now, order);
-            }
+            OrderResult::InForce => match order {
+                OrderKind::UnloadAdapter(model, adapter) => self.adapter_left(model, adapter),
+                _ => self.unknown(now),
+            },
             OrderResult::Refused => {
                 self.goal = None;
                 self.unknown(now);
@@ -419,15 +428,23 @@
                 known.busy = true;
                 self.ask_at = now + UNLOAD_TIME;
             }
-            OrderKind::LoadAdapter(model, adapter) => {
-                known.pending.insert((model.clone(), adapter.clone()));
-                self.ask_at = now + ADAPTER_POLL;
-            }
+            OrderKind::LoadAdapter(..) => self.ask_at = now + ADAPTER_POLL,
             // Its place counts as taken until a report shows it free.
             OrderKind::UnloadAdapter(..) => self.unknown(now),
         }
     }
 
+    /// An idle adapter was unloaded at once, and the sequence number is one higher.
+    fn adapter_left(&mut self, model: &ModelId, adapter: &AdapterId) {
+        let Some(known) = &mut self.known else {
+            return;
+        };
+        known.sequence += 1;
+        if let Some(adapters) = known.holdings.get_mut(model) {
+            adapters.remove(adapter);
+        }
+    }
+
     /// Nothing is known any more; the state is asked once stale answers are past.
     fn unknown(&mut self, now: Timestamp) {
         self.known = None;
