Placement: the operator's order decides between models without demand; replicas by adapters

Change: a small worth by rank in the operator's list; a further replica when the adapters in demand do not fit. It assumes that operators list first what they expect most of; where they do not, it decides nothing worse than chance.

--- a/crates/fleet/src/placement/goals.rs
+++ b/crates/fleet/src/placement/goals.rs
@@ -11,6 +11,7 @@
 use super::pace::LoadPace;
 use super::totals::Totals;
 use crate::configuration::{Engine, ModelSpec};
+use crate::demand::ModelDemand;
 
 /// Worth of one waiting request, in requests a second.
 const WAITING_WORTH: f64 = 0.3;
@@ -26,6 +27,8 @@
 const PREFETCH_RATE: f64 = 0.4;
 /// Adapter places of an engine that are not filled ahead of demand.
 const PLACES_KEPT_BACK: usize = 1;
+/// Worth of the operator's first model while nobody asks for it, in requests a second.
+const PRIOR_WORTH: f64 = 0.02;
 /// A load from the weight store costs so much, in requests a second.
 const STORE_LOAD_COST: f64 = 0.02;
 
@@ -60,7 +63,7 @@
             let coming = coming(engines, model);
             let worth = if replicas + coming == 0 {
                 demand.rate + WAITING_WORTH * f64::from(demand.waiting)
-            } else if coming == 0 && is_crowded(spec, demand.running, replicas) {
+            } else if coming == 0 && is_crowded(spec, demand, replicas) {
                 REPLICA_WORTH * demand.rate / (replicas + 1) as f64
             } else {
                 return None;
@@ -73,8 +76,12 @@
     wishes
 }
 
-fn is_crowded(spec: &Engine, running: u32, replicas: usize) -> bool {
-    f64::from(running) > REPLICA_LOAD * f64::from(spec.slots) * replicas as f64
+/// Whether a model's replicas run too much, or have too few places for its adapters.
+fn is_crowded(spec: &Engine, demand: &ModelDemand, replicas: usize) -> bool {
+    let running = f64::from(demand.running);
+    let slots = f64::from(spec.slots) * replicas as f64;
+    let adapters = demand.adapters.len();
+    running > REPLICA_LOAD * slots || adapters > spec.adapter_slots * replicas
 }
 
 fn replicas(engines: &[&mut EngineState], model: &ModelId) -> usize {
@@ -134,11 +141,7 @@
         .keys()
         .map(|model| {
             let memory = spec.models.get(model).map_or(0.0, |spec| spec.memory_mb);
-            (
-                value(totals, model, replicas(engines, model)),
-                memory,
-                model,
-            )
+            (value(spec, totals, engines, model), memory, model)
         })
         .collect();
     costs.sort_by(|one, other| one.0.total_cmp(&other.0));
@@ -160,11 +163,21 @@
 }
 
 /// What one replica of a model is worth, in requests a second.
-fn value(totals: &Totals, model: &ModelId, replicas: usize) -> f64 {
-    let shares = replicas.max(1) as f64;
+fn value(spec: &Engine, totals: &Totals, engines: &[&mut EngineState], model: &ModelId) -> f64 {
+    let shares = replicas(engines, model).max(1) as f64;
     let running = RUNNING_WORTH * f64::from(totals.running(model));
     let waiting = WAITING_WORTH * f64::from(totals.waiting(model));
-    (totals.rate(model) + running + waiting) / shares
+    (totals.rate(model) + running + waiting) / shares + prior(spec, model)
+}
+
+/// What a model without demand is worth: the operator's first models most. It
+/// decides only between models that nobody asks for.
+fn prior(spec: &Engine, model: &ModelId) -> f64 {
+    let rank = spec
+        .models
+        .get(model)
+        .map_or(spec.models.len(), |spec| spec.rank);
+    PRIOR_WORTH / (rank + 1) as f64
 }
 
 /// Gives each adapter that requests wait for to the engine with most room.
