Leave a silent back end only for another one that can take over

Change: at the end of patience the next back end and a retry are looked for first; without both the wait goes on. A connection that broke may be made again to the same back end. Attempts have a module of their own.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -60,7 +60,7 @@
     ordered: bool,
 }
 
-/// A back end for the next attempt; none of `tried`, if others are there.
+/// A back end for the next attempt; none of `tried`.
 pub async fn admit(call: &Call, tried: &[BackEndId]) -> Result<Arc<BackEnd>, Failure> {
     let mut changes = call.shared.subscribe();
     let began = Instant::now();
@@ -84,6 +84,12 @@
     }
 }
 
+/// Whether a back end that was not tried could take the request now.
+pub fn has_alternative(call: &Call, tried: &[BackEndId]) -> bool {
+    let now = call.shared.now();
+    matches!(eligible(call, now, tried), Ok(back_ends) if !back_ends.is_empty())
+}
+
 /// Until when a wait for what is missing is worth it; none if it is not.
 fn worth_waiting(call: &Call, missing: &Missing) -> Option<Instant> {
     let now = Instant::now();
@@ -184,23 +190,39 @@
     }
 }
 
+/// The best back end now.
 fn pick(call: &Call, tried: &[BackEndId]) -> Result<Arc<BackEnd>, Missing> {
     let now = call.shared.now();
+    let back_ends = eligible(call, now, tried)?;
+    let chosen = choose(call, now, &back_ends).ok_or(Missing::BackEnd)?;
+    if let Some(model) = &call.ticket.model {
+        let adapter = call.ticket.adapter.as_ref();
+        let mut demand = call.shared.demand.lock();
+        demand.fulfilled(&call.service, model, adapter);
+    }
+    Ok(chosen)
+}
+
+/// Back ends that could take the request now and were not tried; never empty.
+/// Those that do not answer are among them only if there are no others.
+fn eligible(
+    call: &Call,
+    now: Timestamp,
+    tried: &[BackEndId],
+) -> Result<Vec<Arc<BackEnd>>, Missing> {
     let service = &call.service;
-    let model = needed_model(call);
-    let Some(model) = model else {
+    let Some(model) = needed_model(call) else {
         let members = call
             .shared
             .directory(|directory| directory.members(service));
-        return choose(call, now, members, tried).ok_or(Missing::BackEnd);
+        return answering(now, members, tried).ok_or(Missing::BackEnd);
     };
     let adapter = call.ticket.adapter.as_ref();
     let places = call
         .shared
         .directory(|directory| directory.places(now, service, model, adapter));
-    if let Some(back_end) = choose(call, now, places.ready, tried) {
-        call.shared.demand.lock().fulfilled(service, model, adapter);
-        return Ok(back_end);
+    if let Some(back_ends) = answering(now, places.ready, tried) {
+        return Ok(back_ends);
     }
     if places.without_adapter > 0 {
         return Err(Missing::Adapter);
@@ -218,27 +240,11 @@
     Err(Missing::Model(load))
 }
 
-/// The model that a back end must hold, if the service's back ends are engines.
-fn needed_model(call: &Call) -> Option<&ModelId> {
-    let service = call.configuration.service(&call.service)?;
-    service.engine.as_ref()?;
-    call.ticket.model.as_ref()
-}
-
-fn load_time(call: &Call, model: &ModelId) -> Duration {
-    let service = call.configuration.service(&call.service);
-    let engine = service.and_then(|service| service.engine.as_ref());
-    let spec = engine.and_then(|engine| engine.models.get(model));
-    spec.map_or(Duration::from_secs(2), |spec| spec.load)
-}
-
-/// The cheapest of the back ends; those that were tried, or do not answer, come last.
-fn choose(
-    call: &Call,
+fn answering(
     now: Timestamp,
     back_ends: Vec<Arc<BackEnd>>,
     tried: &[BackEndId],
-) -> Option<Arc<BackEnd>> {
+) -> Option<Vec<Arc<BackEnd>>> {
     let untried: Vec<Arc<BackEnd>> = back_ends
         .into_iter()
         .filter(|back_end| !tried.contains(&back_end.id))
@@ -248,12 +254,31 @@
         .filter(|back_end| !back_end.health().is_paused(now))
         .cloned()
         .collect();
-    let eligible = if answering.is_empty() {
+    let chosen = if answering.is_empty() {
         untried
     } else {
         answering
     };
-    let candidates = candidates(call, now, &eligible);
+    (!chosen.is_empty()).then_some(chosen)
+}
+
+/// The model that a back end must hold, if the service's back ends are engines.
+fn needed_model(call: &Call) -> Option<&ModelId> {
+    let service = call.configuration.service(&call.service)?;
+    service.engine.as_ref()?;
+    call.ticket.model.as_ref()
+}
+
+fn load_time(call: &Call, model: &ModelId) -> Duration {
+    let service = call.configuration.service(&call.service);
+    let engine = service.and_then(|service| service.engine.as_ref());
+    let spec = engine.and_then(|engine| engine.models.get(model));
+    spec.map_or(Duration::from_secs(2), |spec| spec.load)
+}
+
+/// The cheapest of the back ends.
+fn choose(call: &Call, now: Timestamp, eligible: &[Arc<BackEnd>]) -> Option<Arc<BackEnd>> {
+    let candidates = candidates(call, now, eligible);
     let index = cheapest(&candidates, &mut rand::rng())?;
     let chosen = eligible[index].clone();
     if let (Some(model), Some(part)) = (&call.ticket.model, call.ticket.shared_parts.last()) {
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -4,6 +4,7 @@
 //! written, the back end says so, or another incarnation answered. Everything
 //! else, silence included, may have run.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -16,7 +17,9 @@
 use hyper::body::Incoming;
 use tokio::time::{Instant, timeout_at};
 
+use crate::attempts::{Attempts, CONNECTION_LOST};
 use crate::back_end::{BackEnd, Connection, InFlight};
+use crate::directory::Directory;
 use crate::lines::{self, Rank};
 use crate::ports::{AnswerMarks, AttemptHead};
 use crate::request::Call;
@@ -53,16 +56,25 @@
     MayHaveRun(&'static str),
 }
 
-/// Sends `call` to `back_end`; a head must arrive before `head_until`.
+/// Sends `call` to `back_end`. When no head has come after `patience`, it is
+/// given up if another back end can take over.
 pub async fn send(
     call: &Call,
     back_end: &Arc<BackEnd>,
     last_event: Option<&str>,
-    head_until: Instant,
+    patience: Duration,
+    attempts: &mut Attempts,
 ) -> AttemptEnd {
     let in_flight = back_end.begin();
     let sent = Instant::now();
-    let end = send_on_connection(call, back_end, last_event, head_until, in_flight).await;
+    let mut sending = Sending {
+        call,
+        back_end,
+        last_event,
+        patience,
+        attempts,
+    };
+    let end = sending.send(in_flight).await;
     let result = match &end {
         AttemptEnd::Answered(answer) => {
             call.shared.metrics.answered(sent.elapsed());
@@ -89,38 +101,89 @@
     end
 }
 
-async fn send_on_connection(
-    call: &Call,
-    back_end: &Arc<BackEnd>,
-    last_event: Option<&str>,
-    head_until: Instant,
-    in_flight: InFlight,
-) -> AttemptEnd {
-    for _ in 0..KEPT_TRIES {
-        let Some(connection) = back_end.kept_connection() else {
-            break;
+/// One attempt under way.
+struct Sending<'a> {
+    call: &'a Call,
+    back_end: &'a Arc<BackEnd>,
+    last_event: Option<&'a str>,
+    patience: Duration,
+    attempts: &'a mut Attempts,
+}
+
+impl Sending<'_> {
+    async fn send(&mut self, in_flight: InFlight) -> AttemptEnd {
+        for _ in 0..KEPT_TRIES {
+            let Some(connection) = self.back_end.kept_connection() else {
+                break;
+            };
+            match self.exchange(connection).await {
+                Exchange::Unsent => {}
+                end => return self.conclude(end, in_flight),
+            }
+        }
+        let connecting = timeout_at(self.call.deadline, self.back_end.connect()).await;
+        let Ok(Ok(connection)) = connecting else {
+            self.note_unreachable();
+            return AttemptEnd::NotSent("not_connected");
         };
-        match exchange(call, back_end, last_event, head_until, connection).await {
-            Exchange::Unsent => {}
-            Exchange::Failed(reason) => return failed(call, back_end, reason),
-            Exchange::Head(answer) => return accept(call, back_end, *answer, in_flight),
+        let end = self.exchange(connection).await;
+        self.conclude(end, in_flight)
+    }
+
+    fn conclude(&self, end: Exchange, in_flight: InFlight) -> AttemptEnd {
+        match end {
+            Exchange::Unsent => {
+                self.note_unreachable();
+                AttemptEnd::NotSent("connection_closed")
+            }
+            Exchange::Failed(reason) => failed(self.call, self.back_end, reason),
+            Exchange::Head(head) => accept(self.call, self.back_end, *head, in_flight),
         }
     }
-    let connecting = timeout_at(head_until, back_end.connect()).await;
-    let connection = match connecting {
-        Ok(Ok(connection)) => connection,
-        Ok(Err(_)) | Err(_) => {
-            back_end.note(|health| health.unreachable(call.shared.now()));
-            return AttemptEnd::NotSent("not_connected");
+
+    fn note_unreachable(&self) {
+        let now = self.call.shared.now();
+        self.back_end.note(|health| health.unreachable(now));
+    }
+
+    async fn exchange(&mut self, mut connection: Connection) -> Exchange {
+        // A back end may have begun to leave while a connection was made.
+        let id = &self.back_end.id;
+        let active = |directory: &Directory| directory.is_active(id);
+        if !self.call.shared.directory(active) {
+            return Exchange::Unsent;
         }
-    };
-    match exchange(call, back_end, last_event, head_until, connection).await {
-        Exchange::Unsent => {
-            back_end.note(|health| health.unreachable(call.shared.now()));
-            AttemptEnd::NotSent("connection_closed")
+        let request = request(self.call, self.back_end, self.last_event);
+        let sent = Instant::now();
+        let mut response = pin!(connection.sender.try_send_request(request));
+        let mut until = self.call.deadline.min(sent + self.patience);
+        let answered = loop {
+            match timeout_at(until, response.as_mut()).await {
+                Ok(answered) => break answered,
+                Err(_) if Instant::now() >= self.call.deadline => {
+                    return Exchange::Failed("no_head");
+                }
+                Err(_) if self.attempts.may_move_on(self.call) => {
+                    return Exchange::Failed("no_head");
+                }
+                Err(_) => until = self.call.deadline.min(until + self.patience),
+            }
+        };
+        match answered {
+            Ok(response) => {
+                let (parts, body) = response.into_parts();
+                Exchange::Head(Box::new(Head {
+                    parts,
+                    body,
+                    connection,
+                    sent,
+                }))
+            }
+            Err(mut error) => match error.take_message() {
+                Some(_) => Exchange::Unsent,
+                None => Exchange::Failed(CONNECTION_LOST),
+            },
         }
-        Exchange::Failed(reason) => failed(call, back_end, reason),
-        Exchange::Head(answer) => accept(call, back_end, *answer, in_flight),
     }
 }
 
@@ -146,39 +209,6 @@
     Head(Box<Head>),
 }
 
-async fn exchange(
-    call: &Call,
-    back_end: &BackEnd,
-    last_event: Option<&str>,
-    head_until: Instant,
-    mut connection: Connection,
-) -> Exchange {
-    // A back end may have begun to leave while a connection was made.
-    let active = |directory: &crate::directory::Directory| directory.is_active(&back_end.id);
-    if !call.shared.directory(active) {
-        return Exchange::Unsent;
-    }
-    let request = request(call, back_end, last_event);
-    let sent = Instant::now();
-    let sending = connection.sender.try_send_request(request);
-    match timeout_at(head_until, sending).await {
-        Ok(Ok(response)) => {
-            let (parts, body) = response.into_parts();
-            Exchange::Head(Box::new(Head {
-                parts,
-                body,
-                connection,
-                sent,
-            }))
-        }
-        Ok(Err(mut error)) => match error.take_message() {
-            Some(_) => Exchange::Unsent,
-            None => Exchange::Failed("connection_lost"),
-        },
-        Err(_) => Exchange::Failed("no_head"),
-    }
-}
-
 fn request(call: &Call, back_end: &BackEnd, last_event: Option<&str>) -> Request<Full<Bytes>> {
     let mut request = Request::new(Full::new(call.body.clone()));
     *request.method_mut() = call.head.method.clone();
--- /dev/null
+++ b/crates/gateway/src/attempts.rs
@@ -0,0 +1,99 @@
+//! The attempts of one request: how many more there may be.
+//!
+//! A request that may have run is sent again only if its route allows it and
+//! the shared budget has a retry left. A back end that is merely silent is left
+//! only for another one that could take over: silence alone ends no answer.
+
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use gorsebank_world::BackEndId;
+
+use crate::admission;
+use crate::failure::Failure;
+use crate::request::Call;
+
+/// Sends of one request at most, those that did not run included.
+const MAX_SENDS: u32 = 4;
+/// The connection to a back end broke.
+pub const CONNECTION_LOST: &str = "connection_lost";
+/// Pause that a caller is asked for when back ends turn requests away.
+const BUSY_PAUSE: Duration = Duration::from_millis(200);
+
+/// What to do after an attempt.
+pub enum Next {
+    /// Send it to another back end.
+    Again,
+    /// It is over.
+    Over(Failure),
+}
+
+/// Attempts of one request.
+#[derive(Debug, Default)]
+pub struct Attempts {
+    /// Back ends that it was sent to.
+    pub tried: Vec<BackEndId>,
+    ran: u32,
+    sends: u32,
+    prepaid: bool,
+}
+
+impl Attempts {
+    /// It is about to be sent to `back_end`.
+    pub fn begin(&mut self, call: &Call, back_end: &BackEndId) {
+        self.sends += 1;
+        self.tried.push(back_end.clone());
+        call.attempts.store(self.sends, Ordering::Relaxed);
+    }
+
+    /// Nothing was sent: another attempt costs nothing of the budget.
+    pub fn not_sent(&mut self, call: &Call) -> Next {
+        if self.sends < MAX_SENDS {
+            return Next::Again;
+        }
+        Next::Over(call.refuse("not_connected", BUSY_PAUSE))
+    }
+
+    /// The back end says that it did not run.
+    pub fn not_run(&mut self, call: &Call) -> Next {
+        if self.sends < MAX_SENDS && call.shared.withdraw_retry(&call.service) {
+            return Next::Again;
+        }
+        Next::Over(call.refuse("turned_away", BUSY_PAUSE))
+    }
+
+    /// It may have run, and no answer can be passed on.
+    pub fn may_have_run(&mut self, call: &Call, reason: &'static str) -> Next {
+        if reason == CONNECTION_LOST {
+            // The back end may be well; it comes last for a while by its health.
+            self.tried.pop();
+        }
+        if self.failed(call) {
+            return Next::Again;
+        }
+        Next::Over(Failure::Unknown { reason })
+    }
+
+    /// A back end has, or may have, run it in vain. Out: whether another may run it.
+    pub fn failed(&mut self, call: &Call) -> bool {
+        self.ran += 1;
+        std::mem::take(&mut self.prepaid) || self.takes_another(call)
+    }
+
+    /// The back end is silent. Out: whether to give it up for another one, for
+    /// which a retry is then taken out of the budget.
+    pub fn may_move_on(&mut self, call: &Call) -> bool {
+        self.ran += 1;
+        let moves = admission::has_alternative(call, &self.tried) && self.takes_another(call);
+        self.ran -= 1;
+        self.prepaid = moves;
+        moves
+    }
+
+    fn takes_another(&self, call: &Call) -> bool {
+        let allowed = call.route.kind.may_repeat()
+            && self.ran < call.route.max_attempts
+            && self.sends < MAX_SENDS;
+        allowed && call.shared.withdraw_retry(&call.service)
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 
 pub mod admission;
 pub mod attempt;
+pub mod attempts;
 pub mod back_end;
 pub mod demand_writer;
 pub mod directory;
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -6,85 +6,19 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
-use gorsebank_world::BackEndId;
-use http::Response;
-use http_body_util::{BodyExt, Full};
-use tokio::time::Instant;
-
 use crate::admission::admit;
 use crate::attempt::{Answer, AttemptEnd, send};
+use crate::attempts::{Attempts, Next};
 use crate::failure::Failure;
 use crate::request::{AnswerBody, Call, answer_head};
+use bytes::Bytes;
+use http::Response;
+use http_body_util::{BodyExt, Full};
 
-/// Sends of one request at most, those that did not run included.
-const MAX_SENDS: u32 = 4;
 /// Least time that a back end is given before another is asked.
 const LEAST_HEAD_TIME: Duration = Duration::from_millis(100);
 /// A back end is given this many times its mean latency.
 const LATENCY_FACTOR: f64 = 4.0;
-/// Pause that a caller is asked for when back ends turn requests away.
-const BUSY_PAUSE: Duration = Duration::from_millis(200);
-
-/// What to do after an attempt.
-pub enum Next {
-    /// Send it to another back end.
-    Again,
-    /// It is over.
-    Over(Failure),
-}
-
-/// Attempts of one request.
-#[derive(Debug, Default)]
-pub struct Attempts {
-    /// Back ends that it was sent to.
-    pub tried: Vec<BackEndId>,
-    /// Sends that may have run.
-    pub ran: u32,
-    sends: u32,
-    counted: bool,
-}
-
-impl Attempts {
-    /// It is about to be sent to `back_end`.
-    pub fn begin(&mut self, call: &Call, back_end: &BackEndId) {
-        self.sends += 1;
-        self.tried.push(back_end.clone());
-        call.attempts
-            .store(self.sends, std::sync::atomic::Ordering::Relaxed);
-    }
-
-    /// Nothing was sent: another attempt costs nothing of the budget.
-    pub fn not_sent(&mut self, call: &Call) -> Next {
-        if self.sends < MAX_SENDS {
-            return Next::Again;
-        }
-        Next::Over(call.refuse("not_connected", BUSY_PAUSE))
-    }
-
-    /// The back end says that it did not run.
-    pub fn not_run(&mut self, call: &Call) -> Next {
-        self.counted = true;
-        if self.sends < MAX_SENDS && call.shared.withdraw_retry(&call.service) {
-            return Next::Again;
-        }
-        Next::Over(call.refuse("turned_away", BUSY_PAUSE))
-    }
-
-    /// It may have run, and no answer can be passed on.
-    pub fn may_have_run(&mut self, call: &Call, reason: &'static str) -> Next {
-        self.ran += 1;
-        if self.may_repeat(call) && call.shared.withdraw_retry(&call.service) {
-            return Next::Again;
-        }
-        Next::Over(Failure::Unknown { reason })
-    }
-
-    /// Whether it may run at one more back end.
-    pub fn may_repeat(&self, call: &Call) -> bool {
-        call.route.kind.may_repeat() && self.ran < call.route.max_attempts && self.sends < MAX_SENDS
-    }
-}
 
 /// Serves a request with one whole answer.
 pub async fn serve(call: &Call) -> Result<Response<AnswerBody>, Failure> {
@@ -92,13 +26,11 @@
     loop {
         let back_end = admit(call, &attempts.tried).await?;
         attempts.begin(call, &back_end.id);
-        let mean = back_end.health().latency();
-        let until = head_deadline(call, &attempts, mean);
-        let next = match send(call, &back_end, None, until).await {
+        let patience = patience(call, back_end.health().latency());
+        let next = match send(call, &back_end, None, patience, &mut attempts).await {
             AttemptEnd::NotSent(_) => attempts.not_sent(call),
             AttemptEnd::MayHaveRun(reason) => attempts.may_have_run(call, reason),
-            AttemptEnd::Answered(answer) => match settle(call, &mut attempts, *answer, until).await
-            {
+            AttemptEnd::Answered(answer) => match settle(call, &mut attempts, *answer).await {
                 Ok(response) => return Ok(response),
                 Err(next) => next,
             },
@@ -109,15 +41,10 @@
     }
 }
 
-/// A request that may run again does not wait for one back end for ever.
-fn head_deadline(call: &Call, attempts: &Attempts, mean_latency: Option<f64>) -> Instant {
-    let may_move_on = call.route.kind.may_repeat() && attempts.ran + 1 < call.route.max_attempts;
-    if !may_move_on {
-        return call.deadline;
-    }
+/// How long one back end may take while another could be asked.
+fn patience(call: &Call, mean_latency: Option<f64>) -> Duration {
     let usual = Duration::from_millis((mean_latency.unwrap_or(0.0) * LATENCY_FACTOR) as u64);
-    let patience = usual.max(call.route.objective).max(LEAST_HEAD_TIME);
-    (Instant::now() + patience).min(call.deadline)
+    usual.max(call.route.objective).max(LEAST_HEAD_TIME)
 }
 
 /// Turns an answer into the caller's, or says what to do next.
@@ -125,11 +52,9 @@
     call: &Call,
     attempts: &mut Attempts,
     mut answer: Answer,
-    until: Instant,
 ) -> Result<Response<AnswerBody>, Next> {
-    let body_until = call.deadline.min(until + call.route.objective);
     let back_end = answer.back_end.clone();
-    let Some(body) = answer.read_whole(body_until).await else {
+    let Some(body) = answer.read_whole(call.deadline).await else {
         call.expose();
         back_end.note(|health| health.unreachable(call.shared.now()));
         return Err(attempts.may_have_run(call, "answer_cut"));
@@ -146,9 +71,8 @@
         return Err(attempts.may_have_run(call, "untrue_promise"));
     }
     if answer.is_failure() {
-        attempts.ran += 1;
         back_end.note(|health| health.failed(now));
-        if attempts.may_repeat(call) && call.shared.withdraw_retry(&call.service) {
+        if attempts.failed(call) {
             answer.keep_connection();
             return Err(Next::Again);
         }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -20,10 +20,11 @@
 
 use crate::admission::admit;
 use crate::attempt::{Answer, AttemptEnd, send};
+use crate::attempts::{Attempts, CONNECTION_LOST, Next};
 use crate::back_end::BackEnd;
 use crate::failure::Failure;
 use crate::lines::{self, Rank};
-use crate::plain::{Attempts, Next, settle};
+use crate::plain::settle;
 use crate::request::{AnswerBody, Broken, Call, answer_head};
 
 /// Events that wait for a slow caller at most.
@@ -74,20 +75,18 @@
     loop {
         let back_end = admit(&call, &attempts.tried).await?;
         attempts.begin(&call, &back_end.id);
-        let until = head_deadline(&call, &attempts);
-        let last_event = call.ticket.last_event.clone();
-        let next = match send(&call, &back_end, last_event.as_deref(), until).await {
+        let patience = head_patience(&call);
+        let last_event = call.ticket.last_event.as_deref();
+        let next = match send(&call, &back_end, last_event, patience, &mut attempts).await {
             AttemptEnd::NotSent(_) => attempts.not_sent(&call),
             AttemptEnd::MayHaveRun(reason) => attempts.may_have_run(&call, reason),
             AttemptEnd::Answered(answer) if answer.head.status == StatusCode::OK => {
                 return Ok(relay(call, running, attempts, *answer));
             }
-            AttemptEnd::Answered(answer) => {
-                match settle(&call, &mut attempts, *answer, until).await {
-                    Ok(response) => return Ok(response),
-                    Err(next) => next,
-                }
-            }
+            AttemptEnd::Answered(answer) => match settle(&call, &mut attempts, *answer).await {
+                Ok(response) => return Ok(response),
+                Err(next) => next,
+            },
         };
         if let Next::Over(failure) = next {
             return Err(failure);
@@ -105,12 +104,9 @@
     demand.arrived(now, &call.service, model, adapter);
 }
 
-fn head_deadline(call: &Call, attempts: &Attempts) -> Instant {
-    if !call.route.kind.may_repeat() || attempts.ran + 1 >= call.route.max_attempts {
-        return call.deadline;
-    }
-    let patience = call.route.objective.mul_f64(FIRST_EVENT_FACTOR);
-    (Instant::now() + patience).min(call.deadline)
+/// How long one back end may take to begin, while another could be asked.
+fn head_patience(call: &Call) -> Duration {
+    call.route.objective.mul_f64(FIRST_EVENT_FACTOR)
 }
 
 fn relay(
@@ -203,10 +199,13 @@
             };
             let data = match frame {
                 Err(_) if Instant::now() >= self.call.deadline => return PartEnd::TimedOut,
-                Err(_) => return PartEnd::Broken("silent"),
+                Err(_) if self.attempts.may_move_on(&self.call) => {
+                    return PartEnd::Broken("silent");
+                }
+                Err(_) => continue,
                 Ok(None) if splitter.has_partial() => return PartEnd::Broken("partial_event"),
                 Ok(None) => return PartEnd::Whole,
-                Ok(Some(Err(_))) => return PartEnd::Broken("connection_lost"),
+                Ok(Some(Err(_))) => return PartEnd::Broken(CONNECTION_LOST),
                 Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
             };
             if splitter.push(&data).is_err() {
@@ -264,9 +263,10 @@
             let back_end = admit(&self.call, &self.attempts.tried).await.ok()?;
             self.attempts.begin(&self.call, &back_end.id);
             self.log_resumed(reason, &back_end);
-            let until = self.call.deadline;
+            let patience = head_patience(&self.call);
             let last_event = self.last_event.as_deref();
-            next = match send(&self.call, &back_end, last_event, until).await {
+            let attempts = &mut self.attempts;
+            next = match send(&self.call, &back_end, last_event, patience, attempts).await {
                 AttemptEnd::NotSent(_) => self.attempts.not_sent(&self.call),
                 AttemptEnd::MayHaveRun(reason) => self.attempts.may_have_run(&self.call, reason),
                 AttemptEnd::Answered(answer) if answer.head.status == StatusCode::OK => {
