--- /dev/null
+++ b/crates/fleet/tests/configuration.rs
@@ -0,0 +1,71 @@
+//! Routes: host and longest prefix.
+
+use std::time::Duration;
+
+use gorsebank_fleet::{Configuration, Limits, RequestKind, Route};
+
+fn route(name: &str, host: &str, prefix: &str) -> Route {
+    Route {
+        name: name.into(),
+        host: host.into(),
+        path_prefix: prefix.into(),
+        kind: RequestKind::Idempotent,
+        timeout: Duration::from_secs(1),
+        objective: Duration::from_millis(150),
+        pause_objective: None,
+        priority: 0,
+        max_attempts: 2,
+        services: vec![("top-up".into(), 1)],
+    }
+}
+
+fn configuration(routes: Vec<Route>) -> Configuration {
+    let limits = Limits {
+        max_header_bytes: 16_384,
+        max_body_bytes: 1_024,
+        header_timeout: Duration::from_secs(3),
+        idle_timeout: Duration::from_secs(15),
+    };
+    Configuration::new(7, routes, Vec::new(), limits)
+}
+
+fn name(configuration: &Configuration, host: &str, path: &str) -> Option<String> {
+    let route = configuration.route(host, path)?;
+    Some(route.name.to_string())
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let configuration = configuration(vec![
+        route("short", "crew.example", "/a/"),
+        route("long", "crew.example", "/a/b/"),
+        route("other-host", "desk.example", "/a/b/c/"),
+    ]);
+    assert_eq!(
+        name(&configuration, "crew.example", "/a/b/c/d").as_deref(),
+        Some("long")
+    );
+    assert_eq!(
+        name(&configuration, "crew.example", "/a/x").as_deref(),
+        Some("short")
+    );
+    assert_eq!(name(&configuration, "crew.example", "/a"), None);
+    assert_eq!(name(&configuration, "night.example", "/a/b/"), None);
+}
+
+#[test]
+fn case_and_port_of_the_host_do_not_matter() {
+    let configuration = configuration(vec![route("only", "crew.example", "/")]);
+    assert_eq!(
+        name(&configuration, "CREW.example:8149", "/x").as_deref(),
+        Some("only")
+    );
+}
+
+#[test]
+fn only_what_may_repeat_is_repeated() {
+    assert!(RequestKind::Idempotent.may_repeat());
+    assert!(!RequestKind::Mutating.may_repeat());
+    assert!(RequestKind::Stream { resumable: true }.may_repeat());
+    assert!(!RequestKind::Stream { resumable: false }.may_repeat());
+}
--- /dev/null
+++ b/crates/fleet/tests/placement.rs
@@ -0,0 +1,161 @@
+//! Orders against engines that answer late, lose answers, carry out orders
+//! late and report stale states: memory and adapter places are never
+//! overcommitted, and the weight store's rate is kept through changes of holder.
+
+mod support;
+
+use gorsebank_coordination::Timestamp;
+use gorsebank_fleet::placement::{ActionKind, OrderKind};
+use gorsebank_fleet::{DemandRow, PlacedRow};
+use proptest::prelude::*;
+
+use support::{EngineModel, World, configuration, demand};
+
+/// Loads of the weight store that may begin in any five seconds.
+fn most_loads() -> usize {
+    (support::LOADS_PER_SECOND * 5.0 * 1.1 + 3.0) as usize
+}
+
+#[test]
+fn a_cold_model_is_loaded_once_where_there_is_room() {
+    let mut world = World::new(3, &["m0"]);
+    let rows = vec![demand(&[("m5", 0.2, 1)])];
+    for now in (0..3_000).step_by(50) {
+        world.turn(now, &rows);
+    }
+    assert_eq!(world.holders("m5"), 1);
+    assert_eq!(world.loads.len(), 1);
+}
+
+#[test]
+fn the_last_replica_of_a_model_in_demand_is_not_given_up_for_a_rare_one() {
+    let mut world = World::new(1, &["m0", "m1", "m2"]);
+    let busy = [("m0", 3.0, 0), ("m1", 2.0, 0), ("m2", 2.0, 0)];
+    let rows = vec![demand(&busy), demand(&[("m7", 0.1, 1)])];
+    for now in (0..8_000).step_by(50) {
+        world.turn(now, &rows);
+    }
+    assert_eq!(world.holders("m0"), 1);
+    assert_eq!(world.holders("m1"), 1);
+    assert_eq!(world.holders("m7"), 0);
+}
+
+#[test]
+fn an_unasked_model_leaves_for_one_in_demand() {
+    let mut world = World::new(1, &["m0", "m1", "m2"]);
+    let rows = vec![demand(&[("m0", 3.0, 0), ("m7", 0.3, 2)])];
+    for now in (0..8_000).step_by(50) {
+        world.turn(now, &rows);
+    }
+    assert_eq!(
+        world.holders("m2"),
+        0,
+        "the last in the operator's list leaves"
+    );
+    assert_eq!(world.holders("m1"), 1);
+    assert_eq!(world.holders("m7"), 1);
+}
+
+#[test]
+fn a_row_tells_of_an_unload_before_it_is_ordered() {
+    let mut world = World::new(1, &["m0", "m1", "m2"]);
+    let rows = vec![demand(&[("m0", 3.0, 0), ("m7", 0.3, 2)])];
+    world.planner.observe(Timestamp(0), &world.reports());
+    let mut told = false;
+    for now in (0..2_000).step_by(50) {
+        let actions = world.planner.plan(Timestamp(now), &configuration(), &rows);
+        let published = world.planner.rows(Timestamp(now), 1);
+        let tells = |row: &PlacedRow| row.unloading.is_some();
+        for action in actions {
+            if let ActionKind::Order {
+                order: OrderKind::UnloadModel(model),
+                ..
+            } = &action.kind
+            {
+                told = published.iter().any(|(id, row)| {
+                    *id == action.engine && tells(row) && row.unloading.as_ref() == Some(model)
+                });
+            }
+            world.carry_out(now, action);
+        }
+    }
+    assert!(told);
+}
+
+#[test]
+fn the_next_holder_asks_an_engine_before_it_orders_anything_there() {
+    let mut world = World::new(1, &["m0"]);
+    world.planner.observe(Timestamp(0), &world.reports());
+    let row = PlacedRow {
+        unloading: Some("m0".into()),
+        ..PlacedRow::default()
+    };
+    world.planner.inherit(&world.engines[0].id.clone(), &row);
+    let actions = world.planner.plan(Timestamp(0), &configuration(), &[]);
+    assert_eq!(actions.len(), 1);
+    assert_eq!(actions[0].kind, ActionKind::Report);
+}
+
+#[test]
+fn adapters_of_a_busy_model_are_spread_over_its_replicas_without_doubles() {
+    let mut world = World::new(2, &["m0"]);
+    let rows = vec![demand(&[("m0", 3.0, 0)])];
+    for now in (0..4_000).step_by(20) {
+        world.turn(now, &rows);
+    }
+    let mut held: Vec<String> = world
+        .engines
+        .iter()
+        .flat_map(EngineModel::adapters)
+        .collect();
+    let count = held.len();
+    held.sort();
+    held.dedup();
+    assert_eq!(held.len(), count, "no adapter is held twice");
+    assert!(
+        count >= 2 * (support::ADAPTER_SLOTS - 1),
+        "places are filled: {count}"
+    );
+}
+
+/// Demand that moves from model to model.
+fn moving_demand() -> impl Strategy<Value = Vec<DemandRow>> {
+    let model = (0usize..12, 0.0f64..4.0, 0u32..3, 0usize..6);
+    let row = prop::collection::vec(model, 1..6);
+    prop::collection::vec(row, 4..10).prop_map(|rows| {
+        rows.into_iter()
+            .map(|models| support::demand_row(&models))
+            .collect()
+    })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(120))]
+    #[test]
+    fn engines_are_never_overcommitted(
+        rows in moving_demand(),
+        faults in prop::collection::vec(0u8..24, 200..400),
+        holder_changes in prop::collection::vec(1u64..16_000, 0..3),
+        restarts in prop::collection::vec((0usize..4, 0u64..16_000), 0..3),
+    ) {
+        let mut world = World::new(4, &["m0", "m1"]);
+        world.faults = faults;
+        for now in (0..16_000u64).step_by(40) {
+            if holder_changes.iter().any(|at| now <= *at && *at < now + 40) {
+                world.change_holder(now);
+            }
+            for (engine, at) in &restarts {
+                if now <= *at && *at < now + 40 {
+                    world.restart(*engine);
+                }
+            }
+            let index = (now / 2_000) as usize % rows.len();
+            world.turn(now, &rows[index..=index]);
+            prop_assert!(world.broken.is_empty(), "{:?} at {now}", world.broken);
+        }
+        for start in &world.loads {
+            let within = world.loads.iter().filter(|at| **at >= *start && **at < start + 5_000);
+            prop_assert!(within.count() <= most_loads());
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/tests/support/mod.rs
@@ -0,0 +1,434 @@
+//! A model of engines for tests of placement: one order at a time, a sequence
+//! number, stale reports, lost answers, orders carried out late.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use gorsebank_coordination::Timestamp;
+use gorsebank_fleet::placement::{Action, ActionKind, OrderKind, OrderResult, Planner};
+use gorsebank_fleet::{
+    BackEndReport, Configuration, DemandRow, Engine, EngineReport, Holdings, Limits, ModelDemand,
+    ModelSpec, Service,
+};
+use gorsebank_world::{AdapterId, BackEndId, ModelId, ServiceId};
+
+/// Adapter places of an engine.
+pub const ADAPTER_SLOTS: usize = 4;
+/// The weight store's rate.
+pub const LOADS_PER_SECOND: f64 = 2.0;
+const MEMORY_MB: f64 = 200.0;
+const REPORT_LAG: u64 = 150;
+const LOAD_TIME: u64 = 1_200;
+const UNLOAD_TIME: u64 = 60;
+const ADAPTER_TIME: u64 = 30;
+
+/// The service of all engines.
+pub fn service() -> ServiceId {
+    ServiceId::from("llm")
+}
+
+/// A configuration with twelve models of 45 to 78 MB, every second with adapters.
+pub fn configuration() -> Configuration {
+    let models = (0..12)
+        .map(|number| {
+            let spec = ModelSpec {
+                memory_mb: 45.0 + 3.0 * f64::from(number),
+                adapter_mb: 1.0,
+                rank: number as usize,
+                adapters: if number % 2 == 0 {
+                    adapters(9)
+                } else {
+                    Vec::new()
+                },
+                load: Duration::from_millis(LOAD_TIME),
+                load_from_memory: Duration::from_millis(LOAD_TIME),
+                load_from_disk: Duration::from_millis(LOAD_TIME),
+            };
+            (ModelId::from(format!("m{number}")), spec)
+        })
+        .collect();
+    let engine = Engine {
+        models,
+        memory_mb: MEMORY_MB,
+        adapter_slots: ADAPTER_SLOTS,
+        loads_per_second: LOADS_PER_SECOND,
+        slots: 64,
+    };
+    let service = Service {
+        id: service(),
+        max_connections: 100,
+        engine: Some(engine),
+    };
+    let limits = Limits {
+        max_header_bytes: 1,
+        max_body_bytes: 1,
+        header_timeout: Duration::ZERO,
+        idle_timeout: Duration::ZERO,
+    };
+    Configuration::new(1, Vec::new(), vec![service], limits)
+}
+
+fn adapters(count: u32) -> Vec<AdapterId> {
+    (1..=count)
+        .map(|number| AdapterId::from(format!("a{number}")))
+        .collect()
+}
+
+fn row_of(models: BTreeMap<ModelId, ModelDemand>) -> DemandRow {
+    DemandRow {
+        services: BTreeMap::from([(service(), models)]),
+    }
+}
+
+/// Demand by model: its name, requests a second, waiting requests.
+#[allow(dead_code)]
+pub fn demand(models: &[(&str, f64, u32)]) -> DemandRow {
+    let models = models.iter().map(|(model, rate, waiting)| {
+        let demand = ModelDemand {
+            rate: *rate,
+            waiting: *waiting,
+            ..ModelDemand::default()
+        };
+        (ModelId::from(*model), demand)
+    });
+    row_of(models.collect())
+}
+
+/// Demand by model: its number, requests a second, waiting requests, missing adapters.
+#[allow(dead_code)]
+pub fn demand_row(models: &[(usize, f64, u32, usize)]) -> DemandRow {
+    let models = models.iter().map(|(number, rate, waiting, missing)| {
+        let demand = ModelDemand {
+            rate: *rate,
+            running: (*rate * 2.0) as u32,
+            waiting: *waiting,
+            adapters: BTreeMap::new(),
+            missing_adapters: adapters(*missing as u32).into_iter().collect(),
+        };
+        (ModelId::from(format!("m{number}")), demand)
+    });
+    row_of(models.collect())
+}
+
+/// What an engine is busy with.
+struct Work {
+    order: OrderKind,
+    done_at: u64,
+}
+
+/// An engine.
+pub struct EngineModel {
+    /// Its name; another one after a restart.
+    pub id: BackEndId,
+    holdings: Holdings,
+    pending: Vec<(ModelId, AdapterId, u64)>,
+    work: Option<Work>,
+    sequence: u64,
+    starts: u32,
+    history: VecDeque<(u64, EngineReport)>,
+}
+
+impl EngineModel {
+    fn new(number: usize, models: &[&str]) -> Self {
+        EngineModel {
+            id: BackEndId::from(format!("engine-{number}-0")),
+            holdings: models
+                .iter()
+                .map(|model| ((*model).into(), Default::default()))
+                .collect(),
+            pending: Vec::new(),
+            work: None,
+            sequence: 0,
+            starts: 0,
+            history: VecDeque::new(),
+        }
+    }
+
+    /// Adapters that it holds.
+    #[allow(dead_code)]
+    pub fn adapters(&self) -> Vec<String> {
+        let names = self.holdings.iter().flat_map(|(model, adapters)| {
+            adapters
+                .iter()
+                .map(move |adapter| format!("{model}/{adapter}"))
+        });
+        names.collect()
+    }
+
+    fn advance(&mut self, now: u64) {
+        if self.work.as_ref().is_some_and(|work| work.done_at <= now)
+            && let Some(work) = self.work.take()
+        {
+            match work.order {
+                OrderKind::LoadModel(model) => {
+                    self.holdings.entry(model).or_default();
+                }
+                OrderKind::UnloadModel(model) => {
+                    self.holdings.remove(&model);
+                }
+                OrderKind::LoadAdapter(..) | OrderKind::UnloadAdapter(..) => {}
+            }
+        }
+        let (done, pending) = std::mem::take(&mut self.pending)
+            .into_iter()
+            .partition(|(_, _, done_at)| *done_at <= now);
+        self.pending = pending;
+        let done: Vec<(ModelId, AdapterId, u64)> = done;
+        for (model, adapter, _) in done {
+            if let Some(adapters) = self.holdings.get_mut(&model) {
+                adapters.insert(adapter);
+            }
+        }
+        let report = self.report();
+        self.history.push_back((now, report));
+        while self
+            .history
+            .front()
+            .is_some_and(|(at, _)| at + 2 * REPORT_LAG < now)
+        {
+            self.history.pop_front();
+        }
+    }
+
+    fn report(&self) -> EngineReport {
+        EngineReport {
+            holdings: self.holdings.clone(),
+            pending: self
+                .pending
+                .iter()
+                .map(|(model, adapter, _)| (model.clone(), adapter.clone()))
+                .collect(),
+            busy: self.work.is_some(),
+            sequence: self.sequence,
+            ..EngineReport::default()
+        }
+    }
+
+    /// Its state of some time ago.
+    fn stale_report(&self, now: u64) -> EngineReport {
+        let old = self
+            .history
+            .iter()
+            .rev()
+            .find(|(at, _)| at + REPORT_LAG <= now);
+        old.map_or_else(|| self.report(), |(_, report)| report.clone())
+    }
+
+    fn memory(&self) -> f64 {
+        let configuration = configuration();
+        let (_, spec) = configuration.engine_services().next().expect("one service");
+        let size = |model: &ModelId| spec.models[model].memory_mb;
+        let held: f64 = self
+            .holdings
+            .iter()
+            .map(|(model, adapters)| size(model) + adapters.len() as f64)
+            .sum();
+        let coming = match &self.work {
+            Some(Work {
+                order: OrderKind::LoadModel(model),
+                ..
+            }) => size(model),
+            _ => 0.0,
+        };
+        held + coming + self.pending.len() as f64
+    }
+
+    fn adapter_count(&self) -> usize {
+        let held: usize = self.holdings.values().map(|adapters| adapters.len()).sum();
+        held + self.pending.len()
+    }
+
+    /// Carries out an order if its condition holds.
+    fn order(&mut self, now: u64, order: &OrderKind, sequence: u64) -> OrderResult {
+        if self.work.is_some() || sequence != self.sequence {
+            return OrderResult::Conflict;
+        }
+        match order {
+            OrderKind::LoadModel(model) if self.holdings.contains_key(model) => {
+                return OrderResult::InForce;
+            }
+            OrderKind::LoadModel(_) => self.begin(order, now + LOAD_TIME),
+            OrderKind::UnloadModel(_) => self.begin(order, now + UNLOAD_TIME),
+            OrderKind::LoadAdapter(model, adapter) => {
+                let key = (model.clone(), adapter.clone(), now + ADAPTER_TIME);
+                self.pending.push(key);
+            }
+            OrderKind::UnloadAdapter(model, adapter) => {
+                if let Some(adapters) = self.holdings.get_mut(model) {
+                    adapters.remove(adapter);
+                }
+                self.sequence += 1;
+                return OrderResult::InForce;
+            }
+        }
+        self.sequence += 1;
+        OrderResult::Accepted
+    }
+
+    fn begin(&mut self, order: &OrderKind, done_at: u64) {
+        self.work = Some(Work {
+            order: order.clone(),
+            done_at,
+        });
+    }
+}
+
+/// Engines and the holder.
+pub struct World {
+    /// The present holder's plans.
+    pub planner: Planner,
+    /// The engines.
+    pub engines: Vec<EngineModel>,
+    /// When loads from the weight store began.
+    pub loads: Vec<u64>,
+    /// What was overcommitted.
+    pub broken: Vec<String>,
+    /// Decide what happens to orders; used round and round.
+    pub faults: Vec<u8>,
+    late: Vec<(u64, BackEndId, OrderKind, u64)>,
+    orders: usize,
+}
+
+impl World {
+    /// Engines that all hold the same models.
+    pub fn new(count: usize, models: &[&str]) -> Self {
+        World {
+            planner: Planner::default(),
+            engines: (0..count)
+                .map(|number| EngineModel::new(number, models))
+                .collect(),
+            loads: Vec::new(),
+            broken: Vec::new(),
+            faults: Vec::new(),
+            late: Vec::new(),
+            orders: 0,
+        }
+    }
+
+    /// What discovery shows.
+    pub fn reports(&self) -> Vec<BackEndReport> {
+        self.engines
+            .iter()
+            .map(|engine| BackEndReport {
+                id: engine.id.clone(),
+                service: service(),
+                address: "127.0.0.1:1".parse().expect("an address"),
+                zone: "hall".into(),
+                slots: 64,
+                draining: false,
+                holdings: engine.holdings.clone(),
+                in_memory: Default::default(),
+                on_disk: Default::default(),
+            })
+            .collect()
+    }
+
+    /// Engines that hold a model.
+    #[allow(dead_code)]
+    pub fn holders(&self, model: &str) -> usize {
+        let model = ModelId::from(model);
+        let holds = |engine: &&EngineModel| engine.holdings.contains_key(&model);
+        self.engines.iter().filter(holds).count()
+    }
+
+    /// Another node takes over and knows nothing.
+    #[allow(dead_code)]
+    pub fn change_holder(&mut self, _now: u64) {
+        self.planner = Planner::default();
+    }
+
+    /// An engine starts anew: empty, with another name.
+    #[allow(dead_code)]
+    pub fn restart(&mut self, number: usize) {
+        let engine = &mut self.engines[number];
+        let starts = engine.starts + 1;
+        *engine = EngineModel::new(number, &[]);
+        engine.starts = starts;
+        engine.id = BackEndId::from(format!("engine-{number}-{starts}"));
+    }
+
+    /// One turn of the holder.
+    pub fn turn(&mut self, now: u64, rows: &[DemandRow]) {
+        for engine in &mut self.engines {
+            engine.advance(now);
+        }
+        self.carry_out_late(now);
+        let reports = self.reports();
+        self.planner.observe(Timestamp(now), &reports);
+        for action in self.planner.plan(Timestamp(now), &configuration(), rows) {
+            self.carry_out(now, action);
+        }
+    }
+
+    fn carry_out_late(&mut self, now: u64) {
+        let (due, later) = std::mem::take(&mut self.late)
+            .into_iter()
+            .partition(|(at, ..)| *at <= now);
+        self.late = later;
+        let due: Vec<(u64, BackEndId, OrderKind, u64)> = due;
+        for (_, id, order, sequence) in due {
+            self.order(now, &id, &order, sequence);
+        }
+    }
+
+    /// Carries out one action at once.
+    pub fn carry_out(&mut self, now: u64, action: Action) {
+        let id = action.engine;
+        match action.kind {
+            ActionKind::Report => {
+                let engine = self.engines.iter().find(|engine| engine.id == id);
+                let report = engine.map(|engine| engine.stale_report(now));
+                self.planner.reported(Timestamp(now), &id, report);
+            }
+            ActionKind::Order { order, sequence } => {
+                let result = self.order_with_faults(now, &id, &order, sequence);
+                self.planner.ordered(Timestamp(now), &id, &order, result);
+            }
+        }
+    }
+
+    fn order_with_faults(
+        &mut self,
+        now: u64,
+        id: &BackEndId,
+        order: &OrderKind,
+        sequence: u64,
+    ) -> OrderResult {
+        self.orders += 1;
+        let fault = match self.faults.len() {
+            0 => 0,
+            length => self.faults[self.orders % length],
+        };
+        match fault {
+            1..=3 => {
+                let at = now + 500 * u64::from(fault) * 3;
+                self.late.push((at, id.clone(), order.clone(), sequence));
+                OrderResult::Unanswered
+            }
+            4 | 5 => {
+                self.order(now, id, order, sequence);
+                OrderResult::Unanswered
+            }
+            _ => self.order(now, id, order, sequence),
+        }
+    }
+
+    fn order(&mut self, now: u64, id: &BackEndId, order: &OrderKind, sequence: u64) -> OrderResult {
+        let Some(engine) = self.engines.iter_mut().find(|engine| engine.id == *id) else {
+            return OrderResult::Refused;
+        };
+        let result = engine.order(now, order, sequence);
+        if result == OrderResult::Accepted && matches!(order, OrderKind::LoadModel(_)) {
+            self.loads.push(now);
+        }
+        if engine.memory() > MEMORY_MB {
+            self.broken
+                .push(format!("{id}: {order:?} at {now}: {} MB", engine.memory()));
+        }
+        if engine.adapter_count() > ADAPTER_SLOTS {
+            self.broken
+                .push(format!("{id}: {order:?} at {now}: adapter places"));
+        }
+        result
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -31,5 +31,5 @@
 pub mod stream;
 pub mod watch;
 
-pub use process::run;
+pub use process::{Gateway, run};
 pub use settings::GatewaySettings;
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -1,5 +1,6 @@
 //! Wires a gateway together, and runs it until it is told to stop.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -7,6 +8,7 @@
 use http::StatusCode;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::task::JoinHandle;
 
 use crate::lines::{self, Rank};
 use crate::ports::Platform;
@@ -18,43 +20,100 @@
 /// How often a stopping process looks whether all requests have ended.
 const DRAIN_POLL: Duration = Duration::from_millis(50);
 
+/// A running gateway.
+pub struct Gateway {
+    shared: Arc<Shared>,
+    connections: Connections,
+    callers: SocketAddr,
+    readiness: SocketAddr,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Gateway {
+    /// Listens, and starts everything that runs beside requests.
+    pub async fn start(
+        settings: GatewaySettings,
+        platform: Arc<dyn Platform>,
+    ) -> eyre::Result<Self> {
+        let callers = listen(settings.listen_callers).await?;
+        let readiness = listen(settings.listen_readiness).await?;
+        let figures = match &settings.metrics {
+            Some(address) => listen_for_figures(address).await,
+            None => None,
+        };
+        let fields = format_args!(
+            "node={} zone={} callers={}",
+            settings.node, settings.zone, settings.listen_callers
+        );
+        lines::write(Rank::Decision, "start", fields);
+        let shared = Arc::new(Shared::new(settings, platform)?);
+        let mut gateway = Gateway {
+            connections: Connections::default(),
+            callers: callers.local_addr()?,
+            readiness: readiness.local_addr()?,
+            tasks: watch::start(&shared),
+            shared,
+        };
+        gateway.spawn(callers, readiness, figures);
+        Ok(gateway)
+    }
+
+    fn spawn(
+        &mut self,
+        callers: TcpListener,
+        readiness: TcpListener,
+        figures: Option<(TcpListener, String)>,
+    ) {
+        let shared = &self.shared;
+        let connections = self.connections.clone();
+        let serving = server::serve_callers(shared.clone(), callers, connections);
+        self.tasks.push(tokio::spawn(serving));
+        self.tasks
+            .push(tokio::spawn(demand_writer::run(shared.clone())));
+        self.tasks.push(tokio::spawn(holder::run(shared.clone())));
+        self.tasks.push(serve_readiness(shared, readiness));
+        if let Some((listener, path)) = figures {
+            self.tasks.push(serve_figures(shared, listener, path));
+        }
+    }
+
+    /// Where callers connect.
+    pub fn callers(&self) -> SocketAddr {
+        self.callers
+    }
+
+    /// Where readiness is asked.
+    pub fn readiness(&self) -> SocketAddr {
+        self.readiness
+    }
+
+    /// A planned stop: not ready from now on; returns when every request has ended.
+    pub async fn drain(&self) {
+        lines::write(Rank::Decision, "stop", format_args!("phase=begun"));
+        self.shared.stop();
+        let grace = self.shared.settings.bounds.grace;
+        self.connections.drain(grace, DRAIN_POLL).await;
+        lines::write(Rank::Decision, "stop", format_args!("phase=drained"));
+    }
+}
+
+impl Drop for Gateway {
+    fn drop(&mut self) {
+        for task in &self.tasks {
+            task.abort();
+        }
+    }
+}
+
 /// Runs a gateway until SIGTERM or SIGINT, then drains it.
 pub async fn run(settings: GatewaySettings, platform: Arc<dyn Platform>) -> eyre::Result<()> {
-    let callers = listen(settings.listen_callers).await?;
-    let readiness = listen(settings.listen_readiness).await?;
-    let figures = match &settings.metrics {
-        Some(address) => listen_for_figures(address).await,
-        None => None,
-    };
-    let fields = format_args!(
-        "node={} zone={} callers={}",
-        settings.node, settings.zone, settings.listen_callers
-    );
-    lines::write(Rank::Decision, "start", fields);
-    let grace = settings.bounds.grace;
-    let shared = Arc::new(Shared::new(settings, platform)?);
-    watch::start(&shared);
-    tokio::spawn(demand_writer::run(shared.clone()));
-    tokio::spawn(holder::run(shared.clone()));
-    serve_readiness(&shared, readiness);
-    if let Some((listener, path)) = figures {
-        serve_figures(&shared, listener, path);
-    }
-    let connections = Connections::default();
-    tokio::spawn(server::serve_callers(
-        shared.clone(),
-        callers,
-        connections.clone(),
-    ));
+    let gateway = Gateway::start(settings, platform).await?;
     wait_for_stop().await?;
-    lines::write(Rank::Decision, "stop", format_args!("phase=begun"));
-    shared.stop();
-    connections.drain(grace, DRAIN_POLL).await;
-    lines::write(Rank::Decision, "stop", format_args!("phase=drained"));
+    gateway.drain().await;
     Ok(())
 }
 
-async fn listen(address: std::net::SocketAddr) -> eyre::Result<TcpListener> {
+async fn listen(address: SocketAddr) -> eyre::Result<TcpListener> {
     TcpListener::bind(address)
         .await
         .wrap_err_with(|| format!("cannot listen on {address}"))
@@ -75,7 +134,7 @@
     }
 }
 
-fn serve_readiness(shared: &Arc<Shared>, listener: TcpListener) {
+fn serve_readiness(shared: &Arc<Shared>, listener: TcpListener) -> JoinHandle<()> {
     let shared = shared.clone();
     let path = shared.platform.readiness_path();
     let page = move |asked: &str| match (asked == path, shared.is_ready()) {
@@ -83,10 +142,10 @@
         (true, true) => (StatusCode::OK, b"ready\n".to_vec()),
         (true, false) => (StatusCode::SERVICE_UNAVAILABLE, b"not ready\n".to_vec()),
     };
-    tokio::spawn(server::serve_pages(listener, page));
+    tokio::spawn(server::serve_pages(listener, page))
 }
 
-fn serve_figures(shared: &Arc<Shared>, listener: TcpListener, path: String) {
+fn serve_figures(shared: &Arc<Shared>, listener: TcpListener, path: String) -> JoinHandle<()> {
     let shared = shared.clone();
     let page = move |asked: &str| {
         if asked != path {
@@ -97,7 +156,7 @@
             Err(_) => (StatusCode::INTERNAL_SERVER_ERROR, Vec::new()),
         }
     };
-    tokio::spawn(server::serve_pages(listener, page));
+    tokio::spawn(server::serve_pages(listener, page))
 }
 
 /// Returns on SIGTERM or SIGINT. SIGHUP is noted: what can change while a
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -10,6 +10,7 @@
 use gorsebank_contract::TableRow;
 use gorsebank_fleet::PlacedRow;
 use gorsebank_world::BackEndId;
+use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
 use crate::lines::{self, Rank};
@@ -32,14 +33,16 @@
 }
 
 /// Follows the three tables until the process ends.
-pub fn start(shared: &Arc<Shared>) {
+pub fn start(shared: &Arc<Shared>) -> Vec<JoinHandle<()>> {
     let tables = shared.platform.tables();
     let configuration = ConfigurationFollower(shared.clone());
-    tokio::spawn(follow(shared.clone(), tables.configuration, configuration));
     let back_ends = BackEndFollower(shared.clone());
-    tokio::spawn(follow(shared.clone(), tables.back_ends, back_ends));
     let placed = PlacedFollower(shared.clone());
-    tokio::spawn(follow(shared.clone(), tables.placed, placed));
+    vec![
+        tokio::spawn(follow(shared.clone(), tables.configuration, configuration)),
+        tokio::spawn(follow(shared.clone(), tables.back_ends, back_ends)),
+        tokio::spawn(follow(shared.clone(), tables.placed, placed)),
+    ]
 }
 
 async fn follow(shared: Arc<Shared>, table: &'static str, mut follower: impl Follower) {
