Share the table's rates and back ends' connections by the number of gateways

Cause: pauses between rows, unbounded following of three tables and 16 idle connections a back end were right for nine gateways and would exceed the table's 600 writes and 2,000 reads a second, and a back end's connections, at 300. Change: half of the rates is shared by the gateways that may exist; idle connections take up at most half of what a back end accepts.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -23,6 +23,7 @@
 use crate::lines::{self, Rank};
 use crate::ports::{AnswerMarks, AttemptHead};
 use crate::request::Call;
+use crate::shared::Shared;
 
 /// Kept connections that are tried before a new one is made.
 const KEPT_TRIES: usize = 3;
@@ -274,9 +275,10 @@
     }
 
     /// The body was read to its end: the connection may serve again.
-    pub fn keep_connection(self) {
+    pub fn keep_connection(self, shared: &Shared) {
         let rest = stated_rest(&self.head.headers);
-        self.back_end.keep(self.connection, rest);
+        let most = shared.idle_connections(&self.back_end.service);
+        self.back_end.keep(self.connection, rest, most);
         drop(self.in_flight);
     }
 
--- a/crates/gateway/src/back_end.rs
+++ b/crates/gateway/src/back_end.rs
@@ -31,8 +31,6 @@
 const REST_PART: f64 = 0.85;
 /// What a back end said it does not hold is not asked there for so long, in milliseconds.
 const ABSENCE_LIFETIME: u64 = 1_500;
-/// Idle connections kept for one back end.
-const MAX_IDLE: usize = 16;
 
 /// A back end.
 #[derive(Debug)]
@@ -186,8 +184,9 @@
         })
     }
 
-    /// Keeps a connection after a whole answer. `rest` is what the answer says.
-    pub fn keep(&self, mut connection: Connection, rest: Option<Duration>) {
+    /// Keeps a connection after a whole answer, if there are fewer than `most`
+    /// idle ones. `rest` is what the answer says.
+    pub fn keep(&self, mut connection: Connection, rest: Option<Duration>, most: usize) {
         if self.gone.load(Ordering::Relaxed) {
             return;
         }
@@ -195,7 +194,7 @@
         connection.rest = rest.map_or(DEFAULT_REST, |rest| rest.mul_f64(REST_PART));
         let mut idle = self.idle.lock();
         idle.retain(Connection::is_usable);
-        if idle.len() < MAX_IDLE {
+        if idle.len() < most {
             idle.push(connection);
         }
     }
--- a/crates/gateway/src/demand_writer.rs
+++ b/crates/gateway/src/demand_writer.rs
@@ -43,7 +43,7 @@
             .await
             .is_ok();
         writer.turn(urgent).await;
-        sleep(LEAST_PAUSE).await;
+        sleep(LEAST_PAUSE.max(writer.shared.write_pause())).await;
     }
 }
 
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -32,7 +32,7 @@
         .await
         .ok()?
         .ok()?;
-    engine.keep(connection, rest);
+    engine.keep(connection, rest, shared.idle_connections(&engine.service));
     if !status.is_success() {
         return None;
     }
@@ -61,7 +61,7 @@
     let result = shared.platform.order_result(response.status());
     let rest = stated_rest(response.headers());
     if let Ok(Ok(_)) = timeout(ANSWER_TIMEOUT, response.into_body().collect()).await {
-        engine.keep(connection, rest);
+        engine.keep(connection, rest, shared.idle_connections(&engine.service));
     }
     result
 }
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -63,7 +63,7 @@
     let now = call.shared.now();
     if answer.marks.not_run {
         note_absence(call, &answer);
-        answer.keep_connection();
+        answer.keep_connection(&call.shared);
         return Err(attempts.not_run(call));
     }
     if answer.promises_falsely() {
@@ -73,7 +73,7 @@
     if answer.is_failure() {
         back_end.note(|health| health.failed(now));
         if attempts.failed(call) {
-            answer.keep_connection();
+            answer.keep_connection(&call.shared);
             return Err(Next::Again);
         }
     } else {
@@ -102,7 +102,7 @@
         "back_end_failed"
     };
     call.log_end(outcome, status.as_u16(), answer.back_end.id.as_str());
-    answer.keep_connection();
+    answer.keep_connection(&call.shared);
     let body = Full::new(body)
         .map_err(|never| match never {})
         .boxed_unsync();
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -45,4 +45,8 @@
     pub drain: Duration,
     /// From a change of the configuration until it must be in force.
     pub configuration: Duration,
+    /// Reading calls of the table a second, of all gateways together.
+    pub table_reads: f64,
+    /// Writing calls of the table a second, of all gateways together.
+    pub table_writes: f64,
 }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -23,6 +23,13 @@
 
 /// Gateways are reckoned to be at least so many, until the table was read.
 const LEAST_GATEWAYS: usize = 4;
+/// Tables that each gateway follows.
+const TABLES_FOLLOWED: f64 = 3.0;
+/// Part of the table's rates that following and demand rows use; the rest is
+/// for the placement holder.
+const TABLE_PART: f64 = 0.5;
+/// Idle connections take up at most the inverse of this of a back end's connections.
+const IDLE_DIVISOR: usize = 2;
 /// A caller with so much less time than usual has tried before.
 const RETURNING_MARGIN: Duration = Duration::from_millis(100);
 /// Gateways that may have joined and are not yet known.
@@ -147,7 +154,7 @@
 
     /// Takes one retry out of this gateway's share, if there is one.
     pub fn withdraw_retry(&self, service: &ServiceId) -> bool {
-        let gateways = self.gateways.load(Ordering::Relaxed) + UNKNOWN_GATEWAYS;
+        let gateways = self.possible_gateways();
         self.with_window(service, |window, now| window.withdraw(now, gateways))
     }
 
@@ -165,6 +172,34 @@
         act(window, now)
     }
 
+    /// Gateways that there may be.
+    fn possible_gateways(&self) -> usize {
+        self.gateways.load(Ordering::Relaxed) + UNKNOWN_GATEWAYS
+    }
+
+    /// Least time between two reads of one table by this gateway, so that all
+    /// gateways together stay within the table's rate.
+    pub fn read_pause(&self) -> Duration {
+        let calls = TABLES_FOLLOWED * self.possible_gateways() as f64;
+        Duration::from_secs_f64(calls / (self.settings.bounds.table_reads * TABLE_PART))
+    }
+
+    /// Least time between two writes by this gateway, for the same reason.
+    pub fn write_pause(&self) -> Duration {
+        let calls = self.possible_gateways() as f64;
+        Duration::from_secs_f64(calls / (self.settings.bounds.table_writes * TABLE_PART))
+    }
+
+    /// Idle connections that this gateway may keep to one back end of a service.
+    pub fn idle_connections(&self, service: &ServiceId) -> usize {
+        let configuration = self.configuration();
+        let known = configuration
+            .as_ref()
+            .and_then(|known| known.service(service));
+        let most = known.map_or(0, |service| service.max_connections as usize);
+        (most / (IDLE_DIVISOR * self.possible_gateways())).max(1)
+    }
+
     /// So many gateways have ever written a row.
     pub fn set_gateways(&self, count: usize) {
         let count = count.max(LEAST_GATEWAYS);
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -165,7 +165,7 @@
                     let latency = self.first_event.unwrap_or_default().as_millis() as u64;
                     let now = self.call.shared.now();
                     back_end.note(|health| health.answered(now, latency));
-                    answer.keep_connection();
+                    answer.keep_connection(&self.call.shared);
                     return self.end("served", back_end.id.as_str());
                 }
                 PartEnd::CallerLeft => return self.end("caller_left", back_end.id.as_str()),
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -11,7 +11,7 @@
 use gorsebank_fleet::PlacedRow;
 use gorsebank_world::BackEndId;
 use tokio::task::JoinHandle;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::lines::{self, Rank};
 use crate::ports::{RowChange, TableError, WatchedTable};
@@ -50,6 +50,7 @@
     let mut pause = FIRST_PAUSE;
     let mut lost = false;
     loop {
+        let asked = Instant::now();
         match advance(&shared, table, version, &mut follower).await {
             Ok(next) => {
                 if lost {
@@ -62,6 +63,7 @@
                 lost = false;
                 version = Some(next);
                 pause = FIRST_PAUSE;
+                sleep_until(asked + shared.read_pause()).await;
             }
             Err(TableError::HistoryGone) => {
                 lines::write(
