gorsebank explain: a request's way through gateways, from their logs

Refusals now have a line of their own with what decided them: what was missing, the time expected, whether a load was ordered, how long it waited, whether the caller had come back.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -165,9 +165,28 @@
         Missing::Adapter => ("no_adapter", LEAST_PAUSE),
         Missing::Model(load) => ("no_model", load.time + LOAD_SLACK),
     };
+    log_refusal(call, missing, reason, pause);
     call.refuse(reason, pause)
 }
 
+fn log_refusal(call: &Call, missing: &Missing, reason: &str, pause: Duration) {
+    let (expected, ordered) = match missing {
+        Missing::Model(load) => (load.time.as_millis(), load.ordered),
+        Missing::Adapter | Missing::BackEnd => (0, false),
+    };
+    let fields = format_args!(
+        "request={} reason={reason} expected_ms={expected} load_ordered={ordered} \
+         waited_ms={} objective_ms={} returning={} retry_after_ms={} configuration={}",
+        call.ticket.id,
+        call.arrived.elapsed().as_millis(),
+        call.route.objective.as_millis(),
+        call.returning,
+        pause.as_millis(),
+        call.configuration.version,
+    );
+    lines::write(Rank::Decision, "refused", fields);
+}
+
 /// Counts as waiting for the model until it is dropped.
 struct Waiting<'a> {
     call: &'a Call,
--- a/crates/gorsebank/src/arguments.rs
+++ b/crates/gorsebank/src/arguments.rs
@@ -42,6 +42,8 @@
     Delete(DeleteArguments),
     /// Show a node's state.
     Status(StatusArguments),
+    /// Tell a request's way through gateways, from their logs.
+    Explain(ExplainArguments),
 }
 
 /// Arguments of `node`. Flags go before the file.
@@ -70,6 +72,16 @@
     pub listen_admin: Option<SocketAddr>,
 }
 
+/// Arguments of `explain`.
+#[derive(Debug, Args)]
+pub struct ExplainArguments {
+    /// The request's id.
+    pub request: String,
+    /// Log files of any number of gateways.
+    #[arg(required = true)]
+    pub files: Vec<PathBuf>,
+}
+
 /// Arguments of `gateway`.
 #[derive(Debug, Args)]
 pub struct GatewayArguments {
--- /dev/null
+++ b/crates/gorsebank/src/commands/explain/cause.rs
@@ -0,0 +1,82 @@
+//! The first decision that went wrong, in words.
+
+use std::fmt;
+
+use super::line::LogLine;
+
+/// What decided how a request ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Cause {
+    /// It was served.
+    Served,
+    /// Nothing is known of its end.
+    NoEnd,
+    /// The gateway refused it, for the reason given.
+    Refused(String),
+    /// An attempt went wrong and it was not sent again.
+    Attempt {
+        /// Where.
+        back_end: String,
+        /// What happened.
+        result: String,
+        /// What is known of that back end just before.
+        because: Option<String>,
+    },
+    /// It ended for another reason.
+    Other(String),
+}
+
+/// Finds the cause.
+pub fn find(own: &[&LogLine], context: &[&LogLine]) -> Cause {
+    let Some(end) = own.iter().rev().find(|line| line.event == "request_end") else {
+        return Cause::NoEnd;
+    };
+    let outcome = end.field("outcome").unwrap_or("unknown");
+    if outcome == "served" {
+        return Cause::Served;
+    }
+    if let Some(refused) = own.iter().rev().find(|line| line.event == "refused") {
+        return Cause::Refused(refused.text.clone());
+    }
+    let attempt = own.iter().find(|line| line.event == "attempt");
+    let Some(attempt) = attempt else {
+        return Cause::Other(end.text.clone());
+    };
+    let back_end = attempt.field("back_end").unwrap_or("-").to_owned();
+    Cause::Attempt {
+        because: state_of(&back_end, context),
+        result: attempt.field("result").unwrap_or("unknown").to_owned(),
+        back_end,
+    }
+}
+
+fn state_of(back_end: &str, context: &[&LogLine]) -> Option<String> {
+    let about = |line: &&&LogLine| line.field("back_end") == Some(back_end);
+    let last = context.iter().rev().find(about)?;
+    Some(last.text.clone())
+}
+
+impl fmt::Display for Cause {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Cause::Served => write!(formatter, "it was served"),
+            Cause::NoEnd => write!(
+                formatter,
+                "no line tells its end: the caller left, the process was killed, or the line was left out"
+            ),
+            Cause::Refused(line) => write!(formatter, "refused by the gateway: {line}"),
+            Cause::Attempt {
+                back_end,
+                result,
+                because,
+            } => {
+                write!(formatter, "the attempt at {back_end} ended with {result}")?;
+                match because {
+                    Some(line) => write!(formatter, "; last heard of it: {line}"),
+                    None => write!(formatter, "; nothing new was heard of it just before"),
+                }
+            }
+            Cause::Other(line) => write!(formatter, "{line}"),
+        }
+    }
+}
--- a/crates/gorsebank/src/commands/mod.rs
+++ b/crates/gorsebank/src/commands/mod.rs
@@ -4,6 +4,7 @@
 pub mod check_settings;
 pub mod delete;
 pub mod dev;
+pub mod explain;
 pub mod gateway;
 pub mod get;
 pub mod label;
--- a/crates/gorsebank/src/main.rs
+++ b/crates/gorsebank/src/main.rs
@@ -44,5 +44,6 @@
         Command::Label(arguments) => commands::label::run(arguments).await,
         Command::Delete(arguments) => commands::delete::run(arguments).await,
         Command::Status(arguments) => commands::status::run(arguments).await,
+        Command::Explain(arguments) => commands::explain::run(&arguments),
     }
 }
--- /dev/null
+++ b/crates/gorsebank/tests/explain.rs
@@ -0,0 +1,60 @@
+//! `gorsebank explain` on logs with bad lines among them.
+
+use std::io::Write as _;
+use std::process::Command;
+
+const LOG: &str = "\
+time_ms=900 node=n1 left_out=0 event=back_end_gone back_end=i-1 version=7
+garbage \u{fffd}
+time_ms=1000 node=n1 left_out=0 event=chosen request=r1 back_end=i-1 eligible=1 in_flight=0
+time_ms=1090 node=n1 left_out=0 event=attempt request=r1 back_end=i-1 result=connection_lost may_have_run=true
+time_ms=1091 node=n1 left_out=0 event=request_end request=r1 outcome=connection_lost status=502 route=top-up back_end=- model=-
+time_ms=1100 node=n2 left_out=0 event=order engine=i-2 order=LoadModel(m1) sequence=0 fence=3 reason=\"demand\" result=Accepted
+time_ms=1200 node=n1 left_out=0 event=refused request=r2 reason=no_model expected_ms=4800 load_ordered=false
+time_ms=1201 node=n1 left_out=0 event=request_end request=r2 outcome=no_model status=503 route=crew back_end=- model=m1
+time_ms=1300 node=n1 left_out=0 event=request_end request=r3 outcome=served status=200 route=crew back_end=i-2 model=m1
+";
+
+fn explain(request: &str) -> String {
+    let path = std::env::temp_dir().join(format!("explain-{}-{request}.log", std::process::id()));
+    let mut file = std::fs::File::create(&path).expect("a file");
+    file.write_all(LOG.as_bytes()).expect("written");
+    let output = Command::new(env!("CARGO_BIN_EXE_gorsebank"))
+        .args(["explain", request])
+        .arg(&path)
+        .output()
+        .expect("it runs");
+    assert!(output.status.success());
+    String::from_utf8(output.stdout).expect("text")
+}
+
+#[test]
+fn a_failed_attempt_is_told_with_what_was_known_of_its_back_end() {
+    let told = explain("r1");
+    assert!(
+        told.contains("cause: the attempt at i-1 ended with connection_lost"),
+        "{told}"
+    );
+    assert!(
+        told.contains("last heard of it: event=back_end_gone back_end=i-1"),
+        "{told}"
+    );
+    assert!(told.contains("1 lines were no log lines"), "{told}");
+}
+
+#[test]
+fn a_refusal_is_told_with_its_inputs_and_the_orders_for_its_model() {
+    let told = explain("r2");
+    assert!(
+        told.contains("cause: refused by the gateway: event=refused"),
+        "{told}"
+    );
+    assert!(told.contains("expected_ms=4800"), "{told}");
+    assert!(told.contains("LoadModel(m1)"), "{told}");
+}
+
+#[test]
+fn a_served_request_and_an_unknown_one_are_told_apart() {
+    assert!(explain("r3").contains("cause: it was served"));
+    assert!(explain("r9").contains("no line speaks of request r9"));
+}
