--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -77,6 +77,16 @@
     /// Sends so far.
     pub attempts: AtomicU32,
     exposed: AtomicBool,
+    ended: AtomicBool,
+}
+
+impl Drop for Call {
+    /// A call that ends without a line was dropped because its caller left.
+    fn drop(&mut self) {
+        if !self.ended.load(Ordering::Relaxed) {
+            self.log_end("caller_left", 0, "-");
+        }
+    }
 }
 
 impl Call {
@@ -116,6 +126,7 @@
 
     /// Writes the line of the request's end and counts it.
     pub fn log_end(&self, outcome: &str, status: u16, back_end: &str) {
+        self.ended.store(true, Ordering::Relaxed);
         let rank = if outcome == "served" {
             Rank::Served
         } else {
@@ -233,6 +244,7 @@
         returning,
         attempts: AtomicU32::new(0),
         exposed: AtomicBool::new(false),
+        ended: AtomicBool::new(false),
     };
     refuse_while_stopping(&call)?;
     Ok(call)
--- a/crates/gorsebank/src/commands/explain/cause.rs
+++ b/crates/gorsebank/src/commands/explain/cause.rs
@@ -39,13 +39,16 @@
         return Cause::Refused(refused.text.clone());
     }
     let attempt = own.iter().find(|line| line.event == "attempt");
-    let Some(attempt) = attempt else {
-        return Cause::Other(end.text.clone());
+    let chosen = own.iter().rev().find(|line| line.event == "chosen");
+    let (at, result) = match (attempt, chosen) {
+        (Some(attempt), _) => (attempt, attempt.field("result").unwrap_or("unknown")),
+        (None, Some(chosen)) => (chosen, outcome),
+        (None, None) => return Cause::Other(end.text.clone()),
     };
-    let back_end = attempt.field("back_end").unwrap_or("-").to_owned();
+    let back_end = at.field("back_end").unwrap_or("-").to_owned();
     Cause::Attempt {
         because: state_of(&back_end, context),
-        result: attempt.field("result").unwrap_or("unknown").to_owned(),
+        result: result.to_owned(),
         back_end,
     }
 }
