--- a/crates/fleet/src/demand.rs
+++ b/crates/fleet/src/demand.rs
@@ -21,6 +21,10 @@
 pub struct ModelDemand {
     /// Requests a second.
     pub rate: f64,
+    /// Those of them whose objective is shorter than a load, so that they fail
+    /// it when the model is not there.
+    #[serde(default)]
+    pub urgent_rate: f64,
     /// Requests that run.
     pub running: u32,
     /// Requests that wait for it, or were told to come back for it.
@@ -61,6 +65,7 @@
 #[derive(Debug, Default)]
 struct Entry {
     rate: Rate,
+    urgent_rate: Rate,
     running: u32,
     waiting: u32,
     wished: Option<Timestamp>,
@@ -75,16 +80,20 @@
 }
 
 impl Demand {
-    /// A request arrived.
+    /// A request arrived. It is urgent if its objective is shorter than a load.
     pub fn arrived(
         &mut self,
         now: Timestamp,
         service: &ServiceId,
         model: &ModelId,
         adapter: Option<&AdapterId>,
+        urgent: bool,
     ) {
         let entry = self.entry(service, model);
         entry.rate.arrive(now);
+        if urgent {
+            entry.urgent_rate.arrive(now);
+        }
         if let Some(adapter) = adapter {
             let rate = entry.adapters.entry(adapter.clone()).or_default();
             rate.arrive(now);
@@ -159,6 +168,7 @@
             .collect();
         ModelDemand {
             rate: rounded(self.rate.at(now)),
+            urgent_rate: rounded(self.urgent_rate.at(now)),
             running: self.running,
             waiting: self.waiting.max(u32::from(self.wished.is_some())),
             adapters,
--- a/crates/fleet/src/placement/goals.rs
+++ b/crates/fleet/src/placement/goals.rs
@@ -28,7 +28,7 @@
 /// Adapter places of an engine that are not filled ahead of demand.
 const PLACES_KEPT_BACK: usize = 1;
 /// Worth of the operator's first model while nobody asks for it, in requests a second.
-const PRIOR_WORTH: f64 = 0.02;
+const PRIOR_WORTH: f64 = 0.1;
 /// A load from the weight store costs so much, in requests a second.
 const STORE_LOAD_COST: f64 = 0.02;
 
@@ -167,7 +167,7 @@
     let shares = replicas(engines, model).max(1) as f64;
     let running = RUNNING_WORTH * f64::from(totals.running(model));
     let waiting = WAITING_WORTH * f64::from(totals.waiting(model));
-    (totals.rate(model) + running + waiting) / shares + prior(spec, model)
+    (totals.absence_cost(model) + running + waiting) / shares + prior(spec, model)
 }
 
 /// What a model without demand is worth: the operator's first models most. It
--- a/crates/fleet/src/placement/totals.rs
+++ b/crates/fleet/src/placement/totals.rs
@@ -6,6 +6,9 @@
 
 use crate::demand::{DemandRow, ModelDemand};
 
+/// A request that can wait for a load counts for so much of one that cannot.
+const PATIENT_WEIGHT: f64 = 0.6;
+
 /// Sums over gateways, by model.
 #[derive(Debug, Default)]
 pub struct Totals {
@@ -26,6 +29,7 @@
     fn add(&mut self, model: &ModelId, demand: &ModelDemand) {
         let total = self.models.entry(model.clone()).or_default();
         total.rate += demand.rate;
+        total.urgent_rate += demand.urgent_rate;
         total.running += demand.running;
         total.waiting += demand.waiting;
         for (adapter, rate) in &demand.adapters {
@@ -40,9 +44,13 @@
         self.models.iter()
     }
 
-    /// Requests a second for a model.
-    pub fn rate(&self, model: &ModelId) -> f64 {
-        self.models.get(model).map_or(0.0, |demand| demand.rate)
+    /// What it costs to be without a model, in urgent requests a second. A
+    /// patient request waits for a load and loses little.
+    pub fn absence_cost(&self, model: &ModelId) -> f64 {
+        self.models.get(model).map_or(0.0, |demand| {
+            let patient = demand.rate - demand.urgent_rate;
+            demand.urgent_rate + PATIENT_WEIGHT * patient.max(0.0)
+        })
     }
 
     /// Requests that run on a model.
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -86,6 +86,7 @@
     let models = models.iter().map(|(model, rate, waiting)| {
         let demand = ModelDemand {
             rate: *rate,
+            urgent_rate: *rate,
             waiting: *waiting,
             ..ModelDemand::default()
         };
@@ -100,6 +101,7 @@
     let models = models.iter().map(|(number, rate, waiting, missing)| {
         let demand = ModelDemand {
             rate: *rate,
+            urgent_rate: *rate / 2.0,
             running: (*rate * 2.0) as u32,
             waiting: *waiting,
             adapters: BTreeMap::new(),
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -288,7 +288,8 @@
     call.ticket.model.as_ref()
 }
 
-fn load_time(call: &Call, model: &ModelId) -> Duration {
+/// Time of a load of the model from the weight store.
+pub fn load_time(call: &Call, model: &ModelId) -> Duration {
     let service = call.configuration.service(&call.service);
     let engine = service.and_then(|service| service.engine.as_ref());
     let spec = engine.and_then(|engine| engine.models.get(model));
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -18,7 +18,7 @@
 use tokio::time::{Instant, timeout_at};
 use tokio_stream::wrappers::ReceiverStream;
 
-use crate::admission::admit;
+use crate::admission::{self, admit};
 use crate::attempt::{Answer, AttemptEnd, send};
 use crate::attempts::{Attempts, CONNECTION_LOST, Next};
 use crate::back_end::BackEnd;
@@ -100,8 +100,9 @@
     };
     let now = call.shared.now();
     let adapter = call.ticket.adapter.as_ref();
+    let urgent = admission::load_time(call, model) > call.route.objective;
     let mut demand = call.shared.demand.lock();
-    demand.arrived(now, &call.service, model, adapter);
+    demand.arrived(now, &call.service, model, adapter, urgent);
 }
 
 /// How long one back end may take to begin, while another could be asked.
