--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -145,7 +145,7 @@
             "request_end",
             format_args!(
                 "request={} outcome={outcome} status={status} route={} service={} back_end={back_end} \
-                 model={model} adapter={} attempts={} exposed={} total_ms={} left_ms={} configuration={}",
+                 model={model} adapter={} attempts={} exposed={} total_ms={} left_ms={} objective_ms={} returning={} configuration={}",
                 self.ticket.id,
                 self.route.name,
                 self.service,
@@ -156,6 +156,8 @@
                 self.deadline
                     .saturating_duration_since(Instant::now())
                     .as_millis(),
+                self.route.objective.as_millis(),
+                self.returning,
                 self.configuration.version,
             ),
         );
