--- a/crates/fleet/src/placement/goals.rs
+++ b/crates/fleet/src/placement/goals.rs
@@ -4,6 +4,8 @@
 //! for it. The value of a model is its rate of requests; of one replica among
 //! several, its share of that rate.
 
+use std::time::Duration;
+
 use gorsebank_coordination::Timestamp;
 use gorsebank_world::{AdapterId, ModelId};
 
@@ -27,6 +29,10 @@
 const PREFETCH_RATE: f64 = 0.4;
 /// Adapter places of an engine that are not filled ahead of demand.
 const PLACES_KEPT_BACK: usize = 1;
+/// Part of the requests for adapters that a load at their engine delays.
+const BLOCKING_COST: f64 = 0.1;
+/// A further replica is loaded when this part of the adapter places is in demand.
+const ADAPTER_CROWD: f64 = 0.6;
 /// Worth of the operator's first model while nobody asks for it, in requests a second.
 const PRIOR_WORTH: f64 = 0.1;
 /// A load from the weight store costs so much, in requests a second.
@@ -80,8 +86,9 @@
 fn is_crowded(spec: &Engine, demand: &ModelDemand, replicas: usize) -> bool {
     let running = f64::from(demand.running);
     let slots = f64::from(spec.slots) * replicas as f64;
-    let adapters = demand.adapters.len();
-    running > REPLICA_LOAD * slots || adapters > spec.adapter_slots * replicas
+    let places = (spec.adapter_slots * replicas) as f64;
+    let adapters = demand.adapters.len() as f64;
+    running > REPLICA_LOAD * slots || adapters > ADAPTER_CROWD * places
 }
 
 fn replicas(engines: &[&mut EngineState], model: &ModelId) -> usize {
@@ -147,6 +154,12 @@
     costs.sort_by(|one, other| one.0.total_cmp(&other.0));
     let from_store = !engine.has_copy(&wish.model);
     let mut loss = if from_store { STORE_LOAD_COST } else { 0.0 };
+    loss += cost_of_blocking(
+        totals,
+        engines,
+        index,
+        engine.load_time(&wish.model, wanted),
+    );
     let mut victims = Vec::new();
     for (cost, memory, model) in costs {
         if missing <= 0.0 {
@@ -162,6 +175,21 @@
     Room { loss, victims }
 }
 
+/// An engine that loads a model takes no adapters meanwhile.
+fn cost_of_blocking(
+    totals: &Totals,
+    engines: &[&mut EngineState],
+    index: usize,
+    load: Duration,
+) -> f64 {
+    let adapter_rate: f64 = engines[index]
+        .holdings()
+        .keys()
+        .map(|model| totals.adapters_rate(model) / replicas(engines, model).max(1) as f64)
+        .sum();
+    BLOCKING_COST * adapter_rate * load.as_secs_f64()
+}
+
 /// What one replica of a model is worth, in requests a second.
 fn value(spec: &Engine, totals: &Totals, engines: &[&mut EngineState], model: &ModelId) -> f64 {
     let shares = replicas(engines, model).max(1) as f64;
--- a/crates/fleet/src/placement/totals.rs
+++ b/crates/fleet/src/placement/totals.rs
@@ -63,6 +63,12 @@
         self.models.get(model).map_or(0, |demand| demand.waiting)
     }
 
+    /// Requests a second for any adapter of a model.
+    pub fn adapters_rate(&self, model: &ModelId) -> f64 {
+        let demand = self.models.get(model);
+        demand.map_or(0.0, |demand| demand.adapters.values().sum())
+    }
+
     /// Requests a second for an adapter.
     pub fn adapter_rate(&self, model: &ModelId, adapter: &AdapterId) -> f64 {
         let demand = self.models.get(model);
