--- a/crates/fleet/src/placement/engine.rs
+++ b/crates/fleet/src/placement/engine.rs
@@ -19,6 +19,8 @@
 /// Reports are stale by some 100 ms: after an order without an answer, or one
 /// that was refused, the state is asked for this much later, in milliseconds.
 const SETTLE_TIME: u64 = 400;
+/// An engine that answered within this time is not doubted, in milliseconds.
+const DOUBT_PAUSE: u64 = 700;
 /// Pause between two questions while a load runs over its time, in milliseconds.
 const LOAD_POLL: u64 = 100;
 /// An idle model is unloaded, and a report shows it, after this time, in milliseconds.
@@ -81,6 +83,8 @@
     in_flight: bool,
     ask_at: Timestamp,
     check: bool,
+    suspected: bool,
+    heard: Timestamp,
     changed: Option<Timestamp>,
 }
 
@@ -96,6 +100,8 @@
             in_flight: false,
             ask_at: now,
             check: false,
+            suspected: false,
+            heard: now,
             changed: None,
         }
     }
@@ -124,11 +130,24 @@
         }
     }
 
-    /// Whether it holds the model and goes on holding it.
+    /// Whether it answers, holds the model and goes on holding it.
     pub fn keeps(&self, model: &ModelId) -> bool {
+        !self.suspected && self.holds(model)
+    }
+
+    fn holds(&self, model: &ModelId) -> bool {
         self.unloading.as_ref() != Some(model) && self.holdings().contains_key(model)
     }
 
+    /// Requests wait for a model that is said to be here: the engine is asked,
+    /// unless it has answered not long ago. One that does not answer counts as
+    /// holding nothing until it does.
+    pub fn doubt(&mut self, now: Timestamp, model: &ModelId) {
+        if self.holds(model) && now.since(self.heard) > DOUBT_PAUSE {
+            self.check = true;
+        }
+    }
+
     /// The model that is wanted here, if any.
     pub fn goal(&self) -> Option<&Goal> {
         self.goal.as_ref()
@@ -137,7 +156,8 @@
     /// Whether a new goal may be set.
     pub fn is_free(&self) -> bool {
         let busy = self.known.as_ref().is_some_and(|known| known.busy);
-        self.goal.is_none() && !self.check && !busy && self.unloading.is_none()
+        let idle = self.goal.is_none() && self.unloading.is_none();
+        idle && !self.check && !self.suspected && !busy
     }
 
     /// Sets a goal.
@@ -231,6 +251,9 @@
         let Some(known) = &self.known else {
             return self.ask(now, "state unknown");
         };
+        if self.check {
+            return self.ask(now, "requests wait for what it holds");
+        }
         if known.busy {
             return self.ask(now, "order under way");
         }
@@ -369,11 +392,16 @@
         self.in_flight = false;
         let Some(report) = report else {
             self.known = None;
+            self.suspected = true;
+            self.check = true;
             self.ask_at = now + SETTLE_TIME;
             return;
         };
+        self.suspected = false;
+        self.heard = now;
         let is_stale = |known: &Known| report.sequence < known.sequence;
         if self.known.as_ref().is_some_and(is_stale) {
+            self.check = false;
             self.ask_at = now + ADAPTER_POLL;
             return;
         }
--- a/crates/fleet/src/placement/goals.rs
+++ b/crates/fleet/src/placement/goals.rs
@@ -52,6 +52,7 @@
     engines: &mut [&mut EngineState],
     pace: &mut LoadPace,
 ) {
+    doubt_silent_engines(now, totals, engines);
     for wish in wishes(spec, totals, engines) {
         if !pace.allows(now, spec.loads_per_second) {
             return;
@@ -60,6 +61,17 @@
     }
 }
 
+/// A model that is waited for although engines hold it: do they still answer?
+fn doubt_silent_engines(now: Timestamp, totals: &Totals, engines: &mut [&mut EngineState]) {
+    for (model, demand) in totals.models() {
+        if demand.waiting > 0 {
+            engines
+                .iter_mut()
+                .for_each(|engine| engine.doubt(now, model));
+        }
+    }
+}
+
 fn wishes(spec: &Engine, totals: &Totals, engines: &[&mut EngineState]) -> Vec<Wish> {
     let mut wishes: Vec<Wish> = totals
         .models()
--- a/crates/fleet/tests/placement.rs
+++ b/crates/fleet/tests/placement.rs
@@ -96,6 +96,21 @@
     assert_eq!(actions[0].kind, ActionKind::Report);
 }
 
+/// Found in a trial: discovery shows a crashed engine for seconds, and nothing
+/// was loaded elsewhere although requests waited for its model.
+#[test]
+fn a_model_whose_only_engine_has_gone_silent_is_loaded_elsewhere() {
+    let mut world = World::new(2, &["m0"]);
+    world.engines[1] = EngineModel::new(1, &["m1"]);
+    world.silent = Some(world.engines[0].id.clone());
+    let rows = vec![demand(&[("m0", 2.0, 3)])];
+    for now in (0..4_000).step_by(50) {
+        world.turn(now, &rows);
+    }
+    let model = "m0".into();
+    assert!(world.engines[1].holds(&model));
+}
+
 #[test]
 fn adapters_of_a_busy_model_are_spread_over_its_replicas_without_doubles() {
     let mut world = World::new(2, &["m0"]);
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -131,7 +131,8 @@
 }
 
 impl EngineModel {
-    fn new(number: usize, models: &[&str]) -> Self {
+    /// An engine that holds these models.
+    pub fn new(number: usize, models: &[&str]) -> Self {
         EngineModel {
             id: BackEndId::from(format!("engine-{number}-0")),
             holdings: models
@@ -146,6 +147,12 @@
         }
     }
 
+    /// Whether it holds a model.
+    #[allow(dead_code)]
+    pub fn holds(&self, model: &ModelId) -> bool {
+        self.holdings.contains_key(model)
+    }
+
     /// Adapters that it holds.
     #[allow(dead_code)]
     pub fn adapters(&self) -> Vec<String> {
@@ -287,6 +294,8 @@
     pub broken: Vec<String>,
     /// Decide what happens to orders; used round and round.
     pub faults: Vec<u8>,
+    /// An engine that answers nothing any more, while discovery still shows it.
+    pub silent: Option<BackEndId>,
     late: Vec<(u64, BackEndId, OrderKind, u64)>,
     orders: usize,
 }
@@ -302,6 +311,7 @@
             loads: Vec::new(),
             broken: Vec::new(),
             faults: Vec::new(),
+            silent: None,
             late: Vec::new(),
             orders: 0,
         }
@@ -378,7 +388,9 @@
         let id = action.engine;
         match action.kind {
             ActionKind::Report => {
-                let engine = self.engines.iter().find(|engine| engine.id == id);
+                let answers =
+                    |engine: &&EngineModel| engine.id == id && self.silent.as_ref() != Some(&id);
+                let engine = self.engines.iter().find(answers);
                 let report = engine.map(|engine| engine.stale_report(now));
                 self.planner.reported(Timestamp(now), &id, report);
             }
