A shorter lease with a cool-down, so that the next holder begins sooner

Change: the lease lasts 0.7 of the deployment's bound on turns; a node that lost it stays away for three leases; a refused renewal is decided by the row.

--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -6,8 +6,9 @@
 //!
 //! Invariants: a holder gives orders only until `lease x ORDER_PART` after it
 //! *sent* its last successful write; another node takes the lease only when it
-//! has seen the same version for `lease x TAKE_PART`. A crash at any line
-//! leaves a row that nobody renews.
+//! has seen the same version for `lease x TAKE_PART`; a node that lost the lease
+//! leaves it to others for `COOL_DOWN` leases, so holders do not take turns. A
+//! crash at any line leaves a row that nobody renews.
 
 use gorsebank_coordination::Timestamp;
 use gorsebank_world::NodeId;
@@ -17,6 +18,8 @@
 const ORDER_PART: f64 = 0.8;
 /// Part of the lease after which another node takes it.
 const TAKE_PART: f64 = 1.1;
+/// Leases for which a node that lost it does not try to take it again.
+const COOL_DOWN: u64 = 3;
 /// Part of the lease after which it is renewed.
 const RENEW_PART: f64 = 0.35;
 /// Part of the lease between two looks at another's lease.
@@ -68,6 +71,7 @@
     seen_since: Timestamp,
     looked: Option<Timestamp>,
     sent: Timestamp,
+    lost: Option<Timestamp>,
 }
 
 impl LeaseKeeper {
@@ -84,6 +88,7 @@
             seen_since: Timestamp(0),
             looked: None,
             sent: Timestamp(0),
+            lost: None,
         }
     }
 
@@ -118,7 +123,10 @@
         } else {
             self.seen_since + self.part(TAKE_PART)
         };
-        if may_hold && now >= take_at {
+        let cools_down = self
+            .lost
+            .is_some_and(|at| now.since(at) < COOL_DOWN * self.lease);
+        if may_hold && now >= take_at && !cools_down {
             return self.write(now, version, Some(self.node.clone()));
         }
         match next_look {
@@ -165,10 +173,17 @@
             Some(row) if row.write == self.writes => self.hold(version),
             // An earlier write stands: the last one had no answer and may still take effect.
             Some(_) if self.is_holder() => {}
-            _ => self.role = Role::Follower,
+            _ => self.follow(now),
         }
     }
 
+    fn follow(&mut self, now: Timestamp) {
+        if self.is_holder() {
+            self.lost = Some(now);
+        }
+        self.role = Role::Follower;
+    }
+
     /// Whether nobody can hold the lease any more: it was handed back, or it was
     /// taken by a former process of this very node.
     fn is_left_behind(&self, row: &LeaseRow) -> bool {
@@ -198,8 +213,8 @@
 
     /// The condition of the write did not hold.
     pub fn refused(&mut self) {
+        // The row is read next; it may show an earlier write of this process.
         self.version = None;
-        self.role = Role::Follower;
     }
 
     /// Time from which the holder's validity counts is when the write was sent.
--- a/crates/gateway/src/holder.rs
+++ b/crates/gateway/src/holder.rs
@@ -28,6 +28,9 @@
 use crate::shared::Shared;
 use crate::watch::row_name;
 
+/// Part of the deployment's bound on turns of holders that a lease lasts: the
+/// next holder begins sooner, and cool-down keeps turns apart.
+const LEASE_PART: f64 = 0.7;
 /// The lease is looked after at least this often.
 const LONGEST_STEP: Duration = Duration::from_millis(250);
 /// Pause after a call of the table without an answer.
@@ -42,7 +45,8 @@
 /// Keeps the lease until the process ends; places models whenever it has it.
 pub async fn run(shared: Arc<Shared>) {
     let process: u64 = rand::random();
-    let lease = shared.settings.bounds.lease.as_millis() as u64;
+    let lease = shared.settings.bounds.lease.mul_f64(LEASE_PART);
+    let lease = lease.as_millis() as u64;
     let keeper = LeaseKeeper::new(shared.settings.node.clone(), process, lease);
     let keeper = Arc::new(Mutex::new(keeper));
     let mut placement: Option<AbortOnDrop> = None;
