--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -164,16 +164,6 @@
         self.entries.get(id).is_some_and(|entry| !entry.draining)
     }
 
-    /// Number of back ends.
-    pub fn len(&self) -> usize {
-        self.entries.len()
-    }
-
-    /// Whether no back end is known.
-    pub fn is_empty(&self) -> bool {
-        self.entries.is_empty()
-    }
-
     /// Where a model, and an adapter of it, can be asked for at `now`.
     pub fn places(
         &self,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,12 +8,14 @@
 //! [`admission`] picks a back end or refuses, [`attempt`] sends once,
 //! [`plain`] and [`stream`] turn attempts into one answer. Beside them
 //! [`watch`] follows the tables, [`demand_writer`] tells what is asked for,
-//! and [`holder`] places models while this process has the lease.
+//! [`holder`] keeps the placement lease, and [`placement`] places models while
+//! this process has it.
 
 pub mod admission;
 pub mod attempt;
 pub mod attempts;
 pub mod back_end;
+pub mod demand_rows;
 pub mod demand_writer;
 pub mod directory;
 pub mod failure;
@@ -21,6 +23,7 @@
 pub mod lines;
 pub mod metrics;
 pub mod orders;
+pub mod placement;
 pub mod plain;
 pub mod ports;
 pub mod process;
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -188,9 +188,6 @@
     /// Reads the head of an answer.
     fn answer_marks(&self, status: StatusCode, headers: &HeaderMap) -> AnswerMarks;
 
-    /// Takes out of an answer's head what only the back end itself may claim.
-    fn disown(&self, headers: &mut HeaderMap);
-
     /// Adds when to come back.
     fn mark_retry_after(&self, headers: &mut HeaderMap, pause: Duration);
 
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -41,10 +41,6 @@
     pub lease: Duration,
     /// From a planned stop until the process is killed.
     pub grace: Duration,
-    /// From a back end's leaving until it must get nothing new.
-    pub drain: Duration,
-    /// From a change of the configuration until it must be in force.
-    pub configuration: Duration,
     /// Reading calls of the table a second, of all gateways together.
     pub table_reads: f64,
     /// Writing calls of the table a second, of all gateways together.
