--- a/crates/fleet/src/placement/goals.rs
+++ b/crates/fleet/src/placement/goals.rs
@@ -4,6 +4,7 @@
 //! for it. The value of a model is its rate of requests; of one replica among
 //! several, its share of that rate.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use gorsebank_coordination::Timestamp;
@@ -38,6 +39,25 @@
 /// A load from the weight store costs so much, in requests a second.
 const STORE_LOAD_COST: f64 = 0.02;
 
+/// Replicas by model, counted once a plan.
+struct Replicas(BTreeMap<ModelId, usize>);
+
+impl Replicas {
+    fn count(engines: &[&mut EngineState]) -> Self {
+        let mut counts = BTreeMap::new();
+        for engine in engines {
+            for model in engine.holdings().keys().filter(|model| engine.keeps(model)) {
+                *counts.entry(model.clone()).or_default() += 1;
+            }
+        }
+        Replicas(counts)
+    }
+
+    fn of(&self, model: &ModelId) -> usize {
+        self.0.get(model).copied().unwrap_or(0)
+    }
+}
+
 /// A model that should be loaded once more.
 struct Wish {
     model: ModelId,
@@ -53,11 +73,12 @@
     pace: &mut LoadPace,
 ) {
     doubt_silent_engines(now, totals, engines);
-    for wish in wishes(spec, totals, engines) {
+    let replicas = Replicas::count(engines);
+    for wish in wishes(spec, totals, engines, &replicas) {
         if !pace.allows(now, spec.loads_per_second) {
             return;
         }
-        place(now, spec, totals, engines, &wish);
+        place(now, spec, totals, engines, &replicas, &wish);
     }
 }
 
@@ -72,12 +93,17 @@
     }
 }
 
-fn wishes(spec: &Engine, totals: &Totals, engines: &[&mut EngineState]) -> Vec<Wish> {
+fn wishes(
+    spec: &Engine,
+    totals: &Totals,
+    engines: &[&mut EngineState],
+    replicas: &Replicas,
+) -> Vec<Wish> {
     let mut wishes: Vec<Wish> = totals
         .models()
         .filter(|(model, _)| spec.models.contains_key(model))
         .filter_map(|(model, demand)| {
-            let replicas = replicas(engines, model);
+            let replicas = replicas.of(model);
             let coming = coming(engines, model);
             let worth = if replicas + coming == 0 {
                 demand.rate + WAITING_WORTH * f64::from(demand.waiting)
@@ -103,10 +129,6 @@
     running > REPLICA_LOAD * slots || adapters > ADAPTER_CROWD * places
 }
 
-fn replicas(engines: &[&mut EngineState], model: &ModelId) -> usize {
-    engines.iter().filter(|engine| engine.keeps(model)).count()
-}
-
 fn coming(engines: &[&mut EngineState], model: &ModelId) -> usize {
     let aims = |engine: &&&mut EngineState| {
         engine
@@ -121,6 +143,7 @@
     spec: &Engine,
     totals: &Totals,
     engines: &mut [&mut EngineState],
+    replicas: &Replicas,
     wish: &Wish,
 ) {
     let Some(wanted) = spec.models.get(&wish.model) else {
@@ -128,7 +151,12 @@
     };
     let best = (0..engines.len())
         .filter(|index| engines[*index].is_free() && !engines[*index].keeps(&wish.model))
-        .map(|index| (index, make_room(spec, totals, engines, index, wish, wanted)))
+        .map(|index| {
+            (
+                index,
+                make_room(spec, totals, engines[index], replicas, wish, wanted),
+            )
+        })
         .min_by(|one, other| one.1.loss.total_cmp(&other.1.loss));
     let Some((index, room)) = best else {
         return;
@@ -148,19 +176,18 @@
 fn make_room(
     spec: &Engine,
     totals: &Totals,
-    engines: &[&mut EngineState],
-    index: usize,
+    engine: &EngineState,
+    replicas: &Replicas,
     wish: &Wish,
     wanted: &ModelSpec,
 ) -> Room {
-    let engine = &engines[index];
     let mut missing = wanted.memory_mb - engine.free_memory(spec);
     let mut costs: Vec<(f64, f64, &ModelId)> = engine
         .holdings()
         .keys()
         .map(|model| {
             let memory = spec.models.get(model).map_or(0.0, |spec| spec.memory_mb);
-            (value(spec, totals, engines, model), memory, model)
+            (value(spec, totals, replicas, model), memory, model)
         })
         .collect();
     costs.sort_by(|one, other| one.0.total_cmp(&other.0));
@@ -168,8 +195,8 @@
     let mut loss = if from_store { STORE_LOAD_COST } else { 0.0 };
     loss += cost_of_blocking(
         totals,
-        engines,
-        index,
+        engine,
+        replicas,
         engine.load_time(&wish.model, wanted),
     );
     let mut victims = Vec::new();
@@ -190,21 +217,21 @@
 /// An engine that loads a model takes no adapters meanwhile.
 fn cost_of_blocking(
     totals: &Totals,
-    engines: &[&mut EngineState],
-    index: usize,
+    engine: &EngineState,
+    replicas: &Replicas,
     load: Duration,
 ) -> f64 {
-    let adapter_rate: f64 = engines[index]
+    let adapter_rate: f64 = engine
         .holdings()
         .keys()
-        .map(|model| totals.adapters_rate(model) / replicas(engines, model).max(1) as f64)
+        .map(|model| totals.adapters_rate(model) / replicas.of(model).max(1) as f64)
         .sum();
     BLOCKING_COST * adapter_rate * load.as_secs_f64()
 }
 
 /// What one replica of a model is worth, in requests a second.
-fn value(spec: &Engine, totals: &Totals, engines: &[&mut EngineState], model: &ModelId) -> f64 {
-    let shares = replicas(engines, model).max(1) as f64;
+fn value(spec: &Engine, totals: &Totals, replicas: &Replicas, model: &ModelId) -> f64 {
+    let shares = replicas.of(model).max(1) as f64;
     let running = RUNNING_WORTH * f64::from(totals.running(model));
     let waiting = WAITING_WORTH * f64::from(totals.waiting(model));
     (totals.absence_cost(model) + running + waiting) / shares + prior(spec, model)
--- a/crates/gateway/src/lines.rs
+++ b/crates/gateway/src/lines.rs
@@ -6,7 +6,7 @@
 //! budget a second for each rank, and lines of failures have a budget apart.
 
 use std::fmt;
-use std::io::Write as _;
+use std::io::Write;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{SyncSender, TrySendError, sync_channel};
 use std::sync::{Arc, OnceLock};
@@ -44,13 +44,17 @@
     other: u32,
 }
 
-/// Starts the log. `node` stands in every line.
+/// Starts the log to standard output. `node` stands in every line.
 pub fn start(node: &str) -> eyre::Result<()> {
+    start_to(node, std::io::stdout())
+}
+
+/// Starts the log to `output`, which may block for ever.
+pub fn start_to(node: &str, mut output: impl Write + Send + 'static) -> eyre::Result<()> {
     let (sender, receiver) = sync_channel::<String>(QUEUE_LINES);
     std::thread::Builder::new()
         .name("log".to_owned())
         .spawn(move || {
-            let mut output = std::io::stdout();
             for line in receiver {
                 // A reader that went away is no reason to stop serving.
                 let _ = output.write_all(line.as_bytes());
