Loads of former holders count for the weight store's bound

Change: the lease's row tells of recent loads with their engines, an engine's row tells of a load before it is ordered, and the next holder counts both. Copies that an engine no longer names are no longer counted on.

--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -14,6 +14,8 @@
 use gorsebank_world::NodeId;
 use serde::{Deserialize, Serialize};
 
+use crate::placement::RecentLoads;
+
 /// Part of the lease within which its holder gives orders.
 const ORDER_PART: f64 = 0.8;
 /// Part of the lease after which another node takes it.
@@ -34,6 +36,10 @@
     pub process: u64,
     /// Counts the writes of that process.
     pub write: u64,
+    /// Loads from the weight store of late, so that the next holder keeps the
+    /// bound on them.
+    #[serde(default, skip_serializing_if = "RecentLoads::is_empty")]
+    pub loads: RecentLoads,
 }
 
 /// What to do next.
@@ -72,6 +78,8 @@
     looked: Option<Timestamp>,
     sent: Timestamp,
     lost: Option<Timestamp>,
+    loads: RecentLoads,
+    former: Option<(LeaseRow, Timestamp)>,
 }
 
 impl LeaseKeeper {
@@ -89,6 +97,8 @@
             looked: None,
             sent: Timestamp(0),
             lost: None,
+            loads: RecentLoads::new(),
+            former: None,
         }
     }
 
@@ -106,6 +116,25 @@
         matches!(self.role, Role::Holder { .. })
     }
 
+    /// Loads that the next write tells of.
+    pub fn tell_loads(&mut self, loads: RecentLoads) {
+        self.loads = loads;
+    }
+
+    /// Loads that the former holder told of, aged to `now`.
+    pub fn former_loads(&self, now: Timestamp) -> RecentLoads {
+        let Some((row, read)) = &self.former else {
+            return RecentLoads::new();
+        };
+        let passed = now.since(*read);
+        let mut loads = row.loads.clone();
+        loads
+            .values_mut()
+            .flatten()
+            .for_each(|load| load.age += passed);
+        loads
+    }
+
     /// What to do next. `may_hold` is false on a node that is about to stop.
     pub fn step(&mut self, now: Timestamp, may_hold: bool) -> LeaseStep {
         if let Role::Holder { renewed, .. } = self.role {
@@ -156,6 +185,7 @@
             holder,
             process: self.process,
             write: self.writes,
+            loads: self.loads.clone(),
         };
         LeaseStep::Write { expected, row }
     }
@@ -168,6 +198,9 @@
             self.seen_since = now;
         }
         self.free = row.is_none_or(|row| self.is_left_behind(row));
+        if let Some(row) = row.filter(|row| row.process != self.process) {
+            self.former = Some((row.clone(), now));
+        }
         let own = row.filter(|row| row.process == self.process && row.holder.is_some());
         match own {
             Some(row) if row.write == self.writes => self.hold(version),
--- a/crates/fleet/src/placement/engine.rs
+++ b/crates/fleet/src/placement/engine.rs
@@ -304,7 +304,7 @@
                 return None;
             }
             if from_store {
-                pace.note(now);
+                pace.note(now, &self.observed.id);
             }
             let expected = self.load_time(&model, wanted);
             let goal = self.goal.as_mut()?;
@@ -412,8 +412,8 @@
         }
         let is_short = !report.busy || self.unloading.is_some();
         self.ask_at = now + if is_short { ADAPTER_POLL } else { LOAD_POLL };
-        self.observed.in_memory.extend(report.in_memory);
-        self.observed.on_disk.extend(report.on_disk);
+        self.observed.in_memory = report.in_memory;
+        self.observed.on_disk = report.on_disk;
         self.known = Some(Known {
             holdings: report.holdings,
             pending: report.pending,
--- a/crates/fleet/src/placement/mod.rs
+++ b/crates/fleet/src/placement/mod.rs
@@ -26,6 +26,7 @@
 use engine::EngineState;
 pub use engine::OrderResult;
 use pace::LoadPace;
+pub use pace::{LoadBound, RecentLoad};
 use totals::Totals;
 
 /// What an engine is ordered to do.
@@ -66,14 +67,39 @@
     pub reason: &'static str,
 }
 
+/// Loads from the weight store of late, by service.
+pub type RecentLoads = BTreeMap<ServiceId, Vec<RecentLoad>>;
+
 /// The holder's view and plans.
 #[derive(Debug, Default)]
 pub struct Planner {
     engines: BTreeMap<BackEndId, EngineState>,
     pace: BTreeMap<ServiceId, LoadPace>,
+    bound: LoadBound,
+    former: RecentLoads,
+    inherited: Vec<BackEndId>,
+    begun: Timestamp,
 }
 
 impl Planner {
+    /// A holder that begins at `now`. `former` are the loads that the lease's
+    /// row tells of.
+    pub fn new(now: Timestamp, bound: LoadBound, former: RecentLoads) -> Self {
+        Planner {
+            bound,
+            former,
+            begun: now,
+            ..Planner::default()
+        }
+    }
+
+    /// Loads of this holder and of those before it, for the next one.
+    pub fn recent_loads(&self, now: Timestamp) -> RecentLoads {
+        let paces = self.pace.iter();
+        let loads = paces.map(|(service, pace)| (service.clone(), pace.recent(now)));
+        loads.filter(|(_, loads)| !loads.is_empty()).collect()
+    }
+
     /// Takes in the back ends that discovery shows.
     pub fn observe(&mut self, now: Timestamp, reports: &[BackEndReport]) {
         self.engines
@@ -91,6 +117,9 @@
 
     /// A former holder's row: the engine is asked before anything else is done there.
     pub fn inherit(&mut self, id: &BackEndId, row: &PlacedRow) {
+        if row.loading.is_some() {
+            self.inherited.push(id.clone());
+        }
         if let Some(engine) = self.engines.get_mut(id) {
             engine.inherit(row);
         }
@@ -124,7 +153,15 @@
             .values_mut()
             .filter(|engine| engine.serves(service))
             .collect();
-        let pace = self.pace.entry(service.clone()).or_default();
+        let pace = self.pace.entry(service.clone()).or_insert_with(|| {
+            let former = self.former.get(service).map_or(&[][..], Vec::as_slice);
+            let mut pace = LoadPace::new(self.begun, self.bound, former);
+            // An engine that is gone by now may have begun its load all the same.
+            for engine in &self.inherited {
+                pace.note_unless_known(self.begun, engine);
+            }
+            pace
+        });
         goals::choose(now, spec, totals, &mut engines, pace);
         goals::assign_adapters(now, spec, totals, &mut engines);
         for engine in engines {
--- a/crates/fleet/tests/placement.rs
+++ b/crates/fleet/tests/placement.rs
@@ -111,6 +111,35 @@
     assert!(world.engines[1].holds(&model));
 }
 
+/// Found in a trial: a rolling stop changed the holder twice within a window,
+/// and each began as if it were the first.
+#[test]
+fn holders_that_follow_each_other_keep_the_bound_on_loads_together() {
+    for told in [0, 700] {
+        let mut world = World::new(12, &["m0"]);
+        let models: Vec<(usize, f64, u32, usize)> =
+            (1..12).map(|model| (model, 0.5, 3, 0)).collect();
+        let rows = vec![support::demand_row(&models)];
+        for now in (0..6_000).step_by(20) {
+            if now % 1_400 == 0 && now > 0 {
+                world.change_holder(now, told);
+            }
+            if now % 400 == 0 {
+                world.forget_models();
+            }
+            world.turn(now, &rows);
+        }
+        for start in &world.loads {
+            let within = |at: &&u64| **at >= *start && **at < start + 5_000;
+            let count = world.loads.iter().filter(within).count();
+            assert!(
+                count <= most_loads(),
+                "{count} loads, told {told} ms before"
+            );
+        }
+    }
+}
+
 #[test]
 fn adapters_of_a_busy_model_are_spread_over_its_replicas_without_doubles() {
     let mut world = World::new(2, &["m0"]);
@@ -157,7 +186,7 @@
         world.faults = faults;
         for now in (0..16_000u64).step_by(40) {
             if holder_changes.iter().any(|at| now <= *at && *at < now + 40) {
-                world.change_holder(now);
+                world.change_holder(now, 700);
             }
             for (engine, at) in &restarts {
                 if now <= *at && *at < now + 40 {
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -5,10 +5,10 @@
 use std::time::Duration;
 
 use gorsebank_coordination::Timestamp;
-use gorsebank_fleet::placement::{Action, ActionKind, OrderKind, OrderResult, Planner};
+use gorsebank_fleet::placement::{Action, ActionKind, LoadBound, OrderKind, OrderResult, Planner};
 use gorsebank_fleet::{
     BackEndReport, Configuration, DemandRow, Engine, EngineReport, Holdings, Limits, ModelDemand,
-    ModelSpec, Service,
+    ModelSpec, PlacedRow, Service,
 };
 use gorsebank_world::{AdapterId, BackEndId, ModelId, ServiceId};
 
@@ -296,6 +296,8 @@
     pub faults: Vec<u8>,
     /// An engine that answers nothing any more, while discovery still shows it.
     pub silent: Option<BackEndId>,
+    /// Rows of the table, those of engines that are gone among them.
+    published: BTreeMap<BackEndId, PlacedRow>,
     late: Vec<(u64, BackEndId, OrderKind, u64)>,
     orders: usize,
 }
@@ -312,6 +314,7 @@
             broken: Vec::new(),
             faults: Vec::new(),
             silent: None,
+            published: BTreeMap::new(),
             late: Vec::new(),
             orders: 0,
         }
@@ -343,10 +346,30 @@
         self.engines.iter().filter(holds).count()
     }
 
-    /// Another node takes over and knows nothing.
+    /// Another node takes over; it knows what the lease's row told `told` ago,
+    /// and the engines' rows.
     #[allow(dead_code)]
-    pub fn change_holder(&mut self, _now: u64) {
-        self.planner = Planner::default();
+    pub fn change_holder(&mut self, now: u64, told: u64) {
+        let mut loads = self.planner.recent_loads(Timestamp(now));
+        for loads in loads.values_mut() {
+            loads.retain(|load| load.age >= told);
+        }
+        let rows = std::mem::take(&mut self.published);
+        self.planner = Planner::new(Timestamp(now), LoadBound::default(), loads);
+        self.planner.observe(Timestamp(now), &self.reports());
+        for (id, row) in &rows {
+            self.planner.inherit(id, row);
+        }
+        self.published = rows;
+    }
+
+    /// Engines lose what they hold and finish what they do, so that loads are
+    /// wanted all the time.
+    #[allow(dead_code)]
+    pub fn forget_models(&mut self) {
+        for number in 0..self.engines.len() {
+            self.restart(number);
+        }
     }
 
     /// An engine starts anew: empty, with another name.
@@ -367,7 +390,10 @@
         self.carry_out_late(now);
         let reports = self.reports();
         self.planner.observe(Timestamp(now), &reports);
-        for action in self.planner.plan(Timestamp(now), &configuration(), rows) {
+        let actions = self.planner.plan(Timestamp(now), &configuration(), rows);
+        let written = self.planner.rows(Timestamp(now), 1);
+        self.published.extend(written);
+        for action in actions {
             self.carry_out(now, action);
         }
     }
--- a/crates/gateway/src/holder.rs
+++ b/crates/gateway/src/holder.rs
@@ -46,7 +46,8 @@
         let is_holder = keeper.lock().is_holder();
         if is_holder && !was_holder {
             note_lease(&shared, &keeper, "taken");
-            let placing = Placement::new(shared.clone(), keeper.clone()).run();
+            let loads = keeper.lock().former_loads(shared.now());
+            let placing = Placement::new(shared.clone(), keeper.clone(), loads).run();
             placement = Some(AbortOnDrop(tokio::spawn(placing)));
         }
         if was_holder && !is_holder {
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -15,7 +15,9 @@
 
 use gorsebank_contract::{Compare, Put, TableAnswer, Transaction};
 use gorsebank_coordination::Timestamp;
-use gorsebank_fleet::placement::{Action, ActionKind, OrderKind, OrderResult, Planner};
+use gorsebank_fleet::placement::{
+    Action, ActionKind, OrderKind, OrderResult, Planner, RecentLoads,
+};
 use gorsebank_fleet::{EngineReport, LeaseKeeper, PlacedRow};
 use gorsebank_world::BackEndId;
 use parking_lot::Mutex;
@@ -55,16 +57,16 @@
 
 impl Placement {
     /// Begins with nothing planned.
-    pub fn new(shared: Arc<Shared>, keeper: Arc<Mutex<LeaseKeeper>>) -> Self {
+    pub fn new(shared: Arc<Shared>, keeper: Arc<Mutex<LeaseKeeper>>, former: RecentLoads) -> Self {
         let (done, results) = mpsc::unbounded_channel();
         Placement {
-            shared,
             keeper,
-            planner: Planner::default(),
+            planner: Planner::new(shared.now(), shared.settings.bounds.loads, former),
             demand: Arc::default(),
             published: BTreeMap::new(),
             results,
             done,
+            shared,
         }
     }
 
@@ -136,6 +138,8 @@
         self.observe();
         let rows = self.demand.fresh(now);
         let actions = self.planner.plan(now, &configuration, &rows);
+        let loads = self.planner.recent_loads(now);
+        self.keeper.lock().tell_loads(loads);
         let unpublished = self.publish(now, fence).await;
         for action in actions {
             if unpublished.contains(&action.engine) {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use gorsebank_fleet::RetryShare;
+use gorsebank_fleet::placement::LoadBound;
 use gorsebank_world::{NodeId, ZoneId};
 
 /// Settings of one process.
@@ -37,6 +38,8 @@
 pub struct Bounds {
     /// The retry budget of all gateways.
     pub retries: RetryShare,
+    /// The bound on loads from the weight store.
+    pub loads: LoadBound,
     /// Length of the placement lease.
     pub lease: Duration,
     /// From a planned stop until the process is killed.
