--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -48,6 +48,9 @@
 const MORE_CONNECTION_HEADERS: [&str; 2] = ["keep-alive", "proxy-connection"];
 /// Part of the grace of a planned stop after which no stream is begun.
 const LAST_STREAM: f64 = 0.35;
+/// However long the grace is, callers have gone elsewhere by then, and a stream
+/// may last longer than what is left.
+const LAST_STREAM_LIMIT: Duration = Duration::from_millis(2_800);
 /// Part of the grace of a planned stop after which no other request is begun.
 const LAST_REQUEST: f64 = 0.69;
 
@@ -104,12 +107,12 @@
     /// that its answer can end before the process is killed.
     pub fn time_to_begin(&self) -> Option<Duration> {
         let since = self.shared.stopping_for()?;
+        let grace = self.shared.settings.bounds.grace;
         let last = if self.route.kind.is_stream() {
-            LAST_STREAM
+            grace.mul_f64(LAST_STREAM).min(LAST_STREAM_LIMIT)
         } else {
-            LAST_REQUEST
+            grace.mul_f64(LAST_REQUEST)
         };
-        let last = self.shared.settings.bounds.grace.mul_f64(last);
         Some(last.saturating_sub(Duration::from_millis(since)))
     }
 
