--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -77,6 +77,7 @@
         wish(call, &missing);
         let until = worth_waiting(call, &missing).ok_or_else(|| refuse(call, &missing))?;
         if waiting.is_none() {
+            log_wait(call, &missing, until);
             waiting = Waiting::begin(call);
         }
         // When time is up, the next turn decides by what is known then.
@@ -169,11 +170,35 @@
     call.refuse(reason, pause)
 }
 
-fn log_refusal(call: &Call, missing: &Missing, reason: &str, pause: Duration) {
-    let (expected, ordered) = match missing {
+fn log_wait(call: &Call, missing: &Missing, until: Instant) {
+    let (expected, ordered) = expected_load(missing);
+    let what = match missing {
+        Missing::Model(_) => "model",
+        Missing::Adapter => "adapter",
+        Missing::BackEnd => "back_end",
+    };
+    let fields = format_args!(
+        "request={} missing={what} expected_ms={expected} load_ordered={ordered} \
+         longest_ms={} objective_ms={} returning={} configuration={}",
+        call.ticket.id,
+        until.saturating_duration_since(Instant::now()).as_millis(),
+        call.route.objective.as_millis(),
+        call.returning,
+        call.configuration.version,
+    );
+    lines::write(Rank::Decision, "waiting", fields);
+}
+
+/// Milliseconds until the load is expected to end, and whether it is ordered.
+fn expected_load(missing: &Missing) -> (u128, bool) {
+    match missing {
         Missing::Model(load) => (load.time.as_millis(), load.ordered),
         Missing::Adapter | Missing::BackEnd => (0, false),
-    };
+    }
+}
+
+fn log_refusal(call: &Call, missing: &Missing, reason: &str, pause: Duration) {
+    let (expected, ordered) = expected_load(missing);
     let fields = format_args!(
         "request={} reason={reason} expected_ms={expected} load_ordered={ordered} \
          waited_ms={} objective_ms={} returning={} retry_after_ms={} configuration={}",
--- a/crates/gorsebank/src/commands/explain/cause.rs
+++ b/crates/gorsebank/src/commands/explain/cause.rs
@@ -9,8 +9,8 @@
 pub enum Cause {
     /// It was served.
     Served,
-    /// Nothing is known of its end.
-    NoEnd,
+    /// Nothing is known of its end; its last line, if there is one.
+    NoEnd(Option<String>),
     /// The gateway refused it, for the reason given.
     Refused(String),
     /// An attempt went wrong and it was not sent again.
@@ -29,7 +29,7 @@
 /// Finds the cause.
 pub fn find(own: &[&LogLine], context: &[&LogLine]) -> Cause {
     let Some(end) = own.iter().rev().find(|line| line.event == "request_end") else {
-        return Cause::NoEnd;
+        return Cause::NoEnd(own.last().map(|line| line.text.clone()));
     };
     let outcome = end.field("outcome").unwrap_or("unknown");
     if outcome == "served" {
@@ -63,9 +63,10 @@
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Cause::Served => write!(formatter, "it was served"),
-            Cause::NoEnd => write!(
+            Cause::NoEnd(last) => write!(
                 formatter,
-                "no line tells its end: the caller left, the process was killed, or the line was left out"
+                "no line tells its end: the process was killed, or the line was left out; last: {}",
+                last.as_deref().unwrap_or("nothing")
             ),
             Cause::Refused(line) => write!(formatter, "refused by the gateway: {line}"),
             Cause::Attempt {
--- a/crates/gorsebank/tests/explain.rs
+++ b/crates/gorsebank/tests/explain.rs
@@ -4,6 +4,7 @@
 use std::process::Command;
 
 const LOG: &str = "\
+time_ms=800 node=n3 left_out=0 event=waiting request=r4 missing=model expected_ms=4800
 time_ms=900 node=n1 left_out=0 event=back_end_gone back_end=i-1 version=7
 garbage \u{fffd}
 time_ms=1000 node=n1 left_out=0 event=chosen request=r1 back_end=i-1 eligible=1 in_flight=0
@@ -53,6 +54,16 @@
     assert!(told.contains("LoadModel(m1)"), "{told}");
 }
 
+#[test]
+fn a_request_whose_gateway_was_killed_is_told_with_its_last_line() {
+    let told = explain("r4");
+    assert!(told.contains("the process was killed"), "{told}");
+    assert!(
+        told.contains("last: event=waiting request=r4 missing=model"),
+        "{told}"
+    );
+}
+
 #[test]
 fn a_served_request_and_an_unknown_one_are_told_apart() {
     assert!(explain("r3").contains("cause: it was served"));
