One builder for a conditional write; take out what nothing uses

The write of one row on the condition of its version stood three times (lease, demand, what was ordered): Transaction::put_if. The holder's pause after a lost call stood three times. Unused: a count of retries, two parameters; a map that was a set is one.

--- a/crates/contract/src/table.rs
+++ b/crates/contract/src/table.rs
@@ -46,6 +46,21 @@
     pub reads: Vec<String>,
 }
 
+impl Transaction {
+    /// Writes one row if the table revision that last wrote it is `modified`
+    /// (0: the row must not exist).
+    pub fn put_if(key: String, modified: u64, value: String) -> Self {
+        Transaction {
+            compares: vec![Compare {
+                key: key.clone(),
+                modified,
+            }],
+            puts: vec![Put { key, value }],
+            reads: Vec::new(),
+        }
+    }
+}
+
 /// A row read from the table.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TableRow {
--- a/crates/fleet/src/placement/engine.rs
+++ b/crates/fleet/src/placement/engine.rs
@@ -107,7 +107,7 @@
     }
 
     /// Takes in a newer row of discovery.
-    pub fn observe(&mut self, _now: Timestamp, report: &BackEndReport) {
+    pub fn observe(&mut self, report: &BackEndReport) {
         self.observed = report.clone();
     }
 
--- a/crates/fleet/src/placement/goals.rs
+++ b/crates/fleet/src/placement/goals.rs
@@ -248,12 +248,7 @@
 }
 
 /// Gives each adapter that requests wait for to the engine with most room.
-pub fn assign_adapters(
-    _now: Timestamp,
-    spec: &Engine,
-    totals: &Totals,
-    engines: &mut [&mut EngineState],
-) {
+pub fn assign_adapters(spec: &Engine, totals: &Totals, engines: &mut [&mut EngineState]) {
     for engine in engines.iter_mut() {
         engine.clear_adapters();
     }
--- a/crates/fleet/src/placement/mod.rs
+++ b/crates/fleet/src/placement/mod.rs
@@ -106,7 +106,7 @@
             .retain(|id, _| reports.iter().any(|report| report.id == *id));
         for report in reports {
             match self.engines.get_mut(&report.id) {
-                Some(engine) => engine.observe(now, report),
+                Some(engine) => engine.observe(report),
                 None => {
                     let engine = EngineState::new(now, report.clone());
                     self.engines.insert(report.id.clone(), engine);
@@ -163,7 +163,7 @@
             pace
         });
         goals::choose(now, spec, totals, &mut engines, pace);
-        goals::assign_adapters(now, spec, totals, &mut engines);
+        goals::assign_adapters(spec, totals, &mut engines);
         for engine in engines {
             if let Some(action) = engine.next_action(now, spec, totals, pace) {
                 actions.push(action);
--- a/crates/fleet/src/retry_window.rs
+++ b/crates/fleet/src/retry_window.rs
@@ -62,11 +62,6 @@
         allowed
     }
 
-    /// Retries within the window.
-    pub fn spent(&self) -> usize {
-        self.retries.len()
-    }
-
     fn expire(&mut self, now: Timestamp) {
         let window = self.share.window;
         for times in [&mut self.requests, &mut self.retries] {
--- a/crates/gateway/src/back_end.rs
+++ b/crates/gateway/src/back_end.rs
@@ -4,7 +4,7 @@
 //! after a whole answer that matched its request. Whatever is in doubt is
 //! closed, which also cancels the request at the back end.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
@@ -48,7 +48,7 @@
     idle: Mutex<Vec<Connection>>,
     health: Mutex<Health>,
     absent: Mutex<HashMap<(ModelId, Option<AdapterId>), Timestamp>>,
-    warm_parts: Mutex<HashMap<(ModelId, String), ()>>,
+    warm_parts: Mutex<HashSet<(ModelId, String)>>,
 }
 
 /// An open connection to a back end. Dropping it closes it at once.
@@ -90,7 +90,7 @@
             idle: Mutex::new(Vec::new()),
             health: Mutex::new(Health::default()),
             absent: Mutex::new(HashMap::new()),
-            warm_parts: Mutex::new(HashMap::new()),
+            warm_parts: Mutex::default(),
         }
     }
 
@@ -140,13 +140,13 @@
     /// It is being sent a prompt with this shared part.
     pub fn note_prompt(&self, model: &ModelId, part: &str) {
         let key = (model.clone(), part.to_owned());
-        self.warm_parts.lock().insert(key, ());
+        self.warm_parts.lock().insert(key);
     }
 
     /// Whether it was sent a prompt with this shared part.
     pub fn has_prompt(&self, model: &ModelId, part: &str) -> bool {
         let parts = self.warm_parts.lock();
-        !parts.is_empty() && parts.contains_key(&(model.clone(), part.to_owned()))
+        !parts.is_empty() && parts.contains(&(model.clone(), part.to_owned()))
     }
 
     /// A kept connection that is ready, if there is one.
--- a/crates/gateway/src/demand_rows.rs
+++ b/crates/gateway/src/demand_rows.rs
@@ -12,9 +12,8 @@
 
 use crate::ports::RowChange;
 use crate::shared::Shared;
+use crate::watch::LOST_PAUSE;
 
-/// Pause after a call of the table without an answer.
-const LOST_PAUSE: Duration = Duration::from_millis(200);
 /// Longest wait for a change of demand, in one call.
 const DEMAND_WAIT: Duration = Duration::from_millis(2_000);
 /// Demand that nobody has renewed counts for so long, in milliseconds.
--- a/crates/gateway/src/demand_writer.rs
+++ b/crates/gateway/src/demand_writer.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use gorsebank_contract::{Compare, Put, TableAnswer, Transaction};
+use gorsebank_contract::{TableAnswer, Transaction};
 use gorsebank_fleet::{DemandRow, ModelDemand};
 use tokio::time::{Instant, sleep, timeout};
 
@@ -93,17 +93,7 @@
         let Ok(value) = serde_json::to_string(&row) else {
             return;
         };
-        let transaction = Transaction {
-            compares: vec![Compare {
-                key: self.key.clone(),
-                modified: self.version.unwrap_or(0),
-            }],
-            puts: vec![Put {
-                key: self.key.clone(),
-                value,
-            }],
-            reads: Vec::new(),
-        };
+        let transaction = Transaction::put_if(self.key.clone(), self.version.unwrap_or(0), value);
         match self.shared.platform.table().transact(transaction).await {
             TableAnswer::Committed { revision, .. } => {
                 self.version = Some(revision);
--- a/crates/gateway/src/holder.rs
+++ b/crates/gateway/src/holder.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use gorsebank_contract::{Compare, Put, TableAnswer, Transaction};
+use gorsebank_contract::{TableAnswer, Transaction};
 use gorsebank_fleet::{LeaseKeeper, LeaseRow, LeaseStep};
 use parking_lot::Mutex;
 use tokio::time::sleep;
@@ -14,14 +14,13 @@
 use crate::lines::{self, Rank};
 use crate::placement::Placement;
 use crate::shared::Shared;
+use crate::watch::LOST_PAUSE;
 
 /// Part of the deployment's bound on turns of holders that a lease lasts: the
 /// next holder begins sooner, and cool-down keeps turns apart.
 const LEASE_PART: f64 = 0.7;
 /// The lease is looked after at least this often.
 const LONGEST_STEP: Duration = Duration::from_millis(250);
-/// Pause after a call of the table without an answer.
-const LOST_PAUSE: Duration = Duration::from_millis(200);
 /// Keeps the lease until the process ends; places models whenever it has it.
 pub async fn run(shared: Arc<Shared>) {
     let process: u64 = rand::random();
@@ -90,15 +89,7 @@
     let Ok(value) = serde_json::to_string(&row) else {
         return;
     };
-    let key = lease_key(shared);
-    let transaction = Transaction {
-        compares: vec![Compare {
-            key: key.clone(),
-            modified: expected,
-        }],
-        puts: vec![Put { key, value }],
-        reads: Vec::new(),
-    };
+    let transaction = Transaction::put_if(lease_key(shared), expected, value);
     match shared.platform.table().transact(transaction).await {
         TableAnswer::Committed { revision, .. } => {
             keeper.lock().written(shared.now(), revision, &row);
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -13,7 +13,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use gorsebank_contract::{Compare, Put, TableAnswer, Transaction};
+use gorsebank_contract::{TableAnswer, Transaction};
 use gorsebank_coordination::Timestamp;
 use gorsebank_fleet::placement::{
     Action, ActionKind, OrderKind, OrderResult, Planner, RecentLoads,
@@ -30,10 +30,8 @@
 use crate::orders;
 use crate::ports::FencedOrder;
 use crate::shared::Shared;
-use crate::watch::row_name;
+use crate::watch::{LOST_PAUSE, row_name};
 
-/// Pause after a call of the table without an answer.
-const LOST_PAUSE: Duration = Duration::from_millis(200);
 /// Plans are made at least this often.
 const PLAN_PAUSE: Duration = Duration::from_millis(100);
 
@@ -171,17 +169,7 @@
             return false;
         };
         let key = format!("{}/{id}", self.shared.platform.tables().placed);
-        let transaction = Transaction {
-            compares: vec![Compare {
-                key: key.clone(),
-                modified: version,
-            }],
-            puts: vec![Put {
-                key: key.clone(),
-                value,
-            }],
-            reads: Vec::new(),
-        };
+        let transaction = Transaction::put_if(key.clone(), version, value);
         match self.shared.platform.table().transact(transaction).await {
             TableAnswer::Committed { revision, .. } => {
                 self.published.insert(id.clone(), (row, revision));
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -19,6 +19,8 @@
 
 /// Longest wait for a change, in one call.
 const WAIT: Duration = Duration::from_millis(2_000);
+/// Pause of the placement holder after a call of the table without an answer.
+pub const LOST_PAUSE: Duration = Duration::from_millis(200);
 /// First pause after a call without an answer.
 const FIRST_PAUSE: Duration = Duration::from_millis(60);
 /// Longest such pause.
