--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -125,6 +125,8 @@
         sender,
         first_event: None,
         events: 0,
+        last_passed: None,
+        longest_pause: Duration::ZERO,
         _running: running,
     };
     tokio::spawn(relay.run(answer));
@@ -152,6 +154,8 @@
     last_event: Option<String>,
     first_event: Option<Duration>,
     events: u64,
+    last_passed: Option<Instant>,
+    longest_pause: Duration,
     _running: Running,
 }
 
@@ -226,8 +230,12 @@
 
     fn note_event(&mut self, id: Option<String>) {
         self.events += 1;
-        let arrived = self.call.arrived;
-        self.first_event.get_or_insert_with(|| arrived.elapsed());
+        let now = Instant::now();
+        let since_arrival = now - self.call.arrived;
+        self.first_event.get_or_insert(since_arrival);
+        if let Some(last) = self.last_passed.replace(now) {
+            self.longest_pause = self.longest_pause.max(now - last);
+        }
         if id.is_some() {
             self.last_event = id;
         }
@@ -292,10 +300,11 @@
 
     fn end(&self, outcome: &str, back_end: &str) {
         let fields = format_args!(
-            "request={} events={} first_event_ms={}",
+            "request={} events={} first_event_ms={} longest_pause_ms={}",
             self.call.ticket.id,
             self.events,
-            self.first_event.unwrap_or_default().as_millis()
+            self.first_event.unwrap_or_default().as_millis(),
+            self.longest_pause.as_millis(),
         );
         let rank = if outcome == "served" {
             Rank::Served
