Placement: a goal whose room is late is given to another engine

Ruled out: the pace of loads (it allowed more at the time), the lease (held), lost orders (one order had no answer, and was repeated after 0.5 s).

Change: a goal that waits more than a second for its room, or whose load overruns by two, no longer counts as coming; another engine may be chosen, and the late goal is left. Engines are compared by what leaves and by what the wish loses until it is fulfilled there: a copy in memory or on disk and a model without runs count. Demand rows are also written when a model's runs begin or end.

Three tests, red before.

--- a/crates/fleet/src/placement/engine.rs
+++ b/crates/fleet/src/placement/engine.rs
@@ -31,6 +31,10 @@
 const ADAPTERS_IN_TRANSIT: usize = 4;
 /// A goal that was not reached in this time is given up, in milliseconds.
 const GOAL_LIFETIME: u64 = 15_000;
+/// A goal that has waited so long for an unload to end is late, in milliseconds.
+const ROOM_PATIENCE: u64 = 1_000;
+/// A load that lasts so much longer than expected is late, in milliseconds.
+const LOAD_PATIENCE: u64 = 2_000;
 /// A row is kept up for this long after the last change, in milliseconds.
 const ROW_LIFETIME: u64 = 5_000;
 
@@ -70,6 +74,19 @@
     pub ready_at: Timestamp,
     /// Models that may leave for it, the cheapest first.
     pub victims: Vec<ModelId>,
+    /// Whether its load was ordered.
+    loading: bool,
+}
+
+impl Goal {
+    /// Whether nothing speaks for it being reached soon: the room for it is long
+    /// in coming, since an unload waits for its runs, or the load does not end.
+    fn is_late(&self, now: Timestamp) -> bool {
+        if self.loading {
+            return now.since(self.ready_at) > LOAD_PATIENCE;
+        }
+        now.since(self.since) > ROOM_PATIENCE
+    }
 }
 
 /// One engine.
@@ -148,9 +165,20 @@
         }
     }
 
-    /// The model that is wanted here, if any.
-    pub fn goal(&self) -> Option<&Goal> {
-        self.goal.as_ref()
+    /// Whether the model is wanted here and expected soon.
+    pub fn expects(&self, now: Timestamp, model: &ModelId) -> bool {
+        let goal = self.goal.as_ref().filter(|goal| goal.model == *model);
+        goal.is_some_and(|goal| !goal.is_late(now))
+    }
+
+    /// The model will be loaded elsewhere: a late goal is given up unless its
+    /// load was ordered.
+    pub fn leave_to_another(&mut self, now: Timestamp, model: &ModelId) {
+        let overtaken = |goal: &Goal| goal.model == *model && !goal.loading && goal.is_late(now);
+        if !self.in_flight && self.goal.as_ref().is_some_and(overtaken) {
+            self.changed = Some(now);
+            self.goal = None;
+        }
     }
 
     /// Whether a new goal may be set.
@@ -174,6 +202,7 @@
             since: now,
             ready_at: now + expected.as_millis() as u64,
             victims,
+            loading: false,
         });
     }
 
@@ -309,6 +338,7 @@
             let expected = self.load_time(&model, wanted);
             let goal = self.goal.as_mut()?;
             goal.ready_at = now + expected.as_millis() as u64;
+            goal.loading = true;
             return Some((OrderKind::LoadModel(model), "demand"));
         }
         let held = self.holdings();
--- a/crates/fleet/src/placement/goals.rs
+++ b/crates/fleet/src/placement/goals.rs
@@ -38,6 +38,13 @@
 const PRIOR_WORTH: f64 = 0.1;
 /// A load from the weight store costs so much, in requests a second.
 const STORE_LOAD_COST: f64 = 0.02;
+/// Time over which what leaves is weighed against what comes: a load that ends
+/// a part of it later is worth that part less.
+const HORIZON: Duration = Duration::from_secs(10);
+/// An unload of a model with runs waits for their ends, so long as a rule.
+const RUNS_TIME: Duration = Duration::from_millis(2_500);
+/// An unload of a model without runs is seen to be done after this time.
+const UNLOAD_TIME: Duration = Duration::from_millis(300);
 
 /// Replicas by model, counted once a plan.
 struct Replicas(BTreeMap<ModelId, usize>);
@@ -74,7 +81,7 @@
 ) {
     doubt_silent_engines(now, totals, engines);
     let replicas = Replicas::count(engines);
-    for wish in wishes(spec, totals, engines, &replicas) {
+    for wish in wishes(now, spec, totals, engines, &replicas) {
         if !pace.allows(now, spec.loads_per_second) {
             return;
         }
@@ -94,6 +101,7 @@
 }
 
 fn wishes(
+    now: Timestamp,
     spec: &Engine,
     totals: &Totals,
     engines: &[&mut EngineState],
@@ -104,7 +112,7 @@
         .filter(|(model, _)| spec.models.contains_key(model))
         .filter_map(|(model, demand)| {
             let replicas = replicas.of(model);
-            let coming = coming(engines, model);
+            let coming = coming(now, engines, model);
             let worth = if replicas + coming == 0 {
                 demand.rate + WAITING_WORTH * f64::from(demand.waiting)
             } else if coming == 0 && is_crowded(spec, demand, replicas) {
@@ -129,13 +137,10 @@
     running > REPLICA_LOAD * slots || adapters > ADAPTER_CROWD * places
 }
 
-fn coming(engines: &[&mut EngineState], model: &ModelId) -> usize {
-    let aims = |engine: &&&mut EngineState| {
-        engine
-            .goal()
-            .is_some_and(|goal| goal.model == *model && !engine.keeps(model))
-    };
-    engines.iter().filter(aims).count()
+/// Engines that will soon have the model. One where it is late does not count.
+fn coming(now: Timestamp, engines: &[&mut EngineState], model: &ModelId) -> usize {
+    let expects = |engine: &&&mut EngineState| engine.expects(now, model) && !engine.keeps(model);
+    engines.iter().filter(expects).count()
 }
 
 fn place(
@@ -157,22 +162,32 @@
                 make_room(spec, totals, engines[index], replicas, wish, wanted),
             )
         })
-        .min_by(|one, other| one.1.loss.total_cmp(&other.1.loss));
+        .min_by(|one, other| one.1.cost(wish).total_cmp(&other.1.cost(wish)));
     let Some((index, room)) = best else {
         return;
     };
     if wish.worth > room.loss * ADVANTAGE {
-        let expected = engines[index].load_time(&wish.model, wanted);
-        engines[index].aim(now, wish.model.clone(), expected, room.victims);
+        engines
+            .iter_mut()
+            .for_each(|engine| engine.leave_to_another(now, &wish.model));
+        engines[index].aim(now, wish.model.clone(), room.delay, room.victims);
     }
 }
 
 /// What has to leave an engine, and what that costs in requests a second.
 struct Room {
     loss: f64,
+    delay: Duration,
     victims: Vec<ModelId>,
 }
 
+impl Room {
+    /// What leaves, and what the wish loses until it is fulfilled here.
+    fn cost(&self, wish: &Wish) -> f64 {
+        self.loss + wish.worth * self.delay.as_secs_f64() / HORIZON.as_secs_f64()
+    }
+}
+
 fn make_room(
     spec: &Engine,
     totals: &Totals,
@@ -193,25 +208,35 @@
     costs.sort_by(|one, other| one.0.total_cmp(&other.0));
     let from_store = !engine.has_copy(&wish.model);
     let mut loss = if from_store { STORE_LOAD_COST } else { 0.0 };
-    loss += cost_of_blocking(
-        totals,
-        engine,
-        replicas,
-        engine.load_time(&wish.model, wanted),
-    );
+    let load = engine.load_time(&wish.model, wanted);
+    loss += cost_of_blocking(totals, engine, replicas, load);
     let mut victims = Vec::new();
+    let mut delay = load;
     for (cost, memory, model) in costs {
         if missing <= 0.0 {
             break;
         }
         loss += cost;
         missing -= memory;
+        delay += unload_time(totals, model);
         victims.push(model.clone());
     }
     if missing > 0.0 {
         loss = f64::INFINITY;
     }
-    Room { loss, victims }
+    Room {
+        loss,
+        delay,
+        victims,
+    }
+}
+
+fn unload_time(totals: &Totals, model: &ModelId) -> Duration {
+    if totals.running(model) > 0 {
+        RUNS_TIME
+    } else {
+        UNLOAD_TIME
+    }
 }
 
 /// An engine that loads a model takes no adapters meanwhile.
--- a/crates/fleet/tests/placement.rs
+++ b/crates/fleet/tests/placement.rs
@@ -111,6 +111,68 @@
     assert!(world.engines[1].holds(&model));
 }
 
+/// Found on tks-indoor, scale-1 --seed 408700769278: the room for a model in
+/// demand was to be made by an unload that waited ten seconds for its runs, and
+/// the model was loaded nowhere else meanwhile.
+#[test]
+fn a_model_whose_room_is_long_in_coming_is_loaded_elsewhere() {
+    let mut world = World::new(2, &["m0", "m1", "m2"]);
+    world.engines[0].unload_time = 12_000;
+    world.engines[1] = EngineModel::new(1, &["m3", "m4", "m5"]);
+    let served = [("m3", 0.4, 0), ("m4", 0.4, 0), ("m5", 0.4, 0)];
+    let rows = vec![demand(&served), demand(&[("m0", 0.4, 0), ("m7", 4.0, 2)])];
+    for now in (0..5_000).step_by(50) {
+        world.turn(now, &rows);
+    }
+    assert!(world.engines[1].holds(&"m7".into()));
+    for now in (5_000..20_000).step_by(50) {
+        world.turn(now, &rows);
+    }
+    assert_eq!(world.holders("m7"), 1, "the first goal was given up");
+}
+
+/// An unload waits for the runs of its model, so one without runs leaves first.
+#[test]
+fn room_is_made_where_nothing_runs() {
+    let mut world = World::new(2, &["m0", "m1", "m2"]);
+    world.engines[1] = EngineModel::new(1, &["m3", "m4", "m5"]);
+    let rows = vec![support::running(&[
+        ("m0", 0.5, 2),
+        ("m1", 0.5, 2),
+        ("m2", 0.3, 1),
+        ("m3", 0.5, 2),
+        ("m4", 0.5, 2),
+        ("m5", 0.6, 0),
+        ("m7", 6.0, 0),
+    ])];
+    for now in (0..1_000).step_by(50) {
+        world.turn(now, &rows);
+    }
+    assert_eq!(world.holders("m2"), 1, "it runs");
+    assert_eq!(world.holders("m5"), 0, "it costs more, and leaves at once");
+}
+
+/// A copy in an engine's memory serves seconds sooner than the weight store.
+#[test]
+fn a_model_is_loaded_where_the_engine_has_a_copy() {
+    let mut world = World::new(2, &["m0", "m1", "m2"]);
+    world.engines[1] = EngineModel::new(1, &["m3", "m4", "m5"]);
+    world.engines[1].copies = vec!["m7".into()];
+    let rows = vec![demand(&[
+        ("m0", 1.0, 0),
+        ("m1", 1.0, 0),
+        ("m2", 0.3, 0),
+        ("m3", 1.0, 0),
+        ("m4", 1.0, 0),
+        ("m5", 0.6, 0),
+        ("m7", 6.0, 2),
+    ])];
+    for now in (0..3_000).step_by(50) {
+        world.turn(now, &rows);
+    }
+    assert!(world.engines[1].holds(&"m7".into()));
+}
+
 /// Found in a trial: a rolling stop changed the holder twice within a window,
 /// and each began as if it were the first.
 #[test]
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -41,8 +41,8 @@
                     Vec::new()
                 },
                 load: Duration::from_millis(LOAD_TIME),
-                load_from_memory: Duration::from_millis(LOAD_TIME),
-                load_from_disk: Duration::from_millis(LOAD_TIME),
+                load_from_memory: Duration::from_millis(LOAD_TIME / 4),
+                load_from_disk: Duration::from_millis(LOAD_TIME / 2),
             };
             (ModelId::from(format!("m{number}")), spec)
         })
@@ -95,6 +95,21 @@
     row_of(models.collect())
 }
 
+/// Demand by model: its name, requests a second, running requests.
+#[allow(dead_code)]
+pub fn running(models: &[(&str, f64, u32)]) -> DemandRow {
+    let models = models.iter().map(|(model, rate, running)| {
+        let demand = ModelDemand {
+            rate: *rate,
+            urgent_rate: *rate,
+            running: *running,
+            ..ModelDemand::default()
+        };
+        (ModelId::from(*model), demand)
+    });
+    row_of(models.collect())
+}
+
 /// Demand by model: its number, requests a second, waiting requests, missing adapters.
 #[allow(dead_code)]
 pub fn demand_row(models: &[(usize, f64, u32, usize)]) -> DemandRow {
@@ -127,6 +142,10 @@
     work: Option<Work>,
     sequence: u64,
     starts: u32,
+    /// Time in which the runs of a model that is to be unloaded end.
+    pub unload_time: u64,
+    /// Models of which it has a copy in host memory.
+    pub copies: Vec<ModelId>,
     history: VecDeque<(u64, EngineReport)>,
 }
 
@@ -143,6 +162,8 @@
             work: None,
             sequence: 0,
             starts: 0,
+            unload_time: UNLOAD_TIME,
+            copies: Vec::new(),
             history: VecDeque::new(),
         }
     }
@@ -209,6 +230,7 @@
                 .collect(),
             busy: self.work.is_some(),
             sequence: self.sequence,
+            in_memory: self.copies.iter().cloned().collect(),
             ..EngineReport::default()
         }
     }
@@ -257,7 +279,7 @@
                 return OrderResult::InForce;
             }
             OrderKind::LoadModel(_) => self.begin(order, now + LOAD_TIME),
-            OrderKind::UnloadModel(_) => self.begin(order, now + UNLOAD_TIME),
+            OrderKind::UnloadModel(_) => self.begin(order, now + self.unload_time),
             OrderKind::LoadAdapter(model, adapter) => {
                 let key = (model.clone(), adapter.clone(), now + ADAPTER_TIME);
                 self.pending.push(key);
@@ -332,7 +354,7 @@
                 slots: 64,
                 draining: false,
                 holdings: engine.holdings.clone(),
-                in_memory: Default::default(),
+                in_memory: engine.copies.iter().cloned().collect(),
                 on_disk: Default::default(),
             })
             .collect()
--- a/crates/gateway/src/demand_writer.rs
+++ b/crates/gateway/src/demand_writer.rs
@@ -125,5 +125,6 @@
     let change = (former.rate - demand.rate).abs();
     change > SAME_RATE * former.rate.max(0.2)
         || (former.waiting == 0) != (demand.waiting == 0)
+        || (former.running == 0) != (demand.running == 0)
         || former.missing_adapters != demand.missing_adapters
 }
