Choice of back end: how long its streams pause while it reads the prompt

All streams of an engine paused at the same moment: a prompt of 4,000 tokens is read between two events, and on engines that are slower by 1.3 that takes longer than callers accept. Ruled out: loads and adapters at the engine (none at those moments), our own delay (all gateways saw the same pause).

Change: gateways fit how slow an engine is and how long it reads a token from the events and first events of streams, nothing of it from the configuration, and a back end whose streams would pause for long costs more. Prompts are kept as parts with tokens, by adapter too, and the memory of parts sent is bounded (it grew without end before).

--- a/crates/fleet/src/choice.rs
+++ b/crates/fleet/src/choice.rs
@@ -10,6 +10,10 @@
 const FAILURE_WEIGHT: f64 = 8.0;
 /// A back end that has read the prompt's shared part before costs this much less.
 const WARM_PROMPT_FACTOR: f64 = 0.7;
+/// From this part of the pause objective on, a stall of running streams counts.
+const STALL_FROM: f64 = 0.75;
+/// Weight of a stall, for each pause objective over that.
+const STALL_WEIGHT: f64 = 20.0;
 /// Width of the random factor that breaks ties.
 const JITTER: f64 = 0.1;
 
@@ -28,6 +32,9 @@
     pub warm_prompt: bool,
     /// Whether a kept connection to it is at hand.
     pub connected: bool,
+    /// For how long its streams pause while it reads the prompt, as a part of
+    /// the pause objective; 0 if that is not known.
+    pub stall: f64,
 }
 
 /// The expected cost of one more request.
@@ -47,9 +54,10 @@
     } else {
         CONNECT_FACTOR
     };
+    let stall = 1.0 + STALL_WEIGHT * (candidate.stall - STALL_FROM).max(0.0);
     let failures = 1.0 + FAILURE_WEIGHT * candidate.failure_rate;
     let load = f64::from(candidate.in_flight) + 1.0;
-    load * zone * prompt * connect * failures * candidate.relative_latency
+    load * zone * prompt * connect * stall * failures * candidate.relative_latency
 }
 
 /// The index of the cheapest candidate; nearly equal ones are chosen by chance.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -14,6 +14,8 @@
 pub mod health;
 pub mod lease;
 pub mod placement;
+pub mod prompt;
+pub mod reading;
 pub mod retry_window;
 pub mod split;
 
@@ -21,4 +23,6 @@
 pub use configuration::{Configuration, Engine, Limits, ModelSpec, RequestKind, Route, Service};
 pub use demand::{Demand, DemandRow, ModelDemand};
 pub use lease::{LeaseKeeper, LeaseRow, LeaseStep};
+pub use prompt::{KeptParts, Prompt, PromptPart};
+pub use reading::{ReadingModel, Slowness};
 pub use retry_window::{RetryShare, RetryWindow};
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use gorsebank_coordination::Timestamp;
+use gorsebank_fleet::ReadingModel;
 use gorsebank_fleet::choice::{Candidate, cheapest};
 use gorsebank_world::{AdapterId, BackEndId, ModelId};
 use tokio::time::{Instant, timeout_at};
@@ -326,10 +327,7 @@
     let candidates = candidates(call, now, eligible);
     let index = cheapest(&candidates, &mut rand::rng())?;
     let chosen = eligible[index].clone();
-    if let (Some(model), Some(part)) = (&call.ticket.model, call.ticket.shared_parts.last()) {
-        chosen.note_prompt(model, part);
-    }
-    log_choice(call, &chosen, eligible.len());
+    log_choice(call, &chosen, candidates.len(), candidates[index].stall);
     Some(chosen)
 }
 
@@ -350,6 +348,7 @@
             relative_latency: relative(latency, mean),
             warm_prompt: has_warm_prompt(call, back_end),
             connected: back_end.has_connection(),
+            stall: stall(call, back_end),
         })
         .collect()
 }
@@ -361,23 +360,36 @@
     }
 }
 
+/// Whether the back end was sent all the shared parts of the prompt before.
 fn has_warm_prompt(call: &Call, back_end: &BackEnd) -> bool {
-    match (&call.ticket.model, call.ticket.shared_parts.last()) {
-        (Some(model), Some(part)) => back_end.has_prompt(model, part),
-        _ => false,
-    }
+    let prompt = &call.ticket.prompt;
+    !prompt.shared.is_empty() && back_end.fresh_tokens(&call.ticket) == prompt.own_tokens
+}
+
+/// For how long the back end's streams would pause, as a part of the pause objective.
+fn stall(call: &Call, back_end: &BackEnd) -> f64 {
+    let (Some(model), Some(objective)) = (&call.ticket.model, call.route.pause_objective) else {
+        return 0.0;
+    };
+    let tokens = back_end.fresh_tokens(&call.ticket) + back_end.unread_tokens();
+    let slowness = back_end.slowness();
+    let read = |known: &mut ReadingModel| known.time(model, slowness, tokens);
+    let time = call.shared.reading(&call.service, read).unwrap_or(0.0);
+    time / (objective.as_secs_f64() * 1_000.0).max(1.0)
 }
 
-fn log_choice(call: &Call, chosen: &BackEnd, eligible: usize) {
+fn log_choice(call: &Call, chosen: &BackEnd, eligible: usize, stall: f64) {
     let health = chosen.health();
     let fields = format_args!(
-        "request={} back_end={} eligible={eligible} in_flight={} latency_ms={:.0} waited_ms={} priority={}",
+        "request={} back_end={} eligible={eligible} in_flight={} latency_ms={:.0} waited_ms={} priority={} \
+         fresh_tokens={} stall={stall:.2}",
         call.ticket.id,
         chosen.id,
         chosen.in_flight(),
         health.latency().unwrap_or(0.0),
         call.arrived.elapsed().as_millis(),
         call.route.priority,
+        chosen.fresh_tokens(&call.ticket),
     );
     lines::write(Rank::Served, "chosen", fields);
 }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -18,7 +18,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::attempts::{Attempts, CONNECTION_LOST};
-use crate::back_end::{BackEnd, Connection, InFlight};
+use crate::back_end::{BackEnd, Connection, InFlight, Reading};
 use crate::directory::Directory;
 use crate::lines::{self, Rank};
 use crate::ports::{AnswerMarks, AttemptHead};
@@ -43,6 +43,7 @@
     pub back_end: Arc<BackEnd>,
     connection: Connection,
     in_flight: InFlight,
+    reading: Option<Reading>,
     sent: Instant,
 }
 
@@ -66,7 +67,10 @@
     patience: Duration,
     attempts: &mut Attempts,
 ) -> AttemptEnd {
-    let in_flight = back_end.begin();
+    let work = Work {
+        in_flight: back_end.begin(),
+        reading: back_end.begin_reading(call.shared.now(), &call.ticket),
+    };
     let sent = Instant::now();
     let mut sending = Sending {
         call,
@@ -75,7 +79,7 @@
         patience,
         attempts,
     };
-    let end = sending.send(in_flight).await;
+    let end = sending.send(work).await;
     let result = match &end {
         AttemptEnd::Answered(answer) => {
             call.shared.metrics.answered(sent.elapsed());
@@ -102,6 +106,12 @@
     end
 }
 
+/// What a back end has to do for an attempt.
+struct Work {
+    in_flight: InFlight,
+    reading: Reading,
+}
+
 /// One attempt under way.
 struct Sending<'a> {
     call: &'a Call,
@@ -112,14 +122,14 @@
 }
 
 impl Sending<'_> {
-    async fn send(&mut self, in_flight: InFlight) -> AttemptEnd {
+    async fn send(&mut self, work: Work) -> AttemptEnd {
         for _ in 0..KEPT_TRIES {
             let Some(connection) = self.back_end.kept_connection() else {
                 break;
             };
             match self.exchange(connection).await {
                 Exchange::Unsent => {}
-                end => return self.conclude(end, in_flight),
+                end => return self.conclude(end, work),
             }
         }
         let connecting = timeout_at(self.call.deadline, self.back_end.connect()).await;
@@ -128,17 +138,17 @@
             return AttemptEnd::NotSent("not_connected");
         };
         let end = self.exchange(connection).await;
-        self.conclude(end, in_flight)
+        self.conclude(end, work)
     }
 
-    fn conclude(&self, end: Exchange, in_flight: InFlight) -> AttemptEnd {
+    fn conclude(&self, end: Exchange, work: Work) -> AttemptEnd {
         match end {
             Exchange::Unsent => {
                 self.note_unreachable();
                 AttemptEnd::NotSent("connection_closed")
             }
             Exchange::Failed(reason) => failed(self.call, self.back_end, reason),
-            Exchange::Head(head) => accept(self.call, self.back_end, *head, in_flight),
+            Exchange::Head(head) => accept(self.call, self.back_end, *head, work),
         }
     }
 
@@ -228,7 +238,7 @@
 }
 
 /// Checks that the answer is to this very request.
-fn accept(call: &Call, back_end: &Arc<BackEnd>, head: Head, in_flight: InFlight) -> AttemptEnd {
+fn accept(call: &Call, back_end: &Arc<BackEnd>, head: Head, work: Work) -> AttemptEnd {
     let platform = &call.shared.platform;
     let marks = platform.answer_marks(head.parts.status, &head.parts.headers);
     let belongs = marks.request_id.as_deref() == Some(call.ticket.id.as_str());
@@ -244,7 +254,8 @@
         marks,
         back_end: back_end.clone(),
         connection: head.connection,
-        in_flight,
+        in_flight: work.in_flight,
+        reading: Some(work.reading),
         sent: head.sent,
     }))
 }
@@ -282,6 +293,11 @@
         drop(self.in_flight);
     }
 
+    /// The first event came: the prompt was read.
+    pub fn note_read(&mut self) {
+        drop(self.reading.take());
+    }
+
     /// Time from the send until now.
     pub fn age(&self) -> Duration {
         self.sent.elapsed()
--- a/crates/gateway/src/back_end.rs
+++ b/crates/gateway/src/back_end.rs
@@ -4,7 +4,7 @@
 //! after a whole answer that matched its request. Whatever is in doubt is
 //! closed, which also cancels the request at the back end.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
@@ -12,8 +12,8 @@
 
 use bytes::Bytes;
 use gorsebank_coordination::Timestamp;
-use gorsebank_fleet::BackEndReport;
 use gorsebank_fleet::health::Health;
+use gorsebank_fleet::{BackEndReport, KeptParts, Slowness};
 use gorsebank_world::{AdapterId, BackEndId, ModelId, ServiceId};
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -23,6 +23,8 @@
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, timeout};
 
+use crate::ports::Ticket;
+
 /// Longest time to establish a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
 /// A connection without a stated rest is kept idle for so long.
@@ -48,7 +50,9 @@
     idle: Mutex<Vec<Connection>>,
     health: Mutex<Health>,
     absent: Mutex<HashMap<(ModelId, Option<AdapterId>), Timestamp>>,
-    warm_parts: Mutex<HashSet<(ModelId, String)>>,
+    kept_parts: Mutex<KeptParts>,
+    slowness: Mutex<Slowness>,
+    unread_tokens: AtomicU32,
 }
 
 /// An open connection to a back end. Dropping it closes it at once.
@@ -77,6 +81,20 @@
     }
 }
 
+/// A prompt that counts as unread until this is dropped.
+#[derive(Debug)]
+pub struct Reading {
+    back_end: Arc<BackEnd>,
+    tokens: u32,
+}
+
+impl Drop for Reading {
+    fn drop(&mut self) {
+        let unread = &self.back_end.unread_tokens;
+        unread.fetch_sub(self.tokens, Ordering::Relaxed);
+    }
+}
+
 impl BackEnd {
     /// A back end that discovery has just shown.
     pub fn new(report: &BackEndReport, same_zone: bool) -> Self {
@@ -90,7 +108,9 @@
             idle: Mutex::new(Vec::new()),
             health: Mutex::new(Health::default()),
             absent: Mutex::new(HashMap::new()),
-            warm_parts: Mutex::default(),
+            kept_parts: Mutex::default(),
+            slowness: Mutex::default(),
+            unread_tokens: AtomicU32::new(0),
         }
     }
 
@@ -137,16 +157,42 @@
         absent.contains_key(&(model.clone(), adapter.cloned()))
     }
 
-    /// It is being sent a prompt with this shared part.
-    pub fn note_prompt(&self, model: &ModelId, part: &str) {
-        let key = (model.clone(), part.to_owned());
-        self.warm_parts.lock().insert(key);
+    /// Tokens of the request's prompt that it has to read anew.
+    pub fn fresh_tokens(&self, ticket: &Ticket) -> u32 {
+        let Some(model) = &ticket.model else {
+            return 0;
+        };
+        let kept = self.kept_parts.lock();
+        kept.fresh_tokens(model, ticket.adapter.as_ref(), &ticket.prompt)
+    }
+
+    /// It is being sent the request: what it has to read.
+    pub fn begin_reading(self: &Arc<Self>, now: Timestamp, ticket: &Ticket) -> Reading {
+        let tokens = self.fresh_tokens(ticket);
+        if let Some(model) = &ticket.model {
+            let mut kept = self.kept_parts.lock();
+            kept.note(now, model, ticket.adapter.as_ref(), &ticket.prompt);
+        }
+        self.unread_tokens.fetch_add(tokens, Ordering::Relaxed);
+        Reading {
+            back_end: self.clone(),
+            tokens,
+        }
+    }
+
+    /// Tokens of this gateway's requests that it has not read yet.
+    pub fn unread_tokens(&self) -> u32 {
+        self.unread_tokens.load(Ordering::Relaxed)
+    }
+
+    /// How slow it is against other back ends of its service.
+    pub fn slowness(&self) -> Slowness {
+        *self.slowness.lock()
     }
 
-    /// Whether it was sent a prompt with this shared part.
-    pub fn has_prompt(&self, model: &ModelId, part: &str) -> bool {
-        let parts = self.warm_parts.lock();
-        !parts.is_empty() && parts.contains(&(model.clone(), part.to_owned()))
+    /// Learns how slow it is.
+    pub fn note_slowness(&self, note: impl FnOnce(&mut Slowness)) {
+        note(&mut self.slowness.lock());
     }
 
     /// A kept connection that is ready, if there is one.
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -9,7 +9,7 @@
 use futures_util::future::BoxFuture;
 use gorsebank_contract::{TableAnswer, TableRow, Transaction};
 use gorsebank_fleet::placement::{OrderKind, OrderResult};
-use gorsebank_fleet::{BackEndReport, Configuration, EngineReport};
+use gorsebank_fleet::{BackEndReport, Configuration, EngineReport, Prompt};
 use gorsebank_world::{AdapterId, BackEndId, ModelId, NodeId};
 use http::{HeaderMap, Request, StatusCode};
 use thiserror::Error;
@@ -25,8 +25,8 @@
     pub model: Option<ModelId>,
     /// The adapter of that model.
     pub adapter: Option<AdapterId>,
-    /// Parts of the prompt that other requests may share, the first first.
-    pub shared_parts: Vec<String>,
+    /// Its prompt.
+    pub prompt: Prompt,
     /// The last event that the caller has.
     pub last_event: Option<String>,
 }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -1,6 +1,7 @@
 //! What all requests of a process share.
 //!
-//! Lock order: `configuration`, `directory`, `demand`, `retries`, then any other.
+//! Lock order: `configuration`, `directory`, `demand`, `retries`, `reading`, then
+//! any other.
 //! No lock is held over an await.
 
 use std::collections::HashMap;
@@ -10,7 +11,7 @@
 
 use gorsebank_coordination::Timestamp;
 use gorsebank_fleet::split::Split;
-use gorsebank_fleet::{Configuration, Demand, RetryWindow};
+use gorsebank_fleet::{Configuration, Demand, ReadingModel, RetryWindow};
 use gorsebank_world::ServiceId;
 use parking_lot::{Mutex, RwLock};
 use tokio::sync::{Notify, watch};
@@ -51,6 +52,7 @@
     directory: RwLock<Directory>,
     retries: Mutex<HashMap<ServiceId, RetryWindow>>,
     split: Mutex<Split>,
+    reading: Mutex<HashMap<ServiceId, ReadingModel>>,
     usual_deadlines: Mutex<HashMap<Arc<str>, Duration>>,
     changes: watch::Sender<u64>,
     gateways: AtomicUsize,
@@ -74,6 +76,7 @@
             directory: RwLock::new(directory),
             retries: Mutex::default(),
             split: Mutex::new(Split::new(rand::random())),
+            reading: Mutex::default(),
             usual_deadlines: Mutex::default(),
             changes: watch::channel(0).0,
             gateways: AtomicUsize::new(LEAST_GATEWAYS),
@@ -172,6 +175,15 @@
         act(window, now)
     }
 
+    /// Uses what is known of how engines of a service read prompts.
+    pub fn reading<T>(&self, service: &ServiceId, act: impl FnOnce(&mut ReadingModel) -> T) -> T {
+        let mut reading = self.reading.lock();
+        match reading.get_mut(service) {
+            Some(known) => act(known),
+            None => act(reading.entry(service.clone()).or_default()),
+        }
+    }
+
     /// Gateways that there may be.
     fn possible_gateways(&self) -> usize {
         self.gateways.load(Ordering::Relaxed) + UNKNOWN_GATEWAYS
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -9,6 +9,7 @@
 
 use bytes::Bytes;
 use futures_util::StreamExt;
+use gorsebank_fleet::Slowness;
 use gorsebank_fleet::events::EventSplitter;
 use gorsebank_world::ModelId;
 use http::{Response, StatusCode};
@@ -127,6 +128,7 @@
         events: 0,
         last_passed: None,
         longest_pause: Duration::ZERO,
+        part_event: None,
         _running: running,
     };
     tokio::spawn(relay.run(answer));
@@ -134,6 +136,10 @@
     head.map(|()| StreamBody::new(frames).boxed_unsync())
 }
 
+fn milliseconds(time: Duration) -> f64 {
+    time.as_secs_f64() * 1_000.0
+}
+
 /// Why a back end's part of a stream ended.
 enum PartEnd {
     /// The stream is whole.
@@ -156,6 +162,8 @@
     events: u64,
     last_passed: Option<Instant>,
     longest_pause: Duration,
+    /// When the present back end's last event came.
+    part_event: Option<Instant>,
     _running: Running,
 }
 
@@ -195,6 +203,7 @@
 
     async fn pass_events(&mut self, answer: &mut Answer) -> PartEnd {
         let mut splitter = EventSplitter::default();
+        self.part_event = None;
         loop {
             let silent_at = Instant::now() + self.patience();
             let until = silent_at.min(self.call.deadline);
@@ -216,6 +225,7 @@
             if splitter.push(&data).is_err() {
                 return PartEnd::Broken("event_too_long");
             }
+            let former = self.events;
             while let Some(event) = splitter.next_event() {
                 if self.is_repeated(event.id.as_deref()) {
                     continue;
@@ -225,7 +235,34 @@
                 }
                 self.note_event(event.id);
             }
+            self.note_pace(answer, self.events - former);
+        }
+    }
+
+    /// Learns from `events` that have just been passed on how fast the engine is.
+    fn note_pace(&mut self, answer: &mut Answer, events: u64) {
+        let Some(model) = self.call.ticket.model.as_ref().filter(|_| events > 0) else {
+            return;
+        };
+        let shared = &self.call.shared;
+        let service = &self.call.service;
+        let now = Instant::now();
+        if let Some(before) = self.part_event.replace(now) {
+            let gap = milliseconds(now - before) / events as f64;
+            let note = |slowness: &mut Slowness| {
+                shared.reading(service, |known| known.note_gap(model, slowness, gap));
+            };
+            answer.back_end.note_slowness(note);
+            return;
         }
+        answer.note_read();
+        let slowness = answer.back_end.slowness();
+        let latency = milliseconds(answer.age());
+        // Shared parts may have been read for another gateway.
+        let tokens = self.call.ticket.prompt.own_tokens;
+        shared.reading(service, |known| {
+            known.note_reading(model, slowness, latency, tokens);
+        });
     }
 
     fn note_event(&mut self, id: Option<String>) {
