Placement: rows are written beside planning, and lost answers noticed soon

Ruled out: the reading of former rows (20 ms), engines that do not answer (asked beside).

Change: rows are written by tasks of their own; what waits for a row begins when that row stands, others go on. A write without an answer is repeated under the same condition, and a conflict with the very row that was to be written is a success. A line load_put_off says why a model that is wanted is not loaded.

--- a/crates/fleet/src/placement/goals.rs
+++ b/crates/fleet/src/placement/goals.rs
@@ -65,28 +65,63 @@
     }
 }
 
+/// Why a model that is wanted is not loaded now.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Obstacle {
+    /// The weight store's rate is used up.
+    Pace,
+    /// No engine is free to take an order.
+    NoFreeEngine,
+    /// More would leave than it is worth, in requests a second.
+    TooDear {
+        /// What would leave at the best engine.
+        loss: f64,
+    },
+}
+
+/// A model that is wanted and not loaded now.
+#[derive(Clone, Debug, PartialEq)]
+pub struct UnmetWish {
+    /// The model.
+    pub model: ModelId,
+    /// Its worth in requests a second.
+    pub worth: f64,
+    /// Why it is not loaded.
+    pub obstacle: Obstacle,
+}
+
 /// A model that should be loaded once more.
 struct Wish {
     model: ModelId,
     worth: f64,
 }
 
-/// Sets goals at engines that have none.
+/// Sets goals at engines that have none. Out: what cannot be had now.
 pub fn choose(
     now: Timestamp,
     spec: &Engine,
     totals: &Totals,
     engines: &mut [&mut EngineState],
     pace: &mut LoadPace,
-) {
+) -> Vec<UnmetWish> {
     doubt_silent_engines(now, totals, engines);
     let replicas = Replicas::count(engines);
+    let mut unmet = Vec::new();
     for wish in wishes(now, spec, totals, engines, &replicas) {
-        if !pace.allows(now, spec.loads_per_second) {
-            return;
+        let placed = if pace.allows(now, spec.loads_per_second) {
+            place(now, spec, totals, engines, &replicas, &wish)
+        } else {
+            Err(Obstacle::Pace)
+        };
+        if let Err(obstacle) = placed {
+            unmet.push(UnmetWish {
+                model: wish.model,
+                worth: wish.worth,
+                obstacle,
+            });
         }
-        place(now, spec, totals, engines, &replicas, &wish);
     }
+    unmet
 }
 
 /// A model that is waited for although engines hold it: do they still answer?
@@ -150,28 +185,26 @@
     engines: &mut [&mut EngineState],
     replicas: &Replicas,
     wish: &Wish,
-) {
+) -> Result<(), Obstacle> {
     let Some(wanted) = spec.models.get(&wish.model) else {
-        return;
+        return Ok(());
     };
-    let best = (0..engines.len())
+    let (index, room) = (0..engines.len())
         .filter(|index| engines[*index].is_free() && !engines[*index].keeps(&wish.model))
         .map(|index| {
-            (
-                index,
-                make_room(spec, totals, engines[index], replicas, wish, wanted),
-            )
+            let room = make_room(spec, totals, engines[index], replicas, wish, wanted);
+            (index, room)
         })
-        .min_by(|one, other| one.1.cost(wish).total_cmp(&other.1.cost(wish)));
-    let Some((index, room)) = best else {
-        return;
-    };
-    if wish.worth > room.loss * ADVANTAGE {
-        engines
-            .iter_mut()
-            .for_each(|engine| engine.leave_to_another(now, &wish.model));
-        engines[index].aim(now, wish.model.clone(), room.delay, room.victims);
+        .min_by(|one, other| one.1.cost(wish).total_cmp(&other.1.cost(wish)))
+        .ok_or(Obstacle::NoFreeEngine)?;
+    if wish.worth <= room.loss * ADVANTAGE {
+        return Err(Obstacle::TooDear { loss: room.loss });
     }
+    engines
+        .iter_mut()
+        .for_each(|engine| engine.leave_to_another(now, &wish.model));
+    engines[index].aim(now, wish.model.clone(), room.delay, room.victims);
+    Ok(())
 }
 
 /// What has to leave an engine, and what that costs in requests a second.
--- a/crates/fleet/src/placement/mod.rs
+++ b/crates/fleet/src/placement/mod.rs
@@ -25,6 +25,7 @@
 
 use engine::EngineState;
 pub use engine::OrderResult;
+pub use goals::{Obstacle, UnmetWish};
 use pace::LoadPace;
 pub use pace::{LoadBound, RecentLoad};
 use totals::Totals;
@@ -79,6 +80,7 @@
     former: RecentLoads,
     inherited: Vec<BackEndId>,
     begun: Timestamp,
+    unmet: Vec<UnmetWish>,
 }
 
 impl Planner {
@@ -133,6 +135,7 @@
         rows: &[DemandRow],
     ) -> Vec<Action> {
         let mut actions = Vec::new();
+        self.unmet.clear();
         for (service, spec) in configuration.engine_services() {
             let totals = Totals::new(service, rows);
             self.plan_service(now, service, spec, &totals, &mut actions);
@@ -162,7 +165,8 @@
             }
             pace
         });
-        goals::choose(now, spec, totals, &mut engines, pace);
+        let unmet = goals::choose(now, spec, totals, &mut engines, pace);
+        self.unmet.extend(unmet);
         goals::assign_adapters(spec, totals, &mut engines);
         for engine in engines {
             if let Some(action) = engine.next_action(now, spec, totals, pace) {
@@ -171,6 +175,11 @@
         }
     }
 
+    /// Models that the last plan could not load, and why.
+    pub fn unmet_wishes(&self) -> &[UnmetWish] {
+        &self.unmet
+    }
+
     /// An engine answered the question for its state.
     pub fn reported(&mut self, now: Timestamp, id: &BackEndId, report: Option<EngineReport>) {
         if let Some(engine) = self.engines.get_mut(id) {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod lines;
 pub mod metrics;
 pub mod orders;
+pub mod patience;
 pub mod placement;
 pub mod plain;
 pub mod ports;
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -19,7 +19,7 @@
     Action, ActionKind, OrderKind, OrderResult, Planner, RecentLoads,
 };
 use gorsebank_fleet::{EngineReport, LeaseKeeper, PlacedRow};
-use gorsebank_world::BackEndId;
+use gorsebank_world::{BackEndId, ModelId};
 use parking_lot::Mutex;
 use tokio::sync::mpsc;
 use tokio::time::{sleep, timeout};
@@ -35,11 +35,28 @@
 /// Plans are made at least this often.
 const PLAN_PAUSE: Duration = Duration::from_millis(100);
 
+/// A row whose write had no answer is written again so often ...
+const ROW_TRIES: u32 = 4;
+/// ... after this pause.
+const ROW_PAUSE: Duration = Duration::from_millis(30);
+/// A model that still cannot be loaded has another line after this time, in milliseconds.
+const UNMET_PAUSE: u64 = 3_000;
+
 /// What came of an action.
 enum Done {
     Reported(BackEndId, Option<EngineReport>),
     Ordered(BackEndId, OrderKind, OrderResult),
-    Abandoned(BackEndId),
+    Written(BackEndId, PlacedRow, RowWrite),
+}
+
+/// What came of writing a row.
+enum RowWrite {
+    /// It stands at this version.
+    Committed(u64),
+    /// Another row stands at this version.
+    Refused(u64),
+    /// Nothing is known.
+    Unknown,
 }
 
 /// Places models while the lease is held. Dropping it begins nothing more.
@@ -49,6 +66,9 @@
     planner: Planner,
     demand: Arc<DemandRows>,
     published: BTreeMap<BackEndId, (PlacedRow, u64)>,
+    /// Engines whose row is being written, with what is to be done once it is.
+    writing: BTreeMap<BackEndId, Option<Action>>,
+    unmet: BTreeMap<ModelId, Timestamp>,
     results: mpsc::UnboundedReceiver<Done>,
     done: mpsc::UnboundedSender<Done>,
 }
@@ -62,6 +82,8 @@
             planner: Planner::new(shared.now(), shared.settings.bounds.loads, former),
             demand: Arc::default(),
             published: BTreeMap::new(),
+            writing: BTreeMap::new(),
+            unmet: BTreeMap::new(),
             results,
             done,
             shared,
@@ -75,7 +97,7 @@
         self.inherit().await;
         let mut changes = self.shared.subscribe();
         loop {
-            self.turn().await;
+            self.turn();
             let woken = async {
                 tokio::select! {
                     done = self.results.recv() => done,
@@ -121,11 +143,47 @@
         match done {
             Done::Reported(id, report) => self.planner.reported(now, &id, report),
             Done::Ordered(id, order, result) => self.planner.ordered(now, &id, &order, result),
-            Done::Abandoned(id) => self.planner.abandoned(now, &id),
+            Done::Written(id, row, write) => self.written(now, id, row, write),
         }
     }
 
-    async fn turn(&mut self) {
+    /// What waited for a row begins once the row stands, and only then.
+    fn written(&mut self, now: Timestamp, id: BackEndId, row: PlacedRow, write: RowWrite) {
+        let action = self.writing.remove(&id).flatten();
+        let stands = match write {
+            RowWrite::Committed(version) => {
+                self.published.insert(id.clone(), (row, version));
+                true
+            }
+            RowWrite::Refused(version) => {
+                let other = PlacedRow::default();
+                self.published.insert(id.clone(), (other, version));
+                false
+            }
+            RowWrite::Unknown => false,
+        };
+        let Some(action) = action else {
+            return;
+        };
+        let fence = self.keeper.lock().fence(now);
+        let Some(fence) = fence.filter(|_| stands) else {
+            self.planner.abandoned(now, &id);
+            return;
+        };
+        // The row that was written may be older than the plan that wants the action.
+        self.publish(now, fence);
+        self.begin_when_told(action, fence);
+    }
+
+    /// Begins an action, once a row that is being written for its engine stands.
+    fn begin_when_told(&mut self, action: Action, fence: u64) {
+        match self.writing.get_mut(&action.engine) {
+            Some(next) => *next = Some(action),
+            None => self.begin(action, fence),
+        }
+    }
+
+    fn turn(&mut self) {
         let now = self.shared.now();
         let Some(fence) = self.keeper.lock().fence(now) else {
             return;
@@ -136,64 +194,60 @@
         self.observe();
         let rows = self.demand.fresh(now);
         let actions = self.planner.plan(now, &configuration, &rows);
+        self.log_unmet(now);
         let loads = self.planner.recent_loads(now);
         self.keeper.lock().tell_loads(loads);
-        let unpublished = self.publish(now, fence).await;
+        self.publish(now, fence);
         for action in actions {
-            if unpublished.contains(&action.engine) {
-                let _ = self.done.send(Done::Abandoned(action.engine));
+            self.begin_when_told(action, fence);
+        }
+    }
+
+    /// A line when a model cannot be loaded, and now and then while it lasts.
+    fn log_unmet(&mut self, now: Timestamp) {
+        let wishes = self.planner.unmet_wishes();
+        self.unmet
+            .retain(|model, _| wishes.iter().any(|wish| wish.model == *model));
+        for wish in wishes {
+            let told = self.unmet.get(&wish.model);
+            if told.is_some_and(|at| now.since(*at) < UNMET_PAUSE) {
                 continue;
             }
-            self.begin(action, fence);
+            self.unmet.insert(wish.model.clone(), now);
+            let fields = format_args!(
+                "model={} worth={:.2} obstacle=\"{:?}\"",
+                wish.model, wish.worth, wish.obstacle
+            );
+            lines::write(Rank::Decision, "load_put_off", fields);
         }
     }
 
-    /// Writes rows that changed. Out: engines whose row could not be written.
-    async fn publish(&mut self, now: Timestamp, fence: u64) -> Vec<BackEndId> {
-        let mut failed = Vec::new();
+    /// Begins to write rows that changed, one write at a time for each engine.
+    fn publish(&mut self, now: Timestamp, fence: u64) {
         for (id, row) in self.planner.rows(now, fence) {
             let known = self.published.get(&id);
-            if known.is_some_and(|(published, _)| says_the_same(published, &row)) {
+            let is_known = known.is_some_and(|(published, _)| says_the_same(published, &row));
+            if is_known || self.writing.contains_key(&id) {
                 continue;
             }
             let version = known.map_or(0, |(_, version)| *version);
-            if !self.write_row(&id, row, version).await {
-                failed.push(id);
-            }
+            self.writing.insert(id.clone(), None);
+            let (shared, done) = (self.shared.clone(), self.done.clone());
+            tokio::spawn(async move {
+                let write = write_row(&shared, &id, &row, version).await;
+                let _ = done.send(Done::Written(id, row, write));
+            });
         }
-        failed
     }
 
-    async fn write_row(&mut self, id: &BackEndId, row: PlacedRow, version: u64) -> bool {
-        let Ok(value) = serde_json::to_string(&row) else {
-            return false;
-        };
-        let key = format!("{}/{id}", self.shared.platform.tables().placed);
-        let transaction = Transaction::put_if(key.clone(), version, value);
-        match self.shared.platform.table().transact(transaction).await {
-            TableAnswer::Committed { revision, .. } => {
-                self.published.insert(id.clone(), (row, revision));
-                true
-            }
-            TableAnswer::Conflict { rows } => {
-                let version = rows.iter().find(|row| row.key == key);
-                let version = version.map_or(0, |row| row.modified);
-                self.published
-                    .insert(id.clone(), (PlacedRow::default(), version));
-                false
-            }
-            TableAnswer::Unknown => false,
-        }
-    }
-
-    fn begin(&self, action: Action, fence: u64) {
-        let done = self.done.clone();
+    fn begin(&mut self, action: Action, fence: u64) {
         let engine = action.engine.clone();
         let find = |directory: &Directory| directory.back_end(&engine);
         let Some(back_end) = self.shared.directory(find) else {
-            let _ = done.send(Done::Abandoned(action.engine));
+            self.planner.abandoned(self.shared.now(), &action.engine);
             return;
         };
+        let done = self.done.clone();
         let shared = self.shared.clone();
         let keeper = self.keeper.clone();
         tokio::spawn(async move {
@@ -222,6 +276,32 @@
     }
 }
 
+/// Writes a row if the one before it stands at `version`. A write whose answer
+/// was lost is repeated under the same condition, so that it takes effect once.
+async fn write_row(shared: &Shared, id: &BackEndId, row: &PlacedRow, version: u64) -> RowWrite {
+    let Ok(value) = serde_json::to_string(row) else {
+        return RowWrite::Unknown;
+    };
+    let key = format!("{}/{id}", shared.platform.tables().placed);
+    for _ in 0..ROW_TRIES {
+        let transaction = Transaction::put_if(key.clone(), version, value.clone());
+        match shared.platform.table().transact(transaction).await {
+            TableAnswer::Committed { revision, .. } => return RowWrite::Committed(revision),
+            TableAnswer::Conflict { rows } => {
+                let current = rows.iter().find(|row| row.key == key);
+                return match current {
+                    Some(current) if current.value == value => {
+                        RowWrite::Committed(current.modified)
+                    }
+                    _ => RowWrite::Refused(current.map_or(0, |row| row.modified)),
+                };
+            }
+            TableAnswer::Unknown => sleep(ROW_PAUSE).await,
+        }
+    }
+    RowWrite::Unknown
+}
+
 /// The time until a load is done changes all the time; the load itself counts.
 fn says_the_same(published: &PlacedRow, row: &PlacedRow) -> bool {
     let model = |row: &PlacedRow| row.loading.as_ref().map(|load| load.model.clone());
