Placement: loads are counted exactly, so that the weight store's bound is used

A part of the rate was kept back for orders without an answer, also while there were none; while the rate was used up nothing was loaded at all, not even from copies, which the bound does not count. Ruled out: free engines (several at those moments).

Change: an acknowledged load counts for a window; one without an answer for as long as it may still begin, and until a window after that; one that was refused or never sent not at all. A repeated order counts once, since its condition lets only one begin. Two loads of the bound are left over. The lease's row tells the next holder of open ones. Engines with a copy are used while the rate is used up. goals.rs: adapters have a file of their own, and what goals are chosen by is one value.

--- a/crates/fleet/src/placement/engine.rs
+++ b/crates/fleet/src/placement/engine.rs
@@ -53,6 +53,8 @@
     Refused,
     /// No answer: it may be carried out, even later.
     Unanswered,
+    /// Nothing was sent.
+    NotSent,
 }
 
 #[derive(Debug)]
@@ -134,6 +136,11 @@
         self.unloading = row.unloading.clone();
     }
 
+    /// Its service.
+    pub fn service(&self) -> &ServiceId {
+        &self.observed.service
+    }
+
     /// Whether it takes requests for `service`.
     pub fn serves(&self, service: &ServiceId) -> bool {
         self.observed.service == *service && !self.observed.draining
@@ -333,7 +340,7 @@
                 return None;
             }
             if from_store {
-                pace.note(now, &self.observed.id);
+                pace.note(now, &self.observed.id, self.known.as_ref()?.sequence);
             }
             let expected = self.load_time(&model, wanted);
             let goal = self.goal.as_mut()?;
--- a/crates/fleet/src/placement/goals.rs
+++ b/crates/fleet/src/placement/goals.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use gorsebank_coordination::Timestamp;
-use gorsebank_world::{AdapterId, ModelId};
+use gorsebank_world::ModelId;
 
 use super::engine::EngineState;
 use super::pace::LoadPace;
@@ -26,10 +26,6 @@
 const REPLICA_LOAD: f64 = 0.12;
 /// Worth of a further replica against its share of the rate.
 const REPLICA_WORTH: f64 = 0.5;
-/// A model with this many requests a second gets its adapters before they are asked for.
-const PREFETCH_RATE: f64 = 0.4;
-/// Adapter places of an engine that are not filled ahead of demand.
-const PLACES_KEPT_BACK: usize = 1;
 /// Part of the requests for adapters that a load at their engine delays.
 const BLOCKING_COST: f64 = 0.1;
 /// A further replica is loaded when this part of the adapter places is in demand.
@@ -96,6 +92,14 @@
     worth: f64,
 }
 
+/// What goals are chosen by.
+struct View<'a> {
+    now: Timestamp,
+    spec: &'a Engine,
+    totals: &'a Totals,
+    replicas: Replicas,
+}
+
 /// Sets goals at engines that have none. Out: what cannot be had now.
 pub fn choose(
     now: Timestamp,
@@ -105,15 +109,16 @@
     pace: &mut LoadPace,
 ) -> Vec<UnmetWish> {
     doubt_silent_engines(now, totals, engines);
-    let replicas = Replicas::count(engines);
+    let view = View {
+        now,
+        spec,
+        totals,
+        replicas: Replicas::count(engines),
+    };
     let mut unmet = Vec::new();
-    for wish in wishes(now, spec, totals, engines, &replicas) {
-        let placed = if pace.allows(now, spec.loads_per_second) {
-            place(now, spec, totals, engines, &replicas, &wish)
-        } else {
-            Err(Obstacle::Pace)
-        };
-        if let Err(obstacle) = placed {
+    for wish in view.wishes(engines) {
+        let from_store = pace.allows(now, spec.loads_per_second);
+        if let Err(obstacle) = view.place(engines, &wish, from_store) {
             unmet.push(UnmetWish {
                 model: wish.model,
                 worth: wish.worth,
@@ -135,32 +140,135 @@
     }
 }
 
-fn wishes(
-    now: Timestamp,
-    spec: &Engine,
-    totals: &Totals,
-    engines: &[&mut EngineState],
-    replicas: &Replicas,
-) -> Vec<Wish> {
-    let mut wishes: Vec<Wish> = totals
-        .models()
-        .filter(|(model, _)| spec.models.contains_key(model))
-        .filter_map(|(model, demand)| {
-            let replicas = replicas.of(model);
-            let coming = coming(now, engines, model);
-            let worth = if replicas + coming == 0 {
-                demand.rate + WAITING_WORTH * f64::from(demand.waiting)
-            } else if coming == 0 && is_crowded(spec, demand, replicas) {
-                REPLICA_WORTH * demand.rate / (replicas + 1) as f64
-            } else {
-                return None;
-            };
-            let model = model.clone();
-            Some(Wish { model, worth })
-        })
-        .collect();
-    wishes.sort_by(|one, other| other.worth.total_cmp(&one.worth));
-    wishes
+impl View<'_> {
+    /// Models that should be loaded once more, the worthiest first.
+    fn wishes(&self, engines: &[&mut EngineState]) -> Vec<Wish> {
+        let known = |model: &ModelId| self.spec.models.contains_key(model);
+        let mut wishes: Vec<Wish> = self
+            .totals
+            .models()
+            .filter(|(model, _)| known(model))
+            .filter_map(|(model, demand)| {
+                let worth = self.worth(engines, model, demand)?;
+                let model = model.clone();
+                Some(Wish { model, worth })
+            })
+            .collect();
+        wishes.sort_by(|one, other| other.worth.total_cmp(&one.worth));
+        wishes
+    }
+
+    /// What another replica of a model is worth; none if it needs none.
+    fn worth(
+        &self,
+        engines: &[&mut EngineState],
+        model: &ModelId,
+        demand: &ModelDemand,
+    ) -> Option<f64> {
+        let replicas = self.replicas.of(model);
+        if coming(self.now, engines, model) > 0 {
+            return None;
+        }
+        if replicas == 0 {
+            return Some(demand.rate + WAITING_WORTH * f64::from(demand.waiting));
+        }
+        let crowded = is_crowded(self.spec, demand, replicas);
+        crowded.then(|| REPLICA_WORTH * demand.rate / (replicas + 1) as f64)
+    }
+
+    /// Sets a goal for the wish at the engine where it costs least.
+    fn place(
+        &self,
+        engines: &mut [&mut EngineState],
+        wish: &Wish,
+        from_store: bool,
+    ) -> Result<(), Obstacle> {
+        let Some(wanted) = self.spec.models.get(&wish.model) else {
+            return Ok(());
+        };
+        let is_free = |engine: &EngineState| engine.is_free() && !engine.keeps(&wish.model);
+        if !engines.iter().any(|engine| is_free(engine)) {
+            return Err(Obstacle::NoFreeEngine);
+        }
+        let (index, room) = (0..engines.len())
+            .filter(|index| is_free(engines[*index]))
+            .filter(|index| from_store || engines[*index].has_copy(&wish.model))
+            .map(|index| (index, self.make_room(engines[index], wish, wanted)))
+            .min_by(|one, other| one.1.cost(wish).total_cmp(&other.1.cost(wish)))
+            .ok_or(Obstacle::Pace)?;
+        if wish.worth <= room.loss * ADVANTAGE {
+            return Err(Obstacle::TooDear { loss: room.loss });
+        }
+        for engine in engines.iter_mut() {
+            engine.leave_to_another(self.now, &wish.model);
+        }
+        engines[index].aim(self.now, wish.model.clone(), room.delay, room.victims);
+        Ok(())
+    }
+
+    /// What would have to leave the engine for the wish.
+    fn make_room(&self, engine: &EngineState, wish: &Wish, wanted: &ModelSpec) -> Room {
+        let mut missing = wanted.memory_mb - engine.free_memory(self.spec);
+        let mut costs: Vec<(f64, &ModelId)> = engine
+            .holdings()
+            .keys()
+            .map(|model| (self.value(model), model))
+            .collect();
+        costs.sort_by(|one, other| one.0.total_cmp(&other.0));
+        let load = engine.load_time(&wish.model, wanted);
+        let mut room = Room {
+            loss: self.cost_of_blocking(engine, load),
+            delay: load,
+            victims: Vec::new(),
+        };
+        if !engine.has_copy(&wish.model) {
+            room.loss += STORE_LOAD_COST;
+        }
+        for (cost, model) in costs {
+            if missing <= 0.0 {
+                break;
+            }
+            missing -= self.memory(model);
+            room.loss += cost;
+            room.delay += self.unload_time(model);
+            room.victims.push(model.clone());
+        }
+        if missing > 0.0 {
+            room.loss = f64::INFINITY;
+        }
+        room
+    }
+
+    fn memory(&self, model: &ModelId) -> f64 {
+        let known = self.spec.models.get(model);
+        known.map_or(0.0, |known| known.memory_mb)
+    }
+
+    fn unload_time(&self, model: &ModelId) -> Duration {
+        if self.totals.running(model) > 0 {
+            RUNS_TIME
+        } else {
+            UNLOAD_TIME
+        }
+    }
+
+    /// An engine that loads a model takes no adapters meanwhile.
+    fn cost_of_blocking(&self, engine: &EngineState, load: Duration) -> f64 {
+        let rate = |model: &ModelId| {
+            self.totals.adapters_rate(model) / self.replicas.of(model).max(1) as f64
+        };
+        let adapter_rate: f64 = engine.holdings().keys().map(rate).sum();
+        BLOCKING_COST * adapter_rate * load.as_secs_f64()
+    }
+
+    /// What one replica of a model is worth, in requests a second.
+    fn value(&self, model: &ModelId) -> f64 {
+        let shares = self.replicas.of(model).max(1) as f64;
+        let running = RUNNING_WORTH * f64::from(self.totals.running(model));
+        let waiting = WAITING_WORTH * f64::from(self.totals.waiting(model));
+        let lost = self.totals.absence_cost(model) + running + waiting;
+        lost / shares + prior(self.spec, model)
+    }
 }
 
 /// Whether a model's replicas run too much, or have too few places for its adapters.
@@ -178,35 +286,6 @@
     engines.iter().filter(expects).count()
 }
 
-fn place(
-    now: Timestamp,
-    spec: &Engine,
-    totals: &Totals,
-    engines: &mut [&mut EngineState],
-    replicas: &Replicas,
-    wish: &Wish,
-) -> Result<(), Obstacle> {
-    let Some(wanted) = spec.models.get(&wish.model) else {
-        return Ok(());
-    };
-    let (index, room) = (0..engines.len())
-        .filter(|index| engines[*index].is_free() && !engines[*index].keeps(&wish.model))
-        .map(|index| {
-            let room = make_room(spec, totals, engines[index], replicas, wish, wanted);
-            (index, room)
-        })
-        .min_by(|one, other| one.1.cost(wish).total_cmp(&other.1.cost(wish)))
-        .ok_or(Obstacle::NoFreeEngine)?;
-    if wish.worth <= room.loss * ADVANTAGE {
-        return Err(Obstacle::TooDear { loss: room.loss });
-    }
-    engines
-        .iter_mut()
-        .for_each(|engine| engine.leave_to_another(now, &wish.model));
-    engines[index].aim(now, wish.model.clone(), room.delay, room.victims);
-    Ok(())
-}
-
 /// What has to leave an engine, and what that costs in requests a second.
 struct Room {
     loss: f64,
@@ -221,80 +300,6 @@
     }
 }
 
-fn make_room(
-    spec: &Engine,
-    totals: &Totals,
-    engine: &EngineState,
-    replicas: &Replicas,
-    wish: &Wish,
-    wanted: &ModelSpec,
-) -> Room {
-    let mut missing = wanted.memory_mb - engine.free_memory(spec);
-    let mut costs: Vec<(f64, f64, &ModelId)> = engine
-        .holdings()
-        .keys()
-        .map(|model| {
-            let memory = spec.models.get(model).map_or(0.0, |spec| spec.memory_mb);
-            (value(spec, totals, replicas, model), memory, model)
-        })
-        .collect();
-    costs.sort_by(|one, other| one.0.total_cmp(&other.0));
-    let from_store = !engine.has_copy(&wish.model);
-    let mut loss = if from_store { STORE_LOAD_COST } else { 0.0 };
-    let load = engine.load_time(&wish.model, wanted);
-    loss += cost_of_blocking(totals, engine, replicas, load);
-    let mut victims = Vec::new();
-    let mut delay = load;
-    for (cost, memory, model) in costs {
-        if missing <= 0.0 {
-            break;
-        }
-        loss += cost;
-        missing -= memory;
-        delay += unload_time(totals, model);
-        victims.push(model.clone());
-    }
-    if missing > 0.0 {
-        loss = f64::INFINITY;
-    }
-    Room {
-        loss,
-        delay,
-        victims,
-    }
-}
-
-fn unload_time(totals: &Totals, model: &ModelId) -> Duration {
-    if totals.running(model) > 0 {
-        RUNS_TIME
-    } else {
-        UNLOAD_TIME
-    }
-}
-
-/// An engine that loads a model takes no adapters meanwhile.
-fn cost_of_blocking(
-    totals: &Totals,
-    engine: &EngineState,
-    replicas: &Replicas,
-    load: Duration,
-) -> f64 {
-    let adapter_rate: f64 = engine
-        .holdings()
-        .keys()
-        .map(|model| totals.adapters_rate(model) / replicas.of(model).max(1) as f64)
-        .sum();
-    BLOCKING_COST * adapter_rate * load.as_secs_f64()
-}
-
-/// What one replica of a model is worth, in requests a second.
-fn value(spec: &Engine, totals: &Totals, replicas: &Replicas, model: &ModelId) -> f64 {
-    let shares = replicas.of(model).max(1) as f64;
-    let running = RUNNING_WORTH * f64::from(totals.running(model));
-    let waiting = WAITING_WORTH * f64::from(totals.waiting(model));
-    (totals.absence_cost(model) + running + waiting) / shares + prior(spec, model)
-}
-
 /// What a model without demand is worth: the operator's first models most. It
 /// decides only between models that nobody asks for.
 fn prior(spec: &Engine, model: &ModelId) -> f64 {
@@ -304,64 +309,3 @@
         .map_or(spec.models.len(), |spec| spec.rank);
     PRIOR_WORTH / (rank + 1) as f64
 }
-
-/// Gives each adapter that requests wait for to the engine with most room.
-pub fn assign_adapters(spec: &Engine, totals: &Totals, engines: &mut [&mut EngineState]) {
-    for engine in engines.iter_mut() {
-        engine.clear_adapters();
-    }
-    for (model, _) in totals.models() {
-        let Some(missing) = totals.missing_adapters(model) else {
-            continue;
-        };
-        for adapter in missing {
-            assign_adapter(spec, engines, model, adapter, spec.adapter_slots);
-        }
-    }
-    prefetch_adapters(spec, totals, engines);
-}
-
-/// Fills free places with adapters of models in demand, before they are asked
-/// for. Places are kept back for those that are asked for.
-fn prefetch_adapters(spec: &Engine, totals: &Totals, engines: &mut [&mut EngineState]) {
-    let places = spec.adapter_slots.saturating_sub(PLACES_KEPT_BACK);
-    for (model, demand) in totals.models() {
-        let Some(known) = spec.models.get(model) else {
-            continue;
-        };
-        if demand.rate < PREFETCH_RATE {
-            continue;
-        }
-        for adapter in &known.adapters {
-            assign_adapter(spec, engines, model, adapter, places);
-        }
-    }
-}
-
-fn assign_adapter(
-    spec: &Engine,
-    engines: &mut [&mut EngineState],
-    model: &ModelId,
-    adapter: &AdapterId,
-    places: usize,
-) {
-    if !spec.models.contains_key(model) {
-        return;
-    }
-    let holders = engines.iter_mut().filter(|engine| engine.keeps(model));
-    let mut holders: Vec<&mut &mut EngineState> = holders.collect();
-    if holders
-        .iter()
-        .any(|engine| engine.has_adapter(model, adapter))
-    {
-        return;
-    }
-    let roomiest = holders
-        .iter_mut()
-        .min_by_key(|engine| (!engine.is_free(), engine.adapter_count()));
-    // A full engine makes room only for an adapter that is asked for.
-    let may_evict = places == spec.adapter_slots;
-    if let Some(engine) = roomiest.filter(|engine| may_evict || engine.adapter_count() < places) {
-        engine.want_adapter(model.clone(), adapter.clone());
-    }
-}
--- a/crates/fleet/src/placement/mod.rs
+++ b/crates/fleet/src/placement/mod.rs
@@ -9,6 +9,7 @@
 //! order that is carried out late, or another holder's, changes the number; so
 //! memory and adapter places are never overcommitted, whatever was lost.
 
+mod adapters;
 mod engine;
 mod goals;
 mod pace;
@@ -26,8 +27,7 @@
 use engine::EngineState;
 pub use engine::OrderResult;
 pub use goals::{Obstacle, UnmetWish};
-use pace::LoadPace;
-pub use pace::{LoadBound, RecentLoad};
+pub use pace::{LoadBound, LoadPace, RecentLoad};
 use totals::Totals;
 
 /// What an engine is ordered to do.
@@ -167,7 +167,7 @@
         });
         let unmet = goals::choose(now, spec, totals, &mut engines, pace);
         self.unmet.extend(unmet);
-        goals::assign_adapters(spec, totals, &mut engines);
+        adapters::assign(spec, totals, &mut engines);
         for engine in engines {
             if let Some(action) = engine.next_action(now, spec, totals, pace) {
                 actions.push(action);
@@ -182,9 +182,14 @@
 
     /// An engine answered the question for its state.
     pub fn reported(&mut self, now: Timestamp, id: &BackEndId, report: Option<EngineReport>) {
-        if let Some(engine) = self.engines.get_mut(id) {
-            engine.reported(now, report);
+        let Some(engine) = self.engines.get_mut(id) else {
+            return;
+        };
+        let pace = self.pace.get_mut(engine.service());
+        if let (Some(pace), Some(report)) = (pace, &report) {
+            pace.taken(now, id, report.sequence);
         }
+        engine.reported(now, report);
     }
 
     /// An order had this result.
@@ -195,16 +200,25 @@
         order: &OrderKind,
         result: OrderResult,
     ) {
-        if let Some(engine) = self.engines.get_mut(id) {
-            engine.ordered(now, order, result);
+        let Some(engine) = self.engines.get_mut(id) else {
+            return;
+        };
+        if let (OrderKind::LoadModel(_), Some(pace)) = (order, self.pace.get_mut(engine.service()))
+        {
+            pace.ordered(now, id, result);
         }
+        engine.ordered(now, order, result);
     }
 
     /// An action could not be begun.
     pub fn abandoned(&mut self, now: Timestamp, id: &BackEndId) {
-        if let Some(engine) = self.engines.get_mut(id) {
-            engine.abandoned(now);
+        let Some(engine) = self.engines.get_mut(id) else {
+            return;
+        };
+        if let Some(pace) = self.pace.get_mut(engine.service()) {
+            pace.unsent(id);
         }
+        engine.abandoned(now);
     }
 
     /// The rows that gateways should know, for engines with anything to say.
--- a/crates/fleet/src/placement/pace.rs
+++ b/crates/fleet/src/placement/pace.rs
@@ -1,35 +1,49 @@
 //! Keeps loads from the weight store under its bound.
 //!
 //! The bound holds over every window, for all holders together, and counts the
-//! moment at which a load begins, some time after its order. So loads are
-//! counted over the window and a margin, and a holder begins with the loads of
-//! those before it: the lease's row tells of them, and an engine's row tells of
-//! each load before it is ordered. A part of the rate is left for orders that
-//! are carried out late.
+//! moment at which a load begins. A load whose order was acknowledged began by
+//! then. One whose order had no answer may begin at any time until the engine is
+//! seen to have taken another order, or the order is too old; it counts all that
+//! while. Orders to one engine are sent on the condition of its sequence number,
+//! so of several for one number only one can begin a load.
+//!
+//! A holder begins with the loads of those before it: the lease's row tells of
+//! them, and an engine's row tells of each load before it is ordered.
 
-use std::collections::VecDeque;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use gorsebank_coordination::Timestamp;
 use gorsebank_world::BackEndId;
 use serde::{Deserialize, Serialize};
 
-/// Part of the weight store's rate that is used.
-const PART: f64 = 0.9;
-/// Time from an order until its load has begun, in milliseconds.
+use super::engine::OrderResult;
+
+/// Loads that are left for what a holder cannot know.
+const RESERVE: f64 = 2.0;
+/// Time from an order until its acknowledgement, and as long for the way of the
+/// report that a former holder had of it, in milliseconds.
 const ORDER_TIME: u64 = 500;
+/// An order without an answer is carried out within this time or never, in milliseconds.
+const OPEN_LIFETIME: u64 = 13_000;
 
 /// The bound on loads from the weight store.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LoadBound {
     /// Window over which loads are counted.
     pub window: Duration,
+    /// Part of the weight store's rate that may begin, 1 for all of it.
+    pub overage: f64,
+    /// Loads on top, in each window.
+    pub extra: f64,
 }
 
 impl Default for LoadBound {
     fn default() -> Self {
         LoadBound {
             window: Duration::from_secs(5),
+            overage: 1.0,
+            extra: 0.0,
         }
     }
 }
@@ -41,61 +55,151 @@
     pub engine: BackEndId,
     /// How long ago, in milliseconds.
     pub age: u64,
+    /// The sequence number under which it was ordered, if it may not have begun yet.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub open: Option<u64>,
+}
+
+#[derive(Debug)]
+struct Load {
+    time: Timestamp,
+    /// The sequence number under which it was ordered, while it may not have begun yet.
+    open: Option<u64>,
+    /// Whether an order under that number had no answer.
+    unanswered: bool,
+}
+
+impl Load {
+    fn counts(&self, now: Timestamp, span: u64) -> bool {
+        let lifetime = match self.open {
+            Some(_) => OPEN_LIFETIME + span,
+            None => span,
+        };
+        now.since(self.time) <= lifetime
+    }
 }
 
 /// Loads of late.
 #[derive(Debug)]
 pub struct LoadPace {
     bound: LoadBound,
-    started: VecDeque<(Timestamp, BackEndId)>,
+    loads: BTreeMap<BackEndId, Vec<Load>>,
 }
 
 impl LoadPace {
     /// A holder begins at `now`, and knows of loads of those before it.
     pub fn new(now: Timestamp, bound: LoadBound, former: &[RecentLoad]) -> Self {
-        let former = former.iter();
-        let mut started: VecDeque<(Timestamp, BackEndId)> = former
-            .map(|load| (now - load.age, load.engine.clone()))
-            .collect();
-        started.make_contiguous().sort();
-        LoadPace { bound, started }
+        let mut pace = LoadPace {
+            bound,
+            loads: BTreeMap::new(),
+        };
+        for load in former {
+            let load_of = Load {
+                time: now - load.age,
+                open: load.open,
+                unanswered: load.open.is_some(),
+            };
+            let loads = pace.loads.entry(load.engine.clone()).or_default();
+            loads.push(load_of);
+        }
+        pace
     }
 
     /// Whether another load may begin now.
     pub fn allows(&mut self, now: Timestamp, loads_per_second: f64) -> bool {
         let span = self.span();
-        while self
-            .started
-            .front()
-            .is_some_and(|(time, _)| now.since(*time) > span)
-        {
-            self.started.pop_front();
+        for loads in self.loads.values_mut() {
+            loads.retain(|load| load.counts(now, span));
+        }
+        self.loads.retain(|_, loads| !loads.is_empty());
+        let count: usize = self.loads.values().map(Vec::len).sum();
+        let bound = loads_per_second * self.bound.window.as_secs_f64() * self.bound.overage;
+        let most = (bound + self.bound.extra - RESERVE).floor();
+        (count as f64) < most.max(1.0)
+    }
+
+    /// A load is about to be ordered at an engine under this sequence number.
+    pub fn note(&mut self, now: Timestamp, engine: &BackEndId, sequence: u64) {
+        let loads = self.loads.entry(engine.clone()).or_default();
+        let former = loads.iter_mut().find(|load| load.open == Some(sequence));
+        match former {
+            Some(load) => load.time = now,
+            None => loads.push(Load {
+                time: now,
+                open: Some(sequence),
+                unanswered: false,
+            }),
+        }
+    }
+
+    /// What came of the order of a load.
+    pub fn ordered(&mut self, now: Timestamp, engine: &BackEndId, result: OrderResult) {
+        let Some(loads) = self.loads.get_mut(engine) else {
+            return;
+        };
+        let Some(index) = loads.iter().rposition(|load| load.open.is_some()) else {
+            return;
+        };
+        match result {
+            OrderResult::Unanswered => loads[index].unanswered = true,
+            OrderResult::NotSent if loads[index].unanswered => {}
+            // An earlier order that had no answer may be why this one was refused.
+            _ if result == OrderResult::Accepted || loads[index].unanswered => {
+                loads[index].time = now;
+                loads[index].open = None;
+            }
+            _ => {
+                loads.remove(index);
+            }
         }
-        let most = loads_per_second * self.bound.window.as_secs_f64() * PART;
-        (self.started.len() as f64) < most.floor().max(1.0)
     }
 
-    /// A load is ordered at an engine.
-    pub fn note(&mut self, now: Timestamp, engine: &BackEndId) {
-        self.started.push_back((now, engine.clone()));
+    /// The order of a load was not sent.
+    pub fn unsent(&mut self, engine: &BackEndId) {
+        if let Some(loads) = self.loads.get_mut(engine) {
+            loads.retain(|load| load.open.is_none() || load.unanswered);
+        }
+    }
+
+    /// An engine was seen to have taken `sequence` orders: what was ordered under
+    /// a lower number has begun by now, or never will.
+    pub fn taken(&mut self, now: Timestamp, engine: &BackEndId, sequence: u64) {
+        let loads = self.loads.get_mut(engine).into_iter().flatten();
+        for load in loads {
+            if load.unanswered && load.open.is_some_and(|ordered| ordered < sequence) {
+                load.time = now;
+                load.open = None;
+            }
+        }
     }
 
     /// A former holder's row tells of a load at an engine. It may have been
     /// ordered just now, unless it is known already.
     pub fn note_unless_known(&mut self, now: Timestamp, engine: &BackEndId) {
-        if !self.started.iter().any(|(_, known)| known == engine) {
-            self.note(now, engine);
+        let loads = self.loads.entry(engine.clone()).or_default();
+        if loads.is_empty() {
+            loads.push(Load {
+                time: now,
+                open: None,
+                unanswered: false,
+            });
         }
     }
 
     /// Loads of late, for the next holder.
     pub fn recent(&self, now: Timestamp) -> Vec<RecentLoad> {
         let span = self.span();
-        let loads = self.started.iter().map(|(time, engine)| RecentLoad {
-            engine: engine.clone(),
-            age: now.since(*time),
-        });
-        loads.filter(|load| load.age <= span).collect()
+        let mut recent = Vec::new();
+        for (engine, loads) in &self.loads {
+            for load in loads.iter().filter(|load| load.counts(now, span)) {
+                recent.push(RecentLoad {
+                    engine: engine.clone(),
+                    age: now.since(load.time),
+                    open: load.open,
+                });
+            }
+        }
+        recent
     }
 
     fn span(&self) -> u64 {
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -22,6 +22,15 @@
 const UNLOAD_TIME: u64 = 60;
 const ADAPTER_TIME: u64 = 30;
 
+/// The bound on loads that the weight store of these tests keeps.
+pub fn load_bound() -> LoadBound {
+    LoadBound {
+        window: Duration::from_secs(5),
+        overage: 1.1,
+        extra: 3.0,
+    }
+}
+
 /// The service of all engines.
 pub fn service() -> ServiceId {
     ServiceId::from("llm")
@@ -328,7 +337,7 @@
     /// Engines that all hold the same models.
     pub fn new(count: usize, models: &[&str]) -> Self {
         World {
-            planner: Planner::default(),
+            planner: Planner::new(Timestamp(0), load_bound(), Default::default()),
             engines: (0..count)
                 .map(|number| EngineModel::new(number, models))
                 .collect(),
@@ -377,7 +386,7 @@
             loads.retain(|load| load.age >= told);
         }
         let rows = std::mem::take(&mut self.published);
-        self.planner = Planner::new(Timestamp(now), LoadBound::default(), loads);
+        self.planner = Planner::new(Timestamp(now), load_bound(), loads);
         self.planner.observe(Timestamp(now), &self.reports());
         for (id, row) in &rows {
             self.planner.inherit(id, row);
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -55,7 +55,12 @@
 ) -> OrderResult {
     let request = shared.platform.order_request(order);
     let sending = send_if(engine, request, still_valid);
-    let Ok(Some((response, connection))) = timeout(ANSWER_TIMEOUT, sending).await else {
+    let (response, connection) = match timeout(ANSWER_TIMEOUT, sending).await {
+        Ok(Ok(answered)) => answered,
+        Ok(Err(Unsent)) => return OrderResult::NotSent,
+        Err(_) => return OrderResult::Unanswered,
+    };
+    let Some(response) = response else {
         return OrderResult::Unanswered;
     };
     let result = shared.platform.order_result(response.status());
@@ -70,23 +75,28 @@
     engine: &Arc<BackEnd>,
     request: Request<Bytes>,
 ) -> Option<(Response<Incoming>, Connection)> {
-    send_if(engine, request, || true).await
+    let (response, connection) = send_if(engine, request, || true).await.ok()?;
+    Some((response?, connection))
 }
 
+/// Nothing was written: there is no connection, or the order is no longer valid.
+struct Unsent;
+
 /// A connection is made first, so that nothing lies between the check and the write.
+/// Out: no response if the connection was lost after that.
 async fn send_if(
     engine: &Arc<BackEnd>,
     request: Request<Bytes>,
     still_valid: impl Fn() -> bool,
-) -> Option<(Response<Incoming>, Connection)> {
+) -> Result<(Option<Response<Incoming>>, Connection), Unsent> {
     let mut connection = match engine.kept_connection() {
         Some(connection) => connection,
-        None => engine.connect().await.ok()?,
+        None => engine.connect().await.map_err(|_| Unsent)?,
     };
     if !still_valid() {
-        return None;
+        return Err(Unsent);
     }
     let request = request.map(Full::new);
-    let response = connection.sender.send_request(request).await.ok()?;
-    Some((response, connection))
+    let response = connection.sender.send_request(request).await.ok();
+    Ok((response, connection))
 }
