--- a/crates/fleet/src/placement/goals.rs
+++ b/crates/fleet/src/placement/goals.rs
@@ -24,6 +24,10 @@
 const ADVANTAGE: f64 = 1.3;
 /// Part of an engine's slots that one model's replica should fill at most.
 const REPLICA_LOAD: f64 = 0.12;
+/// A model with this many urgent requests a second ...
+const SAFE_RATE: f64 = 0.8;
+/// ... is kept at so many engines, so that the loss of one does not end service.
+const SAFE_REPLICAS: usize = 2;
 /// Worth of a further replica against its share of the rate.
 const REPLICA_WORTH: f64 = 0.5;
 /// Part of the requests for adapters that a load at their engine delays.
@@ -172,8 +176,9 @@
         if replicas == 0 {
             return Some(demand.rate + WAITING_WORTH * f64::from(demand.waiting));
         }
-        let crowded = is_crowded(self.spec, demand, replicas);
-        crowded.then(|| REPLICA_WORTH * demand.rate / (replicas + 1) as f64)
+        let wants_more = replicas < SAFE_REPLICAS && demand.urgent_rate > SAFE_RATE;
+        let wants_more = wants_more || is_crowded(self.spec, demand, replicas);
+        wants_more.then(|| REPLICA_WORTH * demand.rate / (replicas + 1) as f64)
     }
 
     /// Sets a goal for the wish at the engine where it costs least.
