Placement: the model behind the busy ones in the operator's list is loaded ahead

Cause: each move of demand began with 10 to 35 refusals on both deployments: the first request for the next model finds it nowhere, and a load takes longer than urgent requests can wait. Ruled out: the time from the first wish to the order (0.3 s) and the load itself (as long as the configuration says).

The model behind the last of those with most urgent requests is worth a quarter of their mean rate before anybody asks for it, and gets its adapters ahead. Where a list says nothing of the kind, it takes the room of one model.

Two tests, one red before; the test of room without runs uses the last model of the list, which forecasts nothing (seen red without its mechanism).

--- a/crates/fleet/src/placement/adapters.rs
+++ b/crates/fleet/src/placement/adapters.rs
@@ -7,6 +7,7 @@
 use gorsebank_world::{AdapterId, ModelId};
 
 use super::engine::EngineState;
+use super::forecast::Forecast;
 use super::totals::Totals;
 use crate::configuration::Engine;
 
@@ -16,7 +17,12 @@
 const PLACES_KEPT_BACK: usize = 1;
 
 /// Gives each adapter that requests wait for to the engine with most room.
-pub fn assign(spec: &Engine, totals: &Totals, engines: &mut [&mut EngineState]) {
+pub fn assign(
+    spec: &Engine,
+    totals: &Totals,
+    forecast: &Forecast,
+    engines: &mut [&mut EngineState],
+) {
     for engine in engines.iter_mut() {
         engine.clear_adapters();
     }
@@ -28,23 +34,22 @@
             assign_adapter(spec, engines, model, adapter, spec.adapter_slots);
         }
     }
-    prefetch_adapters(spec, totals, engines);
+    let busy = totals
+        .models()
+        .filter(|(_, demand)| demand.rate >= PREFETCH_RATE);
+    let busy = busy.map(|(model, _)| model);
+    for model in busy.chain(forecast.model()) {
+        prefetch_adapters(spec, model, engines);
+    }
 }
 
-/// Fills free places with adapters of models in demand, before they are asked
+/// Fills free places with adapters of a model in demand, before they are asked
 /// for. Places are kept back for those that are asked for.
-fn prefetch_adapters(spec: &Engine, totals: &Totals, engines: &mut [&mut EngineState]) {
+fn prefetch_adapters(spec: &Engine, model: &ModelId, engines: &mut [&mut EngineState]) {
     let places = spec.adapter_slots.saturating_sub(PLACES_KEPT_BACK);
-    for (model, demand) in totals.models() {
-        let Some(known) = spec.models.get(model) else {
-            continue;
-        };
-        if demand.rate < PREFETCH_RATE {
-            continue;
-        }
-        for adapter in &known.adapters {
-            assign_adapter(spec, engines, model, adapter, places);
-        }
+    let known = spec.models.get(model);
+    for adapter in known.iter().flat_map(|known| &known.adapters) {
+        assign_adapter(spec, engines, model, adapter, places);
     }
 }
 
--- a/crates/fleet/src/placement/goals.rs
+++ b/crates/fleet/src/placement/goals.rs
@@ -11,6 +11,7 @@
 use gorsebank_world::ModelId;
 
 use super::engine::EngineState;
+use super::forecast::Forecast;
 use super::pace::LoadPace;
 use super::totals::Totals;
 use crate::configuration::{Engine, ModelSpec};
@@ -101,6 +102,7 @@
     now: Timestamp,
     spec: &'a Engine,
     totals: &'a Totals,
+    forecast: &'a Forecast,
     replicas: Replicas,
 }
 
@@ -109,6 +111,7 @@
     now: Timestamp,
     spec: &Engine,
     totals: &Totals,
+    forecast: &Forecast,
     engines: &mut [&mut EngineState],
     pace: &mut LoadPace,
 ) -> Vec<UnmetWish> {
@@ -117,6 +120,7 @@
         now,
         spec,
         totals,
+        forecast,
         replicas: Replicas::count(engines),
     };
     let mut unmet = Vec::new();
@@ -158,10 +162,22 @@
                 Some(Wish { model, worth })
             })
             .collect();
+        wishes.extend(self.forecast_wish(engines));
         wishes.sort_by(|one, other| other.worth.total_cmp(&one.worth));
         wishes
     }
 
+    /// The model that is expected next, if nobody asks for it yet.
+    fn forecast_wish(&self, engines: &[&mut EngineState]) -> Option<Wish> {
+        let model = self.forecast.model()?;
+        let is_here = self.replicas.of(model) + coming(self.now, engines, model) > 0;
+        let is_asked_for = self.totals.models().any(|(asked, _)| asked == model);
+        (!is_here && !is_asked_for).then(|| Wish {
+            model: model.clone(),
+            worth: self.forecast.worth(model),
+        })
+    }
+
     /// What another replica of a model is worth; none if it needs none.
     fn worth(
         &self,
@@ -174,7 +190,8 @@
             return None;
         }
         if replicas == 0 {
-            return Some(demand.rate + WAITING_WORTH * f64::from(demand.waiting));
+            let waiting = WAITING_WORTH * f64::from(demand.waiting);
+            return Some(demand.rate + waiting + self.forecast.worth(model));
         }
         let wants_more = replicas < SAFE_REPLICAS && demand.urgent_rate > SAFE_RATE;
         let wants_more = wants_more || is_crowded(self.spec, demand, replicas);
@@ -271,7 +288,8 @@
         let shares = self.replicas.of(model).max(1) as f64;
         let running = RUNNING_WORTH * f64::from(self.totals.running(model));
         let waiting = WAITING_WORTH * f64::from(self.totals.waiting(model));
-        let lost = self.totals.absence_cost(model) + running + waiting;
+        let asked = self.totals.absence_cost(model) + running + waiting;
+        let lost = asked + self.forecast.worth(model);
         lost / shares + prior(self.spec, model)
     }
 }
--- a/crates/fleet/src/placement/mod.rs
+++ b/crates/fleet/src/placement/mod.rs
@@ -11,6 +11,7 @@
 
 mod adapters;
 mod engine;
+mod forecast;
 mod goals;
 mod pace;
 mod totals;
@@ -26,6 +27,7 @@
 
 use engine::EngineState;
 pub use engine::OrderResult;
+use forecast::Forecast;
 pub use goals::{Obstacle, UnmetWish};
 pub use pace::{LoadBound, LoadPace, RecentLoad};
 use totals::Totals;
@@ -165,9 +167,10 @@
             }
             pace
         });
-        let unmet = goals::choose(now, spec, totals, &mut engines, pace);
+        let forecast = Forecast::new(spec, totals);
+        let unmet = goals::choose(now, spec, totals, &forecast, &mut engines, pace);
         self.unmet.extend(unmet);
-        adapters::assign(spec, totals, &mut engines);
+        adapters::assign(spec, totals, &forecast, &mut engines);
         for engine in engines {
             if let Some(action) = engine.next_action(now, spec, totals, pace) {
                 actions.push(action);
--- a/crates/fleet/tests/placement.rs
+++ b/crates/fleet/tests/placement.rs
@@ -143,7 +143,7 @@
         ("m3", 0.5, 2),
         ("m4", 0.5, 2),
         ("m5", 0.6, 0),
-        ("m7", 6.0, 0),
+        ("m11", 6.0, 0),
     ])];
     for now in (0..1_000).step_by(50) {
         world.turn(now, &rows);
@@ -167,6 +167,32 @@
     assert_eq!(world.holders("m1"), 1, "a model that is asked for stays");
 }
 
+/// Found on both deployments: demand moves on through the operator's list, and
+/// every move began with seconds of refusals while the next model was loaded.
+#[test]
+fn the_model_behind_the_busy_ones_is_there_before_it_is_asked_for() {
+    let mut world = World::new(2, &["m1", "m2", "m9"]);
+    world.engines[1] = EngineModel::new(1, &["m2", "m1", "m8"]);
+    let busy = [("m1", 4.0, 0), ("m2", 3.0, 0), ("m9", 0.1, 0)];
+    let rows = vec![demand(&busy)];
+    for now in (0..4_000).step_by(50) {
+        world.turn(now, &rows);
+    }
+    assert_eq!(world.holders("m3"), 1);
+    assert_eq!(world.holders("m9"), 1, "what is asked for stays");
+    assert_eq!(world.loads.len(), 1, "one model is loaded ahead, no more");
+}
+
+#[test]
+fn nothing_is_loaded_ahead_of_little_demand() {
+    let mut world = World::new(2, &["m1", "m2", "m9"]);
+    let rows = vec![demand(&[("m1", 0.2, 0), ("m2", 0.2, 0)])];
+    for now in (0..4_000).step_by(50) {
+        world.turn(now, &rows);
+    }
+    assert!(world.loads.is_empty());
+}
+
 /// A copy in an engine's memory serves seconds sooner than the weight store.
 #[test]
 fn a_model_is_loaded_where_the_engine_has_a_copy() {
