Gateways reach the table for each other

They went on with what they knew, wrote no demand, and requests for rare models waited there for up to 22 s. Ruled out: the holder (another took over), the pace of loads.

Change: two calls in a row without an answer, and a gateway hands its calls of the table to another one, whose address its demand row names; one call a second tries the direct way again. A relaying gateway uses its own way only. Frames are those of nodes, now for any value; calls are counted by way and result.

--- a/crates/contract/src/frame.rs
+++ b/crates/contract/src/frame.rs
@@ -1,7 +1,10 @@
-//! Frames between nodes: a length of four bytes, then a CBOR envelope.
+//! Frames between nodes: a length of four bytes, then a value in CBOR.
+
+use std::marker::PhantomData;
 
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use gorsebank_world::NodeId;
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 use tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec};
@@ -28,66 +31,73 @@
     /// The connection failed, or the frame is too long.
     #[error("frame: {0}")]
     Io(#[from] std::io::Error),
-    /// The content is no envelope.
-    #[error("frame content of {length} bytes is no envelope: {reason}")]
+    /// The content is not what is expected.
+    #[error("frame content of {length} bytes is not understood: {reason}")]
     Content {
         /// The frame's length in bytes.
         length: usize,
         /// What the codec says.
         reason: String,
     },
-    /// The envelope cannot be encoded.
-    #[error("envelope cannot be encoded: {0}")]
+    /// The value cannot be encoded.
+    #[error("value cannot be encoded: {0}")]
     Encode(String),
 }
 
-/// Encodes and decodes envelopes.
+/// Encodes and decodes values of one type, a frame each.
 #[derive(Debug)]
-pub struct EnvelopeCodec {
+pub struct FrameCodec<T> {
     frames: LengthDelimitedCodec,
+    content: PhantomData<fn() -> T>,
 }
 
-impl Default for EnvelopeCodec {
+/// Encodes and decodes envelopes.
+pub type EnvelopeCodec = FrameCodec<Envelope>;
+
+impl<T> Default for FrameCodec<T> {
     fn default() -> Self {
         let frames = LengthDelimitedCodec::builder()
             .max_frame_length(MAX_FRAME_BYTES)
             .new_codec();
-        EnvelopeCodec { frames }
+        FrameCodec {
+            frames,
+            content: PhantomData,
+        }
     }
 }
 
-impl Decoder for EnvelopeCodec {
-    type Item = Envelope;
+impl<T: DeserializeOwned> Decoder for FrameCodec<T> {
+    type Item = T;
     type Error = FrameError;
 
-    fn decode(&mut self, source: &mut BytesMut) -> Result<Option<Envelope>, FrameError> {
+    fn decode(&mut self, source: &mut BytesMut) -> Result<Option<T>, FrameError> {
         let Some(frame) = self.frames.decode(source)? else {
             return Ok(None);
         };
         let length = frame.len();
-        let envelope =
+        let content =
             ciborium::from_reader(frame.reader()).map_err(|error| FrameError::Content {
                 length,
                 reason: error.to_string(),
             })?;
-        Ok(Some(envelope))
+        Ok(Some(content))
     }
 }
 
-impl Encoder<&Envelope> for EnvelopeCodec {
+impl<T: Serialize> Encoder<&T> for FrameCodec<T> {
     type Error = FrameError;
 
-    fn encode(&mut self, envelope: &Envelope, target: &mut BytesMut) -> Result<(), FrameError> {
-        let content = encode(envelope)?;
+    fn encode(&mut self, value: &T, target: &mut BytesMut) -> Result<(), FrameError> {
+        let content = encode(value)?;
         self.frames.encode(content, target)?;
         Ok(())
     }
 }
 
 /// The content of a frame.
-pub fn encode(envelope: &Envelope) -> Result<Bytes, FrameError> {
+pub fn encode<T: Serialize>(value: &T) -> Result<Bytes, FrameError> {
     let mut writer = BytesMut::new().writer();
-    ciborium::into_writer(envelope, &mut writer)
+    ciborium::into_writer(value, &mut writer)
         .map_err(|error| FrameError::Encode(error.to_string()))?;
     Ok(writer.into_inner().freeze())
 }
--- a/crates/contract/src/table.rs
+++ b/crates/contract/src/table.rs
@@ -17,7 +17,7 @@
 }
 
 /// A condition on one row.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Compare {
     /// The row.
     pub key: String,
@@ -26,7 +26,7 @@
 }
 
 /// A row to write.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Put {
     /// The row.
     pub key: String,
@@ -36,7 +36,7 @@
 
 /// A transaction: when all conditions hold, all rows are written. In either
 /// case the rows under `read` prefixes are returned from one snapshot.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Transaction {
     /// Conditions.
     pub compares: Vec<Compare>,
@@ -62,7 +62,7 @@
 }
 
 /// A row read from the table.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TableRow {
     /// The row's key.
     pub key: String,
@@ -73,7 +73,7 @@
 }
 
 /// What became of a transaction.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum TableAnswer {
     /// All conditions held and all rows were written at this table revision.
     Committed {
--- a/crates/fleet/src/demand.rs
+++ b/crates/fleet/src/demand.rs
@@ -4,6 +4,7 @@
 //! says something new.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 
 use gorsebank_coordination::Timestamp;
 use gorsebank_world::{AdapterId, ModelId, ServiceId};
@@ -42,6 +43,9 @@
 pub struct DemandRow {
     /// Services and their models.
     pub services: BTreeMap<ServiceId, BTreeMap<ModelId, ModelDemand>>,
+    /// Where the gateway relays calls of the table for others.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub relay: Option<SocketAddr>,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
--- a/crates/gateway/src/demand_rows.rs
+++ b/crates/gateway/src/demand_rows.rs
@@ -10,7 +10,7 @@
 use tokio::sync::Notify;
 use tokio::time::sleep;
 
-use crate::ports::RowChange;
+use crate::ports::{RowChange, WatchedTable};
 use crate::shared::Shared;
 use crate::watch::LOST_PAUSE;
 
@@ -58,7 +58,7 @@
     let table = shared.platform.tables().demand;
     let mut version = None;
     loop {
-        let source = shared.platform.table();
+        let source = shared.table();
         let changes = match version {
             None => source.read(table).await.map(|snapshot| {
                 let rows = snapshot.rows.into_iter().map(RowChange::Put).collect();
--- a/crates/gateway/src/demand_writer.rs
+++ b/crates/gateway/src/demand_writer.rs
@@ -4,13 +4,15 @@
 //! missing and otherwise only when it says something new. The row's key is the
 //! node's name, so the number of rows bounds the number of gateways.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use gorsebank_contract::{TableAnswer, Transaction};
+use gorsebank_contract::{TableAnswer, TableRow, Transaction};
 use gorsebank_fleet::{DemandRow, ModelDemand};
 use tokio::time::{Instant, sleep, timeout};
 
+use crate::ports::WatchedTable;
 use crate::shared::Shared;
 
 /// Pause between two rows at least.
@@ -22,6 +24,10 @@
 const REFRESH: Duration = Duration::from_secs(6);
 /// The number of gateways is read this often.
 const COUNT_PAUSE: Duration = Duration::from_secs(10);
+/// The first times it is read sooner: gateways that start together find each other.
+const EARLY_COUNTS: u32 = 3;
+/// Pause between these.
+const EARLY_COUNT_PAUSE: Duration = Duration::from_secs(3);
 /// Rates that differ by less than this part are the same.
 const SAME_RATE: f64 = 0.3;
 
@@ -36,6 +42,7 @@
         version: None,
         written: None,
         counted: None,
+        counts: 0,
         shared,
     };
     while !writer.shared.is_stopping() {
@@ -53,15 +60,22 @@
     version: Option<u64>,
     written: Option<(DemandRow, Instant)>,
     counted: Option<Instant>,
+    counts: u32,
 }
 
 impl Writer {
     async fn turn(&mut self, urgent: bool) {
-        let count_due = self.counted.is_none_or(|at| at.elapsed() > COUNT_PAUSE);
+        let pause = if self.counts < EARLY_COUNTS {
+            EARLY_COUNT_PAUSE
+        } else {
+            COUNT_PAUSE
+        };
+        let count_due = self.counted.is_none_or(|at| at.elapsed() > pause);
         if (count_due || self.version.is_none()) && !self.read().await {
             return;
         }
-        let row = self.shared.demand.lock().row(self.shared.now());
+        let mut row = self.shared.demand.lock().row(self.shared.now());
+        row.relay = self.shared.settings.relay;
         if urgent || self.is_news(&row) {
             self.write(row).await;
         }
@@ -77,24 +91,32 @@
 
     /// Reads the version of the own row, and how many gateways there are.
     async fn read(&mut self) -> bool {
-        let platform = self.shared.platform.clone();
-        let table = platform.tables().demand;
-        let Ok(snapshot) = platform.table().read(table).await else {
+        let table = self.shared.platform.tables().demand;
+        let Ok(snapshot) = self.shared.table().read(table).await else {
             return false;
         };
         let own = snapshot.rows.iter().find(|row| row.key == self.key);
         self.version = Some(own.map_or(0, |row| row.modified));
         self.counted = Some(Instant::now());
         self.shared.set_gateways(snapshot.rows.len());
+        self.shared.set_relays(self.relays(&snapshot.rows));
+        self.counts += 1;
         true
     }
 
+    /// Where other gateways relay calls of the table.
+    fn relays(&self, rows: &[TableRow]) -> Vec<SocketAddr> {
+        let others = rows.iter().filter(|row| row.key != self.key);
+        let parsed = others.filter_map(|row| serde_json::from_str::<DemandRow>(&row.value).ok());
+        parsed.filter_map(|row| row.relay).collect()
+    }
+
     async fn write(&mut self, row: DemandRow) {
         let Ok(value) = serde_json::to_string(&row) else {
             return;
         };
         let transaction = Transaction::put_if(self.key.clone(), self.version.unwrap_or(0), value);
-        match self.shared.platform.table().transact(transaction).await {
+        match self.shared.table().transact(transaction).await {
             TableAnswer::Committed { revision, .. } => {
                 self.version = Some(revision);
                 self.written = Some((row, Instant::now()));
--- a/crates/gateway/src/holder.rs
+++ b/crates/gateway/src/holder.rs
@@ -13,6 +13,7 @@
 use crate::demand_rows::AbortOnDrop;
 use crate::lines::{self, Rank};
 use crate::placement::Placement;
+use crate::ports::WatchedTable;
 use crate::shared::Shared;
 use crate::watch::LOST_PAUSE;
 
@@ -73,7 +74,7 @@
 
 async fn read_lease(shared: &Shared, keeper: &Mutex<LeaseKeeper>) {
     let table = shared.platform.tables().lease;
-    match shared.platform.table().read(table).await {
+    match shared.table().read(table).await {
         Ok(snapshot) => {
             let key = lease_key(shared);
             let row = snapshot.rows.iter().find(|row| row.key == key);
@@ -90,7 +91,7 @@
         return;
     };
     let transaction = Transaction::put_if(lease_key(shared), expected, value);
-    match shared.platform.table().transact(transaction).await {
+    match shared.table().transact(transaction).await {
         TableAnswer::Committed { revision, .. } => {
             keeper.lock().written(shared.now(), revision, &row);
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod plain;
 pub mod ports;
 pub mod process;
+pub mod relay;
 pub mod request;
 pub mod server;
 pub mod settings;
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -28,7 +28,7 @@
 use crate::directory::Directory;
 use crate::lines::{self, Rank};
 use crate::orders;
-use crate::ports::FencedOrder;
+use crate::ports::{FencedOrder, WatchedTable};
 use crate::shared::Shared;
 use crate::watch::{LOST_PAUSE, row_name};
 
@@ -118,7 +118,7 @@
     async fn inherit(&mut self) {
         let table = self.shared.platform.tables().placed;
         let snapshot = loop {
-            match self.shared.platform.table().read(table).await {
+            match self.shared.table().read(table).await {
                 Ok(snapshot) => break snapshot,
                 Err(_) => sleep(LOST_PAUSE).await,
             }
@@ -285,7 +285,7 @@
     let key = format!("{}/{id}", shared.platform.tables().placed);
     for _ in 0..ROW_TRIES {
         let transaction = Transaction::put_if(key.clone(), version, value.clone());
-        match shared.platform.table().transact(transaction).await {
+        match shared.table().transact(transaction).await {
             TableAnswer::Committed { revision, .. } => return RowWrite::Committed(revision),
             TableAnswer::Conflict { rows } => {
                 let current = rows.iter().find(|row| row.key == key);
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -12,6 +12,7 @@
 use gorsebank_fleet::{BackEndReport, Configuration, EngineReport, Prompt};
 use gorsebank_world::{AdapterId, BackEndId, ModelId, NodeId};
 use http::{HeaderMap, Request, StatusCode};
+use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
 /// What a request says of itself in its head.
@@ -69,7 +70,7 @@
 }
 
 /// Rows as of one moment.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TableSnapshot {
     /// All rows read.
     pub rows: Vec<TableRow>,
@@ -78,7 +79,7 @@
 }
 
 /// A change of a row.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RowChange {
     /// The row was written.
     Put(TableRow),
@@ -92,7 +93,7 @@
 }
 
 /// Changes of a table, in order.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TableChanges {
     /// The changes.
     pub changes: Vec<RowChange>,
@@ -101,7 +102,7 @@
 }
 
 /// Why a read of the table gave nothing.
-#[derive(Clone, Debug, Error, PartialEq, Eq)]
+#[derive(Clone, Debug, Error, PartialEq, Eq, Serialize, Deserialize)]
 pub enum TableError {
     /// Changes since that version are not kept any more: read the whole table.
     #[error("history is gone")]
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -13,9 +13,9 @@
 use crate::lines::{self, Rank};
 use crate::ports::Platform;
 use crate::server::{self, Connections};
-use crate::settings::{GatewaySettings, MetricsAddress};
+use crate::settings::GatewaySettings;
 use crate::shared::Shared;
-use crate::{demand_writer, holder, watch};
+use crate::{demand_writer, holder, relay, watch};
 
 /// How often a stopping process looks whether all requests have ended.
 const DRAIN_POLL: Duration = Duration::from_millis(50);
@@ -38,7 +38,11 @@
         let callers = listen(settings.listen_callers).await?;
         let readiness = listen(settings.listen_readiness).await?;
         let figures = match &settings.metrics {
-            Some(address) => listen_for_figures(address).await,
+            Some(address) => listen_beside(address.listen, "figures").await,
+            None => None,
+        };
+        let relay = match settings.relay {
+            Some(address) => listen_beside(address, "relay").await,
             None => None,
         };
         let fields = format_args!(
@@ -54,16 +58,12 @@
             tasks: watch::start(&shared),
             shared,
         };
-        gateway.spawn(callers, readiness, figures);
+        gateway.spawn(callers, readiness);
+        gateway.spawn_beside(figures, relay);
         Ok(gateway)
     }
 
-    fn spawn(
-        &mut self,
-        callers: TcpListener,
-        readiness: TcpListener,
-        figures: Option<(TcpListener, String)>,
-    ) {
+    fn spawn(&mut self, callers: TcpListener, readiness: TcpListener) {
         let shared = &self.shared;
         let connections = self.connections.clone();
         let serving = server::serve_callers(shared.clone(), callers, connections);
@@ -72,9 +72,19 @@
             .push(tokio::spawn(demand_writer::run(shared.clone())));
         self.tasks.push(tokio::spawn(holder::run(shared.clone())));
         self.tasks.push(serve_readiness(shared, readiness));
-        if let Some((listener, path)) = figures {
+    }
+
+    /// What callers can do without.
+    fn spawn_beside(&mut self, figures: Option<TcpListener>, relay: Option<TcpListener>) {
+        let shared = &self.shared;
+        if let (Some(listener), Some(address)) = (figures, &shared.settings.metrics) {
+            let path = address.path.clone();
             self.tasks.push(serve_figures(shared, listener, path));
         }
+        if let Some(listener) = relay {
+            let serving = relay::serve(listener, shared.table().clone());
+            self.tasks.push(tokio::spawn(serving));
+        }
     }
 
     /// Where callers connect.
@@ -119,16 +129,13 @@
         .wrap_err_with(|| format!("cannot listen on {address}"))
 }
 
-/// Figures are no reason not to serve.
-async fn listen_for_figures(address: &MetricsAddress) -> Option<(TcpListener, String)> {
-    match listen(address.listen).await {
-        Ok(listener) => Some((listener, address.path.clone())),
+/// What callers can do without is no reason not to serve.
+async fn listen_beside(address: SocketAddr, what: &str) -> Option<TcpListener> {
+    match listen(address).await {
+        Ok(listener) => Some(listener),
         Err(error) => {
-            lines::write(
-                Rank::Decision,
-                "no_figures",
-                format_args!("error=\"{error:#}\""),
-            );
+            let fields = format_args!("what={what} error=\"{error:#}\"");
+            lines::write(Rank::Decision, "not_listening", fields);
             None
         }
     }
--- /dev/null
+++ b/crates/gateway/src/relay/message.rs
@@ -0,0 +1,40 @@
+//! What gateways say to each other: a call of the table, and its answer.
+
+use gorsebank_contract::{TableAnswer, Transaction};
+use serde::{Deserialize, Serialize};
+
+use crate::ports::{TableChanges, TableError, TableSnapshot};
+
+/// A call of the table, made for another gateway.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RelayRequest {
+    /// All rows of a table.
+    Read {
+        /// The table.
+        table: String,
+    },
+    /// Changes of a table.
+    Changes {
+        /// The table.
+        table: String,
+        /// After this version.
+        version: u64,
+        /// Longest wait for the first change, in milliseconds.
+        wait: u64,
+    },
+    /// A transaction.
+    Transact(Transaction),
+}
+
+/// The table's answer to a relayed call.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RelayAnswer {
+    /// To a read.
+    Rows(TableSnapshot),
+    /// To a question for changes.
+    Changes(TableChanges),
+    /// To a transaction.
+    Transacted(TableAnswer),
+    /// The table gave no answer, or the gateway does not reach it either.
+    Failed(TableError),
+}
--- /dev/null
+++ b/crates/gateway/src/relay/table.rs
@@ -0,0 +1,279 @@
+//! The table as this gateway reaches it: by itself, or through another gateway.
+//!
+//! Two calls in a row without an answer show that the table is out of reach.
+//! From then on calls go through another gateway, and one call a second tries
+//! the direct way again. A gateway that relays uses only its own way, so calls
+//! make one hop at most.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::FutureExt;
+use futures_util::future::BoxFuture;
+use gorsebank_contract::{TableAnswer, Transaction};
+use parking_lot::Mutex;
+use prometheus::IntCounterVec;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+use super::client::RelayClient;
+use super::message::{RelayAnswer, RelayRequest};
+use crate::lines::{self, Rank};
+use crate::ports::{Platform, TableChanges, TableError, TableSnapshot, WatchedTable};
+
+/// Direct calls without an answer, in a row, after which others relay.
+const FAILURES: u32 = 2;
+/// Pause between two direct calls while others relay.
+const PROBE_PAUSE: Duration = Duration::from_millis(1_000);
+/// Pause after no other gateway could relay.
+const HOPELESS_PAUSE: Duration = Duration::from_millis(400);
+/// Gateways that are asked to relay one call.
+const PEERS_TRIED: usize = 2;
+/// A relayed call is answered within this time, beside the wait that was asked for.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// The table, by whichever way reaches it.
+pub struct RelayedTable {
+    platform: Arc<dyn Platform>,
+    calls: IntCounterVec,
+    client: RelayClient,
+    state: Mutex<State>,
+    /// Rings when the direct way is given up, for calls that wait on it.
+    given_up: Notify,
+}
+
+#[derive(Default)]
+struct State {
+    peers: Vec<SocketAddr>,
+    failures: u32,
+    probe_at: Option<Instant>,
+    hopeless_until: Option<Instant>,
+    last_peer: Option<SocketAddr>,
+}
+
+/// Which way a call takes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Way {
+    Direct,
+    Relayed,
+}
+
+impl RelayedTable {
+    /// The table of a platform; no other gateway is known yet. `calls` counts
+    /// calls by way and result.
+    pub fn new(platform: Arc<dyn Platform>, calls: IntCounterVec) -> Self {
+        RelayedTable {
+            platform,
+            calls,
+            client: RelayClient::default(),
+            state: Mutex::default(),
+            given_up: Notify::new(),
+        }
+    }
+
+    /// Other gateways that may relay.
+    pub fn set_peers(&self, peers: Vec<SocketAddr>) {
+        self.state.lock().peers = peers;
+    }
+
+    /// The direct way, unless it was given up.
+    pub fn direct(&self) -> Option<&dyn WatchedTable> {
+        let is_given_up = self.state.lock().probe_at.is_some();
+        (!is_given_up).then(|| self.platform.table())
+    }
+
+    fn way(&self) -> Way {
+        let now = Instant::now();
+        let mut state = self.state.lock();
+        let Some(probe_at) = state.probe_at else {
+            return Way::Direct;
+        };
+        let hopeless = state.hopeless_until.is_some_and(|until| now < until);
+        if now >= probe_at || hopeless || state.peers.is_empty() {
+            state.probe_at = Some(now + PROBE_PAUSE);
+            return Way::Direct;
+        }
+        Way::Relayed
+    }
+
+    /// A direct call was answered.
+    fn note_reached(&self) {
+        self.count("direct");
+        let mut state = self.state.lock();
+        state.failures = 0;
+        let was_relayed = state.probe_at.take().is_some();
+        drop(state);
+        if was_relayed {
+            self.client.clear();
+            lines::write(Rank::Decision, "table_way", format_args!("way=direct"));
+        }
+    }
+
+    /// A direct call had no answer, or was turned away.
+    fn note_failed(&self) {
+        self.count("direct_failed");
+        let mut state = self.state.lock();
+        state.failures += 1;
+        let gives_up = state.failures >= FAILURES && state.probe_at.is_none();
+        if !gives_up {
+            return;
+        }
+        state.probe_at = Some(Instant::now() + PROBE_PAUSE);
+        let peers = state.peers.len();
+        drop(state);
+        self.given_up.notify_waiters();
+        let fields = format_args!("way=relayed failures={FAILURES} gateways={peers}");
+        lines::write(Rank::Decision, "table_way", fields);
+    }
+
+    fn count(&self, result: &str) {
+        self.calls.with_label_values(&[result]).inc();
+    }
+
+    fn note<T>(&self, result: &Result<T, TableError>) {
+        match result {
+            Ok(_) | Err(TableError::HistoryGone | TableError::Content(_)) => self.note_reached(),
+            Err(_) => self.note_failed(),
+        }
+    }
+
+    /// Gateways to ask, the one that last answered first.
+    fn candidates(&self) -> Vec<SocketAddr> {
+        let state = self.state.lock();
+        let mut peers = state.peers.clone();
+        let count = peers.len();
+        for index in 0..count {
+            peers.swap(index, rand::random_range(index..count));
+        }
+        if let Some(last) = state.last_peer
+            && let Some(index) = peers.iter().position(|peer| *peer == last)
+        {
+            peers.swap(0, index);
+        }
+        peers.truncate(PEERS_TRIED);
+        peers
+    }
+
+    /// Hands a call to others, until one of them reaches the table.
+    async fn relay(&self, request: RelayRequest, wait: Duration) -> Option<RelayAnswer> {
+        for peer in self.candidates() {
+            let answer = self
+                .client
+                .call(peer, &request, wait + ANSWER_TIMEOUT)
+                .await;
+            if let Some(answer) = answer.filter(reached) {
+                self.count("relayed");
+                self.state.lock().last_peer = Some(peer);
+                return Some(answer);
+            }
+            if matches!(request, RelayRequest::Transact(_)) {
+                // It may have been made: the writer reads before it writes again.
+                break;
+            }
+        }
+        self.count("relay_failed");
+        let mut state = self.state.lock();
+        state.last_peer = None;
+        state.hopeless_until = Some(Instant::now() + HOPELESS_PAUSE);
+        None
+    }
+
+    async fn read_any(&self, table: &str) -> Result<TableSnapshot, TableError> {
+        if self.way() == Way::Direct {
+            let result = self.platform.table().read(table).await;
+            self.note(&result);
+            return result;
+        }
+        let table = table.to_owned();
+        let request = RelayRequest::Read { table };
+        match self.relay(request, Duration::ZERO).await {
+            Some(RelayAnswer::Rows(rows)) => Ok(rows),
+            Some(RelayAnswer::Failed(error)) => Err(error),
+            _ => Err(not_relayed()),
+        }
+    }
+
+    async fn changes_any(
+        &self,
+        table: &str,
+        version: u64,
+        wait: Duration,
+    ) -> Result<TableChanges, TableError> {
+        if self.way() == Way::Direct {
+            let given_up = self.given_up.notified();
+            return tokio::select! {
+                result = self.platform.table().changes(table, version, wait) => {
+                    self.note(&result);
+                    result
+                }
+                () = given_up => Err(out_of_reach()),
+            };
+        }
+        let request = RelayRequest::Changes {
+            table: table.to_owned(),
+            version,
+            wait: wait.as_millis() as u64,
+        };
+        match self.relay(request, wait).await {
+            Some(RelayAnswer::Changes(changes)) => Ok(changes),
+            Some(RelayAnswer::Failed(error)) => Err(error),
+            _ => Err(not_relayed()),
+        }
+    }
+
+    async fn transact_any(&self, transaction: Transaction) -> TableAnswer {
+        if self.way() == Way::Direct {
+            let answer = self.platform.table().transact(transaction).await;
+            match answer {
+                TableAnswer::Unknown => self.note_failed(),
+                _ => self.note_reached(),
+            }
+            return answer;
+        }
+        let request = RelayRequest::Transact(transaction);
+        match self.relay(request, Duration::ZERO).await {
+            Some(RelayAnswer::Transacted(answer)) => answer,
+            _ => TableAnswer::Unknown,
+        }
+    }
+}
+
+/// Whether the gateway that answered had an answer of the table.
+fn reached(answer: &RelayAnswer) -> bool {
+    match answer {
+        RelayAnswer::Rows(_) | RelayAnswer::Changes(_) => true,
+        RelayAnswer::Transacted(answer) => *answer != TableAnswer::Unknown,
+        RelayAnswer::Failed(error) => {
+            matches!(error, TableError::HistoryGone | TableError::Content(_))
+        }
+    }
+}
+
+/// The direct way was given up.
+pub fn out_of_reach() -> TableError {
+    TableError::Lost("the table is out of reach".to_owned())
+}
+
+fn not_relayed() -> TableError {
+    TableError::Lost("no other gateway reaches the table".to_owned())
+}
+
+impl WatchedTable for RelayedTable {
+    fn read<'a>(&'a self, table: &'a str) -> BoxFuture<'a, Result<TableSnapshot, TableError>> {
+        self.read_any(table).boxed()
+    }
+
+    fn changes<'a>(
+        &'a self,
+        table: &'a str,
+        version: u64,
+        wait: Duration,
+    ) -> BoxFuture<'a, Result<TableChanges, TableError>> {
+        self.changes_any(table, version, wait).boxed()
+    }
+
+    fn transact(&self, transaction: Transaction) -> BoxFuture<'_, TableAnswer> {
+        self.transact_any(transaction).boxed()
+    }
+}
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -20,6 +20,8 @@
     pub listen_readiness: SocketAddr,
     /// Address and path of the figures.
     pub metrics: Option<MetricsAddress>,
+    /// Where calls of the table are relayed for other gateways.
+    pub relay: Option<SocketAddr>,
     /// Bounds that the deployment sets.
     pub bounds: Bounds,
 }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -5,6 +5,7 @@
 //! No lock is held over an await.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
@@ -20,6 +21,7 @@
 use crate::directory::Directory;
 use crate::metrics::Metrics;
 use crate::ports::Platform;
+use crate::relay::RelayedTable;
 use crate::settings::GatewaySettings;
 
 /// Gateways are reckoned to be at least so many, until the table was read.
@@ -59,6 +61,7 @@
     stopping: AtomicBool,
     stopping_since: AtomicU64,
     back_ends_read: AtomicBool,
+    table: Arc<RelayedTable>,
     start: Instant,
 }
 
@@ -66,10 +69,13 @@
     /// State of a process that has just started.
     pub fn new(settings: GatewaySettings, platform: Arc<dyn Platform>) -> eyre::Result<Self> {
         let directory = Directory::new(settings.zone.clone());
+        let metrics = Metrics::new()?;
+        let calls = metrics.table_calls.clone();
+        let table = Arc::new(RelayedTable::new(platform.clone(), calls));
         Ok(Shared {
             settings,
             platform,
-            metrics: Metrics::new()?,
+            metrics,
             demand: Mutex::default(),
             urgent_demand: Notify::new(),
             configuration: RwLock::new(None),
@@ -83,10 +89,21 @@
             stopping: AtomicBool::new(false),
             stopping_since: AtomicU64::new(0),
             back_ends_read: AtomicBool::new(false),
+            table,
             start: Instant::now(),
         })
     }
 
+    /// The table, by whichever way reaches it.
+    pub fn table(&self) -> &Arc<RelayedTable> {
+        &self.table
+    }
+
+    /// Where other gateways relay calls of the table.
+    pub fn set_relays(&self, relays: Vec<SocketAddr>) {
+        self.table.set_peers(relays);
+    }
+
     /// Steady time since the start.
     pub fn now(&self) -> Timestamp {
         Timestamp(self.start.elapsed().as_millis() as u64)
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -94,7 +94,7 @@
     version: Option<u64>,
     follower: &mut impl Follower,
 ) -> Result<u64, TableError> {
-    let source: &dyn WatchedTable = shared.platform.table();
+    let source = shared.table();
     let Some(version) = version else {
         let snapshot = source.read(table).await?;
         follower.replace(snapshot.rows);
