Orders to engines wait for an answer only as long as engines usually take

Ruled out: places for adapters (free ones), the lease (held then).

Change: orders wait six times the usual answer, at least 200 ms. The wait doubles only after three calls in a row without an answer, for orders as for the table, since one or two may have lost theirs.

--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -9,16 +9,25 @@
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
 use crate::attempt::stated_rest;
 use crate::back_end::{BackEnd, Connection};
 use crate::lines::{self, Rank};
+use crate::patience::Patience;
 use crate::ports::FencedOrder;
 use crate::shared::Shared;
 
 /// An engine answers within this time, or not at all.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// While engines answer orders quickly, one without an answer after this time is
+/// believed to have none.
+const LEAST_ANSWER_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// How long orders wait for their answers.
+pub fn patience() -> Patience {
+    Patience::new(LEAST_ANSWER_TIMEOUT, ANSWER_TIMEOUT)
+}
 
 /// Asks an engine for its state.
 pub async fn ask(shared: &Shared, engine: &Arc<BackEnd>) -> Option<EngineReport> {
@@ -55,14 +64,19 @@
 ) -> OrderResult {
     let request = shared.platform.order_request(order);
     let sending = send_if(engine, request, still_valid);
-    let (response, connection) = match timeout(ANSWER_TIMEOUT, sending).await {
+    let began = Instant::now();
+    let (response, connection) = match timeout(shared.order_patience.wait(), sending).await {
         Ok(Ok(answered)) => answered,
         Ok(Err(Unsent)) => return OrderResult::NotSent,
-        Err(_) => return OrderResult::Unanswered,
+        Err(_) => {
+            shared.order_patience.expired();
+            return OrderResult::Unanswered;
+        }
     };
     let Some(response) = response else {
         return OrderResult::Unanswered;
     };
+    shared.order_patience.answered(began.elapsed());
     let result = shared.platform.order_result(response.status());
     let rest = stated_rest(response.headers());
     if let Ok(Ok(_)) = timeout(ANSWER_TIMEOUT, response.into_body().collect()).await {
--- a/crates/gateway/src/patience.rs
+++ b/crates/gateway/src/patience.rs
@@ -1,8 +1,8 @@
 //! How long a call of a service waits for its answer.
 //!
 //! A lost answer should be noticed soon, and a slow one should still be taken.
-//! So the wait follows the time that answers took of late; it doubles with each
-//! call that had none, up to a bound.
+//! So the wait follows the time that answers took of late; it doubles when
+//! several calls in a row had none, up to a bound.
 
 use std::time::Duration;
 
@@ -10,6 +10,9 @@
 
 /// A call waits for so many times the usual time of an answer.
 const USUAL_FACTOR: f64 = 6.0;
+/// Calls in a row without an answer after which the wait doubles: fewer may just
+/// have lost theirs.
+const EXPIRED_IN_A_ROW: u32 = 3;
 /// Weight of the newest answer in the usual time.
 const NEWEST_WEIGHT: f64 = 0.2;
 
@@ -25,6 +28,7 @@
 struct State {
     usual: Option<Duration>,
     wait: Duration,
+    expired: u32,
 }
 
 impl Patience {
@@ -33,6 +37,7 @@
         let state = State {
             usual: None,
             wait: most,
+            expired: 0,
         };
         Patience {
             least,
@@ -54,12 +59,16 @@
             Some(usual) => usual.mul_f64(1.0 - NEWEST_WEIGHT) + time.mul_f64(NEWEST_WEIGHT),
         };
         state.usual = Some(usual);
+        state.expired = 0;
         state.wait = usual.mul_f64(USUAL_FACTOR).clamp(self.least, self.most);
     }
 
     /// A call had no answer.
     pub fn expired(&self) {
         let mut state = self.state.lock();
-        state.wait = (state.wait * 2).min(self.most);
+        state.expired += 1;
+        if state.expired.is_multiple_of(EXPIRED_IN_A_ROW) {
+            state.wait = (state.wait * 2).min(self.most);
+        }
     }
 }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -20,6 +20,8 @@
 
 use crate::directory::Directory;
 use crate::metrics::Metrics;
+use crate::orders;
+use crate::patience::Patience;
 use crate::ports::Platform;
 use crate::relay::RelayedTable;
 use crate::settings::GatewaySettings;
@@ -50,6 +52,8 @@
     pub demand: Mutex<Demand>,
     /// Rings when demand says something that should be written at once.
     pub urgent_demand: Notify,
+    /// How long orders to engines wait for their answers.
+    pub order_patience: Patience,
     configuration: RwLock<Option<Arc<Configuration>>>,
     directory: RwLock<Directory>,
     retries: Mutex<HashMap<ServiceId, RetryWindow>>,
@@ -78,6 +82,7 @@
             metrics,
             demand: Mutex::default(),
             urgent_demand: Notify::new(),
+            order_patience: orders::patience(),
             configuration: RwLock::new(None),
             directory: RwLock::new(directory),
             retries: Mutex::default(),
