Waiting requests count by rank; late ones wait less long for a load that nobody ordered

Change: a waiting request counts 2, 1.5 or 1 by the rank of its route, in the demand row too. A request that is late already waits for a load that nobody has ordered for 0.45 of the time it has, then is refused with when to come back.

--- a/crates/fleet/src/demand.rs
+++ b/crates/fleet/src/demand.rs
@@ -30,6 +30,9 @@
     pub running: u32,
     /// Requests that wait for it, or were told to come back for it.
     pub waiting: u32,
+    /// The same, each by the weight of its route's rank.
+    #[serde(default)]
+    pub waiting_weight: f64,
     /// Adapters that are asked for, with the requests a second.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub adapters: BTreeMap<AdapterId, f64>,
@@ -72,6 +75,7 @@
     urgent_rate: Rate,
     running: u32,
     waiting: u32,
+    waiting_weight: f64,
     wished: Option<Timestamp>,
     adapters: BTreeMap<AdapterId, Rate>,
     wished_adapters: BTreeMap<AdapterId, Timestamp>,
@@ -110,10 +114,23 @@
         entry.running = entry.running.saturating_add_signed(change);
     }
 
-    /// A request begins (`change` 1) or ends (-1) to wait for the model.
-    pub fn waiting(&mut self, service: &ServiceId, model: &ModelId, change: i32) {
+    /// A request of a route of this rank begins to wait for the model.
+    pub fn begin_waiting(&mut self, service: &ServiceId, model: &ModelId, priority: u8) {
+        let entry = self.entry(service, model);
+        entry.waiting += 1;
+        entry.waiting_weight += priority_weight(priority);
+    }
+
+    /// It waits no more.
+    pub fn end_waiting(&mut self, service: &ServiceId, model: &ModelId, priority: u8) {
         let entry = self.entry(service, model);
-        entry.waiting = entry.waiting.saturating_add_signed(change);
+        entry.waiting = entry.waiting.saturating_sub(1);
+        let left = entry.waiting_weight - priority_weight(priority);
+        entry.waiting_weight = if entry.waiting == 0 {
+            0.0
+        } else {
+            left.max(0.0)
+        };
     }
 
     /// The model, or an adapter of it, is held by no back end. True if this is news.
@@ -175,12 +192,26 @@
             urgent_rate: rounded(self.urgent_rate.at(now)),
             running: self.running,
             waiting: self.waiting.max(u32::from(self.wished.is_some())),
+            waiting_weight: if self.waiting == 0 && self.wished.is_some() {
+                1.0
+            } else {
+                rounded(self.waiting_weight)
+            },
             adapters,
             missing_adapters: self.wished_adapters.keys().cloned().collect(),
         }
     }
 }
 
+/// What a waiting request counts for, by the rank of its route; 0 is the highest.
+pub fn priority_weight(priority: u8) -> f64 {
+    match priority {
+        0 => 2.0,
+        1 => 1.5,
+        _ => 1.0,
+    }
+}
+
 /// Three digits say enough.
 fn rounded(rate: f64) -> f64 {
     (rate * 1_000.0).round() / 1_000.0
--- a/crates/fleet/src/placement/goals.rs
+++ b/crates/fleet/src/placement/goals.rs
@@ -17,7 +17,7 @@
 use crate::configuration::{Engine, ModelSpec};
 use crate::demand::ModelDemand;
 
-/// Worth of one waiting request, in requests a second.
+/// Worth of one waiting request of low rank, in requests a second.
 const WAITING_WORTH: f64 = 0.3;
 /// A running request makes a model this much dearer to lose.
 const RUNNING_WORTH: f64 = 0.25;
@@ -190,7 +190,7 @@
             return None;
         }
         if replicas == 0 {
-            let waiting = WAITING_WORTH * f64::from(demand.waiting);
+            let waiting = WAITING_WORTH * demand.waiting_weight;
             return Some(demand.rate + waiting + self.forecast.worth(model));
         }
         let wants_more = replicas < SAFE_REPLICAS && demand.urgent_rate > SAFE_RATE;
@@ -287,7 +287,7 @@
     fn value(&self, model: &ModelId) -> f64 {
         let shares = self.replicas.of(model).max(1) as f64;
         let running = RUNNING_WORTH * f64::from(self.totals.running(model));
-        let waiting = WAITING_WORTH * f64::from(self.totals.waiting(model));
+        let waiting = WAITING_WORTH * self.totals.waiting(model);
         let asked = self.totals.absence_cost(model) + running + waiting;
         let lost = asked + self.forecast.worth(model);
         lost / shares + prior(self.spec, model)
--- a/crates/fleet/src/placement/totals.rs
+++ b/crates/fleet/src/placement/totals.rs
@@ -32,6 +32,7 @@
         total.urgent_rate += demand.urgent_rate;
         total.running += demand.running;
         total.waiting += demand.waiting;
+        total.waiting_weight += demand.waiting_weight;
         for (adapter, rate) in &demand.adapters {
             *total.adapters.entry(adapter.clone()).or_default() += rate;
         }
@@ -58,9 +59,10 @@
         self.models.get(model).map_or(0, |demand| demand.running)
     }
 
-    /// Requests that wait for a model.
-    pub fn waiting(&self, model: &ModelId) -> u32 {
-        self.models.get(model).map_or(0, |demand| demand.waiting)
+    /// Requests that wait for a model, by the weight of their rank.
+    pub fn waiting(&self, model: &ModelId) -> f64 {
+        let demand = self.models.get(model);
+        demand.map_or(0.0, |demand| demand.waiting_weight)
     }
 
     /// Requests a second for any adapter of a model.
--- a/crates/fleet/tests/placement.rs
+++ b/crates/fleet/tests/placement.rs
@@ -193,6 +193,29 @@
     assert!(world.loads.is_empty());
 }
 
+/// One engine loads one model at a time; requests of higher rank get it first.
+#[test]
+fn waiting_requests_of_high_rank_are_loaded_for_first() {
+    let service = support::service();
+    let mut gateway = gorsebank_fleet::Demand::default();
+    let now = Timestamp(0);
+    for (model, priority) in [("m3", 2), ("m9", 0)] {
+        gateway.arrived(now, &service, &model.into(), None, false);
+        gateway.begin_waiting(&service, &model.into(), priority);
+    }
+    let rows = vec![gateway.row(now)];
+    let mut world = World::new(1, &["m0", "m1", "m2"]);
+    for now in (0..1_800).step_by(50) {
+        world.turn(now, &rows);
+    }
+    assert_eq!(world.holders("m9"), 1);
+    assert_eq!(world.holders("m3"), 0);
+    gateway.end_waiting(&service, &"m9".into(), 0);
+    let left = gateway.row(now);
+    let left = &left.services[&service][&"m9".into()];
+    assert_eq!((left.waiting, left.waiting_weight), (0, 0.0));
+}
+
 /// A copy in an engine's memory serves seconds sooner than the weight store.
 #[test]
 fn a_model_is_loaded_where_the_engine_has_a_copy() {
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -98,6 +98,7 @@
             rate: *rate,
             urgent_rate: *rate,
             waiting: *waiting,
+            waiting_weight: f64::from(*waiting),
             ..ModelDemand::default()
         };
         (ModelId::from(*model), demand)
@@ -129,6 +130,7 @@
             urgent_rate: *rate / 2.0,
             running: (*rate * 2.0) as u32,
             waiting: *waiting,
+            waiting_weight: f64::from(*waiting),
             adapters: BTreeMap::new(),
             missing_adapters: adapters(*missing as u32).into_iter().collect(),
         };
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -37,6 +37,9 @@
 const PATIENCE_PAUSES: u32 = 8;
 /// Part of a caller's patience that is used.
 const PATIENCE_PART: f64 = 0.85;
+/// Part of the time that a request has for which it waits, late already, for a
+/// load that nobody has ordered: callers may still be served elsewhere then.
+const UNORDERED_PART: f64 = 0.45;
 /// Least pause that a refused caller is asked for.
 const LEAST_PAUSE: Duration = Duration::from_millis(250);
 /// A caller that waits for a load is asked to come back this much after it.
@@ -130,7 +133,12 @@
         return Some(early);
     }
     let refusal_gains = now <= early && !call.returning;
-    (!refusal_gains && ready <= give_up).then_some(give_up)
+    let until = if load.ordered {
+        give_up
+    } else {
+        give_up.min(call.arrived + call.held().mul_f64(UNORDERED_PART))
+    };
+    (!refusal_gains && ready <= give_up).then_some(until)
 }
 
 /// How long the caller waits for the first event.
@@ -223,7 +231,7 @@
     fn begin(call: &'a Call) -> Option<Self> {
         let model = call.ticket.model.as_ref()?;
         let mut demand = call.shared.demand.lock();
-        demand.waiting(&call.service, model, 1);
+        demand.begin_waiting(&call.service, model, call.route.priority);
         Some(Waiting { call, model })
     }
 }
@@ -231,7 +239,7 @@
 impl Drop for Waiting<'_> {
     fn drop(&mut self) {
         let mut demand = self.call.shared.demand.lock();
-        demand.waiting(&self.call.service, self.model, -1);
+        demand.end_waiting(&self.call.service, self.model, self.call.route.priority);
     }
 }
 
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -116,6 +116,11 @@
         Some(last.saturating_sub(Duration::from_millis(since)))
     }
 
+    /// How long the request may be held.
+    pub fn held(&self) -> Duration {
+        self.deadline - self.arrived
+    }
+
     /// A refusal, or what is still true if it may have run.
     pub fn refuse(&self, reason: &'static str, retry_after: Duration) -> Failure {
         if self.is_exposed() {
