One way to follow a table, the holder's demand rows too; engine.rs by job

Following demand was a loop beside watch.rs without its pacing and lines. The next thing to do at an engine, its goals and the results of orders have files of their own. No change of decisions; the tests of fleet, gateway and platform pass.

--- a/crates/fleet/src/placement/engine.rs
+++ b/crates/fleet/src/placement/engine/mod.rs
@@ -4,15 +4,16 @@
 //! itself answered together with its sequence number, moved on by orders that
 //! were acknowledged since. Only `known` sizes an order.
 
+mod next;
+
 use std::collections::BTreeSet;
 use std::time::Duration;
 
 use gorsebank_coordination::Timestamp;
 use gorsebank_world::{AdapterId, ModelId, ServiceId};
 
-use super::pace::LoadPace;
-use super::totals::Totals;
-use super::{Action, ActionKind, OrderKind};
+use super::goal::Goal;
+use super::{OrderKind, OrderResult};
 use crate::back_end::{BackEndReport, EngineReport, Holdings, PlacedRow, PlannedLoad};
 use crate::configuration::{Engine, ModelSpec};
 
@@ -27,36 +28,11 @@
 const UNLOAD_TIME: u64 = 120;
 /// Pause between two questions while an adapter is on its way, in milliseconds.
 const ADAPTER_POLL: u64 = 50;
-/// Adapters that may be on their way to one engine at once.
-const ADAPTERS_IN_TRANSIT: usize = 4;
 /// A goal that was not reached in this time is given up, in milliseconds.
 const GOAL_LIFETIME: u64 = 15_000;
-/// A goal that has waited so long for an unload to end is late, in milliseconds.
-const ROOM_PATIENCE: u64 = 1_000;
-/// A load that lasts so much longer than expected is late, in milliseconds.
-const LOAD_PATIENCE: u64 = 2_000;
 /// A row is kept up for this long after the last change, in milliseconds.
 const ROW_LIFETIME: u64 = 5_000;
 
-/// What came of an order.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum OrderResult {
-    /// It is under way.
-    Accepted,
-    /// It is in force already.
-    InForce,
-    /// Another order is under way, or the sequence number differs.
-    Conflict,
-    /// The engine has seen a higher fence.
-    Fenced,
-    /// It was refused for good.
-    Refused,
-    /// No answer: it may be carried out, even later.
-    Unanswered,
-    /// Nothing was sent.
-    NotSent,
-}
-
 #[derive(Debug)]
 struct Known {
     holdings: Holdings,
@@ -65,32 +41,6 @@
     sequence: u64,
 }
 
-/// A model that the holder wants on an engine.
-#[derive(Clone, Debug)]
-pub struct Goal {
-    /// The model.
-    pub model: ModelId,
-    /// Since when.
-    pub since: Timestamp,
-    /// When it is expected to serve.
-    pub ready_at: Timestamp,
-    /// Models that may leave for it, the cheapest first.
-    pub victims: Vec<ModelId>,
-    /// Whether its load was ordered.
-    loading: bool,
-}
-
-impl Goal {
-    /// Whether nothing speaks for it being reached soon: the room for it is long
-    /// in coming, since an unload waits for its runs, or the load does not end.
-    fn is_late(&self, now: Timestamp) -> bool {
-        if self.loading {
-            return now.since(self.ready_at) > LOAD_PATIENCE;
-        }
-        now.since(self.since) > ROOM_PATIENCE
-    }
-}
-
 /// One engine.
 #[derive(Debug)]
 pub struct EngineState {
@@ -267,132 +217,6 @@
         self.observed.in_memory.contains(model) || self.observed.on_disk.contains(model)
     }
 
-    /// The next thing to do, if there is one.
-    pub fn next_action(
-        &mut self,
-        now: Timestamp,
-        spec: &Engine,
-        totals: &Totals,
-        pace: &mut LoadPace,
-    ) -> Option<Action> {
-        self.settle_goal(now);
-        let waits = self.check || self.goal.is_some() || !self.wanted_adapters.is_empty();
-        let pending = self
-            .known
-            .as_ref()
-            .is_some_and(|known| known.busy || !known.pending.is_empty());
-        if self.in_flight || !(waits || pending) || self.observed.draining {
-            return None;
-        }
-        let Some(known) = &self.known else {
-            return self.ask(now, "state unknown");
-        };
-        if self.check {
-            return self.ask(now, "requests wait for what it holds");
-        }
-        if known.busy {
-            return self.ask(now, "order under way");
-        }
-        let sequence = known.sequence;
-        let (order, reason) = match self.next_order(now, spec, totals, pace) {
-            Some(order) => order,
-            None if pending => return self.ask(now, "adapter on its way"),
-            None => return None,
-        };
-        self.in_flight = true;
-        self.changed = Some(now);
-        self.note_on_its_way(&order);
-        let kind = ActionKind::Order { order, sequence };
-        Some(self.action(kind, reason))
-    }
-
-    /// An adapter counts as on its way from the moment of the order.
-    fn note_on_its_way(&mut self, order: &OrderKind) {
-        if let (OrderKind::LoadAdapter(model, adapter), Some(known)) = (order, &mut self.known) {
-            known.pending.insert((model.clone(), adapter.clone()));
-        }
-    }
-
-    fn next_order(
-        &mut self,
-        now: Timestamp,
-        spec: &Engine,
-        totals: &Totals,
-        pace: &mut LoadPace,
-    ) -> Option<(OrderKind, &'static str)> {
-        if let Some(order) = self.goal_order(now, spec, pace) {
-            return Some(order);
-        }
-        self.adapter_order(spec, totals)
-    }
-
-    fn goal_order(
-        &mut self,
-        now: Timestamp,
-        spec: &Engine,
-        pace: &mut LoadPace,
-    ) -> Option<(OrderKind, &'static str)> {
-        let model = self.goal.as_ref()?.model.clone();
-        let wanted = spec.models.get(&model)?;
-        if self.free_memory(spec) >= wanted.memory_mb {
-            let from_store = !self.has_copy(&model);
-            if from_store && !pace.allows(now, spec.loads_per_second) {
-                return None;
-            }
-            if from_store {
-                pace.note(now, &self.observed.id, self.known.as_ref()?.sequence);
-            }
-            let expected = self.load_time(&model, wanted);
-            let goal = self.goal.as_mut()?;
-            goal.ready_at = now + expected.as_millis() as u64;
-            goal.loading = true;
-            return Some((OrderKind::LoadModel(model), "demand"));
-        }
-        let held = self.holdings();
-        let mut victims = self.goal.as_ref()?.victims.iter();
-        let victim = victims.find(|victim| held.contains_key(*victim))?.clone();
-        self.unloading = Some(victim.clone());
-        Some((OrderKind::UnloadModel(victim), "room for a model in demand"))
-    }
-
-    fn adapter_order(&self, spec: &Engine, totals: &Totals) -> Option<(OrderKind, &'static str)> {
-        let known = self.known.as_ref()?;
-        let (model, adapter) = self
-            .wanted_adapters
-            .iter()
-            .filter(|(model, _)| known.holdings.contains_key(model))
-            .max_by(|one, other| {
-                let rate = |key: &(ModelId, AdapterId)| totals.adapter_rate(&key.0, &key.1);
-                rate(one).total_cmp(&rate(other))
-            })?;
-        if known.pending.len() >= ADAPTERS_IN_TRANSIT {
-            return None;
-        }
-        let held: usize = known.holdings.values().map(BTreeSet::len).sum();
-        let memory = spec.models.get(model)?.adapter_mb;
-        let fits = held + known.pending.len() < spec.adapter_slots;
-        if fits && self.free_memory(spec) >= memory {
-            let order = OrderKind::LoadAdapter(model.clone(), adapter.clone());
-            return Some((order, "adapter in demand"));
-        }
-        let (model, adapter) = self.idle_adapter(totals)?;
-        let order = OrderKind::UnloadAdapter(model, adapter);
-        Some((order, "room for an adapter in demand"))
-    }
-
-    fn idle_adapter(&self, totals: &Totals) -> Option<(ModelId, AdapterId)> {
-        let known = self.known.as_ref()?;
-        let held = known.holdings.iter().flat_map(|(model, adapters)| {
-            adapters
-                .iter()
-                .map(move |adapter| (model.clone(), adapter.clone()))
-        });
-        held.min_by(|one, other| {
-            let rate = |key: &(ModelId, AdapterId)| totals.adapter_rate(&key.0, &key.1);
-            rate(one).total_cmp(&rate(other))
-        })
-    }
-
     /// Ends a goal that was reached or is too old.
     fn settle_goal(&mut self, now: Timestamp) {
         let Some(goal) = &self.goal else {
@@ -408,22 +232,6 @@
         }
     }
 
-    fn ask(&mut self, now: Timestamp, reason: &'static str) -> Option<Action> {
-        if now < self.ask_at {
-            return None;
-        }
-        self.in_flight = true;
-        Some(self.action(ActionKind::Report, reason))
-    }
-
-    fn action(&self, kind: ActionKind, reason: &'static str) -> Action {
-        Action {
-            engine: self.observed.id.clone(),
-            kind,
-            reason,
-        }
-    }
-
     /// The engine told its state, or did not answer.
     pub fn reported(&mut self, now: Timestamp, report: Option<EngineReport>) {
         self.in_flight = false;
--- a/crates/fleet/src/placement/mod.rs
+++ b/crates/fleet/src/placement/mod.rs
@@ -12,6 +12,7 @@
 mod adapters;
 mod engine;
 mod forecast;
+mod goal;
 mod goals;
 mod pace;
 mod totals;
@@ -26,7 +27,6 @@
 use crate::demand::DemandRow;
 
 use engine::EngineState;
-pub use engine::OrderResult;
 use forecast::Forecast;
 pub use goals::{Obstacle, UnmetWish};
 pub use pace::{LoadBound, LoadPace, RecentLoad};
@@ -45,6 +45,25 @@
     UnloadAdapter(ModelId, AdapterId),
 }
 
+/// What came of an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OrderResult {
+    /// It is under way.
+    Accepted,
+    /// It is in force already.
+    InForce,
+    /// Another order is under way, or the sequence number differs.
+    Conflict,
+    /// The engine has seen a higher fence.
+    Fenced,
+    /// It was refused for good.
+    Refused,
+    /// No answer: it may be carried out, even later.
+    Unanswered,
+    /// Nothing was sent.
+    NotSent,
+}
+
 /// What to do at an engine.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ActionKind {
--- a/crates/fleet/src/placement/pace.rs
+++ b/crates/fleet/src/placement/pace.rs
@@ -17,7 +17,7 @@
 use gorsebank_world::BackEndId;
 use serde::{Deserialize, Serialize};
 
-use super::engine::OrderResult;
+use super::OrderResult;
 
 /// Loads that are left for what a holder cannot know.
 const RESERVE: f64 = 2.0;
--- a/crates/gateway/src/demand_rows.rs
+++ b/crates/gateway/src/demand_rows.rs
@@ -2,20 +2,17 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::time::Duration;
 
+use gorsebank_contract::TableRow;
 use gorsebank_coordination::Timestamp;
 use gorsebank_fleet::DemandRow;
 use parking_lot::Mutex;
 use tokio::sync::Notify;
-use tokio::time::sleep;
 
-use crate::ports::{RowChange, WatchedTable};
+use crate::ports::RowChange;
 use crate::shared::Shared;
-use crate::watch::LOST_PAUSE;
+use crate::watch::{Follower, follow};
 
-/// Longest wait for a change of demand, in one call.
-const DEMAND_WAIT: Duration = Duration::from_millis(2_000);
 /// Demand that nobody has renewed counts for so long, in milliseconds.
 const DEMAND_LIFETIME: u64 = 15_000;
 
@@ -56,31 +53,34 @@
 /// Follows the demand rows of all gateways.
 pub async fn follow_demand(shared: Arc<Shared>, demand: Arc<DemandRows>) {
     let table = shared.platform.tables().demand;
-    let mut version = None;
-    loop {
-        let source = shared.table();
-        let changes = match version {
-            None => source.read(table).await.map(|snapshot| {
-                let rows = snapshot.rows.into_iter().map(RowChange::Put).collect();
-                (rows, snapshot.version)
-            }),
-            Some(version) => source
-                .changes(table, version, DEMAND_WAIT)
-                .await
-                .map(|changes| (changes.changes, changes.version)),
-        };
-        let Ok((changes, next)): Result<(Vec<RowChange>, u64), _> = changes else {
-            version = None;
-            sleep(LOST_PAUSE).await;
-            continue;
-        };
-        version = Some(next);
-        for change in changes {
-            if let RowChange::Put(row) = change
-                && let Ok(parsed) = serde_json::from_str(&row.value)
-            {
-                demand.put(shared.now(), row.key, parsed);
-            }
+    let follower = DemandFollower {
+        shared: shared.clone(),
+        demand,
+    };
+    follow(shared, table, follower).await;
+}
+
+struct DemandFollower {
+    shared: Arc<Shared>,
+    demand: Arc<DemandRows>,
+}
+
+impl DemandFollower {
+    fn take(&self, row: TableRow) {
+        if let Ok(parsed) = serde_json::from_str(&row.value) {
+            self.demand.put(self.shared.now(), row.key, parsed);
+        }
+    }
+}
+
+impl Follower for DemandFollower {
+    fn replace(&mut self, rows: Vec<TableRow>) {
+        rows.into_iter().for_each(|row| self.take(row));
+    }
+
+    fn change(&mut self, change: RowChange) {
+        if let RowChange::Put(row) = change {
+            self.take(row);
         }
     }
 }
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -27,7 +27,7 @@
 const LONGEST_PAUSE: Duration = Duration::from_millis(600);
 
 /// What happens to the rows of one table.
-trait Follower: Send + 'static {
+pub trait Follower: Send + 'static {
     /// The whole table was read.
     fn replace(&mut self, rows: Vec<TableRow>);
     /// One row changed.
@@ -47,7 +47,8 @@
     ]
 }
 
-async fn follow(shared: Arc<Shared>, table: &'static str, mut follower: impl Follower) {
+/// Follows one table until it is dropped.
+pub async fn follow(shared: Arc<Shared>, table: &'static str, mut follower: impl Follower) {
     let mut version = None;
     let mut pause = FIRST_PAUSE;
     let mut lost = false;
