The holder removes rows of engines and gateways that are gone

Gateways that are gone counted in the shares of retry budget and table rates.

Change: a row that nobody wrote for its lifetime is removed on the condition of its version: 30 s for engines that discovery does not show, 120 s for gateways. The port of the table has a removal; relays carry it.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod reading;
 pub mod retry_window;
 pub mod split;
+pub mod sweep;
 
 pub use back_end::{BackEndReport, EngineReport, Holdings, PlacedRow, PlannedLoad};
 pub use configuration::{Configuration, Engine, Limits, ModelSpec, RequestKind, Route, Service};
@@ -26,3 +27,4 @@
 pub use prompt::{KeptParts, Prompt, PromptPart};
 pub use reading::{ReadingModel, Slowness};
 pub use retry_window::{RetryShare, RetryWindow};
+pub use sweep::Sweep;
--- a/crates/gateway/src/holder.rs
+++ b/crates/gateway/src/holder.rs
@@ -15,6 +15,7 @@
 use crate::placement::Placement;
 use crate::ports::WatchedTable;
 use crate::shared::Shared;
+use crate::sweeper;
 use crate::watch::LOST_PAUSE;
 
 /// Part of the deployment's bound on turns of holders that a lease lasts: the
@@ -29,7 +30,7 @@
     let lease = lease.as_millis() as u64;
     let keeper = LeaseKeeper::new(shared.settings.node.clone(), process, lease);
     let keeper = Arc::new(Mutex::new(keeper));
-    let mut placement: Option<AbortOnDrop> = None;
+    let mut work: Option<[AbortOnDrop; 2]> = None;
     loop {
         let was_holder = keeper.lock().is_holder();
         let step = keeper.lock().step(shared.now(), !shared.is_stopping());
@@ -48,11 +49,15 @@
             note_lease(&shared, &keeper, "taken");
             let loads = keeper.lock().former_loads(shared.now());
             let placing = Placement::new(shared.clone(), keeper.clone(), loads).run();
-            placement = Some(AbortOnDrop(tokio::spawn(placing)));
+            let sweeping = sweeper::run(shared.clone());
+            work = Some([
+                AbortOnDrop(tokio::spawn(placing)),
+                AbortOnDrop(tokio::spawn(sweeping)),
+            ]);
         }
         if was_holder && !is_holder {
             note_lease(&shared, &keeper, "lost");
-            drop(placement.take());
+            drop(work.take());
         }
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod settings;
 pub mod shared;
 pub mod stream;
+pub mod sweeper;
 pub mod watch;
 
 pub use process::{Gateway, run};
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -136,6 +136,9 @@
 
     /// Runs a transaction; its reads are not used.
     fn transact(&self, transaction: Transaction) -> BoxFuture<'_, TableAnswer>;
+
+    /// Removes a row if the version that last wrote it is `version`.
+    fn remove<'a>(&'a self, key: &'a str, version: u64) -> BoxFuture<'a, TableAnswer>;
 }
 
 /// A row or an answer that is not what the platform's pages say.
--- a/crates/gateway/src/relay/message.rs
+++ b/crates/gateway/src/relay/message.rs
@@ -24,6 +24,23 @@
     },
     /// A transaction.
     Transact(Transaction),
+    /// The removal of a row.
+    Remove {
+        /// The row.
+        key: String,
+        /// The version that last wrote it.
+        version: u64,
+    },
+}
+
+impl RelayRequest {
+    /// Whether it changes the table.
+    pub fn is_write(&self) -> bool {
+        matches!(
+            self,
+            RelayRequest::Transact(_) | RelayRequest::Remove { .. }
+        )
+    }
 }
 
 /// The table's answer to a relayed call.
@@ -33,7 +50,7 @@
     Rows(TableSnapshot),
     /// To a question for changes.
     Changes(TableChanges),
-    /// To a transaction.
+    /// To a transaction or a removal.
     Transacted(TableAnswer),
     /// The table gave no answer, or the gateway does not reach it either.
     Failed(TableError),
--- a/crates/gateway/src/relay/server.rs
+++ b/crates/gateway/src/relay/server.rs
@@ -80,5 +80,8 @@
         RelayRequest::Transact(transaction) => {
             RelayAnswer::Transacted(table.transact(transaction).await)
         }
+        RelayRequest::Remove { key, version } => {
+            RelayAnswer::Transacted(table.remove(&key, version).await)
+        }
     }
 }
--- a/crates/gateway/src/relay/table.rs
+++ b/crates/gateway/src/relay/table.rs
@@ -167,7 +167,7 @@
                 self.state.lock().last_peer = Some(peer);
                 return Some(answer);
             }
-            if matches!(request, RelayRequest::Transact(_)) {
+            if request.is_write() {
                 // It may have been made: the writer reads before it writes again.
                 break;
             }
@@ -225,13 +225,31 @@
     async fn transact_any(&self, transaction: Transaction) -> TableAnswer {
         if self.way() == Way::Direct {
             let answer = self.platform.table().transact(transaction).await;
-            match answer {
-                TableAnswer::Unknown => self.note_failed(),
-                _ => self.note_reached(),
-            }
+            self.note_write(&answer);
             return answer;
         }
-        let request = RelayRequest::Transact(transaction);
+        self.relay_write(RelayRequest::Transact(transaction)).await
+    }
+
+    async fn remove_any(&self, key: &str, version: u64) -> TableAnswer {
+        if self.way() == Way::Direct {
+            let answer = self.platform.table().remove(key, version).await;
+            self.note_write(&answer);
+            return answer;
+        }
+        let key = key.to_owned();
+        self.relay_write(RelayRequest::Remove { key, version })
+            .await
+    }
+
+    fn note_write(&self, answer: &TableAnswer) {
+        match answer {
+            TableAnswer::Unknown => self.note_failed(),
+            _ => self.note_reached(),
+        }
+    }
+
+    async fn relay_write(&self, request: RelayRequest) -> TableAnswer {
         match self.relay(request, Duration::ZERO).await {
             Some(RelayAnswer::Transacted(answer)) => answer,
             _ => TableAnswer::Unknown,
@@ -276,4 +294,8 @@
     fn transact(&self, transaction: Transaction) -> BoxFuture<'_, TableAnswer> {
         self.transact_any(transaction).boxed()
     }
+
+    fn remove<'a>(&'a self, key: &'a str, version: u64) -> BoxFuture<'a, TableAnswer> {
+        self.remove_any(key, version).boxed()
+    }
 }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -234,7 +234,7 @@
         (most / (IDLE_DIVISOR * self.possible_gateways())).max(1)
     }
 
-    /// So many gateways have ever written a row.
+    /// So many gateways have a row; rows of those that are gone are removed in time.
     pub fn set_gateways(&self, count: usize) {
         let count = count.max(LEAST_GATEWAYS);
         self.gateways.store(count, Ordering::Relaxed);
