--- a/crates/gateway/src/relay/table.rs
+++ b/crates/gateway/src/relay/table.rs
@@ -14,6 +14,7 @@
 use gorsebank_contract::{TableAnswer, Transaction};
 use parking_lot::Mutex;
 use prometheus::IntCounterVec;
+use rand::seq::SliceRandom;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
@@ -142,10 +143,7 @@
     fn candidates(&self) -> Vec<SocketAddr> {
         let state = self.state.lock();
         let mut peers = state.peers.clone();
-        let count = peers.len();
-        for index in 0..count {
-            peers.swap(index, rand::random_range(index..count));
-        }
+        peers.shuffle(&mut rand::rng());
         if let Some(last) = state.last_peer
             && let Some(index) = peers.iter().position(|peer| *peer == last)
         {
