--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -349,14 +349,17 @@
     back_ends
         .iter()
         .zip(latencies)
-        .map(|(back_end, latency)| Candidate {
-            in_flight: back_end.in_flight(),
-            same_zone: back_end.same_zone,
-            failure_rate: back_end.health().failure_rate(now),
-            relative_latency: relative(latency, mean),
-            warm_prompt: has_warm_prompt(call, back_end),
-            connected: back_end.has_connection(),
-            stall: stall(call, back_end),
+        .map(|(back_end, latency)| {
+            let fresh_tokens = back_end.fresh_tokens(&call.ticket);
+            Candidate {
+                in_flight: back_end.in_flight(),
+                same_zone: back_end.same_zone,
+                failure_rate: back_end.health().failure_rate(now),
+                relative_latency: relative(latency, mean),
+                warm_prompt: is_warm(call, fresh_tokens),
+                connected: back_end.has_connection(),
+                stall: stall(call, back_end, fresh_tokens),
+            }
         })
         .collect()
 }
@@ -368,18 +371,20 @@
     }
 }
 
-/// Whether the back end was sent all the shared parts of the prompt before.
-fn has_warm_prompt(call: &Call, back_end: &BackEnd) -> bool {
+/// Whether a back end that has to read so many tokens was sent all the shared
+/// parts of the prompt before.
+fn is_warm(call: &Call, fresh_tokens: u32) -> bool {
     let prompt = &call.ticket.prompt;
-    !prompt.shared.is_empty() && back_end.fresh_tokens(&call.ticket) == prompt.own_tokens
+    !prompt.shared.is_empty() && fresh_tokens == prompt.own_tokens
 }
 
-/// For how long the back end's streams would pause, as a part of the pause objective.
-fn stall(call: &Call, back_end: &BackEnd) -> f64 {
+/// For how long the back end's streams would pause while it reads so many tokens,
+/// as a part of the pause objective.
+fn stall(call: &Call, back_end: &BackEnd, fresh_tokens: u32) -> f64 {
     let (Some(model), Some(objective)) = (&call.ticket.model, call.route.pause_objective) else {
         return 0.0;
     };
-    let tokens = back_end.fresh_tokens(&call.ticket) + back_end.unread_tokens();
+    let tokens = fresh_tokens + back_end.unread_tokens();
     let slowness = back_end.slowness();
     let read = |known: &mut ReadingModel| known.time(model, slowness, tokens);
     let time = call.shared.reading(&call.service, read).unwrap_or(0.0);
