A relay address that does not listen is not announced; tests let the system choose the port

Cause: the test took a free port, let it go and had the gateway bind it later; in between a listener of a test beside it got the port. The gateway went on without its relay (listen_beside), announced the address all the same, and the test's call met an HTTP listener. Shown by a trial: the same call to a readiness address fails with the very same error.

Ruled out: the relay's frames (a listener that is no relay gives the error at once), a slow machine (no time is involved).

Change: the demand row names the address that listens, or none; the tests ask the gateway which port it got. a_relay_address_that_is_taken_is_not_announced was red before.

--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -32,7 +32,7 @@
 impl Gateway {
     /// Listens, and starts everything that runs beside requests.
     pub async fn start(
-        settings: GatewaySettings,
+        mut settings: GatewaySettings,
         platform: Arc<dyn Platform>,
     ) -> eyre::Result<Self> {
         let callers = listen(settings.listen_callers).await?;
@@ -45,6 +45,8 @@
             Some(address) => listen_beside(address, "relay").await,
             None => None,
         };
+        // Others are told the address that listens, or none.
+        settings.relay = relay.as_ref().and_then(|it| it.local_addr().ok());
         let fields = format_args!(
             "node={} zone={} callers={}",
             settings.node, settings.zone, settings.listen_callers
@@ -97,6 +99,11 @@
         self.readiness
     }
 
+    /// Where calls of the table are relayed for other gateways.
+    pub fn relay(&self) -> Option<SocketAddr> {
+        self.shared.settings.relay
+    }
+
     /// A planned stop: not ready from now on; returns when every request has ended.
     pub async fn drain(&self) {
         lines::write(Rank::Decision, "stop", format_args!("phase=begun"));
