The recorder takes a listener, so that its test holds the port from the start

Found by reading all places that ask for port 0; the live deployments give out ports below the range of outgoing connections, each once. The test's pause of 300 ms before the first request is needless now.

--- a/crates/gorsebank/tests/recording.rs
+++ b/crates/gorsebank/tests/recording.rs
@@ -3,12 +3,12 @@
 mod support;
 
 use std::path::PathBuf;
-use std::time::Duration;
 
 use gorsebank_replay::record::{RecordOptions, record};
 use gorsebank_replay::run::play_seed;
 use gorsebank_replay::trace::Trace;
 use http::Method;
+use tokio::net::TcpListener;
 use tokio::sync::oneshot;
 
 use support::{Deployment, completion};
@@ -18,11 +18,9 @@
     let deployment = Deployment::start("recording", 1).await;
     let traces = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../traces");
     let out = std::env::temp_dir().join(format!("gorsebank-record-{}.jsonl", std::process::id()));
-    let listen = std::net::TcpListener::bind("127.0.0.1:0")
-        .and_then(|listener| listener.local_addr())
-        .expect("a port is free");
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let listen = listener.local_addr().expect("an address");
     let options = RecordOptions {
-        listen,
         node: deployment.callers("n1"),
         header: traces.join("served/burst-of-one-cold-model.jsonl"),
         out: out.clone(),
@@ -32,9 +30,8 @@
         let stopped = async {
             let _ = stopped.await;
         };
-        record(&options, stopped).await
+        record(listener, &options, stopped).await
     });
-    tokio::time::sleep(Duration::from_millis(300)).await;
     let body = completion("llama", true, 4);
     let answer = deployment.post(listen, "/v1/completions", &body).await;
     assert_eq!(
--- a/crates/replay/src/main.rs
+++ b/crates/replay/src/main.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use clap::{Parser, Subcommand};
+use eyre::Context;
 use gorsebank_replay::ablation::Ablation;
 use gorsebank_replay::compare::{self, Figures, Policy};
 use gorsebank_replay::generate::{self, Deployment};
@@ -16,6 +17,7 @@
 use gorsebank_replay::summary::Summary;
 use gorsebank_replay::trace::Trace;
 use rayon::prelude::*;
+use tokio::net::TcpListener;
 
 /// Replays recorded traces against stated outcomes.
 #[derive(Debug, Parser)]
@@ -128,6 +130,14 @@
     }
 }
 
+async fn record_at(listen: SocketAddr, options: &RecordOptions) -> eyre::Result<()> {
+    let listener = TcpListener::bind(listen)
+        .await
+        .wrap_err_with(|| format!("cannot listen on {listen}"))?;
+    println!("listening on {}", listener.local_addr()?);
+    record::record(listener, options, stopped()).await
+}
+
 /// Returns on SIGINT or SIGTERM.
 async fn stopped() {
     use tokio::signal::unix::{SignalKind, signal};
@@ -233,14 +243,9 @@
             header,
             out,
         } => {
-            let options = RecordOptions {
-                listen,
-                node,
-                header,
-                out,
-            };
+            let options = RecordOptions { node, header, out };
             let runtime = tokio::runtime::Runtime::new()?;
-            runtime.block_on(record::record(&options, stopped()))?;
+            runtime.block_on(record_at(listen, &options))?;
             Ok(true)
         }
         Command::Generate { deployment, seed } => {
--- a/crates/replay/src/record.rs
+++ b/crates/replay/src/record.rs
@@ -28,8 +28,6 @@
 /// What to record.
 #[derive(Clone, Debug)]
 pub struct RecordOptions {
-    /// Where callers ask.
-    pub listen: SocketAddr,
     /// The node that requests are passed on to.
     pub node: SocketAddr,
     /// A trace whose header the recorded one gets.
@@ -45,9 +43,10 @@
     file: Mutex<BufWriter<File>>,
 }
 
-/// Records until `stop` is done. Every line is written as it comes, so that a
+/// Records what callers ask at `listener` until `stop` is done. Every line is written as it comes, so that a
 /// recorder that is killed leaves a trace as well.
 pub async fn record(
+    listener: TcpListener,
     options: &RecordOptions,
     stop: impl Future<Output = ()> + Send + 'static,
 ) -> eyre::Result<()> {
@@ -61,10 +60,6 @@
         http: HttpClient::default(),
         file: Mutex::new(file),
     });
-    let listener = TcpListener::bind(options.listen)
-        .await
-        .wrap_err_with(|| format!("cannot listen on {}", options.listen))?;
-    println!("listening on {}", listener.local_addr()?);
     let router = Router::new().fallback(pass_on).with_state(recorder);
     axum::serve(listener, router)
         .with_graceful_shutdown(stop)
