Speeds of engines are told among gateways

Ruled out: cold engines (coldLeftMs is 0 there), waits (first events came in time), learning at the one gateway (those that had streams there chose well).

Change: demand rows carry the usual time between events by engine and model; the holder writes one row for each service when it says something new; all gateways follow it at a tenth of the usual rhythm. Own events of late count more. Slowness moved from the back end into the model of readings, which also ends a nesting of locks that shared.rs does not allow.

--- a/crates/fleet/src/demand.rs
+++ b/crates/fleet/src/demand.rs
@@ -10,6 +10,8 @@
 use gorsebank_world::{AdapterId, ModelId, ServiceId};
 use serde::{Deserialize, Serialize};
 
+use crate::reading_row::ReadingSample;
+
 /// Time constant of the request rate, in milliseconds.
 const RATE_TIME: f64 = 8_000.0;
 /// A rate below this is none, in requests a second.
@@ -49,6 +51,9 @@
     /// Where the gateway relays calls of the table for others.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub relay: Option<SocketAddr>,
+    /// How fast engines are, as this gateway has seen it, by service.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub reading: BTreeMap<ServiceId, ReadingSample>,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod placement;
 pub mod prompt;
 pub mod reading;
+pub mod reading_row;
 pub mod retry_window;
 pub mod split;
 pub mod sweep;
@@ -25,6 +26,7 @@
 pub use demand::{Demand, DemandRow, ModelDemand};
 pub use lease::{LeaseKeeper, LeaseRow, LeaseStep};
 pub use prompt::{KeptParts, Prompt, PromptPart};
-pub use reading::{ReadingModel, Slowness};
+pub use reading::ReadingModel;
+pub use reading_row::{GapSample, ReadingRow, ReadingSample};
 pub use retry_window::{RetryShare, RetryWindow};
 pub use sweep::Sweep;
--- a/crates/fleet/tests/reading.rs
+++ b/crates/fleet/tests/reading.rs
@@ -2,8 +2,8 @@
 
 use gorsebank_coordination::Timestamp;
 use gorsebank_fleet::choice::{Candidate, cheapest};
-use gorsebank_fleet::{KeptParts, Prompt, PromptPart, ReadingModel, Slowness};
-use gorsebank_world::ModelId;
+use gorsebank_fleet::{KeptParts, Prompt, PromptPart, ReadingModel, ReadingRow};
+use gorsebank_world::{BackEndId, ModelId};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
@@ -19,29 +19,36 @@
     }
 }
 
+const NOW: Timestamp = Timestamp(1_000);
+
+fn engine(number: usize) -> BackEndId {
+    BackEndId::from(format!("e{number}").as_str())
+}
+
+fn model() -> ModelId {
+    ModelId::from("m")
+}
+
 /// A model that has seen streams at engines of these speeds.
-fn learned(speeds: &[f64]) -> (ReadingModel, Vec<Slowness>) {
-    let model = ModelId::from("m");
+fn learned(speeds: &[f64]) -> ReadingModel {
     let mut reading = ReadingModel::default();
-    let mut engines = vec![Slowness::default(); speeds.len()];
     for round in 0..300 {
         let number = round % speeds.len();
         // Every tenth event waits for the reading of another prompt.
         let waits = if round % 10 == 0 { 90.0 } else { 0.0 };
         let gap = (GAP + waits) * speeds[number];
-        reading.note_gap(&model, &mut engines[number], gap);
+        reading.note_gap(NOW, &engine(number), &model(), gap);
         let latency = (1_000.0 * READ + waits) * speeds[number];
-        reading.note_reading(&model, engines[number], latency, 1_000);
+        reading.note_reading(NOW, &engine(number), &model(), latency, 1_000);
     }
-    (reading, engines)
+    reading
 }
 
 #[test]
 fn a_slow_engine_is_expected_to_read_longer() {
-    let (reading, engines) = learned(&[1.0, 1.3]);
-    let model = ModelId::from("m");
-    let time = |engine: usize| {
-        let time = reading.time(&model, engines[engine], 4_000);
+    let reading = learned(&[1.0, 1.3]);
+    let time = |number: usize| {
+        let time = reading.time(NOW, &engine(number), &model(), 4_000);
         time.expect("something was learned")
     };
     assert!((170.0..250.0).contains(&time(0)), "{}", time(0));
@@ -51,12 +58,118 @@
 
 #[test]
 fn an_unknown_engine_is_expected_to_be_like_the_others() {
-    let (reading, _) = learned(&[1.0, 1.0]);
-    let model = ModelId::from("m");
-    let time = reading.time(&model, Slowness::default(), 4_000);
+    let reading = learned(&[1.0, 1.0]);
+    let time = reading.time(NOW, &engine(7), &model(), 4_000);
     let time = time.expect("the model is known");
     assert!((150.0..300.0).contains(&time), "{time}");
-    assert_eq!(reading.time(&"other".into(), Slowness::default(), 10), None);
+    assert_eq!(reading.time(NOW, &engine(7), &"other".into(), 10), None);
+}
+
+/// Found on tks-indoor, quiet-1: gateways that had sent nothing to a slow engine
+/// sent it prompts of 4,000 tokens, one after the other.
+#[test]
+fn a_gateway_knows_a_slow_engine_from_what_others_saw() {
+    let mut busy = learned(&[1.0, 1.3]);
+    let mut other = learned(&[1.0, 1.3]);
+    let row = ReadingRow::merge(&[busy.sample(NOW), other.sample(NOW)]);
+    let mut new = ReadingModel::default();
+    assert_eq!(new.time(NOW, &engine(1), &model(), 4_000), None);
+    new.adopt(row);
+    let time = |number: usize| {
+        let time = new.time(NOW, &engine(number), &model(), 4_000);
+        time.expect("others have told")
+    };
+    let ratio = time(1) / time(0);
+    assert!((1.2..1.4).contains(&ratio), "{ratio}");
+}
+
+/// An engine that has just turned slow is known as such by who uses it.
+#[test]
+fn own_events_of_late_are_believed_more_than_what_others_saw() {
+    let mut reading = learned(&[1.0]);
+    let told = ReadingRow::merge(&[reading.sample(NOW)]);
+    reading.adopt(told.clone());
+    let before = reading.time(NOW, &engine(0), &model(), 4_000);
+    for _ in 0..100 {
+        reading.note_gap(NOW, &engine(0), &model(), GAP * 3.0);
+    }
+    let after = reading.time(NOW, &engine(0), &model(), 4_000);
+    assert!(
+        after > before.map(|time| time * 2.0),
+        "{before:?} {after:?}"
+    );
+    let later = Timestamp(NOW.0 + 6_000);
+    let old = reading.time(later, &engine(0), &model(), 4_000);
+    let mut told_only = ReadingModel::default();
+    told_only.adopt(told);
+    let told = told_only.time(later, &engine(0), &model(), 4_000);
+    assert_eq!(old, told, "then it counts no more");
+}
+
+#[test]
+fn a_row_is_news_only_when_it_says_something_else() {
+    let mut reading = learned(&[1.0, 1.3]);
+    let told = ReadingRow::merge(&[reading.sample(NOW)]);
+    assert!(told.is_news(&ReadingRow::default()));
+    assert!(!told.is_news(&told));
+    let mut near = told.clone();
+    *near
+        .engines
+        .get_mut(&engine(0))
+        .unwrap()
+        .get_mut(&model())
+        .unwrap() *= 1.05;
+    assert!(!near.is_news(&told));
+    let mut far = told.clone();
+    *far.engines
+        .get_mut(&engine(0))
+        .unwrap()
+        .get_mut(&model())
+        .unwrap() *= 1.2;
+    assert!(far.is_news(&told));
+}
+
+/// A holder that has just begun has heard little: what is told stays, but for
+/// engines that are gone.
+#[test]
+fn what_nobody_has_seen_of_late_is_kept_while_the_engine_is_there() {
+    let mut reading = learned(&[1.0, 1.3]);
+    let earlier = ReadingRow::merge(&[reading.sample(NOW)]);
+    let mut row = ReadingRow::default();
+    row.keep(&earlier, |id| *id == engine(1));
+    assert_eq!(row.gap(&engine(0), &model()), None);
+    assert_eq!(
+        row.gap(&engine(1), &model()),
+        earlier.gap(&engine(1), &model())
+    );
+    assert_eq!(row.gaps_per_token, earlier.gaps_per_token);
+    assert!(row.is_news(&earlier), "an engine left");
+}
+
+#[test]
+fn rows_have_room_for_a_bounded_number_of_engines() {
+    let mut reading = ReadingModel::default();
+    for number in 0..3_000 {
+        reading.note_gap(NOW, &engine(number), &model(), GAP);
+    }
+    let sample = reading.sample(NOW);
+    assert_eq!(sample.engines.len(), 48);
+    let many: Vec<_> = (0..100)
+        .map(|gateway| {
+            let seen = (0..40).map(|number| {
+                let sample = gorsebank_fleet::GapSample {
+                    gap: GAP,
+                    events: 9,
+                };
+                (engine(gateway * 40 + number), model(), sample)
+            });
+            gorsebank_fleet::ReadingSample::new(seen, None)
+        })
+        .collect();
+    let row = ReadingRow::merge(&many);
+    assert_eq!(row.engines.len(), 1_000);
+    let text = serde_json::to_string(&row).expect("it can be written");
+    assert!(text.len() < 48_000, "{} bytes", text.len());
 }
 
 /// Found on tks-indoor, quiet-1: prompts of 4,000 tokens made all streams of a
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -385,8 +385,8 @@
         return 0.0;
     };
     let tokens = fresh_tokens + back_end.unread_tokens();
-    let slowness = back_end.slowness();
-    let read = |known: &mut ReadingModel| known.time(model, slowness, tokens);
+    let now = call.shared.now();
+    let read = |known: &mut ReadingModel| known.time(now, &back_end.id, model, tokens);
     let time = call.shared.reading(&call.service, read).unwrap_or(0.0);
     time / (objective.as_secs_f64() * 1_000.0).max(1.0)
 }
--- a/crates/gateway/src/back_end.rs
+++ b/crates/gateway/src/back_end.rs
@@ -13,7 +13,7 @@
 use bytes::Bytes;
 use gorsebank_coordination::Timestamp;
 use gorsebank_fleet::health::Health;
-use gorsebank_fleet::{BackEndReport, KeptParts, Slowness};
+use gorsebank_fleet::{BackEndReport, KeptParts};
 use gorsebank_world::{AdapterId, BackEndId, ModelId, ServiceId};
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -51,7 +51,6 @@
     health: Mutex<Health>,
     absent: Mutex<HashMap<(ModelId, Option<AdapterId>), Timestamp>>,
     kept_parts: Mutex<KeptParts>,
-    slowness: Mutex<Slowness>,
     unread_tokens: AtomicU32,
 }
 
@@ -109,7 +108,6 @@
             health: Mutex::new(Health::default()),
             absent: Mutex::new(HashMap::new()),
             kept_parts: Mutex::default(),
-            slowness: Mutex::default(),
             unread_tokens: AtomicU32::new(0),
         }
     }
@@ -185,16 +183,6 @@
         self.unread_tokens.load(Ordering::Relaxed)
     }
 
-    /// How slow it is against other back ends of its service.
-    pub fn slowness(&self) -> Slowness {
-        *self.slowness.lock()
-    }
-
-    /// Learns how slow it is.
-    pub fn note_slowness(&self, note: impl FnOnce(&mut Slowness)) {
-        note(&mut self.slowness.lock());
-    }
-
     /// A kept connection that is ready, if there is one.
     pub fn kept_connection(&self) -> Option<Connection> {
         let mut idle = self.idle.lock();
--- a/crates/gateway/src/demand_rows.rs
+++ b/crates/gateway/src/demand_rows.rs
@@ -1,11 +1,12 @@
 //! The demand rows of all gateways, as the placement holder follows them.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
 use gorsebank_contract::TableRow;
 use gorsebank_coordination::Timestamp;
-use gorsebank_fleet::DemandRow;
+use gorsebank_fleet::{DemandRow, ReadingRow, ReadingSample};
+use gorsebank_world::ServiceId;
 use parking_lot::Mutex;
 use tokio::sync::Notify;
 
@@ -44,6 +45,22 @@
             .collect()
     }
 
+    /// What gateways have seen of late of how fast engines are, by service.
+    pub fn merged_reading(&self, now: Timestamp) -> BTreeMap<ServiceId, ReadingRow> {
+        let rows = self.rows.lock();
+        let fresh = rows
+            .values()
+            .filter(|(_, heard)| now.since(*heard) < DEMAND_LIFETIME);
+        let mut samples: BTreeMap<&ServiceId, Vec<&ReadingSample>> = BTreeMap::new();
+        for (service, sample) in fresh.flat_map(|(row, _)| &row.reading) {
+            samples.entry(service).or_default().push(sample);
+        }
+        samples
+            .into_iter()
+            .map(|(service, samples)| (service.clone(), ReadingRow::merge(samples)))
+            .collect()
+    }
+
     fn put(&self, now: Timestamp, key: String, row: DemandRow) {
         self.rows.lock().insert(key, (row, now));
         self.news.notify_one();
--- a/crates/gateway/src/demand_writer.rs
+++ b/crates/gateway/src/demand_writer.rs
@@ -76,6 +76,7 @@
         }
         let mut row = self.shared.demand.lock().row(self.shared.now());
         row.relay = self.shared.settings.relay;
+        row.reading = self.shared.reading_samples();
         if urgent || self.is_news(&row) {
             self.write(row).await;
         }
--- a/crates/gateway/src/holder.rs
+++ b/crates/gateway/src/holder.rs
@@ -10,19 +10,20 @@
 use parking_lot::Mutex;
 use tokio::time::sleep;
 
-use crate::demand_rows::AbortOnDrop;
+use crate::demand_rows::{AbortOnDrop, DemandRows, follow_demand};
 use crate::lines::{self, Rank};
 use crate::placement::Placement;
 use crate::ports::WatchedTable;
 use crate::shared::Shared;
-use crate::sweeper;
 use crate::watch::LOST_PAUSE;
+use crate::{reading_rows, sweeper};
 
 /// Part of the deployment's bound on turns of holders that a lease lasts: the
 /// next holder begins sooner, and cool-down keeps turns apart.
 const LEASE_PART: f64 = 0.7;
 /// The lease is looked after at least this often.
 const LONGEST_STEP: Duration = Duration::from_millis(250);
+
 /// Keeps the lease until the process ends; places models whenever it has it.
 pub async fn run(shared: Arc<Shared>) {
     let process: u64 = rand::random();
@@ -30,7 +31,7 @@
     let lease = lease.as_millis() as u64;
     let keeper = LeaseKeeper::new(shared.settings.node.clone(), process, lease);
     let keeper = Arc::new(Mutex::new(keeper));
-    let mut work: Option<[AbortOnDrop; 2]> = None;
+    let mut work: Option<Duties> = None;
     loop {
         let was_holder = keeper.lock().is_holder();
         let step = keeper.lock().step(shared.now(), !shared.is_stopping());
@@ -47,13 +48,7 @@
         let is_holder = keeper.lock().is_holder();
         if is_holder && !was_holder {
             note_lease(&shared, &keeper, "taken");
-            let loads = keeper.lock().former_loads(shared.now());
-            let placing = Placement::new(shared.clone(), keeper.clone(), loads).run();
-            let sweeping = sweeper::run(shared.clone());
-            work = Some([
-                AbortOnDrop(tokio::spawn(placing)),
-                AbortOnDrop(tokio::spawn(sweeping)),
-            ]);
+            work = Some(begin_duties(&shared, &keeper));
         }
         if was_holder && !is_holder {
             note_lease(&shared, &keeper, "lost");
@@ -62,6 +57,22 @@
     }
 }
 
+/// What the holder does; ends when it is dropped.
+type Duties = [AbortOnDrop; 4];
+
+fn begin_duties(shared: &Arc<Shared>, keeper: &Arc<Mutex<LeaseKeeper>>) -> Duties {
+    let demand = Arc::<DemandRows>::default();
+    let loads = keeper.lock().former_loads(shared.now());
+    let placement = Placement::new(shared.clone(), keeper.clone(), demand.clone(), loads);
+    [
+        tokio::spawn(follow_demand(shared.clone(), demand.clone())),
+        tokio::spawn(placement.run()),
+        tokio::spawn(reading_rows::tell(shared.clone(), demand)),
+        tokio::spawn(sweeper::run(shared.clone())),
+    ]
+    .map(AbortOnDrop)
+}
+
 fn note_lease(shared: &Shared, keeper: &Mutex<LeaseKeeper>, kind: &str) {
     shared
         .metrics
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod plain;
 pub mod ports;
 pub mod process;
+pub mod reading_rows;
 pub mod relay;
 pub mod request;
 pub mod server;
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -24,7 +24,7 @@
 use tokio::sync::mpsc;
 use tokio::time::{sleep, timeout};
 
-use crate::demand_rows::{AbortOnDrop, DemandRows, follow_demand};
+use crate::demand_rows::DemandRows;
 use crate::directory::Directory;
 use crate::lines::{self, Rank};
 use crate::orders;
@@ -75,12 +75,17 @@
 
 impl Placement {
     /// Begins with nothing planned.
-    pub fn new(shared: Arc<Shared>, keeper: Arc<Mutex<LeaseKeeper>>, former: RecentLoads) -> Self {
+    pub fn new(
+        shared: Arc<Shared>,
+        keeper: Arc<Mutex<LeaseKeeper>>,
+        demand: Arc<DemandRows>,
+        former: RecentLoads,
+    ) -> Self {
         let (done, results) = mpsc::unbounded_channel();
         Placement {
             keeper,
             planner: Planner::new(shared.now(), shared.settings.bounds.loads, former),
-            demand: Arc::default(),
+            demand,
             published: BTreeMap::new(),
             writing: BTreeMap::new(),
             unmet: BTreeMap::new(),
@@ -92,8 +97,6 @@
 
     /// Runs until it is dropped.
     pub async fn run(mut self) {
-        let following = follow_demand(self.shared.clone(), self.demand.clone());
-        let _following = AbortOnDrop(tokio::spawn(following));
         self.inherit().await;
         let mut changes = self.shared.subscribe();
         loop {
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -164,6 +164,8 @@
     pub placed: &'static str,
     /// The placement lease.
     pub lease: &'static str,
+    /// How fast engines are, one row for each service, written by the placement holder.
+    pub reading: &'static str,
 }
 
 /// The platform, as a gateway sees it.
--- /dev/null
+++ b/crates/gateway/src/reading_rows.rs
@@ -0,0 +1,114 @@
+//! How fast engines are, told among gateways: the placement holder puts together
+//! what their demand rows say, and every gateway follows the outcome.
+//!
+//! In: demand rows. Out: one row for each service, written when it says something
+//! new. A row that is lost or old costs a longer pause now and then, never an answer.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use gorsebank_contract::{TableAnswer, TableRow, Transaction};
+use gorsebank_fleet::ReadingRow;
+use gorsebank_world::{BackEndId, ServiceId};
+use tokio::time::sleep;
+
+use crate::demand_rows::DemandRows;
+use crate::directory::Directory;
+use crate::ports::{RowChange, WatchedTable};
+use crate::shared::Shared;
+use crate::watch::{Follower, LOST_PAUSE, refuse_row, row_name};
+
+/// Pause between two looks at what gateways have seen.
+const PAUSE: Duration = Duration::from_millis(1_000);
+
+/// Takes in what the holder tells.
+pub struct ReadingFollower(pub Arc<Shared>);
+
+impl ReadingFollower {
+    fn take(&self, row: &TableRow) {
+        match serde_json::from_str::<ReadingRow>(&row.value) {
+            Ok(told) => {
+                let service = ServiceId::from(row_name(&row.key));
+                self.0.reading(&service, |known| known.adopt(told));
+            }
+            Err(error) => refuse_row(&row.key, &error),
+        }
+    }
+}
+
+impl Follower for ReadingFollower {
+    fn replace(&mut self, rows: Vec<TableRow>) {
+        rows.iter().for_each(|row| self.take(row));
+    }
+
+    fn change(&mut self, change: RowChange) {
+        if let RowChange::Put(row) = change {
+            self.take(&row);
+        }
+    }
+}
+
+/// Tells all gateways what each has seen, until it is dropped.
+pub async fn tell(shared: Arc<Shared>, demand: Arc<DemandRows>) {
+    let mut teller = Teller {
+        shared,
+        told: BTreeMap::new(),
+    };
+    teller.read().await;
+    loop {
+        sleep(PAUSE).await;
+        for (service, row) in demand.merged_reading(teller.shared.now()) {
+            teller.tell(service, row).await;
+        }
+    }
+}
+
+struct Teller {
+    shared: Arc<Shared>,
+    /// What stands in the table, with its version.
+    told: BTreeMap<ServiceId, (ReadingRow, u64)>,
+}
+
+impl Teller {
+    /// Reads what a former holder has told.
+    async fn read(&mut self) {
+        let table = self.shared.platform.tables().reading;
+        let snapshot = loop {
+            match self.shared.table().read(table).await {
+                Ok(snapshot) => break snapshot,
+                Err(_) => sleep(LOST_PAUSE).await,
+            }
+        };
+        let rows = snapshot.rows.into_iter();
+        self.told = rows
+            .map(|row| {
+                let told = serde_json::from_str(&row.value).unwrap_or_default();
+                (ServiceId::from(row_name(&row.key)), (told, row.modified))
+            })
+            .collect();
+    }
+
+    async fn tell(&mut self, service: ServiceId, mut row: ReadingRow) {
+        let (told, version) = self.told.get(&service).cloned().unwrap_or_default();
+        row.keep(&told, |id: &BackEndId| {
+            let is_there = |directory: &Directory| directory.back_end(id).is_some();
+            self.shared.directory(is_there)
+        });
+        if !row.is_news(&told) {
+            return;
+        }
+        let Ok(value) = serde_json::to_string(&row) else {
+            return;
+        };
+        let key = format!("{}/{service}", self.shared.platform.tables().reading);
+        let transaction = Transaction::put_if(key, version, value);
+        match self.shared.table().transact(transaction).await {
+            TableAnswer::Committed { revision, .. } => {
+                self.told.insert(service, (row, revision));
+            }
+            // Another holder's, or an earlier write of this one that was done late.
+            TableAnswer::Conflict { .. } | TableAnswer::Unknown => self.read().await,
+        }
+    }
+}
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -4,7 +4,7 @@
 //! any other.
 //! No lock is held over an await.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
@@ -12,7 +12,7 @@
 
 use gorsebank_coordination::Timestamp;
 use gorsebank_fleet::split::Split;
-use gorsebank_fleet::{Configuration, Demand, ReadingModel, RetryWindow};
+use gorsebank_fleet::{Configuration, Demand, ReadingModel, ReadingSample, RetryWindow};
 use gorsebank_world::ServiceId;
 use parking_lot::{Mutex, RwLock};
 use tokio::sync::{Notify, watch};
@@ -206,6 +206,16 @@
         }
     }
 
+    /// What this gateway has seen of late of how fast engines are.
+    pub fn reading_samples(&self) -> BTreeMap<ServiceId, ReadingSample> {
+        let now = self.now();
+        let mut reading = self.reading.lock();
+        let samples = reading
+            .iter_mut()
+            .map(|(service, known)| (service.clone(), known.sample(now)));
+        samples.filter(|(_, sample)| !sample.is_empty()).collect()
+    }
+
     /// Gateways that there may be.
     fn possible_gateways(&self) -> usize {
         self.gateways.load(Ordering::Relaxed) + UNKNOWN_GATEWAYS
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -9,7 +9,6 @@
 
 use bytes::Bytes;
 use futures_util::StreamExt;
-use gorsebank_fleet::Slowness;
 use gorsebank_fleet::events::EventSplitter;
 use gorsebank_world::ModelId;
 use http::{Response, StatusCode};
@@ -249,19 +248,19 @@
         let now = Instant::now();
         if let Some(before) = self.part_event.replace(now) {
             let gap = milliseconds(now - before) / events as f64;
-            let note = |slowness: &mut Slowness| {
-                shared.reading(service, |known| known.note_gap(model, slowness, gap));
-            };
-            answer.back_end.note_slowness(note);
+            let engine = &answer.back_end.id;
+            shared.reading(service, |known| {
+                known.note_gap(shared.now(), engine, model, gap);
+            });
             return;
         }
         answer.note_read();
-        let slowness = answer.back_end.slowness();
+        let engine = &answer.back_end.id;
         let latency = milliseconds(answer.age());
         // Shared parts may have been read for another gateway.
         let tokens = self.call.ticket.prompt.own_tokens;
         shared.reading(service, |known| {
-            known.note_reading(model, slowness, latency, tokens);
+            known.note_reading(shared.now(), engine, model, latency, tokens);
         });
     }
 
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -15,10 +15,9 @@
 
 use crate::lines::{self, Rank};
 use crate::ports::{RowChange, TableError, WatchedTable};
+use crate::reading_rows::ReadingFollower;
 use crate::shared::Shared;
 
-/// Longest wait for a change, in one call.
-const WAIT: Duration = Duration::from_millis(2_000);
 /// Pause of the placement holder after a call of the table without an answer.
 pub const LOST_PAUSE: Duration = Duration::from_millis(200);
 /// First pause after a call without an answer.
@@ -26,6 +25,26 @@
 /// Longest such pause.
 const LONGEST_PAUSE: Duration = Duration::from_millis(600);
 
+/// How often a table is read.
+#[derive(Clone, Copy)]
+struct Rhythm {
+    /// Longest wait for a change, in one call.
+    wait: Duration,
+    /// Pauses between calls are so many times the usual one.
+    pause_factor: u32,
+}
+
+/// Tables that decisions hang on.
+const DECISIONS: Rhythm = Rhythm {
+    wait: Duration::from_millis(2_000),
+    pause_factor: 1,
+};
+/// Tables that decide nothing by themselves.
+const HINTS: Rhythm = Rhythm {
+    wait: Duration::from_millis(5_000),
+    pause_factor: 10,
+};
+
 /// What happens to the rows of one table.
 pub trait Follower: Send + 'static {
     /// The whole table was read.
@@ -34,27 +53,38 @@
     fn change(&mut self, change: RowChange);
 }
 
-/// Follows the three tables until the process ends.
+/// Follows the tables until the process ends.
 pub fn start(shared: &Arc<Shared>) -> Vec<JoinHandle<()>> {
     let tables = shared.platform.tables();
     let configuration = ConfigurationFollower(shared.clone());
     let back_ends = BackEndFollower(shared.clone());
     let placed = PlacedFollower(shared.clone());
+    let reading = ReadingFollower(shared.clone());
     vec![
         tokio::spawn(follow(shared.clone(), tables.configuration, configuration)),
         tokio::spawn(follow(shared.clone(), tables.back_ends, back_ends)),
         tokio::spawn(follow(shared.clone(), tables.placed, placed)),
+        tokio::spawn(follow_at(shared.clone(), tables.reading, reading, HINTS)),
     ]
 }
 
 /// Follows one table until it is dropped.
-pub async fn follow(shared: Arc<Shared>, table: &'static str, mut follower: impl Follower) {
+pub async fn follow(shared: Arc<Shared>, table: &'static str, follower: impl Follower) {
+    follow_at(shared, table, follower, DECISIONS).await;
+}
+
+async fn follow_at(
+    shared: Arc<Shared>,
+    table: &'static str,
+    mut follower: impl Follower,
+    rhythm: Rhythm,
+) {
     let mut version = None;
     let mut pause = FIRST_PAUSE;
     let mut lost = false;
     loop {
         let asked = Instant::now();
-        match advance(&shared, table, version, &mut follower).await {
+        match advance(&shared, table, version, rhythm.wait, &mut follower).await {
             Ok(next) => {
                 if lost {
                     lines::write(
@@ -66,7 +96,7 @@
                 lost = false;
                 version = Some(next);
                 pause = FIRST_PAUSE;
-                sleep_until(asked + shared.read_pause()).await;
+                sleep_until(asked + shared.read_pause() * rhythm.pause_factor).await;
             }
             Err(TableError::HistoryGone) => {
                 lines::write(
@@ -93,6 +123,7 @@
     shared: &Shared,
     table: &'static str,
     version: Option<u64>,
+    wait: Duration,
     follower: &mut impl Follower,
 ) -> Result<u64, TableError> {
     let source = shared.table();
@@ -101,7 +132,7 @@
         follower.replace(snapshot.rows);
         return Ok(snapshot.version);
     };
-    let changes = source.changes(table, version, WAIT).await?;
+    let changes = source.changes(table, version, wait).await?;
     for change in changes.changes {
         follower.change(change);
     }
@@ -226,7 +257,8 @@
     key.split_once('/').map_or(key, |(_, name)| name)
 }
 
-fn refuse_row(key: &str, error: &dyn std::fmt::Display) {
+/// A line on a row that cannot be read.
+pub fn refuse_row(key: &str, error: &dyn std::fmt::Display) {
     let fields = format_args!("row={key} error=\"{error}\"");
     lines::write(Rank::Decision, "row_refused", fields);
 }
