Choice of back end: a slower engine costs more, by the third power of its pace

Cause: engines batch, so one more stream hardly slows an engine (10.5 ms a step and 0.007 ms for each that runs), while a slow one is slow for every event and pauses for longer than callers accept when it reads long prompts. The cost of a choice grew with the requests in flight, so half of them went to slow engines.

--- a/crates/fleet/src/choice.rs
+++ b/crates/fleet/src/choice.rs
@@ -14,6 +14,8 @@
 const STALL_FROM: f64 = 0.75;
 /// Weight of a stall, for each pause objective over that.
 const STALL_WEIGHT: f64 = 20.0;
+/// A slower engine costs more by this power of how much slower it is.
+const PACE_POWER: i32 = 3;
 /// Width of the random factor that breaks ties.
 const JITTER: f64 = 0.1;
 
@@ -35,6 +37,9 @@
     /// For how long its streams pause while it reads the prompt, as a part of
     /// the pause objective; 0 if that is not known.
     pub stall: f64,
+    /// Time between two events of its streams against the fastest candidate's; 1
+    /// if that is not known.
+    pub relative_pace: f64,
 }
 
 /// The expected cost of one more request.
@@ -57,7 +62,8 @@
     let stall = 1.0 + STALL_WEIGHT * (candidate.stall - STALL_FROM).max(0.0);
     let failures = 1.0 + FAILURE_WEIGHT * candidate.failure_rate;
     let load = f64::from(candidate.in_flight) + 1.0;
-    load * zone * prompt * connect * stall * failures * candidate.relative_latency
+    let pace = candidate.relative_pace.powi(PACE_POWER);
+    load * pace * zone * prompt * connect * stall * failures * candidate.relative_latency
 }
 
 /// The index of the cheapest candidate; nearly equal ones are chosen by chance.
--- a/crates/fleet/src/reading.rs
+++ b/crates/fleet/src/reading.rs
@@ -190,9 +190,10 @@
         ReadingSample::new(seen, self.gaps_per_token)
     }
 
-    /// Own events of late, else what others have seen, else what the engine is like
+    /// Milliseconds between two events of a model's streams at an engine: own events
+    /// of late, else what others have seen, else what the engine is like
     /// with other models and the model at other engines.
-    fn gap(&self, now: Timestamp, engine: &BackEndId, model: &ModelId) -> Option<f64> {
+    pub fn gap(&self, now: Timestamp, engine: &BackEndId, model: &ModelId) -> Option<f64> {
         let seen = self.engines.get(engine);
         let pair = seen.and_then(|seen| seen.models.get(model));
         let is_sure =
--- a/crates/fleet/tests/reading.rs
+++ b/crates/fleet/tests/reading.rs
@@ -184,6 +184,7 @@
         warm_prompt: false,
         connected: true,
         stall,
+        relative_pace: 1.0,
     };
     let mut random = SmallRng::seed_from_u64(1);
     let busy_but_fast = [candidate(0, 1.05), candidate(2, 0.8)];
@@ -192,6 +193,27 @@
     assert_eq!(cheapest(&short, &mut random), Some(0));
 }
 
+/// Engines run many streams at nearly the speed of one, so a slower engine costs
+/// more than a fast one that already runs a request of this gateway.
+#[test]
+fn a_slower_engine_is_chosen_only_when_the_faster_one_is_busier() {
+    let candidate = |in_flight, relative_pace| Candidate {
+        in_flight,
+        same_zone: true,
+        failure_rate: 0.0,
+        relative_latency: 1.0,
+        warm_prompt: false,
+        connected: true,
+        stall: 0.0,
+        relative_pace,
+    };
+    let mut random = SmallRng::seed_from_u64(1);
+    let fast_runs_one = [candidate(0, 1.3), candidate(1, 1.0)];
+    assert_eq!(cheapest(&fast_runs_one, &mut random), Some(1));
+    let fast_runs_three = [candidate(0, 1.3), candidate(3, 1.0)];
+    assert_eq!(cheapest(&fast_runs_three, &mut random), Some(0));
+}
+
 #[test]
 fn a_part_counts_as_read_only_behind_all_before_it() {
     let model = ModelId::from("m");
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -345,11 +345,13 @@
         .map(|back_end| back_end.health().latency())
         .collect();
     let known: Vec<f64> = latencies.iter().flatten().copied().collect();
+    let paces = paces(call, now, back_ends);
     let mean = known.iter().sum::<f64>() / known.len().max(1) as f64;
     back_ends
         .iter()
         .zip(latencies)
-        .map(|(back_end, latency)| {
+        .zip(paces)
+        .map(|((back_end, latency), relative_pace)| {
             let fresh_tokens = back_end.fresh_tokens(&call.ticket);
             Candidate {
                 in_flight: back_end.in_flight(),
@@ -359,11 +361,27 @@
                 warm_prompt: is_warm(call, fresh_tokens),
                 connected: back_end.has_connection(),
                 stall: stall(call, back_end, fresh_tokens),
+                relative_pace,
             }
         })
         .collect()
 }
 
+/// Time between two events at each back end against the fastest one's.
+fn paces(call: &Call, now: Timestamp, back_ends: &[Arc<BackEnd>]) -> Vec<f64> {
+    let Some(model) = &call.ticket.model else {
+        return vec![1.0; back_ends.len()];
+    };
+    let gaps: Vec<Option<f64>> = call.shared.reading(&call.service, |known| {
+        let gap = |back_end: &Arc<BackEnd>| known.gap(now, &back_end.id, model);
+        back_ends.iter().map(gap).collect()
+    });
+    let least = gaps.iter().flatten().copied().fold(f64::INFINITY, f64::min);
+    gaps.into_iter()
+        .map(|gap| gap.map_or(1.0, |gap| gap / least))
+        .collect()
+}
+
 fn relative(latency: Option<f64>, mean: f64) -> f64 {
     match latency {
         Some(latency) if mean > 0.0 => (latency / mean).clamp(LATENCY_BOUNDS.0, LATENCY_BOUNDS.1),
