--- a/crates/fleet/src/retry_window.rs
+++ b/crates/fleet/src/retry_window.rs
@@ -52,16 +52,22 @@
 
     /// Takes one retry, if the share of one of `nodes` nodes allows it.
     pub fn withdraw(&mut self, now: Timestamp, nodes: usize) -> bool {
-        self.expire(now);
-        let allowance = self.share.allowance * ALLOWANCE_USED / nodes.max(1) as f64;
-        let earned = self.share.ratio * RATIO_USED * self.requests.len() as f64;
-        let allowed = self.retries.len() as f64 + 1.0 <= allowance + earned;
+        let allowed = self.left(now, nodes) >= 1.0;
         if allowed {
             self.retries.push_back(now);
         }
         allowed
     }
 
+    /// Retries that are left in the share of one of `nodes` nodes; below 0 when the
+    /// share has shrunk since they were taken.
+    pub fn left(&mut self, now: Timestamp, nodes: usize) -> f64 {
+        self.expire(now);
+        let allowance = self.share.allowance * ALLOWANCE_USED / nodes.max(1) as f64;
+        let earned = self.share.ratio * RATIO_USED * self.requests.len() as f64;
+        allowance + earned - self.retries.len() as f64
+    }
+
     fn expire(&mut self, now: Timestamp) {
         let window = self.share.window;
         for times in [&mut self.requests, &mut self.retries] {
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -413,7 +413,7 @@
     let health = chosen.health();
     let fields = format_args!(
         "request={} back_end={} eligible={eligible} in_flight={} latency_ms={:.0} waited_ms={} priority={} \
-         fresh_tokens={} stall={stall:.2}",
+         fresh_tokens={} stall={stall:.2} row_version={} row_age_ms={}",
         call.ticket.id,
         chosen.id,
         chosen.in_flight(),
@@ -421,6 +421,8 @@
         call.arrived.elapsed().as_millis(),
         call.route.priority,
         chosen.fresh_tokens(&call.ticket),
+        chosen.row().version,
+        call.shared.now().since(chosen.row().seen),
     );
     lines::write(Rank::Served, "chosen", fields);
 }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -95,11 +95,14 @@
     if !matches!(&end, AttemptEnd::Answered(answer) if answer.head.status.is_success()) {
         let exposed = matches!(end, AttemptEnd::MayHaveRun(_));
         let fields = format_args!(
-            "request={} back_end={} result={result} may_have_run={exposed} attempt={} took_ms={}",
+            "request={} back_end={} result={result} may_have_run={exposed} attempt={} took_ms={} \
+             row_version={} row_age_ms={}",
             call.ticket.id,
             back_end.id,
             call.attempts.load(Ordering::Relaxed),
             sent.elapsed().as_millis(),
+            back_end.row().version,
+            call.shared.now().since(back_end.row().seen),
         );
         lines::write(Rank::Decision, "attempt", fields);
     }
@@ -132,7 +135,9 @@
                 end => return self.conclude(end, work),
             }
         }
+        let began = Instant::now();
         let connecting = timeout_at(self.call.deadline, self.back_end.connect()).await;
+        self.call.shared.metrics.connected(began.elapsed());
         let Ok(Ok(connection)) = connecting else {
             self.note_unreachable();
             return AttemptEnd::NotSent("not_connected");
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -11,6 +11,7 @@
 
 use crate::admission;
 use crate::failure::Failure;
+use crate::lines::{self, Rank};
 use crate::request::Call;
 
 /// Sends of one request at most, those that did not run included.
@@ -56,7 +57,7 @@
 
     /// The back end says that it did not run.
     pub fn not_run(&mut self, call: &Call) -> Next {
-        if self.sends < MAX_SENDS && call.shared.withdraw_retry(&call.service) {
+        if self.sends < MAX_SENDS && self.withdraw_retry(call) {
             return Next::Again;
         }
         Next::Over(call.refuse("turned_away", BUSY_PAUSE))
@@ -94,6 +95,23 @@
         let allowed = call.route.kind.may_repeat()
             && self.ran < call.route.max_attempts
             && self.sends < MAX_SENDS;
-        allowed && call.shared.withdraw_retry(&call.service)
+        allowed && self.withdraw_retry(call)
+    }
+
+    /// Takes a retry out of the budget, with a line on it.
+    fn withdraw_retry(&self, call: &Call) -> bool {
+        let grant = call.shared.withdraw_retry(&call.service);
+        let fields = format_args!(
+            "request={} service={} granted={} budget_left={:.1} gateways={} sends={} ran={}",
+            call.ticket.id,
+            call.service,
+            grant.granted,
+            grant.left,
+            grant.gateways,
+            self.sends,
+            self.ran,
+        );
+        lines::write(Rank::Decision, "retry", fields);
+        grant.granted
     }
 }
--- a/crates/gateway/src/back_end.rs
+++ b/crates/gateway/src/back_end.rs
@@ -52,6 +52,16 @@
     absent: Mutex<HashMap<(ModelId, Option<AdapterId>), Timestamp>>,
     kept_parts: Mutex<KeptParts>,
     unread_tokens: AtomicU32,
+    row: Mutex<SeenRow>,
+}
+
+/// The newest row of a back end, as this gateway has seen it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct SeenRow {
+    /// The table's version that wrote it.
+    pub version: u64,
+    /// When it was seen.
+    pub seen: Timestamp,
 }
 
 /// An open connection to a back end. Dropping it closes it at once.
@@ -109,9 +119,20 @@
             absent: Mutex::new(HashMap::new()),
             kept_parts: Mutex::default(),
             unread_tokens: AtomicU32::new(0),
+            row: Mutex::default(),
         }
     }
 
+    /// The newest row on it.
+    pub fn row(&self) -> SeenRow {
+        *self.row.lock()
+    }
+
+    /// A newer row on it was seen.
+    pub fn note_row(&self, row: SeenRow) {
+        *self.row.lock() = row;
+    }
+
     /// Counts a request as in flight.
     pub fn begin(self: &Arc<Self>) -> InFlight {
         self.in_flight.fetch_add(1, Ordering::Relaxed);
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -14,7 +14,7 @@
 use gorsebank_fleet::{BackEndReport, Holdings, PlacedRow};
 use gorsebank_world::{AdapterId, BackEndId, ModelId, ServiceId, ZoneId};
 
-use crate::back_end::BackEnd;
+use crate::back_end::{BackEnd, SeenRow};
 
 /// A load that is this late is no longer believed, in milliseconds.
 const LOAD_GRACE: u64 = 3_000;
@@ -66,13 +66,15 @@
         }
     }
 
-    /// A back end's row was written.
-    pub fn put(&mut self, report: BackEndReport, version: u64) {
+    /// A back end's row was written, and seen at `now`.
+    pub fn put(&mut self, now: Timestamp, report: BackEndReport, version: u64) {
         let id = report.id.clone();
+        let row = SeenRow { version, seen: now };
         if let Some(entry) = self.entries.get_mut(&id) {
             if entry.version >= version {
                 return;
             }
+            entry.back_end.note_row(row);
             entry.draining |= report.draining;
             entry.report = report;
             entry.version = version;
@@ -83,6 +85,7 @@
         }
         let same_zone = report.zone == self.zone;
         let back_end = Arc::new(BackEnd::new(&report, same_zone));
+        back_end.note_row(row);
         let members = self.services.entry(report.service.clone()).or_default();
         members.push(id.clone());
         let draining = report.draining;
@@ -108,7 +111,7 @@
     }
 
     /// The whole table was read: what it does not hold is gone.
-    pub fn replace(&mut self, reports: Vec<(BackEndReport, u64)>) {
+    pub fn replace(&mut self, now: Timestamp, reports: Vec<(BackEndReport, u64)>) {
         let gone: Vec<BackEndId> = self
             .entries
             .keys()
@@ -119,7 +122,7 @@
             self.remove(&id);
         }
         for (report, version) in reports {
-            self.put(report, version);
+            self.put(now, report, version);
         }
     }
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -30,6 +30,7 @@
     /// Log lines that were left out.
     pub lines_left_out: IntGauge,
     queue: Histogram,
+    connect: Histogram,
     first_byte: Histogram,
     whole: Histogram,
 }
@@ -47,6 +48,7 @@
             open_requests: IntGauge::new("gateway_open_requests", "Requests being served")?,
             lines_left_out: IntGauge::new("gateway_lines_left_out", "Log lines left out")?,
             queue: latency("gateway_queue_seconds", "Wait for a back end")?,
+            connect: latency("gateway_connect_seconds", "Time to connect to a back end")?,
             first_byte: latency("gateway_first_byte_seconds", "Send to first byte")?,
             whole: latency("gateway_whole_seconds", "Arrival to end of answer")?,
             registry,
@@ -69,7 +71,7 @@
         for gauge in [&self.open_requests, &self.lines_left_out] {
             self.registry.register(Box::new(gauge.clone()))?;
         }
-        for histogram in [&self.queue, &self.first_byte, &self.whole] {
+        for histogram in [&self.queue, &self.connect, &self.first_byte, &self.whole] {
             self.registry.register(Box::new(histogram.clone()))?;
         }
         Ok(())
@@ -80,6 +82,11 @@
         self.queue.observe(time.as_secs_f64());
     }
 
+    /// A new connection to a back end took so long, whether it came about or not.
+    pub fn connected(&self, time: Duration) {
+        self.connect.observe(time.as_secs_f64());
+    }
+
     /// A back end's answer began so long after the send.
     pub fn answered(&self, time: Duration) {
         self.first_byte.observe(time.as_secs_f64());
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -40,6 +40,17 @@
 /// Gateways that may have joined and are not yet known.
 const UNKNOWN_GATEWAYS: usize = 2;
 
+/// What came of asking for a retry.
+#[derive(Clone, Copy, Debug)]
+pub struct RetryGrant {
+    /// Whether it may be made.
+    pub granted: bool,
+    /// Retries that are left of this gateway's share.
+    pub left: f64,
+    /// Gateways that the budget is shared by.
+    pub gateways: usize,
+}
+
 /// State of a process.
 pub struct Shared {
     /// Settings at the start.
@@ -178,9 +189,13 @@
     }
 
     /// Takes one retry out of this gateway's share, if there is one.
-    pub fn withdraw_retry(&self, service: &ServiceId) -> bool {
+    pub fn withdraw_retry(&self, service: &ServiceId) -> RetryGrant {
         let gateways = self.possible_gateways();
-        self.with_window(service, |window, now| window.withdraw(now, gateways))
+        self.with_window(service, |window, now| RetryGrant {
+            granted: window.withdraw(now, gateways),
+            left: window.left(now, gateways),
+            gateways,
+        })
     }
 
     fn with_window<T>(
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -184,8 +184,9 @@
             }
         }
         let count = reports.len();
+        let now = self.0.now();
         self.0
-            .change_directory(|directory| directory.replace(reports));
+            .change_directory(|directory| directory.replace(now, reports));
         self.0.note_back_ends_read();
         lines::write(
             Rank::Decision,
@@ -203,8 +204,10 @@
                         report.id, report.draining, report.holdings, row.modified
                     );
                     lines::write(Rank::Decision, "back_end", fields);
-                    self.0
-                        .change_directory(|directory| directory.put(report, row.modified));
+                    let now = self.0.now();
+                    self.0.change_directory(|directory| {
+                        directory.put(now, report, row.modified);
+                    });
                 }
                 Err(error) => refuse_row(&row.key, &error),
             },
--- a/crates/gorsebank/src/commands/explain/cause.rs
+++ b/crates/gorsebank/src/commands/explain/cause.rs
@@ -21,6 +21,8 @@
         result: String,
         /// What is known of that back end just before.
         because: Option<String>,
+        /// The line that says that no retry was left, if that is why.
+        no_retry: Option<String>,
     },
     /// It ended for another reason.
     Other(String),
@@ -48,11 +50,18 @@
     let back_end = at.field("back_end").unwrap_or("-").to_owned();
     Cause::Attempt {
         because: state_of(&back_end, context),
+        no_retry: refused_retry(own),
         result: result.to_owned(),
         back_end,
     }
 }
 
+/// The budget had no retry left when one was last asked for.
+fn refused_retry(own: &[&LogLine]) -> Option<String> {
+    let last = own.iter().rev().find(|line| line.event == "retry")?;
+    (last.field("granted") == Some("false")).then(|| last.text.clone())
+}
+
 fn state_of(back_end: &str, context: &[&LogLine]) -> Option<String> {
     let about = |line: &&&LogLine| line.field("back_end") == Some(back_end);
     let last = context.iter().rev().find(about)?;
@@ -73,11 +82,16 @@
                 back_end,
                 result,
                 because,
+                no_retry,
             } => {
                 write!(formatter, "the attempt at {back_end} ended with {result}")?;
                 match because {
-                    Some(line) => write!(formatter, "; last heard of it: {line}"),
-                    None => write!(formatter, "; nothing new was heard of it just before"),
+                    Some(line) => write!(formatter, "; last heard of it: {line}")?,
+                    None => write!(formatter, "; nothing new was heard of it just before")?,
+                }
+                match no_retry {
+                    Some(line) => write!(formatter, "; no retry was left: {line}"),
+                    None => Ok(()),
                 }
             }
             Cause::Other(line) => write!(formatter, "{line}"),
--- a/crates/gorsebank/tests/explain.rs
+++ b/crates/gorsebank/tests/explain.rs
@@ -13,6 +13,9 @@
 time_ms=1100 node=n2 left_out=0 event=order engine=i-2 order=LoadModel(m1) sequence=0 fence=3 reason=\"demand\" result=Accepted
 time_ms=1200 node=n1 left_out=0 event=refused request=r2 reason=no_model expected_ms=4800 load_ordered=false
 time_ms=1201 node=n1 left_out=0 event=request_end request=r2 outcome=no_model status=503 route=crew back_end=- model=m1
+time_ms=1250 node=n2 left_out=0 event=attempt request=r5 back_end=i-4 result=500 may_have_run=false attempt=1 row_version=9 row_age_ms=310
+time_ms=1250 node=n2 left_out=0 event=retry request=r5 service=app granted=false budget_left=0.4 gateways=8 sends=1 ran=1
+time_ms=1251 node=n2 left_out=0 event=request_end request=r5 outcome=back_end_failed status=500 route=read back_end=i-4 model=-
 time_ms=1300 node=n1 left_out=0 event=request_end request=r3 outcome=served status=200 route=crew back_end=i-2 model=m1
 ";
 
@@ -43,6 +46,14 @@
     assert!(told.contains("1 lines were no log lines"), "{told}");
 }
 
+#[test]
+fn a_request_that_is_not_sent_again_for_want_of_budget_is_told_so() {
+    let told = explain("r5");
+    assert!(told.contains("the attempt at i-4 ended with 500"), "{told}");
+    assert!(told.contains("no retry was left: event=retry"), "{told}");
+    assert!(told.contains("budget_left=0.4 gateways=8"), "{told}");
+}
+
 #[test]
 fn a_refusal_is_told_with_its_inputs_and_the_orders_for_its_model() {
     let told = explain("r2");
--- a/crates/replay/src/live/deployment.rs
+++ b/crates/replay/src/live/deployment.rs
@@ -104,7 +104,7 @@
 const PORTS: std::ops::Range<u32> = 10_000..30_000;
 
 /// An address that nobody listens on, and that is given out once.
-fn free_address() -> eyre::Result<SocketAddr> {
+pub fn free_address() -> eyre::Result<SocketAddr> {
     static GIVEN: AtomicU32 = AtomicU32::new(0);
     let first = std::process::id().wrapping_mul(101);
     for _ in PORTS {
--- a/crates/replay/src/live/mod.rs
+++ b/crates/replay/src/live/mod.rs
@@ -10,5 +10,5 @@
 pub mod process;
 pub mod relay;
 
-pub use deployment::{Binaries, LinkKind, LiveDeployment};
+pub use deployment::{Binaries, LinkKind, LiveDeployment, free_address};
 pub use player::play_live;
