Placement: wishes in the order of their worth for each second of an engine

Ruled out: the weight store's rate (10 of 319 lines say Pace), orders without an answer (loads begin again after 0.4 s), first come first served (rates fade, so newer wishes come first).

--- a/crates/fleet/src/placement/goals.rs
+++ b/crates/fleet/src/placement/goals.rs
@@ -42,6 +42,8 @@
 /// Time over which what leaves is weighed against what comes: a load that ends
 /// a part of it later is worth that part less.
 const HORIZON: Duration = Duration::from_secs(10);
+/// A load occupies its engine for so long at least, with what is around it.
+const LEAST_LOAD: Duration = Duration::from_millis(700);
 /// An unload of a model with runs waits for their ends, so long as a rule.
 const RUNS_TIME: Duration = Duration::from_millis(2_500);
 /// An unload of a model without runs is seen to be done after this time.
@@ -149,7 +151,8 @@
 }
 
 impl View<'_> {
-    /// Models that should be loaded once more, the worthiest first.
+    /// Models that should be loaded once more. An engine loads one at a time, so those
+    /// come first that are worth most for each second of it.
     fn wishes(&self, engines: &[&mut EngineState]) -> Vec<Wish> {
         let known = |model: &ModelId| self.spec.models.contains_key(model);
         let mut wishes: Vec<Wish> = self
@@ -163,10 +166,22 @@
             })
             .collect();
         wishes.extend(self.forecast_wish(engines));
-        wishes.sort_by(|one, other| other.worth.total_cmp(&one.worth));
+        let density = |wish: &Wish| wish.worth / self.shortest_load(engines, &wish.model);
+        wishes.sort_by(|one, other| density(other).total_cmp(&density(one)));
         wishes
     }
 
+    /// Seconds that the shortest load of a model takes an engine that is free.
+    fn shortest_load(&self, engines: &[&mut EngineState], model: &ModelId) -> f64 {
+        let Some(spec) = self.spec.models.get(model) else {
+            return LEAST_LOAD.as_secs_f64();
+        };
+        let free = engines.iter().filter(|engine| engine.is_free());
+        let loads = free.map(|engine| engine.load_time(model, spec));
+        let shortest = loads.min().unwrap_or(spec.load);
+        shortest.max(LEAST_LOAD).as_secs_f64()
+    }
+
     /// The model that is expected next, if nobody asks for it yet.
     fn forecast_wish(&self, engines: &[&mut EngineState]) -> Option<Wish> {
         let model = self.forecast.model()?;
--- a/crates/fleet/tests/placement.rs
+++ b/crates/fleet/tests/placement.rs
@@ -167,6 +167,25 @@
     assert_eq!(world.holders("m1"), 1, "a model that is asked for stays");
 }
 
+/// Found on tks-indoor, scale days: engines load one model at a time, and in a burst
+/// of rare models all of them load all the time. Four quick loads serve more than one
+/// long one.
+#[test]
+fn loads_that_take_less_time_come_first() {
+    let mut world = World::new(1, &["m0"]);
+    world.engines[0].copies = vec!["m5".into()];
+    let rows = vec![demand(&[("m4", 0.22, 1), ("m5", 0.2, 1), ("m0", 0.4, 0)])];
+    for now in (0..1_400).step_by(50) {
+        world.turn(now, &rows);
+    }
+    assert_eq!(world.holders("m5"), 1, "the engine has a copy");
+    assert_eq!(world.holders("m4"), 0, "it is under way");
+    for now in (1_400..4_000).step_by(50) {
+        world.turn(now, &rows);
+    }
+    assert_eq!(world.holders("m4"), 1, "and comes next");
+}
+
 /// Found on both deployments: demand moves on through the operator's list, and
 /// every move began with seconds of refusals while the next model was loaded.
 #[test]
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -86,7 +86,7 @@
 fn row_of(models: BTreeMap<ModelId, ModelDemand>) -> DemandRow {
     DemandRow {
         services: BTreeMap::from([(service(), models)]),
-        relay: None,
+        ..DemandRow::default()
     }
 }
 
