--- /dev/null
+++ b/crates/gateway/src/candidates.rs
@@ -0,0 +1,115 @@
+//! What counts for the choice between back ends that could take a request.
+//!
+//! In: the request, and what this gateway knows of each back end: requests in
+//! flight, health, connections, prompts it has read, how fast it is. Out: the
+//! cheapest one, with a line that tells why.
+
+use std::sync::Arc;
+
+use gorsebank_coordination::Timestamp;
+use gorsebank_fleet::ReadingModel;
+use gorsebank_fleet::choice::{Candidate, cheapest};
+
+use crate::back_end::BackEnd;
+use crate::lines::{self, Rank};
+use crate::request::Call;
+
+/// Latencies count between these bounds, against the mean of the peers.
+const LATENCY_BOUNDS: (f64, f64) = (0.5, 8.0);
+
+/// The cheapest of the back ends.
+pub fn choose(call: &Call, now: Timestamp, eligible: &[Arc<BackEnd>]) -> Option<Arc<BackEnd>> {
+    let candidates = candidates(call, now, eligible);
+    let index = cheapest(&candidates, &mut rand::rng())?;
+    let chosen = eligible[index].clone();
+    log_choice(call, &chosen, candidates.len(), candidates[index].stall);
+    Some(chosen)
+}
+
+fn candidates(call: &Call, now: Timestamp, back_ends: &[Arc<BackEnd>]) -> Vec<Candidate> {
+    let latencies: Vec<Option<f64>> = back_ends
+        .iter()
+        .map(|back_end| back_end.health().latency())
+        .collect();
+    let known: Vec<f64> = latencies.iter().flatten().copied().collect();
+    let paces = paces(call, now, back_ends);
+    let mean = known.iter().sum::<f64>() / known.len().max(1) as f64;
+    back_ends
+        .iter()
+        .zip(latencies)
+        .zip(paces)
+        .map(|((back_end, latency), relative_pace)| {
+            let fresh_tokens = back_end.fresh_tokens(&call.ticket);
+            Candidate {
+                in_flight: back_end.in_flight(),
+                same_zone: back_end.same_zone,
+                failure_rate: back_end.health().failure_rate(now),
+                relative_latency: relative(latency, mean),
+                warm_prompt: is_warm(call, fresh_tokens),
+                connected: back_end.has_connection(),
+                stall: stall(call, back_end, fresh_tokens),
+                relative_pace,
+            }
+        })
+        .collect()
+}
+
+/// Time between two events at each back end against the fastest one's.
+fn paces(call: &Call, now: Timestamp, back_ends: &[Arc<BackEnd>]) -> Vec<f64> {
+    let Some(model) = &call.ticket.model else {
+        return vec![1.0; back_ends.len()];
+    };
+    let gaps: Vec<Option<f64>> = call.shared.reading(&call.service, |known| {
+        let gap = |back_end: &Arc<BackEnd>| known.gap(now, &back_end.id, model);
+        back_ends.iter().map(gap).collect()
+    });
+    let least = gaps.iter().flatten().copied().fold(f64::INFINITY, f64::min);
+    gaps.into_iter()
+        .map(|gap| gap.map_or(1.0, |gap| gap / least))
+        .collect()
+}
+
+fn relative(latency: Option<f64>, mean: f64) -> f64 {
+    match latency {
+        Some(latency) if mean > 0.0 => (latency / mean).clamp(LATENCY_BOUNDS.0, LATENCY_BOUNDS.1),
+        _ => 1.0,
+    }
+}
+
+/// Whether a back end that has to read so many tokens was sent all the shared
+/// parts of the prompt before.
+fn is_warm(call: &Call, fresh_tokens: u32) -> bool {
+    let prompt = &call.ticket.prompt;
+    !prompt.shared.is_empty() && fresh_tokens == prompt.own_tokens
+}
+
+/// For how long the back end's streams would pause while it reads so many tokens,
+/// as a part of the pause objective.
+fn stall(call: &Call, back_end: &BackEnd, fresh_tokens: u32) -> f64 {
+    let (Some(model), Some(objective)) = (&call.ticket.model, call.route.pause_objective) else {
+        return 0.0;
+    };
+    let tokens = fresh_tokens + back_end.unread_tokens();
+    let now = call.shared.now();
+    let read = |known: &mut ReadingModel| known.time(now, &back_end.id, model, tokens);
+    let time = call.shared.reading(&call.service, read).unwrap_or(0.0);
+    time / (objective.as_secs_f64() * 1_000.0).max(1.0)
+}
+
+fn log_choice(call: &Call, chosen: &BackEnd, eligible: usize, stall: f64) {
+    let health = chosen.health();
+    let fields = format_args!(
+        "request={} back_end={} eligible={eligible} in_flight={} latency_ms={:.0} waited_ms={} priority={} \
+         fresh_tokens={} stall={stall:.2} row_version={} row_age_ms={}",
+        call.ticket.id,
+        chosen.id,
+        chosen.in_flight(),
+        health.latency().unwrap_or(0.0),
+        call.arrived.elapsed().as_millis(),
+        call.route.priority,
+        chosen.fresh_tokens(&call.ticket),
+        chosen.row().version,
+        call.shared.now().since(chosen.row().seen),
+    );
+    lines::write(Rank::Served, "chosen", fields);
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,7 +5,8 @@
 //! other, is rows of a table; what differs between platforms is behind
 //! [`ports::Platform`]. Layers, from the caller inwards: [`server`] keeps
 //! connections, [`request`] reads one request and finds its route,
-//! [`admission`] picks a back end or refuses, [`attempt`] sends once,
+//! [`admission`] waits for a back end or refuses, [`candidates`] chooses
+//! between several, [`attempt`] sends once,
 //! [`plain`] and [`stream`] turn attempts into one answer. Beside them
 //! [`watch`] follows the tables, [`demand_writer`] tells what is asked for,
 //! [`holder`] keeps the placement lease, and [`placement`] places models while
@@ -15,6 +16,7 @@
 pub mod attempt;
 pub mod attempts;
 pub mod back_end;
+pub mod candidates;
 pub mod demand_rows;
 pub mod demand_writer;
 pub mod directory;
