Many gateways are counted more seldom, and tell less of speeds each

Demand rows had grown by up to 2.6 KB, and each gateway reads the rows of all every ten seconds to count them: 60 of its 83 kB.

The half of the retry budget that is kept back covers gateways that were not counted yet, up to twice as many.

--- a/crates/fleet/src/reading.rs
+++ b/crates/fleet/src/reading.rs
@@ -170,8 +170,9 @@
         self.told = told;
     }
 
-    /// What this gateway has seen of late. Forgets engines that it no longer uses.
-    pub fn sample(&mut self, now: Timestamp) -> ReadingSample {
+    /// What this gateway, one of so many, tells of what it has seen of late. Forgets
+    /// engines that it no longer uses.
+    pub fn sample(&mut self, now: Timestamp, gateways: usize) -> ReadingSample {
         let used = |pair: &PairGap| now.since(pair.noted) < ENGINE_LIFETIME;
         self.engines
             .retain(|_, engine| engine.models.values().any(used));
@@ -187,7 +188,7 @@
             };
             (id.clone(), model.clone(), sample)
         });
-        ReadingSample::new(seen, self.gaps_per_token)
+        ReadingSample::new(gateways, seen, self.gaps_per_token)
     }
 
     /// Milliseconds between two events of a model's streams at an engine: own events
--- a/crates/fleet/src/reading_row.rs
+++ b/crates/fleet/src/reading_row.rs
@@ -12,8 +12,12 @@
 use gorsebank_world::{BackEndId, ModelId};
 use serde::{Deserialize, Serialize};
 
-/// A gateway tells of so many engines with a model at most: those it uses most.
+/// A gateway tells of so many engines with a model at most: those it uses most ...
 const MOST_SAMPLES: usize = 48;
+/// ... unless there are more gateways than this, which then share the telling ...
+const FEW_GATEWAYS: usize = 16;
+/// ... down to so many each.
+const LEAST_SAMPLES: usize = 8;
 /// A row tells of so many engines with a model at most.
 const MOST_TOLD: usize = 1_000;
 /// More events than this give a gateway no more weight.
@@ -43,15 +47,18 @@
 }
 
 impl ReadingSample {
-    /// Of all that was seen, what a row has room for.
+    /// Of all that was seen, what a row of one of so many gateways has room for.
     pub fn new(
+        gateways: usize,
         seen: impl IntoIterator<Item = (BackEndId, ModelId, GapSample)>,
         gaps_per_token: Option<f64>,
     ) -> Self {
         let mut seen: Vec<_> = seen.into_iter().collect();
+        let most = MOST_SAMPLES * FEW_GATEWAYS / gateways.max(FEW_GATEWAYS);
+        let most = most.max(LEAST_SAMPLES);
         seen.sort_by_key(|(_, _, sample)| std::cmp::Reverse(sample.events));
         let mut engines: BTreeMap<BackEndId, BTreeMap<ModelId, GapSample>> = BTreeMap::new();
-        for (engine, model, sample) in seen.into_iter().take(MOST_SAMPLES) {
+        for (engine, model, sample) in seen.into_iter().take(most) {
             let gap = rounded(sample.gap);
             let sample = GapSample { gap, ..sample };
             engines.entry(engine).or_default().insert(model, sample);
--- a/crates/fleet/tests/reading.rs
+++ b/crates/fleet/tests/reading.rs
@@ -71,7 +71,7 @@
 fn a_gateway_knows_a_slow_engine_from_what_others_saw() {
     let mut busy = learned(&[1.0, 1.3]);
     let mut other = learned(&[1.0, 1.3]);
-    let row = ReadingRow::merge(&[busy.sample(NOW), other.sample(NOW)]);
+    let row = ReadingRow::merge(&[busy.sample(NOW, 9), other.sample(NOW, 9)]);
     let mut new = ReadingModel::default();
     assert_eq!(new.time(NOW, &engine(1), &model(), 4_000), None);
     new.adopt(row);
@@ -87,7 +87,7 @@
 #[test]
 fn own_events_of_late_are_believed_more_than_what_others_saw() {
     let mut reading = learned(&[1.0]);
-    let told = ReadingRow::merge(&[reading.sample(NOW)]);
+    let told = ReadingRow::merge(&[reading.sample(NOW, 9)]);
     reading.adopt(told.clone());
     let before = reading.time(NOW, &engine(0), &model(), 4_000);
     for _ in 0..100 {
@@ -109,7 +109,7 @@
 #[test]
 fn a_row_is_news_only_when_it_says_something_else() {
     let mut reading = learned(&[1.0, 1.3]);
-    let told = ReadingRow::merge(&[reading.sample(NOW)]);
+    let told = ReadingRow::merge(&[reading.sample(NOW, 9)]);
     assert!(told.is_news(&ReadingRow::default()));
     assert!(!told.is_news(&told));
     let mut near = told.clone();
@@ -134,7 +134,7 @@
 #[test]
 fn what_nobody_has_seen_of_late_is_kept_while_the_engine_is_there() {
     let mut reading = learned(&[1.0, 1.3]);
-    let earlier = ReadingRow::merge(&[reading.sample(NOW)]);
+    let earlier = ReadingRow::merge(&[reading.sample(NOW, 9)]);
     let mut row = ReadingRow::default();
     row.keep(&earlier, |id| *id == engine(1));
     assert_eq!(row.gap(&engine(0), &model()), None);
@@ -152,8 +152,11 @@
     for number in 0..3_000 {
         reading.note_gap(NOW, &engine(number), &model(), GAP);
     }
-    let sample = reading.sample(NOW);
+    let sample = reading.sample(NOW, 9);
     assert_eq!(sample.engines.len(), 48);
+    let one_of_many = reading.sample(NOW, 64);
+    assert_eq!(one_of_many.engines.len(), 12, "others tell the rest");
+    assert_eq!(reading.sample(NOW, 1_300).engines.len(), 8);
     let many: Vec<_> = (0..100)
         .map(|gateway| {
             let seen = (0..40).map(|number| {
@@ -163,7 +166,7 @@
                 };
                 (engine(gateway * 40 + number), model(), sample)
             });
-            gorsebank_fleet::ReadingSample::new(seen, None)
+            gorsebank_fleet::ReadingSample::new(9, seen, None)
         })
         .collect();
     let row = ReadingRow::merge(&many);
--- a/crates/gateway/src/demand_writer.rs
+++ b/crates/gateway/src/demand_writer.rs
@@ -22,8 +22,12 @@
 /// Rows are written this often even without news, so that a reader can tell
 /// that the gateway lives.
 const REFRESH: Duration = Duration::from_secs(6);
-/// The number of gateways is read this often.
+/// The number of gateways is read this often ...
 const COUNT_PAUSE: Duration = Duration::from_secs(10);
+/// ... and more seldom in proportion when there are more than this: counting reads
+/// the rows of all. The half of the retry budget that is kept back covers gateways
+/// that were not counted yet, up to twice as many as before.
+const FEW_GATEWAYS: usize = 32;
 /// The first times it is read sooner: gateways that start together find each other.
 const EARLY_COUNTS: u32 = 3;
 /// Pause between these.
@@ -68,7 +72,7 @@
         let pause = if self.counts < EARLY_COUNTS {
             EARLY_COUNT_PAUSE
         } else {
-            COUNT_PAUSE
+            count_pause(self.shared.possible_gateways())
         };
         let count_due = self.counted.is_none_or(|at| at.elapsed() > pause);
         if (count_due || self.version.is_none()) && !self.read().await {
@@ -129,6 +133,10 @@
     }
 }
 
+fn count_pause(gateways: usize) -> Duration {
+    COUNT_PAUSE.mul_f64((gateways as f64 / FEW_GATEWAYS as f64).max(1.0))
+}
+
 fn differs(former: &DemandRow, row: &DemandRow) -> bool {
     if former.services.len() != row.services.len() {
         return true;
--- a/crates/gateway/src/reading_rows.rs
+++ b/crates/gateway/src/reading_rows.rs
@@ -19,8 +19,10 @@
 use crate::shared::Shared;
 use crate::watch::{Follower, LOST_PAUSE, refuse_row, row_name};
 
-/// Pause between two looks at what gateways have seen.
+/// Pause between two looks at what gateways have seen, at least.
 const PAUSE: Duration = Duration::from_millis(1_000);
+/// Bytes a second that all gateways together read of these rows at most.
+const BYTES_PER_SECOND: f64 = 200_000.0;
 
 /// Takes in what the holder tells.
 pub struct ReadingFollower(pub Arc<Shared>);
@@ -54,10 +56,11 @@
     let mut teller = Teller {
         shared,
         told: BTreeMap::new(),
+        bytes_told: 0,
     };
     teller.read().await;
     loop {
-        sleep(PAUSE).await;
+        sleep(PAUSE.max(teller.read_time())).await;
         for (service, row) in demand.merged_reading(teller.shared.now()) {
             teller.tell(service, row).await;
         }
@@ -68,9 +71,17 @@
     shared: Arc<Shared>,
     /// What stands in the table, with its version.
     told: BTreeMap<ServiceId, (ReadingRow, u64)>,
+    /// Size of the row that was told last.
+    bytes_told: usize,
 }
 
 impl Teller {
+    /// Time over which the last row is spread: every gateway reads it.
+    fn read_time(&self) -> Duration {
+        let bytes = self.bytes_told * self.shared.possible_gateways();
+        Duration::from_secs_f64(bytes as f64 / BYTES_PER_SECOND)
+    }
+
     /// Reads what a former holder has told.
     async fn read(&mut self) {
         let table = self.shared.platform.tables().reading;
@@ -101,6 +112,7 @@
         let Ok(value) = serde_json::to_string(&row) else {
             return;
         };
+        self.bytes_told = value.len();
         let key = format!("{}/{service}", self.shared.platform.tables().reading);
         let transaction = Transaction::put_if(key, version, value);
         match self.shared.table().transact(transaction).await {
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -224,15 +224,16 @@
     /// What this gateway has seen of late of how fast engines are.
     pub fn reading_samples(&self) -> BTreeMap<ServiceId, ReadingSample> {
         let now = self.now();
+        let gateways = self.possible_gateways();
         let mut reading = self.reading.lock();
         let samples = reading
             .iter_mut()
-            .map(|(service, known)| (service.clone(), known.sample(now)));
+            .map(|(service, known)| (service.clone(), known.sample(now, gateways)));
         samples.filter(|(_, sample)| !sample.is_empty()).collect()
     }
 
     /// Gateways that there may be.
-    fn possible_gateways(&self) -> usize {
+    pub fn possible_gateways(&self) -> usize {
         self.gateways.load(Ordering::Relaxed) + UNKNOWN_GATEWAYS
     }
 
