--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -217,6 +217,18 @@
     failure.answer(call.shared.platform.as_ref())
 }
 
+/// A line on a request that could not be taken in.
+fn log_unread(ticket: &Ticket, failure: Failure) -> Failure {
+    let fields = format_args!(
+        "request={} outcome={} status={} attempts=0 exposed=false",
+        ticket.id,
+        failure.reason(),
+        failure.status().as_u16(),
+    );
+    lines::write(Rank::Decision, "request_end", fields);
+    failure
+}
+
 async fn read(
     shared: &Arc<Shared>,
     request: Request<Incoming>,
@@ -224,7 +236,9 @@
 ) -> Result<Call, Failure> {
     let (mut head, body) = request.into_parts();
     let ticket = shared.platform.ticket(&head.headers);
-    let configuration = shared.configuration().ok_or(Failure::NoConfiguration)?;
+    let Some(configuration) = shared.configuration() else {
+        return Err(log_unread(&ticket, Failure::NoConfiguration));
+    };
     let Some(route) = find_route(&configuration, &head) else {
         log_unrouted(&ticket, &head, configuration.version);
         return Err(Failure::NoRoute);
@@ -235,7 +249,9 @@
     let deadline = arrived + held;
     let returning = shared.is_returning(&route.name, ticket.deadline);
     let limit = configuration.limits.max_body_bytes;
-    let body = read_body(body, limit, deadline).await?;
+    let body = read_body(body, limit, deadline)
+        .await
+        .map_err(|failure| log_unread(&ticket, failure))?;
     let service = shared.split(&route.services).ok_or(Failure::NoRoute)?;
     shared.count_request(&service);
     strip_connection_headers(&mut head.headers);
--- a/crates/gorsebank/tests/unread_output.rs
+++ b/crates/gorsebank/tests/unread_output.rs
@@ -3,7 +3,6 @@
 #[path = "../../../platform/tests/support/mod.rs"]
 mod platform;
 
-use std::io::{BufRead, BufReader};
 use std::path::Path;
 use std::time::{Duration, Instant};
 
@@ -52,7 +51,7 @@
     println!("{rounds} rounds, the longest took {longest:?}");
     assert!(longest < LONGEST, "{longest:?}");
 
-    let lines = read_lines(&mut gateway);
+    let lines = gateway.read_lines();
     let about_refused = lines
         .iter()
         .filter(|line| line.contains(" request=f"))
@@ -63,18 +62,6 @@
     assert!(left_out > Some(0), "what was left out is counted");
 }
 
-/// What the process has written, until it writes nothing for a while.
-fn read_lines(gateway: &mut GatewayProcess) -> Vec<String> {
-    let output = gateway.child.stdout.take().expect("a pipe");
-    let (sender, receiver) = std::sync::mpsc::channel();
-    std::thread::spawn(move || {
-        for line in BufReader::new(output).lines().map_while(Result::ok) {
-            let _ = sender.send(line);
-        }
-    });
-    std::iter::from_fn(|| receiver.recv_timeout(Duration::from_millis(500)).ok()).collect()
-}
-
 fn count_left_out(line: &str) -> u64 {
     let mut fields = line.split(' ');
     let count = fields.find_map(|field| field.strip_prefix("left_out="));
