--- a/crates/fleet/src/placement/goals.rs
+++ b/crates/fleet/src/placement/goals.rs
@@ -167,8 +167,12 @@
             .collect();
         wishes.extend(self.forecast_wish(engines));
         let density = |wish: &Wish| wish.worth / self.shortest_load(engines, &wish.model);
-        wishes.sort_by(|one, other| density(other).total_cmp(&density(one)));
-        wishes
+        let mut by_density: Vec<(f64, Wish)> = wishes
+            .into_iter()
+            .map(|wish| (density(&wish), wish))
+            .collect();
+        by_density.sort_by(|one, other| other.0.total_cmp(&one.0));
+        by_density.into_iter().map(|(_, wish)| wish).collect()
     }
 
     /// Seconds that the shortest load of a model takes an engine that is free.
--- a/crates/fleet/tests/reading.rs
+++ b/crates/fleet/tests/reading.rs
@@ -19,6 +19,20 @@
     }
 }
 
+/// A well back end near by that is connected to.
+fn candidate(in_flight: u32, stall: f64, relative_pace: f64) -> Candidate {
+    Candidate {
+        in_flight,
+        same_zone: true,
+        failure_rate: 0.0,
+        relative_latency: 1.0,
+        warm_prompt: false,
+        connected: true,
+        stall,
+        relative_pace,
+    }
+}
+
 const NOW: Timestamp = Timestamp(1_000);
 
 fn engine(number: usize) -> BackEndId {
@@ -179,16 +193,7 @@
 /// slow engine pause for longer than their callers accept.
 #[test]
 fn a_long_prompt_goes_where_streams_pause_least() {
-    let candidate = |in_flight, stall| Candidate {
-        in_flight,
-        same_zone: true,
-        failure_rate: 0.0,
-        relative_latency: 1.0,
-        warm_prompt: false,
-        connected: true,
-        stall,
-        relative_pace: 1.0,
-    };
+    let candidate = |in_flight, stall| candidate(in_flight, stall, 1.0);
     let mut random = SmallRng::seed_from_u64(1);
     let busy_but_fast = [candidate(0, 1.05), candidate(2, 0.8)];
     assert_eq!(cheapest(&busy_but_fast, &mut random), Some(1));
@@ -200,16 +205,7 @@
 /// more than a fast one that already runs a request of this gateway.
 #[test]
 fn a_slower_engine_is_chosen_only_when_the_faster_one_is_busier() {
-    let candidate = |in_flight, relative_pace| Candidate {
-        in_flight,
-        same_zone: true,
-        failure_rate: 0.0,
-        relative_latency: 1.0,
-        warm_prompt: false,
-        connected: true,
-        stall: 0.0,
-        relative_pace,
-    };
+    let candidate = |in_flight, relative_pace| candidate(in_flight, 0.0, relative_pace);
     let mut random = SmallRng::seed_from_u64(1);
     let fast_runs_one = [candidate(0, 1.3), candidate(1, 1.0)];
     assert_eq!(cheapest(&fast_runs_one, &mut random), Some(1));
