Admission expects a load from the nearest copy of the model

Cause: admission took every load that was not ordered yet for one from the weight store (6.5 s at the new customer), though nearly every model lies on some engine's disk (0.84 s). So it refused most requests for rare models at once, with a pause of 7.1 s, and they were late when they came back. Ruled out: patience of callers (10 s). Now the nearest copy that discovery shows at an active engine counts.

--- a/crates/fleet/src/back_end.rs
+++ b/crates/fleet/src/back_end.rs
@@ -10,6 +10,18 @@
 /// Models with their adapters.
 pub type Holdings = BTreeMap<ModelId, BTreeSet<AdapterId>>;
 
+/// Where a load of a model would take its weights from, the slowest first.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum CopyTier {
+    /// The weight store, whose rate all engines share.
+    #[default]
+    WeightStore,
+    /// The engine's disk.
+    Disk,
+    /// The engine's host memory.
+    Memory,
+}
+
 /// What a back end says of itself through discovery.
 #[derive(Clone, Debug, PartialEq)]
 pub struct BackEndReport {
@@ -33,6 +45,19 @@
     pub on_disk: BTreeSet<ModelId>,
 }
 
+impl BackEndReport {
+    /// Where a load of the model here would take its weights from.
+    pub fn nearest_copy(&self, model: &ModelId) -> CopyTier {
+        if self.in_memory.contains(model) {
+            CopyTier::Memory
+        } else if self.on_disk.contains(model) {
+            CopyTier::Disk
+        } else {
+            CopyTier::WeightStore
+        }
+    }
+}
+
 /// The answer of an engine to a question about its state, somewhat stale.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct EngineReport {
--- a/crates/fleet/src/configuration.rs
+++ b/crates/fleet/src/configuration.rs
@@ -8,6 +8,8 @@
 
 use gorsebank_world::{AdapterId, ModelId, ServiceId};
 
+use crate::back_end::CopyTier;
+
 /// How often a request may run, and how it is answered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RequestKind {
@@ -82,6 +84,17 @@
     pub load_from_disk: Duration,
 }
 
+impl ModelSpec {
+    /// Time of a load from there.
+    pub fn load_from(&self, copy: CopyTier) -> Duration {
+        match copy {
+            CopyTier::WeightStore => self.load,
+            CopyTier::Disk => self.load_from_disk,
+            CopyTier::Memory => self.load_from_memory,
+        }
+    }
+}
+
 /// What a service of model engines offers.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Engine {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -21,7 +21,7 @@
 pub mod split;
 pub mod sweep;
 
-pub use back_end::{BackEndReport, EngineReport, Holdings, PlacedRow, PlannedLoad};
+pub use back_end::{BackEndReport, CopyTier, EngineReport, Holdings, PlacedRow, PlannedLoad};
 pub use configuration::{Configuration, Engine, Limits, ModelSpec, RequestKind, Route, Service};
 pub use demand::{Demand, DemandRow, ModelDemand};
 pub use lease::{LeaseKeeper, LeaseRow, LeaseStep};
--- a/crates/fleet/src/placement/engine/mod.rs
+++ b/crates/fleet/src/placement/engine/mod.rs
@@ -14,7 +14,7 @@
 
 use super::goal::Goal;
 use super::{OrderKind, OrderResult};
-use crate::back_end::{BackEndReport, EngineReport, Holdings, PlacedRow, PlannedLoad};
+use crate::back_end::{BackEndReport, CopyTier, EngineReport, Holdings, PlacedRow, PlannedLoad};
 use crate::configuration::{Engine, ModelSpec};
 
 /// An order without an answer is repeated so often before the state is asked for.
@@ -208,18 +208,12 @@
 
     /// Time of a load here, by where the engine has a copy.
     pub fn load_time(&self, model: &ModelId, spec: &ModelSpec) -> Duration {
-        if self.observed.in_memory.contains(model) {
-            spec.load_from_memory
-        } else if self.observed.on_disk.contains(model) {
-            spec.load_from_disk
-        } else {
-            spec.load
-        }
+        spec.load_from(self.observed.nearest_copy(model))
     }
 
     /// Whether a load here takes nothing from the weight store.
     pub fn has_copy(&self, model: &ModelId) -> bool {
-        self.observed.in_memory.contains(model) || self.observed.on_disk.contains(model)
+        self.observed.nearest_copy(model) != CopyTier::WeightStore
     }
 
     /// Ends a goal that was reached or is too old.
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use gorsebank_coordination::Timestamp;
+use gorsebank_fleet::CopyTier;
 use gorsebank_world::{AdapterId, BackEndId, ModelId};
 use tokio::time::{Instant, timeout_at};
 
@@ -44,6 +45,9 @@
 /// A caller that waits for a load is asked to come back this much after it.
 const LOAD_SLACK: Duration = Duration::from_millis(600);
 
+/// Time of a load of a model that the configuration does not list.
+const UNKNOWN_LOAD: Duration = Duration::from_secs(2);
+
 /// What is missing for sending a request.
 enum Missing {
     /// Any back end of the service that can take it.
@@ -283,7 +287,7 @@
             ordered: true,
         },
         None => ExpectedLoad {
-            time: load_time(call, model) + ORDER_DELAY,
+            time: load_time(call, model, places.nearest_copy) + ORDER_DELAY,
             ordered: false,
         },
     };
@@ -319,10 +323,10 @@
     call.ticket.model.as_ref()
 }
 
-/// Time of a load of the model from the weight store.
-pub fn load_time(call: &Call, model: &ModelId) -> Duration {
+/// Time of a load of the model from there.
+pub fn load_time(call: &Call, model: &ModelId, copy: CopyTier) -> Duration {
     let service = call.configuration.service(&call.service);
     let engine = service.and_then(|service| service.engine.as_ref());
     let spec = engine.and_then(|engine| engine.models.get(model));
-    spec.map_or(Duration::from_secs(2), |spec| spec.load)
+    spec.map_or(UNKNOWN_LOAD, |spec| spec.load_from(copy))
 }
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -11,7 +11,7 @@
 use std::sync::Arc;
 
 use gorsebank_coordination::Timestamp;
-use gorsebank_fleet::{BackEndReport, Holdings, PlacedRow};
+use gorsebank_fleet::{BackEndReport, CopyTier, Holdings, PlacedRow};
 use gorsebank_world::{AdapterId, BackEndId, ModelId, ServiceId, ZoneId};
 
 use crate::back_end::{BackEnd, SeenRow};
@@ -44,6 +44,8 @@
     pub without_adapter: usize,
     /// When a load under way is expected to be done.
     pub loading_until: Option<Timestamp>,
+    /// The nearest copy from which a back end without the model could load it.
+    pub nearest_copy: CopyTier,
 }
 
 /// All back ends.
@@ -200,6 +202,8 @@
                 let earliest = places.loading_until.map_or(until, |known| known.min(until));
                 places.loading_until = Some(earliest);
             }
+            let copy = entry.report.nearest_copy(model);
+            places.nearest_copy = places.nearest_copy.max(copy);
             return;
         };
         if entry.back_end.is_absent(now, model, None) {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -9,6 +9,7 @@
 
 use bytes::Bytes;
 use futures_util::StreamExt;
+use gorsebank_fleet::CopyTier;
 use gorsebank_fleet::events::EventSplitter;
 use gorsebank_world::ModelId;
 use http::{Response, StatusCode};
@@ -100,7 +101,7 @@
     };
     let now = call.shared.now();
     let adapter = call.ticket.adapter.as_ref();
-    let urgent = admission::load_time(call, model) > call.route.objective;
+    let urgent = admission::load_time(call, model, CopyTier::WeightStore) > call.route.objective;
     let mut demand = call.shared.demand.lock();
     demand.arrived(now, &call.service, model, adapter, urgent);
 }
