Placement: from the weight store only where no copy is sooner

Ruled out: the weight store's rate (loads were under it). Now a load from the store is begun only where no engine that answers and has a copy would have the model sooner.

Tests red before: a_load_waits_for_the_engine_with_a_copy, a_copy_at_an_engine_whose_goal_is_late_is_not_waited_for.

--- a/crates/fleet/src/placement/engine/mod.rs
+++ b/crates/fleet/src/placement/engine/mod.rs
@@ -145,9 +145,25 @@
 
     /// Whether a new goal may be set.
     pub fn is_free(&self) -> bool {
-        let busy = self.known.as_ref().is_some_and(|known| known.busy);
         let idle = self.goal.is_none() && self.unloading.is_none();
-        idle && !self.check && !self.suspected && !busy
+        idle && !self.check && !self.suspected && !self.is_busy()
+    }
+
+    /// Time until a new goal may be set, as far as it is known; none at an engine
+    /// that does not answer, whose goal is late, or that carries out an order of
+    /// which the end is not known.
+    pub fn free_in(&self, now: Timestamp) -> Option<Duration> {
+        let left = match &self.goal {
+            Some(goal) if goal.is_late(now) => None,
+            Some(goal) => Some(goal.ready_at.since(now)),
+            None if self.unloading.is_some() || self.is_busy() => None,
+            None => Some(0),
+        };
+        left.filter(|_| !self.suspected).map(Duration::from_millis)
+    }
+
+    fn is_busy(&self) -> bool {
+        self.known.as_ref().is_some_and(|known| known.busy)
     }
 
     /// Sets a goal.
--- a/crates/fleet/src/placement/goals.rs
+++ b/crates/fleet/src/placement/goals.rs
@@ -231,6 +231,7 @@
         if !engines.iter().any(|engine| is_free(engine)) {
             return Err(Obstacle::NoFreeEngine);
         }
+        let from_store = from_store && !self.copy_is_sooner(engines, &wish.model, wanted);
         let (index, room) = (0..engines.len())
             .filter(|index| is_free(engines[*index]))
             .filter(|index| from_store || engines[*index].has_copy(&wish.model))
@@ -247,6 +248,24 @@
         Ok(())
     }
 
+    /// Whether an engine with a copy of the model, once it is free, loads it no later
+    /// than another one would from the weight store. Such a load also occupies its
+    /// engine for a much shorter time.
+    fn copy_is_sooner(
+        &self,
+        engines: &[&mut EngineState],
+        model: &ModelId,
+        spec: &ModelSpec,
+    ) -> bool {
+        let loaded_in = |engine: &&mut EngineState| {
+            let may_load = engine.has_copy(model) && !engine.keeps(model);
+            let free_in = engine.free_in(self.now).filter(|_| may_load)?;
+            Some(free_in + engine.load_time(model, spec))
+        };
+        let soonest = engines.iter().filter_map(loaded_in).min();
+        soonest.is_some_and(|soonest| soonest <= spec.load)
+    }
+
     /// What would have to leave the engine for the wish.
     fn make_room(&self, engine: &EngineState, wish: &Wish, wanted: &ModelSpec) -> Room {
         let mut missing = wanted.memory_mb - engine.free_memory(self.spec);
--- a/crates/fleet/tests/placement.rs
+++ b/crates/fleet/tests/placement.rs
@@ -275,6 +275,39 @@
     assert!(world.engines[1].holds(&"m7".into()));
 }
 
+/// Found on gpf-ljubljana: loads from the weight store, of models that lay on disks of
+/// engines that were occupied for a second, took engines for six seconds each.
+#[test]
+fn a_load_waits_for_the_engine_with_a_copy() {
+    let mut world = World::new(2, &["m0"]);
+    world.engines[0].copies = vec!["m7".into(), "m8".into()];
+    let rows = vec![demand(&[("m7", 0.3, 1), ("m8", 0.28, 1), ("m0", 0.4, 0)])];
+    for now in (0..2_500).step_by(50) {
+        world.turn(now, &rows);
+    }
+    assert!(world.engines[0].holds(&"m7".into()));
+    assert!(world.engines[0].holds(&"m8".into()));
+    assert_eq!(
+        world.loads,
+        Vec::<u64>::new(),
+        "nothing from the weight store"
+    );
+}
+
+/// The engine with the copy cannot make room: the weight store is sooner.
+#[test]
+fn a_copy_at_an_engine_whose_goal_is_late_is_not_waited_for() {
+    let mut world = World::new(2, &["m0", "m1", "m2"]);
+    world.engines[0].unload_time = 12_000;
+    world.engines[0].copies = vec!["m7".into(), "m8".into()];
+    world.engines[1] = EngineModel::new(1, &["m3"]);
+    let rows = vec![demand(&[("m7", 0.3, 1), ("m8", 0.28, 1), ("m3", 0.4, 0)])];
+    for now in (0..6_000).step_by(50) {
+        world.turn(now, &rows);
+    }
+    assert_eq!((world.holders("m7"), world.holders("m8")), (1, 1));
+}
+
 /// Found in a trial: a rolling stop changed the holder twice within a window,
 /// and each began as if it were the first.
 #[test]
