--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -63,6 +63,7 @@
 struct ExpectedLoad {
     time: Duration,
     ordered: bool,
+    copy: CopyTier,
 }
 
 /// A back end for the next attempt; none of `tried`.
@@ -181,15 +182,14 @@
 }
 
 fn log_wait(call: &Call, missing: &Missing, until: Instant) {
-    let (expected, ordered) = expected_load(missing);
+    let load = load_fields(missing);
     let what = match missing {
         Missing::Model(_) => "model",
         Missing::Adapter => "adapter",
         Missing::BackEnd => "back_end",
     };
     let fields = format_args!(
-        "request={} missing={what} expected_ms={expected} load_ordered={ordered} \
-         longest_ms={} objective_ms={} returning={} configuration={}",
+        "request={} missing={what} {load} longest_ms={} objective_ms={} returning={} configuration={}",
         call.ticket.id,
         until.saturating_duration_since(Instant::now()).as_millis(),
         call.route.objective.as_millis(),
@@ -199,19 +199,23 @@
     lines::write(Rank::Decision, "waiting", fields);
 }
 
-/// Milliseconds until the load is expected to end, and whether it is ordered.
-fn expected_load(missing: &Missing) -> (u128, bool) {
+/// For lines: when a load is expected to end, whether it is ordered, and the nearest copy.
+fn load_fields(missing: &Missing) -> String {
     match missing {
-        Missing::Model(load) => (load.time.as_millis(), load.ordered),
-        Missing::Adapter | Missing::BackEnd => (0, false),
+        Missing::Model(load) => format!(
+            "expected_ms={} load_ordered={} nearest_copy={:?}",
+            load.time.as_millis(),
+            load.ordered,
+            load.copy
+        ),
+        Missing::Adapter | Missing::BackEnd => "expected_ms=0 load_ordered=false".to_owned(),
     }
 }
 
 fn log_refusal(call: &Call, missing: &Missing, reason: &str, pause: Duration) {
-    let (expected, ordered) = expected_load(missing);
+    let load = load_fields(missing);
     let fields = format_args!(
-        "request={} reason={reason} expected_ms={expected} load_ordered={ordered} \
-         waited_ms={} objective_ms={} returning={} retry_after_ms={} configuration={}",
+        "request={} reason={reason} {load} waited_ms={} objective_ms={} returning={} retry_after_ms={} configuration={}",
         call.ticket.id,
         call.arrived.elapsed().as_millis(),
         call.route.objective.as_millis(),
@@ -285,10 +289,12 @@
         Some(until) => ExpectedLoad {
             time: Duration::from_millis(until.since(now)),
             ordered: true,
+            copy: places.nearest_copy,
         },
         None => ExpectedLoad {
             time: load_time(call, model, places.nearest_copy) + ORDER_DELAY,
             ordered: false,
+            copy: places.nearest_copy,
         },
     };
     Err(Missing::Model(load))
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -128,6 +128,7 @@
         events: 0,
         last_passed: None,
         longest_pause: Duration::ZERO,
+        longest_pause_end: Duration::ZERO,
         part_event: None,
         _running: running,
     };
@@ -162,6 +163,8 @@
     events: u64,
     last_passed: Option<Instant>,
     longest_pause: Duration,
+    /// When it ended, since the request arrived.
+    longest_pause_end: Duration,
     /// When the present back end's last event came.
     part_event: Option<Instant>,
     _running: Running,
@@ -270,8 +273,11 @@
         let now = Instant::now();
         let since_arrival = now - self.call.arrived;
         self.first_event.get_or_insert(since_arrival);
-        if let Some(last) = self.last_passed.replace(now) {
-            self.longest_pause = self.longest_pause.max(now - last);
+        if let Some(last) = self.last_passed.replace(now)
+            && now - last > self.longest_pause
+        {
+            self.longest_pause = now - last;
+            self.longest_pause_end = since_arrival;
         }
         if id.is_some() {
             self.last_event = id;
@@ -337,11 +343,18 @@
 
     fn end(&self, outcome: &str, back_end: &str) {
         let fields = format_args!(
-            "request={} events={} first_event_ms={} longest_pause_ms={}",
+            "request={} events={} first_event_ms={} longest_pause_ms={} longest_pause_end_ms={} \
+             pause_objective_ms={}",
             self.call.ticket.id,
             self.events,
             self.first_event.unwrap_or_default().as_millis(),
             self.longest_pause.as_millis(),
+            self.longest_pause_end.as_millis(),
+            self.call
+                .route
+                .pause_objective
+                .unwrap_or_default()
+                .as_millis(),
         );
         let rank = if outcome == "served" {
             Rank::Served
--- a/crates/gorsebank/src/arguments.rs
+++ b/crates/gorsebank/src/arguments.rs
@@ -44,6 +44,8 @@
     Status(StatusArguments),
     /// Tell a request's way through gateways, from their logs.
     Explain(ExplainArguments),
+    /// Tell which requests of a day were late, refused or failed, and why, from logs.
+    Losses(LossesArguments),
 }
 
 /// Arguments of `node`. Flags go before the file.
@@ -82,6 +84,17 @@
     pub files: Vec<PathBuf>,
 }
 
+/// Arguments of `losses`.
+#[derive(Debug, Args)]
+pub struct LossesArguments {
+    /// Requests that are named for each cause.
+    #[arg(long, default_value_t = 2)]
+    pub examples: usize,
+    /// Log files of all gateways.
+    #[arg(required = true)]
+    pub files: Vec<PathBuf>,
+}
+
 /// Arguments of `gateway`.
 #[derive(Debug, Args)]
 pub struct GatewayArguments {
--- a/crates/gorsebank/src/commands/explain/cause.rs
+++ b/crates/gorsebank/src/commands/explain/cause.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-use super::line::LogLine;
+use crate::commands::logs::LogLine;
 
 /// What decided how a request ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/gorsebank/src/commands/explain/story.rs
+++ b/crates/gorsebank/src/commands/explain/story.rs
@@ -4,7 +4,7 @@
 use std::fmt;
 
 use super::cause::{self, Cause};
-use super::line::LogLine;
+use crate::commands::logs::LogLine;
 
 /// Lines about back ends and models this long before the request's end are shown.
 const CONTEXT: u64 = 6_000;
--- a/crates/gorsebank/src/commands/explain/line.rs
+++ b/crates/gorsebank/src/commands/logs/line.rs
@@ -35,6 +35,11 @@
     pub fn field(&self, name: &str) -> Option<&str> {
         self.fields.get(name).map(String::as_str)
     }
+
+    /// A field's value, if it is a whole number.
+    pub fn number(&self, name: &str) -> Option<u64> {
+        self.field(name)?.parse().ok()
+    }
 }
 
 fn fields(text: &str) -> BTreeMap<String, String> {
--- a/crates/gorsebank/src/commands/mod.rs
+++ b/crates/gorsebank/src/commands/mod.rs
@@ -8,5 +8,7 @@
 pub mod gateway;
 pub mod get;
 pub mod label;
+pub mod logs;
+pub mod losses;
 pub mod node;
 pub mod status;
--- a/crates/gorsebank/src/main.rs
+++ b/crates/gorsebank/src/main.rs
@@ -45,5 +45,6 @@
         Command::Delete(arguments) => commands::delete::run(arguments).await,
         Command::Status(arguments) => commands::status::run(arguments).await,
         Command::Explain(arguments) => commands::explain::run(&arguments),
+        Command::Losses(arguments) => commands::losses::run(&arguments),
     }
 }
