Placement: a running request makes a model 0.6 requests a second dearer to lose

Cause: an unload waits for its runs (1.8 s for one in ten), and the engine takes no other order meanwhile. A running request counted 0.25, less than a waiting one, so models that ran were chosen to leave.

Test red before: a_model_that_runs_is_dearer_than_one_with_some_demand.

--- a/crates/fleet/src/placement/goals.rs
+++ b/crates/fleet/src/placement/goals.rs
@@ -20,7 +20,7 @@
 /// Worth of one waiting request of low rank, in requests a second.
 const WAITING_WORTH: f64 = 0.3;
 /// A running request makes a model this much dearer to lose.
-const RUNNING_WORTH: f64 = 0.25;
+const RUNNING_WORTH: f64 = 0.6;
 /// A load must be worth this much more than what leaves for it.
 const ADVANTAGE: f64 = 1.3;
 /// Part of an engine's slots that one model's replica should fill at most.
--- a/crates/fleet/tests/placement.rs
+++ b/crates/fleet/tests/placement.rs
@@ -152,6 +152,22 @@
     assert_eq!(world.holders("m5"), 0, "it costs more, and leaves at once");
 }
 
+/// Found on gpf-ljubljana: engines waited for runs of the model that was to leave, and
+/// took no other order meanwhile. A model that runs stays if another is as rare.
+#[test]
+fn a_model_that_runs_is_dearer_than_one_with_some_demand() {
+    let mut world = World::new(1, &["m0", "m1", "m2"]);
+    let rows = vec![
+        support::running(&[("m0", 0.05, 1), ("m1", 0.4, 0), ("m2", 0.05, 1)]),
+        demand(&[("m7", 0.2, 2)]),
+    ];
+    for now in (0..3_000).step_by(50) {
+        world.turn(now, &rows);
+    }
+    assert_eq!((world.holders("m0"), world.holders("m2")), (1, 1));
+    assert_eq!((world.holders("m1"), world.holders("m7")), (0, 1));
+}
+
 /// Found on vatuloa-meters, scale-1: the only engine of the busiest model went
 /// dark, and 130 requests were refused until another had loaded it.
 #[test]
