Few gateways follow the table and tell the others its changes

Change: the two gateways with the largest links, one more for each 32, follow the table; the others ask them, with versions and age, and fall back to the next one or the table.

--- a/crates/fleet/src/demand.rs
+++ b/crates/fleet/src/demand.rs
@@ -51,6 +51,9 @@
     /// Where the gateway relays calls of the table for others.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub relay: Option<SocketAddr>,
+    /// Capacity of its machine's link in megabits a second; 0 if it is not known.
+    #[serde(default)]
+    pub link_megabits: u32,
     /// How fast engines are, as this gateway has seen it, by service.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub reading: BTreeMap<ServiceId, ReadingSample>,
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod configuration;
 pub mod demand;
 pub mod events;
+pub mod feeders;
 pub mod health;
 pub mod lease;
 pub mod placement;
--- a/crates/gateway/src/demand_writer.rs
+++ b/crates/gateway/src/demand_writer.rs
@@ -4,7 +4,6 @@
 //! missing and otherwise only when it says something new. The row's key is the
 //! node's name, so the number of rows bounds the number of gateways.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,7 +12,9 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::ports::WatchedTable;
+use crate::relay::Member;
 use crate::shared::Shared;
+use crate::watch::row_name;
 
 /// Pause between two rows at least.
 const LEAST_PAUSE: Duration = Duration::from_millis(40);
@@ -80,6 +81,7 @@
         }
         let mut row = self.shared.demand.lock().row(self.shared.now());
         row.relay = self.shared.settings.relay;
+        row.link_megabits = self.shared.settings.link_megabits;
         row.reading = self.shared.reading_samples();
         if urgent || self.is_news(&row) {
             self.write(row).await;
@@ -97,25 +99,25 @@
     /// Reads the version of the own row, and how many gateways there are.
     async fn read(&mut self) -> bool {
         let table = self.shared.platform.tables().demand;
-        let Ok(snapshot) = self.shared.table().read(table).await else {
+        let source = self.shared.table();
+        // The version of the own row is needed as it is; a count may be a second old.
+        let read = match self.version {
+            None => source.read(table).await,
+            Some(_) => source.read_recent(table).await,
+        };
+        let Ok(snapshot) = read else {
             return false;
         };
         let own = snapshot.rows.iter().find(|row| row.key == self.key);
-        self.version = Some(own.map_or(0, |row| row.modified));
+        let written = own.map_or(0, |row| row.modified);
+        self.version = Some(self.version.unwrap_or(0).max(written));
         self.counted = Some(Instant::now());
         self.shared.set_gateways(snapshot.rows.len());
-        self.shared.set_relays(self.relays(&snapshot.rows));
+        self.shared.set_members(&members(&snapshot.rows));
         self.counts += 1;
         true
     }
 
-    /// Where other gateways relay calls of the table.
-    fn relays(&self, rows: &[TableRow]) -> Vec<SocketAddr> {
-        let others = rows.iter().filter(|row| row.key != self.key);
-        let parsed = others.filter_map(|row| serde_json::from_str::<DemandRow>(&row.value).ok());
-        parsed.filter_map(|row| row.relay).collect()
-    }
-
     async fn write(&mut self, row: DemandRow) {
         let Ok(value) = serde_json::to_string(&row) else {
             return;
@@ -133,6 +135,20 @@
     }
 }
 
+/// The gateways that answer others, as their rows tell.
+fn members(rows: &[TableRow]) -> Vec<Member> {
+    let member = |row: &TableRow| {
+        let told = serde_json::from_str::<DemandRow>(&row.value).ok()?;
+        let name = row_name(&row.key).to_owned();
+        Some(Member {
+            name,
+            address: told.relay?,
+            link_megabits: told.link_megabits,
+        })
+    };
+    rows.iter().filter_map(member).collect()
+}
+
 fn count_pause(gateways: usize) -> Duration {
     COUNT_PAUSE.mul_f64((gateways as f64 / FEW_GATEWAYS as f64).max(1.0))
 }
--- a/crates/gateway/src/holder.rs
+++ b/crates/gateway/src/holder.rs
@@ -90,7 +90,7 @@
 
 async fn read_lease(shared: &Shared, keeper: &Mutex<LeaseKeeper>) {
     let table = shared.platform.tables().lease;
-    match shared.table().read(table).await {
+    match shared.table().read_recent(table).await {
         Ok(snapshot) => {
             let key = lease_key(shared);
             let row = snapshot.rows.iter().find(|row| row.key == key);
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -92,6 +92,24 @@
     },
 }
 
+impl RowChange {
+    /// Key of the row.
+    pub fn key(&self) -> &str {
+        match self {
+            RowChange::Put(row) => &row.key,
+            RowChange::Removed { key, .. } => key,
+        }
+    }
+
+    /// Version of the table at which the row changed.
+    pub fn version(&self) -> u64 {
+        match self {
+            RowChange::Put(row) => row.modified,
+            RowChange::Removed { version, .. } => *version,
+        }
+    }
+}
+
 /// Changes of a table, in order.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TableChanges {
--- a/crates/gateway/src/relay/client.rs
+++ b/crates/gateway/src/relay/client.rs
@@ -15,8 +15,9 @@
 
 /// Longest time to establish a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-/// Connections kept without use.
-const MAX_IDLE: usize = 4;
+/// Connections kept without use: one for each table that is followed, and some of a
+/// gateway that was asked before.
+const MAX_IDLE: usize = 8;
 
 struct Connection {
     peer: SocketAddr,
--- a/crates/gateway/src/relay/message.rs
+++ b/crates/gateway/src/relay/message.rs
@@ -22,6 +22,20 @@
         /// Longest wait for the first change, in milliseconds.
         wait: u64,
     },
+    /// Rows of a table that were confirmed not long ago; the gateway may have kept them.
+    Recent {
+        /// The table.
+        table: String,
+    },
+    /// Changes of a table that were confirmed not long ago.
+    RecentChanges {
+        /// The table.
+        table: String,
+        /// After this version.
+        version: u64,
+        /// Longest wait for the first change, in milliseconds.
+        wait: u64,
+    },
     /// A transaction.
     Transact(Transaction),
     /// The removal of a row.
@@ -50,6 +64,20 @@
     Rows(TableSnapshot),
     /// To a question for changes.
     Changes(TableChanges),
+    /// To a question for recent rows.
+    Recent {
+        /// The rows.
+        rows: TableSnapshot,
+        /// Time since the table confirmed them, in milliseconds.
+        age: u64,
+    },
+    /// To a question for recent changes.
+    RecentChanges {
+        /// The changes.
+        changes: TableChanges,
+        /// Time since the table confirmed them, in milliseconds.
+        age: u64,
+    },
     /// To a transaction or a removal.
     Transacted(TableAnswer),
     /// The table gave no answer, or the gateway does not reach it either.
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -8,11 +8,15 @@
 //!
 //! In: calls of this gateway, calls of others. Out: their answers.
 
+mod cache;
 mod client;
+mod fed;
 mod message;
 mod server;
 mod table;
 
+pub use cache::TableCache;
+pub use fed::{FEED_WAIT, Member};
 pub use message::{RelayAnswer, RelayRequest};
 pub use server::serve;
 pub use table::RelayedTable;
--- a/crates/gateway/src/relay/server.rs
+++ b/crates/gateway/src/relay/server.rs
@@ -14,8 +14,9 @@
 use super::table::{RelayedTable, out_of_reach};
 use crate::ports::WatchedTable;
 
-/// Connections of other gateways that are served at once.
-const MOST_CONNECTIONS: usize = 64;
+/// Connections of other gateways that are served at once: a gateway that is fed has one
+/// for each table that it follows, and up to 32 are fed; twice that while one is gone.
+const MOST_CONNECTIONS: usize = 320;
 /// A connection without a call for so long is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Longest wait for a change that a caller may ask for.
@@ -50,17 +51,33 @@
     let mut requests = FramedRead::new(read, FrameCodec::<RelayRequest>::default());
     let mut answers = FramedWrite::new(write, FrameCodec::<RelayAnswer>::default());
     while let Ok(Some(Ok(request))) = timeout(IDLE_TIMEOUT, requests.next()).await {
-        let answer = match table.direct() {
-            Some(table) => answer(table, request).await,
-            None => RelayAnswer::Failed(out_of_reach()),
-        };
+        let answer = answer(table, request).await;
         if answers.send(&answer).await.is_err() {
             return;
         }
     }
 }
 
-async fn answer(table: &dyn WatchedTable, request: RelayRequest) -> RelayAnswer {
+async fn answer(table: &RelayedTable, request: RelayRequest) -> RelayAnswer {
+    match request {
+        RelayRequest::Recent { table: name } => table.tell_rows(&name).await,
+        RelayRequest::RecentChanges {
+            table: name,
+            version,
+            wait,
+        } => {
+            let wait = Duration::from_millis(wait);
+            table.tell_changes(&name, version, wait).await
+        }
+        exact => match table.direct() {
+            Some(table) => answer_exactly(table, exact).await,
+            None => RelayAnswer::Failed(out_of_reach()),
+        },
+    }
+}
+
+/// Makes the call at the table.
+async fn answer_exactly(table: &dyn WatchedTable, request: RelayRequest) -> RelayAnswer {
     match request {
         RelayRequest::Read { table: name } => match table.read(&name).await {
             Ok(rows) => RelayAnswer::Rows(rows),
@@ -80,6 +97,9 @@
         RelayRequest::Transact(transaction) => {
             RelayAnswer::Transacted(table.transact(transaction).await)
         }
+        RelayRequest::Recent { .. } | RelayRequest::RecentChanges { .. } => {
+            RelayAnswer::Failed(out_of_reach())
+        }
         RelayRequest::Remove { key, version } => {
             RelayAnswer::Transacted(table.remove(&key, version).await)
         }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -22,6 +22,8 @@
     pub metrics: Option<MetricsAddress>,
     /// Where calls of the table are relayed for other gateways.
     pub relay: Option<SocketAddr>,
+    /// Capacity of the machine's link in megabits a second; 0 if it is not known.
+    pub link_megabits: u32,
     /// Bounds that the deployment sets.
     pub bounds: Bounds,
 }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -5,7 +5,6 @@
 //! No lock is held over an await.
 
 use std::collections::{BTreeMap, HashMap};
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
@@ -23,7 +22,7 @@
 use crate::orders;
 use crate::patience::Patience;
 use crate::ports::Platform;
-use crate::relay::RelayedTable;
+use crate::relay::{Member, RelayedTable};
 use crate::settings::GatewaySettings;
 
 /// Gateways are reckoned to be at least so many, until the table was read.
@@ -115,9 +114,9 @@
         &self.table
     }
 
-    /// Where other gateways relay calls of the table.
-    pub fn set_relays(&self, relays: Vec<SocketAddr>) {
-        self.table.set_peers(relays);
+    /// The gateways that are known and answer others.
+    pub fn set_members(&self, members: &[Member]) {
+        self.table.set_members(self.settings.node.as_str(), members);
     }
 
     /// Steady time since the start.
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -16,6 +16,7 @@
 use crate::lines::{self, Rank};
 use crate::ports::{RowChange, TableError, WatchedTable};
 use crate::reading_rows::ReadingFollower;
+use crate::relay::FEED_WAIT;
 use crate::shared::Shared;
 
 /// Pause of the placement holder after a call of the table without an answer.
@@ -25,9 +26,23 @@
 /// Longest such pause.
 const LONGEST_PAUSE: Duration = Duration::from_millis(600);
 
+/// Least pause between two questions for changes that other gateways may tell: changes
+/// that come one by one travel together.
+const FEED_PAUSE: Duration = Duration::from_millis(50);
+
+/// Longest pause between two questions of a gateway that feeds others: with the wait for
+/// a change, what it tells is never older than they accept.
+const FEEDER_PAUSE: Duration = Duration::from_millis(150);
+
+/// A gateway that is fed asks so many times more seldom than one that asks the table:
+/// what it costs a feeder grows with the gateways.
+const FED_PAUSE_FACTOR: u32 = 4;
+
 /// How often a table is read.
 #[derive(Clone, Copy)]
 struct Rhythm {
+    /// Other gateways may tell the changes.
+    fed: bool,
     /// Longest wait for a change, in one call.
     wait: Duration,
     /// Pauses between calls are so many times the usual one.
@@ -36,12 +51,20 @@
 
 /// Tables that decisions hang on.
 const DECISIONS: Rhythm = Rhythm {
+    fed: true,
+    wait: FEED_WAIT,
+    pause_factor: 1,
+};
+/// Tables that one gateway follows at a time, as they are.
+const EXACT: Rhythm = Rhythm {
+    fed: false,
     wait: Duration::from_millis(2_000),
     pause_factor: 1,
 };
 /// Tables that decide nothing by themselves.
 const HINTS: Rhythm = Rhythm {
-    wait: Duration::from_millis(5_000),
+    fed: true,
+    wait: FEED_WAIT,
     pause_factor: 10,
 };
 
@@ -61,50 +84,60 @@
     let placed = PlacedFollower(shared.clone());
     let reading = ReadingFollower(shared.clone());
     vec![
-        tokio::spawn(follow(shared.clone(), tables.configuration, configuration)),
-        tokio::spawn(follow(shared.clone(), tables.back_ends, back_ends)),
-        tokio::spawn(follow(shared.clone(), tables.placed, placed)),
+        tokio::spawn(follow_at(
+            shared.clone(),
+            tables.configuration,
+            configuration,
+            DECISIONS,
+        )),
+        tokio::spawn(follow_at(
+            shared.clone(),
+            tables.back_ends,
+            back_ends,
+            DECISIONS,
+        )),
+        tokio::spawn(follow_at(shared.clone(), tables.placed, placed, DECISIONS)),
         tokio::spawn(follow_at(shared.clone(), tables.reading, reading, HINTS)),
     ]
 }
 
-/// Follows one table until it is dropped.
+/// Follows one table, as it is, until it is dropped.
 pub async fn follow(shared: Arc<Shared>, table: &'static str, follower: impl Follower) {
-    follow_at(shared, table, follower, DECISIONS).await;
+    follow_at(shared, table, follower, EXACT).await;
 }
 
 async fn follow_at(
     shared: Arc<Shared>,
     table: &'static str,
-    mut follower: impl Follower,
+    follower: impl Follower,
     rhythm: Rhythm,
 ) {
-    let mut version = None;
     let mut pause = FIRST_PAUSE;
     let mut lost = false;
+    let mut position = Position {
+        shared,
+        table,
+        follower,
+        rhythm,
+        version: None,
+        newest: 0,
+    };
     loop {
         let asked = Instant::now();
-        match advance(&shared, table, version, rhythm.wait, &mut follower).await {
-            Ok(next) => {
+        match position.advance().await {
+            Ok(()) => {
                 if lost {
-                    lines::write(
-                        Rank::Decision,
-                        "table_regained",
-                        format_args!("table={table}"),
-                    );
+                    let fields = format_args!("table={table}");
+                    lines::write(Rank::Decision, "table_regained", fields);
                 }
                 lost = false;
-                version = Some(next);
                 pause = FIRST_PAUSE;
-                sleep_until(asked + shared.read_pause() * rhythm.pause_factor).await;
+                sleep_until(asked + position.pause()).await;
             }
             Err(TableError::HistoryGone) => {
-                lines::write(
-                    Rank::Decision,
-                    "history_gone",
-                    format_args!("table={table}"),
-                );
-                version = None;
+                let fields = format_args!("table={table}");
+                lines::write(Rank::Decision, "history_gone", fields);
+                position.version = None;
             }
             Err(error) => {
                 if !lost {
@@ -119,24 +152,72 @@
     }
 }
 
-async fn advance(
-    shared: &Shared,
+/// How far a table was followed.
+struct Position<F> {
+    shared: Arc<Shared>,
     table: &'static str,
+    follower: F,
+    rhythm: Rhythm,
+    /// Changes after this version are asked for; none if the table is to be read.
     version: Option<u64>,
-    wait: Duration,
-    follower: &mut impl Follower,
-) -> Result<u64, TableError> {
-    let source = shared.table();
-    let Some(version) = version else {
-        let snapshot = source.read(table).await?;
-        follower.replace(snapshot.rows);
-        return Ok(snapshot.version);
-    };
-    let changes = source.changes(table, version, wait).await?;
-    for change in changes.changes {
-        follower.change(change);
+    /// The newest version that the follower has seen.
+    newest: u64,
+}
+
+impl<F: Follower> Position<F> {
+    /// Least time between two questions.
+    fn pause(&self) -> Duration {
+        let pause = self.shared.read_pause() * self.rhythm.pause_factor;
+        if !self.rhythm.fed {
+            return pause;
+        }
+        if self.shared.table().is_feeder() {
+            pause.clamp(FEED_PAUSE, FEEDER_PAUSE)
+        } else {
+            FEED_PAUSE.max(pause * FED_PAUSE_FACTOR)
+        }
+    }
+
+    async fn advance(&mut self) -> Result<(), TableError> {
+        let version = match self.version {
+            None => self.read().await?,
+            Some(version) => self.follow(version).await?,
+        };
+        self.newest = self.newest.max(version);
+        self.version = Some(self.newest);
+        Ok(())
+    }
+
+    async fn read(&mut self) -> Result<u64, TableError> {
+        let source = self.shared.table();
+        let snapshot = if self.rhythm.fed {
+            source.read_recent(self.table).await?
+        } else {
+            source.read(self.table).await?
+        };
+        // What was seen is not taken back by rows that were kept from before.
+        let snapshot = if snapshot.version < self.newest {
+            source.read(self.table).await?
+        } else {
+            snapshot
+        };
+        self.follower.replace(snapshot.rows);
+        Ok(snapshot.version)
+    }
+
+    async fn follow(&mut self, version: u64) -> Result<u64, TableError> {
+        let source = self.shared.table();
+        let wait = self.rhythm.wait;
+        let told = if self.rhythm.fed {
+            source.recent_changes(self.table, version, wait).await?
+        } else {
+            source.changes(self.table, version, wait).await?
+        };
+        for change in told.changes {
+            self.follower.change(change);
+        }
+        Ok(told.version)
     }
-    Ok(changes.version.max(version))
 }
 
 struct ConfigurationFollower(Arc<Shared>);
