Gateways know each other a second after the start; feeds every 100 ms at least

Demand that is not urgent was written every 1.5 s by each of 69 gateways. Feeders asked for changes every 50 ms. Also: a load that waits for an engine with a copy was logged as put off for the weight store's rate; it has an obstacle of its own now (CopyOccupied), tested.

--- a/crates/fleet/src/placement/goals.rs
+++ b/crates/fleet/src/placement/goals.rs
@@ -75,6 +75,9 @@
     Pace,
     /// No engine is free to take an order.
     NoFreeEngine,
+    /// Engines with a copy are occupied, and will have the model sooner than the weight
+    /// store would.
+    CopyOccupied,
     /// More would leave than it is worth, in requests a second.
     TooDear {
         /// What would leave at the best engine.
@@ -231,13 +234,19 @@
         if !engines.iter().any(|engine| is_free(engine)) {
             return Err(Obstacle::NoFreeEngine);
         }
-        let from_store = from_store && !self.copy_is_sooner(engines, &wish.model, wanted);
+        let waits_for_copy = self.copy_is_sooner(engines, &wish.model, wanted);
+        let from_store = from_store && !waits_for_copy;
+        let obstacle = if waits_for_copy {
+            Obstacle::CopyOccupied
+        } else {
+            Obstacle::Pace
+        };
         let (index, room) = (0..engines.len())
             .filter(|index| is_free(engines[*index]))
             .filter(|index| from_store || engines[*index].has_copy(&wish.model))
             .map(|index| (index, self.make_room(engines[index], wish, wanted)))
             .min_by(|one, other| one.1.cost(wish).total_cmp(&other.1.cost(wish)))
-            .ok_or(Obstacle::Pace)?;
+            .ok_or(obstacle)?;
         if wish.worth <= room.loss * ADVANTAGE {
             return Err(Obstacle::TooDear { loss: room.loss });
         }
--- a/crates/gateway/src/demand_writer.rs
+++ b/crates/gateway/src/demand_writer.rs
@@ -20,6 +20,9 @@
 const LEAST_PAUSE: Duration = Duration::from_millis(40);
 /// Pause between two rows that say nothing urgent.
 const USUAL_PAUSE: Duration = Duration::from_millis(1_500);
+/// Longest such pause: with the refresh below, a row is renewed well before the holder
+/// takes it for old.
+const LONGEST_USUAL_PAUSE: Duration = Duration::from_secs(4);
 /// Rows are written this often even without news, so that a reader can tell
 /// that the gateway lives.
 const REFRESH: Duration = Duration::from_secs(6);
@@ -30,9 +33,9 @@
 /// that were not counted yet, up to twice as many as before.
 const FEW_GATEWAYS: usize = 32;
 /// The first times it is read sooner: gateways that start together find each other.
-const EARLY_COUNTS: u32 = 3;
-/// Pause between these.
-const EARLY_COUNT_PAUSE: Duration = Duration::from_secs(3);
+const EARLY_COUNTS: u32 = 4;
+/// Pause between these. Until others are known, a gateway asks the table for everything.
+const EARLY_COUNT_PAUSE: Duration = Duration::from_secs(1);
 /// Rates that differ by less than this part are the same.
 const SAME_RATE: f64 = 0.3;
 
@@ -51,7 +54,12 @@
         shared,
     };
     while !writer.shared.is_stopping() {
-        let urgent = timeout(USUAL_PAUSE, writer.shared.urgent_demand.notified())
+        let usual_pause = if writer.counts < EARLY_COUNTS {
+            EARLY_COUNT_PAUSE
+        } else {
+            usual_pause(writer.shared.possible_gateways())
+        };
+        let urgent = timeout(usual_pause, writer.shared.urgent_demand.notified())
             .await
             .is_ok();
         writer.turn(urgent).await;
@@ -150,7 +158,20 @@
 }
 
 fn count_pause(gateways: usize) -> Duration {
-    COUNT_PAUSE.mul_f64((gateways as f64 / FEW_GATEWAYS as f64).max(1.0))
+    COUNT_PAUSE.mul_f64(crowd(gateways))
+}
+
+/// Of many gateways each has a small part of the demand, and what it has to say that is
+/// not urgent may wait.
+fn usual_pause(gateways: usize) -> Duration {
+    USUAL_PAUSE
+        .mul_f64(crowd(gateways))
+        .min(LONGEST_USUAL_PAUSE)
+}
+
+/// How many times more gateways there are than few.
+fn crowd(gateways: usize) -> f64 {
+    (gateways as f64 / FEW_GATEWAYS as f64).max(1.0)
 }
 
 fn differs(former: &DemandRow, row: &DemandRow) -> bool {
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -28,7 +28,7 @@
 
 /// Least pause between two questions for changes that other gateways may tell: changes
 /// that come one by one travel together.
-const FEED_PAUSE: Duration = Duration::from_millis(50);
+const FEED_PAUSE: Duration = Duration::from_millis(100);
 
 /// Longest pause between two questions of a gateway that feeds others: with the wait for
 /// a change, what it tells is never older than they accept.
