--- a/crates/fleet/tests/placement.rs
+++ b/crates/fleet/tests/placement.rs
@@ -5,7 +5,7 @@
 mod support;
 
 use gorsebank_coordination::Timestamp;
-use gorsebank_fleet::placement::{ActionKind, OrderKind};
+use gorsebank_fleet::placement::{ActionKind, Obstacle, OrderKind};
 use gorsebank_fleet::{DemandRow, PlacedRow};
 use proptest::prelude::*;
 
@@ -323,6 +323,7 @@
         Vec::<u64>::new(),
         "nothing from the weight store"
     );
+    assert!(world.obstacles.contains(&Obstacle::CopyOccupied));
 }
 
 /// The engine with the copy cannot make room: the weight store is sooner.
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use gorsebank_coordination::Timestamp;
-use gorsebank_fleet::placement::{Action, ActionKind, LoadBound, OrderKind, OrderResult, Planner};
+use gorsebank_fleet::placement::{
+    Action, ActionKind, LoadBound, Obstacle, OrderKind, OrderResult, Planner,
+};
 use gorsebank_fleet::{
     BackEndReport, Configuration, DemandRow, Engine, EngineReport, Holdings, Limits, ModelDemand,
     ModelSpec, PlacedRow, Service,
@@ -335,6 +337,9 @@
     pub loads: Vec<u64>,
     /// What was overcommitted.
     pub broken: Vec<String>,
+    /// Why loads were put off.
+    #[allow(dead_code)]
+    pub obstacles: Vec<Obstacle>,
     /// Decide what happens to orders; used round and round.
     pub faults: Vec<u8>,
     /// An engine that answers nothing any more, while discovery still shows it.
@@ -355,6 +360,7 @@
                 .collect(),
             loads: Vec::new(),
             broken: Vec::new(),
+            obstacles: Vec::new(),
             faults: Vec::new(),
             silent: None,
             published: BTreeMap::new(),
@@ -434,6 +440,8 @@
         let reports = self.reports();
         self.planner.observe(Timestamp(now), &reports);
         let actions = self.planner.plan(Timestamp(now), &configuration(), rows);
+        let unmet = self.planner.unmet_wishes().iter();
+        self.obstacles.extend(unmet.map(|wish| wish.obstacle));
         let written = self.planner.rows(Timestamp(now), 1);
         self.published.extend(written);
         for action in actions {
