A gateway that is fed asks every 0.4 s at least

Cause: its pause grows with the gateways; at 300 of them, and with two feeders that do not answer, it could have heard of a leaving back end later than in 3 s (worked out, not seen).

--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -6,6 +6,9 @@
 //! everything: conditions, order and history are its own, so a relayed call means
 //! what a direct one means.
 //!
+//! Few gateways follow the table for the others, so that its calls do not grow with the
+//! gateways (`fed`): these tell what the table has confirmed not long ago.
+//!
 //! In: calls of this gateway, calls of others. Out: their answers.
 
 mod cache;
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -38,6 +38,11 @@
 /// what it costs a feeder grows with the gateways.
 const FED_PAUSE_FACTOR: u32 = 4;
 
+/// Longest pause between two questions of a gateway that is fed: with two feeders that do
+/// not answer it still hears of a back end that leaves within the bound (3 s where there
+/// are so many gateways).
+const LONGEST_FED_PAUSE: Duration = Duration::from_millis(400);
+
 /// How often a table is read.
 #[derive(Clone, Copy)]
 struct Rhythm {
@@ -174,7 +179,7 @@
         if self.shared.table().is_feeder() {
             pause.clamp(FEED_PAUSE, FEEDER_PAUSE)
         } else {
-            FEED_PAUSE.max(pause * FED_PAUSE_FACTOR)
+            (pause * FED_PAUSE_FACTOR).clamp(FEED_PAUSE, LONGEST_FED_PAUSE)
         }
     }
 
