A feeder tells every change of a row, not the last one only

Cause, found in reading the change: of several changes to one row a feeder told the last. A back end that says that it leaves stays leaving whatever an older heartbeat says after that; a gateway that is fed would not have seen the first state. Costs bytes between gateways, not measured.

--- a/crates/fleet/src/feeders.rs
+++ b/crates/fleet/src/feeders.rs
@@ -1,12 +1,12 @@
 //! Which gateways follow the table for the others.
 //!
-//! In: the gateways that are known, with the capacity of their links. Out: the order in which each asks
-//! others for changes of the table, and whether it follows the table itself.
+//! In: the gateways that are known, with the capacity of their links. Out: the order in
+//! which each asks others for changes of the table, and whether it follows the table itself.
 //!
 //! Every gateway orders them alike, the largest links first and equal ones by the same
-//! hash, so all agree without a word as far as they know the same gateways. Those that know others ask gateways further down the
-//! order, which follow the table for as long as they are asked: a name that is gone
-//! costs one question, never the table's changes.
+//! hash, so all agree without a word as far as they know the same gateways. Those that know
+//! others ask gateways further down the order, which follow the table for as long as they
+//! are asked: a name that is gone costs one question, never the table's changes.
 
 use std::cmp::Reverse;
 
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -93,14 +93,6 @@
 }
 
 impl RowChange {
-    /// Key of the row.
-    pub fn key(&self) -> &str {
-        match self {
-            RowChange::Put(row) => &row.key,
-            RowChange::Removed { key, .. } => key,
-        }
-    }
-
     /// Version of the table at which the row changed.
     pub fn version(&self) -> u64 {
         match self {
--- a/crates/gateway/src/relay/cache.rs
+++ b/crates/gateway/src/relay/cache.rs
@@ -6,7 +6,7 @@
 //! Invariant: a table's version only rises, and changes between the first version that
 //! is kept and the newest are complete; after a gap nothing older is told.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::time::Duration;
 
 use gorsebank_contract::TableRow;
@@ -95,7 +95,7 @@
         if version < kept.since {
             return Some(Err(TableError::HistoryGone));
         }
-        let changes = kept.newest_by_row(version);
+        let changes = kept.changes_after(version);
         let version = kept.version;
         Some(Ok((TableChanges { changes, version }, age)))
     }
@@ -133,17 +133,11 @@
         self.version = version;
     }
 
-    /// Changes after `version`, in order; of several to one row the last.
-    fn newest_by_row(&self, version: u64) -> Vec<RowChange> {
-        let newer = self.changes.iter().rev();
-        let newer = newer.take_while(|change| change.version() > version);
-        let mut keys = BTreeSet::new();
-        let mut changes: Vec<RowChange> = newer
-            .filter(|change| keys.insert(change.key()))
-            .cloned()
-            .collect();
-        changes.reverse();
-        changes
+    /// Changes after `version`, in order. All of them: a back end that said that it leaves
+    /// stays leaving, whatever an older heartbeat says after that.
+    fn changes_after(&self, version: u64) -> Vec<RowChange> {
+        let newer = |change: &&RowChange| change.version() > version;
+        self.changes.iter().filter(newer).cloned().collect()
     }
 
     fn take(&mut self, change: &RowChange) {
