A root counts what other roots have running once

Cause: the counts came under the root's address from its answer and under its name from its question, so a root with two others summed up to 5/3 of what ran. Both bear the name now.

--- a/crates/gateway/src/feed/filler.rs
+++ b/crates/gateway/src/feed/filler.rs
@@ -83,19 +83,12 @@
         sleep(EXCHANGE_PAUSE).await;
         let fellows = shared.feed.parents.lock().fellow_roots();
         for fellow in fellows {
-            let own = shared.own_running();
-            let now = shared.now();
-            let request = RelayRequest::Running {
-                from: shared.settings.node.clone(),
-                counts: shared.feed.running.lock().below(now, &own),
-            };
+            let request = RelayRequest::Running(shared.root_counts());
             let client = shared.table().client();
             let answer = client.call(fellow, &request, ANSWER_TIMEOUT).await;
             // Without an answer the other root's last counts age, and count no more soon.
-            if let Some(RelayAnswer::Running(counts)) = answer {
-                let now = shared.now();
-                let from = fellow.to_string();
-                shared.feed.running.lock().note_root(now, &from, counts);
+            if let Some(RelayAnswer::Running(told)) = answer {
+                shared.note_root(told);
             }
         }
         shared.sum_up_running();
--- a/crates/gateway/src/relay/message.rs
+++ b/crates/gateway/src/relay/message.rs
@@ -20,6 +20,16 @@
     pub hand_on: bool,
 }
 
+/// What a root and all below it have running at back ends. It bears the root's name both
+/// in a question and in an answer, so that it counts once.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RootCounts {
+    /// The root.
+    pub from: NodeId,
+    /// The counts.
+    pub counts: Counts,
+}
+
 /// What a gateway asks of another one.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum RelayRequest {
@@ -40,12 +50,7 @@
     /// A question for news of tables.
     News(FeedQuestion),
     /// What a root and all below it have running at back ends.
-    Running {
-        /// The root.
-        from: NodeId,
-        /// The counts.
-        counts: Counts,
-    },
+    Running(RootCounts),
     /// What callers of a gateway ask for, for the placement holder.
     Demand(ToldDemand),
     /// A transaction.
@@ -79,7 +84,7 @@
     /// To a question for news.
     News(FeedAnswer),
     /// To a root's counts: those of the root that answers.
-    Running(Counts),
+    Running(RootCounts),
     /// To what was told of demand: whether it reached the gateway that places models.
     Heard {
         /// It did.
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -17,6 +17,6 @@
 mod table;
 
 pub use client::RelayClient;
-pub use message::{RelayAnswer, RelayRequest, ToldDemand};
+pub use message::{RelayAnswer, RelayRequest, RootCounts, ToldDemand};
 pub use server::serve;
 pub use table::RelayedTable;
--- a/crates/gateway/src/relay/server.rs
+++ b/crates/gateway/src/relay/server.rs
@@ -65,11 +65,9 @@
 async fn answer(shared: &Shared, request: RelayRequest) -> RelayAnswer {
     match request {
         RelayRequest::News(question) => RelayAnswer::News(tell(shared, question).await),
-        RelayRequest::Running { from, counts } => {
-            let now = shared.now();
-            let mut running = shared.feed.running.lock();
-            running.note_root(now, from.as_str(), counts);
-            RelayAnswer::Running(running.below(now, &shared.own_running()))
+        RelayRequest::Running(told) => {
+            shared.note_root(told);
+            RelayAnswer::Running(shared.root_counts())
         }
         RelayRequest::Demand(told) => hear(shared, told).await,
         exact => match shared.table().direct() {
@@ -131,7 +129,7 @@
             RelayAnswer::Transacted(table.transact(transaction).await)
         }
         // These are no calls of the table.
-        RelayRequest::News(_) | RelayRequest::Running { .. } | RelayRequest::Demand(_) => {
+        RelayRequest::News(_) | RelayRequest::Running(_) | RelayRequest::Demand(_) => {
             RelayAnswer::Failed(out_of_reach())
         }
         RelayRequest::Remove { key, version } => {
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -29,7 +29,7 @@
 use crate::orders;
 use crate::patience::Patience;
 use crate::ports::Platform;
-use crate::relay::RelayedTable;
+use crate::relay::{RelayedTable, RootCounts};
 use crate::settings::GatewaySettings;
 
 /// Gateways are reckoned to be at least so many, until the table was read.
@@ -224,6 +224,23 @@
         self.directory(Directory::running)
     }
 
+    /// What this gateway and all below it have running, for another root.
+    pub fn root_counts(&self) -> RootCounts {
+        let own = self.own_running();
+        let now = self.now();
+        RootCounts {
+            from: self.settings.node.clone(),
+            counts: self.feed.running.lock().below(now, &own),
+        }
+    }
+
+    /// Another root told its counts.
+    pub fn note_root(&self, told: RootCounts) {
+        let now = self.now();
+        let mut running = self.feed.running.lock();
+        running.note_root(now, told.from.as_str(), told.counts);
+    }
+
     /// What all gateways have running at back ends; none if it is not known.
     pub fn running_sums(&self) -> Option<Counts> {
         let own = self.own_running();
