Connections that went silent are found by one call each

Cause: where open connections go silent without a reset, a call that had no answer closed only its own; those kept beside it cost the next calls their whole wait one after the other (up to 5 at the table, 8 to other gateways, all idle ones of a back end).

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -130,7 +130,7 @@
             let Some(connection) = self.back_end.kept_connection() else {
                 break;
             };
-            match self.exchange(connection).await {
+            match self.exchange(connection, true).await {
                 Exchange::Unsent => {}
                 end => return self.conclude(end, work),
             }
@@ -142,7 +142,7 @@
             self.note_unreachable();
             return AttemptEnd::NotSent("not_connected");
         };
-        let end = self.exchange(connection).await;
+        let end = self.exchange(connection, false).await;
         self.conclude(end, work)
     }
 
@@ -162,7 +162,7 @@
         self.back_end.note(|health| health.unreachable(now));
     }
 
-    async fn exchange(&mut self, mut connection: Connection) -> Exchange {
+    async fn exchange(&mut self, mut connection: Connection, is_kept: bool) -> Exchange {
         // A back end may have begun to leave while a connection was made.
         let id = &self.back_end.id;
         let active = |directory: &Directory| directory.is_active(id);
@@ -171,6 +171,12 @@
         }
         let request = request(self.call, self.back_end, self.last_event);
         let sent = Instant::now();
+        let mut awaited = AwaitedHead {
+            back_end: self.back_end,
+            sent,
+            patience: self.patience,
+            may_be_silent: is_kept,
+        };
         let mut response = pin!(connection.sender.try_send_request(request));
         let mut until = self.call.deadline.min(sent + self.patience);
         let answered = loop {
@@ -185,6 +191,7 @@
                 Err(_) => until = self.call.deadline.min(until + self.patience),
             }
         };
+        awaited.may_be_silent = false;
         match answered {
             Ok(response) => {
                 let (parts, body) = response.into_parts();
@@ -203,6 +210,24 @@
     }
 }
 
+/// A head that a kept connection may never bring: connections can go silent without a
+/// reset, and then all that are open do. Whoever waited in vain, also until its caller's
+/// deadline, spares the next request the same wait.
+struct AwaitedHead<'a> {
+    back_end: &'a BackEnd,
+    sent: Instant,
+    patience: Duration,
+    may_be_silent: bool,
+}
+
+impl Drop for AwaitedHead<'_> {
+    fn drop(&mut self) {
+        if self.may_be_silent && self.sent.elapsed() >= self.patience {
+            self.back_end.drop_unproved(self.sent);
+        }
+    }
+}
+
 fn failed(call: &Call, back_end: &BackEnd, reason: &'static str) -> AttemptEnd {
     call.expose();
     back_end.note(|health| health.unreachable(call.shared.now()));
--- a/crates/gateway/src/back_end.rs
+++ b/crates/gateway/src/back_end.rs
@@ -221,6 +221,14 @@
         Some(idle.remove(index))
     }
 
+    /// A kept connection was silent from `since` on: those that brought no answer after
+    /// that may be, too, and are closed.
+    pub fn drop_unproved(&self, since: Instant) {
+        self.idle
+            .lock()
+            .retain(|connection| connection.used > since);
+    }
+
     /// Whether a kept connection is at hand.
     pub fn has_connection(&self) -> bool {
         let idle = self.idle.lock();
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -32,9 +32,12 @@
 /// Asks an engine for its state.
 pub async fn ask(shared: &Shared, engine: &Arc<BackEnd>) -> Option<EngineReport> {
     let request = shared.platform.report_request(&engine.id);
-    let (response, connection) = timeout(ANSWER_TIMEOUT, send(engine, request))
-        .await
-        .ok()??;
+    let asked = Instant::now();
+    let Ok(answered) = timeout(ANSWER_TIMEOUT, send(engine, request)).await else {
+        engine.drop_unproved(asked);
+        return None;
+    };
+    let (response, connection) = answered?;
     let status = response.status();
     let rest = stated_rest(response.headers());
     let body = timeout(ANSWER_TIMEOUT, response.into_body().collect())
@@ -70,6 +73,7 @@
         Ok(Err(Unsent)) => return OrderResult::NotSent,
         Err(_) => {
             shared.order_patience.expired();
+            engine.drop_unproved(began);
             return OrderResult::Unanswered;
         }
     };
--- a/crates/gateway/src/relay/client.rs
+++ b/crates/gateway/src/relay/client.rs
@@ -40,7 +40,13 @@
         request: &RelayRequest,
         limit: Duration,
     ) -> Option<RelayAnswer> {
-        timeout(limit, self.exchange(peer, request)).await.ok()?
+        let answered = timeout(limit, self.exchange(peer, request)).await;
+        if answered.is_err() {
+            // Connections can go silent without a reset, and then all that are open do.
+            let mut idle = self.idle.lock();
+            idle.retain(|connection| connection.peer != peer);
+        }
+        answered.ok()?
     }
 
     async fn exchange(&self, peer: SocketAddr, request: &RelayRequest) -> Option<RelayAnswer> {
