A window of loads under way from the weight store

Cause: the holder kept the weight store's rate and had no bound on what is under way there. The store makes some number at full speed and stretches the rest; nobody tells the number.

Change: fleet::placement::load_window finds the number as a congestion window is found; WeightStore gives every event of a load to the window and to the pace; obstacle StoreCrowded; the next holder inherits what was found. A load at full speed among many proves the store for 20 s, so that one slow engine does not narrow the window.

Tried and not kept: a window that any load at full speed widens (the first two of four widened it to ten before the slow ones were seen); expected load times stretched by what was seen (the window keeps them near their usual).

--- a/crates/fleet/src/placement/engine/mod.rs
+++ b/crates/fleet/src/placement/engine/mod.rs
@@ -232,6 +232,12 @@
         self.observed.nearest_copy(model) != CopyTier::WeightStore
     }
 
+    /// Whether a load from the weight store is to be ordered here, once there is room.
+    pub fn will_use_store(&self) -> bool {
+        let goal = self.goal.as_ref().filter(|goal| !goal.loading);
+        goal.is_some_and(|goal| !self.has_copy(&goal.model))
+    }
+
     /// Ends a goal that was reached or is too old.
     fn settle_goal(&mut self, now: Timestamp) {
         let Some(goal) = &self.goal else {
--- a/crates/fleet/src/placement/engine/next.rs
+++ b/crates/fleet/src/placement/engine/next.rs
@@ -9,8 +9,8 @@
 
 use super::EngineState;
 use crate::configuration::Engine;
-use crate::placement::pace::LoadPace;
 use crate::placement::totals::Totals;
+use crate::placement::weight_store::WeightStore;
 use crate::placement::{Action, ActionKind, OrderKind};
 
 /// Adapters that may be on their way to one engine at once.
@@ -23,7 +23,7 @@
         now: Timestamp,
         spec: &Engine,
         totals: &Totals,
-        pace: &mut LoadPace,
+        store: &mut WeightStore,
     ) -> Option<Action> {
         self.settle_goal(now);
         let waits = self.check || self.goal.is_some() || !self.wanted_adapters.is_empty();
@@ -44,7 +44,7 @@
             return self.ask(now, "order under way");
         }
         let sequence = known.sequence;
-        let (order, reason) = match self.next_order(now, spec, totals, pace) {
+        let (order, reason) = match self.next_order(now, spec, totals, store) {
             Some(order) => order,
             None if pending => return self.ask(now, "adapter on its way"),
             None => return None,
@@ -68,9 +68,9 @@
         now: Timestamp,
         spec: &Engine,
         totals: &Totals,
-        pace: &mut LoadPace,
+        store: &mut WeightStore,
     ) -> Option<(OrderKind, &'static str)> {
-        if let Some(order) = self.goal_order(now, spec, pace) {
+        if let Some(order) = self.goal_order(now, spec, store) {
             return Some(order);
         }
         self.adapter_order(spec, totals)
@@ -80,19 +80,19 @@
         &mut self,
         now: Timestamp,
         spec: &Engine,
-        pace: &mut LoadPace,
+        store: &mut WeightStore,
     ) -> Option<(OrderKind, &'static str)> {
         let model = self.goal.as_ref()?.model.clone();
         let wanted = spec.models.get(&model)?;
         if self.free_memory(spec) >= wanted.memory_mb {
             let from_store = !self.has_copy(&model);
             let sequence = self.known.as_ref()?.sequence;
-            let is_repeat = pace.is_open(&self.observed.id, sequence);
-            if from_store && !is_repeat && !pace.allows(now, spec.loads_per_second) {
+            let is_repeat = store.is_open(&self.observed.id, sequence);
+            if from_store && !is_repeat && store.allows(now, 0).is_err() {
                 return None;
             }
             if from_store {
-                pace.note(now, &self.observed.id, sequence);
+                store.begin(now, &self.observed.id, sequence, wanted.load);
             }
             let expected = self.load_time(&model, wanted);
             let goal = self.goal.as_mut()?;
--- a/crates/fleet/src/placement/goals.rs
+++ b/crates/fleet/src/placement/goals.rs
@@ -12,8 +12,8 @@
 
 use super::engine::EngineState;
 use super::forecast::Forecast;
-use super::pace::LoadPace;
 use super::totals::Totals;
+use super::weight_store::WeightStore;
 use crate::configuration::{Engine, ModelSpec};
 use crate::demand::ModelDemand;
 
@@ -80,6 +80,8 @@
 pub enum Obstacle {
     /// The weight store's rate is used up.
     Pace,
+    /// As many loads are under way as the weight store makes at full speed.
+    StoreCrowded,
     /// No engine is free to take an order.
     NoFreeEngine,
     /// Engines with a copy are occupied, and will have the model sooner than the weight
@@ -125,7 +127,7 @@
     totals: &Totals,
     forecast: &Forecast,
     engines: &mut [&mut EngineState],
-    pace: &mut LoadPace,
+    store: &WeightStore,
 ) -> Vec<UnmetWish> {
     doubt_silent_engines(now, totals, engines);
     let view = View {
@@ -137,7 +139,9 @@
     };
     let mut unmet = Vec::new();
     for wish in view.wishes(engines) {
-        let from_store = pace.allows(now, spec.loads_per_second);
+        let reserved = engines.iter().filter(|engine| engine.will_use_store());
+        let reserved = reserved.count();
+        let from_store = store.allows(now, reserved);
         if let Err(obstacle) = view.place(engines, &wish, from_store) {
             unmet.push(UnmetWish {
                 model: wish.model,
@@ -234,7 +238,7 @@
         &self,
         engines: &mut [&mut EngineState],
         wish: &Wish,
-        from_store: bool,
+        from_store: Result<(), Obstacle>,
     ) -> Result<(), Obstacle> {
         let Some(wanted) = self.spec.models.get(&wish.model) else {
             return Ok(());
@@ -243,19 +247,17 @@
         if !engines.iter().any(|engine| is_free(engine)) {
             return Err(Obstacle::NoFreeEngine);
         }
-        let waits_for_copy = self.copy_is_sooner(engines, &wish.model, wanted);
-        let from_store = from_store && !waits_for_copy;
-        let obstacle = if waits_for_copy {
-            Obstacle::CopyOccupied
+        let from_store = if self.copy_is_sooner(engines, &wish.model, wanted) {
+            Err(Obstacle::CopyOccupied)
         } else {
-            Obstacle::Pace
+            from_store
         };
         let (index, room) = (0..engines.len())
             .filter(|index| is_free(engines[*index]))
-            .filter(|index| from_store || engines[*index].has_copy(&wish.model))
+            .filter(|index| from_store.is_ok() || engines[*index].has_copy(&wish.model))
             .map(|index| (index, self.make_room(engines[index], wish, wanted)))
             .min_by(|one, other| one.1.cost(wish).total_cmp(&other.1.cost(wish)))
-            .ok_or(obstacle)?;
+            .ok_or_else(|| from_store.err().unwrap_or(Obstacle::NoFreeEngine))?;
         if wish.worth <= room.loss * ADVANTAGE {
             return Err(Obstacle::TooDear { loss: room.loss });
         }
--- a/crates/fleet/src/placement/mod.rs
+++ b/crates/fleet/src/placement/mod.rs
@@ -14,8 +14,10 @@
 mod forecast;
 mod goal;
 mod goals;
+mod load_window;
 mod pace;
 mod totals;
+mod weight_store;
 
 use std::collections::BTreeMap;
 
@@ -29,8 +31,11 @@
 use engine::EngineState;
 use forecast::Forecast;
 pub use goals::{Obstacle, UnmetWish};
+pub use load_window::{FoundLimit, LoadWindow};
 pub use pace::{LoadBound, LoadPace, RecentLoad};
 use totals::Totals;
+use weight_store::WeightStore;
+pub use weight_store::{RecentLoads, StoreRecord};
 
 /// What an engine is ordered to do.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -89,14 +94,11 @@
     pub reason: &'static str,
 }
 
-/// Loads from the weight store of late, by service.
-pub type RecentLoads = BTreeMap<ServiceId, Vec<RecentLoad>>;
-
 /// The holder's view and plans.
 #[derive(Debug, Default)]
 pub struct Planner {
     engines: BTreeMap<BackEndId, EngineState>,
-    pace: BTreeMap<ServiceId, LoadPace>,
+    stores: BTreeMap<ServiceId, WeightStore>,
     bound: LoadBound,
     former: RecentLoads,
     inherited: Vec<BackEndId>,
@@ -118,15 +120,19 @@
 
     /// Loads of this holder and of those before it, for the next one.
     pub fn recent_loads(&self, now: Timestamp) -> RecentLoads {
-        let paces = self.pace.iter();
-        let loads = paces.map(|(service, pace)| (service.clone(), pace.recent(now)));
-        loads.filter(|(_, loads)| !loads.is_empty()).collect()
+        let stores = self.stores.iter();
+        stores
+            .map(|(service, store)| (service.clone(), store.record(now)))
+            .collect()
     }
 
     /// Takes in the back ends that discovery shows.
     pub fn observe(&mut self, now: Timestamp, reports: &[BackEndReport]) {
         self.engines
             .retain(|id, _| reports.iter().any(|report| report.id == *id));
+        for store in self.stores.values_mut() {
+            store.retain(|id| self.engines.contains_key(id));
+        }
         for report in reports {
             match self.engines.get_mut(&report.id) {
                 Some(engine) => engine.observe(report),
@@ -177,21 +183,22 @@
             .values_mut()
             .filter(|engine| engine.serves(service))
             .collect();
-        let pace = self.pace.entry(service.clone()).or_insert_with(|| {
-            let former = self.former.get(service).map_or(&[][..], Vec::as_slice);
-            let mut pace = LoadPace::new(self.begun, self.bound, former);
+        let store = self.stores.entry(service.clone()).or_insert_with(|| {
+            let former = self.former.remove(service).unwrap_or_default();
+            let mut store = WeightStore::new(self.begun, self.bound, &former);
             // An engine that is gone by now may have begun its load all the same.
             for engine in &self.inherited {
-                pace.note_unless_known(self.begun, engine);
+                store.inherit(self.begun, engine);
             }
-            pace
+            store
         });
+        store.set_rate(spec.loads_per_second);
         let forecast = Forecast::new(spec, totals);
-        let unmet = goals::choose(now, spec, totals, &forecast, &mut engines, pace);
+        let unmet = goals::choose(now, spec, totals, &forecast, &mut engines, store);
         self.unmet.extend(unmet);
         adapters::assign(spec, totals, &forecast, &mut engines);
         for engine in engines {
-            if let Some(action) = engine.next_action(now, spec, totals, pace) {
+            if let Some(action) = engine.next_action(now, spec, totals, store) {
                 actions.push(action);
             }
         }
@@ -207,9 +214,8 @@
         let Some(engine) = self.engines.get_mut(id) else {
             return;
         };
-        let pace = self.pace.get_mut(engine.service());
-        if let (Some(pace), Some(report)) = (pace, &report) {
-            pace.taken(now, id, report.sequence);
+        if let Some(store) = self.stores.get_mut(engine.service()) {
+            store.reported(now, id, report.as_ref());
         }
         engine.reported(now, report);
     }
@@ -225,9 +231,9 @@
         let Some(engine) = self.engines.get_mut(id) else {
             return;
         };
-        if let (OrderKind::LoadModel(_), Some(pace)) = (order, self.pace.get_mut(engine.service()))
-        {
-            pace.ordered(now, id, result);
+        let store = self.stores.get_mut(engine.service());
+        if let (OrderKind::LoadModel(_), Some(store)) = (order, store) {
+            store.ordered(now, id, result);
         }
         engine.ordered(now, order, result);
     }
@@ -237,8 +243,8 @@
         let Some(engine) = self.engines.get_mut(id) else {
             return;
         };
-        if let Some(pace) = self.pace.get_mut(engine.service()) {
-            pace.unsent(id);
+        if let Some(store) = self.stores.get_mut(engine.service()) {
+            store.unsent(id);
         }
         engine.abandoned(now);
     }
--- a/crates/fleet/src/placement/pace.rs
+++ b/crates/fleet/src/placement/pace.rs
@@ -106,13 +106,10 @@
     }
 
     /// Whether another load may begin now.
-    pub fn allows(&mut self, now: Timestamp, loads_per_second: f64) -> bool {
+    pub fn allows(&self, now: Timestamp, loads_per_second: f64) -> bool {
         let span = self.span();
-        for loads in self.loads.values_mut() {
-            loads.retain(|load| load.counts(now, span));
-        }
-        self.loads.retain(|_, loads| !loads.is_empty());
-        let count: usize = self.loads.values().map(Vec::len).sum();
+        let loads = self.loads.values().flatten();
+        let count = loads.filter(|load| load.counts(now, span)).count();
         let bound = loads_per_second * self.bound.window.as_secs_f64() * self.bound.overage;
         let most = (bound + self.bound.extra - RESERVE).floor();
         (count as f64) < most.max(1.0)
@@ -127,6 +124,7 @@
 
     /// A load is about to be ordered at an engine under this sequence number.
     pub fn note(&mut self, now: Timestamp, engine: &BackEndId, sequence: u64) {
+        self.forget_old(now);
         let loads = self.loads.entry(engine.clone()).or_default();
         let former = loads.iter_mut().find(|load| load.open == Some(sequence));
         match former {
@@ -139,6 +137,14 @@
         }
     }
 
+    fn forget_old(&mut self, now: Timestamp) {
+        let span = self.span();
+        for loads in self.loads.values_mut() {
+            loads.retain(|load| load.counts(now, span));
+        }
+        self.loads.retain(|_, loads| !loads.is_empty());
+    }
+
     /// What came of the order of a load.
     pub fn ordered(&mut self, now: Timestamp, engine: &BackEndId, result: OrderResult) {
         let Some(loads) = self.loads.get_mut(engine) else {
--- /dev/null
+++ b/crates/fleet/src/placement/weight_store.rs
@@ -0,0 +1,121 @@
+//! What the weight store of a service is given to do: how often loads begin there, and how
+//! many are under way at once.
+//!
+//! Every event of a load goes to both bounds, so that they speak of the same loads.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use gorsebank_coordination::Timestamp;
+use gorsebank_world::{BackEndId, ServiceId};
+use serde::{Deserialize, Serialize};
+
+use super::load_window::{FoundLimit, LoadWindow};
+use super::pace::{LoadBound, LoadPace, RecentLoad};
+use super::{Obstacle, OrderResult};
+use crate::back_end::EngineReport;
+
+/// What a holder tells the next one of each service's weight store.
+pub type RecentLoads = BTreeMap<ServiceId, StoreRecord>;
+
+/// What is known of one weight store.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct StoreRecord {
+    /// Loads that were ordered not long ago.
+    pub recent: Vec<RecentLoad>,
+    /// Loads that it makes at once.
+    pub limit: FoundLimit,
+}
+
+/// One weight store as the holder uses it.
+#[derive(Debug)]
+pub struct WeightStore {
+    pace: LoadPace,
+    window: LoadWindow,
+    loads_per_second: f64,
+}
+
+impl WeightStore {
+    /// A holder begins at `now`, with what those before it knew.
+    pub fn new(now: Timestamp, bound: LoadBound, former: &StoreRecord) -> Self {
+        WeightStore {
+            pace: LoadPace::new(now, bound, &former.recent),
+            window: LoadWindow::new(former.limit),
+            loads_per_second: 0.0,
+        }
+    }
+
+    /// The configuration's rate of loads.
+    pub fn set_rate(&mut self, loads_per_second: f64) {
+        self.loads_per_second = loads_per_second;
+    }
+
+    /// Whether another load may begin beside `reserved` that are still to be ordered.
+    pub fn allows(&self, now: Timestamp, reserved: usize) -> Result<(), Obstacle> {
+        if !self.window.allows(reserved) {
+            return Err(Obstacle::StoreCrowded);
+        }
+        if !self.pace.allows(now, self.loads_per_second) {
+            return Err(Obstacle::Pace);
+        }
+        Ok(())
+    }
+
+    /// Whether a load that was ordered under this sequence number may be ordered again
+    /// without another load.
+    pub fn is_open(&self, engine: &BackEndId, sequence: u64) -> bool {
+        self.pace.is_open(engine, sequence)
+    }
+
+    /// A load that takes this long alone is about to be ordered.
+    pub fn begin(&mut self, now: Timestamp, engine: &BackEndId, sequence: u64, alone: Duration) {
+        self.pace.note(now, engine, sequence);
+        self.window.begin(now, engine, sequence, alone);
+    }
+
+    /// What came of the order of a load.
+    pub fn ordered(&mut self, now: Timestamp, engine: &BackEndId, result: OrderResult) {
+        self.pace.ordered(now, engine, result);
+        match result {
+            OrderResult::Accepted => {}
+            OrderResult::Unanswered => self.window.uncertain(engine),
+            _ => self.window.dropped(engine),
+        }
+    }
+
+    /// The order of a load was not sent.
+    pub fn unsent(&mut self, engine: &BackEndId) {
+        self.pace.unsent(engine);
+        self.window.dropped(engine);
+    }
+
+    /// An engine answered the question for its state, or did not.
+    pub fn reported(&mut self, now: Timestamp, engine: &BackEndId, report: Option<&EngineReport>) {
+        let Some(report) = report else {
+            return self.window.forget(engine);
+        };
+        self.pace.taken(now, engine, report.sequence);
+        if !report.busy {
+            self.window.idle(now, engine, report.sequence);
+        }
+    }
+
+    /// A former holder's row tells of a load at an engine.
+    pub fn inherit(&mut self, now: Timestamp, engine: &BackEndId) {
+        self.pace.note_unless_known(now, engine);
+        self.window.inherit(engine);
+    }
+
+    /// Loads at engines that are gone are over.
+    pub fn retain(&mut self, known: impl Fn(&BackEndId) -> bool) {
+        self.window.retain(known);
+    }
+
+    /// For the next holder.
+    pub fn record(&self, now: Timestamp) -> StoreRecord {
+        StoreRecord {
+            recent: self.pace.recent(now),
+            limit: self.window.found(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/tests/load_window.rs
@@ -0,0 +1,162 @@
+//! The window of loads from the weight store, against stores that make some at full speed.
+
+use std::time::Duration;
+
+use gorsebank_coordination::Timestamp;
+use gorsebank_fleet::placement::{FoundLimit, LoadWindow};
+use gorsebank_world::BackEndId;
+
+const ALONE: Duration = Duration::from_millis(4_000);
+/// The end of a load is seen so late.
+const SEEN_LATE: u64 = 300;
+
+fn engine(number: usize) -> BackEndId {
+    BackEndId::from(format!("e{number}"))
+}
+
+/// A weight store: a load takes longer by what was under way when it began.
+struct Store {
+    full_speed: usize,
+    window: LoadWindow,
+    under_way: Vec<(u64, BackEndId)>,
+    begun: usize,
+    most: usize,
+}
+
+impl Store {
+    fn new(full_speed: usize) -> Self {
+        Store {
+            full_speed,
+            window: LoadWindow::new(FoundLimit::default()),
+            under_way: Vec::new(),
+            begun: 0,
+            most: 0,
+        }
+    }
+
+    /// Begins loads whenever the window allows it.
+    fn run(&mut self, from: u64, until: u64) {
+        self.most = 0;
+        for now in (from..until).step_by(100) {
+            let due = |(at, _): &(u64, BackEndId)| *at <= now;
+            let ended: Vec<_> = self.under_way.extract_if(.., |load| due(load)).collect();
+            for (_, engine) in ended {
+                self.window.idle(Timestamp(now), &engine, 1);
+            }
+            while self.window.allows(0) {
+                self.begin(now);
+            }
+            self.most = self.most.max(self.under_way.len());
+        }
+    }
+
+    fn begin(&mut self, now: u64) {
+        let id = engine(self.begun);
+        self.begun += 1;
+        self.window.begin(Timestamp(now), &id, 0, ALONE);
+        let crowd = self.under_way.len() + 1;
+        let stretch = (crowd as f64 / self.full_speed as f64).max(1.0);
+        let time = (ALONE.as_millis() as f64 * stretch) as u64;
+        self.under_way.push((now + time + SEEN_LATE, id));
+    }
+}
+
+#[test]
+fn the_window_finds_what_the_store_makes_at_full_speed() {
+    for full_speed in [2, 6, 25, 140] {
+        let mut store = Store::new(full_speed);
+        store.run(0, 60_000);
+        store.run(60_000, 120_000);
+        let most = store.most as f64;
+        let part = most / full_speed as f64;
+        assert!((0.8..=1.5).contains(&part), "{most} of {full_speed}");
+    }
+}
+
+#[test]
+fn a_store_for_many_is_found_within_three_loads() {
+    let mut store = Store::new(140);
+    store.run(0, 3 * 4_500);
+    assert!(store.most >= 120, "{}", store.most);
+}
+
+/// Begins loads at engines from `first` on, and ends each after `time`.
+fn round(window: &mut LoadWindow, now: u64, engines: std::ops::Range<usize>, time: u64) {
+    for number in engines.clone() {
+        window.begin(Timestamp(now), &engine(number), 0, ALONE);
+    }
+    for number in engines {
+        window.idle(Timestamp(now + time + SEEN_LATE), &engine(number), 1);
+    }
+}
+
+#[test]
+fn a_slow_engine_does_not_narrow_the_window() {
+    let mut window = LoadWindow::new(FoundLimit::default());
+    round(&mut window, 0, 0..8, 4_000);
+    let before = window.found();
+    round(&mut window, 10_000, 10..16, 7_000);
+    assert_eq!(window.found(), before, "eight at once were seen to be well");
+    round(&mut window, 40_000, 20..26, 7_000);
+    assert!(window.found().at_once < before.at_once, "it was long ago");
+}
+
+#[test]
+fn a_load_counts_until_its_engine_is_seen_without_an_order() {
+    let limit = FoundLimit {
+        at_once: 1.0,
+        has_been_slow: true,
+    };
+    let mut window = LoadWindow::new(limit);
+    window.begin(Timestamp(0), &engine(0), 4, ALONE);
+    assert!(!window.allows(0));
+    window.idle(Timestamp(100), &engine(0), 4);
+    assert!(!window.allows(0), "the report is older than the order");
+    window.idle(Timestamp(4_000), &engine(0), 5);
+    assert!(window.allows(0));
+    assert!(!window.allows(1), "one is about to be ordered");
+}
+
+#[test]
+fn an_order_without_an_answer_counts_and_tells_nothing_of_the_store() {
+    let mut window = LoadWindow::new(FoundLimit::default());
+    let before = window.found();
+    for number in 0..8 {
+        window.begin(Timestamp(0), &engine(number), 0, ALONE);
+        window.uncertain(&engine(number));
+    }
+    window.dropped(&engine(0));
+    assert!(!window.allows(0), "the first try may have begun");
+    for number in 0..8 {
+        window.idle(Timestamp(30_000), &engine(number), 1);
+    }
+    assert!(window.allows(0));
+    assert_eq!(window.found(), before);
+}
+
+#[test]
+fn engines_that_are_gone_or_silent_give_their_place_back() {
+    let mut window = LoadWindow::new(FoundLimit::default());
+    for number in 0..8 {
+        window.begin(Timestamp(0), &engine(number), 0, ALONE);
+    }
+    assert!(!window.allows(0));
+    window.forget(&engine(3));
+    assert!(window.allows(0));
+    window.retain(|id| *id == engine(1));
+    assert!(window.allows(6));
+}
+
+#[test]
+fn the_next_holder_counts_what_a_former_one_ordered() {
+    let limit = FoundLimit {
+        at_once: 2.0,
+        has_been_slow: true,
+    };
+    let mut window = LoadWindow::new(limit);
+    window.inherit(&engine(0));
+    window.inherit(&engine(1));
+    assert!(!window.allows(0));
+    window.idle(Timestamp(100), &engine(0), 7);
+    assert!(window.allows(0));
+}
