A load that may never have begun gives its place back

An order without an answer is carried out within 13 s or never; a place in the window of loads that such an order took was held until the engine took another order. It counts for 20 s now, as does a load that a former holder told of. Read in the code; the test was extended first and failed.

--- a/crates/fleet/src/placement/load_window.rs
+++ b/crates/fleet/src/placement/load_window.rs
@@ -39,6 +39,10 @@
 /// for now and then.
 const SEEN_LATE: u64 = 300;
 
+/// A load of which it is not known when it began, if it did, counts for this time at most,
+/// in milliseconds: an order without an answer is carried out within 13 s or never.
+const UNCERTAIN_LIFETIME: u64 = 20_000;
+
 /// What was found of the weight store, for the next holder.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct FoundLimit {
@@ -77,6 +81,12 @@
     crowd: usize,
 }
 
+impl UnderWay {
+    fn counts(&self, now: Timestamp) -> bool {
+        self.alone.is_some() || now.since(self.began) < UNCERTAIN_LIFETIME
+    }
+}
+
 impl LoadWindow {
     /// Nothing is under way. `found` is what a former holder found.
     pub fn new(found: FoundLimit) -> Self {
@@ -98,8 +108,10 @@
     }
 
     /// Whether another load may begin beside those under way and `reserved` others.
-    pub fn allows(&self, reserved: usize) -> bool {
-        self.under_way.len() + reserved < self.most()
+    pub fn allows(&self, now: Timestamp, reserved: usize) -> bool {
+        let loads = self.under_way.values();
+        let under_way = loads.filter(|load| load.counts(now)).count();
+        under_way + reserved < self.most()
     }
 
     /// A load is about to be ordered at an engine that has taken `sequence` orders.
@@ -115,10 +127,10 @@
     }
 
     /// A former holder ordered a load there, at an unknown time.
-    pub fn inherit(&mut self, engine: &BackEndId) {
+    pub fn inherit(&mut self, now: Timestamp, engine: &BackEndId) {
         let load = UnderWay {
             sequence: None,
-            began: Timestamp(0),
+            began: now,
             alone: None,
             crowd: 0,
         };
--- a/crates/fleet/src/placement/weight_store.rs
+++ b/crates/fleet/src/placement/weight_store.rs
@@ -52,7 +52,7 @@
 
     /// Whether another load may begin beside `reserved` that are still to be ordered.
     pub fn allows(&self, now: Timestamp, reserved: usize) -> Result<(), Obstacle> {
-        if !self.window.allows(reserved) {
+        if !self.window.allows(now, reserved) {
             return Err(Obstacle::StoreCrowded);
         }
         if !self.pace.allows(now, self.loads_per_second) {
@@ -103,7 +103,7 @@
     /// A former holder's row tells of a load at an engine.
     pub fn inherit(&mut self, now: Timestamp, engine: &BackEndId) {
         self.pace.note_unless_known(now, engine);
-        self.window.inherit(engine);
+        self.window.inherit(now, engine);
     }
 
     /// Loads at engines that are gone are over.
