A stream ends at its deadline though its caller takes nothing, and visibly

Cause: a caller whose connection went silent takes no events and does not leave; the send of the next event waited without a bound, so the stream and the back end's connection were held for good. And the error that marks an early end was put into the same full channel, where it was lost: the answer would have ended as if it were whole.

The send is bounded by the deadline, and a stream is marked when it is whole, not when it is not.

--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -5,10 +5,11 @@
 //! after the old connection was closed; any other stream breaks off visibly.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
-use futures_util::StreamExt;
+use futures_util::{StreamExt, stream};
 use gorsebank_fleet::CopyTier;
 use gorsebank_fleet::events::EventSplitter;
 use gorsebank_world::ModelId;
@@ -119,11 +120,13 @@
 ) -> Response<AnswerBody> {
     let head = answer_head(&call, answer.head.status, &answer.head.headers);
     let (sender, receiver) = mpsc::channel(WAITING_EVENTS);
+    let is_whole = Arc::new(AtomicBool::new(false));
     let relay = Relay {
         last_event: call.ticket.last_event.clone(),
         call,
         attempts,
         sender,
+        is_whole: is_whole.clone(),
         first_event: None,
         events: 0,
         last_passed: None,
@@ -133,8 +136,11 @@
         _running: running,
     };
     tokio::spawn(relay.run(answer));
-    let frames = ReceiverStream::new(receiver).map(|event| event.map(Frame::data));
-    head.map(|()| StreamBody::new(frames).boxed_unsync())
+    let events = ReceiverStream::new(receiver).map(|event| Ok(Frame::data(event)));
+    // Whatever ends the relay, a stream that is not whole breaks off visibly.
+    let end = stream::once(async move { (!is_whole.load(Ordering::Acquire)).then_some(Broken) });
+    let end = end.filter_map(async |broken| broken.map(Err));
+    head.map(|()| StreamBody::new(events.chain(end)).boxed_unsync())
 }
 
 fn milliseconds(time: Duration) -> f64 {
@@ -157,7 +163,9 @@
 struct Relay {
     call: Arc<Call>,
     attempts: Attempts,
-    sender: mpsc::Sender<Result<Bytes, Broken>>,
+    sender: mpsc::Sender<Bytes>,
+    /// The last event was passed on.
+    is_whole: Arc<AtomicBool>,
     last_event: Option<String>,
     first_event: Option<Duration>,
     events: u64,
@@ -182,13 +190,11 @@
                     let now = self.call.shared.now();
                     back_end.note(|health| health.answered(now, latency));
                     answer.keep_connection(&self.call.shared);
+                    self.is_whole.store(true, Ordering::Release);
                     return self.end("served", back_end.id.as_str());
                 }
                 PartEnd::CallerLeft => return self.end("caller_left", back_end.id.as_str()),
-                PartEnd::TimedOut => {
-                    let _ = self.sender.try_send(Err(Broken));
-                    return self.end("timed_out", back_end.id.as_str());
-                }
+                PartEnd::TimedOut => return self.end("timed_out", back_end.id.as_str()),
                 PartEnd::Broken(reason) => reason,
             };
             // Closing the connection cancels the request before it goes on elsewhere.
@@ -196,10 +202,7 @@
             back_end.note(|health| health.unreachable(self.call.shared.now()));
             match self.resume(reason).await {
                 Some(next) => answer = next,
-                None => {
-                    let _ = self.sender.send(Err(Broken)).await;
-                    return self.end(reason, back_end.id.as_str());
-                }
+                None => return self.end(reason, back_end.id.as_str()),
             }
         }
     }
@@ -233,10 +236,12 @@
                 if self.is_repeated(event.id.as_deref()) {
                     continue;
                 }
-                if self.sender.send(Ok(event.bytes)).await.is_err() {
-                    return PartEnd::CallerLeft;
+                // A caller whose connection went silent takes nothing, and does not leave.
+                match timeout_at(self.call.deadline, self.sender.send(event.bytes)).await {
+                    Ok(Ok(())) => self.note_event(event.id),
+                    Ok(Err(_)) => return PartEnd::CallerLeft,
+                    Err(_) => return PartEnd::TimedOut,
                 }
-                self.note_event(event.id);
             }
             self.note_pace(answer, self.events - former);
         }
