A soak of our own: real gateways under faults from outside, promises on what callers saw

Gateways as processes, stand-ins of the table and of back ends behind loopback links that can go silent, callers that keep their connections; twelve kinds of faults drawn from a seed, in series and overlapping: kills, planned stops, pauses, all killed at once, the table down, throttling, losing answers, forgetting history, silent connections, back ends that leave, configurations. Eight promises, each checker seen to fail on a history that breaks it.

By itself three seeds of twelve seconds are played.

--- /dev/null
+++ b/crates/gorsebank/tests/soak/broken.rs
@@ -0,0 +1,136 @@
+//! Each checker is seen to fail on a history that breaks its promise, and to pass on the
+//! history that it was made from.
+
+use std::time::Duration;
+
+use super::history::{Done, End, History, Kind, Left, Try, What};
+use super::promises::{Promise, check};
+
+const fn at(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+fn answer(status: u16, body: &str) -> End {
+    End::Answer {
+        status,
+        whole: true,
+        seal: Some("seal-i-1-r1".to_owned()),
+        body: body.to_owned(),
+    }
+}
+
+/// One request that one back end ran and answered.
+fn sound() -> History {
+    let one = Try {
+        id: "r1".to_owned(),
+        kind: Kind::Mutating,
+        process: 1,
+        sent: at(1),
+        ended: at(2),
+        end: answer(200, "done"),
+    };
+    History {
+        tries: vec![one],
+        runs: [("r1".to_owned(), vec!["i-1".to_owned()])].into(),
+        fences: [("i-1".to_owned(), vec![3, 3, 9])].into(),
+        ..History::default()
+    }
+}
+
+fn broken(history: &History) -> Vec<Promise> {
+    check(history)
+        .iter()
+        .map(|finding| finding.promise)
+        .collect()
+}
+
+#[test]
+fn a_sound_history_breaks_nothing() {
+    assert_eq!(broken(&sound()), []);
+}
+
+#[test]
+fn other_bytes_or_the_seal_of_another_are_seen() {
+    let mut history = sound();
+    history.tries[0].end = answer(200, "don");
+    assert_eq!(broken(&history), [Promise::Whole]);
+    let mut history = sound();
+    history.runs.insert("r1".to_owned(), vec!["i-2".to_owned()]);
+    assert_eq!(broken(&history), [Promise::Whole]);
+    let mut history = sound();
+    history.tries[0].kind = Kind::Stream;
+    history.tries[0].end = answer(200, "id: 1\ndata: t1\n\nid: 3\ndata: t3\n\n");
+    assert_eq!(broken(&history), [Promise::Whole], "an event is missing");
+}
+
+#[test]
+fn a_second_run_is_seen() {
+    let mut history = sound();
+    let twice = vec!["i-1".to_owned(), "i-2".to_owned()];
+    history.runs.insert("r1".to_owned(), twice);
+    assert_eq!(broken(&history), [Promise::Once]);
+    history.tries[0].kind = Kind::Idempotent;
+    assert_eq!(broken(&history), []);
+}
+
+#[test]
+fn a_refusal_of_what_ran_is_seen() {
+    let mut history = sound();
+    history.tries[0].end = answer(503, "");
+    assert_eq!(broken(&history), [Promise::Truthful]);
+    history.runs.clear();
+    assert_eq!(broken(&history), []);
+}
+
+#[test]
+fn a_request_that_a_planned_stop_cuts_is_seen() {
+    let mut history = sound();
+    history.tries[0].end = End::Closed;
+    assert_eq!(broken(&history), []);
+    let done = |what| Done {
+        from: at(1),
+        until: at(3),
+        what,
+    };
+    history.done.push(done(What::Stopped(1)));
+    assert_eq!(broken(&history), [Promise::StopCutsNothing]);
+    history.done.push(done(What::Killed(1)));
+    assert_eq!(broken(&history), [], "it was killed");
+}
+
+#[test]
+fn work_for_a_back_end_that_left_is_seen() {
+    let mut history = sound();
+    history.left.push(Left {
+        back_end: "i-1".to_owned(),
+        said: at(1),
+        counted: at(4),
+        arrived: 5,
+        arrived_in_the_end: 6,
+    });
+    assert_eq!(broken(&history), [Promise::LeavingLeftAlone]);
+    history.done.push(Done {
+        from: at(2),
+        until: at(3),
+        what: What::Table,
+    });
+    assert_eq!(broken(&history), [], "nobody could be told");
+}
+
+#[test]
+fn orders_of_a_former_holder_are_seen() {
+    let mut history = sound();
+    history.fences.insert("i-1".to_owned(), vec![3, 9, 3]);
+    assert_eq!(broken(&history), [Promise::OneHolder]);
+}
+
+#[test]
+fn a_gateway_that_does_not_come_back_or_is_behind_is_seen() {
+    let mut history = sound();
+    history.not_recovered.push("node-1".to_owned());
+    history.behind.push("node-2".to_owned());
+    assert_eq!(
+        broken(&history),
+        [Promise::Recovery, Promise::Configuration]
+    );
+}
--- /dev/null
+++ b/crates/gorsebank/tests/soak/gateways.rs
@@ -0,0 +1,111 @@
+//! The gateways of a run: each a process, that is signalled, and started again when it is
+//! gone. Only processes that were started here are signalled, by their id.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::Stdio;
+use std::time::Duration;
+
+use gorsebank_replay::live::free_address;
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use tokio::time::sleep;
+
+use super::platform::process::{GatewayPlace, GatewayProcess};
+use super::platform::wire::Wire;
+
+/// Pause between two looks at whether a process has ended.
+const LOOK: Duration = Duration::from_millis(50);
+/// A process that was asked to stop is gone after this time, or is killed.
+const GRACE: Duration = Duration::from_secs(8);
+
+/// A gateway, now this process, then that.
+pub struct Slot {
+    name: String,
+    /// The way to the table.
+    pub wire: Wire,
+    process: Option<GatewayProcess>,
+    number: usize,
+}
+
+/// Where callers find the process of a slot.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Door {
+    /// The process's number.
+    pub process: usize,
+    /// Where it listens.
+    pub callers: SocketAddr,
+}
+
+impl Slot {
+    /// Starts a gateway that reaches the table through `wire`.
+    pub fn start(name: &str, wire: Wire, number: usize) -> Self {
+        let mut slot = Slot {
+            name: name.to_owned(),
+            wire,
+            process: None,
+            number,
+        };
+        slot.start_again(number);
+        slot
+    }
+
+    /// Starts another process in place of one that is gone.
+    pub fn start_again(&mut self, number: usize) {
+        self.process = None;
+        let address = || free_address().expect("a port");
+        let place = GatewayPlace {
+            node: &self.name,
+            table: self.wire.address,
+            callers: address(),
+            readiness: address(),
+            relay: Some(address()),
+        };
+        let program = Path::new(env!("CARGO_BIN_EXE_gorsebank"));
+        self.process = Some(GatewayProcess::start_at(program, &place, Stdio::null()));
+        self.number = number;
+    }
+
+    /// Its name.
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// Where callers go; none while there is no process.
+    pub fn door(&self) -> Option<Door> {
+        let process = self.process.as_ref()?;
+        Some(Door {
+            process: self.number,
+            callers: process.callers,
+        })
+    }
+
+    /// Sends a signal. Out: the number of the process.
+    pub fn signal(&self, signal: Signal) -> Option<usize> {
+        let process = self.process.as_ref()?;
+        let id = Pid::from_raw(process.child.id().try_into().expect("an id"));
+        kill(id, signal).ok()?;
+        Some(self.number)
+    }
+
+    /// Kills the process and waits for its end.
+    pub fn kill(&mut self) {
+        self.process = None;
+    }
+
+    fn has_ended(&mut self) -> bool {
+        let process = self.process.as_mut();
+        process.is_none_or(|process| matches!(process.child.try_wait(), Ok(Some(_))))
+    }
+
+    /// Waits until a process that was asked to stop is gone.
+    pub async fn wait_for_end(slot: &parking_lot::Mutex<Slot>) {
+        for _ in 0..GRACE.as_millis() / LOOK.as_millis() {
+            if slot.lock().has_ended() {
+                return;
+            }
+            sleep(LOOK).await;
+        }
+        slot.lock().kill();
+    }
+}
--- /dev/null
+++ b/crates/gorsebank/tests/soak/main.rs
@@ -0,0 +1,98 @@
+//! A soak: real gateways under faults from outside, and promises checked on what callers
+//! and back ends saw.
+//!
+//! Each run follows a seed: which faults strike when, and what callers send. By itself the
+//! test plays a few seeds for some seconds each; `GORSEBANK_SOAK_SEEDS` (how many, from a
+//! drawn one on, or `FIRST..LAST`) and `GORSEBANK_SOAK_SECONDS` make it longer,
+//! `GORSEBANK_SOAK_GATEWAYS` larger. A run has three gateways, two callers for each, six back
+//! ends, on loopback; it ends only processes that it started. Its line tells requests, faults
+//! by kind and findings.
+
+#[path = "../../../../platform/tests/support/mod.rs"]
+mod platform;
+
+mod broken;
+mod callers;
+mod gateways;
+mod history;
+mod plan;
+mod promises;
+mod run;
+
+use std::collections::BTreeMap;
+use std::ops::Range;
+use std::time::Duration;
+
+use history::{End, History};
+use plan::plan;
+
+/// Seeds that are always played.
+const SEEDS: Range<u64> = 1..4;
+/// Length of a run's faults, in seconds.
+const SECONDS: u64 = 12;
+/// Gateways.
+const GATEWAYS: u64 = 3;
+/// A run has so many gateways at most: each is a process.
+const MOST_GATEWAYS: u64 = 60;
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn promises_hold_under_faults_from_outside() {
+    let length = Duration::from_secs(number("GORSEBANK_SOAK_SECONDS").unwrap_or(SECONDS));
+    let gateways = number("GORSEBANK_SOAK_GATEWAYS").unwrap_or(GATEWAYS);
+    let gateways = gateways.clamp(1, MOST_GATEWAYS) as usize;
+    let mut broken = Vec::new();
+    for seed in seeds() {
+        let history = run::play(seed, length, gateways).await;
+        let findings = promises::check(&history);
+        println!("{}", account(seed, length, &history, findings.len()));
+        for finding in &findings {
+            println!("  seed {seed}: {:?}: {}", finding.promise, finding.what);
+        }
+        if !findings.is_empty() {
+            broken.push(seed);
+        }
+    }
+    assert!(
+        broken.is_empty(),
+        "promises were broken with seeds {broken:?}"
+    );
+}
+
+fn number(variable: &str) -> Option<u64> {
+    std::env::var(variable).ok()?.parse().ok()
+}
+
+fn seeds() -> Range<u64> {
+    let Ok(asked) = std::env::var("GORSEBANK_SOAK_SEEDS") else {
+        return SEEDS;
+    };
+    let bounds = asked.split_once("..");
+    let bounds = bounds.and_then(|(first, last)| Some((first.parse().ok()?, last.parse().ok()?)));
+    if let Some((first, last)) = bounds {
+        return first..last;
+    }
+    let count: u64 = asked
+        .parse()
+        .expect("GORSEBANK_SOAK_SEEDS: a count, or FIRST..LAST");
+    let first = rand::random::<u32>().into();
+    first..first + count
+}
+
+/// One line on a run.
+fn account(seed: u64, length: Duration, history: &History, findings: usize) -> String {
+    let mut faults: BTreeMap<String, usize> = BTreeMap::new();
+    for strike in plan(seed, length) {
+        *faults.entry(format!("{:?}", strike.fault)).or_default() += 1;
+    }
+    let mut ends: BTreeMap<String, usize> = BTreeMap::new();
+    for one in &history.tries {
+        let end = match &one.end {
+            End::Answer { whole: false, .. } => "broken off".to_owned(),
+            End::Answer { status, .. } => status.to_string(),
+            End::Closed => "closed".to_owned(),
+        };
+        *ends.entry(end).or_default() += 1;
+    }
+    let requests = history.tries.len();
+    format!("seed {seed}: {requests} requests {ends:?}, faults {faults:?}, {findings} findings")
+}
--- /dev/null
+++ b/crates/gorsebank/tests/soak/plan.rs
@@ -0,0 +1,110 @@
+//! Which faults strike when, drawn from a seed: in series, and overlapping.
+
+use std::time::Duration;
+
+use rand::seq::IndexedRandom;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// Pause between the beginnings of two faults.
+const LEAST_PAUSE: u64 = 150;
+const LONGEST_PAUSE: u64 = 1_500;
+/// How long a fault that ends by itself lasts.
+const LEAST_FAULT: u64 = 200;
+const LONGEST_FAULT: u64 = 2_500;
+
+/// A fault.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// A gateway is killed, and started again.
+    Kill,
+    /// A gateway is asked to stop, and started again once it is gone.
+    Stop,
+    /// A gateway stands still.
+    Pause,
+    /// All gateways are killed at once.
+    KillAll,
+    /// The table answers 503.
+    TableDown,
+    /// The table answers 429.
+    TableThrottles,
+    /// The table makes writes and does not answer them.
+    TableLosesAnswers,
+    /// The table forgets its history.
+    TableForgets,
+    /// A gateway's open connections to the table go silent.
+    TableSilent,
+    /// The open connections to a back end go silent.
+    BackEndSilent,
+    /// A back end says that it leaves, serves on for a while, and another one comes.
+    BackEndLeaves,
+    /// A new configuration.
+    Configuration,
+}
+
+/// Every kind.
+pub const KINDS: [Fault; 12] = [
+    Fault::Kill,
+    Fault::Stop,
+    Fault::Pause,
+    Fault::KillAll,
+    Fault::TableDown,
+    Fault::TableThrottles,
+    Fault::TableLosesAnswers,
+    Fault::TableForgets,
+    Fault::TableSilent,
+    Fault::BackEndSilent,
+    Fault::BackEndLeaves,
+    Fault::Configuration,
+];
+
+/// A fault with its time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Strike {
+    /// When it begins.
+    pub at: Duration,
+    /// How long it lasts, where it ends by itself.
+    pub lasts: Duration,
+    /// What.
+    pub fault: Fault,
+    /// Which one is struck; taken modulo how many there are.
+    pub target: usize,
+}
+
+/// The faults of a run, in order.
+pub fn plan(seed: u64, length: Duration) -> Vec<Strike> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let mut strikes = Vec::new();
+    let mut at = Duration::from_millis(random.random_range(LEAST_PAUSE..LONGEST_PAUSE));
+    while at < length {
+        let fault = *KINDS.choose(&mut random).expect("there are kinds");
+        strikes.push(Strike {
+            at,
+            lasts: Duration::from_millis(random.random_range(LEAST_FAULT..LONGEST_FAULT)),
+            fault,
+            target: random.random_range(0..64),
+        });
+        at += Duration::from_millis(random.random_range(LEAST_PAUSE..LONGEST_PAUSE));
+    }
+    strikes
+}
+
+#[test]
+fn a_seed_gives_one_plan_and_another_seed_another() {
+    let length = Duration::from_secs(30);
+    assert_eq!(plan(7, length), plan(7, length));
+    assert_ne!(plan(7, length), plan(8, length));
+}
+
+#[test]
+fn every_kind_strikes_within_some_seeds() {
+    let strikes: Vec<Strike> = (0..20)
+        .flat_map(|seed| plan(seed, Duration::from_secs(12)))
+        .collect();
+    for kind in KINDS {
+        assert!(
+            strikes.iter().any(|strike| strike.fault == kind),
+            "{kind:?}"
+        );
+    }
+}
--- /dev/null
+++ b/crates/gorsebank/tests/soak/promises.rs
@@ -0,0 +1,148 @@
+//! Promises, checked on a history: what callers and back ends saw, and nothing else.
+
+use std::time::Duration;
+
+use super::history::{End, History, Kind, Try, What};
+
+/// Statuses that promise that the request did not run and never will.
+const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
+/// Within this time after a planned stop a process ends its requests.
+const GRACE: Duration = Duration::from_secs(8);
+/// Events of a stream.
+pub const EVENTS: u64 = 5;
+/// The body of a plain answer.
+pub const PLAIN: &str = "done";
+
+/// A promise.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Promise {
+    /// A success is whole, and the answer of the back end that ran this very request.
+    Whole,
+    /// What may not be repeated runs once at most.
+    Once,
+    /// What is said not to have run did not run.
+    Truthful,
+    /// A planned stop cuts no request that a back end has.
+    StopCutsNothing,
+    /// A back end that leaves gets nothing new after the bound on news.
+    LeavingLeftAlone,
+    /// Orders of a former holder do not follow those of a newer one.
+    OneHolder,
+    /// Everything works again in time once all faults are over.
+    Recovery,
+    /// The last configuration is in force in time.
+    Configuration,
+}
+
+/// A promise that was broken.
+#[derive(Clone, Debug)]
+pub struct Finding {
+    /// Which.
+    pub promise: Promise,
+    /// What was seen.
+    pub what: String,
+}
+
+/// All broken promises of a history.
+pub fn check(history: &History) -> Vec<Finding> {
+    let mut findings = Vec::new();
+    for one in &history.tries {
+        findings.extend(check_try(history, one));
+    }
+    let find = |promise, what| Finding { promise, what };
+    for left in &history.left {
+        let is_excused = history.overlaps(left.said, left.counted, |what| {
+            matches!(what, What::Table | What::Paused(_))
+        });
+        if !is_excused && left.arrived_in_the_end > left.arrived {
+            findings.push(find(Promise::LeavingLeftAlone, format!("{left:?}")));
+        }
+    }
+    let any_paused = history
+        .done
+        .iter()
+        .any(|done| matches!(done.what, What::Paused(_)));
+    for (back_end, fences) in &history.fences {
+        // A process that stood still may send what it had checked before.
+        if !any_paused && !fences.is_sorted() {
+            findings.push(find(Promise::OneHolder, format!("{back_end}: {fences:?}")));
+        }
+    }
+    let missed = |promise| move |name: &String| find(promise, name.clone());
+    findings.extend(history.not_recovered.iter().map(missed(Promise::Recovery)));
+    findings.extend(history.behind.iter().map(missed(Promise::Configuration)));
+    findings
+}
+
+fn check_try(history: &History, one: &Try) -> Option<Finding> {
+    let none = Vec::new();
+    let runs = history.runs.get(&one.id).unwrap_or(&none);
+    let promise = if !is_whole(one, runs) {
+        Promise::Whole
+    } else if matches!(one.kind, Kind::Mutating | Kind::Stream) && runs.len() > 1 {
+        Promise::Once
+    } else if !is_truthful(one, runs) {
+        Promise::Truthful
+    } else if is_cut_by_a_stop(history, one, runs) {
+        Promise::StopCutsNothing
+    } else {
+        return None;
+    };
+    let what = format!("{one:?}, runs {runs:?}");
+    Some(Finding { promise, what })
+}
+
+/// Whether a success is what the back end that ran it said.
+fn is_whole(one: &Try, runs: &[String]) -> bool {
+    let End::Answer {
+        status: 200,
+        whole,
+        seal,
+        body,
+    } = &one.end
+    else {
+        return true;
+    };
+    if !whole {
+        // It broke off visibly.
+        return true;
+    }
+    let sealed_by =
+        |back_end: &String| seal.as_deref() == Some(format!("seal-{back_end}-{}", one.id).as_str());
+    runs.iter().any(sealed_by) && *body == expected_body(one.kind)
+}
+
+fn expected_body(kind: Kind) -> String {
+    match kind {
+        Kind::Idempotent | Kind::Mutating => PLAIN.to_owned(),
+        Kind::Stream | Kind::Resumable => (1..=EVENTS).map(event).collect(),
+    }
+}
+
+/// One event of a stream.
+pub fn event(number: u64) -> String {
+    format!("id: {number}\ndata: t{number}\n\n")
+}
+
+fn is_truthful(one: &Try, runs: &[String]) -> bool {
+    match one.end {
+        End::Answer { status, .. } if NOT_RUN.contains(&status) => runs.is_empty(),
+        _ => true,
+    }
+}
+
+/// Whether a back end had it, its process was asked to stop, nothing else happened to
+/// either, and the caller has no whole answer.
+fn is_cut_by_a_stop(history: &History, one: &Try, runs: &[String]) -> bool {
+    let has_answer = matches!(&one.end, End::Answer { whole: true, .. });
+    let stops = |what| what == What::Stopped(one.process);
+    let excuses = |what| match what {
+        What::Killed(process) | What::Paused(process) => process == one.process,
+        What::BackEndSilent => true,
+        What::Stopped(_) | What::Table => false,
+    };
+    !has_answer
+        && !runs.is_empty()
+        && history.overlaps(one.sent, one.ended, stops)
+        && !history.overlaps(one.sent.saturating_sub(GRACE), one.ended, excuses)
+}
--- /dev/null
+++ b/crates/gorsebank/tests/soak/run.rs
@@ -0,0 +1,359 @@
+//! One run: gateways as processes, stand-ins of the table and of back ends, callers, faults.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use nix::sys::signal::Signal;
+use parking_lot::Mutex;
+use serde_json::json;
+use tokio::task::JoinSet;
+use tokio::time::{sleep, sleep_until};
+
+use super::callers::Caller;
+use super::gateways::Slot;
+use super::history::{Done, History, Left, What};
+use super::plan::{Fault, Strike, plan};
+use super::platform::client::{request, send};
+use super::platform::runner::{End, Reply, Runner, Seen};
+use super::platform::store::Store;
+use super::platform::wire::Wire;
+use super::platform::{configuration, server_row};
+use super::promises::{EVENTS, PLAIN, event};
+
+/// Back ends of each service.
+const BACK_ENDS: usize = 3;
+/// Callers for each gateway.
+const CALLERS: usize = 2;
+/// Gateways have this time to become ready at first.
+const START: Duration = Duration::from_secs(10);
+/// Everything works again in this time after the last fault.
+const RECOVERY: Duration = Duration::from_secs(12);
+/// A configuration is in force everywhere in this time, and a leaving back end known.
+const NEWS: Duration = Duration::from_millis(2_000);
+/// What a stand-in is late with on a busy machine.
+const SLACK: Duration = Duration::from_millis(500);
+/// A leaving back end keeps its row for so long.
+const LEAVING: Duration = Duration::from_millis(3_000);
+/// Pause between two looks.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// A back end with its row and the way to it.
+#[derive(Clone)]
+struct BackEnd {
+    runner: Runner,
+    service: &'static str,
+    wire: Arc<Wire>,
+}
+
+/// All that a run consists of.
+pub struct Run {
+    store: Store,
+    slots: Arc<Vec<Mutex<Slot>>>,
+    /// Those that are listed now.
+    listed: Mutex<Vec<BackEnd>>,
+    /// All that ever were.
+    all: Mutex<Vec<BackEnd>>,
+    done: Mutex<Vec<Done>>,
+    left: Mutex<Vec<Left>>,
+    began: Instant,
+    processes: Mutex<usize>,
+    version: Mutex<u64>,
+}
+
+/// Plays the faults of a seed against so many gateways, and tells what was seen.
+pub async fn play(seed: u64, length: Duration, gateways: usize) -> History {
+    let run = Arc::new(Run::start(gateways).await);
+    let tries = Arc::default();
+    let mut tasks = JoinSet::new();
+    for number in 0..CALLERS * gateways {
+        let slots = run.slots.clone();
+        let caller = Caller::new(seed, number, slots, Arc::clone(&tries), run.began);
+        tasks.spawn(caller.run(run.began.elapsed() + length));
+    }
+    let base = tokio::time::Instant::now();
+    let mut strikes = JoinSet::new();
+    for strike in plan(seed, length) {
+        sleep_until(base + strike.at).await;
+        strikes.spawn(run.clone().strike(strike));
+    }
+    strikes.join_all().await;
+    tasks.join_all().await;
+    let mut history = History::default();
+    run.recover(&mut history).await;
+    run.last_configuration(&mut history).await;
+    history.tries = std::mem::take(&mut *tries.lock());
+    run.tell(&mut history);
+    history
+}
+
+impl Run {
+    async fn start(gateways: usize) -> Self {
+        let store = Store::start().await;
+        store.put("op", "config", configuration(1));
+        let mut slots = Vec::new();
+        for number in 0..gateways {
+            let wire = Wire::to(store.address).await;
+            let slot = Slot::start(&format!("node-{number}"), wire, number);
+            slots.push(Mutex::new(slot));
+        }
+        let run = Run {
+            store,
+            slots: Arc::new(slots),
+            listed: Mutex::default(),
+            all: Mutex::default(),
+            done: Mutex::default(),
+            left: Mutex::default(),
+            began: Instant::now(),
+            processes: Mutex::new(gateways),
+            version: Mutex::new(1),
+        };
+        for _ in 0..BACK_ENDS {
+            run.add_back_end("app").await;
+            run.add_back_end("llm").await;
+        }
+        let is_up = run.all_serve(START).await;
+        assert!(is_up.is_empty(), "gateways do not start: {is_up:?}");
+        run
+    }
+
+    async fn add_back_end(&self, service: &'static str) {
+        let id = format!("i-{}", self.all.lock().len());
+        let runner = Runner::start(&id, behave).await;
+        let wire = Arc::new(Wire::to(runner.address).await);
+        let back_end = BackEnd {
+            runner,
+            service,
+            wire,
+        };
+        self.put_row(&back_end, "ready");
+        self.listed.lock().push(back_end.clone());
+        self.all.lock().push(back_end);
+    }
+
+    fn put_row(&self, back_end: &BackEnd, state: &str) {
+        let mut row = server_row(&back_end.runner, back_end.service, state);
+        row["addr"] = json!(back_end.wire.address.to_string());
+        self.store.put("servers", &back_end.runner.id, row);
+    }
+
+    fn next_process(&self) -> usize {
+        let mut processes = self.processes.lock();
+        *processes += 1;
+        *processes
+    }
+
+    async fn strike(self: Arc<Self>, strike: Strike) {
+        let from = self.began.elapsed();
+        let index = strike.target % self.slots.len();
+        let what = match strike.fault {
+            Fault::Kill => vec![self.kill(index)],
+            Fault::KillAll => (0..self.slots.len())
+                .map(|index| self.kill(index))
+                .collect(),
+            Fault::Stop => vec![self.stop(index).await],
+            Fault::Pause => vec![self.pause(index, strike.lasts).await],
+            Fault::TableDown => vec![self.table(|table| &table.down, strike.lasts).await],
+            Fault::TableThrottles => {
+                vec![self.table(|table| &table.throttled, strike.lasts).await]
+            }
+            Fault::TableLosesAnswers => {
+                vec![self.table(|table| &table.lose_answers, strike.lasts).await]
+            }
+            Fault::TableForgets => {
+                self.store.compact();
+                vec![Some(What::Table)]
+            }
+            Fault::TableSilent => {
+                self.slots[index].lock().wire.silence();
+                vec![Some(What::Table)]
+            }
+            Fault::BackEndSilent => vec![self.silence_back_end(strike.target)],
+            Fault::BackEndLeaves => {
+                self.replace_back_end(strike.target).await;
+                Vec::new()
+            }
+            Fault::Configuration => {
+                self.configure("/read/");
+                Vec::new()
+            }
+        };
+        let until = self.began.elapsed() + NEWS;
+        let done = what.into_iter().flatten();
+        let done = done.map(|what| Done { from, until, what });
+        self.done.lock().extend(done);
+    }
+
+    fn kill(&self, index: usize) -> Option<What> {
+        let number = self.next_process();
+        let mut slot = self.slots[index].lock();
+        let killed = slot.door()?.process;
+        slot.kill();
+        slot.start_again(number);
+        Some(What::Killed(killed))
+    }
+
+    async fn stop(&self, index: usize) -> Option<What> {
+        let stopped = self.slots[index].lock().signal(Signal::SIGTERM)?;
+        Slot::wait_for_end(&self.slots[index]).await;
+        let number = self.next_process();
+        let mut slot = self.slots[index].lock();
+        // Another fault may have put another process there meanwhile.
+        if slot.door().is_none_or(|door| door.process == stopped) {
+            slot.start_again(number);
+        }
+        Some(What::Stopped(stopped))
+    }
+
+    async fn pause(&self, index: usize, lasts: Duration) -> Option<What> {
+        let paused = self.slots[index].lock().signal(Signal::SIGSTOP)?;
+        sleep(lasts).await;
+        self.slots[index].lock().signal(Signal::SIGCONT);
+        Some(What::Paused(paused))
+    }
+
+    async fn table(
+        &self,
+        flag: impl Fn(&super::platform::store::Inner) -> &AtomicBool,
+        lasts: Duration,
+    ) -> Option<What> {
+        flag(&self.store.inner).store(true, Ordering::Relaxed);
+        sleep(lasts).await;
+        flag(&self.store.inner).store(false, Ordering::Relaxed);
+        Some(What::Table)
+    }
+
+    fn silence_back_end(&self, target: usize) -> Option<What> {
+        let listed = self.listed.lock();
+        listed[target % listed.len()].wire.silence();
+        Some(What::BackEndSilent)
+    }
+
+    /// A back end says that it leaves, and another one comes.
+    async fn replace_back_end(&self, target: usize) {
+        let leaving = {
+            let mut listed = self.listed.lock();
+            let index = target % listed.len();
+            listed.remove(index)
+        };
+        self.add_back_end(leaving.service).await;
+        self.put_row(&leaving, "draining");
+        let said = self.began.elapsed();
+        sleep(NEWS + SLACK).await;
+        let left = Left {
+            back_end: leaving.runner.id.clone(),
+            said,
+            counted: self.began.elapsed(),
+            arrived: leaving.runner.seen().len(),
+            arrived_in_the_end: 0,
+        };
+        self.left.lock().push(left);
+        sleep(LEAVING - NEWS).await;
+        self.store.remove("servers", &leaving.runner.id);
+    }
+
+    /// A new configuration, with this prefix for what may be repeated.
+    fn configure(&self, prefix: &str) {
+        let mut version = self.version.lock();
+        *version += 1;
+        let mut newer = configuration(*version);
+        newer["routes"][0]["pathPrefix"] = json!(prefix);
+        self.store.put("op", "config", newer);
+    }
+
+    /// Gateways that do not serve every kind within this time.
+    async fn all_serve(&self, limit: Duration) -> Vec<String> {
+        let began = Instant::now();
+        let mut missing: Vec<usize> = (0..self.slots.len()).collect();
+        while !missing.is_empty() && began.elapsed() < limit {
+            let mut still = Vec::new();
+            for index in missing {
+                if !self
+                    .serves(index, &["/read/", "/top-up/", "/stream/"])
+                    .await
+                {
+                    still.push(index);
+                }
+            }
+            missing = still;
+            sleep(LOOK).await;
+        }
+        self.names(&missing)
+    }
+
+    fn names(&self, indices: &[usize]) -> Vec<String> {
+        let name = |index: &usize| self.slots[*index].lock().name().to_owned();
+        indices.iter().map(name).collect()
+    }
+
+    async fn serves(&self, index: usize, paths: &[&str]) -> bool {
+        let Some(door) = self.slots[index].lock().door() else {
+            return false;
+        };
+        if tokio::net::TcpStream::connect(door.callers).await.is_err() {
+            return false;
+        }
+        for path in paths {
+            let got = send(door.callers, request("probe", path)).await;
+            if got.is_none_or(|got| got.status != 200) {
+                return false;
+            }
+        }
+        true
+    }
+
+    async fn recover(&self, history: &mut History) {
+        history.not_recovered = self.all_serve(RECOVERY).await;
+    }
+
+    async fn last_configuration(&self, history: &mut History) {
+        self.configure("/last/");
+        sleep(NEWS + SLACK).await;
+        for index in 0..self.slots.len() {
+            if !self.serves(index, &["/last/"]).await {
+                history.behind.extend(self.names(&[index]));
+            }
+        }
+    }
+
+    /// What back ends saw.
+    fn tell(&self, history: &mut History) {
+        let mut runs: BTreeMap<String, Vec<String>> = BTreeMap::new();
+        for back_end in self.all.lock().iter() {
+            let runner = &back_end.runner;
+            for seen in runner.seen() {
+                let at = runs.entry(seen.id().to_owned()).or_default();
+                at.push(runner.id.clone());
+            }
+            let orders = runner.orders();
+            let fences = orders.iter().filter_map(|order| order["fence"].as_u64());
+            history.fences.insert(runner.id.clone(), fences.collect());
+        }
+        // What asks whether gateways serve bears one id.
+        runs.remove("probe");
+        history.runs = runs;
+        history.done = std::mem::take(&mut *self.done.lock());
+        history.left = std::mem::take(&mut *self.left.lock());
+        let all = self.all.lock();
+        for left in &mut history.left {
+            let back_end = all.iter().find(|one| one.runner.id == left.back_end);
+            left.arrived_in_the_end = back_end.map_or(0, |one| one.runner.seen().len());
+        }
+    }
+}
+
+/// What a back end does with a request.
+fn behave(seen: &Seen) -> Reply {
+    let is_stream = seen.line.contains("/stream/") || seen.line.contains("/resumable/");
+    if !is_stream {
+        return Reply::Answer(200, PLAIN);
+    }
+    let last = seen
+        .header("last-event-id")
+        .and_then(|id| id.parse::<u64>().ok());
+    let first = last.unwrap_or(0) + 1;
+    let pause = Duration::from_millis(20);
+    let events = (first..=EVENTS).map(|number| (pause, event(number)));
+    Reply::Events(events.collect(), End::Whole)
+}
