--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -1,9 +1,9 @@
 //! Picks the back end of the next attempt, waits for one, or refuses.
 //!
-//! A request waits as long as what it lacks is expected before its caller gives up: a late
-//! answer is worth more to the caller than a refusal and another way here, and a refusal
-//! costs the caller one of few tries. What is expected later than that, or is not even
-//! ordered after a while, is refused at once, with the time when the model will be there.
+//! A request waits for what is expected within its objective: an adapter on its
+//! way, or a load that ends in time. Otherwise it is refused early and told when
+//! the model will be there. A caller that has come back is not sent away again
+//! as long as a late answer is possible.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -23,9 +23,12 @@
 const ORDER_DELAY: Duration = Duration::from_millis(500);
 /// Time from the end of a load until the first event.
 const FIRST_EVENT: Duration = Duration::from_millis(300);
-/// Part of the objective that a caller hardly notices: so long it waits for a back end of
-/// which nothing speaks.
-const UNNOTICED_PART: f64 = 0.125;
+/// Part of the objective within which a served request is in time.
+const IN_TIME_PART: f64 = 0.95;
+/// Part of the objective within which a refusal costs the caller little.
+const EARLY_PART: f64 = 0.22;
+/// Part of the objective that a wait for an adapter may take.
+const ADAPTER_WAIT_PART: f64 = 0.9;
 /// Callers give a silent answer up after the longest of this time ...
 const LEAST_CALLER_PATIENCE: Duration = Duration::from_secs(2);
 /// ... so many objectives ...
@@ -34,9 +37,9 @@
 const PATIENCE_PAUSES: u32 = 8;
 /// Part of a caller's patience that is used.
 const PATIENCE_PART: f64 = 0.85;
-/// A load that is not ordered so long after it was asked for is put off: its callers are
-/// better off to come back.
-const UNORDERED_WAIT: Duration = Duration::from_millis(1_500);
+/// Part of the time that a request has for which it waits, late already, for a
+/// load that nobody has ordered: callers may still be served elsewhere then.
+const UNORDERED_PART: f64 = 0.45;
 /// Least pause that a refused caller is asked for.
 const LEAST_PAUSE: Duration = Duration::from_millis(250);
 /// A caller that waits for a load is asked to come back this much after it.
@@ -97,12 +100,13 @@
 /// Until when a wait for what is missing is worth it; none if it is not.
 fn worth_waiting(call: &Call, missing: &Missing) -> Option<Instant> {
     let now = Instant::now();
+    let objective = call.route.objective;
     let give_up = call.arrived + caller_patience(call).mul_f64(PATIENCE_PART);
     let give_up = give_up.min(call.deadline);
     let until = match missing {
-        Missing::BackEnd if call.returning => give_up,
-        Missing::BackEnd => call.arrived + call.route.objective.mul_f64(UNNOTICED_PART),
-        Missing::Adapter => give_up,
+        _ if call.returning && !matches!(missing, Missing::Model(_)) => give_up,
+        Missing::BackEnd => call.arrived + objective.mul_f64(EARLY_PART),
+        Missing::Adapter => call.arrived + objective.mul_f64(ADAPTER_WAIT_PART),
         Missing::Model(load) => wait_for_load(call, now, *load, give_up)?,
     };
     let until = match call.time_to_begin() {
@@ -112,21 +116,31 @@
     (now < until).then_some(until)
 }
 
-/// A load that ends before the caller gives up is waited for; one that nobody has ordered
-/// yet, for a while.
+/// A load that ends in time is waited for. One that is not yet ordered gets a
+/// moment; and once a refusal would gain nothing, a late answer is better.
 fn wait_for_load(
     call: &Call,
     now: Instant,
     load: ExpectedLoad,
     give_up: Instant,
 ) -> Option<Instant> {
-    if now + load.time + FIRST_EVENT > give_up {
-        return None;
+    let objective = call.route.objective;
+    let ready = now + load.time + FIRST_EVENT;
+    let in_time = call.arrived + objective.mul_f64(IN_TIME_PART);
+    if ready <= in_time {
+        return Some(in_time);
     }
-    if load.ordered {
-        return Some(give_up);
+    let early = call.arrived + objective.mul_f64(EARLY_PART);
+    if !load.ordered && now < early && load.time < objective {
+        return Some(early);
     }
-    Some(give_up.min(call.arrived + UNORDERED_WAIT))
+    let refusal_gains = now <= early && !call.returning;
+    let until = if load.ordered {
+        give_up
+    } else {
+        give_up.min(call.arrived + call.held().mul_f64(UNORDERED_PART))
+    };
+    (!refusal_gains && ready <= give_up).then_some(until)
 }
 
 /// How long the caller waits for the first event.
