--- a/crates/replay/src/live/process.rs
+++ b/crates/replay/src/live/process.rs
@@ -1,6 +1,6 @@
 //! A child process that says where it listens and is killed with its value.
 
-use std::io::{BufRead, BufReader};
+use std::io::{BufRead, BufReader, Read};
 use std::net::SocketAddr;
 use std::path::Path;
 use std::process::{Child, ChildStdout, Command, Stdio};
@@ -31,13 +31,17 @@
         let mut child = Command::new(program)
             .args(arguments)
             .stdout(Stdio::piped())
-            .stderr(Stdio::null())
+            .stderr(Stdio::piped())
             .spawn()
             .wrap_err_with(|| format!("cannot start {}", program.display()))?;
         let stdout = child
             .stdout
             .take()
             .ok_or_else(|| eyre!("the program has no output"))?;
+        let mut errors = child
+            .stderr
+            .take()
+            .ok_or_else(|| eyre!("the program has no error output"))?;
         let mut reader = BufReader::new(stdout);
         let mut first = String::new();
         reader.read_line(&mut first)?;
@@ -48,11 +52,15 @@
         let Some(address) = address else {
             // Nothing else is to be done about a child that ended by itself.
             let _ = child.kill();
+            let mut said = String::new();
+            errors.read_to_string(&mut said)?;
             bail!(
-                "{} {arguments:?} did not start: {first:?}",
+                "{} {arguments:?} did not start: {first:?} {said}",
                 program.display()
             );
         };
+        // A pipe that nobody empties would hold the program up.
+        std::thread::spawn(move || std::io::copy(&mut errors, &mut std::io::sink()));
         let lines = Arc::new(Mutex::new(Vec::new()));
         collect(reader, Arc::clone(&lines));
         Ok(Process {
