--- a/crates/gorsebank/tests/callers_gone.rs
+++ b/crates/gorsebank/tests/callers_gone.rs
@@ -12,7 +12,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
-use platform::client::{request, send};
+use platform::client::{request, send, stream_bytes};
 use platform::process::GatewayProcess;
 use platform::runner::{End, Reply, Runner, Seen, events};
 use platform::{store_with, until};
@@ -28,10 +28,7 @@
 
 async fn ask_and_leave(gateway: &GatewayProcess, number: usize) {
     let mut caller = TcpStream::connect(gateway.callers).await.expect("there");
-    let head = format!(
-        "POST /stream/ HTTP/1.1\r\nHost: crew.example\r\nRequest-Id: gone-{number}\r\n\
-         Model: warm\r\nDeadline-Ms: 4000\r\nContent-Length: 0\r\n\r\n"
-    );
+    let head = stream_bytes(&format!("gone-{number}"));
     caller.write_all(head.as_bytes()).await.expect("sent");
 }
 
--- a/crates/gorsebank/tests/soak/callers.rs
+++ b/crates/gorsebank/tests/soak/callers.rs
@@ -4,9 +4,6 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
-use http::Request;
-use http_body_util::Full;
 use parking_lot::Mutex;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -14,11 +11,13 @@
 
 use super::gateways::{Door, Slot};
 use super::history::{End, Kind, Try};
-use super::platform::client::{Client, Got, request_with};
+use super::platform::client::{Client, Got, request_within};
 
 /// Longest pause between two requests of one caller, in milliseconds.
 const MOST_PAUSE: u64 = 40;
-/// Longest time that a caller waits before it comes back.
+/// For so long a caller waits for an answer, in milliseconds.
+const WAIT: u32 = 1_500;
+/// Longest time that a caller waits before it comes back, in seconds.
 const MOST_RETURN: f64 = 0.3;
 /// Requests for a model that is loaded on demand.
 const COLD_PART: f64 = 0.1;
@@ -87,7 +86,7 @@
         let is_cold = self.random.random_bool(COLD_PART);
         let model = if is_cold { "cold" } else { "warm" };
         let sent = self.began.elapsed();
-        let got = client.send(request(&id, path, model)).await;
+        let got = client.send(request_within(&id, path, model, WAIT)).await;
         let one = Try {
             id,
             kind,
@@ -115,18 +114,11 @@
     }
 }
 
-fn request(id: &str, path: &str, model: &str) -> Request<Full<Bytes>> {
-    let mut request = request_with(id, path, model, b"a body");
-    let deadline = "1500".parse().expect("a value");
-    request.headers_mut().insert("Deadline-Ms", deadline);
-    request
-}
-
 fn end(got: &Got) -> End {
     End::Answer {
         status: got.status,
         whole: got.whole,
-        seal: got.header("server-seal").map(str::to_owned),
+        seal: got.seal().map(str::to_owned),
         body: got.body.clone(),
     }
 }
--- a/crates/gorsebank/tests/soak/run.rs
+++ b/crates/gorsebank/tests/soak/run.rs
@@ -19,7 +19,7 @@
 use super::platform::runner::{End, Reply, Runner, Seen};
 use super::platform::store::Store;
 use super::platform::wire::Wire;
-use super::platform::{configuration, server_row};
+use super::platform::{configuration, configuration_with_prefix, server_row};
 use super::promises::{EVENTS, PLAIN, event};
 
 /// Back ends of each service.
@@ -257,8 +257,7 @@
     fn configure(&self, prefix: &str) {
         let mut version = self.version.lock();
         *version += 1;
-        let mut newer = configuration(*version);
-        newer["routes"][0]["pathPrefix"] = json!(prefix);
+        let newer = configuration_with_prefix(*version, prefix);
         self.store.put("op", "config", newer);
     }
 
