The weight store keeps no copy of its rate, and is asked once a goal, not once a wish

Whether another load may begin was worked out for each of some hundred wishes over all engines and recent loads, though only a new goal can change it. The rate is passed, as it was to the pace. No change of what is decided; the tests stand.

--- a/crates/fleet/src/placement/engine/next.rs
+++ b/crates/fleet/src/placement/engine/next.rs
@@ -88,7 +88,8 @@
             let from_store = !self.has_copy(&model);
             let sequence = self.known.as_ref()?.sequence;
             let is_repeat = store.is_open(&self.observed.id, sequence);
-            if from_store && !is_repeat && store.allows(now, 0).is_err() {
+            let rate = spec.loads_per_second;
+            if from_store && !is_repeat && store.allows(now, rate, 0).is_err() {
                 return None;
             }
             if from_store {
--- a/crates/fleet/src/placement/goals.rs
+++ b/crates/fleet/src/placement/goals.rs
@@ -117,6 +117,7 @@
     spec: &'a Engine,
     totals: &'a Totals,
     forecast: &'a Forecast,
+    store: &'a WeightStore,
     replicas: Replicas,
 }
 
@@ -135,19 +136,20 @@
         spec,
         totals,
         forecast,
+        store,
         replicas: Replicas::count(engines),
     };
     let mut unmet = Vec::new();
+    let mut from_store = view.may_use_store(engines);
     for wish in view.wishes(engines) {
-        let reserved = engines.iter().filter(|engine| engine.will_use_store());
-        let reserved = reserved.count();
-        let from_store = store.allows(now, reserved);
-        if let Err(obstacle) = view.place(engines, &wish, from_store) {
-            unmet.push(UnmetWish {
+        match view.place(engines, &wish, from_store) {
+            // The new goal may be a load from the weight store.
+            Ok(()) => from_store = view.may_use_store(engines),
+            Err(obstacle) => unmet.push(UnmetWish {
                 model: wish.model,
                 worth: wish.worth,
                 obstacle,
-            });
+            }),
         }
     }
     unmet
@@ -165,6 +167,13 @@
 }
 
 impl View<'_> {
+    /// Whether another load from the weight store may begin, beside the goals that will.
+    fn may_use_store(&self, engines: &[&mut EngineState]) -> Result<(), Obstacle> {
+        let reserved = engines.iter().filter(|engine| engine.will_use_store());
+        let rate = self.spec.loads_per_second;
+        self.store.allows(self.now, rate, reserved.count())
+    }
+
     /// Models that should be loaded once more. An engine loads one at a time, so those
     /// come first that are worth most for each second of it.
     fn wishes(&self, engines: &[&mut EngineState]) -> Vec<Wish> {
--- a/crates/fleet/src/placement/mod.rs
+++ b/crates/fleet/src/placement/mod.rs
@@ -192,7 +192,6 @@
             }
             store
         });
-        store.set_rate(spec.loads_per_second);
         let forecast = Forecast::new(spec, totals);
         let unmet = goals::choose(now, spec, totals, &forecast, &mut engines, store);
         self.unmet.extend(unmet);
--- a/crates/fleet/src/placement/weight_store.rs
+++ b/crates/fleet/src/placement/weight_store.rs
@@ -32,7 +32,6 @@
 pub struct WeightStore {
     pace: LoadPace,
     window: LoadWindow,
-    loads_per_second: f64,
 }
 
 impl WeightStore {
@@ -41,21 +40,20 @@
         WeightStore {
             pace: LoadPace::new(now, bound, &former.recent),
             window: LoadWindow::new(former.limit),
-            loads_per_second: 0.0,
         }
     }
 
-    /// The configuration's rate of loads.
-    pub fn set_rate(&mut self, loads_per_second: f64) {
-        self.loads_per_second = loads_per_second;
-    }
-
     /// Whether another load may begin beside `reserved` that are still to be ordered.
-    pub fn allows(&self, now: Timestamp, reserved: usize) -> Result<(), Obstacle> {
+    pub fn allows(
+        &self,
+        now: Timestamp,
+        loads_per_second: f64,
+        reserved: usize,
+    ) -> Result<(), Obstacle> {
         if !self.window.allows(now, reserved) {
             return Err(Obstacle::StoreCrowded);
         }
-        if !self.pace.allows(now, self.loads_per_second) {
+        if !self.pace.allows(now, loads_per_second) {
             return Err(Obstacle::Pace);
         }
         Ok(())
