--- a/crates/gorsebank/tests/callers_gone.rs
+++ b/crates/gorsebank/tests/callers_gone.rs
@@ -26,6 +26,17 @@
     Reply::Events(events(1, 20, Duration::from_millis(50)), End::Whole)
 }
 
+/// A ready gateway, a process of its own, and the runner that it sends streams to.
+async fn gateway_with_runner() -> (GatewayProcess, Runner) {
+    let runner = Runner::start("i-1", stream).await;
+    let store = store_with("llm", &[&runner]).await;
+    let addresses = [0, 1].map(|_| free_address().expect("a port"));
+    let program = Path::new(env!("CARGO_BIN_EXE_gorsebank"));
+    let gateway = GatewayProcess::start(program, &store, addresses);
+    until(async || gateway.is_ready().await).await;
+    (gateway, runner)
+}
+
 async fn ask_and_leave(gateway: &GatewayProcess, number: usize) {
     let mut caller = TcpStream::connect(gateway.callers).await.expect("there");
     let head = stream_bytes(&format!("gone-{number}"));
@@ -35,12 +46,7 @@
 /// A process that stood still finds requests whose callers have closed long ago.
 #[tokio::test]
 async fn requests_whose_callers_left_before_they_were_read_are_not_sent_on() {
-    let runner = Runner::start("i-1", stream).await;
-    let store = store_with("llm", &[&runner]).await;
-    let addresses = [0, 1].map(|_| free_address().expect("a port"));
-    let program = Path::new(env!("CARGO_BIN_EXE_gorsebank"));
-    let gateway = GatewayProcess::start(program, &store, addresses);
-    until(async || gateway.is_ready().await).await;
+    let (gateway, runner) = gateway_with_runner().await;
     let warm = send(gateway.callers, request("r1", "/stream/")).await;
     assert_eq!(warm.expect("an answer").status, 200);
     let before = runner.seen().len();
@@ -64,12 +70,7 @@
 
 #[tokio::test]
 async fn a_ready_gateway_takes_new_callers_beside_many_silent_ones() {
-    let runner = Runner::start("i-1", stream).await;
-    let store = store_with("llm", &[&runner]).await;
-    let addresses = [0, 1].map(|_| free_address().expect("a port"));
-    let program = Path::new(env!("CARGO_BIN_EXE_gorsebank"));
-    let gateway = GatewayProcess::start(program, &store, addresses);
-    until(async || gateway.is_ready().await).await;
+    let (gateway, _runner) = gateway_with_runner().await;
     let mut silent = Vec::new();
     for number in 0..SILENT {
         let mut caller = TcpStream::connect(gateway.callers).await.expect("there");
--- a/crates/gorsebank/tests/soak/gateways.rs
+++ b/crates/gorsebank/tests/soak/gateways.rs
@@ -16,8 +16,8 @@
 
 /// Pause between two looks at whether a process has ended.
 const LOOK: Duration = Duration::from_millis(50);
-/// A process that was asked to stop is gone after this time, or is killed.
-const GRACE: Duration = Duration::from_secs(8);
+/// A process that was asked to stop ends its requests within this time, or is killed.
+pub const GRACE: Duration = Duration::from_secs(8);
 
 /// A gateway, now this process, then that.
 pub struct Slot {
--- a/crates/gorsebank/tests/soak/promises.rs
+++ b/crates/gorsebank/tests/soak/promises.rs
@@ -1,13 +1,10 @@
 //! Promises, checked on a history: what callers and back ends saw, and nothing else.
 
-use std::time::Duration;
-
+use super::gateways::GRACE;
 use super::history::{End, History, Kind, Try, What};
 
 /// Statuses that promise that the request did not run and never will.
 const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
-/// Within this time after a planned stop a process ends its requests.
-const GRACE: Duration = Duration::from_secs(8);
 /// Events of a stream.
 pub const EVENTS: u64 = 5;
 /// The body of a plain answer.
--- a/crates/gorsebank/tests/soak/run.rs
+++ b/crates/gorsebank/tests/soak/run.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use nix::sys::signal::Signal;
@@ -58,7 +58,7 @@
     done: Mutex<Vec<Done>>,
     left: Mutex<Vec<Left>>,
     began: Instant,
-    processes: Mutex<usize>,
+    processes: AtomicUsize,
     version: Mutex<u64>,
 }
 
@@ -106,7 +106,7 @@
             done: Mutex::default(),
             left: Mutex::default(),
             began: Instant::now(),
-            processes: Mutex::new(gateways),
+            processes: AtomicUsize::new(gateways),
             version: Mutex::new(1),
         };
         for _ in 0..BACK_ENDS {
@@ -139,9 +139,7 @@
     }
 
     fn next_process(&self) -> usize {
-        let mut processes = self.processes.lock();
-        *processes += 1;
-        *processes
+        self.processes.fetch_add(1, Ordering::Relaxed)
     }
 
     async fn strike(self: Arc<Self>, strike: Strike) {
