The feed order tells the roots, once

A gateway worked the whole tree out again for each member to learn who is a root: at a root of 295 gateways, 295 orders of 295 names at each change of a member. The order knows them. The test compares what every gateway names with who follows the table.

--- a/crates/fleet/src/feeders.rs
+++ b/crates/fleet/src/feeders.rs
@@ -75,6 +75,8 @@
     pub place: Place,
     /// Indices of the gateways that it asks, in this order; empty at a root.
     pub asks: Vec<usize>,
+    /// Indices of all roots, the best first.
+    pub roots: Vec<usize>,
 }
 
 impl FeedOrder {
@@ -105,6 +107,7 @@
         FeedOrder {
             place,
             asks: asks.take(MOST_ASKED).collect(),
+            roots: tree.roots().to_vec(),
         }
     }
 }
--- a/crates/fleet/tests/feeders.rs
+++ b/crates/fleet/tests/feeders.rs
@@ -131,3 +131,20 @@
     let order = FeedOrder::new("node-9", &candidates(&names));
     assert_eq!((order.place, order.asks), (Place::LeafOfRoot, vec![0]));
 }
+
+#[test]
+fn every_gateway_names_the_roots_that_follow_the_table() {
+    for count in [1, 2, 6, 40, 69, 300] {
+        let names = names(count);
+        let known = candidates(&names);
+        let mut roots = at(&known, Place::Root);
+        roots.sort_unstable();
+        for own in names.iter().map(String::as_str).chain(["unknown"]) {
+            let order = FeedOrder::new(own, &known);
+            let named = order.roots.iter().map(|index| known[*index].name);
+            let mut named: Vec<&str> = named.collect();
+            named.sort_unstable();
+            assert_eq!(named, roots, "{own} of {count}");
+        }
+    }
+}
--- a/crates/gateway/src/feed/parents.rs
+++ b/crates/gateway/src/feed/parents.rs
@@ -58,37 +58,24 @@
     /// The gateways that are known, this one among them if it answers others, and the one
     /// that places models. True if this gateway has another place than before.
     pub fn set_members(&mut self, own: &str, members: &[Member], holder: Option<&str>) -> bool {
-        let candidate = |member: &'_ Member| -> (bool, u32, u32) {
-            let places = holder == Some(member.name.as_str());
-            (places, member.row.link_megabits, member.row.millicores)
-        };
-        let known: Vec<(bool, u32, u32)> = members.iter().map(candidate).collect();
-        let candidates: Vec<Candidate<'_>> = members
-            .iter()
-            .zip(known)
-            .map(
-                |(member, (places_models, link_megabits, millicores))| Candidate {
-                    name: &member.name,
-                    link_megabits,
-                    millicores,
-                    places_models,
-                },
-            )
-            .collect();
+        let candidates = members.iter().map(|member| Candidate {
+            name: &member.name,
+            link_megabits: member.row.link_megabits,
+            millicores: member.row.millicores,
+            places_models: holder == Some(member.name.as_str()),
+        });
+        let candidates: Vec<Candidate<'_>> = candidates.collect();
         let order = FeedOrder::new(own, &candidates);
-        let is_root = |name: &str| FeedOrder::new(name, &candidates).place == Place::Root;
-        let asks = order.asks.iter().map(|index| &members[*index]);
-        self.asks = asks
-            .map(|member| Parent {
-                address: member.address,
-                is_root: is_root(&member.name),
-            })
-            .collect();
-        let is_fellow = |member: &&Member| {
-            order.place == Place::Root && member.name != own && is_root(&member.name)
+        let parent = |index: &usize| Parent {
+            address: members[*index].address,
+            is_root: order.roots.contains(index),
         };
-        let fellows = members.iter().filter(is_fellow);
-        self.fellow_roots = fellows.map(|member| member.address).collect();
+        self.asks = order.asks.iter().map(parent).collect();
+        let is_root = order.place == Place::Root;
+        let roots = members.iter().enumerate();
+        let fellows = roots
+            .filter(|(index, member)| is_root && member.name != own && order.roots.contains(index));
+        self.fellow_roots = fellows.map(|(_, member)| member.address).collect();
         let (asks, now) = (&self.asks, Instant::now());
         self.resting.retain(|address, until| {
             now < *until && asks.iter().any(|parent| parent.address == *address)
