One pause that doubles, in place of three

Reading members, writing the own row and following a table counted their pauses in the same words. The table client's pages keep theirs: they give up after the last one.

--- a/crates/gateway/src/feed/filler.rs
+++ b/crates/gateway/src/feed/filler.rs
@@ -16,6 +16,7 @@
 use super::message::{FeedAnswer, FeedQuestion, TablePosition};
 use super::parents::Parent;
 use super::rhythm::{FEED_WAIT, Rhythm, longest_without_news, rhythms};
+use crate::backoff::Backoff;
 use crate::demand_rows::AbortOnDrop;
 use crate::lines::{self, Rank};
 use crate::ports::{TableError, WatchedTable};
@@ -97,14 +98,14 @@
 
 /// Follows one table, until it is dropped.
 async fn follow_one(shared: Arc<Shared>, rhythm: Rhythm) {
-    let mut pause = FIRST_PAUSE;
+    let mut backoff = Backoff::new(FIRST_PAUSE, LONGEST_PAUSE);
     let mut lost = false;
     loop {
         let asked = Instant::now();
         match advance(&shared, &rhythm).await {
             Ok(()) => {
                 note_state(&rhythm, &mut lost, None);
-                pause = FIRST_PAUSE;
+                backoff.reset();
                 let least = shared.read_pause().clamp(LEAST_PAUSE, FEEDER_PAUSE);
                 sleep_until(asked + least.max(rhythm.pause)).await;
             }
@@ -115,8 +116,7 @@
             }
             Err(error) => {
                 note_state(&rhythm, &mut lost, Some(&error));
-                sleep(pause.mul_f64(0.5 + rand::random::<f64>())).await;
-                pause = (pause * 2).min(LONGEST_PAUSE);
+                backoff.wait().await;
             }
         }
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod attempt;
 pub mod attempts;
 pub mod back_end;
+pub mod backoff;
 pub mod candidates;
 pub mod demand_rows;
 pub mod demand_teller;
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -12,6 +12,7 @@
 use gorsebank_fleet::MemberRow;
 use tokio::time::sleep;
 
+use crate::backoff::Backoff;
 use crate::feed::Member;
 use crate::lines::{self, Rank};
 use crate::ports::{RowChange, WatchedTable};
@@ -61,7 +62,7 @@
 /// Reads the table of members. Out: how many other gateways there are.
 async fn look(shared: &Arc<Shared>) -> usize {
     let table = shared.platform.tables().members;
-    let mut pause = FIRST_PAUSE;
+    let mut backoff = Backoff::new(FIRST_PAUSE, LONGEST_PAUSE);
     loop {
         match shared.table().read(table).await {
             Ok(snapshot) => {
@@ -72,10 +73,7 @@
                 follower.replace(snapshot.rows);
                 return others;
             }
-            Err(_) => {
-                sleep(pause.mul_f64(0.5 + rand::random::<f64>())).await;
-                pause = (pause * 2).min(LONGEST_PAUSE);
-            }
+            Err(_) => backoff.wait().await,
         }
     }
 }
@@ -87,7 +85,7 @@
         return;
     };
     let key = own_key(shared);
-    let mut pause = FIRST_PAUSE;
+    let mut backoff = Backoff::new(FIRST_PAUSE, LONGEST_PAUSE);
     let known = known_row(shared);
     if known.as_ref().is_some_and(|known| known.value == value) {
         return;
@@ -104,10 +102,7 @@
                 }
                 version = current.map_or(0, |row| row.modified);
             }
-            TableAnswer::Refused { .. } | TableAnswer::Unknown => {
-                sleep(pause.mul_f64(0.5 + rand::random::<f64>())).await;
-                pause = (pause * 2).min(LONGEST_PAUSE);
-            }
+            TableAnswer::Refused { .. } | TableAnswer::Unknown => backoff.wait().await,
         }
     }
 }
