The row on weight stores is called so

It has held the limit of loads beside the recent ones since the window came, and was still called recent loads. Names and comments only; the row's key and content stay.

--- a/crates/fleet/src/placement/mod.rs
+++ b/crates/fleet/src/placement/mod.rs
@@ -35,7 +35,7 @@
 pub use pace::{LoadBound, LoadPace, RecentLoad};
 use totals::Totals;
 use weight_store::WeightStore;
-pub use weight_store::{RecentLoads, StoreRecord};
+pub use weight_store::{StoreRecord, StoreRecords};
 
 /// What an engine is ordered to do.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -100,16 +100,15 @@
     engines: BTreeMap<BackEndId, EngineState>,
     stores: BTreeMap<ServiceId, WeightStore>,
     bound: LoadBound,
-    former: RecentLoads,
+    former: StoreRecords,
     inherited: Vec<BackEndId>,
     begun: Timestamp,
     unmet: Vec<UnmetWish>,
 }
 
 impl Planner {
-    /// A holder that begins at `now`. `former` are the loads that the lease's
-    /// row tells of.
-    pub fn new(now: Timestamp, bound: LoadBound, former: RecentLoads) -> Self {
+    /// A holder that begins at `now`. `former` is what those before it told of weight stores.
+    pub fn new(now: Timestamp, bound: LoadBound, former: StoreRecords) -> Self {
         Planner {
             bound,
             former,
@@ -118,8 +117,8 @@
         }
     }
 
-    /// Loads of this holder and of those before it, for the next one.
-    pub fn recent_loads(&self, now: Timestamp) -> RecentLoads {
+    /// What this holder and those before it know of weight stores, for the next one.
+    pub fn store_records(&self, now: Timestamp) -> StoreRecords {
         let stores = self.stores.iter();
         stores
             .map(|(service, store)| (service.clone(), store.record(now)))
--- a/crates/fleet/src/placement/weight_store.rs
+++ b/crates/fleet/src/placement/weight_store.rs
@@ -16,7 +16,7 @@
 use crate::back_end::EngineReport;
 
 /// What a holder tells the next one of each service's weight store.
-pub type RecentLoads = BTreeMap<ServiceId, StoreRecord>;
+pub type StoreRecords = BTreeMap<ServiceId, StoreRecord>;
 
 /// What is known of one weight store.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -424,7 +424,7 @@
     /// and the engines' rows.
     #[allow(dead_code)]
     pub fn change_holder(&mut self, now: u64, told: u64) {
-        let mut loads = self.planner.recent_loads(Timestamp(now));
+        let mut loads = self.planner.store_records(Timestamp(now));
         for record in loads.values_mut() {
             record.recent.retain(|load| load.age >= told);
         }
--- a/crates/gateway/src/holder.rs
+++ b/crates/gateway/src/holder.rs
@@ -184,7 +184,7 @@
             return;
         };
         let mut transaction = Transaction::put_if(lease_key(shared), expected, value);
-        transaction.puts.extend(self.loads());
+        transaction.puts.extend(self.store_records());
         let answer = shared.table().transact(transaction).await;
         self.in_doubt = !matches!(answer, TableAnswer::Committed { .. });
         if let TableAnswer::Committed { revision, .. } = &answer {
@@ -208,11 +208,11 @@
         matches!(answer, TableAnswer::Refused { .. } | TableAnswer::Unknown)
     }
 
-    /// The row of recent loads, so that the next holder keeps the bound on them. A gateway
-    /// that is not the holder yet leaves the former one's row as it is.
-    fn loads(&self) -> Option<Put> {
-        let loads = self.shared.recent_loads()?;
-        let value = serde_json::to_string(&loads).ok()?;
+    /// The row on weight stores, so that the next holder keeps their bounds. A gateway that
+    /// is not the holder yet leaves the former one's row as it is.
+    fn store_records(&self) -> Option<Put> {
+        let records = self.shared.store_records()?;
+        let value = serde_json::to_string(&records).ok()?;
         Some(Put {
             key: loads_key(&self.shared),
             value,
@@ -249,7 +249,7 @@
     format!("{}/placement", shared.platform.tables().lease)
 }
 
-/// The row of recent loads.
+/// The row on weight stores: recent loads, and how many go at once.
 pub fn loads_key(shared: &Shared) -> String {
     format!("{}/placement", shared.platform.tables().loads)
 }
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -16,7 +16,7 @@
 use gorsebank_contract::TableRow;
 use gorsebank_coordination::Timestamp;
 use gorsebank_fleet::placement::{
-    Action, ActionKind, OrderKind, OrderResult, Planner, RecentLoads,
+    Action, ActionKind, OrderKind, OrderResult, Planner, StoreRecords,
 };
 use gorsebank_fleet::{EngineReport, LeaseKeeper, PlacedRow};
 use gorsebank_world::{BackEndId, ModelId};
@@ -80,10 +80,10 @@
     /// Begins with nothing planned.
     pub fn new(shared: Arc<Shared>, keeper: Arc<Mutex<LeaseKeeper>>) -> Self {
         let (done, results) = mpsc::unbounded_channel();
-        let loads = RecentLoads::new();
+        let records = StoreRecords::new();
         Placement {
             keeper,
-            planner: Planner::new(shared.now(), shared.settings.bounds.loads, loads),
+            planner: Planner::new(shared.now(), shared.settings.bounds.loads, records),
             published: BTreeMap::new(),
             queued: BTreeMap::new(),
             writing: BTreeMap::new(),
@@ -156,15 +156,15 @@
     /// Reads the rows of former holders.
     async fn inherit(&mut self) {
         let tables = self.shared.platform.tables();
-        let loads = self.read_rows(tables.loads).await;
+        let rows = self.read_rows(tables.loads).await;
         let key = loads_key(&self.shared);
-        let loads = loads.iter().find(|row| row.key == key);
-        // Their ages are those of the last renewal: loads count for longer, never shorter.
-        let loads = loads.and_then(|row| serde_json::from_str::<RecentLoads>(&row.value).ok());
+        let row = rows.iter().find(|row| row.key == key);
+        // Ages are those of the last renewal: loads count for longer, never shorter.
+        let records = row.and_then(|row| serde_json::from_str::<StoreRecords>(&row.value).ok());
         self.planner = Planner::new(
             self.shared.now(),
             self.shared.settings.bounds.loads,
-            loads.unwrap_or_default(),
+            records.unwrap_or_default(),
         );
         let rows = self.read_rows(tables.placed).await;
         self.observe();
@@ -249,8 +249,8 @@
         let rows = self.shared.demand_rows.fresh(now);
         let actions = self.planner.plan(now, &configuration, &rows);
         self.log_unmet(now);
-        let loads = self.planner.recent_loads(now);
-        self.shared.set_recent_loads(loads);
+        let records = self.planner.store_records(now);
+        self.shared.set_store_records(records);
         self.publish(now, fence);
         for action in actions {
             self.begin_when_told(action, fence);
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -12,7 +12,7 @@
 
 use gorsebank_coordination::Timestamp;
 use gorsebank_fleet::feeders::Place;
-use gorsebank_fleet::placement::RecentLoads;
+use gorsebank_fleet::placement::StoreRecords;
 use gorsebank_fleet::running::Counts;
 use gorsebank_fleet::split::Split;
 use gorsebank_fleet::{Configuration, Demand, ReadingModel, ReadingSample, RetryWindow};
@@ -89,7 +89,7 @@
     back_ends_read: AtomicBool,
     members: Mutex<Members>,
     placing: AtomicBool,
-    recent_loads: Mutex<Option<RecentLoads>>,
+    store_records: Mutex<Option<StoreRecords>>,
     lateness: Arc<Lateness>,
     table: Arc<RelayedTable>,
     start: Instant,
@@ -134,7 +134,7 @@
             back_ends_read: AtomicBool::new(false),
             members: Mutex::default(),
             placing: AtomicBool::new(false),
-            recent_loads: Mutex::new(None),
+            store_records: Mutex::new(None),
             lateness: Arc::default(),
             table,
             start: Instant::now(),
@@ -271,19 +271,19 @@
         let former = self.placing.swap(placing, Ordering::Relaxed);
         if former != placing {
             self.demand_rows.clear();
-            *self.recent_loads.lock() = None;
+            *self.store_records.lock() = None;
             self.new_holder.notify_one();
         }
     }
 
-    /// Loads from the weight store of late; none before the planner has told.
-    pub fn recent_loads(&self) -> Option<RecentLoads> {
-        self.recent_loads.lock().clone()
+    /// What is known of weight stores; none before the planner has told.
+    pub fn store_records(&self) -> Option<StoreRecords> {
+        self.store_records.lock().clone()
     }
 
-    /// The planner tells of loads from the weight store.
-    pub fn set_recent_loads(&self, loads: RecentLoads) {
-        *self.recent_loads.lock() = Some(loads);
+    /// The planner tells what it knows of weight stores.
+    pub fn set_store_records(&self, records: StoreRecords) {
+        *self.store_records.lock() = Some(records);
     }
 
     /// How late this process's timers are, on average.
