A load order that is too old to count is no repeat

Found on reading the change: looking whether a load may begin used to throw old loads away, and has only counted them since the window of loads came. An order without an answer that was too old to be carried out still stood as open until the next load was noted, and a new order under its number passed as a repeat, without a place under the weight store's bound. Whether it is open now depends on the time, as its count does. Test red before.

--- a/crates/fleet/src/placement/engine/next.rs
+++ b/crates/fleet/src/placement/engine/next.rs
@@ -87,7 +87,7 @@
         if self.free_memory(spec) >= wanted.memory_mb {
             let from_store = !self.has_copy(&model);
             let sequence = self.known.as_ref()?.sequence;
-            let is_repeat = store.is_open(&self.observed.id, sequence);
+            let is_repeat = store.is_open(now, &self.observed.id, sequence);
             let rate = spec.loads_per_second;
             if from_store && !is_repeat && store.allows(now, rate, 0).is_err() {
                 return None;
--- a/crates/fleet/src/placement/pace.rs
+++ b/crates/fleet/src/placement/pace.rs
@@ -117,9 +117,10 @@
 
     /// Whether a load that was ordered at an engine under this sequence number
     /// counts still: the order may be repeated without another load.
-    pub fn is_open(&self, engine: &BackEndId, sequence: u64) -> bool {
+    pub fn is_open(&self, now: Timestamp, engine: &BackEndId, sequence: u64) -> bool {
+        let span = self.span();
         let mut loads = self.loads.get(engine).into_iter().flatten();
-        loads.any(|load| load.open == Some(sequence))
+        loads.any(|load| load.open == Some(sequence) && load.counts(now, span))
     }
 
     /// A load is about to be ordered at an engine under this sequence number.
--- a/crates/fleet/src/placement/weight_store.rs
+++ b/crates/fleet/src/placement/weight_store.rs
@@ -61,8 +61,8 @@
 
     /// Whether a load that was ordered under this sequence number may be ordered again
     /// without another load.
-    pub fn is_open(&self, engine: &BackEndId, sequence: u64) -> bool {
-        self.pace.is_open(engine, sequence)
+    pub fn is_open(&self, now: Timestamp, engine: &BackEndId, sequence: u64) -> bool {
+        self.pace.is_open(now, engine, sequence)
     }
 
     /// A load that takes this long alone is about to be ordered.
--- a/crates/fleet/tests/pace.rs
+++ b/crates/fleet/tests/pace.rs
@@ -64,6 +64,16 @@
     assert!(pace.allows(Timestamp(6_600), RATE));
 }
 
+/// A repeat needs no place under the bound, so what is too old to count must not be one.
+#[test]
+fn an_order_that_is_too_old_to_be_carried_out_is_not_repeated() {
+    let mut pace = pace(&[]);
+    pace.note(Timestamp(0), &engine(0), 4);
+    pace.ordered(Timestamp(0), &engine(0), OrderResult::Unanswered);
+    assert!(pace.is_open(Timestamp(12_000), &engine(0), 4));
+    assert!(!pace.is_open(Timestamp(19_000), &engine(0), 4));
+}
+
 #[test]
 fn a_repeated_order_counts_once() {
     let mut pace = pace(&[]);
