Sight: lines name a request by what it asks for, and tell an end from a reset connection

Two tries of one caller bear different ids, and the line of a lost connection was the same for an engine that had ended and for a reset. request_end tells a fingerprint of method, host, target, model and body; connection_lost tells whether anybody still listens at the back end's address, and whether the end was announced. Nothing is decided by either yet.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -21,6 +21,7 @@
 use crate::back_end::{BackEnd, Connection, InFlight, Reading};
 use crate::directory::Directory;
 use crate::lines::{self, Rank};
+use crate::lost_connection;
 use crate::ports::{AnswerMarks, AttemptHead};
 use crate::request::Call;
 use crate::shared::Shared;
@@ -132,7 +133,7 @@
             };
             match self.exchange(connection, true).await {
                 Exchange::Unsent => {}
-                end => return self.conclude(end, work),
+                end => return self.conclude(end, work).await,
             }
         }
         let began = Instant::now();
@@ -143,16 +144,21 @@
             return AttemptEnd::NotSent("not_connected");
         };
         let end = self.exchange(connection, false).await;
-        self.conclude(end, work)
+        self.conclude(end, work).await
     }
 
-    fn conclude(&self, end: Exchange, work: Work) -> AttemptEnd {
+    async fn conclude(&self, end: Exchange, work: Work) -> AttemptEnd {
         match end {
             Exchange::Unsent => {
                 self.note_unreachable();
                 AttemptEnd::NotSent("connection_closed")
             }
-            Exchange::Failed(reason) => failed(self.call, self.back_end, reason),
+            Exchange::Failed(reason) => {
+                if reason == CONNECTION_LOST {
+                    lost_connection::note(self.call, self.back_end).await;
+                }
+                failed(self.call, self.back_end, reason)
+            }
             Exchange::Head(head) => accept(self.call, self.back_end, *head, work),
         }
     }
--- a/crates/gateway/src/back_end.rs
+++ b/crates/gateway/src/back_end.rs
@@ -5,6 +5,7 @@
 //! closed, which also cancels the request at the back end.
 
 use std::collections::HashMap;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
@@ -58,6 +59,14 @@
     kept_parts: Mutex<KeptParts>,
     unread_tokens: AtomicU32,
     row: Mutex<SeenRow>,
+    look: tokio::sync::Mutex<Option<Look>>,
+}
+
+/// A look at whether the back end's process is still there.
+#[derive(Clone, Copy, Debug)]
+struct Look {
+    began: Instant,
+    has_ended: bool,
 }
 
 /// The newest row of a back end, as this gateway has seen it.
@@ -127,6 +136,7 @@
             kept_parts: Mutex::default(),
             unread_tokens: AtomicU32::new(0),
             row: Mutex::default(),
+            look: tokio::sync::Mutex::default(),
         }
     }
 
@@ -235,6 +245,34 @@
         idle.iter().any(Connection::is_usable)
     }
 
+    /// Whether its process has ended: a connection was lost at `lost`, and nobody listens at
+    /// its address any more. Connections that the network resets, and a back end that is
+    /// merely silent, are no end. One look serves all who lost a connection at that time.
+    pub async fn has_ended(&self, lost: Instant) -> bool {
+        let mut last = self.look.lock().await;
+        match *last {
+            // A process that has ended does not come back: the next one has another name.
+            Some(look) if look.has_ended || look.began >= lost => look.has_ended,
+            _ => {
+                let began = Instant::now();
+                let has_ended = self.refuses_connections().await;
+                *last = Some(Look { began, has_ended });
+                has_ended
+            }
+        }
+    }
+
+    async fn refuses_connections(&self) -> bool {
+        let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address)).await;
+        let Ok(Err(error)) = connecting else {
+            return false;
+        };
+        matches!(
+            error.kind(),
+            ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset
+        )
+    }
+
     /// A new connection.
     pub async fn connect(&self) -> std::io::Result<Connection> {
         let connecting = TcpStream::connect(self.address);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod holder;
 pub mod lateness;
 pub mod lines;
+mod lost_connection;
 pub mod members;
 pub mod metrics;
 pub mod orders;
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -10,10 +10,12 @@
 use crate::attempt::{Answer, AttemptEnd, send};
 use crate::attempts::{Attempts, Next};
 use crate::failure::Failure;
+use crate::lost_connection;
 use crate::request::{AnswerBody, Call, answer_head};
 use bytes::Bytes;
 use http::Response;
 use http_body_util::{BodyExt, Full};
+use tokio::time::Instant;
 
 /// Least time that a back end is given before another is asked.
 const LEAST_HEAD_TIME: Duration = Duration::from_millis(100);
@@ -56,6 +58,9 @@
     let back_end = answer.back_end.clone();
     let Some(body) = answer.read_whole(call.deadline).await else {
         call.expose();
+        if Instant::now() < call.deadline {
+            lost_connection::note(call, &back_end).await;
+        }
         back_end.note(|health| health.unreachable(call.shared.now()));
         return Err(attempts.may_have_run(call, "answer_cut"));
     };
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use gorsebank_fleet::{Configuration, Route};
+use gorsebank_fleet::{Configuration, Fingerprint, Route};
 use gorsebank_world::ServiceId;
 use http::header::{self, HeaderName};
 use http::request::Parts;
@@ -70,6 +70,8 @@
     pub head: Parts,
     /// Its body.
     pub body: Bytes,
+    /// What it asks for: the same for each try of its caller.
+    pub fingerprint: Fingerprint,
     /// When its head was read.
     pub arrived: Instant,
     /// When it must have its answer.
@@ -153,7 +155,8 @@
             "request_end",
             format_args!(
                 "request={} outcome={outcome} status={status} route={} service={} back_end={back_end} \
-                 model={model} adapter={} attempts={} exposed={} total_ms={} left_ms={} objective_ms={} returning={} configuration={}",
+                 model={model} adapter={} attempts={} exposed={} total_ms={} left_ms={} objective_ms={} returning={} configuration={} \
+                 fingerprint={}",
                 self.ticket.id,
                 self.route.name,
                 self.service,
@@ -167,6 +170,7 @@
                 self.route.objective.as_millis(),
                 self.returning,
                 self.configuration.version,
+                self.fingerprint,
             ),
         );
     }
@@ -257,6 +261,7 @@
     strip_connection_headers(&mut head.headers);
     head.headers.remove(header::CONTENT_LENGTH);
     head.version = Version::HTTP_11;
+    let fingerprint = fingerprint(&head, &ticket, &body);
     let call = Call {
         shared: shared.clone(),
         configuration,
@@ -265,6 +270,7 @@
         ticket,
         head,
         body,
+        fingerprint,
         arrived,
         deadline,
         returning,
@@ -276,6 +282,23 @@
     Ok(call)
 }
 
+/// Method, host, target, model and body: all that a caller's next try has in common with
+/// this one. Headers are left out: deadline, id and last event differ from try to try.
+fn fingerprint(head: &Parts, ticket: &Ticket, body: &Bytes) -> Fingerprint {
+    let host = head.headers.get(header::HOST);
+    let target = head.uri.path_and_query();
+    let model = ticket.model.as_ref().map_or("", |model| model.as_str());
+    let adapter = ticket.adapter.as_ref();
+    Fingerprint::of(&[
+        head.method.as_str().as_bytes(),
+        host.map_or(&[], |host| host.as_bytes()),
+        target.map_or(&[], |target| target.as_str().as_bytes()),
+        model.as_bytes(),
+        adapter.map_or(&[], |adapter| adapter.as_str().as_bytes()),
+        body,
+    ])
+}
+
 /// A request that a stopping process could not finish is better off elsewhere.
 fn refuse_while_stopping(call: &Call) -> Result<(), Failure> {
     if call.time_to_begin() != Some(Duration::ZERO) {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -26,6 +26,7 @@
 use crate::back_end::BackEnd;
 use crate::failure::Failure;
 use crate::lines::{self, Rank};
+use crate::lost_connection;
 use crate::plain::settle;
 use crate::request::{AnswerBody, Broken, Call, answer_head};
 
@@ -40,6 +41,9 @@
 /// A back end is given so many objectives to begin its answer.
 const FIRST_EVENT_FACTOR: f64 = 1.6;
 
+/// A back end's part of a stream ended inside an event.
+const PARTIAL_EVENT: &str = "partial_event";
+
 /// Counts as running on a model until it is dropped.
 struct Running {
     call: Arc<Call>,
@@ -199,6 +203,9 @@
             };
             // Closing the connection cancels the request before it goes on elsewhere.
             drop(answer);
+            if matches!(reason, CONNECTION_LOST | PARTIAL_EVENT) {
+                lost_connection::note(&self.call, &back_end).await;
+            }
             back_end.note(|health| health.unreachable(self.call.shared.now()));
             match self.resume(reason).await {
                 Some(next) => answer = next,
@@ -223,7 +230,7 @@
                     return PartEnd::Broken("silent");
                 }
                 Err(_) => continue,
-                Ok(None) if splitter.has_partial() => return PartEnd::Broken("partial_event"),
+                Ok(None) if splitter.has_partial() => return PartEnd::Broken(PARTIAL_EVENT),
                 Ok(None) => return PartEnd::Whole,
                 Ok(Some(Err(_))) => return PartEnd::Broken(CONNECTION_LOST),
                 Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
