A request under which three back ends ended is kept away from all others

Cause: what a gateway knew of a request ended with the try, and an end looked like a reset connection, so each try of the caller was sent to the next engine, at every gateway.

Change: a lost connection is followed by one look at the back end's address; refused means that its process ended. Gateways tell each other which requests were there (up by a call of its own, down with the feed's answers, roots ask each other), and blame the request that was at most ends and never served: three ends needed, what was merely beside it is let go, a gateway that served it of late vouches for it. It is refused at once with 503 and how long the verdict stands (ten minutes after the last end, then one more try).

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -73,6 +73,9 @@
     let mut waiting = None;
     loop {
         changes.mark_unchanged();
+        if let Some(left) = call.quarantined_for() {
+            return Err(refuse_quarantined(call, left));
+        }
         let missing = match pick(call, tried) {
             Ok(back_end) => {
                 call.shared.metrics.queued(began.elapsed());
@@ -181,6 +184,19 @@
     call.refuse(reason, pause)
 }
 
+/// Nobody can serve it: its caller is told at once, and for how long that is certain.
+fn refuse_quarantined(call: &Call, left: Duration) -> Failure {
+    let fields = format_args!(
+        "request={} reason=quarantined fingerprint={} waited_ms={} retry_after_ms={}",
+        call.ticket.id,
+        call.fingerprint,
+        call.arrived.elapsed().as_millis(),
+        left.as_millis(),
+    );
+    lines::write(Rank::Decision, "refused", fields);
+    call.refuse("quarantined", left)
+}
+
 fn log_wait(call: &Call, missing: &Missing, until: Instant) {
     let load = load_fields(missing);
     let what = match missing {
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -153,12 +153,12 @@
                 self.note_unreachable();
                 AttemptEnd::NotSent("connection_closed")
             }
-            Exchange::Failed(reason) => {
-                if reason == CONNECTION_LOST {
-                    lost_connection::note(self.call, self.back_end).await;
-                }
+            Exchange::Withheld => AttemptEnd::NotSent("quarantined"),
+            Exchange::Failed(CONNECTION_LOST) => {
+                let reason = lost_connection::note(self.call, self.back_end).await;
                 failed(self.call, self.back_end, reason)
             }
+            Exchange::Failed(reason) => failed(self.call, self.back_end, reason),
             Exchange::Head(head) => accept(self.call, self.back_end, *head, work),
         }
     }
@@ -169,6 +169,10 @@
     }
 
     async fn exchange(&mut self, mut connection: Connection, is_kept: bool) -> Exchange {
+        // Meanwhile the word may have come that back ends end under the request.
+        if self.call.quarantined_for().is_some() {
+            return Exchange::Withheld;
+        }
         // A back end may have begun to leave while a connection was made.
         let id = &self.back_end.id;
         let active = |directory: &Directory| directory.is_active(id);
@@ -248,6 +252,8 @@
 }
 
 enum Exchange {
+    /// Nothing was written, for no fault of the back end.
+    Withheld,
     /// The connection was closed before anything was written.
     Unsent,
     /// Something was written, and no head came.
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -18,6 +18,8 @@
 const MAX_SENDS: u32 = 4;
 /// The connection to a back end broke.
 pub const CONNECTION_LOST: &str = "connection_lost";
+/// It broke, and nobody listens at the back end's address any more.
+pub const BACK_END_ENDED: &str = "back_end_ended";
 /// Pause that a caller is asked for when back ends turn requests away.
 const BUSY_PAUSE: Duration = Duration::from_millis(200);
 
@@ -92,7 +94,8 @@
     }
 
     fn takes_another(&self, call: &Call) -> bool {
-        let allowed = call.route.kind.may_repeat()
+        let allowed = call.quarantined_for().is_none()
+            && call.route.kind.may_repeat()
             && self.ran < call.route.max_attempts
             && self.sends < MAX_SENDS;
         allowed && self.withdraw_retry(call)
--- a/crates/gateway/src/feed/filler.rs
+++ b/crates/gateway/src/feed/filler.rs
@@ -6,9 +6,11 @@
 //! it answers this gateway follows it for a while, for itself and for those that ask it.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_util::future::join_all;
 use gorsebank_fleet::feeders::Place;
 use gorsebank_fleet::running::Counts;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
@@ -71,6 +73,7 @@
         .map(|rhythm| AbortOnDrop(tokio::spawn(follow_one(shared.clone(), rhythm))))
         .collect();
     let _exchange = AbortOnDrop(tokio::spawn(exchange_running(shared.clone())));
+    let _quarantine = AbortOnDrop(tokio::spawn(hear_fellow_roots(shared.clone())));
     while shared.feed.parents.lock().follows_table() {
         // A place that is held for a while ends without a ring.
         let _ = timeout(FEED_WAIT, shared.feed.moved.notified()).await;
@@ -96,6 +99,37 @@
     }
 }
 
+/// Asks the other roots, one question each at a time, for word of requests that end back
+/// ends, until it is dropped.
+async fn hear_fellow_roots(shared: Arc<Shared>) {
+    loop {
+        let fellows = shared.feed.parents.lock().fellow_roots();
+        let asked = fellows.iter().map(|fellow| hear(&shared, *fellow));
+        let began = Instant::now();
+        join_all(asked).await;
+        sleep_until(began + LEAST_PAUSE).await;
+    }
+}
+
+async fn hear(shared: &Shared, fellow: SocketAddr) {
+    let question = FeedQuestion {
+        tables: Vec::new(),
+        wait: FEED_WAIT.as_millis() as u64,
+        from: shared.settings.node.clone(),
+        running: Counts::new(),
+        quarantine: shared.quarantine.heard(fellow),
+    };
+    let client = shared.table().client();
+    let request = RelayRequest::News(question);
+    let limit = FEED_WAIT + ANSWER_TIMEOUT;
+    // One that does not answer is asked again in the next turn.
+    if let Some(RelayAnswer::News(answer)) = client.call(fellow, &request, limit).await
+        && let Some(news) = &answer.quarantine
+    {
+        shared.note_quarantine_news(fellow, news);
+    }
+}
+
 /// Follows one table, until it is dropped.
 async fn follow_one(shared: Arc<Shared>, rhythm: Rhythm) {
     let mut backoff = Backoff::new(FIRST_PAUSE, LONGEST_PAUSE);
@@ -217,6 +251,9 @@
         let answered = answer.is_some();
         let is_taken = match answer {
             Some(RelayAnswer::News(answer)) => {
+                if let Some(news) = &answer.quarantine {
+                    self.shared.note_quarantine_news(parent.address, news);
+                }
                 if let Some(sums) = &answer.running {
                     let now = self.shared.now();
                     self.shared.feed.running.lock().note_sums(now, sums, &own);
@@ -256,6 +293,7 @@
                 .running
                 .lock()
                 .below(self.shared.now(), own),
+            quarantine: self.shared.quarantine.heard(parent.address),
         }
     }
 
--- a/crates/gateway/src/feed/message.rs
+++ b/crates/gateway/src/feed/message.rs
@@ -2,11 +2,13 @@
 
 use std::sync::Arc;
 
+use gorsebank_fleet::quarantine::Position;
 use gorsebank_fleet::running::Counts;
 use gorsebank_world::NodeId;
 use serde::{Deserialize, Serialize};
 
 use super::packed::PackedChange;
+use crate::quarantine::QuarantineNews;
 
 /// How far a gateway knows a table.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -37,6 +39,10 @@
     pub from: NodeId,
     /// What the asker and those it feeds have running at back ends.
     pub running: Counts,
+    /// How far it knows what the one that is asked tells of requests that end back ends;
+    /// none if it knows nothing, as one of an older version.
+    #[serde(default)]
+    pub quarantine: Option<Position>,
 }
 
 /// News of one table.
@@ -79,4 +85,7 @@
     pub tables: Vec<TableNews>,
     /// What all gateways have running at back ends; none if it is not known.
     pub running: Option<Counts>,
+    /// Requests under which back ends ended; none from a gateway of an older version.
+    #[serde(default)]
+    pub quarantine: Option<QuarantineNews>,
 }
--- a/crates/gateway/src/feed/mod.rs
+++ b/crates/gateway/src/feed/mod.rs
@@ -36,6 +36,7 @@
 
 use crate::lines::{self, Rank};
 use crate::ports::RowChange;
+use crate::quarantine::SharedQuarantine;
 
 /// What this gateway knows of the tables, and where it learns it.
 #[derive(Default)]
@@ -102,19 +103,33 @@
     }
 
     /// News for another gateway: at once if there are any, or else when there are.
-    pub async fn news(&self, question: &FeedQuestion) -> Vec<TableNews> {
+    /// Word of requests that end back ends is news, too.
+    pub async fn news(
+        &self,
+        question: &FeedQuestion,
+        quarantine: &SharedQuarantine,
+    ) -> Vec<TableNews> {
         self.parents.lock().note_asked();
         self.asked.notify_one();
         let mut any = self.cache(|cache| cache.subscribe_to_any());
+        let mut grown = quarantine.subscribe();
         let wait = Duration::from_millis(question.wait).min(FEED_WAIT);
         let has_news = async {
             loop {
                 any.mark_unchanged();
+                grown.mark_unchanged();
                 let is_due = |cache: &mut TableCache| {
                     let mut tables = question.tables.iter();
                     tables.any(|it| cache.is_newer(it) || cache.is_too_old(it))
                 };
-                if self.cache(is_due) || any.changed().await.is_err() {
+                if self.cache(is_due) || quarantine.is_ahead_of(question.quarantine) {
+                    return;
+                }
+                let changed = tokio::select! {
+                    changed = any.changed() => changed,
+                    changed = grown.changed() => changed,
+                };
+                if changed.is_err() {
                     return;
                 }
             }
--- a/crates/gateway/src/feed/parents.rs
+++ b/crates/gateway/src/feed/parents.rs
@@ -97,6 +97,11 @@
         self.place
     }
 
+    /// Whether nobody feeds this gateway.
+    pub fn is_root(&self) -> bool {
+        self.place == Place::Root
+    }
+
     /// The other roots, at a root.
     pub fn fellow_roots(&self) -> Vec<SocketAddr> {
         self.fellow_roots.clone()
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod plain;
 pub mod ports;
 pub mod process;
+pub mod quarantine;
 pub mod reading_rows;
 pub mod relay;
 pub mod request;
--- a/crates/gateway/src/lost_connection.rs
+++ b/crates/gateway/src/lost_connection.rs
@@ -9,6 +9,7 @@
 
 use tokio::time::{Instant, timeout};
 
+use crate::attempts::{BACK_END_ENDED, CONNECTION_LOST};
 use crate::back_end::BackEnd;
 use crate::directory::Directory;
 use crate::lines::{self, Rank};
@@ -18,8 +19,9 @@
 /// known within a round trip, and one that is dropped shows nothing.
 const LOOK_WAIT: Duration = Duration::from_millis(100);
 
-/// Notes that the connection to `back_end` was lost while `call` was there.
-pub async fn note(call: &Call, back_end: &Arc<BackEnd>) {
+/// Notes that the connection to `back_end` was lost while `call` was there. Out: whether the
+/// back end has ended, as a reason for lines, as far as it is known in time.
+pub async fn note(call: &Call, back_end: &Arc<BackEnd>) -> &'static str {
     let lost = Instant::now();
     let (shared, back_end) = (call.shared.clone(), back_end.clone());
     let (request, fingerprint) = (call.ticket.id.clone(), call.fingerprint);
@@ -34,7 +36,14 @@
             !was_active
         );
         lines::write(Rank::Decision, "connection_lost", fields);
+        if ended && was_active {
+            shared.note_end_under(fingerprint, id);
+        }
+        ended
     });
     // What is not known in time is noted later, and counts from then on.
-    let _ = timeout(LOOK_WAIT, noting).await;
+    match timeout(LOOK_WAIT, noting).await {
+        Ok(Ok(true)) => BACK_END_ENDED,
+        _ => CONNECTION_LOST,
+    }
 }
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -8,7 +8,7 @@
 
 use crate::admission::admit;
 use crate::attempt::{Answer, AttemptEnd, send};
-use crate::attempts::{Attempts, Next};
+use crate::attempts::{Attempts, BACK_END_ENDED, Next};
 use crate::failure::Failure;
 use crate::lost_connection;
 use crate::request::{AnswerBody, Call, answer_head};
@@ -58,11 +58,14 @@
     let back_end = answer.back_end.clone();
     let Some(body) = answer.read_whole(call.deadline).await else {
         call.expose();
-        if Instant::now() < call.deadline {
-            lost_connection::note(call, &back_end).await;
+        let mut reason = "answer_cut";
+        if Instant::now() < call.deadline
+            && lost_connection::note(call, &back_end).await == BACK_END_ENDED
+        {
+            reason = BACK_END_ENDED;
         }
         back_end.note(|health| health.unreachable(call.shared.now()));
-        return Err(attempts.may_have_run(call, "answer_cut"));
+        return Err(attempts.may_have_run(call, reason));
     };
     let latency = answer.age().as_millis() as u64;
     let now = call.shared.now();
@@ -71,6 +74,7 @@
         answer.keep_connection(&call.shared);
         return Err(attempts.not_run(call));
     }
+    call.shared.note_whole_answer(call.fingerprint);
     if answer.promises_falsely() {
         back_end.note(|health| health.failed(now));
         return Err(attempts.may_have_run(call, "untrue_promise"));
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -16,7 +16,7 @@
 use crate::server::{self, Connections};
 use crate::settings::GatewaySettings;
 use crate::shared::Shared;
-use crate::{demand_teller, feed, holder, lateness, members, relay, watch};
+use crate::{demand_teller, feed, holder, lateness, members, quarantine, relay, watch};
 
 /// How often a stopping process looks whether all requests have ended.
 const DRAIN_POLL: Duration = Duration::from_millis(50);
@@ -138,6 +138,7 @@
     let duties = [
         tokio::spawn(feed::filler::run(shared.clone())),
         tokio::spawn(demand_teller::run(shared.clone())),
+        tokio::spawn(quarantine::hand_up(shared.clone())),
         tokio::spawn(holder::run(shared.clone())),
         tokio::spawn(members::keep(shared)),
     ]
--- /dev/null
+++ b/crates/gateway/src/quarantine.rs
@@ -0,0 +1,186 @@
+//! Requests that are kept away from back ends, as this gateway knows and tells it.
+//!
+//! ```text
+//! lost connections, whole answers --> known --> verdicts on requests
+//!          gateways that this one feeds --^  \--> those that it feeds (with the feed's answers)
+//!                                             \--> the one that feeds it, at once
+//! ```
+//!
+//! The word goes up by a call of its own and comes down with the answers to waiting
+//! questions, so it is everywhere within a few round trips, whether the table answers or not.
+//! Roots ask each other. A gateway that starts later is told all that is remembered.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use gorsebank_coordination::Timestamp;
+use gorsebank_fleet::quarantine::{Position, Source, ToldFate};
+use gorsebank_fleet::{Fingerprint, Quarantine};
+use gorsebank_world::BackEndId;
+use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
+use tokio::sync::watch;
+use tokio::time::{sleep, timeout};
+
+use crate::lines::{self, Rank};
+use crate::relay::{RelayAnswer, RelayRequest};
+use crate::shared::Shared;
+
+/// Pause before the word is handed up again when nobody took it: a fifteenth of the three
+/// seconds that users allow it to all gateways.
+const HAND_UP_PAUSE: Duration = Duration::from_millis(200);
+/// A gateway takes the word within this time, or another one is told.
+const HAND_UP_TIMEOUT: Duration = Duration::from_millis(300);
+/// Whoever has nothing to hand up looks again after so long.
+const IDLE: Duration = Duration::from_secs(5);
+
+/// News of requests under which back ends ended, for one who asked.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QuarantineNews {
+    /// Where the asker is when it has taken in the events.
+    pub position: Position,
+    /// What happened, in the order in which the teller learned of it.
+    pub events: Vec<ToldFate>,
+}
+
+/// What this gateway knows, and how far it knows what others tell.
+pub struct SharedQuarantine {
+    known: Mutex<Quarantine>,
+    /// Rings when there is more to tell.
+    grown: watch::Sender<()>,
+    heard: Mutex<HashMap<SocketAddr, Position>>,
+}
+
+impl Default for SharedQuarantine {
+    fn default() -> Self {
+        SharedQuarantine {
+            known: Mutex::new(Quarantine::new(rand::random())),
+            grown: watch::Sender::new(()),
+            heard: Mutex::default(),
+        }
+    }
+}
+
+impl SharedQuarantine {
+    /// How much longer a request is kept away from back ends; none if it may be sent.
+    pub fn verdict(&self, now: Timestamp, fingerprint: Fingerprint) -> Option<Duration> {
+        let left = self.known.lock().verdict(now, fingerprint)?;
+        Some(Duration::from_millis(left))
+    }
+
+    /// A back end ended while a request of this gateway was there. True if other requests
+    /// than before are kept away.
+    pub fn note_end(&self, now: Timestamp, request: Fingerprint, back_end: &BackEndId) -> bool {
+        self.change(|known| known.note_end(now, request, back_end))
+    }
+
+    /// A back end answered a request of this gateway whole. True as above.
+    pub fn note_served(&self, now: Timestamp, request: Fingerprint) -> bool {
+        self.change(|known| known.note_served(now, request))
+    }
+
+    /// Another gateway told of events. True as above.
+    pub fn take(&self, now: Timestamp, told: &[ToldFate], source: Source) -> bool {
+        self.change(|known| {
+            known.take(now, told, source);
+        })
+    }
+
+    /// The gateway at `address` answered with news. True as above.
+    pub fn take_news(&self, now: Timestamp, address: SocketAddr, news: &QuarantineNews) -> bool {
+        self.heard.lock().insert(address, news.position);
+        self.take(now, &news.events, Source::Beside)
+    }
+
+    /// How far the gateway at `address` is known.
+    pub fn heard(&self, address: SocketAddr) -> Option<Position> {
+        self.heard.lock().get(&address).copied()
+    }
+
+    /// What is new to one at this position.
+    pub fn news(&self, now: Timestamp, position: Option<Position>) -> QuarantineNews {
+        let known = self.known.lock();
+        QuarantineNews {
+            position: known.position(),
+            events: known.since(now, position),
+        }
+    }
+
+    /// Whether anything is new to one at this position.
+    pub fn is_ahead_of(&self, position: Option<Position>) -> bool {
+        self.known.lock().is_ahead_of(position)
+    }
+
+    /// Rings when there is more to tell.
+    pub fn subscribe(&self) -> watch::Receiver<()> {
+        self.grown.subscribe()
+    }
+
+    fn change(&self, act: impl FnOnce(&mut Quarantine)) -> bool {
+        let mut known = self.known.lock();
+        let (changes, position) = (known.verdict_changes(), known.position());
+        act(&mut known);
+        let has_changed = known.verdict_changes() != changes;
+        let has_grown = known.position() != position;
+        let count = known.verdict_count();
+        drop(known);
+        if has_grown {
+            self.grown.send_replace(());
+        }
+        if has_changed {
+            let fields = format_args!("requests={count}");
+            lines::write(Rank::Decision, "quarantine", fields);
+        }
+        has_changed
+    }
+
+    /// What this gateway and those that it feeds saw since a position.
+    fn seen_below(&self, now: Timestamp, position: Option<Position>) -> QuarantineNews {
+        let known = self.known.lock();
+        QuarantineNews {
+            position: known.position(),
+            events: known.seen_below_since(now, position),
+        }
+    }
+}
+
+/// Hands the word to a gateway that feeds this one, until it is dropped.
+pub async fn hand_up(shared: Arc<Shared>) {
+    let mut grown = shared.quarantine.subscribe();
+    let mut handed: Option<Position> = None;
+    loop {
+        grown.mark_unchanged();
+        let news = shared.quarantine.seen_below(shared.now(), handed);
+        if news.events.is_empty() {
+            handed = Some(news.position);
+            // Time is up or there is more: the next turn looks.
+            let _ = timeout(IDLE, grown.changed()).await;
+        } else if hand_to_any(&shared, news.events).await {
+            handed = Some(news.position);
+        } else {
+            sleep(HAND_UP_PAUSE).await;
+        }
+    }
+}
+
+/// True if a gateway took it. At a root there is nobody above: the others ask it.
+async fn hand_to_any(shared: &Shared, events: Vec<ToldFate>) -> bool {
+    let (is_root, candidates) = {
+        let parents = shared.feed.parents.lock();
+        (parents.is_root(), parents.candidates())
+    };
+    if is_root {
+        return true;
+    }
+    let request = RelayRequest::Quarantine(events);
+    for parent in candidates {
+        let client = shared.table().client();
+        let answer = client.call(parent.address, &request, HAND_UP_TIMEOUT).await;
+        if matches!(answer, Some(RelayAnswer::Noted)) {
+            return true;
+        }
+    }
+    false
+}
--- a/crates/gateway/src/relay/message.rs
+++ b/crates/gateway/src/relay/message.rs
@@ -2,6 +2,7 @@
 
 use gorsebank_contract::{TableAnswer, Transaction};
 use gorsebank_fleet::DemandRow;
+use gorsebank_fleet::quarantine::ToldFate;
 use gorsebank_fleet::running::Counts;
 use gorsebank_world::NodeId;
 use serde::{Deserialize, Serialize};
@@ -53,6 +54,8 @@
     Running(RootCounts),
     /// What callers of a gateway ask for, for the placement holder.
     Demand(ToldDemand),
+    /// Requests under which back ends ended, as the asker and those that it feeds saw.
+    Quarantine(Vec<ToldFate>),
     /// A transaction.
     Transact(Transaction),
     /// The removal of a row.
@@ -90,6 +93,8 @@
         /// It did.
         by_holder: bool,
     },
+    /// To what was told of requests that end back ends.
+    Noted,
     /// To a transaction or a removal.
     Transacted(TableAnswer),
     /// The table gave no answer, or the gateway does not reach it either.
--- a/crates/gateway/src/relay/server.rs
+++ b/crates/gateway/src/relay/server.rs
@@ -70,6 +70,10 @@
             RelayAnswer::Running(shared.root_counts())
         }
         RelayRequest::Demand(told) => hear(shared, told).await,
+        RelayRequest::Quarantine(told) => {
+            shared.note_told_fates(&told);
+            RelayAnswer::Noted
+        }
         exact => match shared.table().direct() {
             Some(table) => answer_exactly(table, exact).await,
             None => RelayAnswer::Failed(out_of_reach()),
@@ -82,9 +86,14 @@
     let (from, now) = (question.from.as_str(), shared.now());
     let counts = question.running.clone();
     shared.feed.running.lock().note_fed(now, from, counts);
-    let tables = shared.feed.news(&question).await;
+    let tables = shared.feed.news(&question, &shared.quarantine).await;
     let running = shared.running_sums();
-    FeedAnswer { tables, running }
+    let quarantine = shared.quarantine.news(shared.now(), question.quarantine);
+    FeedAnswer {
+        tables,
+        running,
+        quarantine: Some(quarantine),
+    }
 }
 
 /// Takes in demand if this gateway places models, or else hands it on if it is to.
@@ -129,9 +138,10 @@
             RelayAnswer::Transacted(table.transact(transaction).await)
         }
         // These are no calls of the table.
-        RelayRequest::News(_) | RelayRequest::Running(_) | RelayRequest::Demand(_) => {
-            RelayAnswer::Failed(out_of_reach())
-        }
+        RelayRequest::News(_)
+        | RelayRequest::Running(_)
+        | RelayRequest::Demand(_)
+        | RelayRequest::Quarantine(_) => RelayAnswer::Failed(out_of_reach()),
         RelayRequest::Remove { key, version } => {
             RelayAnswer::Transacted(table.remove(&key, version).await)
         }
--- a/crates/gateway/src/relay/table.rs
+++ b/crates/gateway/src/relay/table.rs
@@ -289,7 +289,10 @@
 fn reached(answer: &RelayAnswer) -> bool {
     match answer {
         RelayAnswer::Rows(_) | RelayAnswer::Changes(_) => true,
-        RelayAnswer::News(_) | RelayAnswer::Running(_) | RelayAnswer::Heard { .. } => false,
+        RelayAnswer::News(_)
+        | RelayAnswer::Running(_)
+        | RelayAnswer::Heard { .. }
+        | RelayAnswer::Noted => false,
         RelayAnswer::Transacted(answer) => matches!(
             answer,
             TableAnswer::Committed { .. } | TableAnswer::Conflict { .. }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -100,6 +100,12 @@
         self.exposed.store(true, Ordering::Relaxed);
     }
 
+    /// How much longer it is kept away from back ends, since they end under it.
+    pub fn quarantined_for(&self) -> Option<Duration> {
+        let now = self.shared.now();
+        self.shared.quarantine.verdict(now, self.fingerprint)
+    }
+
     /// Whether a back end may have run it.
     pub fn is_exposed(&self) -> bool {
         self.exposed.load(Ordering::Relaxed)
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -13,10 +13,13 @@
 use gorsebank_coordination::Timestamp;
 use gorsebank_fleet::feeders::Place;
 use gorsebank_fleet::placement::StoreRecords;
+use gorsebank_fleet::quarantine::{Source, ToldFate};
 use gorsebank_fleet::running::Counts;
 use gorsebank_fleet::split::Split;
-use gorsebank_fleet::{Configuration, Demand, ReadingModel, ReadingSample, RetryWindow};
-use gorsebank_world::{NodeId, ServiceId};
+use gorsebank_fleet::{
+    Configuration, Demand, Fingerprint, ReadingModel, ReadingSample, RetryWindow,
+};
+use gorsebank_world::{BackEndId, NodeId, ServiceId};
 use parking_lot::{Mutex, RwLock};
 use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
@@ -29,6 +32,7 @@
 use crate::orders;
 use crate::patience::Patience;
 use crate::ports::Platform;
+use crate::quarantine::{QuarantineNews, SharedQuarantine};
 use crate::relay::{RelayedTable, RootCounts};
 use crate::settings::GatewaySettings;
 
@@ -72,6 +76,8 @@
     pub new_holder: Notify,
     /// What this gateway knows of the tables.
     pub feed: Feed,
+    /// Requests that are kept away from back ends.
+    pub quarantine: SharedQuarantine,
     /// What all gateways have told of their demand, while this one places models.
     pub demand_rows: DemandRows,
     /// How long orders to engines wait for their answers.
@@ -119,6 +125,7 @@
             urgent_demand: Notify::new(),
             new_holder: Notify::new(),
             feed: Feed::default(),
+            quarantine: SharedQuarantine::default(),
             demand_rows: DemandRows::default(),
             order_patience: orders::patience(),
             configuration: RwLock::new(None),
@@ -241,6 +248,34 @@
         running.note_root(now, told.from.as_str(), told.counts);
     }
 
+    /// Gateways that this one feeds told of requests under which back ends ended.
+    pub fn note_told_fates(&self, told: &[ToldFate]) {
+        if self.quarantine.take(self.now(), told, Source::Below) {
+            self.changed();
+        }
+    }
+
+    /// The gateway at `address` answered with news of such requests.
+    pub fn note_quarantine_news(&self, address: SocketAddr, news: &QuarantineNews) {
+        if self.quarantine.take_news(self.now(), address, news) {
+            self.changed();
+        }
+    }
+
+    /// A back end ended under a request of this gateway.
+    pub fn note_end_under(&self, request: Fingerprint, back_end: &BackEndId) {
+        if self.quarantine.note_end(self.now(), request, back_end) {
+            self.changed();
+        }
+    }
+
+    /// A back end answered a request of this gateway whole, and lives.
+    pub fn note_whole_answer(&self, request: Fingerprint) {
+        if self.quarantine.note_served(self.now(), request) {
+            self.changed();
+        }
+    }
+
     /// What all gateways have running at back ends; none if it is not known.
     pub fn running_sums(&self) -> Option<Counts> {
         let own = self.own_running();
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -193,6 +193,8 @@
                     let latency = self.first_event.unwrap_or_default().as_millis() as u64;
                     let now = self.call.shared.now();
                     back_end.note(|health| health.answered(now, latency));
+                    let shared = &self.call.shared;
+                    shared.note_whole_answer(self.call.fingerprint);
                     answer.keep_connection(&self.call.shared);
                     self.is_whole.store(true, Ordering::Release);
                     return self.end("served", back_end.id.as_str());
@@ -203,9 +205,12 @@
             };
             // Closing the connection cancels the request before it goes on elsewhere.
             drop(answer);
-            if matches!(reason, CONNECTION_LOST | PARTIAL_EVENT) {
-                lost_connection::note(&self.call, &back_end).await;
-            }
+            let reason = match reason {
+                CONNECTION_LOST | PARTIAL_EVENT => {
+                    lost_connection::note(&self.call, &back_end).await
+                }
+                reason => reason,
+            };
             back_end.note(|health| health.unreachable(self.call.shared.now()));
             match self.resume(reason).await {
                 Some(next) => answer = next,
