A suspended machine: leases, ages and deadlines count the time in which it stood still

Cause: Instant is the steady clock, which stands still while a machine is suspended. By it a holder's lease was still valid, a gateway told others as fresh what it had known before, and engines were given time that their callers no longer had; connections that others had given up were used.

Change: Shared::now and the ages of tables come from CLOCK_BOOTTIME behind a port; arrival and deadline of a request move by what was suspended since; whoever waits is woken; answers that may have lain there and connections from before are not used. While a request is being written it counts as possibly run, whichever timer ends it first: the outer one gave 503 when it fired before the inner one, which a suspension makes likely.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -104,12 +104,12 @@
 fn worth_waiting(call: &Call, missing: &Missing) -> Option<Instant> {
     let now = Instant::now();
     let objective = call.route.objective;
-    let give_up = call.arrived + caller_patience(call).mul_f64(PATIENCE_PART);
-    let give_up = give_up.min(call.deadline);
+    let give_up = call.arrived() + caller_patience(call).mul_f64(PATIENCE_PART);
+    let give_up = give_up.min(call.deadline());
     let until = match missing {
         _ if call.returning && !matches!(missing, Missing::Model(_)) => give_up,
-        Missing::BackEnd => call.arrived + objective.mul_f64(EARLY_PART),
-        Missing::Adapter => call.arrived + objective.mul_f64(ADAPTER_WAIT_PART),
+        Missing::BackEnd => call.arrived() + objective.mul_f64(EARLY_PART),
+        Missing::Adapter => call.arrived() + objective.mul_f64(ADAPTER_WAIT_PART),
         Missing::Model(load) => wait_for_load(call, now, *load, give_up)?,
     };
     let until = match call.time_to_begin() {
@@ -129,11 +129,11 @@
 ) -> Option<Instant> {
     let objective = call.route.objective;
     let ready = now + load.time + FIRST_EVENT;
-    let in_time = call.arrived + objective.mul_f64(IN_TIME_PART);
+    let in_time = call.arrived() + objective.mul_f64(IN_TIME_PART);
     if ready <= in_time {
         return Some(in_time);
     }
-    let early = call.arrived + objective.mul_f64(EARLY_PART);
+    let early = call.arrived() + objective.mul_f64(EARLY_PART);
     if !load.ordered && now < early && load.time < objective {
         return Some(early);
     }
@@ -141,7 +141,7 @@
     let until = if load.ordered {
         give_up
     } else {
-        give_up.min(call.arrived + call.held().mul_f64(UNORDERED_PART))
+        give_up.min(call.arrived() + call.held().mul_f64(UNORDERED_PART))
     };
     (!refusal_gains && ready <= give_up).then_some(until)
 }
@@ -190,7 +190,7 @@
         "request={} reason=quarantined fingerprint={} waited_ms={} retry_after_ms={}",
         call.ticket.id,
         call.fingerprint,
-        call.arrived.elapsed().as_millis(),
+        call.age().as_millis(),
         left.as_millis(),
     );
     lines::write(Rank::Decision, "refused", fields);
@@ -233,7 +233,7 @@
     let fields = format_args!(
         "request={} reason={reason} {load} waited_ms={} objective_ms={} returning={} retry_after_ms={} configuration={}",
         call.ticket.id,
-        call.arrived.elapsed().as_millis(),
+        call.age().as_millis(),
         call.route.objective.as_millis(),
         call.returning,
         pause.as_millis(),
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -127,8 +127,9 @@
 
 impl Sending<'_> {
     async fn send(&mut self, work: Work) -> AttemptEnd {
+        let suspended = self.call.shared.clock.suspended();
         for _ in 0..KEPT_TRIES {
-            let Some(connection) = self.back_end.kept_connection() else {
+            let Some(connection) = self.back_end.kept_connection(suspended) else {
                 break;
             };
             match self.exchange(connection, true).await {
@@ -137,7 +138,7 @@
             }
         }
         let began = Instant::now();
-        let connecting = timeout_at(self.call.deadline, self.back_end.connect()).await;
+        let connecting = timeout_at(self.call.deadline(), self.back_end.connect()).await;
         self.call.shared.metrics.connected(began.elapsed());
         let Ok(Ok(connection)) = connecting else {
             self.note_unreachable();
@@ -187,22 +188,24 @@
             patience: self.patience,
             may_be_silent: is_kept,
         };
+        self.call.begin_doubt();
         let mut response = pin!(connection.sender.try_send_request(request));
-        let mut until = self.call.deadline.min(sent + self.patience);
+        let mut until = self.call.deadline().min(sent + self.patience);
         let answered = loop {
             match timeout_at(until, response.as_mut()).await {
                 Ok(answered) => break answered,
-                Err(_) if Instant::now() >= self.call.deadline => {
+                Err(_) if Instant::now() >= self.call.deadline() => {
                     return Exchange::Failed("no_head");
                 }
                 Err(_) if self.attempts.may_move_on(self.call) => {
                     return Exchange::Failed("no_head");
                 }
-                Err(_) => until = self.call.deadline.min(until + self.patience),
+                Err(_) => until = self.call.deadline().min(until + self.patience),
             }
         };
         awaited.may_be_silent = false;
         match answered {
+            // Whether it ran is what the head says.
             Ok(response) => {
                 let (parts, body) = response.into_parts();
                 Exchange::Head(Box::new(Head {
@@ -213,7 +216,10 @@
                 }))
             }
             Err(mut error) => match error.take_message() {
-                Some(_) => Exchange::Unsent,
+                Some(_) => {
+                    self.call.end_doubt();
+                    Exchange::Unsent
+                }
                 None => Exchange::Failed(CONNECTION_LOST),
             },
         }
@@ -240,6 +246,7 @@
 
 fn failed(call: &Call, back_end: &BackEnd, reason: &'static str) -> AttemptEnd {
     call.expose();
+    call.end_doubt();
     back_end.note(|health| health.unreachable(call.shared.now()));
     AttemptEnd::MayHaveRun(reason)
 }
@@ -269,7 +276,7 @@
     *request.headers_mut() = call.head.headers.clone();
     let head = AttemptHead {
         back_end: &back_end.id,
-        time_left: call.deadline.saturating_duration_since(Instant::now()),
+        time_left: call.deadline().saturating_duration_since(Instant::now()),
         priority: call.route.priority,
         last_event,
     };
@@ -290,6 +297,7 @@
     if !marks.not_run {
         call.expose();
     }
+    call.end_doubt();
     AttemptEnd::Answered(Box::new(Answer {
         head: head.parts,
         body: head.body,
--- a/crates/gateway/src/back_end.rs
+++ b/crates/gateway/src/back_end.rs
@@ -8,7 +8,7 @@
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -25,6 +25,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, timeout};
 
+use crate::clock::LEAST_SUSPENSION;
 use crate::ports::Ticket;
 
 /// Longest time to establish a connection.
@@ -60,6 +61,9 @@
     unread_tokens: AtomicU32,
     row: Mutex<SeenRow>,
     look: tokio::sync::Mutex<Option<Look>>,
+    /// How long the machine had been suspended when a connection was last taken, in
+    /// milliseconds.
+    suspended: AtomicU64,
 }
 
 /// A look at whether the back end's process is still there.
@@ -137,6 +141,7 @@
             unread_tokens: AtomicU32::new(0),
             row: Mutex::default(),
             look: tokio::sync::Mutex::default(),
+            suspended: AtomicU64::new(0),
         }
     }
 
@@ -221,9 +226,16 @@
         self.unread_tokens.load(Ordering::Relaxed)
     }
 
-    /// A kept connection that is ready, if there is one.
-    pub fn kept_connection(&self) -> Option<Connection> {
+    /// A kept connection that is ready, if there is one. `suspended` is how long the machine
+    /// has been, in all: connections from before may have been given up at the other end.
+    pub fn kept_connection(&self, suspended: Duration) -> Option<Connection> {
         let mut idle = self.idle.lock();
+        let known = self
+            .suspended
+            .swap(suspended.as_millis() as u64, Ordering::Relaxed);
+        if suspended >= Duration::from_millis(known) + LEAST_SUSPENSION {
+            idle.clear();
+        }
         idle.retain(Connection::is_usable);
         let index = idle
             .iter()
--- a/crates/gateway/src/candidates.rs
+++ b/crates/gateway/src/candidates.rs
@@ -114,7 +114,7 @@
         chosen.id,
         chosen.in_flight(),
         health.latency().unwrap_or(0.0),
-        call.arrived.elapsed().as_millis(),
+        call.age().as_millis(),
         call.route.priority,
         chosen.fresh_tokens(&call.ticket),
         chosen.row().version,
--- a/crates/gateway/src/feed/cache.rs
+++ b/crates/gateway/src/feed/cache.rs
@@ -12,10 +12,10 @@
 use std::time::Duration;
 
 use tokio::sync::watch;
-use tokio::time::Instant;
 
 use super::message::{News, TableNews, TablePosition};
 use super::packed::PackedChange;
+use crate::clock::Clock;
 use crate::ports::{TableChanges, TableSnapshot};
 
 /// Changes of a table that are kept: those that ask are behind by less than a second.
@@ -31,8 +31,8 @@
     changes: VecDeque<Arc<PackedChange>>,
     since: u64,
     version: u64,
-    /// When the table confirmed that nothing newer stands in it.
-    confirmed: Option<Instant>,
+    /// When the table confirmed that nothing newer stands in it, since the machine started.
+    confirmed: Option<Duration>,
     /// Rings with the version when rows changed.
     newest: watch::Sender<u64>,
 }
@@ -43,9 +43,18 @@
     tables: HashMap<String, CachedTable>,
     /// Rings when any table changed.
     any: watch::Sender<()>,
+    clock: Clock,
 }
 
 impl TableCache {
+    /// Nothing is kept yet.
+    pub fn new(clock: Clock) -> Self {
+        TableCache {
+            clock,
+            ..TableCache::default()
+        }
+    }
+
     /// The table was read as a whole.
     pub fn replace(&mut self, table: &str, snapshot: &TableSnapshot) {
         let rows = snapshot.rows.iter().map(PackedChange::put).map(Arc::new);
@@ -86,6 +95,7 @@
         version: u64,
         age: Duration,
     ) {
+        let now = self.clock.since_boot();
         let kept = self.entry(table);
         if version < kept.version {
             return;
@@ -99,7 +109,7 @@
         kept.rows = Some(rows);
         kept.has_gap = false;
         kept.version = version;
-        kept.confirm(age);
+        kept.confirm(now, age);
         kept.newest.send_replace(version);
         self.any.send_replace(());
     }
@@ -112,6 +122,7 @@
         version: u64,
         age: Duration,
     ) {
+        let now = self.clock.since_boot();
         let kept = self.entry(table);
         if after > kept.version {
             kept.restart(after);
@@ -124,7 +135,7 @@
             kept.take(change);
         }
         kept.version = version;
-        kept.confirm(age);
+        kept.confirm(now, age);
         if has_changes {
             kept.newest.send_replace(version);
             self.any.send_replace(());
@@ -161,7 +172,7 @@
         };
         Some(TableNews {
             table: position.table.clone(),
-            age: kept.age()?.as_millis() as u64,
+            age: kept.age(self.clock.since_boot())?.as_millis() as u64,
             news,
         })
     }
@@ -183,7 +194,7 @@
 
     /// Time since the table confirmed what is known of it; none if nothing is known.
     pub fn age(&self, table: &str) -> Option<Duration> {
-        self.tables.get(table)?.age()
+        self.tables.get(table)?.age(self.clock.since_boot())
     }
 
     /// Rings when a table has a change.
@@ -237,13 +248,13 @@
     }
 
     /// What was confirmed `age` ago, unless a later confirmation is known.
-    fn confirm(&mut self, age: Duration) {
-        let at = Instant::now().checked_sub(age);
+    fn confirm(&mut self, now: Duration, age: Duration) {
+        let at = now.checked_sub(age);
         self.confirmed = self.confirmed.max(at);
     }
 
-    fn age(&self) -> Option<Duration> {
-        Some(self.confirmed?.elapsed())
+    fn age(&self, now: Duration) -> Option<Duration> {
+        Some(now.saturating_sub(self.confirmed?))
     }
 
     /// Changes after `version`, in order: each of them, since a back end that said that it
--- a/crates/gateway/src/feed/filler.rs
+++ b/crates/gateway/src/feed/filler.rs
@@ -172,17 +172,26 @@
     }
 }
 
-/// One call of the table: all rows if they are not known, or else what changed.
+/// One call of the table: all rows if they are not known, or else what changed. An answer
+/// that may have lain there while the machine was suspended says nothing of now: the next
+/// call asks again.
 async fn advance(shared: &Shared, rhythm: &Rhythm) -> Result<(), TableError> {
     let source = shared.table();
     let table = rhythm.table;
+    let suspended = shared.clock.suspended();
     match shared.feed.cache(|cache| cache.version(table)) {
         None => {
             let snapshot = source.read(table).await?;
+            if shared.clock.was_suspended_since(suspended) {
+                return Ok(());
+            }
             shared.feed.cache(|cache| cache.replace(table, &snapshot));
         }
         Some(version) => {
             let told = source.changes(table, version, rhythm.wait).await?;
+            if shared.clock.was_suspended_since(suspended) {
+                return Ok(());
+            }
             shared
                 .feed
                 .cache(|cache| cache.advance(table, version, &told));
@@ -247,7 +256,10 @@
         let request = RelayRequest::News(question.clone());
         let limit = FEED_WAIT + ANSWER_TIMEOUT;
         let client = self.shared.table().client();
+        let suspended = self.shared.clock.suspended();
         let answer = client.call(parent.address, &request, limit).await;
+        // It may have lain there meanwhile: it is asked for again.
+        let answer = answer.filter(|_| !self.shared.clock.was_suspended_since(suspended));
         let answered = answer.is_some();
         let is_taken = match answer {
             Some(RelayAnswer::News(answer)) => {
--- a/crates/gateway/src/feed/mod.rs
+++ b/crates/gateway/src/feed/mod.rs
@@ -34,12 +34,12 @@
 pub use parents::{Member, Parents};
 pub use rhythm::{FEED_WAIT, Rhythm, longest_without_news, rhythms};
 
+use crate::clock::Clock;
 use crate::lines::{self, Rank};
 use crate::ports::RowChange;
 use crate::quarantine::SharedQuarantine;
 
 /// What this gateway knows of the tables, and where it learns it.
-#[derive(Default)]
 pub struct Feed {
     cache: Mutex<TableCache>,
     /// Whom to ask.
@@ -62,6 +62,17 @@
 }
 
 impl Feed {
+    /// Knows nothing yet.
+    pub fn new(clock: Clock) -> Self {
+        Feed {
+            cache: Mutex::new(TableCache::new(clock)),
+            parents: Mutex::default(),
+            running: Mutex::default(),
+            asked: Notify::default(),
+            moved: Notify::default(),
+        }
+    }
+
     /// Uses what is kept.
     pub fn cache<T>(&self, act: impl FnOnce(&mut TableCache) -> T) -> T {
         act(&mut self.cache.lock())
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod back_end;
 pub mod backoff;
 pub mod candidates;
+pub mod clock;
 pub mod demand_rows;
 pub mod demand_teller;
 pub mod directory;
@@ -46,8 +47,10 @@
 pub mod settings;
 pub mod shared;
 pub mod stream;
+mod suspension;
 pub mod sweeper;
 pub mod watch;
 
+pub use clock::{Clock, TimeSource};
 pub use process::{Gateway, run};
 pub use settings::GatewaySettings;
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -33,7 +33,8 @@
 pub async fn ask(shared: &Shared, engine: &Arc<BackEnd>) -> Option<EngineReport> {
     let request = shared.platform.report_request(&engine.id);
     let asked = Instant::now();
-    let Ok(answered) = timeout(ANSWER_TIMEOUT, send(engine, request)).await else {
+    let suspended = shared.clock.suspended();
+    let Ok(answered) = timeout(ANSWER_TIMEOUT, send(shared, engine, request)).await else {
         engine.drop_unproved(asked);
         return None;
     };
@@ -45,7 +46,8 @@
         .ok()?
         .ok()?;
     engine.keep(connection, rest, shared.idle_connections(&engine.service));
-    if !status.is_success() {
+    // What lay there while the machine was suspended says nothing of now.
+    if !status.is_success() || shared.clock.was_suspended_since(suspended) {
         return None;
     }
     match shared.platform.report(&body.to_bytes()) {
@@ -66,7 +68,7 @@
     still_valid: impl Fn() -> bool,
 ) -> OrderResult {
     let request = shared.platform.order_request(order);
-    let sending = send_if(engine, request, still_valid);
+    let sending = send_if(shared, engine, request, still_valid);
     let began = Instant::now();
     let (response, connection) = match timeout(shared.order_patience.wait(), sending).await {
         Ok(Ok(answered)) => answered,
@@ -90,10 +92,11 @@
 }
 
 async fn send(
+    shared: &Shared,
     engine: &Arc<BackEnd>,
     request: Request<Bytes>,
 ) -> Option<(Response<Incoming>, Connection)> {
-    let (response, connection) = send_if(engine, request, || true).await.ok()?;
+    let (response, connection) = send_if(shared, engine, request, || true).await.ok()?;
     Some((response?, connection))
 }
 
@@ -103,11 +106,12 @@
 /// A connection is made first, so that nothing lies between the check and the write.
 /// Out: no response if the connection was lost after that.
 async fn send_if(
+    shared: &Shared,
     engine: &Arc<BackEnd>,
     request: Request<Bytes>,
     still_valid: impl Fn() -> bool,
 ) -> Result<(Option<Response<Incoming>>, Connection), Unsent> {
-    let mut connection = match engine.kept_connection() {
+    let mut connection = match engine.kept_connection(shared.clock.suspended()) {
         Some(connection) => connection,
         None => engine.connect().await.map_err(|_| Unsent)?,
     };
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -56,10 +56,10 @@
     mut answer: Answer,
 ) -> Result<Response<AnswerBody>, Next> {
     let back_end = answer.back_end.clone();
-    let Some(body) = answer.read_whole(call.deadline).await else {
+    let Some(body) = answer.read_whole(call.deadline()).await else {
         call.expose();
         let mut reason = "answer_cut";
-        if Instant::now() < call.deadline
+        if Instant::now() < call.deadline()
             && lost_connection::note(call, &back_end).await == BACK_END_ENDED
         {
             reason = BACK_END_ENDED;
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -10,13 +10,14 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::JoinHandle;
 
+use crate::clock::Clock;
 use crate::demand_rows::AbortOnDrop;
 use crate::lines::{self, Rank};
 use crate::ports::Platform;
 use crate::server::{self, Connections};
 use crate::settings::GatewaySettings;
 use crate::shared::Shared;
-use crate::{demand_teller, feed, holder, lateness, members, quarantine, relay, watch};
+use crate::{demand_teller, feed, holder, lateness, members, quarantine, relay, suspension, watch};
 
 /// How often a stopping process looks whether all requests have ended.
 const DRAIN_POLL: Duration = Duration::from_millis(50);
@@ -33,6 +34,15 @@
 impl Gateway {
     /// Listens, and starts everything that runs beside requests.
     pub async fn start(
+        settings: GatewaySettings,
+        platform: Arc<dyn Platform>,
+    ) -> eyre::Result<Self> {
+        Gateway::start_by(Clock::default(), settings, platform).await
+    }
+
+    /// The same, by a clock.
+    pub async fn start_by(
+        clock: Clock,
         mut settings: GatewaySettings,
         platform: Arc<dyn Platform>,
     ) -> eyre::Result<Self> {
@@ -53,7 +63,7 @@
             settings.node, settings.zone, settings.listen_callers
         );
         lines::write(Rank::Decision, "start", fields);
-        let shared = Arc::new(Shared::new(settings, platform)?);
+        let shared = Arc::new(Shared::new(clock, settings, platform)?);
         let mut gateway = Gateway {
             connections: Connections::default(),
             callers: callers.local_addr()?,
@@ -71,6 +81,8 @@
         let connections = self.connections.clone();
         let serving = server::serve_callers(shared.clone(), callers, connections);
         self.tasks.push(tokio::spawn(serving));
+        self.tasks
+            .push(tokio::spawn(suspension::watch(shared.clone())));
         let measuring = lateness::measure(shared.lateness_measured());
         self.tasks.push(tokio::spawn(measuring));
         self.tasks.push(tokio::spawn(take_part(shared.clone())));
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -73,15 +73,18 @@
     /// What it asks for: the same for each try of its caller.
     pub fingerprint: Fingerprint,
     /// When its head was read.
-    pub arrived: Instant,
-    /// When it must have its answer.
-    pub deadline: Instant,
+    arrived: Instant,
+    /// How long it may be held.
+    held: Duration,
+    /// For how long the machine had been suspended when it arrived.
+    suspended_before: Duration,
     /// Whether the caller has less time than callers of this route have at
     /// first: it has most likely been refused before.
     pub returning: bool,
     /// Sends so far.
     pub attempts: AtomicU32,
     exposed: AtomicBool,
+    in_doubt: AtomicBool,
     ended: AtomicBool,
 }
 
@@ -106,9 +109,20 @@
         self.shared.quarantine.verdict(now, self.fingerprint)
     }
 
+    /// It is being written to a back end, and nothing has come back: should it end now,
+    /// for whatever reason, nobody knows whether it ran.
+    pub fn begin_doubt(&self) {
+        self.in_doubt.store(true, Ordering::Relaxed);
+    }
+
+    /// What came of the write is known.
+    pub fn end_doubt(&self) {
+        self.in_doubt.store(false, Ordering::Relaxed);
+    }
+
     /// Whether a back end may have run it.
     pub fn is_exposed(&self) -> bool {
-        self.exposed.load(Ordering::Relaxed)
+        self.exposed.load(Ordering::Relaxed) || self.in_doubt.load(Ordering::Relaxed)
     }
 
     /// In a stopping process: how much time is left to send it to a back end, so
@@ -126,7 +140,34 @@
 
     /// How long the request may be held.
     pub fn held(&self) -> Duration {
-        self.deadline - self.arrived
+        self.held
+    }
+
+    /// When its head was read: so much earlier by the clock of `Instant` as the machine has
+    /// been suspended since.
+    pub fn arrived(&self) -> Instant {
+        let suspended = self.shared.clock.suspended();
+        let since = suspended.saturating_sub(self.suspended_before);
+        self.arrived.checked_sub(since).unwrap_or(self.arrived)
+    }
+
+    /// When it must have its answer.
+    pub fn deadline(&self) -> Instant {
+        self.arrived() + self.held
+    }
+
+    /// Time since its head was read.
+    pub fn age(&self) -> Duration {
+        self.arrived().elapsed()
+    }
+
+    /// Returns when its time is over, also when that was while the machine was suspended.
+    pub async fn until_over(&self) {
+        let mut woken = self.shared.awakenings();
+        while Instant::now() < self.deadline() {
+            // A ring is a reason to look at the time again, and so is its end.
+            let _ = timeout_at(self.deadline(), woken.changed()).await;
+        }
     }
 
     /// A refusal, or what is still true if it may have run.
@@ -148,7 +189,7 @@
         } else {
             Rank::Decision
         };
-        let total = self.arrived.elapsed();
+        let total = self.age();
         self.shared.metrics.ended(outcome, total);
         let model = self
             .ticket
@@ -170,7 +211,7 @@
                 self.attempts.load(Ordering::Relaxed),
                 self.is_exposed(),
                 total.as_millis(),
-                self.deadline
+                self.deadline()
                     .saturating_duration_since(Instant::now())
                     .as_millis(),
                 self.route.objective.as_millis(),
@@ -212,16 +253,23 @@
 
 async fn serve(call: Call) -> Response<AnswerBody> {
     let call = Arc::new(call);
-    let served = if call.route.kind.is_stream() {
-        timeout_at(call.deadline, stream::serve(call.clone())).await
-    } else {
-        timeout_at(call.deadline, plain::serve(&call)).await
+    let serving = async {
+        if call.route.kind.is_stream() {
+            stream::serve(call.clone()).await
+        } else {
+            plain::serve(&call).await
+        }
+    };
+    let served = tokio::select! {
+        biased;
+        served = serving => Some(served),
+        () = call.until_over() => None,
     };
     let failure = match served {
-        Ok(Ok(response)) => return response,
-        Ok(Err(failure)) => failure,
-        Err(_) if call.is_exposed() => Failure::TimedOut,
-        Err(_) => call.refuse("deadline", Duration::from_millis(500)),
+        Some(Ok(response)) => return response,
+        Some(Err(failure)) => failure,
+        None if call.is_exposed() => Failure::TimedOut,
+        None => call.refuse("deadline", Duration::from_millis(500)),
     };
     call.log_end(failure.reason(), failure.status().as_u16(), "-");
     failure.answer(call.shared.platform.as_ref())
@@ -257,6 +305,7 @@
         .deadline
         .map_or(route.timeout, |own| own.min(route.timeout));
     let deadline = arrived + held;
+    let suspended_before = shared.clock.suspended();
     let returning = shared.is_returning(&route.name, ticket.deadline);
     let limit = configuration.limits.max_body_bytes;
     let body = read_body(body, limit, deadline)
@@ -278,10 +327,12 @@
         body,
         fingerprint,
         arrived,
-        deadline,
+        held,
+        suspended_before,
         returning,
         attempts: AtomicU32::new(0),
         exposed: AtomicBool::new(false),
+        in_doubt: AtomicBool::new(false),
         ended: AtomicBool::new(false),
     };
     refuse_while_stopping(&call)?;
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -22,8 +22,8 @@
 use gorsebank_world::{BackEndId, NodeId, ServiceId};
 use parking_lot::{Mutex, RwLock};
 use tokio::sync::{Notify, watch};
-use tokio::time::Instant;
 
+use crate::clock::Clock;
 use crate::demand_rows::DemandRows;
 use crate::directory::Directory;
 use crate::feed::{Feed, Member};
@@ -62,6 +62,8 @@
 
 /// State of a process.
 pub struct Shared {
+    /// The one clock of what this process believes.
+    pub clock: Clock,
     /// Settings at the start.
     pub settings: GatewaySettings,
     /// The platform.
@@ -89,6 +91,7 @@
     reading: Mutex<HashMap<ServiceId, ReadingModel>>,
     usual_deadlines: Mutex<HashMap<Arc<str>, Duration>>,
     changes: watch::Sender<u64>,
+    awakenings: watch::Sender<u64>,
     gateways: AtomicUsize,
     stopping: AtomicBool,
     stopping_since: AtomicU64,
@@ -98,7 +101,6 @@
     store_records: Mutex<Option<StoreRecords>>,
     lateness: Arc<Lateness>,
     table: Arc<RelayedTable>,
-    start: Instant,
 }
 
 /// The gateways that are known.
@@ -112,7 +114,11 @@
 
 impl Shared {
     /// State of a process that has just started.
-    pub fn new(settings: GatewaySettings, platform: Arc<dyn Platform>) -> eyre::Result<Self> {
+    pub fn new(
+        clock: Clock,
+        settings: GatewaySettings,
+        platform: Arc<dyn Platform>,
+    ) -> eyre::Result<Self> {
         let directory = Directory::new(settings.zone.clone());
         let metrics = Metrics::new()?;
         let calls = metrics.table_calls.clone();
@@ -124,7 +130,8 @@
             demand: Mutex::default(),
             urgent_demand: Notify::new(),
             new_holder: Notify::new(),
-            feed: Feed::default(),
+            feed: Feed::new(clock.clone()),
+            clock,
             quarantine: SharedQuarantine::default(),
             demand_rows: DemandRows::default(),
             order_patience: orders::patience(),
@@ -135,6 +142,7 @@
             reading: Mutex::default(),
             usual_deadlines: Mutex::default(),
             changes: watch::channel(0).0,
+            awakenings: watch::channel(0).0,
             gateways: AtomicUsize::new(LEAST_GATEWAYS),
             stopping: AtomicBool::new(false),
             stopping_since: AtomicU64::new(0),
@@ -144,7 +152,6 @@
             store_records: Mutex::new(None),
             lateness: Arc::default(),
             table,
-            start: Instant::now(),
         })
     }
 
@@ -331,9 +338,20 @@
         self.lateness.clone()
     }
 
-    /// Steady time since the start.
+    /// Steady time since the start, suspensions of the machine included.
     pub fn now(&self) -> Timestamp {
-        Timestamp(self.start.elapsed().as_millis() as u64)
+        self.clock.now()
+    }
+
+    /// The machine woke from a suspension: whoever waits looks at the time again.
+    pub fn wake(&self) {
+        self.awakenings.send_modify(|count| *count += 1);
+        self.changed();
+    }
+
+    /// Rings when the machine woke from a suspension.
+    pub fn awakenings(&self) -> watch::Receiver<u64> {
+        self.awakenings.subscribe()
     }
 
     /// The configuration in force.
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -4,6 +4,7 @@
 //! resumable stream goes on at another one after the last whole event, and only
 //! after the old connection was closed; any other stream breaks off visibly.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -212,7 +213,12 @@
                 reason => reason,
             };
             back_end.note(|health| health.unreachable(self.call.shared.now()));
-            match self.resume(reason).await {
+            let call = self.call.clone();
+            let next = tokio::select! {
+                next = self.resume(reason) => next,
+                () = call.until_over() => None,
+            };
+            match next {
                 Some(next) => answer = next,
                 None => return self.end(reason, back_end.id.as_str()),
             }
@@ -222,15 +228,18 @@
     async fn pass_events(&mut self, answer: &mut Answer) -> PartEnd {
         let mut splitter = EventSplitter::default();
         self.part_event = None;
+        let call = self.call.clone();
+        let mut over = pin!(call.until_over());
         loop {
             let silent_at = Instant::now() + self.patience();
-            let until = silent_at.min(self.call.deadline);
+            let until = silent_at.min(self.call.deadline());
             let frame = tokio::select! {
                 () = self.sender.closed() => return PartEnd::CallerLeft,
+                () = &mut over => return PartEnd::TimedOut,
                 frame = timeout_at(until, answer.body.frame()) => frame,
             };
             let data = match frame {
-                Err(_) if Instant::now() >= self.call.deadline => return PartEnd::TimedOut,
+                Err(_) if Instant::now() >= self.call.deadline() => return PartEnd::TimedOut,
                 Err(_) if self.attempts.may_move_on(&self.call) => {
                     return PartEnd::Broken("silent");
                 }
@@ -249,7 +258,7 @@
                     continue;
                 }
                 // A caller whose connection went silent takes nothing, and does not leave.
-                match timeout_at(self.call.deadline, self.sender.send(event.bytes)).await {
+                match timeout_at(self.call.deadline(), self.sender.send(event.bytes)).await {
                     Ok(Ok(())) => self.note_event(event.id),
                     Ok(Err(_)) => return PartEnd::CallerLeft,
                     Err(_) => return PartEnd::TimedOut,
@@ -288,7 +297,7 @@
     fn note_event(&mut self, id: Option<String>) {
         self.events += 1;
         let now = Instant::now();
-        let since_arrival = now - self.call.arrived;
+        let since_arrival = now - self.call.arrived();
         self.first_event.get_or_insert(since_arrival);
         if let Some(last) = self.last_passed.replace(now)
             && now - last > self.longest_pause
