An engine whose process has ended is sent nothing, although its row stands

Hypothesis: the row of an engine stands for three heartbeats after its end; requests spend their sends on it, and its model counts as being there. Whoever had a request there knows of the end within a round trip, and tells all others with it.

--- a/crates/fleet/src/quarantine/mod.rs
+++ b/crates/fleet/src/quarantine/mod.rs
@@ -44,6 +44,11 @@
 /// A back end's name as it is told. Names that collide would count one end too few.
 pub type BackEndHash = u64;
 
+/// A back end's name as it is told.
+pub fn hash(back_end: &BackEndId) -> BackEndHash {
+    xxh3_64(back_end.as_str().as_bytes())
+}
+
 /// What happened to a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Fate {
@@ -145,7 +150,7 @@
     /// A back end ended while this gateway's request was there.
     pub fn note_end(&mut self, now: Timestamp, fingerprint: Fingerprint, back_end: &BackEndId) {
         let now = since_before_start(now);
-        let fate = Fate::Ended(xxh3_64(back_end.as_str().as_bytes()));
+        let fate = Fate::Ended(hash(back_end));
         self.take_in(now, fingerprint, fate, now, Source::Below);
     }
 
--- a/crates/gateway/src/back_end.rs
+++ b/crates/gateway/src/back_end.rs
@@ -61,16 +61,17 @@
     unread_tokens: AtomicU32,
     row: Mutex<SeenRow>,
     look: tokio::sync::Mutex<Option<Look>>,
+    /// Its process has ended: it does not come back under this name.
+    ended: AtomicBool,
     /// How long the machine had been suspended when a connection was last taken, in
     /// milliseconds.
     suspended: AtomicU64,
 }
 
-/// A look at whether the back end's process is still there.
+/// A look that found the back end's process still there.
 #[derive(Clone, Copy, Debug)]
 struct Look {
     began: Instant,
-    has_ended: bool,
 }
 
 /// The newest row of a back end, as this gateway has seen it.
@@ -141,6 +142,7 @@
             unread_tokens: AtomicU32::new(0),
             row: Mutex::default(),
             look: tokio::sync::Mutex::default(),
+            ended: AtomicBool::new(false),
             suspended: AtomicU64::new(0),
         }
     }
@@ -260,18 +262,28 @@
     /// Whether its process has ended: a connection was lost at `lost`, and nobody listens at
     /// its address any more. Connections that the network resets, and a back end that is
     /// merely silent, are no end. One look serves all who lost a connection at that time.
-    pub async fn has_ended(&self, lost: Instant) -> bool {
+    pub async fn look_for_end(&self, lost: Instant) -> bool {
         let mut last = self.look.lock().await;
-        match *last {
-            // A process that has ended does not come back: the next one has another name.
-            Some(look) if look.has_ended || look.began >= lost => look.has_ended,
-            _ => {
-                let began = Instant::now();
-                let has_ended = self.refuses_connections().await;
-                *last = Some(Look { began, has_ended });
-                has_ended
-            }
+        if self.has_ended() || last.is_some_and(|look| look.began >= lost) {
+            return self.has_ended();
         }
+        *last = Some(Look {
+            began: Instant::now(),
+        });
+        if self.refuses_connections().await {
+            self.note_ended();
+        }
+        self.has_ended()
+    }
+
+    /// Whether its process is known to have ended.
+    pub fn has_ended(&self) -> bool {
+        self.ended.load(Ordering::Relaxed)
+    }
+
+    /// Its process has ended, as this gateway or another one saw.
+    pub fn note_ended(&self) {
+        self.ended.store(true, Ordering::Relaxed);
     }
 
     async fn refuses_connections(&self) -> bool {
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -7,10 +7,11 @@
 //! Invariant: a back end that once said that it leaves stays leaving; one
 //! whose row is gone gets nothing new.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 
 use gorsebank_coordination::Timestamp;
+use gorsebank_fleet::quarantine::{self, BackEndHash};
 use gorsebank_fleet::running::Counts;
 use gorsebank_fleet::{BackEndReport, CopyTier, Holdings, PlacedRow};
 use gorsebank_world::{AdapterId, BackEndId, ModelId, ServiceId, ZoneId};
@@ -149,6 +150,20 @@
         Some(self.entries.get(id)?.back_end.clone())
     }
 
+    /// Back ends whose process ended while requests were there, and whose row still stands.
+    pub fn ended(&self) -> BTreeSet<BackEndId> {
+        let entries = self.entries.values();
+        let ended = entries.filter(|entry| entry.back_end.has_ended());
+        ended.map(|entry| entry.report.id.clone()).collect()
+    }
+
+    /// Other gateways saw the processes of these back ends end.
+    pub fn note_ended(&self, ended: &HashSet<BackEndHash>) {
+        let entries = self.entries.values();
+        let gone = entries.filter(|entry| ended.contains(&quarantine::hash(&entry.report.id)));
+        gone.for_each(|entry| entry.back_end.note_ended());
+    }
+
     /// What this gateway has running at back ends.
     pub fn running(&self) -> Counts {
         let counts = self.entries.values().map(|entry| {
@@ -167,7 +182,7 @@
         self.entries.values().map(report).collect()
     }
 
-    /// Back ends of a service that are not about to leave.
+    /// Back ends of a service that are there and not about to leave.
     pub fn members(&self, service: &ServiceId) -> Vec<Arc<BackEnd>> {
         self.active(service)
             .map(|entry| entry.back_end.clone())
@@ -229,11 +244,13 @@
         }
     }
 
+    /// Those that may get new requests. One whose process has ended has a row for some
+    /// heartbeats yet, and whatever is sent there is lost time.
     fn active(&self, service: &ServiceId) -> impl Iterator<Item = &Entry> {
         let members = self.services.get(service).into_iter().flatten();
         members
             .filter_map(|id| self.entries.get(id))
-            .filter(|entry| !entry.draining)
+            .filter(|entry| !entry.draining && !entry.back_end.has_ended())
     }
 }
 
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -4,7 +4,7 @@
 //! `feed.parents`, then any other.
 //! No lock is held over an await.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
@@ -13,7 +13,7 @@
 use gorsebank_coordination::Timestamp;
 use gorsebank_fleet::feeders::Place;
 use gorsebank_fleet::placement::StoreRecords;
-use gorsebank_fleet::quarantine::{Source, ToldFate};
+use gorsebank_fleet::quarantine::{BackEndHash, Fate, Source, ToldFate};
 use gorsebank_fleet::running::Counts;
 use gorsebank_fleet::split::Split;
 use gorsebank_fleet::{
@@ -257,6 +257,7 @@
 
     /// Gateways that this one feeds told of requests under which back ends ended.
     pub fn note_told_fates(&self, told: &[ToldFate]) {
+        self.note_told_ends(told);
         if self.quarantine.take(self.now(), told, Source::Below) {
             self.changed();
         }
@@ -264,11 +265,25 @@
 
     /// The gateway at `address` answered with news of such requests.
     pub fn note_quarantine_news(&self, address: SocketAddr, news: &QuarantineNews) {
+        self.note_told_ends(&news.events);
         if self.quarantine.take_news(self.now(), address, news) {
             self.changed();
         }
     }
 
+    /// Whoever was at an engine when it ended tells all others before they send there.
+    fn note_told_ends(&self, told: &[ToldFate]) {
+        let ended = told.iter().filter_map(|event| match event.fate {
+            Fate::Ended(back_end) => Some(back_end),
+            Fate::Served => None,
+        });
+        let ended: HashSet<BackEndHash> = ended.collect();
+        if !ended.is_empty() {
+            self.directory(|directory| directory.note_ended(&ended));
+            self.changed();
+        }
+    }
+
     /// A back end ended under a request of this gateway.
     pub fn note_end_under(&self, request: Fingerprint, back_end: &BackEndId) {
         if self.quarantine.note_end(self.now(), request, back_end) {
