A model under whose loads engines end is put off

An engine that is known to have ended under requests says nothing of its load, and counts as gone for the planner while its row still stands.

--- a/crates/fleet/src/placement/engine/mod.rs
+++ b/crates/fleet/src/placement/engine/mod.rs
@@ -91,6 +91,12 @@
         self.unloading = row.unloading.clone();
     }
 
+    /// The model that it was ordered to load, until it says that it holds it.
+    pub fn loading(&self) -> Option<&ModelId> {
+        let goal = self.goal.as_ref().filter(|goal| goal.loading)?;
+        (!self.observed.draining).then_some(&goal.model)
+    }
+
     /// Its service.
     pub fn service(&self) -> &ServiceId {
         &self.observed.service
--- a/crates/fleet/src/placement/goals.rs
+++ b/crates/fleet/src/placement/goals.rs
@@ -82,6 +82,8 @@
     Pace,
     /// As many loads are under way as the weight store makes at full speed.
     StoreCrowded,
+    /// Engines ended under its loads, and none was done since.
+    EndsEngines,
     /// No engine is free to take an order.
     NoFreeEngine,
     /// Engines with a copy are occupied, and will have the model sooner than the weight
@@ -252,6 +254,9 @@
         let Some(wanted) = self.spec.models.get(&wish.model) else {
             return Ok(());
         };
+        if self.store.puts_off(self.now, &wish.model) {
+            return Err(Obstacle::EndsEngines);
+        }
         let is_free = |engine: &EngineState| engine.is_free() && !engine.keeps(&wish.model);
         if !engines.iter().any(|engine| is_free(engine)) {
             return Err(Obstacle::NoFreeEngine);
--- a/crates/fleet/src/placement/mod.rs
+++ b/crates/fleet/src/placement/mod.rs
@@ -14,12 +14,13 @@
 mod forecast;
 mod goal;
 mod goals;
+mod load_ends;
 mod load_window;
 mod pace;
 mod totals;
 mod weight_store;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use gorsebank_coordination::Timestamp;
 use gorsebank_world::{AdapterId, BackEndId, ModelId, ServiceId};
@@ -31,6 +32,7 @@
 use engine::EngineState;
 use forecast::Forecast;
 pub use goals::{Obstacle, UnmetWish};
+pub use load_ends::EndedLoads;
 pub use load_window::{FoundLimit, LoadWindow};
 pub use pace::{LoadBound, LoadPace, RecentLoad};
 use totals::Totals;
@@ -125,14 +127,30 @@
             .collect()
     }
 
-    /// Takes in the back ends that discovery shows.
-    pub fn observe(&mut self, now: Timestamp, reports: &[BackEndReport]) {
-        self.engines
-            .retain(|id, _| reports.iter().any(|report| report.id == *id));
+    /// Takes in the back ends that discovery shows. `ended` are those whose process ended
+    /// while requests were there: the row of each stands for some heartbeats yet.
+    pub fn observe(
+        &mut self,
+        now: Timestamp,
+        reports: &[BackEndReport],
+        ended: &BTreeSet<BackEndId>,
+    ) {
+        let lives = |id: &BackEndId| !ended.contains(id);
+        let is_there = |id: &BackEndId| lives(id) && reports.iter().any(|it| it.id == *id);
+        let gone = self.engines.iter().filter(|(id, _)| !is_there(id));
+        for (_, engine) in gone.filter(|(id, _)| lives(id)) {
+            // Nothing else was there that could have ended it.
+            if let (Some(model), Some(store)) =
+                (engine.loading(), self.stores.get_mut(engine.service()))
+            {
+                store.engine_ended(now, model);
+            }
+        }
+        self.engines.retain(|id, _| is_there(id));
         for store in self.stores.values_mut() {
             store.retain(|id| self.engines.contains_key(id));
         }
-        for report in reports {
+        for report in reports.iter().filter(|report| lives(&report.id)) {
             match self.engines.get_mut(&report.id) {
                 Some(engine) => engine.observe(report),
                 None => {
@@ -213,7 +231,7 @@
             return;
         };
         if let Some(store) = self.stores.get_mut(engine.service()) {
-            store.reported(now, id, report.as_ref());
+            store.reported(now, id, engine.loading(), report.as_ref());
         }
         engine.reported(now, report);
     }
--- a/crates/fleet/src/placement/weight_store.rs
+++ b/crates/fleet/src/placement/weight_store.rs
@@ -1,5 +1,5 @@
-//! What the weight store of a service is given to do: how often loads begin there, and how
-//! many are under way at once.
+//! What the weight store of a service is given to do: how often loads begin there, how many
+//! are under way at once, and which models engines do not bear.
 //!
 //! Every event of a load goes to both bounds, so that they speak of the same loads.
 
@@ -7,9 +7,10 @@
 use std::time::Duration;
 
 use gorsebank_coordination::Timestamp;
-use gorsebank_world::{BackEndId, ServiceId};
+use gorsebank_world::{BackEndId, ModelId, ServiceId};
 use serde::{Deserialize, Serialize};
 
+use super::load_ends::{EndedLoads, LoadEnds};
 use super::load_window::{FoundLimit, LoadWindow};
 use super::pace::{LoadBound, LoadPace, RecentLoad};
 use super::{Obstacle, OrderResult};
@@ -25,6 +26,9 @@
     pub recent: Vec<RecentLoad>,
     /// Loads that it makes at once.
     pub limit: FoundLimit,
+    /// Models under whose loads engines ended.
+    #[serde(default)]
+    pub ended: Vec<EndedLoads>,
 }
 
 /// One weight store as the holder uses it.
@@ -32,6 +36,7 @@
 pub struct WeightStore {
     pace: LoadPace,
     window: LoadWindow,
+    ends: LoadEnds,
 }
 
 impl WeightStore {
@@ -40,6 +45,7 @@
         WeightStore {
             pace: LoadPace::new(now, bound, &former.recent),
             window: LoadWindow::new(former.limit),
+            ends: LoadEnds::new(now, &former.ended),
         }
     }
 
@@ -59,6 +65,16 @@
         Ok(())
     }
 
+    /// Whether engines ended under loads of the model, so that it is not loaded now.
+    pub fn puts_off(&self, now: Timestamp, model: &ModelId) -> bool {
+        self.ends.puts_off(now, model)
+    }
+
+    /// An engine was gone while it loaded a model, and no request was there.
+    pub fn engine_ended(&mut self, now: Timestamp, model: &ModelId) {
+        self.ends.ended(now, model);
+    }
+
     /// Whether a load that was ordered under this sequence number may be ordered again
     /// without another load.
     pub fn is_open(&self, now: Timestamp, engine: &BackEndId, sequence: u64) -> bool {
@@ -87,11 +103,21 @@
         self.window.dropped(engine);
     }
 
-    /// An engine answered the question for its state, or did not.
-    pub fn reported(&mut self, now: Timestamp, engine: &BackEndId, report: Option<&EngineReport>) {
+    /// An engine answered the question for its state, or did not; `loading` is what it was
+    /// ordered to load.
+    pub fn reported(
+        &mut self,
+        now: Timestamp,
+        engine: &BackEndId,
+        loading: Option<&ModelId>,
+        report: Option<&EngineReport>,
+    ) {
         let Some(report) = report else {
             return self.window.forget(engine);
         };
+        if let Some(model) = loading.filter(|model| report.holdings.contains_key(*model)) {
+            self.ends.done(model);
+        }
         self.pace.taken(now, engine, report.sequence);
         if !report.busy {
             self.window.idle(now, engine, report.sequence);
@@ -114,6 +140,7 @@
         StoreRecord {
             recent: self.pace.recent(now),
             limit: self.window.found(),
+            ended: self.ends.record(now),
         }
     }
 }
--- a/crates/fleet/tests/placement.rs
+++ b/crates/fleet/tests/placement.rs
@@ -60,7 +60,7 @@
 fn a_row_tells_of_an_unload_before_it_is_ordered() {
     let mut world = World::new(1, &["m0", "m1", "m2"]);
     let rows = vec![demand(&[("m0", 3.0, 0), ("m7", 0.3, 2)])];
-    world.planner.observe(Timestamp(0), &world.reports());
+    world.observe(0);
     let mut told = false;
     for now in (0..2_000).step_by(50) {
         let actions = world.planner.plan(Timestamp(now), &configuration(), &rows);
@@ -85,7 +85,7 @@
 #[test]
 fn the_next_holder_asks_an_engine_before_it_orders_anything_there() {
     let mut world = World::new(1, &["m0"]);
-    world.planner.observe(Timestamp(0), &world.reports());
+    world.observe(0);
     let row = PlacedRow {
         unloading: Some("m0".into()),
         ..PlacedRow::default()
@@ -111,6 +111,63 @@
     assert!(world.engines[1].holds(&model));
 }
 
+/// Ends of engines under loads of one model, turn by turn from `from` to `to`.
+fn ends_under_loads(world: &mut World, model: &str, from: u64, to: u64) -> usize {
+    let rows = vec![demand(&[(model, 2.0, 3)])];
+    let mut ends = 0;
+    for now in (from..to).step_by(50) {
+        world.turn(now, &rows);
+        ends += world.end_engines_that_load(model);
+    }
+    ends
+}
+
+/// A load that engines do not bear went from one engine to the next for as long as anybody
+/// asked for the model.
+#[test]
+fn a_model_under_whose_loads_engines_end_is_put_off() {
+    let mut world = World::new(4, &["m0"]);
+    assert_eq!(ends_under_loads(&mut world, "m5", 0, 20_000), 3);
+    assert!(world.obstacles.contains(&Obstacle::EndsEngines));
+    // Then one more is tried, and the pause is twice as long; the next holder knows.
+    assert_eq!(ends_under_loads(&mut world, "m5", 20_000, 40_000), 1);
+    world.change_holder(40_000, 0);
+    assert_eq!(ends_under_loads(&mut world, "m5", 40_000, 80_000), 0);
+}
+
+#[test]
+fn a_model_that_one_engine_has_loaded_is_not_put_off() {
+    let mut world = World::new(4, &["m0"]);
+    assert_eq!(ends_under_loads(&mut world, "m5", 0, 20_000), 3);
+    let rows = vec![demand(&[("m5", 2.0, 3)])];
+    for now in (20_000..60_000).step_by(50) {
+        world.turn(now, &rows);
+    }
+    assert!(world.holders("m5") > 0);
+    world.forget_models();
+    assert_eq!(ends_under_loads(&mut world, "m5", 60_000, 64_000), 3);
+}
+
+/// What ended it was a request that it ran, most likely.
+#[test]
+fn an_engine_that_ended_under_requests_says_nothing_of_its_load() {
+    let mut world = World::new(4, &["m0"]);
+    let rows = vec![demand(&[("m5", 2.0, 3)])];
+    let mut ends = 0;
+    for now in (0..10_000).step_by(50) {
+        world.turn(now, &rows);
+        world
+            .ended_under_requests
+            .extend(world.engines.iter().map(|it| it.id.clone()));
+        ends += world.end_engines_that_load("m5");
+        world
+            .ended_under_requests
+            .retain(|id| !world.engines.iter().any(|it| it.id == *id));
+    }
+    assert!(ends > 6, "{ends}");
+    assert!(!world.obstacles.contains(&Obstacle::EndsEngines));
+}
+
 /// Found on tks-indoor, scale-1 --seed 408700769278: the room for a model in
 /// demand was to be made by an unload that waited ten seconds for its runs, and
 /// the model was loaded nowhere else meanwhile.
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -1,7 +1,7 @@
 //! A model of engines for tests of placement: one order at a time, a sequence
 //! number, stale reports, lost answers, orders carried out late.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 use gorsebank_coordination::Timestamp;
@@ -371,6 +371,8 @@
     published: BTreeMap<BackEndId, PlacedRow>,
     late: Vec<(u64, BackEndId, OrderKind, u64)>,
     orders: usize,
+    /// Engines that ended while requests were there.
+    pub ended_under_requests: BTreeSet<BackEndId>,
 }
 
 impl World {
@@ -391,6 +393,7 @@
             published: BTreeMap::new(),
             late: Vec::new(),
             orders: 0,
+            ended_under_requests: BTreeSet::new(),
         }
     }
 
@@ -430,7 +433,7 @@
         }
         let rows = std::mem::take(&mut self.published);
         self.planner = Planner::new(Timestamp(now), load_bound(), loads);
-        self.planner.observe(Timestamp(now), &self.reports());
+        self.observe(now);
         for (id, row) in &rows {
             self.planner.inherit(id, row);
         }
@@ -456,6 +459,26 @@
         engine.id = BackEndId::from(format!("engine-{number}-{starts}"));
     }
 
+    /// The holder looks at what discovery shows.
+    pub fn observe(&mut self, now: u64) {
+        let reports = self.reports();
+        self.planner
+            .observe(Timestamp(now), &reports, &self.ended_under_requests);
+    }
+
+    /// Every engine that loads the model ends, and comes back. Out: how many did.
+    #[allow(dead_code)]
+    pub fn end_engines_that_load(&mut self, model: &str) -> usize {
+        let order = OrderKind::LoadModel(model.into());
+        let loads = |engine: &EngineModel| engine.work.as_ref().is_some_and(|it| it.order == order);
+        let numbers = 0..self.engines.len();
+        let ending: Vec<usize> = numbers.filter(|it| loads(&self.engines[*it])).collect();
+        for number in &ending {
+            self.restart(*number);
+        }
+        ending.len()
+    }
+
     /// One turn of the holder.
     pub fn turn(&mut self, now: u64, rows: &[DemandRow]) {
         self.share_weight_store(now);
@@ -463,8 +486,7 @@
             engine.advance(now);
         }
         self.carry_out_late(now);
-        let reports = self.reports();
-        self.planner.observe(Timestamp(now), &reports);
+        self.observe(now);
         let actions = self.planner.plan(Timestamp(now), &configuration(), rows);
         let unmet = self.planner.unmet_wishes().iter();
         self.obstacles.extend(unmet.map(|wish| wish.obstacle));
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -178,8 +178,10 @@
 
     fn observe(&mut self) {
         let now = self.shared.now();
-        let reports = self.shared.directory(|directory| directory.reports());
-        self.planner.observe(now, &reports);
+        let (reports, ended) = self
+            .shared
+            .directory(|directory| (directory.reports(), directory.ended()));
+        self.planner.observe(now, &reports, &ended);
     }
 
     fn take(&mut self, done: Done) {
