--- /dev/null
+++ b/crates/gateway/src/shared/fates.rs
@@ -0,0 +1,66 @@
+//! What becomes of requests at back ends, as far as others have to know it.
+//!
+//! In: ends and whole answers of this gateway's requests, and what others tell. Out: requests
+//! that are kept away from back ends, and back ends that have ended; whoever waits looks again.
+
+use std::collections::HashSet;
+use std::net::SocketAddr;
+
+use gorsebank_fleet::Fingerprint;
+use gorsebank_fleet::quarantine::{BackEndHash, Fate, Source, ToldFate};
+use gorsebank_world::BackEndId;
+
+use super::Shared;
+use crate::quarantine::QuarantineNews;
+
+impl Shared {
+    /// Gateways that this one feeds told of requests under which back ends ended.
+    pub fn note_told_fates(&self, told: &[ToldFate]) {
+        self.note_told_ends(told);
+        if self.quarantine.take(self.now(), told, Source::Below) {
+            self.changed();
+        }
+    }
+
+    /// The gateway at `address` answered with news of such requests.
+    pub fn note_quarantine_news(&self, address: SocketAddr, news: &QuarantineNews) {
+        self.note_told_ends(&news.events);
+        if self.quarantine.take_news(self.now(), address, news) {
+            self.changed();
+        }
+    }
+
+    /// Whoever was at an engine when it ended tells all others before they send there.
+    fn note_told_ends(&self, told: &[ToldFate]) {
+        let ended = told.iter().filter_map(|event| match event.fate {
+            Fate::Ended(back_end) => Some(back_end),
+            Fate::Served => None,
+        });
+        let ended: HashSet<BackEndHash> = ended.collect();
+        if !ended.is_empty() {
+            self.directory(|directory| directory.note_ended(&ended));
+            self.changed();
+        }
+    }
+
+    /// A row told which requests were kept away before this process began.
+    pub fn recall_fates(&self, told: &[ToldFate]) {
+        if self.quarantine.take(self.now(), told, Source::Beside) {
+            self.changed();
+        }
+    }
+
+    /// A back end ended under a request of this gateway.
+    pub fn note_end_under(&self, request: Fingerprint, back_end: &BackEndId) {
+        if self.quarantine.note_end(self.now(), request, back_end) {
+            self.changed();
+        }
+    }
+
+    /// A back end answered a request of this gateway whole, and lives.
+    pub fn note_whole_answer(&self, request: Fingerprint) {
+        if self.quarantine.note_served(self.now(), request) {
+            self.changed();
+        }
+    }
+}
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared/mod.rs
@@ -1,64 +1,46 @@
-//! What all requests of a process share.
+//! What all requests of a process share: the state here, and what is done with it, matter by
+//! matter, in the modules below.
 //!
 //! Lock order: `configuration`, `directory`, `demand`, `retries`, `reading`, `members`,
 //! `feed.parents`, then any other.
 //! No lock is held over an await.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
-use std::net::SocketAddr;
+mod fates;
+mod gateways;
+mod running;
+mod shares;
+
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use gorsebank_coordination::Timestamp;
-use gorsebank_fleet::feeders::Place;
 use gorsebank_fleet::placement::StoreRecords;
-use gorsebank_fleet::quarantine::{BackEndHash, Fate, Source, ToldFate};
-use gorsebank_fleet::running::Counts;
 use gorsebank_fleet::split::Split;
-use gorsebank_fleet::{
-    Configuration, Demand, Fingerprint, ReadingModel, ReadingSample, RetryWindow,
-};
-use gorsebank_world::{BackEndId, NodeId, ServiceId};
+use gorsebank_fleet::{Configuration, Demand, ReadingModel, ReadingSample, RetryWindow};
+use gorsebank_world::ServiceId;
 use parking_lot::{Mutex, RwLock};
 use tokio::sync::{Notify, watch};
 
+use gateways::{LEAST_GATEWAYS, Members};
+pub use shares::RetryGrant;
+
 use crate::clock::Clock;
 use crate::demand_rows::DemandRows;
 use crate::directory::Directory;
-use crate::feed::{Feed, Member};
+use crate::feed::Feed;
 use crate::lateness::Lateness;
 use crate::metrics::Metrics;
 use crate::orders;
 use crate::patience::Patience;
 use crate::ports::Platform;
-use crate::quarantine::{QuarantineNews, SharedQuarantine};
-use crate::relay::{RelayedTable, RootCounts};
+use crate::quarantine::SharedQuarantine;
+use crate::relay::RelayedTable;
 use crate::settings::GatewaySettings;
 
-/// Gateways are reckoned to be at least so many, until the table was read.
-const LEAST_GATEWAYS: usize = 4;
-/// Tables that rules hang on.
-const TABLES_FOLLOWED: f64 = 3.0;
-/// Part of the table's rates that following uses; the rest is for the placement holder.
-const TABLE_PART: f64 = 0.5;
-/// Idle connections take up at most the inverse of this of a back end's connections.
-const IDLE_DIVISOR: usize = 2;
 /// A caller with so much less time than usual has tried before.
 const RETURNING_MARGIN: Duration = Duration::from_millis(100);
-/// Gateways that may have joined and are not yet known.
-const UNKNOWN_GATEWAYS: usize = 2;
-
-/// What came of asking for a retry.
-#[derive(Clone, Copy, Debug)]
-pub struct RetryGrant {
-    /// Whether it may be made.
-    pub granted: bool,
-    /// Retries that are left of this gateway's share.
-    pub left: f64,
-    /// Gateways that the budget is shared by.
-    pub gateways: usize,
-}
 
 /// State of a process.
 pub struct Shared {
@@ -103,15 +85,6 @@
     table: Arc<RelayedTable>,
 }
 
-/// The gateways that are known.
-#[derive(Debug, Default)]
-struct Members {
-    count: usize,
-    answering: Vec<Member>,
-    /// Who places models, as the lease says.
-    holder: Option<NodeId>,
-}
-
 impl Shared {
     /// State of a process that has just started.
     pub fn new(
@@ -160,164 +133,6 @@
         &self.table
     }
 
-    /// So many gateways have a row, and these answer others.
-    pub fn set_members(&self, count: usize, answering: Vec<Member>) {
-        self.gateways
-            .store(count.max(LEAST_GATEWAYS), Ordering::Relaxed);
-        let own = self.settings.node.as_str();
-        let others = answering.iter().filter(|member| member.name != own);
-        self.table
-            .set_peers(others.map(|member| member.address).collect());
-        let mut members = self.members.lock();
-        members.count = count;
-        members.answering = answering;
-        self.place_in_feed(&members);
-    }
-
-    /// The lease says who places models.
-    pub fn set_holder(&self, holder: Option<NodeId>) {
-        let mut members = self.members.lock();
-        if members.holder == holder {
-            return;
-        }
-        members.holder = holder;
-        self.place_in_feed(&members);
-        drop(members);
-        self.new_holder.notify_one();
-    }
-
-    fn place_in_feed(&self, members: &Members) {
-        let own = self.settings.node.as_str();
-        let holder = members.holder.as_ref().map(NodeId::as_str);
-        let mut parents = self.feed.parents.lock();
-        if parents.set_members(own, &members.answering, holder) {
-            self.feed.moved.notify_one();
-        }
-    }
-
-    /// Where the gateway that places models answers; none if there is none, or if it is
-    /// not known.
-    pub fn holder_address(&self) -> Option<SocketAddr> {
-        let members = self.members.lock();
-        let holder = members.holder.as_ref()?.as_str();
-        let mut answering = members.answering.iter();
-        Some(answering.find(|member| member.name == holder)?.address)
-    }
-
-    /// Gateways that have a row.
-    pub fn known_gateways(&self) -> usize {
-        self.members.lock().count
-    }
-
-    /// Whether this gateway may place models: others can tell it of their demand, or
-    /// there are no others.
-    pub fn can_place(&self) -> bool {
-        let own = self.settings.node.as_str();
-        let members = self.members.lock();
-        let answers = members.answering.iter().any(|member| member.name == own);
-        answers || members.answering.is_empty()
-    }
-
-    /// Processor of the strongest machine that is known, in thousandths of a core.
-    pub fn strongest_millicores(&self) -> u32 {
-        let members = self.members.lock();
-        let millicores = members.answering.iter().map(|member| member.row.millicores);
-        millicores.max().unwrap_or(0)
-    }
-
-    /// Processor of one machine.
-    pub fn millicores_of(&self, name: &NodeId) -> Option<u32> {
-        let members = self.members.lock();
-        let mut answering = members.answering.iter();
-        let member = answering.find(|member| member.name == name.as_str())?;
-        Some(member.row.millicores)
-    }
-
-    /// What this gateway has running at back ends.
-    pub fn own_running(&self) -> Counts {
-        self.directory(Directory::running)
-    }
-
-    /// What this gateway and all below it have running, for another root.
-    pub fn root_counts(&self) -> RootCounts {
-        let own = self.own_running();
-        let now = self.now();
-        RootCounts {
-            from: self.settings.node.clone(),
-            counts: self.feed.running.lock().below(now, &own),
-        }
-    }
-
-    /// Another root told its counts.
-    pub fn note_root(&self, told: RootCounts) {
-        let now = self.now();
-        let mut running = self.feed.running.lock();
-        running.note_root(now, told.from.as_str(), told.counts);
-    }
-
-    /// Gateways that this one feeds told of requests under which back ends ended.
-    pub fn note_told_fates(&self, told: &[ToldFate]) {
-        self.note_told_ends(told);
-        if self.quarantine.take(self.now(), told, Source::Below) {
-            self.changed();
-        }
-    }
-
-    /// The gateway at `address` answered with news of such requests.
-    pub fn note_quarantine_news(&self, address: SocketAddr, news: &QuarantineNews) {
-        self.note_told_ends(&news.events);
-        if self.quarantine.take_news(self.now(), address, news) {
-            self.changed();
-        }
-    }
-
-    /// Whoever was at an engine when it ended tells all others before they send there.
-    fn note_told_ends(&self, told: &[ToldFate]) {
-        let ended = told.iter().filter_map(|event| match event.fate {
-            Fate::Ended(back_end) => Some(back_end),
-            Fate::Served => None,
-        });
-        let ended: HashSet<BackEndHash> = ended.collect();
-        if !ended.is_empty() {
-            self.directory(|directory| directory.note_ended(&ended));
-            self.changed();
-        }
-    }
-
-    /// A back end ended under a request of this gateway.
-    pub fn note_end_under(&self, request: Fingerprint, back_end: &BackEndId) {
-        if self.quarantine.note_end(self.now(), request, back_end) {
-            self.changed();
-        }
-    }
-
-    /// A back end answered a request of this gateway whole, and lives.
-    pub fn note_whole_answer(&self, request: Fingerprint) {
-        if self.quarantine.note_served(self.now(), request) {
-            self.changed();
-        }
-    }
-
-    /// What all gateways have running at back ends; none if it is not known.
-    pub fn running_sums(&self) -> Option<Counts> {
-        let own = self.own_running();
-        let (now, place) = (self.now(), self.feed.parents.lock().place());
-        let mut running = self.feed.running.lock();
-        match place {
-            Place::Root => Some(running.at_root(now, &own)),
-            _ => running.sums(now, &own),
-        }
-    }
-
-    /// A root takes in its own sums.
-    pub fn sum_up_running(&self) {
-        let own = self.own_running();
-        let now = self.now();
-        let mut running = self.feed.running.lock();
-        let sums = running.at_root(now, &own);
-        running.note_sums(now, &sums, &own);
-    }
-
     /// Whether this gateway places models.
     pub fn is_placing(&self) -> bool {
         self.placing.load(Ordering::Relaxed)
@@ -427,35 +242,6 @@
         deadline + RETURNING_MARGIN < *usual
     }
 
-    /// Counts a request to a service for the retry budget.
-    pub fn count_request(&self, service: &ServiceId) {
-        self.with_window(service, |window, now| window.request(now));
-    }
-
-    /// Takes one retry out of this gateway's share, if there is one.
-    pub fn withdraw_retry(&self, service: &ServiceId) -> RetryGrant {
-        let gateways = self.possible_gateways();
-        self.with_window(service, |window, now| RetryGrant {
-            granted: window.withdraw(now, gateways),
-            left: window.left(now, gateways),
-            gateways,
-        })
-    }
-
-    fn with_window<T>(
-        &self,
-        service: &ServiceId,
-        act: impl FnOnce(&mut RetryWindow, Timestamp) -> T,
-    ) -> T {
-        let now = self.now();
-        let share = self.settings.bounds.retries;
-        let mut retries = self.retries.lock();
-        let window = retries
-            .entry(service.clone())
-            .or_insert_with(|| RetryWindow::new(share));
-        act(window, now)
-    }
-
     /// Uses what is known of how engines of a service read prompts.
     pub fn reading<T>(&self, service: &ServiceId, act: impl FnOnce(&mut ReadingModel) -> T) -> T {
         let mut reading = self.reading.lock();
@@ -476,28 +262,6 @@
         samples.filter(|(_, sample)| !sample.is_empty()).collect()
     }
 
-    /// Gateways that there may be.
-    pub fn possible_gateways(&self) -> usize {
-        self.gateways.load(Ordering::Relaxed) + UNKNOWN_GATEWAYS
-    }
-
-    /// Least time between two reads of one table by this gateway, so that all
-    /// gateways together stay within the table's rate, should all of them follow it.
-    pub fn read_pause(&self) -> Duration {
-        let calls = TABLES_FOLLOWED * self.possible_gateways() as f64;
-        Duration::from_secs_f64(calls / (self.settings.bounds.table_reads * TABLE_PART))
-    }
-
-    /// Idle connections that this gateway may keep to one back end of a service.
-    pub fn idle_connections(&self, service: &ServiceId) -> usize {
-        let configuration = self.configuration();
-        let known = configuration
-            .as_ref()
-            .and_then(|known| known.service(service));
-        let most = known.map_or(0, |service| service.max_connections as usize);
-        (most / (IDLE_DIVISOR * self.possible_gateways())).max(1)
-    }
-
     /// Begins a planned stop.
     pub fn stop(&self) {
         self.stopping_since.store(self.now().0, Ordering::Relaxed);
