Verdicts on requests outlast all gateways: one row of the table

What gateways knew of requests that end back ends was gone when all of them were killed, and such a request ended three more back ends. The placement holder writes the verdicts when they change; it and those that follow the table read them once, before the first write and after the start.

--- a/crates/fleet/src/quarantine/mod.rs
+++ b/crates/fleet/src/quarantine/mod.rs
@@ -37,6 +37,12 @@
 /// a request that was at a back end when it ended, so a flood of requests that end back ends
 /// makes no more than their slots.
 const MOST_EVENTS: usize = 4_096;
+/// Verdicts that are kept where they outlast all processes, at most; with [`ENDS_KEPT`] of
+/// about 100 bytes each they fit into a row of 64 kB.
+const MOST_KEPT: usize = 60;
+/// Ends of one request that are kept: more than blame needs, since some may be put down to
+/// another request.
+const ENDS_KEPT: usize = 2 * ENDS_TO_BLAME;
 /// Acquittals of one request that lie closer than this are one, in milliseconds: each hop
 /// adds the time that it took.
 const SAME_ACQUITTAL: u64 = 1_000;
@@ -204,6 +210,30 @@
             .collect()
     }
 
+    /// The ends that verdicts hang on, the newest of each request: to be kept where they
+    /// outlast this process.
+    pub fn verdict_events(&self, now: Timestamp) -> Vec<ToldFate> {
+        let now = since_before_start(now);
+        let verdicts = self.verdicts.keys().take(MOST_KEPT);
+        verdicts
+            .flat_map(|fingerprint| self.newest_ends(now, *fingerprint))
+            .collect()
+    }
+
+    fn newest_ends(&self, now: Timestamp, fingerprint: Fingerprint) -> Vec<ToldFate> {
+        let ends = self.ends.get(&fingerprint).into_iter().flatten();
+        let mut told: Vec<ToldFate> = ends
+            .map(|(back_end, at)| ToldFate {
+                fingerprint,
+                fate: Fate::Ended(*back_end),
+                age: now.since(*at),
+            })
+            .collect();
+        told.sort_by_key(|end| end.age);
+        told.truncate(ENDS_KEPT);
+        told
+    }
+
     fn from(&self, position: Option<Position>) -> impl Iterator<Item = &Event> {
         let known = position
             .filter(|position| position.process == self.process)
--- a/crates/gateway/src/feed/filler.rs
+++ b/crates/gateway/src/feed/filler.rs
@@ -22,6 +22,7 @@
 use crate::demand_rows::AbortOnDrop;
 use crate::lines::{self, Rank};
 use crate::ports::{TableError, WatchedTable};
+use crate::quarantine_row;
 use crate::relay::{RelayAnswer, RelayRequest};
 use crate::shared::Shared;
 
@@ -52,6 +53,7 @@
 
 /// Runs until it is dropped.
 pub async fn run(shared: Arc<Shared>) {
+    let _recalling = AbortOnDrop(tokio::spawn(recall_verdicts(shared.clone())));
     let mut fed = Fed::new(shared.clone());
     loop {
         if shared.feed.parents.lock().follows_table() {
@@ -62,6 +64,14 @@
     }
 }
 
+/// Reads once what was known before all gateways were gone; those that are fed are told.
+async fn recall_verdicts(shared: Arc<Shared>) {
+    while !shared.feed.parents.lock().follows_table() {
+        sleep(FEED_WAIT).await;
+    }
+    quarantine_row::recall(&shared).await;
+}
+
 /// Follows all tables until this gateway has another place.
 async fn follow_table(shared: &Arc<Shared>) {
     shared.feed.parents.lock().note_feeder(None);
--- a/crates/gateway/src/holder.rs
+++ b/crates/gateway/src/holder.rs
@@ -16,7 +16,7 @@
 use crate::ports::WatchedTable;
 use crate::shared::Shared;
 use crate::watch::LOST_PAUSE;
-use crate::{reading_rows, sweeper};
+use crate::{quarantine_row, reading_rows, sweeper};
 
 /// Part of the deployment's bound on turns of holders that a lease lasts: the
 /// next holder begins sooner, and cool-down keeps turns apart.
@@ -73,7 +73,7 @@
 }
 
 /// What the holder does; ends when it is dropped.
-type Duties = [AbortOnDrop; 3];
+type Duties = [AbortOnDrop; 4];
 
 /// This process's part in keeping the lease.
 struct Holder {
@@ -226,6 +226,7 @@
             tokio::spawn(placement.run()),
             tokio::spawn(reading_rows::tell(shared.clone())),
             tokio::spawn(sweeper::run(shared.clone())),
+            tokio::spawn(quarantine_row::keep(shared.clone())),
         ]
         .map(AbortOnDrop)
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod ports;
 pub mod process;
 pub mod quarantine;
+mod quarantine_row;
 pub mod reading_rows;
 pub mod relay;
 pub mod request;
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -108,6 +108,16 @@
         }
     }
 
+    /// The ends that verdicts hang on.
+    pub fn verdict_events(&self, now: Timestamp) -> Vec<ToldFate> {
+        self.known.lock().verdict_events(now)
+    }
+
+    /// How often other requests than before were kept away.
+    pub fn verdict_changes(&self) -> u64 {
+        self.known.lock().verdict_changes()
+    }
+
     /// Whether anything is new to one at this position.
     pub fn is_ahead_of(&self, position: Option<Position>) -> bool {
         self.known.lock().is_ahead_of(position)
