An end that nobody saw counts when the row of the back end goes

Where something before a back end takes connections for it (a proxy, a relay), its address never refuses any, and a request under which it ended looked like one whose connection was reset; a soak with such links showed 9 sends too many. The row goes without a word of leaving, so the requests that lost their connection there in the six seconds before were there.

--- a/crates/gateway/src/back_end.rs
+++ b/crates/gateway/src/back_end.rs
@@ -4,7 +4,7 @@
 //! after a whole answer that matched its request. Whatever is in doubt is
 //! closed, which also cancels the request at the back end.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -15,7 +15,7 @@
 use gorsebank_coordination::Timestamp;
 use gorsebank_fleet::health::Health;
 use gorsebank_fleet::running::{self, BackEndHash};
-use gorsebank_fleet::{BackEndReport, KeptParts};
+use gorsebank_fleet::{BackEndReport, Fingerprint, KeptParts};
 use gorsebank_world::{AdapterId, BackEndId, ModelId, ServiceId};
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -34,6 +34,11 @@
 const DEFAULT_REST: Duration = Duration::from_secs(4);
 /// A connection is used only within this part of the rest that the back end states.
 const REST_PART: f64 = 0.85;
+/// Lost connections of a back end that are remembered at most: it has fewer slots.
+const MOST_LOST: usize = 256;
+/// The row of a back end goes within this time after its process ended, in milliseconds:
+/// three heartbeats of 1.2 s as users set them, and the way of the news.
+const LOST_SPAN: u64 = 6_000;
 /// What a back end said it does not hold is not asked there for so long, in milliseconds.
 const ABSENCE_LIFETIME: u64 = 1_500;
 
@@ -63,6 +68,8 @@
     look: tokio::sync::Mutex<Option<Look>>,
     /// Its process has ended: it does not come back under this name.
     ended: AtomicBool,
+    /// Requests whose connection was lost while it seemed to live, and when.
+    lost: Mutex<VecDeque<(Fingerprint, Timestamp)>>,
     /// How long the machine had been suspended when a connection was last taken, in
     /// milliseconds.
     suspended: AtomicU64,
@@ -143,6 +150,7 @@
             row: Mutex::default(),
             look: tokio::sync::Mutex::default(),
             ended: AtomicBool::new(false),
+            lost: Mutex::default(),
             suspended: AtomicU64::new(0),
         }
     }
@@ -286,6 +294,24 @@
         self.ended.store(true, Ordering::Relaxed);
     }
 
+    /// A request's connection was lost, and somebody listens at its address all the same: it
+    /// lives, or something that stands before it does.
+    pub fn note_lost(&self, now: Timestamp, request: Fingerprint) {
+        let mut lost = self.lost.lock();
+        if lost.len() >= MOST_LOST {
+            lost.pop_front();
+        }
+        lost.push_back((request, now));
+    }
+
+    /// Its row is gone, and it never said that it leaves: requests whose connection was lost
+    /// not long before were there when its process ended.
+    pub fn lost_before(&self, now: Timestamp) -> Vec<Fingerprint> {
+        let lost = self.lost.lock();
+        let recent = lost.iter().filter(|(_, at)| now.since(*at) < LOST_SPAN);
+        recent.map(|(request, _)| *request).collect()
+    }
+
     async fn refuses_connections(&self) -> bool {
         let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address)).await;
         let Ok(Err(error)) = connecting else {
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -57,6 +57,8 @@
     entries: HashMap<BackEndId, Entry>,
     placed: HashMap<BackEndId, Placed>,
     services: HashMap<ServiceId, Vec<BackEndId>>,
+    /// Back ends whose row went though they had not said that they leave.
+    gone_unsaid: Vec<Arc<BackEnd>>,
 }
 
 impl Directory {
@@ -67,9 +69,16 @@
             entries: HashMap::new(),
             placed: HashMap::new(),
             services: HashMap::new(),
+            gone_unsaid: Vec::new(),
         }
     }
 
+    /// Back ends whose row went, since this was last asked, though they had not said that they
+    /// leave.
+    pub fn take_gone_unsaid(&mut self) -> Vec<Arc<BackEnd>> {
+        std::mem::take(&mut self.gone_unsaid)
+    }
+
     /// A back end's row was written, and seen at `now`.
     pub fn put(&mut self, now: Timestamp, report: BackEndReport, version: u64) {
         let id = report.id.clone();
@@ -108,6 +117,9 @@
             return;
         };
         entry.back_end.retire();
+        if !entry.draining {
+            self.gone_unsaid.push(entry.back_end.clone());
+        }
         if let Some(members) = self.services.get_mut(&entry.report.service) {
             members.retain(|member| member != id);
         }
--- a/crates/gateway/src/lost_connection.rs
+++ b/crates/gateway/src/lost_connection.rs
@@ -1,7 +1,8 @@
 //! What is learned when the connection to a back end is lost under a request.
 //!
 //! In: the request, and the back end that it was sent to. Out: whether that back end's
-//! process has ended, with a line. A request is not held up by it for longer than a look
+//! process has ended, with a line. Where something before a back end takes connections for
+//! it, an end is known only when its row goes. A request is not held up by it for longer than a look
 //! takes; one whose caller leaves meanwhile is noted all the same.
 
 use std::sync::Arc;
@@ -38,6 +39,8 @@
         lines::write(Rank::Decision, "connection_lost", fields);
         if ended && was_active {
             shared.note_end_under(fingerprint, id);
+        } else if was_active {
+            back_end.note_lost(shared.now(), fingerprint);
         }
         ended
     });
--- a/crates/gateway/src/shared/fates.rs
+++ b/crates/gateway/src/shared/fates.rs
@@ -57,6 +57,19 @@
         }
     }
 
+    /// Rows of back ends went: whoever had lost a request there without a word of it knows now
+    /// that the back end had ended.
+    pub fn note_gone_back_ends(&self) {
+        let mut gone = Vec::new();
+        self.change_directory(|directory| gone = directory.take_gone_unsaid());
+        let now = self.now();
+        for back_end in gone {
+            for request in back_end.lost_before(now) {
+                self.note_end_under(request, &back_end.id);
+            }
+        }
+    }
+
     /// A back end answered a request of this gateway whole, and lives.
     pub fn note_whole_answer(&self, request: Fingerprint) {
         if self.quarantine.note_served(self.now(), request) {
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -153,6 +153,7 @@
         let now = self.0.now();
         self.0
             .change_directory(|directory| directory.replace(now, reports));
+        self.0.note_gone_back_ends();
         self.0.note_back_ends_read();
         lines::write(
             Rank::Decision,
@@ -180,6 +181,7 @@
                 let fields = format_args!("back_end={id} version={version}");
                 lines::write(Rank::Decision, "back_end_gone", fields);
                 self.0.change_directory(|directory| directory.remove(&id));
+                self.0.note_gone_back_ends();
             }
         }
     }
