--- a/crates/gateway/src/feed/filler.rs
+++ b/crates/gateway/src/feed/filler.rs
@@ -53,7 +53,6 @@
 
 /// Runs until it is dropped.
 pub async fn run(shared: Arc<Shared>) {
-    let _recalling = AbortOnDrop(tokio::spawn(recall_verdicts(shared.clone())));
     let mut fed = Fed::new(shared.clone());
     loop {
         if shared.feed.parents.lock().follows_table() {
@@ -64,14 +63,6 @@
     }
 }
 
-/// Reads once what was known before all gateways were gone; those that are fed are told.
-async fn recall_verdicts(shared: Arc<Shared>) {
-    while !shared.feed.parents.lock().follows_table() {
-        sleep(FEED_WAIT).await;
-    }
-    quarantine_row::recall(&shared).await;
-}
-
 /// Follows all tables until this gateway has another place.
 async fn follow_table(shared: &Arc<Shared>) {
     shared.feed.parents.lock().note_feeder(None);
@@ -83,7 +74,7 @@
         .map(|rhythm| AbortOnDrop(tokio::spawn(follow_one(shared.clone(), rhythm))))
         .collect();
     let _exchange = AbortOnDrop(tokio::spawn(exchange_running(shared.clone())));
-    let _quarantine = AbortOnDrop(tokio::spawn(hear_fellow_roots(shared.clone())));
+    let _quarantine = AbortOnDrop(tokio::spawn(hear_of_quarantine(shared.clone())));
     while shared.feed.parents.lock().follows_table() {
         // A place that is held for a while ends without a ring.
         let _ = timeout(FEED_WAIT, shared.feed.moved.notified()).await;
@@ -109,9 +100,10 @@
     }
 }
 
-/// Asks the other roots, one question each at a time, for word of requests that end back
-/// ends, until it is dropped.
-async fn hear_fellow_roots(shared: Arc<Shared>) {
+/// Reads which requests were kept away before all gateways were gone, and asks the other
+/// roots, one question each at a time, for word of such requests, until it is dropped.
+async fn hear_of_quarantine(shared: Arc<Shared>) {
+    quarantine_row::recall(&shared).await;
     loop {
         let fellows = shared.feed.parents.lock().fellow_roots();
         let asked = fellows.iter().map(|fellow| hear(&shared, *fellow));
