--- a/crates/gateway/src/feed/filler.rs
+++ b/crates/gateway/src/feed/filler.rs
@@ -101,12 +101,16 @@
 }
 
 /// Reads which requests were kept away before all gateways were gone, and asks the other
-/// roots, one question each at a time, for word of such requests, until it is dropped.
+/// roots for word of such requests, whether the table answers or not, until it is dropped.
 async fn hear_of_quarantine(shared: Arc<Shared>) {
-    quarantine_row::recall(&shared).await;
+    tokio::join!(quarantine_row::recall(&shared), hear_fellow_roots(&shared));
+}
+
+/// Asks the other roots, one question each at a time.
+async fn hear_fellow_roots(shared: &Shared) {
     loop {
         let fellows = shared.feed.parents.lock().fellow_roots();
-        let asked = fellows.iter().map(|fellow| hear(&shared, *fellow));
+        let asked = fellows.iter().map(|fellow| hear(shared, *fellow));
         let began = Instant::now();
         join_all(asked).await;
         sleep_until(began + LEAST_PAUSE).await;
