--- a/crates/gorsebank/tests/soak/broken.rs
+++ b/crates/gorsebank/tests/soak/broken.rs
@@ -117,6 +117,25 @@
     assert_eq!(broken(&history), [], "nobody could be told");
 }
 
+#[test]
+fn a_request_that_goes_on_ending_back_ends_is_seen() {
+    let mut history = sound();
+    let mut arrivals = vec![at(1), at(2), at(3), at(4), at(5), at(6)];
+    arrivals.extend([at(7), at(8), at(9)]);
+    history.endings.insert(b"x".to_vec(), arrivals);
+    assert_eq!(
+        broken(&history),
+        [],
+        "three later than the bound are allowed"
+    );
+    let arrivals = history
+        .endings
+        .get_mut(b"x".as_slice())
+        .expect("it is there");
+    arrivals.push(at(10));
+    assert_eq!(broken(&history), [Promise::EndingKeptAway]);
+}
+
 #[test]
 fn orders_of_a_former_holder_are_seen() {
     let mut history = sound();
--- a/crates/gorsebank/tests/soak/history.rs
+++ b/crates/gorsebank/tests/soak/history.rs
@@ -75,6 +75,8 @@
     Table,
     /// A back end's connections went silent.
     BackEndSilent,
+    /// A back end's process ended.
+    BackEndEnded,
 }
 
 /// A back end that left.
@@ -101,6 +103,8 @@
     pub runs: BTreeMap<String, Vec<String>>,
     /// Fences of the orders that each back end got, in order.
     pub fences: BTreeMap<String, Vec<u64>>,
+    /// When each request under which back ends end arrived at one, in order, by its body.
+    pub endings: BTreeMap<Vec<u8>, Vec<Duration>>,
     /// What was done.
     pub done: Vec<Done>,
     /// Back ends that left.
