--- a/crates/gorsebank/tests/soak/main.rs
+++ b/crates/gorsebank/tests/soak/main.rs
@@ -4,7 +4,7 @@
 //! Each run follows a seed: which faults strike when, and what callers send. By itself the
 //! test plays a few seeds for some seconds each; `GORSEBANK_SOAK_SEEDS` (how many, from a
 //! drawn one on, or `FIRST..LAST`) and `GORSEBANK_SOAK_SECONDS` make it longer,
-//! `GORSEBANK_SOAK_GATEWAYS` larger. A run has three gateways, two callers for each, six back
+//! `GORSEBANK_SOAK_GATEWAYS` larger; `GORSEBANK_SOAK_REPORT` names a folder for reports. A run has three gateways, two callers for each, six back
 //! ends, on loopback; it ends only processes that it started. Its line tells requests, faults
 //! by kind and findings.
 
@@ -17,14 +17,15 @@
 mod history;
 mod plan;
 mod promises;
+mod report;
 mod run;
 
-use std::collections::BTreeMap;
 use std::ops::Range;
+use std::path::Path;
 use std::time::Duration;
 
-use history::{End, History};
 use plan::plan;
+use report::Report;
 
 /// Seeds that are always played.
 const SEEDS: Range<u64> = 1..4;
@@ -44,7 +45,13 @@
     for seed in seeds() {
         let history = run::play(seed, length, gateways).await;
         let findings = promises::check(&history);
-        println!("{}", account(seed, length, &history, findings.len()));
+        let plan = plan(seed, length);
+        let report = Report::new(seed, &plan, &history, &findings);
+        println!("{}", account(&report, history.tries.len()));
+        if let Ok(folder) = std::env::var("GORSEBANK_SOAK_REPORT") {
+            let written = report.write(Path::new(&folder), &plan);
+            written.expect("GORSEBANK_SOAK_REPORT: a folder to write to");
+        }
         for finding in &findings {
             println!("  seed {seed}: {:?}: {}", finding.promise, finding.what);
         }
@@ -79,20 +86,8 @@
 }
 
 /// One line on a run.
-fn account(seed: u64, length: Duration, history: &History, findings: usize) -> String {
-    let mut faults: BTreeMap<String, usize> = BTreeMap::new();
-    for strike in plan(seed, length) {
-        *faults.entry(format!("{:?}", strike.fault)).or_default() += 1;
-    }
-    let mut ends: BTreeMap<String, usize> = BTreeMap::new();
-    for one in &history.tries {
-        let end = match &one.end {
-            End::Answer { whole: false, .. } => "broken off".to_owned(),
-            End::Answer { status, .. } => status.to_string(),
-            End::Closed => "closed".to_owned(),
-        };
-        *ends.entry(end).or_default() += 1;
-    }
-    let requests = history.tries.len();
+fn account(report: &Report, requests: usize) -> String {
+    let (seed, findings) = (report.seed, report.findings.len());
+    let (ends, faults) = (&report.ends, &report.faults);
     format!("seed {seed}: {requests} requests {ends:?}, faults {faults:?}, {findings} findings")
 }
