--- a/crates/gorsebank/tests/soak/broken.rs
+++ b/crates/gorsebank/tests/soak/broken.rs
@@ -136,6 +136,15 @@
     assert_eq!(broken(&history), [Promise::EndingKeptAway]);
 }
 
+#[test]
+fn an_engine_with_more_models_than_memory_is_seen() {
+    let mut history = sound();
+    history.most_models.insert("i-1".to_owned(), 2);
+    assert_eq!(broken(&history), []);
+    history.most_models.insert("i-2".to_owned(), 3);
+    assert_eq!(broken(&history), [Promise::Memory]);
+}
+
 #[test]
 fn orders_of_a_former_holder_are_seen() {
     let mut history = sound();
--- a/crates/gorsebank/tests/soak/callers.rs
+++ b/crates/gorsebank/tests/soak/callers.rs
@@ -12,6 +12,7 @@
 use super::gateways::{Door, Slot};
 use super::history::{End, Kind, Try};
 use super::platform::client::{Client, Got, request_within};
+use super::run::MORE_MODELS;
 
 /// Longest pause between two requests of one caller, in milliseconds.
 const MOST_PAUSE: u64 = 40;
@@ -21,6 +22,8 @@
 const MOST_RETURN: f64 = 0.3;
 /// Requests for a model that is loaded on demand.
 const COLD_PART: f64 = 0.1;
+/// Models that are loaded on demand.
+const COLD: [&str; 3] = ["cold", MORE_MODELS[0], MORE_MODELS[1]];
 /// Kinds with the paths of their routes.
 const KINDS: [(Kind, &str); 4] = [
     (Kind::Idempotent, "/read/"),
@@ -84,7 +87,8 @@
         let id = format!("c{}-{}", self.number, self.sent);
         self.sent += 1;
         let is_cold = self.random.random_bool(COLD_PART);
-        let model = if is_cold { "cold" } else { "warm" };
+        let cold = COLD[self.random.random_range(0..COLD.len())];
+        let model = if is_cold { cold } else { "warm" };
         let sent = self.began.elapsed();
         let got = client.send(request_within(&id, path, model, WAIT)).await;
         let one = Try {
--- a/crates/gorsebank/tests/soak/history.rs
+++ b/crates/gorsebank/tests/soak/history.rs
@@ -73,8 +73,8 @@
     Paused(usize),
     /// The table, or the way to it, was in disorder.
     Table,
-    /// A back end's connections went silent.
-    BackEndSilent,
+    /// A back end's connections went silent, or were reset.
+    BackEndCutOff,
     /// A back end's process ended.
     BackEndEnded,
 }
@@ -105,6 +105,8 @@
     pub fences: BTreeMap<String, Vec<u64>>,
     /// When each request under which back ends end arrived at one, in order, by its body.
     pub endings: BTreeMap<Vec<u8>, Vec<Duration>>,
+    /// Most models that each engine was made to hold at once.
+    pub most_models: BTreeMap<String, usize>,
     /// What was done.
     pub done: Vec<Done>,
     /// Back ends that left.
--- a/crates/gorsebank/tests/soak/plan.rs
+++ b/crates/gorsebank/tests/soak/plan.rs
@@ -50,12 +50,22 @@
     TableFar,
     /// What the table answers a gateway does not arrive.
     TableOneWay,
+    /// The table turns one gateway away.
+    TableRefusesOne,
+    /// The open connections to a back end are reset.
+    BackEndReset,
+    /// Nothing passes to a back end or back, on new connections either.
+    BackEndDark,
+    /// An engine takes the next orders neither in nor answers them.
+    OrdersLost,
+    /// A gateway is told that its settings may have changed.
+    Reload,
     /// A new configuration.
     Configuration,
 }
 
 /// Every kind.
-pub const KINDS: [Fault; 18] = [
+pub const KINDS: [Fault; 23] = [
     Fault::Kill,
     Fault::Stop,
     Fault::Pause,
@@ -73,6 +83,11 @@
     Fault::EndingRequest,
     Fault::TableFar,
     Fault::TableOneWay,
+    Fault::TableRefusesOne,
+    Fault::BackEndReset,
+    Fault::BackEndDark,
+    Fault::OrdersLost,
+    Fault::Reload,
     Fault::Configuration,
 ];
 
--- a/crates/gorsebank/tests/soak/promises.rs
+++ b/crates/gorsebank/tests/soak/promises.rs
@@ -13,6 +13,8 @@
 pub const WORD_BOUND: Duration = Duration::from_secs(3);
 /// ... but for so many sends.
 const MOST_LATE_ENDINGS: usize = 3;
+/// An engine has memory for so many models of the configuration (200 MB, 70 MB each).
+const MOST_MODELS: usize = 2;
 /// Events of a stream.
 pub const EVENTS: u64 = 5;
 /// The body of a plain answer.
@@ -33,6 +35,8 @@
     LeavingLeftAlone,
     /// A request under which three back ends ended is hardly sent to another one.
     EndingKeptAway,
+    /// No engine is ordered to hold more than its memory takes.
+    Memory,
     /// Orders of a former holder do not follow those of a newer one.
     OneHolder,
     /// Everything works again in time once all faults are over.
@@ -73,6 +77,12 @@
             findings.push(find(Promise::EndingKeptAway, what));
         }
     }
+    for (back_end, models) in &history.most_models {
+        if *models > MOST_MODELS {
+            let what = format!("{back_end} held {models} models at once");
+            findings.push(find(Promise::Memory, what));
+        }
+    }
     let any_paused = history
         .done
         .iter()
@@ -162,7 +172,7 @@
     let stops = |what| what == What::Stopped(one.process);
     let excuses = |what| match what {
         What::Killed(process) | What::Paused(process) => process == one.process,
-        What::BackEndSilent | What::BackEndEnded => true,
+        What::BackEndCutOff | What::BackEndEnded => true,
         What::Stopped(_) | What::Table => false,
     };
     !has_answer
--- a/crates/gorsebank/tests/soak/run.rs
+++ b/crates/gorsebank/tests/soak/run.rs
@@ -7,7 +7,7 @@
 
 use nix::sys::signal::Signal;
 use parking_lot::Mutex;
-use serde_json::json;
+use serde_json::{Value, json};
 use tokio::task::JoinSet;
 use tokio::time::{sleep, sleep_until};
 
@@ -46,6 +46,10 @@
 const FAR: Duration = Duration::from_millis(120);
 /// Pause between two tries of a request under which back ends end.
 const ENDING_PAUSE: Duration = Duration::from_millis(150);
+/// Models beside those of the tests' configuration; with these an engine cannot hold all.
+pub const MORE_MODELS: [&str; 2] = ["rare", "rarer"];
+/// Orders that an engine loses in a row.
+const ORDERS_LOST: usize = 3;
 /// How bodies begin under which back ends end.
 const ENDING: &[u8] = b"ends whoever runs it ";
 /// Pause between two looks.
@@ -120,7 +124,7 @@
 impl Run {
     async fn start(gateways: usize, length: Duration) -> Self {
         let store = Store::start().await;
-        store.put("op", "config", configuration(1));
+        store.put("op", "config", with_more_models(configuration(1)));
         let mut slots = Vec::new();
         for number in 0..gateways {
             let wire = Wire::to(store.address).await;
@@ -238,7 +242,7 @@
                 self.slots[index].lock().wire.silence();
                 vec![Some(What::Table)]
             }
-            Fault::BackEndSilent => vec![self.silence_back_end(strike.target)],
+            Fault::BackEndSilent => vec![self.cut_off(strike.target, Wire::silence)],
             Fault::BackEndLeaves => {
                 self.clone().replace_back_end(strike.target).await;
                 Vec::new()
@@ -268,6 +272,34 @@
                 wire.delay(Duration::ZERO);
                 vec![Some(What::Table)]
             }
+            Fault::TableRefusesOne => {
+                let wire = self.slots[index].lock().wire.clone();
+                wire.refuse(true);
+                sleep(strike.lasts).await;
+                wire.refuse(false);
+                vec![Some(What::Table)]
+            }
+            Fault::BackEndReset => vec![self.cut_off(strike.target, Wire::reset)],
+            Fault::BackEndDark => {
+                let wire = self.back_end(strike.target).map(|it| it.wire);
+                if let Some(wire) = wire {
+                    wire.darken(true);
+                    sleep(strike.lasts).await;
+                    wire.darken(false);
+                }
+                vec![Some(What::BackEndCutOff)]
+            }
+            Fault::OrdersLost => {
+                if let Some(back_end) = self.back_end(strike.target) {
+                    let lost = &back_end.runner.lose_orders;
+                    lost.store(ORDERS_LOST, Ordering::Relaxed);
+                }
+                Vec::new()
+            }
+            Fault::Reload => {
+                self.slots[index].lock().signal(Signal::SIGHUP);
+                Vec::new()
+            }
             Fault::TableOneWay => {
                 let wire = self.slots[index].lock().wire.clone();
                 wire.hold_answers(true);
@@ -360,10 +392,10 @@
         }
     }
 
-    fn silence_back_end(&self, target: usize) -> Option<What> {
-        let listed = self.listed.lock();
-        listed.get(target % listed.len().max(1))?.wire.silence();
-        Some(What::BackEndSilent)
+    /// Something happens to the connections of a back end that are open.
+    fn cut_off(&self, target: usize, how: impl Fn(&Wire)) -> Option<What> {
+        how(&self.back_end(target)?.wire);
+        Some(What::BackEndCutOff)
     }
 
     /// A back end says that it leaves, and another one comes.
@@ -398,7 +430,7 @@
         let mut version = self.version.lock();
         *version += 1;
         let newer = configuration_with_prefix(*version, prefix);
-        self.store.put("op", "config", newer);
+        self.store.put("op", "config", with_more_models(newer));
     }
 
     /// Gateways that do not serve every kind within this time.
@@ -465,6 +497,8 @@
                 let at = runs.entry(seen.id().to_owned()).or_default();
                 at.push(runner.id.clone());
             }
+            let models = runner.most_models();
+            history.most_models.insert(runner.id.clone(), models);
             let orders = runner.orders();
             let fences = orders.iter().filter_map(|order| order["fence"].as_u64());
             history.fences.insert(runner.id.clone(), fences.collect());
@@ -484,6 +518,19 @@
     }
 }
 
+/// The same with more models than an engine has memory for.
+fn with_more_models(mut configuration: Value) -> Value {
+    let models = &mut configuration["services"][1]["engine"]["models"];
+    let models = models.as_array_mut().expect("models");
+    let another = models[1].clone();
+    for name in MORE_MODELS {
+        let mut model = another.clone();
+        model["name"] = json!(name);
+        models.push(model);
+    }
+    configuration
+}
+
 /// What a back end does with a request.
 fn behave(seen: &Seen, mood: &Mood) -> Reply {
     let number = mood.requests.fetch_add(1, Ordering::Relaxed);
