--- a/crates/gorsebank/tests/soak/run.rs
+++ b/crates/gorsebank/tests/soak/run.rs
@@ -97,9 +97,6 @@
     let run = Arc::new(Run::start(gateways, length).await);
     let tries = Arc::default();
     let mut tasks = JoinSet::new();
-    for back_end in run.listed.lock().iter() {
-        tokio::spawn(run.clone().replace_when_ended(back_end.clone()));
-    }
     for number in 0..CALLERS * gateways {
         let slots = run.slots.clone();
         let caller = Caller::new(seed, number, slots, Arc::clone(&tries), run.began);
@@ -107,6 +104,11 @@
     }
     let base = tokio::time::Instant::now();
     let mut strikes = JoinSet::new();
+    // What waits for the end of a back end holds the run, and ends with this value.
+    let mut keepers = JoinSet::new();
+    for back_end in run.listed.lock().iter() {
+        keepers.spawn(run.clone().replace_when_ended(back_end.clone()));
+    }
     for strike in plan(seed, length) {
         sleep_until(base + strike.at).await;
         strikes.spawn(run.clone().strike(strike));
@@ -118,6 +120,7 @@
     run.last_configuration(&mut history).await;
     history.tries = std::mem::take(&mut *tries.lock());
     run.tell(&mut history);
+    run.slots.iter().for_each(|slot| slot.lock().kill());
     history
 }
 
