A back end that was seen to end, and whose row stands on, lives after all

A back end that turns connections away since it is overloaded, just as the network resets one of its connections, looks like one whose process has ended; all gateways would have left it alone for as long as it lives. The end is believed for ten seconds, in which a row goes twice over.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -288,7 +288,7 @@
     let Some(model) = needed_model(call) else {
         let members = call
             .shared
-            .directory(|directory| directory.members(service));
+            .directory(|directory| directory.members(now, service));
         return answering(now, members, tried).ok_or(Missing::BackEnd);
     };
     let adapter = call.ticket.adapter.as_ref();
--- a/crates/gateway/src/back_end.rs
+++ b/crates/gateway/src/back_end.rs
@@ -34,6 +34,9 @@
 const DEFAULT_REST: Duration = Duration::from_secs(4);
 /// A connection is used only within this part of the rest that the back end states.
 const REST_PART: f64 = 0.85;
+/// An end is believed for so long, in milliseconds: more than twice the time in which a row
+/// goes. A back end that turns connections away since it is overloaded looks the same.
+const END_LIFETIME: u64 = 10_000;
 /// Lost connections of a back end that are remembered at most: it has fewer slots.
 const MOST_LOST: usize = 256;
 /// The row of a back end goes within this time after its process ended, in milliseconds:
@@ -66,8 +69,8 @@
     unread_tokens: AtomicU32,
     row: Mutex<SeenRow>,
     look: tokio::sync::Mutex<Option<Look>>,
-    /// Its process has ended: it does not come back under this name.
-    ended: AtomicBool,
+    /// When its process was seen to have ended.
+    ended: Mutex<Option<Timestamp>>,
     /// Requests whose connection was lost while it seemed to live, and when.
     lost: Mutex<VecDeque<(Fingerprint, Timestamp)>>,
     /// How long the machine had been suspended when a connection was last taken, in
@@ -149,7 +152,7 @@
             unread_tokens: AtomicU32::new(0),
             row: Mutex::default(),
             look: tokio::sync::Mutex::default(),
-            ended: AtomicBool::new(false),
+            ended: Mutex::default(),
             lost: Mutex::default(),
             suspended: AtomicU64::new(0),
         }
@@ -270,28 +273,30 @@
     /// Whether its process has ended: a connection was lost at `lost`, and nobody listens at
     /// its address any more. Connections that the network resets, and a back end that is
     /// merely silent, are no end. One look serves all who lost a connection at that time.
-    pub async fn look_for_end(&self, lost: Instant) -> bool {
+    pub async fn look_for_end(&self, now: Timestamp, lost: Instant) -> bool {
         let mut last = self.look.lock().await;
-        if self.has_ended() || last.is_some_and(|look| look.began >= lost) {
-            return self.has_ended();
+        if self.has_ended(now) || last.is_some_and(|look| look.began >= lost) {
+            return self.has_ended(now);
         }
         *last = Some(Look {
             began: Instant::now(),
         });
         if self.refuses_connections().await {
-            self.note_ended();
+            self.note_ended(now);
         }
-        self.has_ended()
+        self.has_ended(now)
     }
 
-    /// Whether its process is known to have ended.
-    pub fn has_ended(&self) -> bool {
-        self.ended.load(Ordering::Relaxed)
+    /// Whether its process was seen to have ended, so that its row is about to go. A row that
+    /// stands for longer shows that the back end lives after all.
+    pub fn has_ended(&self, now: Timestamp) -> bool {
+        let ended = *self.ended.lock();
+        ended.is_some_and(|at| now.since(at) < END_LIFETIME)
     }
 
     /// Its process has ended, as this gateway or another one saw.
-    pub fn note_ended(&self) {
-        self.ended.store(true, Ordering::Relaxed);
+    pub fn note_ended(&self, now: Timestamp) {
+        *self.ended.lock() = Some(now);
     }
 
     /// A request's connection was lost, and somebody listens at its address all the same: it
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -163,17 +163,17 @@
     }
 
     /// Back ends whose process ended while requests were there, and whose row still stands.
-    pub fn ended(&self) -> BTreeSet<BackEndId> {
+    pub fn ended(&self, now: Timestamp) -> BTreeSet<BackEndId> {
         let entries = self.entries.values();
-        let ended = entries.filter(|entry| entry.back_end.has_ended());
+        let ended = entries.filter(|entry| entry.back_end.has_ended(now));
         ended.map(|entry| entry.report.id.clone()).collect()
     }
 
     /// Other gateways saw the processes of these back ends end.
-    pub fn note_ended(&self, ended: &HashSet<BackEndHash>) {
+    pub fn note_ended(&self, now: Timestamp, ended: &HashSet<BackEndHash>) {
         let entries = self.entries.values();
         let gone = entries.filter(|entry| ended.contains(&quarantine::hash(&entry.report.id)));
-        gone.for_each(|entry| entry.back_end.note_ended());
+        gone.for_each(|entry| entry.back_end.note_ended(now));
     }
 
     /// What this gateway has running at back ends.
@@ -195,8 +195,8 @@
     }
 
     /// Back ends of a service that are there and not about to leave.
-    pub fn members(&self, service: &ServiceId) -> Vec<Arc<BackEnd>> {
-        self.active(service)
+    pub fn members(&self, now: Timestamp, service: &ServiceId) -> Vec<Arc<BackEnd>> {
+        self.active(now, service)
             .map(|entry| entry.back_end.clone())
             .collect()
     }
@@ -215,7 +215,7 @@
         adapter: Option<&AdapterId>,
     ) -> ModelPlaces {
         let mut places = ModelPlaces::default();
-        for entry in self.active(service) {
+        for entry in self.active(now, service) {
             let placed = self.placed.get(&entry.report.id);
             self.add_place(now, entry, placed, model, adapter, &mut places);
         }
@@ -258,11 +258,11 @@
 
     /// Those that may get new requests. One whose process has ended has a row for some
     /// heartbeats yet, and whatever is sent there is lost time.
-    fn active(&self, service: &ServiceId) -> impl Iterator<Item = &Entry> {
+    fn active(&self, now: Timestamp, service: &ServiceId) -> impl Iterator<Item = &Entry> {
         let members = self.services.get(service).into_iter().flatten();
         members
             .filter_map(|id| self.entries.get(id))
-            .filter(|entry| !entry.draining && !entry.back_end.has_ended())
+            .filter(move |entry| !entry.draining && !entry.back_end.has_ended(now))
     }
 }
 
--- a/crates/gateway/src/lost_connection.rs
+++ b/crates/gateway/src/lost_connection.rs
@@ -30,7 +30,7 @@
         let id = &back_end.id;
         // One that said that it leaves, or whose row is gone, ends as planned.
         let was_active = shared.directory(|directory: &Directory| directory.is_active(id));
-        let ended = back_end.look_for_end(lost).await;
+        let ended = back_end.look_for_end(shared.now(), lost).await;
         let fields = format_args!(
             "request={request} fingerprint={fingerprint} back_end={id} ended={ended} \
              planned={}",
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -180,7 +180,7 @@
         let now = self.shared.now();
         let (reports, ended) = self
             .shared
-            .directory(|directory| (directory.reports(), directory.ended()));
+            .directory(|directory| (directory.reports(), directory.ended(now)));
         self.planner.observe(now, &reports, &ended);
     }
 
--- a/crates/gateway/src/shared/fates.rs
+++ b/crates/gateway/src/shared/fates.rs
@@ -38,7 +38,8 @@
         });
         let ended: HashSet<BackEndHash> = ended.collect();
         if !ended.is_empty() {
-            self.directory(|directory| directory.note_ended(&ended));
+            let now = self.now();
+            self.directory(|directory| directory.note_ended(now, &ended));
             self.changed();
         }
     }
--- a/crates/gateway/tests/directory.rs
+++ b/crates/gateway/tests/directory.rs
@@ -38,12 +38,17 @@
     assert_eq!(ready(&directory).len(), 2);
 
     let ended: HashSet<_> = [quarantine::hash(&"i-1".into())].into();
-    directory.note_ended(&ended);
+    directory.note_ended(NOW, &ended);
     assert_eq!(ready(&directory), [BackEndId::from("i-2")]);
-    assert_eq!(directory.members(&service).len(), 1);
-    assert!(directory.ended().contains(&BackEndId::from("i-1")));
+    assert_eq!(directory.members(NOW, &service).len(), 1);
+    assert!(directory.ended(NOW).contains(&BackEndId::from("i-1")));
 
     // What is at its address later has another name.
     directory.put(NOW, engine("i-3"), 3);
     assert_eq!(ready(&directory).len(), 2);
+
+    // A row that stands for so long is that of an engine that lives after all.
+    let later = NOW + 10_000;
+    assert!(directory.ended(later).is_empty());
+    assert_eq!(directory.members(later, &service).len(), 3);
 }
