A request that is served elsewhere is not kept away, however many back ends end at once

An acquittal within a second of the last one counted as the same and cleared nothing, so the ends after it stayed: three more in that second were a verdict, and nothing of that request was sent any more that could have acquitted it. Found on reading the change. Test red before.

--- a/crates/fleet/src/quarantine/mod.rs
+++ b/crates/fleet/src/quarantine/mod.rs
@@ -43,8 +43,8 @@
 /// Ends of one request that are kept: more than blame needs, since some may be put down to
 /// another request.
 const ENDS_KEPT: usize = 2 * ENDS_TO_BLAME;
-/// Acquittals of one request that lie closer than this are one, in milliseconds: each hop
-/// adds the time that it took.
+/// Acquittals of one request that lie closer than this are one, in milliseconds, unless the
+/// later one clears an end: each hop adds the time that it took.
 const SAME_ACQUITTAL: u64 = 1_000;
 
 /// A back end's name as it is told. Names that collide would count one end too few.
@@ -291,11 +291,15 @@
 
     /// True if it was not known.
     fn acquit(&mut self, fingerprint: Fingerprint, at: Timestamp) -> bool {
-        let known = self.acquitted.get(&fingerprint);
-        if known.is_some_and(|known| at.since(*known) < SAME_ACQUITTAL) {
+        let known = self.acquitted.get(&fingerprint).copied();
+        let is_same = known.is_some_and(|known| at.since(known) < SAME_ACQUITTAL);
+        let ends = self.ends.get(&fingerprint).into_iter().flatten();
+        let clears = ends.into_iter().any(|(_, ended)| *ended <= at);
+        if is_same && !clears {
             return false;
         }
-        self.acquitted.insert(fingerprint, at);
+        self.acquitted
+            .insert(fingerprint, known.map_or(at, |known| known.max(at)));
         if let Some(ends) = self.ends.get_mut(&fingerprint) {
             ends.retain(|_, ended| *ended > at);
             if ends.is_empty() {
--- a/crates/fleet/tests/quarantine.rs
+++ b/crates/fleet/tests/quarantine.rs
@@ -119,6 +119,24 @@
     assert!(!is_kept_away(&one, 9_200, 1));
 }
 
+/// The first acquittal was a moment ago, and the ends after it are cleared all the same.
+#[test]
+fn a_request_that_is_served_elsewhere_is_not_kept_away_however_many_end_at_once() {
+    let mut one = Quarantine::new(1);
+    let mut other = Quarantine::new(2);
+    other.note_served(Timestamp(500), request(1));
+    for (number, back_end) in ["i-1", "i-2", "i-3", "i-4", "i-5", "i-6"]
+        .iter()
+        .enumerate()
+    {
+        let now = 9_000 + number as u64;
+        end(&mut one, now, 1, back_end);
+        tell_all(now, &one, &mut other);
+        tell_all(now, &other, &mut one);
+    }
+    assert!(!is_kept_away(&one, 9_010, 1) && !is_kept_away(&other, 9_010, 1));
+}
+
 #[test]
 fn ends_that_several_gateways_saw_add_up_and_count_once() {
     let mut one = Quarantine::new(1);
