An engine whose row lapsed while it loaded has not ended under its load

Rows of all engines may lapse while the table is away, and come back under the same names. The pause after many ends no longer overflows.

--- a/crates/fleet/src/placement/load_ends.rs
+++ b/crates/fleet/src/placement/load_ends.rs
@@ -62,6 +62,13 @@
         ends.last = now;
     }
 
+    /// An engine that seemed to be gone while it loaded the model is there: its row had lapsed.
+    pub fn is_back(&mut self, model: &ModelId) {
+        if let Some(ends) = self.0.get_mut(model) {
+            ends.count = ends.count.saturating_sub(1);
+        }
+    }
+
     /// An engine has loaded the model, and lives.
     pub fn done(&mut self, model: &ModelId) {
         self.0.remove(model);
@@ -89,7 +96,7 @@
         let Some(further) = self.count.checked_sub(ENDS_TO_PUT_OFF) else {
             return 0;
         };
-        let doubled = FIRST_PAUSE.checked_shl(further).unwrap_or(LONGEST_PAUSE);
-        doubled.min(LONGEST_PAUSE)
+        let times = 1_u64.checked_shl(further).unwrap_or(u64::MAX);
+        FIRST_PAUSE.saturating_mul(times).min(LONGEST_PAUSE)
     }
 }
--- a/crates/fleet/src/placement/mod.rs
+++ b/crates/fleet/src/placement/mod.rs
@@ -106,6 +106,8 @@
     inherited: Vec<BackEndId>,
     begun: Timestamp,
     unmet: Vec<UnmetWish>,
+    /// Engines that were gone while they loaded this.
+    gone_loading: BTreeMap<BackEndId, (ServiceId, ModelId)>,
 }
 
 impl Planner {
@@ -137,15 +139,8 @@
     ) {
         let lives = |id: &BackEndId| !ended.contains(id);
         let is_there = |id: &BackEndId| lives(id) && reports.iter().any(|it| it.id == *id);
-        let gone = self.engines.iter().filter(|(id, _)| !is_there(id));
-        for (_, engine) in gone.filter(|(id, _)| lives(id)) {
-            // Nothing else was there that could have ended it.
-            if let (Some(model), Some(store)) =
-                (engine.loading(), self.stores.get_mut(engine.service()))
-            {
-                store.engine_ended(now, model);
-            }
-        }
+        self.note_gone(now, |id| lives(id) && !is_there(id));
+        self.note_back(is_there);
         self.engines.retain(|id, _| is_there(id));
         for store in self.stores.values_mut() {
             store.retain(|id| self.engines.contains_key(id));
@@ -161,6 +156,32 @@
         }
     }
 
+    /// Engines are gone that no request ended: if one was loading, its load may have.
+    fn note_gone(&mut self, now: Timestamp, is_gone: impl Fn(&BackEndId) -> bool) {
+        for (id, engine) in self.engines.iter().filter(|(id, _)| is_gone(id)) {
+            let Some(model) = engine.loading() else {
+                continue;
+            };
+            if let Some(store) = self.stores.get_mut(engine.service()) {
+                store.engine_ended(now, model);
+                let gone = (engine.service().clone(), model.clone());
+                self.gone_loading.insert(id.clone(), gone);
+            }
+        }
+    }
+
+    /// Rows lapse while the table is away, and engines that were gone are there again under
+    /// the same name.
+    fn note_back(&mut self, is_there: impl Fn(&BackEndId) -> bool) {
+        self.gone_loading.retain(|id, (service, model)| {
+            let is_back = is_there(id);
+            if is_back && let Some(store) = self.stores.get_mut(service) {
+                store.engine_is_back(model);
+            }
+            !is_back
+        });
+    }
+
     /// A former holder's row: the engine is asked before anything else is done there.
     pub fn inherit(&mut self, id: &BackEndId, row: &PlacedRow) {
         if row.loading.is_some() {
--- a/crates/fleet/src/placement/weight_store.rs
+++ b/crates/fleet/src/placement/weight_store.rs
@@ -75,6 +75,11 @@
         self.ends.ended(now, model);
     }
 
+    /// Such an engine is there after all.
+    pub fn engine_is_back(&mut self, model: &ModelId) {
+        self.ends.is_back(model);
+    }
+
     /// Whether a load that was ordered under this sequence number may be ordered again
     /// without another load.
     pub fn is_open(&self, now: Timestamp, engine: &BackEndId, sequence: u64) -> bool {
--- a/crates/fleet/tests/placement.rs
+++ b/crates/fleet/tests/placement.rs
@@ -148,6 +148,26 @@
     assert_eq!(ends_under_loads(&mut world, "m5", 60_000, 64_000), 3);
 }
 
+/// Rows of all engines lapse while the table is away, and come back under the same names.
+#[test]
+fn an_engine_whose_row_lapsed_while_it_loaded_has_not_ended() {
+    let mut world = World::new(4, &["m0"]);
+    let rows = vec![demand(&[("m5", 2.0, 3)])];
+    let mut now = 0;
+    for _ in 0..5 {
+        while !world.engines.iter().any(|engine| engine.is_loading("m5")) {
+            world.turn(now, &rows);
+            now += 50;
+            assert!(now < 20_000, "it is loaded again and again");
+        }
+        world.engines.clear();
+        world.observe(now);
+        world.engines = (0..4).map(|number| EngineModel::new(number, &[])).collect();
+        world.observe(now);
+    }
+    assert!(!world.obstacles.contains(&Obstacle::EndsEngines));
+}
+
 /// What ended it was a request that it ran, most likely.
 #[test]
 fn an_engine_that_ended_under_requests_says_nothing_of_its_load() {
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -166,6 +166,13 @@
 }
 
 impl EngineModel {
+    /// Whether it loads a model now.
+    #[allow(dead_code)]
+    pub fn is_loading(&self, model: &str) -> bool {
+        let order = OrderKind::LoadModel(model.into());
+        self.work.as_ref().is_some_and(|work| work.order == order)
+    }
+
     /// An engine that holds these models.
     pub fn new(number: usize, models: &[&str]) -> Self {
         EngineModel {
@@ -469,10 +476,9 @@
     /// Every engine that loads the model ends, and comes back. Out: how many did.
     #[allow(dead_code)]
     pub fn end_engines_that_load(&mut self, model: &str) -> usize {
-        let order = OrderKind::LoadModel(model.into());
-        let loads = |engine: &EngineModel| engine.work.as_ref().is_some_and(|it| it.order == order);
         let numbers = 0..self.engines.len();
-        let ending: Vec<usize> = numbers.filter(|it| loads(&self.engines[*it])).collect();
+        let loads = |number: &usize| self.engines[*number].is_loading(model);
+        let ending: Vec<usize> = numbers.filter(loads).collect();
         for number in &ending {
             self.restart(*number);
         }
