--- a/crates/fleet/src/quarantine/mod.rs
+++ b/crates/fleet/src/quarantine/mod.rs
@@ -57,7 +57,7 @@
 
 /// What happened to a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub enum Fate {
+pub enum RunOutcome {
     /// This back end's process ended while the request was there.
     Ended(BackEndHash),
     /// A back end answered it whole.
@@ -66,11 +66,11 @@
 
 /// What one gateway tells another of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ToldFate {
+pub struct ToldOutcome {
     /// The request.
     pub fingerprint: Fingerprint,
     /// What happened to it.
-    pub fate: Fate,
+    pub outcome: RunOutcome,
     /// How long ago, in milliseconds.
     pub age: u64,
 }
@@ -97,7 +97,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Event {
     fingerprint: Fingerprint,
-    fate: Fate,
+    outcome: RunOutcome,
     at: Timestamp,
     source: Source,
 }
@@ -156,8 +156,8 @@
     /// A back end ended while this gateway's request was there.
     pub fn note_end(&mut self, now: Timestamp, fingerprint: Fingerprint, back_end: &BackEndId) {
         let now = since_before_start(now);
-        let fate = Fate::Ended(hash(back_end));
-        self.take_in(now, fingerprint, fate, now, Source::Below);
+        let outcome = RunOutcome::Ended(hash(back_end));
+        self.take_in(now, fingerprint, outcome, now, Source::Below);
     }
 
     /// A back end answered this gateway's request whole, and lives.
@@ -165,17 +165,17 @@
         let now = since_before_start(now);
         self.served.note(now, fingerprint);
         if self.ends.contains_key(&fingerprint) {
-            self.take_in(now, fingerprint, Fate::Served, now, Source::Below);
+            self.take_in(now, fingerprint, RunOutcome::Served, now, Source::Below);
         }
     }
 
     /// Another gateway tells of events. True if any was news.
-    pub fn take(&mut self, now: Timestamp, told: &[ToldFate], source: Source) -> bool {
+    pub fn take(&mut self, now: Timestamp, told: &[ToldOutcome], source: Source) -> bool {
         let now = since_before_start(now);
         let mut is_news = false;
         for event in told.iter().filter(|event| event.age < MEMORY) {
             let at = now - event.age;
-            is_news |= self.take_in(now, event.fingerprint, event.fate, at, source);
+            is_news |= self.take_in(now, event.fingerprint, event.outcome, at, source);
         }
         is_news
     }
@@ -194,7 +194,7 @@
     }
 
     /// Events after a position; all that are remembered if it is another process's.
-    pub fn since(&self, now: Timestamp, position: Option<Position>) -> Vec<ToldFate> {
+    pub fn since(&self, now: Timestamp, position: Option<Position>) -> Vec<ToldOutcome> {
         let now = since_before_start(now);
         self.from(position)
             .map(|event| event.told_at(now))
@@ -202,7 +202,7 @@
     }
 
     /// The same, of what this gateway and those that it feeds saw.
-    pub fn seen_below_since(&self, now: Timestamp, position: Option<Position>) -> Vec<ToldFate> {
+    pub fn seen_below_since(&self, now: Timestamp, position: Option<Position>) -> Vec<ToldOutcome> {
         let now = since_before_start(now);
         self.from(position)
             .filter(|event| event.source == Source::Below)
@@ -212,7 +212,7 @@
 
     /// The ends that verdicts hang on, the newest of each request: to be kept where they
     /// outlast this process.
-    pub fn verdict_events(&self, now: Timestamp) -> Vec<ToldFate> {
+    pub fn verdict_events(&self, now: Timestamp) -> Vec<ToldOutcome> {
         let now = since_before_start(now);
         let verdicts = self.verdicts.keys().take(MOST_KEPT);
         verdicts
@@ -220,12 +220,12 @@
             .collect()
     }
 
-    fn newest_ends(&self, now: Timestamp, fingerprint: Fingerprint) -> Vec<ToldFate> {
+    fn newest_ends(&self, now: Timestamp, fingerprint: Fingerprint) -> Vec<ToldOutcome> {
         let ends = self.ends.get(&fingerprint).into_iter().flatten();
-        let mut told: Vec<ToldFate> = ends
-            .map(|(back_end, at)| ToldFate {
+        let mut told: Vec<ToldOutcome> = ends
+            .map(|(back_end, at)| ToldOutcome {
                 fingerprint,
-                fate: Fate::Ended(*back_end),
+                outcome: RunOutcome::Ended(*back_end),
                 age: now.since(*at),
             })
             .collect();
@@ -247,28 +247,28 @@
         &mut self,
         now: Timestamp,
         fingerprint: Fingerprint,
-        fate: Fate,
+        outcome: RunOutcome,
         at: Timestamp,
         source: Source,
     ) -> bool {
         self.forget_old(now);
-        let is_news = match fate {
-            Fate::Ended(back_end) => self.accuse(fingerprint, back_end, at),
-            Fate::Served => self.acquit(fingerprint, at),
+        let is_news = match outcome {
+            RunOutcome::Ended(back_end) => self.accuse(fingerprint, back_end, at),
+            RunOutcome::Served => self.acquit(fingerprint, at),
         };
         if !is_news {
             return false;
         }
         self.events.push_back(Event {
             fingerprint,
-            fate,
+            outcome,
             at,
             source,
         });
         // A request that many callers make may be at several back ends that end at once. The
         // gateways that served it of late say so before it is kept away for long.
-        if matches!(fate, Fate::Ended(_)) && self.served.contains(now, fingerprint) {
-            self.take_in(now, fingerprint, Fate::Served, now, Source::Below);
+        if matches!(outcome, RunOutcome::Ended(_)) && self.served.contains(now, fingerprint) {
+            self.take_in(now, fingerprint, RunOutcome::Served, now, Source::Below);
         }
         true
     }
@@ -339,12 +339,12 @@
             }
             self.events.pop_front();
             self.forgotten += 1;
-            match oldest.fate {
-                Fate::Ended(back_end) => {
+            match oldest.outcome {
+                RunOutcome::Ended(back_end) => {
                     self.known.remove(&(oldest.fingerprint, back_end));
                     self.forget_end(oldest.fingerprint, back_end);
                 }
-                Fate::Served => {
+                RunOutcome::Served => {
                     self.acquitted.remove(&oldest.fingerprint);
                 }
             }
@@ -368,10 +368,10 @@
 }
 
 impl Event {
-    fn told_at(&self, now: Timestamp) -> ToldFate {
-        ToldFate {
+    fn told_at(&self, now: Timestamp) -> ToldOutcome {
+        ToldOutcome {
             fingerprint: self.fingerprint,
-            fate: self.fate,
+            outcome: self.outcome,
             age: now.since(self.at),
         }
     }
--- a/crates/fleet/tests/quarantine.rs
+++ b/crates/fleet/tests/quarantine.rs
@@ -5,7 +5,7 @@
 use gorsebank_coordination::Timestamp;
 use gorsebank_fleet::Fingerprint;
 use gorsebank_fleet::quarantine::{
-    ENDS_TO_BLAME, Fate, Quarantine, Source, ToldFate, VERDICT_TIME, blame,
+    ENDS_TO_BLAME, Quarantine, RunOutcome, Source, ToldOutcome, VERDICT_TIME, blame,
 };
 use proptest::prelude::*;
 
@@ -172,9 +172,9 @@
     let mut quarantine = Quarantine::new(1);
     assert!(!quarantine.is_ahead_of(None), "there is nothing to tell");
     end(&mut quarantine, 0, 1, "i-1");
-    let told_above = ToldFate {
+    let told_above = ToldOutcome {
         fingerprint: request(2),
-        fate: Fate::Ended(7),
+        outcome: RunOutcome::Ended(7),
         age: 3,
     };
     quarantine.take(Timestamp(5), &[told_above], Source::Beside);
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -170,7 +170,7 @@
     }
 
     async fn exchange(&mut self, mut connection: Connection, is_kept: bool) -> Exchange {
-        // Meanwhile the word may have come that back ends end under the request.
+        // Meanwhile it may have become known that back ends end under the request.
         if self.call.quarantined_for().is_some() {
             return Exchange::Withheld;
         }
--- a/crates/gateway/src/feed/filler.rs
+++ b/crates/gateway/src/feed/filler.rs
@@ -101,7 +101,7 @@
 }
 
 /// Reads which requests were kept away before all gateways were gone, and asks the other
-/// roots for word of such requests, whether the table answers or not, until it is dropped.
+/// roots for news of such requests, whether the table answers or not, until it is dropped.
 async fn hear_of_quarantine(shared: Arc<Shared>) {
     tokio::join!(quarantine_row::recall(&shared), hear_fellow_roots(&shared));
 }
--- a/crates/gateway/src/feed/mod.rs
+++ b/crates/gateway/src/feed/mod.rs
@@ -114,7 +114,7 @@
     }
 
     /// News for another gateway: at once if there are any, or else when there are.
-    /// Word of requests that end back ends is news, too.
+    /// News of requests that end back ends count, too.
     pub async fn news(
         &self,
         question: &FeedQuestion,
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -6,8 +6,8 @@
 //!                                             \--> the one that feeds it, at once
 //! ```
 //!
-//! The word goes up by a call of its own and comes down with the answers to waiting
-//! questions, so it is everywhere within a few round trips, whether the table answers or not.
+//! News go up by a call of its own and come down with the answers to waiting
+//! questions, so they are everywhere within a few round trips, whether the table answers or not.
 //! Roots ask each other. A gateway that starts later is told all that is remembered.
 
 use std::collections::HashMap;
@@ -16,7 +16,7 @@
 use std::time::Duration;
 
 use gorsebank_coordination::Timestamp;
-use gorsebank_fleet::quarantine::{Position, Source, ToldFate};
+use gorsebank_fleet::quarantine::{Position, Source, ToldOutcome};
 use gorsebank_fleet::{Fingerprint, Quarantine};
 use gorsebank_world::BackEndId;
 use parking_lot::Mutex;
@@ -28,10 +28,10 @@
 use crate::relay::{RelayAnswer, RelayRequest};
 use crate::shared::Shared;
 
-/// Pause before the word is handed up again when nobody took it: a fifteenth of the three
-/// seconds that users allow it to all gateways.
+/// Pause before news are handed up again when nobody took them: a fifteenth of the three
+/// seconds that users allow them to all gateways.
 const HAND_UP_PAUSE: Duration = Duration::from_millis(200);
-/// A gateway takes the word within this time, or another one is told.
+/// A gateway takes news within this time, or another one is told.
 const HAND_UP_TIMEOUT: Duration = Duration::from_millis(300);
 /// Whoever has nothing to hand up looks again after so long.
 const IDLE: Duration = Duration::from_secs(5);
@@ -42,7 +42,7 @@
     /// Where the asker is when it has taken in the events.
     pub position: Position,
     /// What happened, in the order in which the teller learned of it.
-    pub events: Vec<ToldFate>,
+    pub events: Vec<ToldOutcome>,
 }
 
 /// What this gateway knows, and how far it knows what others tell.
@@ -82,7 +82,7 @@
     }
 
     /// Another gateway told of events. True as above.
-    pub fn take(&self, now: Timestamp, told: &[ToldFate], source: Source) -> bool {
+    pub fn take(&self, now: Timestamp, told: &[ToldOutcome], source: Source) -> bool {
         self.change(|known| {
             known.take(now, told, source);
         })
@@ -109,7 +109,7 @@
     }
 
     /// The ends that verdicts hang on.
-    pub fn verdict_events(&self, now: Timestamp) -> Vec<ToldFate> {
+    pub fn verdict_events(&self, now: Timestamp) -> Vec<ToldOutcome> {
         self.known.lock().verdict_events(now)
     }
 
@@ -156,7 +156,7 @@
     }
 }
 
-/// Hands the word to a gateway that feeds this one, until it is dropped.
+/// Hands news to a gateway that feeds this one, until it is dropped.
 pub async fn hand_up(shared: Arc<Shared>) {
     let mut grown = shared.quarantine.subscribe();
     let mut handed: Option<Position> = None;
@@ -176,7 +176,7 @@
 }
 
 /// True if a gateway took it. At a root there is nobody above: the others ask it.
-async fn hand_to_any(shared: &Shared, events: Vec<ToldFate>) -> bool {
+async fn hand_to_any(shared: &Shared, events: Vec<ToldOutcome>) -> bool {
     let (is_root, candidates) = {
         let parents = shared.feed.parents.lock();
         (parents.is_root(), parents.candidates())
--- a/crates/gateway/src/quarantine_row.rs
+++ b/crates/gateway/src/quarantine_row.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use gorsebank_contract::{TableAnswer, TableRow, Transaction};
-use gorsebank_fleet::quarantine::ToldFate;
+use gorsebank_fleet::quarantine::ToldOutcome;
 use tokio::time::{sleep, timeout};
 
 use crate::backoff::Backoff;
@@ -51,8 +51,8 @@
 }
 
 fn take_in(shared: &Shared, row: &TableRow) {
-    match serde_json::from_str::<Vec<ToldFate>>(&row.value) {
-        Ok(told) => shared.recall_fates(&told),
+    match serde_json::from_str::<Vec<ToldOutcome>>(&row.value) {
+        Ok(told) => shared.recall_outcomes(&told),
         Err(error) => refuse_row(&row.key, &error),
     }
 }
--- a/crates/gateway/src/relay/message.rs
+++ b/crates/gateway/src/relay/message.rs
@@ -2,7 +2,7 @@
 
 use gorsebank_contract::{TableAnswer, Transaction};
 use gorsebank_fleet::DemandRow;
-use gorsebank_fleet::quarantine::ToldFate;
+use gorsebank_fleet::quarantine::ToldOutcome;
 use gorsebank_fleet::running::Counts;
 use gorsebank_world::NodeId;
 use serde::{Deserialize, Serialize};
@@ -55,7 +55,7 @@
     /// What callers of a gateway ask for, for the placement holder.
     Demand(ToldDemand),
     /// Requests under which back ends ended, as the asker and those that it feeds saw.
-    Quarantine(Vec<ToldFate>),
+    Quarantine(Vec<ToldOutcome>),
     /// A transaction.
     Transact(Transaction),
     /// The removal of a row.
--- a/crates/gateway/src/relay/server.rs
+++ b/crates/gateway/src/relay/server.rs
@@ -71,7 +71,7 @@
         }
         RelayRequest::Demand(told) => hear(shared, told).await,
         RelayRequest::Quarantine(told) => {
-            shared.note_told_fates(&told);
+            shared.note_told_outcomes(&told);
             RelayAnswer::Noted
         }
         exact => match shared.table().direct() {
--- a/crates/gateway/src/shared/mod.rs
+++ b/crates/gateway/src/shared/mod.rs
@@ -5,8 +5,8 @@
 //! `feed.parents`, then any other.
 //! No lock is held over an await.
 
-mod fates;
 mod gateways;
+mod outcomes;
 mod running;
 mod shares;
 
--- a/crates/gateway/src/shared/fates.rs
+++ b/crates/gateway/src/shared/outcomes.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 
 use gorsebank_fleet::Fingerprint;
-use gorsebank_fleet::quarantine::{BackEndHash, Fate, Source, ToldFate};
+use gorsebank_fleet::quarantine::{BackEndHash, RunOutcome, Source, ToldOutcome};
 use gorsebank_world::BackEndId;
 
 use super::Shared;
@@ -15,7 +15,7 @@
 
 impl Shared {
     /// Gateways that this one feeds told of requests under which back ends ended.
-    pub fn note_told_fates(&self, told: &[ToldFate]) {
+    pub fn note_told_outcomes(&self, told: &[ToldOutcome]) {
         self.note_told_ends(told);
         if self.quarantine.take(self.now(), told, Source::Below) {
             self.changed();
@@ -31,10 +31,10 @@
     }
 
     /// Whoever was at an engine when it ended tells all others before they send there.
-    fn note_told_ends(&self, told: &[ToldFate]) {
-        let ended = told.iter().filter_map(|event| match event.fate {
-            Fate::Ended(back_end) => Some(back_end),
-            Fate::Served => None,
+    fn note_told_ends(&self, told: &[ToldOutcome]) {
+        let ended = told.iter().filter_map(|event| match event.outcome {
+            RunOutcome::Ended(back_end) => Some(back_end),
+            RunOutcome::Served => None,
         });
         let ended: HashSet<BackEndHash> = ended.collect();
         if !ended.is_empty() {
@@ -45,7 +45,7 @@
     }
 
     /// A row told which requests were kept away before this process began.
-    pub fn recall_fates(&self, told: &[ToldFate]) {
+    pub fn recall_outcomes(&self, told: &[ToldOutcome]) {
         if self.quarantine.take(self.now(), told, Source::Beside) {
             self.changed();
         }
@@ -58,7 +58,7 @@
         }
     }
 
-    /// Rows of back ends went: whoever had lost a request there without a word of it knows now
+    /// Rows of back ends went: whoever had lost a request there and was not told knows now
     /// that the back end had ended.
     pub fn note_gone_back_ends(&self) {
         let mut gone = Vec::new();
--- a/crates/gorsebank/tests/soak/promises.rs
+++ b/crates/gorsebank/tests/soak/promises.rs
@@ -10,7 +10,7 @@
 /// A request that ended so many back ends is kept away from the others ...
 const ENDS_TO_BLAME: usize = 3;
 /// ... within this time ...
-pub const WORD_BOUND: Duration = Duration::from_secs(3);
+pub const KNOWN_BOUND: Duration = Duration::from_secs(3);
 /// ... but for so many sends.
 const MOST_LATE_ENDINGS: usize = 3;
 /// An engine has memory for so many models of the configuration (200 MB, 70 MB each).
@@ -104,7 +104,7 @@
     let Some(third) = arrivals.get(ENDS_TO_BLAME - 1) else {
         return 0;
     };
-    let late = arrivals.iter().filter(|at| **at > *third + WORD_BOUND);
+    let late = arrivals.iter().filter(|at| **at > *third + KNOWN_BOUND);
     late.count()
 }
 
