A holder that hands its lease back gives no more orders, answered or not

The holder's hand-back takes effect without an answer; another gateway takes the free lease at once, and the former holder's fence stays valid until 0.8 of the lease after its last renewal. Change: no order from when the hand-back is sent; a holder that offers itself again renews at once and goes on when the table says so. The soak writes each gateway's lines beside its report.

Tests: a_holder_whose_hand_back_has_no_answer_gives_no_more_orders and two_nodes_never_give_orders_at_once red before, green after.

--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -5,7 +5,8 @@
 //! it rises with every holder and no clock is compared between nodes.
 //!
 //! Invariants: a holder gives orders only until `lease x ORDER_PART` after it
-//! *sent* its last successful write; another node takes the lease only when it
+//! *sent* its last successful write, and none from when it sends the write that hands
+//! the lease back, whether or not that has an answer; another node takes the lease only when it
 //! has seen the same version for `lease x TAKE_PART`; a node that lost the lease
 //! leaves it to others for `COOL_DOWN` leases, so holders do not take turns. A
 //! crash at any line leaves a row that nobody renews.
@@ -86,6 +87,8 @@
     sent: Timestamp,
     lost: Option<Timestamp>,
     held_since: Option<Timestamp>,
+    /// A write that hands the lease back was sent: others may hold the lease from then on.
+    hands_back: bool,
 }
 
 impl LeaseKeeper {
@@ -104,6 +107,7 @@
             sent: Timestamp(0),
             lost: None,
             held_since: None,
+            hands_back: false,
         }
     }
 
@@ -112,7 +116,7 @@
         let Role::Holder { fence, renewed } = self.role else {
             return None;
         };
-        let valid = now.since(renewed) < self.part(ORDER_PART);
+        let valid = !self.hands_back && now.since(renewed) < self.part(ORDER_PART);
         valid.then_some(fence)
     }
 
@@ -169,10 +173,11 @@
             return LeaseStep::Read;
         };
         if !may_hold {
+            self.hands_back = true;
             return self.write(now, version, None);
         }
         let renew_at = renewed + self.part(RENEW_PART);
-        if now < renew_at {
+        if now < renew_at && !self.hands_back {
             return LeaseStep::Wait(renew_at);
         }
         self.write(now, version, Some(self.node.clone()))
@@ -213,6 +218,7 @@
             self.lost = Some(now);
         }
         self.role = Role::Follower;
+        self.hands_back = false;
     }
 
     /// Whether nobody can hold the lease any more: it was handed back, or it was
@@ -249,7 +255,8 @@
         self.version = None;
     }
 
-    /// Time from which the holder's validity counts is when the write was sent.
+    /// Time from which the holder's validity counts is when the write was sent. A hand-back
+    /// that was sent before cannot take effect any more: its condition is an older version.
     fn hold(&mut self, now: Timestamp, version: u64) {
         if !self.is_holder() {
             self.held_since = Some(now);
@@ -258,6 +265,7 @@
             Role::Holder { fence, .. } => fence,
             Role::Follower => version,
         };
+        self.hands_back = false;
         self.role = Role::Holder {
             fence,
             renewed: self.sent,
--- a/crates/fleet/tests/lease.rs
+++ b/crates/fleet/tests/lease.rs
@@ -55,8 +55,19 @@
     ]
 }
 
+fn offer() -> impl Strategy<Value = Offer> {
+    prop_oneof![
+        8 => Just(Offer::After(0)),
+        1 => Just(Offer::Never),
+    ]
+}
+
 fn turn(table: &mut Table, keeper: &mut LeaseKeeper, now: u64, fault: Fault) {
-    match keeper.step(Timestamp(now), Offer::After(0)) {
+    turn_with(table, keeper, now, fault, Offer::After(0));
+}
+
+fn turn_with(table: &mut Table, keeper: &mut LeaseKeeper, now: u64, fault: Fault, offer: Offer) {
+    match keeper.step(Timestamp(now), offer) {
         LeaseStep::Wait(_) => {}
         LeaseStep::Read => {
             if !matches!(fault, Fault::Unreachable) {
@@ -110,6 +121,50 @@
     assert_eq!(first.fence(Timestamp(7)), None);
 }
 
+/// The soak's seed 557: a gateway that is asked to stop, while the table makes writes and loses
+/// the answers, ordered on under its fence beside the next holder.
+#[test]
+fn a_holder_whose_hand_back_has_no_answer_gives_no_more_orders() {
+    for fault in [Fault::Lost, Fault::Late(100), Fault::Unreachable] {
+        let mut table = Table::default();
+        let mut first = keeper(1, 11);
+        turn(&mut table, &mut first, 0, Fault::Fine);
+        turn(&mut table, &mut first, 1, Fault::Fine);
+        assert_eq!(first.fence(Timestamp(2)), Some(1));
+        turn_with(&mut table, &mut first, 3, fault, Offer::Never);
+        assert_eq!(first.fence(Timestamp(4)), None, "{fault:?}");
+        let mut second = keeper(2, 22);
+        for now in (5..10_000).step_by(50) {
+            table.carry_out_late(now);
+            turn_with(
+                &mut table,
+                &mut first,
+                now,
+                Fault::Unreachable,
+                Offer::Never,
+            );
+            turn(&mut table, &mut second, now, Fault::Fine);
+            assert_eq!(first.fence(Timestamp(now)), None, "{fault:?} at {now}");
+        }
+        assert!(second.fence(Timestamp(10_000)).is_some(), "{fault:?}");
+    }
+}
+
+#[test]
+fn a_holder_that_offers_itself_again_goes_on_once_the_table_says_so() {
+    let mut table = Table::default();
+    let mut holder = keeper(1, 11);
+    turn(&mut table, &mut holder, 0, Fault::Fine);
+    turn(&mut table, &mut holder, 1, Fault::Fine);
+    turn_with(&mut table, &mut holder, 3, Fault::Unreachable, Offer::Never);
+    assert_eq!(holder.fence(Timestamp(4)), None);
+    // The hand-back did not take effect, and now cannot any more: the row is another one.
+    for now in (5..2_000).step_by(50) {
+        turn(&mut table, &mut holder, now, Fault::Fine);
+    }
+    assert_eq!(holder.fence(Timestamp(2_000)), Some(1));
+}
+
 #[test]
 fn a_restarted_node_retakes_its_own_lease_at_once() {
     let mut table = Table::default();
@@ -152,19 +207,19 @@
     #![proptest_config(ProptestConfig::with_cases(300))]
     #[test]
     fn two_nodes_never_give_orders_at_once(
-        steps in prop::collection::vec((0usize..4, fault(), 0u64..400), 1..400),
+        steps in prop::collection::vec((0usize..4, fault(), 0u64..400, offer()), 1..400),
         sleeper in 0usize..4,
     ) {
         let mut table = Table::default();
         let mut keepers: Vec<LeaseKeeper> = (0..4).map(|node| keeper(node, node as u64)).collect();
         let mut now = 0;
         let mut highest = 0;
-        for (index, (node, fault, pause)) in steps.into_iter().enumerate() {
+        for (index, (node, fault, pause, offer)) in steps.into_iter().enumerate() {
             now += pause;
             table.carry_out_late(now);
             // One node sleeps through most of the time, and wakes in between.
             if node != sleeper || index % 9 == 0 {
-                turn(&mut table, &mut keepers[node], now, fault);
+                turn_with(&mut table, &mut keepers[node], now, fault, offer);
             }
             let fences: Vec<u64> = keepers.iter().filter_map(|keeper| keeper.fence(Timestamp(now))).collect();
             prop_assert!(fences.len() <= 1, "{fences:?} at {now}");
--- a/crates/gorsebank/tests/soak/gateways.rs
+++ b/crates/gorsebank/tests/soak/gateways.rs
@@ -1,8 +1,9 @@
 //! The gateways of a run: each a process, that is signalled, and started again when it is
 //! gone. Only processes that were started here are signalled, by their id.
 
+use std::fs::File;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::process::Stdio;
 use std::time::Duration;
 
@@ -26,6 +27,8 @@
     pub wire: Wire,
     process: Option<GatewayProcess>,
     number: usize,
+    /// Where each process's lines go; nowhere if nobody asked for a report.
+    logs: Option<PathBuf>,
 }
 
 /// Where callers find the process of a slot.
@@ -38,13 +41,15 @@
 }
 
 impl Slot {
-    /// Starts a gateway that reaches the table through `wire`.
-    pub fn start(name: &str, wire: Wire, number: usize) -> Self {
+    /// Starts a gateway that reaches the table through `wire`, and writes its lines to a
+    /// file of its process in `logs`.
+    pub fn start(name: &str, wire: Wire, number: usize, logs: Option<PathBuf>) -> Self {
         let mut slot = Slot {
             name: name.to_owned(),
             wire,
             process: None,
             number,
+            logs,
         };
         slot.start_again(number);
         slot
@@ -62,10 +67,23 @@
             relay: Some(address()),
         };
         let program = Path::new(env!("CARGO_BIN_EXE_gorsebank"));
-        self.process = Some(GatewayProcess::start_at(program, &place, Stdio::null()));
+        self.process = Some(GatewayProcess::start_at(
+            program,
+            &place,
+            self.output(number),
+        ));
         self.number = number;
     }
 
+    fn output(&self, number: usize) -> Stdio {
+        let Some(folder) = &self.logs else {
+            return Stdio::null();
+        };
+        std::fs::create_dir_all(folder).expect("a folder for logs");
+        let file = folder.join(format!("{}-process-{number}.log", self.name));
+        File::create(file).expect("a file for logs").into()
+    }
+
     /// Its name.
     pub fn name(&self) -> &str {
         &self.name
--- a/crates/gorsebank/tests/soak/main.rs
+++ b/crates/gorsebank/tests/soak/main.rs
@@ -4,7 +4,8 @@
 //! Each run follows a seed: which faults strike when, and what callers send. By itself the
 //! test plays a few seeds for some seconds each; `GORSEBANK_SOAK_SEEDS` (how many, from a
 //! drawn one on, or `FIRST..LAST`) and `GORSEBANK_SOAK_SECONDS` make it longer,
-//! `GORSEBANK_SOAK_GATEWAYS` larger; `GORSEBANK_SOAK_REPORT` names a folder for reports. A run has three gateways, two callers for each, six back
+//! `GORSEBANK_SOAK_GATEWAYS` larger; `GORSEBANK_SOAK_REPORT` names a folder for reports and
+//! for the lines of each gateway's process. A run has three gateways, two callers for each, six back
 //! ends, on loopback; it ends only processes that it started. Its line tells requests, faults
 //! by kind and findings.
 
@@ -21,7 +22,7 @@
 mod run;
 
 use std::ops::Range;
-use std::path::Path;
+use std::path::PathBuf;
 use std::time::Duration;
 
 use plan::plan;
@@ -47,7 +48,8 @@
 }
 
 /// Orders of a former holder followed those of a newer one, one at each of two engines, once in
-/// five plays of this seed; whether they were late on their way or sent too late is not known.
+/// five plays of this seed: the former one was asked to stop while the table lost its answers,
+/// and ordered on after its hand-back, which the table had made.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn promises_hold_with_seeds_that_showed_a_fault() {
     let length = Duration::from_secs(SECONDS);
@@ -58,13 +60,17 @@
 async fn hold(seeds: impl IntoIterator<Item = u64>, length: Duration, gateways: usize) {
     let mut broken = Vec::new();
     for seed in seeds {
-        let history = run::play(seed, length, gateways).await;
+        let folder = std::env::var_os("GORSEBANK_SOAK_REPORT").map(PathBuf::from);
+        let logs = folder
+            .as_ref()
+            .map(|folder| folder.join(format!("seed-{seed}")));
+        let history = run::play(seed, length, gateways, logs).await;
         let findings = promises::check(&history);
         let plan = plan(seed, length);
         let report = Report::new(seed, &plan, &history, &findings);
         println!("{}", account(&report, history.tries.len()));
-        if let Ok(folder) = std::env::var("GORSEBANK_SOAK_REPORT") {
-            let written = report.write(Path::new(&folder), &plan);
+        if let Some(folder) = folder {
+            let written = report.write(&folder, &plan);
             written.expect("GORSEBANK_SOAK_REPORT: a folder to write to");
         }
         for finding in &findings {
--- a/crates/gorsebank/tests/soak/run.rs
+++ b/crates/gorsebank/tests/soak/run.rs
@@ -3,6 +3,7 @@
 mod strikes;
 
 use std::collections::BTreeMap;
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
@@ -85,9 +86,10 @@
     version: Mutex<u64>,
 }
 
-/// Plays the faults of a seed against so many gateways, and tells what was seen.
-pub async fn play(seed: u64, length: Duration, gateways: usize) -> History {
-    let run = Arc::new(Run::start(gateways, length).await);
+/// Plays the faults of a seed against so many gateways, and tells what was seen. Gateways
+/// write their lines to `logs`.
+pub async fn play(seed: u64, length: Duration, gateways: usize, logs: Option<PathBuf>) -> History {
+    let run = Arc::new(Run::start(gateways, length, logs).await);
     let tries = Arc::default();
     let mut tasks = JoinSet::new();
     for number in 0..CALLERS * gateways {
@@ -118,13 +120,13 @@
 }
 
 impl Run {
-    async fn start(gateways: usize, length: Duration) -> Self {
+    async fn start(gateways: usize, length: Duration, logs: Option<PathBuf>) -> Self {
         let store = Store::start().await;
         store.put("op", "config", with_more_models(configuration(1)));
         let mut slots = Vec::new();
         for number in 0..gateways {
             let wire = Wire::to(store.address).await;
-            let slot = Slot::start(&format!("node-{number}"), wire, number);
+            let slot = Slot::start(&format!("node-{number}"), wire, number, logs.clone());
             slots.push(Mutex::new(slot));
         }
         let mut run = Run {
