Tenants: keys, ranks, and the age of what is known of them

Change: tenants are part of the configuration (fleet: tenant.rs; decoded once in platform/). A key is taken out of the request, looked up by a keyed hash, printed nowhere. Whether it counts hangs on the age of the configuration: the time since the moment for which the table has proved it, which is when the question was asked; proofs add up along the tree (feed/proof.rs) and belong to the content that was taken in. Older than 0.92 of the bound on keys that are taken away: 503, not run. A key that is not known is called so only by a gateway that would have heard of it. A gateway that is throttled for a second goes through another one at once, not after a second failure. Weighed: the age by the time of an answer (cheaper, and wrong for an answer that lay in a buffer).

--- a/crates/fleet/src/configuration.rs
+++ b/crates/fleet/src/configuration.rs
@@ -9,6 +9,7 @@
 use gorsebank_world::{AdapterId, ModelId, ServiceId};
 
 use crate::back_end::CopyTier;
+use crate::tenant::Tenants;
 
 /// How often a request may run, and how it is answered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -63,6 +64,8 @@
     pub max_attempts: u32,
     /// Services and their weights; never empty.
     pub services: Vec<(ServiceId, u32)>,
+    /// Whether it may be used without a key.
+    pub is_public: bool,
 }
 
 /// A model that an engine service may hold.
@@ -143,6 +146,8 @@
     services: HashMap<ServiceId, Service>,
     /// Limits on clients.
     pub limits: Limits,
+    /// Who may call; none where callers need no key.
+    pub tenants: Option<Tenants>,
 }
 
 impl Configuration {
@@ -165,9 +170,15 @@
             routes: by_host,
             services,
             limits,
+            tenants: None,
         }
     }
 
+    /// The same, for callers with keys.
+    pub fn with_tenants(self, tenants: Option<Tenants>) -> Self {
+        Configuration { tenants, ..self }
+    }
+
     /// The route of a request: that of its host whose prefix begins the path and is longest.
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let name = host_name(host);
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -6,6 +6,7 @@
 //! values. `gorsebank-gateway` carries them out; nothing here reads a clock,
 //! a socket or a global.
 
+pub mod access;
 pub mod back_end;
 pub mod choice;
 pub mod configuration;
@@ -25,7 +26,9 @@
 pub mod running;
 pub mod split;
 pub mod sweep;
+pub mod tenant;
 
+pub use access::{Denial, KeyBounds, identify};
 pub use back_end::{BackEndReport, CopyTier, EngineReport, Holdings, PlacedRow, PlannedLoad};
 pub use configuration::{Configuration, Engine, Limits, ModelSpec, RequestKind, Route, Service};
 pub use demand::{Demand, DemandRow, ModelDemand};
@@ -38,3 +41,4 @@
 pub use reading_row::{GapSample, ReadingRow, ReadingSample};
 pub use retry_window::{RetryShare, RetryWindow};
 pub use sweep::Sweep;
+pub use tenant::{ApiKey, LimitUnit, Tenant, TenantEntry, TenantLimit, Tenants, TenantsError};
--- a/crates/fleet/tests/configuration.rs
+++ b/crates/fleet/tests/configuration.rs
@@ -16,6 +16,7 @@
         priority: 0,
         max_attempts: 2,
         services: vec![("top-up".into(), 1)],
+        is_public: false,
     }
 }
 
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -252,7 +252,7 @@
     fn begin(call: &'a Call) -> Option<Self> {
         let model = call.ticket.model.as_ref()?;
         let mut demand = call.shared.demand.lock();
-        demand.begin_waiting(&call.service, model, call.route.priority);
+        demand.begin_waiting(&call.service, model, call.priority());
         Some(Waiting { call, model })
     }
 }
@@ -260,7 +260,7 @@
 impl Drop for Waiting<'_> {
     fn drop(&mut self) {
         let mut demand = self.call.shared.demand.lock();
-        demand.end_waiting(&self.call.service, self.model, self.call.route.priority);
+        demand.end_waiting(&self.call.service, self.model, self.call.priority());
     }
 }
 
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -277,7 +277,8 @@
     let head = AttemptHead {
         back_end: &back_end.id,
         time_left: call.deadline().saturating_duration_since(Instant::now()),
-        priority: call.route.priority,
+        priority: call.priority(),
+        tenant: call.tenant.as_ref().map(|tenant| tenant.id.as_str()),
         last_event,
     };
     call.shared
--- a/crates/gateway/src/candidates.rs
+++ b/crates/gateway/src/candidates.rs
@@ -115,7 +115,7 @@
         chosen.in_flight(),
         health.latency().unwrap_or(0.0),
         call.age().as_millis(),
-        call.route.priority,
+        call.priority(),
         chosen.fresh_tokens(&call.ticket),
         chosen.row().version,
         call.shared.now().since(chosen.row().seen),
--- a/crates/gateway/src/failure.rs
+++ b/crates/gateway/src/failure.rs
@@ -9,6 +9,9 @@
 use crate::ports::Platform;
 use crate::request::AnswerBody;
 
+/// How callers state their keys.
+const KEY_SCHEME: &str = "Bearer";
+
 /// Why a request failed at the gateway.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Failure {
@@ -16,6 +19,11 @@
     NoConfiguration,
     /// No route fits.
     NoRoute,
+    /// The caller may not use the route, by its key.
+    Unauthorized {
+        /// Why.
+        reason: &'static str,
+    },
     /// The body is larger than allowed.
     BodyTooLarge,
     /// The body could not be read.
@@ -42,6 +50,7 @@
         match self {
             Failure::NoConfiguration | Failure::Refused { .. } => StatusCode::SERVICE_UNAVAILABLE,
             Failure::NoRoute => StatusCode::NOT_FOUND,
+            Failure::Unauthorized { .. } => StatusCode::UNAUTHORIZED,
             Failure::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Failure::BadBody => StatusCode::BAD_REQUEST,
             Failure::Unknown { .. } => StatusCode::BAD_GATEWAY,
@@ -56,7 +65,9 @@
             Failure::NoRoute => "no_route",
             Failure::BodyTooLarge => "body_too_large",
             Failure::BadBody => "bad_body",
-            Failure::Refused { reason, .. } | Failure::Unknown { reason } => reason,
+            Failure::Refused { reason, .. }
+            | Failure::Unknown { reason }
+            | Failure::Unauthorized { reason } => reason,
             Failure::TimedOut => "timed_out",
         }
     }
@@ -73,6 +84,12 @@
         response
             .headers_mut()
             .insert(header::CONTENT_TYPE, content_type);
+        if matches!(self, Failure::Unauthorized { .. }) {
+            let scheme = HeaderValue::from_static(KEY_SCHEME);
+            response
+                .headers_mut()
+                .insert(header::WWW_AUTHENTICATE, scheme);
+        }
         if let Some(pause) = self.retry_after() {
             platform.mark_retry_after(response.headers_mut(), pause);
         }
--- a/crates/gateway/src/feed/cache.rs
+++ b/crates/gateway/src/feed/cache.rs
@@ -2,7 +2,7 @@
 //!
 //! In: answers of the table, or of the gateway that feeds this one. Out: the same rows and
 //! changes, for this gateway's own followers and for gateways that it feeds, with the time
-//! since the table last confirmed them.
+//! since the table last confirmed them, and since the moment for which that is proved.
 //!
 //! Invariant: a table's version only rises, and changes between the first version that
 //! is kept and the newest are complete; after a gap nothing older is told.
@@ -15,6 +15,7 @@
 
 use super::message::{News, TableNews, TablePosition};
 use super::packed::PackedChange;
+use super::proof::Proofs;
 use crate::clock::Clock;
 use crate::ports::{TableChanges, TableSnapshot};
 
@@ -33,10 +34,31 @@
     version: u64,
     /// When the table confirmed that nothing newer stands in it, since the machine started.
     confirmed: Option<Duration>,
+    /// For which moments the content of the table is proved.
+    proofs: Proofs,
     /// Rings with the version when rows changed.
     newest: watch::Sender<u64>,
 }
 
+/// How old an answer is.
+#[derive(Clone, Copy, Debug)]
+struct Ages {
+    /// Time since the table gave it.
+    confirmed: Duration,
+    /// The moment for which it is proved to be the table's, since the machine started.
+    proved: Option<Duration>,
+}
+
+impl Ages {
+    /// An answer of the table itself: it may have been under way since it was asked for.
+    fn of_the_table(asked: Duration) -> Self {
+        Ages {
+            confirmed: Duration::ZERO,
+            proved: Some(asked),
+        }
+    }
+}
+
 /// What is kept of all tables.
 #[derive(Debug, Default)]
 pub struct TableCache {
@@ -55,33 +77,36 @@
         }
     }
 
-    /// The table was read as a whole.
-    pub fn replace(&mut self, table: &str, snapshot: &TableSnapshot) {
+    /// The table was read as a whole, in answer to a question that was asked at this time
+    /// since the machine started.
+    pub fn replace(&mut self, table: &str, snapshot: &TableSnapshot, asked: Duration) {
         let rows = snapshot.rows.iter().map(PackedChange::put).map(Arc::new);
-        self.replace_packed(table, rows.collect(), snapshot.version, Duration::ZERO);
+        let ages = Ages::of_the_table(asked);
+        self.replace_packed(table, rows.collect(), snapshot.version, ages);
     }
 
-    /// The table told its changes after `version`.
-    pub fn advance(&mut self, table: &str, version: u64, told: &TableChanges) {
+    /// The table told its changes after `version`, in answer to a question that was asked at
+    /// this time since the machine started.
+    pub fn advance(&mut self, table: &str, version: u64, told: &TableChanges, asked: Duration) {
         let changes = told.changes.iter().map(PackedChange::new).map(Arc::new);
-        self.advance_packed(
-            table,
-            version,
-            changes.collect(),
-            told.version,
-            Duration::ZERO,
-        );
+        let ages = Ages::of_the_table(asked);
+        self.advance_packed(table, version, changes.collect(), told.version, ages);
     }
 
-    /// Another gateway told of a table, in answer to a question at `position`.
-    pub fn take(&mut self, position: Option<u64>, news: TableNews) {
-        let age = Duration::from_millis(news.age);
+    /// Another gateway told of a table, in answer to a question at `position`. It answered
+    /// no sooner than `answered`, by this machine's time since its start.
+    pub fn take(&mut self, position: Option<u64>, news: TableNews, answered: Duration) {
+        let proved_age = news.proved_age.map(Duration::from_millis);
+        let ages = Ages {
+            confirmed: Duration::from_millis(news.age),
+            proved: proved_age.and_then(|age| answered.checked_sub(age)),
+        };
         match (news.news, position) {
             (News::Rows { rows, version }, _) => {
-                self.replace_packed(&news.table, rows, version, age);
+                self.replace_packed(&news.table, rows, version, ages);
             }
             (News::Changes { changes, version }, Some(position)) => {
-                self.advance_packed(&news.table, position, changes, version, age);
+                self.advance_packed(&news.table, position, changes, version, ages);
             }
             // Changes from where nobody asked; the next answer brings the rows.
             (News::Changes { .. }, None) => {}
@@ -93,7 +118,7 @@
         table: &str,
         rows: Vec<Arc<PackedChange>>,
         version: u64,
-        age: Duration,
+        ages: Ages,
     ) {
         let now = self.clock.since_boot();
         let kept = self.entry(table);
@@ -109,8 +134,8 @@
         kept.rows = Some(rows);
         kept.has_gap = false;
         kept.version = version;
-        kept.confirm(now, age);
         kept.newest.send_replace(version);
+        kept.confirm(now, ages);
         self.any.send_replace(());
     }
 
@@ -120,7 +145,7 @@
         after: u64,
         changes: Vec<Arc<PackedChange>>,
         version: u64,
-        age: Duration,
+        ages: Ages,
     ) {
         let now = self.clock.since_boot();
         let kept = self.entry(table);
@@ -135,9 +160,11 @@
             kept.take(change);
         }
         kept.version = version;
-        kept.confirm(now, age);
         if has_changes {
             kept.newest.send_replace(version);
+        }
+        kept.confirm(now, ages);
+        if has_changes {
             self.any.send_replace(());
         }
     }
@@ -173,6 +200,10 @@
         Some(TableNews {
             table: position.table.clone(),
             age: kept.age(self.clock.since_boot())?.as_millis() as u64,
+            proved_age: kept
+                .proofs
+                .age(self.clock.since_boot(), u64::MAX)
+                .map(|age| age.as_millis() as u64 + 1),
             news,
         })
     }
@@ -197,6 +228,13 @@
         self.tables.get(table)?.age(self.clock.since_boot())
     }
 
+    /// Time since the latest moment for which it is proved that what stood in a table was
+    /// what was known up to the version `taken`; none if nothing is proved of that.
+    pub fn proved_age(&self, table: &str, taken: u64) -> Option<Duration> {
+        let kept = self.tables.get(table)?;
+        kept.proofs.age(self.clock.since_boot(), taken)
+    }
+
     /// Rings when a table has a change.
     pub fn subscribe(&mut self, table: &str) -> watch::Receiver<u64> {
         self.entry(table).newest.subscribe()
@@ -216,6 +254,7 @@
             since: 0,
             version: 0,
             confirmed: None,
+            proofs: Proofs::default(),
             newest: watch::channel(0).0,
         })
     }
@@ -247,10 +286,14 @@
         Some(changes)
     }
 
-    /// What was confirmed `age` ago, unless a later confirmation is known.
-    fn confirm(&mut self, now: Duration, age: Duration) {
-        let at = now.checked_sub(age);
+    /// What was confirmed, unless a later confirmation is known.
+    fn confirm(&mut self, now: Duration, ages: Ages) {
+        let at = now.checked_sub(ages.confirmed);
         self.confirmed = self.confirmed.max(at);
+        // Without rows nothing is known of changes that were missed.
+        if let (Some(at), true) = (ages.proved, self.rows.is_some()) {
+            self.proofs.note(*self.newest.borrow(), at);
+        }
     }
 
     fn age(&self, now: Duration) -> Option<Duration> {
--- a/crates/gateway/src/feed/filler.rs
+++ b/crates/gateway/src/feed/filler.rs
@@ -185,13 +185,16 @@
     let source = shared.table();
     let table = rhythm.table;
     let suspended = shared.clock.suspended();
+    let asked = shared.clock.since_boot();
     match shared.feed.cache(|cache| cache.version(table)) {
         None => {
             let snapshot = source.read(table).await?;
             if shared.clock.was_suspended_since(suspended) {
                 return Ok(());
             }
-            shared.feed.cache(|cache| cache.replace(table, &snapshot));
+            shared
+                .feed
+                .cache(|cache| cache.replace(table, &snapshot, asked));
         }
         Some(version) => {
             let told = source.changes(table, version, rhythm.wait).await?;
@@ -200,7 +203,7 @@
             }
             shared
                 .feed
-                .cache(|cache| cache.advance(table, version, &told));
+                .cache(|cache| cache.advance(table, version, &told, asked));
         }
     }
     Ok(())
@@ -263,6 +266,7 @@
         let limit = FEED_WAIT + ANSWER_TIMEOUT;
         let client = self.shared.table().client();
         let suspended = self.shared.clock.suspended();
+        let asked = self.shared.clock.since_boot();
         let answer = client.call(parent.address, &request, limit).await;
         // It may have lain there meanwhile: it is asked for again.
         let answer = answer.filter(|_| !self.shared.clock.was_suspended_since(suspended));
@@ -276,7 +280,8 @@
                     let now = self.shared.now();
                     self.shared.feed.running.lock().note_sums(now, sums, &own);
                 }
-                self.take(&question, answer)
+                let answered = asked + Duration::from_millis(answer.held);
+                self.take(&question, answer, answered)
             }
             _ => false,
         };
@@ -315,8 +320,9 @@
         }
     }
 
-    /// Takes in what is fresh. True if every table that was asked for is.
-    fn take(&self, question: &FeedQuestion, answer: FeedAnswer) -> bool {
+    /// Takes in what is fresh. True if every table that was asked for is. The answer was
+    /// given no sooner than `answered`, since the machine started.
+    fn take(&self, question: &FeedQuestion, answer: FeedAnswer, answered: Duration) -> bool {
         let mut fresh = 0;
         for news in answer.tables {
             let mut asked = question.tables.iter();
@@ -328,7 +334,9 @@
             }
             // What is old may be news all the same, and never takes anything back.
             let version = position.version;
-            self.shared.feed.cache(|cache| cache.take(version, news));
+            self.shared
+                .feed
+                .cache(|cache| cache.take(version, news, answered));
         }
         fresh == question.tables.len()
     }
--- a/crates/gateway/src/feed/message.rs
+++ b/crates/gateway/src/feed/message.rs
@@ -54,6 +54,10 @@
     /// Time since the table confirmed them, in milliseconds.
     #[serde(rename = "a")]
     pub age: u64,
+    /// Time since the moment for which the table is proved to hold just this, in
+    /// milliseconds; none if there is no proof.
+    #[serde(rename = "p", default)]
+    pub proved_age: Option<u64>,
     /// The news.
     #[serde(rename = "n")]
     pub news: News,
@@ -83,6 +87,10 @@
 pub struct FeedAnswer {
     /// News of the tables that were asked for.
     pub tables: Vec<TableNews>,
+    /// How long the answer waited for news, in milliseconds: it is younger than its question
+    /// by so much at least.
+    #[serde(default)]
+    pub held: u64,
     /// What all gateways have running at back ends; none if it is not known.
     pub running: Option<Counts>,
     /// Requests under which back ends ended; none from a gateway of an older version.
--- a/crates/gateway/src/feed/mod.rs
+++ b/crates/gateway/src/feed/mod.rs
@@ -19,8 +19,10 @@
 pub mod message;
 pub mod packed;
 pub mod parents;
+mod proof;
 mod rhythm;
 
+use std::collections::HashMap;
 use std::time::Duration;
 
 use gorsebank_contract::TableRow;
@@ -42,6 +44,8 @@
 /// What this gateway knows of the tables, and where it learns it.
 pub struct Feed {
     cache: Mutex<TableCache>,
+    /// Up to which version the followers of tables have taken them in.
+    taken: Mutex<HashMap<&'static str, u64>>,
     /// Whom to ask.
     pub parents: Mutex<Parents>,
     /// What all gateways have running at back ends.
@@ -66,6 +70,7 @@
     pub fn new(clock: Clock) -> Self {
         Feed {
             cache: Mutex::new(TableCache::new(clock)),
+            taken: Mutex::default(),
             parents: Mutex::default(),
             running: Mutex::default(),
             asked: Notify::default(),
@@ -96,6 +101,18 @@
         }
     }
 
+    /// The follower of a table has taken it in up to this version.
+    pub fn note_taken(&self, table: &'static str, version: u64) {
+        self.taken.lock().insert(table, version);
+    }
+
+    /// Time since the latest moment for which it is proved that a table held nothing newer
+    /// than what its follower has taken in; none if that is proved for no moment.
+    pub fn proved_age(&self, table: &str) -> Option<Duration> {
+        let taken = *self.taken.lock().get(table)?;
+        self.cache(|cache| cache.proved_age(table, taken))
+    }
+
     /// Rings when a table changes.
     pub fn subscribe(&self, table: &str) -> watch::Receiver<u64> {
         self.cache(|cache| cache.subscribe(table))
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 //! [`holder`] keeps the placement lease, and [`placement`] places models while
 //! this process has it.
 
+mod access;
 pub mod admission;
 pub mod attempt;
 pub mod attempts;
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -64,9 +64,12 @@
     let table = shared.platform.tables().members;
     let mut backoff = Backoff::new(FIRST_PAUSE, LONGEST_PAUSE);
     loop {
+        let asked = shared.clock.since_boot();
         match shared.table().read(table).await {
             Ok(snapshot) => {
-                shared.feed.cache(|cache| cache.replace(table, &snapshot));
+                shared
+                    .feed
+                    .cache(|cache| cache.replace(table, &snapshot, asked));
                 let mut follower = MemberFollower::new(shared.clone());
                 let key = own_key(shared);
                 let others = snapshot.rows.iter().filter(|row| row.key != key).count();
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -9,7 +9,7 @@
 use futures_util::future::BoxFuture;
 use gorsebank_contract::{TableAnswer, TableRow, Transaction};
 use gorsebank_fleet::placement::{OrderKind, OrderResult};
-use gorsebank_fleet::{BackEndReport, Configuration, EngineReport, Prompt};
+use gorsebank_fleet::{ApiKey, BackEndReport, Configuration, EngineReport, Prompt};
 use gorsebank_world::{AdapterId, BackEndId, ModelId, NodeId};
 use http::{HeaderMap, Request, StatusCode};
 use serde::{Deserialize, Serialize};
@@ -28,6 +28,8 @@
     pub adapter: Option<AdapterId>,
     /// Its prompt.
     pub prompt: Prompt,
+    /// Tokens of the prompt and of the longest answer, together.
+    pub tokens: Option<u64>,
     /// The last event that the caller has.
     pub last_event: Option<String>,
 }
@@ -39,8 +41,10 @@
     pub back_end: &'a BackEndId,
     /// How long it may take.
     pub time_left: Duration,
-    /// Rank of its route; 0 is the most urgent.
+    /// Rank of its tenant, or else of its route; 0 is the most urgent.
     pub priority: u8,
+    /// Whose request it is, where callers have keys.
+    pub tenant: Option<&'a str>,
     /// Continue after this event.
     pub last_event: Option<&'a str>,
 }
@@ -200,6 +204,9 @@
     /// Reads the head of a request.
     fn ticket(&self, headers: &HeaderMap) -> Ticket;
 
+    /// Takes the caller's key out of the head of a request.
+    fn take_key(&self, headers: &mut HeaderMap) -> Option<ApiKey>;
+
     /// Marks the head of a request for one attempt.
     fn mark_attempt(&self, headers: &mut HeaderMap, attempt: &AttemptHead<'_>);
 
--- a/crates/gateway/src/relay/server.rs
+++ b/crates/gateway/src/relay/server.rs
@@ -86,11 +86,14 @@
     let (from, now) = (question.from.as_str(), shared.now());
     let counts = question.running.clone();
     shared.feed.running.lock().note_fed(now, from, counts);
+    let arrived = shared.clock.since_boot();
     let tables = shared.feed.news(&question, &shared.quarantine).await;
+    let held = shared.clock.since_boot().saturating_sub(arrived);
     let running = shared.running_sums();
     let quarantine = shared.quarantine.news(shared.now(), question.quarantine);
     FeedAnswer {
         tables,
+        held: held.as_millis() as u64,
         running,
         quarantine: Some(quarantine),
     }
--- a/crates/gateway/src/relay/table.rs
+++ b/crates/gateway/src/relay/table.rs
@@ -132,7 +132,9 @@
             .throttled_since
             .get_or_insert_with(Instant::now);
         if since.elapsed() > THROTTLED_TOO_LONG {
-            self.note_failed();
+            // No second failure is waited for: a gateway that follows the table has to hear of
+            // keys that were taken away while their bound lasts.
+            self.note_failures(FAILURES);
         } else {
             self.count("throttled");
         }
@@ -140,9 +142,14 @@
 
     /// A direct call had no answer, or the table is out of order.
     fn note_failed(&self) {
+        self.note_failures(1);
+    }
+
+    /// Something that counts as so many direct calls in a row without an answer.
+    fn note_failures(&self, count: u32) {
         self.count("direct_failed");
         let mut state = self.state.lock();
-        state.failures += 1;
+        state.failures += count;
         let gives_up = state.failures >= FAILURES && state.probe_at.is_none();
         if !gives_up {
             return;
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use gorsebank_fleet::{Configuration, Fingerprint, Route};
+use gorsebank_fleet::{Configuration, Fingerprint, Route, Tenant};
 use gorsebank_world::ServiceId;
 use http::header::{self, HeaderName};
 use http::request::Parts;
@@ -20,6 +20,7 @@
 use thiserror::Error;
 use tokio::time::{Instant, timeout_at};
 
+use crate::access::{Caller, KnownKeys, tenant_of};
 use crate::failure::Failure;
 use crate::lines::{self, Rank};
 use crate::ports::Ticket;
@@ -64,6 +65,8 @@
     pub route: Arc<Route>,
     /// The service that it goes to.
     pub service: ServiceId,
+    /// Whose request it is, where callers have keys.
+    pub tenant: Option<Arc<Tenant>>,
     /// What its head says.
     pub ticket: Ticket,
     /// Method, path and headers as they are sent on.
@@ -138,6 +141,12 @@
         Some(last.saturating_sub(Duration::from_millis(since)))
     }
 
+    /// Rank of its tenant, or else of its route; 0 is the most urgent.
+    pub fn priority(&self) -> u8 {
+        let own = self.tenant.as_ref().and_then(|tenant| tenant.priority);
+        own.unwrap_or(self.route.priority)
+    }
+
     /// How long the request may be held.
     pub fn held(&self) -> Duration {
         self.held
@@ -202,12 +211,15 @@
             "request_end",
             format_args!(
                 "request={} outcome={outcome} status={status} route={} service={} back_end={back_end} \
-                 model={model} adapter={} attempts={} exposed={} total_ms={} left_ms={} objective_ms={} returning={} configuration={} \
+                 model={model} adapter={} tenant={} attempts={} exposed={} total_ms={} left_ms={} objective_ms={} returning={} configuration={} \
                  fingerprint={}",
                 self.ticket.id,
                 self.route.name,
                 self.service,
                 adapter.map_or("-", |adapter| adapter.as_str()),
+                self.tenant
+                    .as_ref()
+                    .map_or("-", |tenant| tenant.id.as_str()),
                 self.attempts.load(Ordering::Relaxed),
                 self.is_exposed(),
                 total.as_millis(),
@@ -294,6 +306,8 @@
 ) -> Result<Call, Failure> {
     let (mut head, body) = request.into_parts();
     let ticket = shared.platform.ticket(&head.headers);
+    // The age first: a configuration that comes in between is no older.
+    let age = shared.configuration_age();
     let Some(configuration) = shared.configuration() else {
         return Err(log_unread(&ticket, Failure::NoConfiguration));
     };
@@ -301,6 +315,21 @@
         log_unrouted(&ticket, &head, configuration.version);
         return Err(Failure::NoRoute);
     };
+    let key = match &configuration.tenants {
+        Some(_) => shared.platform.take_key(&mut head.headers),
+        None => None,
+    };
+    let caller = Caller {
+        request: &ticket.id,
+        key,
+        route: &route,
+    };
+    let known = KnownKeys {
+        configuration: &configuration,
+        age,
+        bounds: shared.settings.bounds.keys,
+    };
+    let tenant = tenant_of(&caller, &known).map_err(|failure| log_unread(&ticket, failure))?;
     let held = ticket
         .deadline
         .map_or(route.timeout, |own| own.min(route.timeout));
@@ -322,6 +351,7 @@
         configuration,
         route,
         service,
+        tenant,
         ticket,
         head,
         body,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use gorsebank_fleet::RetryShare;
 use gorsebank_fleet::placement::LoadBound;
+use gorsebank_fleet::{KeyBounds, RetryShare};
 use gorsebank_world::{NodeId, ZoneId};
 
 /// Settings of one process.
@@ -51,6 +51,8 @@
     /// Within this time after the table took it, a leaving back end and a new
     /// configuration are known to every gateway.
     pub news: Duration,
+    /// What is known of keys.
+    pub keys: KeyBounds,
     /// From a planned stop until the process is killed.
     pub grace: Duration,
     /// Reading calls of the table a second, of all gateways together.
--- a/crates/gateway/src/shared/mod.rs
+++ b/crates/gateway/src/shared/mod.rs
@@ -189,6 +189,13 @@
         self.configuration.read().clone()
     }
 
+    /// Time since the latest moment for which it is proved that the table held no newer
+    /// configuration than the one in force; none if that is proved for no moment.
+    pub fn configuration_age(&self) -> Option<Duration> {
+        let table = self.platform.tables().configuration;
+        self.feed.proved_age(table)
+    }
+
     /// Puts a configuration in force, unless a newer one is. True if it is news.
     pub fn set_configuration(&self, configuration: Configuration) -> bool {
         let mut current = self.configuration.write();
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -83,8 +83,12 @@
                 if newest.changed().await.is_err() {
                     return;
                 }
+                continue;
             }
         }
+        if let Some(version) = position.version {
+            shared.feed.note_taken(rhythm.table, version);
+        }
     }
 }
 
--- a/crates/gateway/tests/table_cache.rs
+++ b/crates/gateway/tests/table_cache.rs
@@ -1,12 +1,18 @@
 //! What a gateway keeps of tables, for itself and for those that it feeds.
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use gorsebank_contract::TableRow;
+use gorsebank_gateway::clock::{Clock, TimeSource};
 use gorsebank_gateway::feed::packed::PackedChange;
 use gorsebank_gateway::feed::{News, TableCache, TablePosition};
 use gorsebank_gateway::ports::{RowChange, TableChanges, TableSnapshot};
 
+/// When the table was asked, where that is of no matter.
+const ASKED: Duration = Duration::ZERO;
+
 fn row(key: &str, modified: u64) -> TableRow {
     TableRow {
         key: key.to_owned(),
@@ -70,12 +76,12 @@
 #[test]
 fn changes_are_told_in_order_and_applied_to_the_rows() {
     let mut cache = TableCache::default();
-    cache.replace("t", &snapshot(vec![row("t/a", 3), row("t/b", 4)], 5));
+    cache.replace("t", &snapshot(vec![row("t/a", 3), row("t/b", 4)], 5), ASKED);
     let gone = RowChange::Removed {
         key: "t/b".to_owned(),
         version: 7,
     };
-    cache.advance("t", 5, &told(vec![put("t/a", 6), gone.clone()], 7));
+    cache.advance("t", 5, &told(vec![put("t/a", 6), gone.clone()], 7), ASKED);
     assert_eq!(
         changes(&cache, 5),
         Some(told(vec![put("t/a", 6), gone.clone()], 7))
@@ -90,9 +96,9 @@
 #[test]
 fn of_several_changes_to_a_row_each_is_told_where_each_counts() {
     let mut cache = TableCache::default();
-    cache.replace("t", &snapshot(vec![], 5));
+    cache.replace("t", &snapshot(vec![], 5), ASKED);
     let many = vec![put("t/a", 6), put("t/b", 7), put("t/a", 8)];
-    cache.advance("t", 5, &told(many.clone(), 8));
+    cache.advance("t", 5, &told(many.clone(), 8), ASKED);
     assert_eq!(changes(&cache, 5), Some(told(many, 8)));
     let newest = vec![put("t/b", 7), put("t/a", 8)];
     assert_eq!(changes_of(&cache, 5, true), Some(told(newest, 8)));
@@ -101,10 +107,10 @@
 #[test]
 fn older_rows_undo_nothing() {
     let mut cache = TableCache::default();
-    cache.replace("t", &snapshot(vec![row("t/a", 3)], 5));
-    cache.advance("t", 5, &told(vec![put("t/a", 9)], 9));
-    cache.replace("t", &snapshot(vec![row("t/a", 3)], 6));
-    cache.advance("t", 5, &told(vec![put("t/a", 7)], 7));
+    cache.replace("t", &snapshot(vec![row("t/a", 3)], 5), ASKED);
+    cache.advance("t", 5, &told(vec![put("t/a", 9)], 9), ASKED);
+    cache.replace("t", &snapshot(vec![row("t/a", 3)], 6), ASKED);
+    cache.advance("t", 5, &told(vec![put("t/a", 7)], 7), ASKED);
     assert_eq!(rows(&cache), Some(snapshot(vec![row("t/a", 9)], 9)));
     assert_eq!(changes(&cache, 8), Some(told(vec![put("t/a", 9)], 9)));
 }
@@ -112,14 +118,14 @@
 #[test]
 fn after_a_gap_nothing_from_before_is_told() {
     let mut cache = TableCache::default();
-    cache.replace("t", &snapshot(vec![row("t/a", 3)], 5));
-    cache.advance("t", 8, &told(vec![put("t/a", 9)], 9));
+    cache.replace("t", &snapshot(vec![row("t/a", 3)], 5), ASKED);
+    cache.advance("t", 8, &told(vec![put("t/a", 9)], 9), ASKED);
     assert!(
         cache.news(&position(Some(5), false)).is_none(),
         "rows may lack a change"
     );
     assert!(rows(&cache).is_none(), "rows may lack a change");
-    cache.replace("t", &snapshot(vec![row("t/a", 9)], 9));
+    cache.replace("t", &snapshot(vec![row("t/a", 9)], 9), ASKED);
     assert_eq!(changes(&cache, 5), None, "it begins with all rows");
     assert_eq!(changes(&cache, 8), Some(told(vec![put("t/a", 9)], 9)));
 }
@@ -132,12 +138,14 @@
     cache.replace(
         "t",
         &snapshot(vec![row("t/a", 3), row("t/b", 4), row("t/c", 5)], 5),
+        ASKED,
     );
     cache.note_gap("t");
     assert_eq!(cache.version("t"), None, "it is to be read again");
     cache.replace(
         "t",
         &snapshot(vec![row("t/a", 3), row("t/c", 8), row("t/d", 7)], 9),
+        ASKED,
     );
     let gone = RowChange::Removed {
         key: "t/b".to_owned(),
@@ -151,10 +159,10 @@
 #[test]
 fn history_that_is_too_long_is_forgotten_from_its_beginning() {
     let mut cache = TableCache::default();
-    cache.replace("t", &snapshot(vec![], 0));
+    cache.replace("t", &snapshot(vec![], 0), ASKED);
     for version in 1..=800 {
         let change = vec![put(&format!("t/{version}"), version)];
-        cache.advance("t", version - 1, &told(change, version));
+        cache.advance("t", version - 1, &told(change, version), ASKED);
     }
     assert_eq!(changes(&cache, 100), None, "it begins with all rows");
     assert_eq!(changes(&cache, 790).expect("kept").changes.len(), 10);
@@ -164,26 +172,27 @@
 #[test]
 fn ages_are_told_and_add_up() {
     let mut first = TableCache::default();
-    first.replace("t", &snapshot(vec![row("t/a", 3)], 5));
+    first.replace("t", &snapshot(vec![row("t/a", 3)], 5), ASKED);
     std::thread::sleep(Duration::from_millis(30));
     let news = first.news(&position(None, false)).expect("news");
     assert!(news.age >= 30, "{} ms", news.age);
     let mut second = TableCache::default();
-    second.take(None, news);
+    second.take(None, news, ASKED);
     std::thread::sleep(Duration::from_millis(30));
     let age = second.age("t").expect("known");
     assert!(age >= Duration::from_millis(60), "{age:?}");
     let news = first.news(&position(Some(5), false)).expect("news");
-    second.take(Some(5), news);
+    second.take(Some(5), news, ASKED);
     let age = second.age("t").expect("known");
     assert!(
         age >= Duration::from_millis(60),
         "nobody confirmed it: {age:?}"
     );
-    first.advance("t", 5, &told(vec![], 5));
+    first.advance("t", 5, &told(vec![], 5), ASKED);
     second.take(
         Some(5),
         first.news(&position(Some(5), false)).expect("news"),
+        ASKED,
     );
     let age = second.age("t").expect("known");
     assert!(age < Duration::from_millis(30), "{age:?}");
@@ -197,7 +206,7 @@
     let mut long = row("t/a", 3);
     long.value = format!("[{}]", routes.join(","));
     let mut cache = TableCache::default();
-    cache.replace("t", &snapshot(vec![long.clone()], 5));
+    cache.replace("t", &snapshot(vec![long.clone()], 5), ASKED);
     let news = cache.news(&position(None, true)).expect("news");
     let bytes = gorsebank_contract::frame::encode(&news).expect("encoded");
     assert!(bytes.len() * 5 < long.value.len(), "{} bytes", bytes.len());
@@ -217,3 +226,77 @@
     let error = read.unpack().expect_err("damaged");
     assert!(error.to_string().contains("t/a"), "{error}");
 }
+
+/// A clock that a test sets.
+#[derive(Debug, Default)]
+struct SetTime(AtomicU64);
+
+impl TimeSource for SetTime {
+    fn since_boot(&self) -> Duration {
+        Duration::from_millis(self.0.load(Ordering::Relaxed))
+    }
+}
+
+fn at(milliseconds: u64) -> Duration {
+    Duration::from_millis(milliseconds)
+}
+
+/// A cache whose clock a test sets.
+fn cache_with_time() -> (TableCache, Arc<SetTime>) {
+    let time = Arc::new(SetTime::default());
+    (TableCache::new(Clock::new(time.clone())), time)
+}
+
+#[test]
+fn an_answer_proves_what_stood_in_the_table_when_it_was_asked_for() {
+    let (mut cache, time) = cache_with_time();
+    assert_eq!(cache.proved_age("t", 5), None, "nothing is proved yet");
+    time.0.store(3_000, Ordering::Relaxed);
+    // The answer was under way for two seconds.
+    cache.replace("t", &snapshot(vec![row("t/a", 3)], 5), at(1_000));
+    assert_eq!(cache.proved_age("t", 5), Some(at(2_000)));
+    cache.advance("t", 5, &told(vec![], 6), at(2_500));
+    assert_eq!(cache.proved_age("t", 5), Some(at(500)));
+    // A question that was asked before proves nothing more.
+    cache.advance("t", 6, &told(vec![], 6), at(1_200));
+    assert_eq!(cache.proved_age("t", 5), Some(at(500)));
+}
+
+#[test]
+fn a_change_that_was_not_taken_in_yet_ends_what_is_proved_of_the_content_before_it() {
+    let (mut cache, time) = cache_with_time();
+    cache.replace("t", &snapshot(vec![row("t/a", 3)], 5), at(0));
+    time.0.store(1_000, Ordering::Relaxed);
+    cache.advance("t", 5, &told(vec![put("t/a", 7)], 7), at(900));
+    time.0.store(1_500, Ordering::Relaxed);
+    assert_eq!(cache.proved_age("t", 5), Some(at(1_500)));
+    assert_eq!(cache.proved_age("t", 7), Some(at(600)));
+}
+
+#[test]
+fn changes_behind_a_gap_prove_nothing() {
+    let (mut cache, time) = cache_with_time();
+    cache.replace("t", &snapshot(vec![row("t/a", 3)], 5), at(0));
+    time.0.store(4_000, Ordering::Relaxed);
+    cache.advance("t", 8, &told(vec![], 9), at(3_900));
+    assert_eq!(cache.proved_age("t", 9), Some(at(4_000)));
+}
+
+#[test]
+fn proofs_add_up_on_the_way_and_count_from_the_question() {
+    let (mut first, time) = cache_with_time();
+    first.replace("t", &snapshot(vec![row("t/a", 3)], 5), at(0));
+    time.0.store(700, Ordering::Relaxed);
+    let news = first.news(&position(None, false)).expect("news");
+    let (mut second, later) = cache_with_time();
+    later.0.store(10_000, Ordering::Relaxed);
+    // Asked at 9,000, answered no sooner than 300 ms after that, and a while under way.
+    second.take(None, news, at(9_300));
+    let age = second.proved_age("t", 5).expect("proved");
+    assert!(age >= at(1_400) && age <= at(1_401), "{age:?}");
+    let mut unproved = first.news(&position(None, false)).expect("news");
+    unproved.proved_age = None;
+    let (mut third, _) = cache_with_time();
+    third.take(None, unproved, at(9_300));
+    assert_eq!(third.proved_age("t", 5), None);
+}
--- a/crates/world/src/identity.rs
+++ b/crates/world/src/identity.rs
@@ -65,6 +65,10 @@
     /// A base model.
     ModelId
 );
+identifier!(
+    /// Whose callers use the deployment under keys and a limit of their own.
+    TenantId
+);
 identifier!(
     /// An adapter of a base model.
     AdapterId
--- a/crates/world/src/lib.rs
+++ b/crates/world/src/lib.rs
@@ -14,7 +14,9 @@
 pub use configuration::{
     AdapterSpec, BackEndSpec, DeploymentSpec, ModelSpec, Row, RowKey, RowKind, Spec, VersionSpec,
 };
-pub use identity::{AdapterId, BackEndId, CellId, ModelId, NodeId, ServiceId, VersionId, ZoneId};
+pub use identity::{
+    AdapterId, BackEndId, CellId, ModelId, NodeId, ServiceId, TenantId, VersionId, ZoneId,
+};
 pub use labels::Labels;
 pub use machine::{Machine, MachineList, MachineRole, MachineState, NodeEntry};
 pub use selector::Selector;
