Limits of tenants: counted once, at the gateway that counts for the tenant

Cause: nobody counted; a hot tenant had 1,261,828 tokens in 8 s of 1,161,618 allowed. A request is counted after its caller sent it and before it runs, so no delay of a grant can put a window over the bound. Whoever begins to count begins with empty buckets and says "not yet", not "beyond". Beyond the limit: 429 at once, with when there is room; nobody counts: 503 after a quarter of the objective. What is known not to have run is given back with the next question. The lease's row and this process's part in it are a module of their own (lease_seat.rs), which the placement holder uses as well. Ruled out by arithmetic: equal parts (2,700 tokens a second over 87 gateways are 31, a request has 1,600); sums told up and down (a tenant at 4 x its limit is over the bound after 0.6 s, news take 1 to 2 s).

--- a/crates/gateway/src/access.rs
+++ b/crates/gateway/src/access.rs
@@ -8,13 +8,8 @@
 
 use gorsebank_fleet::{ApiKey, Configuration, Denial, KeyBounds, Route, Tenant, identify};
 
-use crate::failure::Failure;
 use crate::lines::{self, Rank};
 
-/// A caller that is sent away since nobody can tell is asked to come back after this time:
-/// gateways that were cut off have asked others by then.
-const UNPROVED_PAUSE: Duration = Duration::from_millis(500);
-
 /// A caller as its request's head shows it.
 pub struct Caller<'a> {
     /// Names the request.
@@ -39,33 +34,19 @@
 pub fn tenant_of(
     caller: &Caller<'_>,
     known: &KnownKeys<'_>,
-) -> Result<Option<Arc<Tenant>>, Failure> {
+) -> Result<Option<Arc<Tenant>>, Denial> {
     let key = caller.key.as_ref();
     let (configuration, age) = (known.configuration, known.age);
     let identified = identify(configuration, caller.route, key, age, known.bounds);
-    identified.map_err(|denial| {
-        let failure = failure(denial);
+    identified.inspect_err(|denial| {
         let fields = format_args!(
-            "request={} reason={} status={} route={} age_ms={} configuration={}",
+            "request={} reason={} route={} age_ms={} configuration={}",
             caller.request,
             denial.reason(),
-            failure.status().as_u16(),
             caller.route.name,
             age.map_or(-1, |age| age.as_millis() as i64),
             configuration.version,
         );
         lines::write(Rank::Decision, "access_denied", fields);
-        failure
     })
 }
-
-fn failure(denial: Denial) -> Failure {
-    let reason = denial.reason();
-    match denial {
-        Denial::NoKey | Denial::UnknownKey => Failure::Unauthorized { reason },
-        Denial::OldKnowledge => Failure::Refused {
-            reason,
-            retry_after: UNPROVED_PAUSE,
-        },
-    }
-}
--- /dev/null
+++ b/crates/gateway/src/allowance/mod.rs
@@ -0,0 +1,264 @@
+//! Limits of tenants over all gateways: each request is counted once, at the gateway that
+//! counts for its tenant, before anything else is done for it.
+//!
+//! ```text
+//! request --> gateway --ask--> gateway with the seat of its tenant: lease, ledger
+//!                     <-granted, beyond, not yet-
+//! ```
+//!
+//! Tenants are spread over a few seats ([`gorsebank_fleet::counting_seat`]); a gateway holds a
+//! seat by a lease of the table ([`seats`]) and counts while that is valid, so nobody counts
+//! beside it. Requests of one gateway alone say nothing of a limit: of 87 gateways each has
+//! one request of a small tenant in half a minute.
+//!
+//! In: what a request counts for. Out: whether it is within its tenant's limit. This module
+//! knows no connections: whoever uses it hands it the way to another gateway.
+
+mod denials;
+mod message;
+pub mod seats;
+
+use std::collections::HashMap;
+use std::future::Future;
+use std::sync::Arc;
+use std::time::Duration;
+
+use gorsebank_coordination::Timestamp;
+use gorsebank_fleet::counting_seat::{SEATS, seat_of};
+use gorsebank_fleet::{Configuration, LeaseKeeper, Ledger, LimitBound, Taken};
+use gorsebank_world::{NodeId, TenantId};
+use parking_lot::Mutex;
+use tokio::time::{Instant, sleep};
+
+use denials::Denials;
+pub use message::{Ask, AskAnswer, Returned};
+
+/// Pause before another try, while nobody counts for a tenant or nobody answers.
+const RETRY_PAUSE: Duration = Duration::from_millis(60);
+/// A gateway that did not answer is not asked again for so long: requests that come
+/// meanwhile do not wait for it one after the other.
+const REST: Duration = Duration::from_millis(250);
+/// Returns that wait for the next question to a seat at most.
+const MOST_RETURNS: usize = 64;
+
+/// A request that was counted.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Grant {
+    /// Whose it is.
+    pub tenant: TenantId,
+    /// What it counts for.
+    pub cost: f64,
+    /// The lease under which it was counted.
+    fence: u64,
+}
+
+/// What came of asking.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Obtained {
+    /// The request is within the limit.
+    Granted(Grant),
+    /// It is beyond the limit, for so long.
+    Beyond(Duration),
+    /// Nobody could tell in time.
+    Unknown,
+}
+
+/// What a request counts for.
+#[derive(Clone, Debug)]
+pub struct Want {
+    /// Whose it is.
+    pub tenant: TenantId,
+    /// What it counts for.
+    pub cost: f64,
+}
+
+/// The counting at this gateway, under one lease.
+struct Counting {
+    keeper: Arc<Mutex<LeaseKeeper>>,
+    fence: u64,
+    ledger: Ledger,
+}
+
+impl Counting {
+    /// Whether nobody else can have begun to count.
+    fn is_valid(&self, now: Timestamp) -> bool {
+        self.keeper.lock().fence(now) == Some(self.fence)
+    }
+}
+
+/// One seat, as this gateway knows it.
+#[derive(Default)]
+struct Seat {
+    /// Who holds it, as the table says.
+    holder: Option<NodeId>,
+    /// The ledger, while this gateway holds it.
+    counting: Option<Counting>,
+    /// What is to be given back with the next question.
+    returns: Vec<Returned>,
+}
+
+/// Limits of tenants, as this gateway asks for them and counts.
+#[derive(Default)]
+pub struct Allowance {
+    seats: [Mutex<Seat>; SEATS],
+    denials: Mutex<Denials>,
+    resting: Mutex<HashMap<NodeId, Instant>>,
+}
+
+impl Allowance {
+    /// The table says who holds a seat.
+    pub fn set_holder(&self, seat: usize, holder: Option<NodeId>) {
+        self.seats[seat].lock().holder = holder;
+    }
+
+    /// This gateway has taken the lease of a seat, and nobody else counts there from now on.
+    /// Out: whether the lease is valid now.
+    pub fn begin_counting(
+        &self,
+        now: Timestamp,
+        seat: usize,
+        keeper: &Arc<Mutex<LeaseKeeper>>,
+        bound: LimitBound,
+    ) -> bool {
+        let fence = keeper.lock().fence(now);
+        let counting = fence.map(|fence| Counting {
+            keeper: keeper.clone(),
+            fence,
+            ledger: Ledger::new(bound, now),
+        });
+        let begins = counting.is_some();
+        self.seats[seat].lock().counting = counting;
+        begins
+    }
+
+    /// This gateway has lost a seat.
+    pub fn end_counting(&self, seat: usize) {
+        self.seats[seat].lock().counting = None;
+    }
+
+    /// Answers another gateway, or this one, that asks for a tenant.
+    pub fn answer(
+        &self,
+        now: Timestamp,
+        ask: &Ask,
+        configuration: Option<&Configuration>,
+    ) -> AskAnswer {
+        let mut seat = self.seats[seat_of(&ask.tenant)].lock();
+        let counting = seat.counting.as_mut();
+        let valid = counting.filter(|counting| counting.is_valid(now));
+        let tenants = configuration.and_then(|known| known.tenants.as_ref());
+        let (Some(counting), Some(tenants)) = (valid, tenants) else {
+            return AskAnswer::NotHere;
+        };
+        for returned in ask.returned.iter().filter(|it| it.fence == counting.fence) {
+            let tenant = tenants.tenant(&returned.tenant);
+            if let Some(limit) = tenant.and_then(|tenant| tenant.limit) {
+                let ledger = &mut counting.ledger;
+                ledger.give_back(now, &returned.tenant, &limit, returned.cost);
+            }
+        }
+        let Some(tenant) = tenants.tenant(&ask.tenant) else {
+            return AskAnswer::NotHere;
+        };
+        let granted = AskAnswer::Granted {
+            fence: counting.fence,
+        };
+        let Some(limit) = tenant.limit else {
+            return granted;
+        };
+        let milliseconds = |wait: Duration| wait.as_millis() as u64 + 1;
+        match counting.ledger.take(now, &ask.tenant, &limit, ask.cost) {
+            Taken::Granted => granted,
+            Taken::Beyond(wait) => AskAnswer::Beyond {
+                wait: milliseconds(wait),
+            },
+            Taken::NotYet(wait) => AskAnswer::NotYet {
+                wait: milliseconds(wait),
+            },
+        }
+    }
+
+    /// Asks whoever counts for a tenant, until it says yes or no, or until a time. `put` asks
+    /// a gateway, this one included; none if there was no answer.
+    pub async fn obtain<F>(
+        &self,
+        want: &Want,
+        until: Instant,
+        put: impl Fn(NodeId, Ask) -> F,
+    ) -> Obtained
+    where
+        F: Future<Output = Option<AskAnswer>>,
+    {
+        if let Some(left) = self.denials.lock().left(want) {
+            return Obtained::Beyond(left);
+        }
+        loop {
+            let mut pause = RETRY_PAUSE;
+            match self.ask(want, &put).await {
+                Some(AskAnswer::Granted { fence }) => {
+                    return Obtained::Granted(Grant {
+                        tenant: want.tenant.clone(),
+                        cost: want.cost,
+                        fence,
+                    });
+                }
+                Some(AskAnswer::Beyond { wait }) => {
+                    let wait = Duration::from_millis(wait);
+                    self.denials.lock().note(want, wait);
+                    return Obtained::Beyond(wait);
+                }
+                Some(AskAnswer::NotYet { wait }) => pause = Duration::from_millis(wait),
+                Some(AskAnswer::NotHere) | None => {}
+            }
+            if Instant::now() + pause >= until {
+                return Obtained::Unknown;
+            }
+            sleep(pause).await;
+        }
+    }
+
+    async fn ask<F>(&self, want: &Want, put: &impl Fn(NodeId, Ask) -> F) -> Option<AskAnswer>
+    where
+        F: Future<Output = Option<AskAnswer>>,
+    {
+        let (holder, returned) = {
+            let mut seat = self.seats[seat_of(&want.tenant)].lock();
+            let holder = seat.holder.clone()?;
+            (holder, std::mem::take(&mut seat.returns))
+        };
+        if self.rests(&holder) {
+            return None;
+        }
+        let ask = Ask {
+            tenant: want.tenant.clone(),
+            cost: want.cost,
+            returned,
+        };
+        let answer = put(holder.clone(), ask).await;
+        if answer.is_none() {
+            let until = Instant::now() + REST;
+            self.resting.lock().insert(holder, until);
+        }
+        answer
+    }
+
+    fn rests(&self, holder: &NodeId) -> bool {
+        let mut resting = self.resting.lock();
+        let now = Instant::now();
+        resting.retain(|_, until| now < *until);
+        resting.contains_key(holder)
+    }
+
+    /// A request that was counted is known not to have run. That is told with the next
+    /// question to the seat: before that nobody needs to know.
+    pub fn give_back(&self, grant: Grant) {
+        let mut seat = self.seats[seat_of(&grant.tenant)].lock();
+        if seat.returns.len() < MOST_RETURNS {
+            seat.returns.push(Returned {
+                tenant: grant.tenant,
+                cost: grant.cost,
+                fence: grant.fence,
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/allowance/seats.rs
@@ -0,0 +1,147 @@
+//! Holds seats at which tenants are counted.
+//!
+//! In: the leases of seats. Out: ledgers, while this gateway holds a seat.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use gorsebank_fleet::Offer;
+use gorsebank_fleet::counting_seat::{SEATS, SeatCandidate, delay, lease_name};
+use tokio::time::{Instant, sleep, timeout};
+
+use crate::lease_seat::LeaseSeat;
+use crate::lines::{self, Rank};
+use crate::shared::Shared;
+
+/// Length of a seat's lease, in bounds on turns of holders. While the table is out of order a
+/// lease of 3 s would end after 1.7 s; this one lasts for 3.4 s, when callers with keys are
+/// not owed an answer any more.
+const LEASE_PART: f64 = 1.4;
+/// Seats are looked after at least this often.
+const LONGEST_PAUSE: Duration = Duration::from_millis(700);
+/// Least pause between two looks.
+const LEAST_PAUSE: Duration = Duration::from_millis(20);
+/// A machine with this part of the strongest one's processor counts as strong.
+const STRONG_PART: f64 = 0.8;
+/// A machine whose timers are so late on average does not offer itself.
+const LATE: Duration = Duration::from_millis(150);
+/// How long an order of gateways counts: it is worked out from all that are known.
+const ORDER_LIFETIME: Duration = Duration::from_secs(2);
+
+/// Keeps seats until it is dropped.
+pub async fn run(shared: Arc<Shared>) {
+    let lease = shared.settings.bounds.lease.mul_f64(LEASE_PART);
+    let seat = |seat| LeaseSeat::new(&shared, &lease_name(seat), lease);
+    let mut seats = Seats {
+        seats: (0..SEATS).map(seat).collect(),
+        counts: [false; SEATS],
+        delays: [0; SEATS],
+        ordered: None,
+        shared: shared.clone(),
+    };
+    let mut rows = shared.feed.subscribe(shared.platform.tables().lease);
+    loop {
+        if !seats.are_needed() {
+            sleep(LONGEST_PAUSE).await;
+            continue;
+        }
+        rows.mark_unchanged();
+        let mut pause = LONGEST_PAUSE;
+        for seat in 0..SEATS {
+            pause = pause.min(seats.step(seat).await);
+        }
+        sleep(LEAST_PAUSE).await;
+        // A change of the rows only shortens the pause.
+        let _ = timeout(pause, rows.changed()).await;
+    }
+}
+
+/// All seats, as this gateway takes part in them.
+struct Seats {
+    shared: Arc<Shared>,
+    seats: Vec<LeaseSeat>,
+    /// Those at which this gateway counts.
+    counts: [bool; SEATS],
+    /// How long this gateway leaves each to others, in milliseconds.
+    delays: [u64; SEATS],
+    /// When that was worked out.
+    ordered: Option<Instant>,
+}
+
+impl Seats {
+    /// Whether there are tenants to count for, or seats to hand back.
+    fn are_needed(&self) -> bool {
+        self.has_tenants() || self.counts.contains(&true)
+    }
+
+    fn has_tenants(&self) -> bool {
+        let configuration = self.shared.configuration();
+        configuration.is_some_and(|known| known.tenants.is_some())
+    }
+
+    /// One look at one seat. Out: when to look again.
+    async fn step(&mut self, seat: usize) -> Duration {
+        let offer = self.offer(seat);
+        let pause = self.seats[seat].step(offer, || None).await;
+        self.count(seat);
+        pause.unwrap_or(LEAST_PAUSE)
+    }
+
+    /// Begins to count at a seat that was taken, and ends at one that was lost.
+    fn count(&mut self, seat: usize) {
+        let (is_held, counts) = (self.seats[seat].is_held(), self.counts[seat]);
+        let shared = &self.shared;
+        if is_held && !counts {
+            let bound = shared.settings.bounds.limits;
+            let keeper = &self.seats[seat].keeper;
+            let now = shared.now();
+            self.counts[seat] = shared.allowance.begin_counting(now, seat, keeper, bound);
+        } else if !is_held && counts {
+            shared.allowance.end_counting(seat);
+            self.counts[seat] = false;
+        }
+        if self.counts[seat] != counts {
+            let change = if counts { "lost" } else { "taken" };
+            let fields = format_args!("seat={seat} change={change}");
+            lines::write(Rank::Decision, "counting_seat", fields);
+        }
+    }
+
+    fn offer(&mut self, seat: usize) -> Offer {
+        let shared = &self.shared;
+        if shared.is_stopping() || !shared.can_place() || !self.has_tenants() {
+            return Offer::Never;
+        }
+        if self.seats[seat].is_held() {
+            return Offer::After(0);
+        }
+        if shared.lateness() > LATE {
+            return Offer::Never;
+        }
+        self.order();
+        Offer::After(self.delays[seat])
+    }
+
+    /// Works out for how long this gateway leaves each seat to others.
+    fn order(&mut self) {
+        if self.ordered.is_some_and(|at| at.elapsed() < ORDER_LIFETIME) {
+            return;
+        }
+        self.ordered = Some(Instant::now());
+        let shared = &self.shared;
+        let strongest = f64::from(shared.strongest_millicores());
+        let members = shared.answering_members();
+        let candidates: Vec<SeatCandidate<'_>> = members
+            .iter()
+            .map(|member| SeatCandidate {
+                name: &member.name,
+                is_strong: f64::from(member.row.millicores) >= strongest * STRONG_PART,
+            })
+            .collect();
+        let own = shared.settings.node.as_str();
+        let held = self.counts.iter().filter(|counts| **counts).count();
+        for seat in 0..SEATS {
+            self.delays[seat] = delay(own, &candidates, seat, held);
+        }
+    }
+}
--- a/crates/gateway/src/failure.rs
+++ b/crates/gateway/src/failure.rs
@@ -35,6 +35,11 @@
         /// When it makes sense to come back.
         retry_after: Duration,
     },
+    /// It is beyond its tenant's limit: it was not run and never will be.
+    BeyondLimit {
+        /// When there is room for it.
+        retry_after: Duration,
+    },
     /// It may have run, and there is no answer.
     Unknown {
         /// Why.
@@ -50,6 +55,7 @@
         match self {
             Failure::NoConfiguration | Failure::Refused { .. } => StatusCode::SERVICE_UNAVAILABLE,
             Failure::NoRoute => StatusCode::NOT_FOUND,
+            Failure::BeyondLimit { .. } => StatusCode::TOO_MANY_REQUESTS,
             Failure::Unauthorized { .. } => StatusCode::UNAUTHORIZED,
             Failure::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Failure::BadBody => StatusCode::BAD_REQUEST,
@@ -68,6 +74,7 @@
             Failure::Refused { reason, .. }
             | Failure::Unknown { reason }
             | Failure::Unauthorized { reason } => reason,
+            Failure::BeyondLimit { .. } => "beyond_limit",
             Failure::TimedOut => "timed_out",
         }
     }
@@ -96,9 +103,12 @@
         response
     }
 
-    fn retry_after(&self) -> Option<Duration> {
+    /// When it makes sense to come back; none if nobody can say.
+    pub fn retry_after(&self) -> Option<Duration> {
         match self {
-            Failure::Refused { retry_after, .. } => Some(*retry_after),
+            Failure::Refused { retry_after, .. } | Failure::BeyondLimit { retry_after } => {
+                Some(*retry_after)
+            }
             Failure::NoConfiguration => Some(Duration::from_millis(500)),
             _ => None,
         }
--- a/crates/gateway/src/holder.rs
+++ b/crates/gateway/src/holder.rs
@@ -5,26 +5,24 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use gorsebank_contract::{Put, TableAnswer, Transaction};
-use gorsebank_fleet::{LeaseKeeper, LeaseRow, LeaseStep, Offer};
-use parking_lot::Mutex;
+use gorsebank_contract::Put;
+use gorsebank_fleet::Offer;
 use tokio::time::sleep;
 
 use crate::demand_rows::AbortOnDrop;
+use crate::lease_seat::LeaseSeat;
 use crate::lines::{self, Rank};
 use crate::placement::Placement;
-use crate::ports::WatchedTable;
 use crate::shared::Shared;
-use crate::watch::LOST_PAUSE;
 use crate::{quarantine_row, reading_rows, sweeper};
 
+/// The placement lease's row.
+pub const LEASE_NAME: &str = "placement";
 /// Part of the deployment's bound on turns of holders that a lease lasts: the
 /// next holder begins sooner, and cool-down keeps turns apart.
 const LEASE_PART: f64 = 0.7;
 /// The lease is looked after at least this often.
 const LONGEST_STEP: Duration = Duration::from_millis(250);
-/// What was confirmed longer ago than this shows nothing of the lease.
-const FRESH: Duration = Duration::from_millis(1_600);
 /// Equally strong machines take the lease within this time of each other, so that most
 /// of them see that it was taken and write nothing.
 const SPREAD: Duration = Duration::from_millis(250);
@@ -40,26 +38,18 @@
 
 /// Keeps the lease until the process ends; places models whenever it has it.
 pub async fn run(shared: Arc<Shared>) {
-    let process: u64 = rand::random();
     let lease = shared.settings.bounds.lease.mul_f64(LEASE_PART);
-    let keeper = LeaseKeeper::new(
-        shared.settings.node.clone(),
-        process,
-        lease.as_millis() as u64,
-    );
     let mut holder = Holder {
-        keeper: Arc::new(Mutex::new(keeper)),
+        seat: LeaseSeat::new(&shared, LEASE_NAME, lease),
         lease,
         spread: SPREAD.mul_f64(rand::random()),
-        in_doubt: false,
-        newest: 0,
         shared,
     };
     let mut work: Option<Duties> = None;
     loop {
-        let was_holder = holder.keeper.lock().is_holder();
+        let was_holder = holder.seat.is_held();
         holder.step().await;
-        let is_holder = holder.keeper.lock().is_holder();
+        let is_holder = holder.seat.is_held();
         holder.shared.set_placing(is_holder);
         if is_holder && !was_holder {
             holder.note_lease("taken");
@@ -78,28 +68,19 @@
 /// This process's part in keeping the lease.
 struct Holder {
     shared: Arc<Shared>,
-    keeper: Arc<Mutex<LeaseKeeper>>,
+    seat: LeaseSeat,
     lease: Duration,
     /// This process's part of [`SPREAD`].
     spread: Duration,
-    /// A write was refused or had no answer: the row is read from the table itself.
-    in_doubt: bool,
-    /// The newest version of the row that this process saw or wrote.
-    newest: u64,
 }
 
 impl Holder {
     async fn step(&mut self) {
-        let now = self.shared.now();
         let offer = self.offer();
-        let step = self.keeper.lock().step(now, offer);
-        match step {
-            LeaseStep::Wait(until) => {
-                let pause = Duration::from_millis(until.since(now));
-                sleep(pause.min(LONGEST_STEP)).await;
-            }
-            LeaseStep::Read => self.read().await,
-            LeaseStep::Write { expected, row } => self.write(expected, row).await,
+        let shared = self.shared.clone();
+        let beside = move || store_records(&shared);
+        if let Some(pause) = self.seat.step(offer, beside).await {
+            sleep(pause.min(LONGEST_STEP)).await;
         }
     }
 
@@ -111,8 +92,7 @@
             return Offer::Never;
         }
         let own = f64::from(shared.settings.millicores);
-        let keeper = self.keeper.lock();
-        if let Some(held) = keeper.held_for(shared.now()) {
+        if let Some(held) = self.seat.keeper.lock().held_for(shared.now()) {
             let leaves = Duration::from_millis(held) > LEAST_HOLD
                 && (shared.lateness() > TOO_LATE || self.a_stronger_one_lives(own));
             return if leaves {
@@ -152,76 +132,9 @@
             .any(|name| self.shared.millicores_of(name).is_some_and(is_strong))
     }
 
-    async fn read(&mut self) {
-        let shared = &self.shared;
-        let table = shared.platform.tables().lease;
-        let rows = if self.in_doubt {
-            let read = shared.table().read(table).await;
-            read.ok().map(|snapshot| snapshot.rows)
-        } else {
-            shared.feed.rows(table, FRESH)
-        };
-        let Some(rows) = rows else {
-            return sleep(LOST_PAUSE).await;
-        };
-        self.in_doubt = false;
-        let key = lease_key(shared);
-        let row = rows.iter().find(|row| row.key == key);
-        let version = row.map_or(0, |row| row.modified);
-        if version < self.newest {
-            // What other gateways tell is behind what this one knows.
-            return sleep(LOST_PAUSE).await;
-        }
-        self.newest = version;
-        let lease = row.and_then(|row| serde_json::from_str::<LeaseRow>(&row.value).ok());
-        let now = shared.now();
-        self.keeper.lock().read(now, version, lease.as_ref());
-    }
-
-    async fn write(&mut self, expected: u64, row: LeaseRow) {
-        let shared = &self.shared;
-        let Ok(value) = serde_json::to_string(&row) else {
-            return;
-        };
-        let mut transaction = Transaction::put_if(lease_key(shared), expected, value);
-        transaction.puts.extend(self.store_records());
-        let answer = shared.table().transact(transaction).await;
-        self.in_doubt = !matches!(answer, TableAnswer::Committed { .. });
-        if let TableAnswer::Committed { revision, .. } = &answer {
-            self.newest = *revision;
-        }
-        let had_no_answer = self.note_written(&row, &answer);
-        if had_no_answer {
-            sleep(LOST_PAUSE).await;
-        }
-    }
-
-    /// Whether the write had no answer, or was turned away.
-    fn note_written(&self, row: &LeaseRow, answer: &TableAnswer) -> bool {
-        let now = self.shared.now();
-        let mut keeper = self.keeper.lock();
-        match answer {
-            TableAnswer::Committed { revision, .. } => keeper.written(now, *revision, row),
-            TableAnswer::Conflict { .. } => keeper.refused(),
-            TableAnswer::Refused { .. } | TableAnswer::Unknown => keeper.unanswered(),
-        }
-        matches!(answer, TableAnswer::Refused { .. } | TableAnswer::Unknown)
-    }
-
-    /// The row on weight stores, so that the next holder keeps their bounds. A gateway that
-    /// is not the holder yet leaves the former one's row as it is.
-    fn store_records(&self) -> Option<Put> {
-        let records = self.shared.store_records()?;
-        let value = serde_json::to_string(&records).ok()?;
-        Some(Put {
-            key: loads_key(&self.shared),
-            value,
-        })
-    }
-
     fn begin_duties(&self) -> Duties {
         let shared = &self.shared;
-        let placement = Placement::new(shared.clone(), self.keeper.clone());
+        let placement = Placement::new(shared.clone(), self.seat.keeper.clone());
         [
             tokio::spawn(placement.run()),
             tokio::spawn(reading_rows::tell(shared.clone())),
@@ -235,7 +148,7 @@
         let shared = &self.shared;
         let changes = &shared.metrics.lease_changes;
         changes.with_label_values(&[kind]).inc();
-        let fence = self.keeper.lock().fence(shared.now());
+        let fence = self.seat.keeper.lock().fence(shared.now());
         let fields = format_args!(
             "change={kind} fence={} millicores={} late_ms={}",
             fence.unwrap_or(0),
@@ -246,8 +159,15 @@
     }
 }
 
-fn lease_key(shared: &Shared) -> String {
-    format!("{}/placement", shared.platform.tables().lease)
+/// The row on weight stores, so that the next holder keeps their bounds. A gateway that
+/// is not the holder yet leaves the former one's row as it is.
+fn store_records(shared: &Shared) -> Option<Put> {
+    let records = shared.store_records()?;
+    let value = serde_json::to_string(&records).ok()?;
+    Some(Put {
+        key: loads_key(shared),
+        value,
+    })
 }
 
 /// The row on weight stores: recent loads, and how many go at once.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 
 mod access;
 pub mod admission;
+pub mod allowance;
 pub mod attempt;
 pub mod attempts;
 pub mod back_end;
@@ -29,6 +30,7 @@
 pub mod feed;
 pub mod holder;
 pub mod lateness;
+mod lease_seat;
 pub mod lines;
 mod lost_connection;
 pub mod members;
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -10,6 +10,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::JoinHandle;
 
+use crate::allowance::seats;
 use crate::clock::Clock;
 use crate::demand_rows::AbortOnDrop;
 use crate::lines::{self, Rank};
@@ -152,6 +153,7 @@
         tokio::spawn(demand_teller::run(shared.clone())),
         tokio::spawn(quarantine::hand_up(shared.clone())),
         tokio::spawn(holder::run(shared.clone())),
+        tokio::spawn(seats::run(shared.clone())),
         tokio::spawn(members::keep(shared)),
     ]
     .map(AbortOnDrop);
--- a/crates/gateway/src/relay/client.rs
+++ b/crates/gateway/src/relay/client.rs
@@ -15,9 +15,9 @@
 
 /// Longest time to establish a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-/// Connections kept without use: one for each table that is followed, and some of a
-/// gateway that was asked before.
-const MAX_IDLE: usize = 8;
+/// Connections kept without use: one for each table that is followed, one to each gateway
+/// that counts for tenants, and some of a gateway that was asked before.
+const MAX_IDLE: usize = 16;
 
 struct Connection {
     peer: SocketAddr,
--- a/crates/gateway/src/relay/message.rs
+++ b/crates/gateway/src/relay/message.rs
@@ -7,6 +7,7 @@
 use gorsebank_world::NodeId;
 use serde::{Deserialize, Serialize};
 
+use crate::allowance::{Ask, AskAnswer};
 use crate::feed::{FeedAnswer, FeedQuestion};
 use crate::ports::{TableChanges, TableError, TableSnapshot};
 
@@ -54,6 +55,8 @@
     Running(RootCounts),
     /// What callers of a gateway ask for, for the placement holder.
     Demand(ToldDemand),
+    /// A request that is to be counted for its tenant.
+    Allowance(Ask),
     /// Requests under which back ends ended, as the asker and those that it feeds saw.
     Quarantine(Vec<ToldOutcome>),
     /// A transaction.
@@ -93,6 +96,8 @@
         /// It did.
         by_holder: bool,
     },
+    /// To a request that is to be counted.
+    Allowance(AskAnswer),
     /// To what was told of requests that end back ends.
     Noted,
     /// To a transaction or a removal.
--- a/crates/gateway/src/relay/server.rs
+++ b/crates/gateway/src/relay/server.rs
@@ -70,6 +70,7 @@
             RelayAnswer::Running(shared.root_counts())
         }
         RelayRequest::Demand(told) => hear(shared, told).await,
+        RelayRequest::Allowance(ask) => RelayAnswer::Allowance(shared.answer_ask(&ask)),
         RelayRequest::Quarantine(told) => {
             shared.note_told_outcomes(&told);
             RelayAnswer::Noted
@@ -144,6 +145,7 @@
         RelayRequest::News(_)
         | RelayRequest::Running(_)
         | RelayRequest::Demand(_)
+        | RelayRequest::Allowance(_)
         | RelayRequest::Quarantine(_) => RelayAnswer::Failed(out_of_reach()),
         RelayRequest::Remove { key, version } => {
             RelayAnswer::Transacted(table.remove(&key, version).await)
--- a/crates/gateway/src/relay/table.rs
+++ b/crates/gateway/src/relay/table.rs
@@ -299,6 +299,7 @@
         RelayAnswer::News(_)
         | RelayAnswer::Running(_)
         | RelayAnswer::Heard { .. }
+        | RelayAnswer::Allowance(_)
         | RelayAnswer::Noted => false,
         RelayAnswer::Transacted(answer) => matches!(
             answer,
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use gorsebank_fleet::{Configuration, Fingerprint, Route, Tenant};
+use gorsebank_fleet::{Configuration, Denial, Fingerprint, Route, Tenant};
 use gorsebank_world::ServiceId;
 use http::header::{self, HeaderName};
 use http::request::Parts;
@@ -21,6 +21,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::access::{Caller, KnownKeys, tenant_of};
+use crate::allowance::{Grant, Obtained, Want};
 use crate::failure::Failure;
 use crate::lines::{self, Rank};
 use crate::ports::Ticket;
@@ -47,6 +48,14 @@
 ];
 /// More of them, which the library has no names for.
 const MORE_CONNECTION_HEADERS: [&str; 2] = ["keep-alive", "proxy-connection"];
+/// A caller that is sent away since nobody can tell whether its key still counts is asked to
+/// come back after this time: gateways that were cut off have asked others by then.
+const UNPROVED_PAUSE: Duration = Duration::from_millis(500);
+/// Part of the objective for which a request waits for somebody who counts for its tenant:
+/// another gateway takes that over within 0.6 s of a planned stop.
+const COUNT_WAIT_PART: f64 = 0.25;
+/// A caller whose request nobody could count is asked to come back after this time.
+const UNCOUNTED_PAUSE: Duration = Duration::from_millis(400);
 /// Part of the grace of a planned stop after which no stream is begun.
 const LAST_STREAM: f64 = 0.35;
 /// However long the grace is, callers have gone elsewhere by then, and a stream
@@ -86,17 +95,25 @@
     pub returning: bool,
     /// Sends so far.
     pub attempts: AtomicU32,
+    /// What it was counted for; none if its tenant has no limit.
+    grant: Option<Grant>,
     exposed: AtomicBool,
     in_doubt: AtomicBool,
     ended: AtomicBool,
 }
 
 impl Drop for Call {
-    /// A call that ends without a line was dropped because its caller left.
+    /// A call that ends without a line was dropped because its caller left. What has not run
+    /// does not count for its tenant.
     fn drop(&mut self) {
         if !self.ended.load(Ordering::Relaxed) {
             self.log_end("caller_left", 0, "-");
         }
+        if !self.is_exposed()
+            && let Some(grant) = self.grant.take()
+        {
+            self.shared.allowance.give_back(grant);
+        }
     }
 }
 
@@ -329,7 +346,8 @@
         age,
         bounds: shared.settings.bounds.keys,
     };
-    let tenant = tenant_of(&caller, &known).map_err(|failure| log_unread(&ticket, failure))?;
+    let tenant = tenant_of(&caller, &known);
+    let tenant = tenant.map_err(|denial| log_unread(&ticket, send_away(denial)))?;
     let held = ticket
         .deadline
         .map_or(route.timeout, |own| own.min(route.timeout));
@@ -340,6 +358,10 @@
     let body = read_body(body, limit, deadline)
         .await
         .map_err(|failure| log_unread(&ticket, failure))?;
+    let grant = match &tenant {
+        Some(tenant) => count(shared, tenant, &ticket, &route, arrived).await?,
+        None => None,
+    };
     let service = shared.split(&route.services).ok_or(Failure::NoRoute)?;
     shared.count_request(&service);
     strip_connection_headers(&mut head.headers);
@@ -361,6 +383,7 @@
         suspended_before,
         returning,
         attempts: AtomicU32::new(0),
+        grant,
         exposed: AtomicBool::new(false),
         in_doubt: AtomicBool::new(false),
         ended: AtomicBool::new(false),
@@ -369,6 +392,57 @@
     Ok(call)
 }
 
+fn send_away(denial: Denial) -> Failure {
+    let reason = denial.reason();
+    match denial {
+        Denial::NoKey | Denial::UnknownKey => Failure::Unauthorized { reason },
+        Denial::OldKnowledge => Failure::Refused {
+            reason,
+            retry_after: UNPROVED_PAUSE,
+        },
+    }
+}
+
+/// Counts a request for its tenant, if that has a limit.
+async fn count(
+    shared: &Shared,
+    tenant: &Tenant,
+    ticket: &Ticket,
+    route: &Route,
+    arrived: Instant,
+) -> Result<Option<Grant>, Failure> {
+    let Some(limit) = &tenant.limit else {
+        return Ok(None);
+    };
+    let want = Want {
+        tenant: tenant.id.clone(),
+        cost: limit.cost(ticket.tokens),
+    };
+    let until = arrived + route.objective.mul_f64(COUNT_WAIT_PART);
+    let obtained = shared.count(&want, until).await;
+    let failure = match obtained {
+        Obtained::Granted(grant) => return Ok(Some(grant)),
+        Obtained::Beyond(retry_after) => Failure::BeyondLimit { retry_after },
+        Obtained::Unknown => Failure::Refused {
+            reason: "limit_not_known",
+            retry_after: UNCOUNTED_PAUSE,
+        },
+    };
+    let fields = format_args!(
+        "request={} reason={} tenant={} cost={} rate={} burst={} waited_ms={} retry_after_ms={}",
+        ticket.id,
+        failure.reason(),
+        want.tenant,
+        want.cost,
+        limit.rate,
+        limit.burst,
+        arrived.elapsed().as_millis(),
+        failure.retry_after().unwrap_or_default().as_millis(),
+    );
+    lines::write(Rank::Decision, "limited", fields);
+    Err(log_unread(ticket, failure))
+}
+
 /// Method, host, target, model and body: all that a caller's next try has in common with
 /// this one. Headers are left out: deadline, id and last event differ from try to try.
 fn fingerprint(head: &Parts, ticket: &Ticket, body: &Bytes) -> Fingerprint {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use gorsebank_fleet::placement::LoadBound;
-use gorsebank_fleet::{KeyBounds, RetryShare};
+use gorsebank_fleet::{KeyBounds, LimitBound, RetryShare};
 use gorsebank_world::{NodeId, ZoneId};
 
 /// Settings of one process.
@@ -53,6 +53,8 @@
     pub news: Duration,
     /// What is known of keys.
     pub keys: KeyBounds,
+    /// How far all gateways together may be over a tenant's limit.
+    pub limits: LimitBound,
     /// From a planned stop until the process is killed.
     pub grace: Duration,
     /// Reading calls of the table a second, of all gateways together.
--- a/crates/gateway/src/shared/gateways.rs
+++ b/crates/gateway/src/shared/gateways.rs
@@ -64,10 +64,24 @@
     /// Where the gateway that places models answers; none if there is none, or if it is
     /// not known.
     pub fn holder_address(&self) -> Option<SocketAddr> {
+        let holder = self.members.lock().holder.clone()?;
+        self.address_of(&holder)
+    }
+
+    /// Where a gateway answers others; none if that is not known.
+    pub fn address_of(&self, name: &NodeId) -> Option<SocketAddr> {
         let members = self.members.lock();
-        let holder = members.holder.as_ref()?.as_str();
         let mut answering = members.answering.iter();
-        Some(answering.find(|member| member.name == holder)?.address)
+        Some(
+            answering
+                .find(|member| member.name == name.as_str())?
+                .address,
+        )
+    }
+
+    /// The gateways that answer others.
+    pub fn answering_members(&self) -> Vec<Member> {
+        self.members.lock().answering.clone()
     }
 
     /// Gateways that have a row.
--- /dev/null
+++ b/crates/gateway/src/shared/limits.rs
@@ -0,0 +1,43 @@
+//! Limits of tenants: this gateway's way to whoever counts for one.
+
+use std::time::Duration;
+
+use gorsebank_world::NodeId;
+use tokio::time::Instant;
+
+use super::Shared;
+use crate::allowance::{Ask, AskAnswer, Obtained, Want};
+use crate::relay::{RelayAnswer, RelayRequest};
+
+/// Whoever counts answers within this time: a hundred times what it takes, and less than
+/// callers of application services wait.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(150);
+
+impl Shared {
+    /// Counts a request for its tenant, wherever that is counted, or says that it is beyond
+    /// the limit. When nobody who counts answers, tries until a time.
+    pub async fn count(&self, want: &Want, until: Instant) -> Obtained {
+        let put = |holder, ask| self.put(holder, ask);
+        self.allowance.obtain(want, until, put).await
+    }
+
+    async fn put(&self, holder: NodeId, ask: Ask) -> Option<AskAnswer> {
+        if holder == self.settings.node {
+            return Some(self.answer_ask(&ask));
+        }
+        let address = self.address_of(&holder)?;
+        let request = RelayRequest::Allowance(ask);
+        let client = self.table().client();
+        match client.call(address, &request, ANSWER_TIMEOUT).await? {
+            RelayAnswer::Allowance(answer) => Some(answer),
+            _ => None,
+        }
+    }
+
+    /// What this gateway, which may count for the tenant, says.
+    pub fn answer_ask(&self, ask: &Ask) -> AskAnswer {
+        let configuration = self.configuration();
+        self.allowance
+            .answer(self.now(), ask, configuration.as_deref())
+    }
+}
--- a/crates/gateway/src/shared/mod.rs
+++ b/crates/gateway/src/shared/mod.rs
@@ -6,6 +6,7 @@
 //! No lock is held over an await.
 
 mod gateways;
+mod limits;
 mod outcomes;
 mod running;
 mod shares;
@@ -26,6 +27,7 @@
 use gateways::{LEAST_GATEWAYS, Members};
 pub use shares::RetryGrant;
 
+use crate::allowance::Allowance;
 use crate::clock::Clock;
 use crate::demand_rows::DemandRows;
 use crate::directory::Directory;
@@ -60,6 +62,8 @@
     pub new_holder: Notify,
     /// What this gateway knows of the tables.
     pub feed: Feed,
+    /// Limits of tenants.
+    pub allowance: Allowance,
     /// Requests that are kept away from back ends.
     pub quarantine: SharedQuarantine,
     /// What all gateways have told of their demand, while this one places models.
@@ -105,6 +109,7 @@
             new_holder: Notify::new(),
             feed: Feed::new(clock.clone()),
             clock,
+            allowance: Allowance::default(),
             quarantine: SharedQuarantine::default(),
             demand_rows: DemandRows::default(),
             order_patience: orders::patience(),
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -9,12 +9,14 @@
 use std::time::Duration;
 
 use gorsebank_contract::TableRow;
+use gorsebank_fleet::counting_seat::seat_of_lease;
 use gorsebank_fleet::{BackEndReport, LeaseRow, PlacedRow};
 use gorsebank_world::BackEndId;
 use tokio::task::JoinHandle;
 
 use crate::directory::Directory;
 use crate::feed::{Rhythm, TablePosition, Told, rhythms};
+use crate::holder;
 use crate::lines::{self, Rank};
 use crate::members::MemberFollower;
 use crate::ports::RowChange;
@@ -225,16 +227,24 @@
     }
 }
 
-/// Takes in who places models.
+/// Takes in who places models, and who counts for tenants.
 struct LeaseFollower(Arc<Shared>);
 
 impl LeaseFollower {
     fn take(&self, row: &TableRow) {
         match serde_json::from_str::<LeaseRow>(&row.value) {
-            Ok(lease) => self.0.set_holder(lease.holder),
+            Ok(lease) => self.take_lease(row_name(&row.key), lease),
             Err(error) => refuse_row(&row.key, &error),
         }
     }
+
+    fn take_lease(&self, name: &str, lease: LeaseRow) {
+        if name == holder::LEASE_NAME {
+            self.0.set_holder(lease.holder);
+        } else if let Some(seat) = seat_of_lease(name) {
+            self.0.allowance.set_holder(seat, lease.holder);
+        }
+    }
 }
 
 impl Follower for LeaseFollower {
