--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -305,9 +305,9 @@
 }
 
 /// A line on a request that could not be taken in.
-fn log_unread(ticket: &Ticket, failure: Failure) -> Failure {
+fn log_unread(ticket: &Ticket, route: &str, failure: Failure) -> Failure {
     let fields = format_args!(
-        "request={} outcome={} status={} attempts=0 exposed=false",
+        "request={} outcome={} status={} route={route} attempts=0 exposed=false",
         ticket.id,
         failure.reason(),
         failure.status().as_u16(),
@@ -326,7 +326,7 @@
     // The age first: a configuration that comes in between is no older.
     let age = shared.configuration_age();
     let Some(configuration) = shared.configuration() else {
-        return Err(log_unread(&ticket, Failure::NoConfiguration));
+        return Err(log_unread(&ticket, "-", Failure::NoConfiguration));
     };
     let Some(route) = find_route(&configuration, &head) else {
         log_unrouted(&ticket, &head, configuration.version);
@@ -347,7 +347,7 @@
         bounds: shared.settings.bounds.keys,
     };
     let tenant = tenant_of(&caller, &known);
-    let tenant = tenant.map_err(|denial| log_unread(&ticket, send_away(denial)))?;
+    let tenant = tenant.map_err(|denial| log_unread(&ticket, &route.name, send_away(denial)))?;
     let held = ticket
         .deadline
         .map_or(route.timeout, |own| own.min(route.timeout));
@@ -357,7 +357,7 @@
     let limit = configuration.limits.max_body_bytes;
     let body = read_body(body, limit, deadline)
         .await
-        .map_err(|failure| log_unread(&ticket, failure))?;
+        .map_err(|failure| log_unread(&ticket, &route.name, failure))?;
     let grant = match &tenant {
         Some(tenant) => count(shared, tenant, &ticket, &route, arrived).await?,
         None => None,
@@ -440,7 +440,7 @@
         failure.retry_after().unwrap_or_default().as_millis(),
     );
     lines::write(Rank::Decision, "limited", fields);
-    Err(log_unread(ticket, failure))
+    Err(log_unread(ticket, &route.name, failure))
 }
 
 /// Method, host, target, model and body: all that a caller's next try has in common with
--- a/crates/gorsebank/src/commands/explain/cause.rs
+++ b/crates/gorsebank/src/commands/explain/cause.rs
@@ -4,6 +4,10 @@
 
 use crate::commands::logs::LogLine;
 
+/// Lines that say why the gateway refused a request: for want of something, by its caller's
+/// key, by its tenant's limit.
+const REFUSALS: [&str; 3] = ["refused", "access_denied", "limited"];
+
 /// What decided how a request ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Cause {
@@ -37,7 +41,8 @@
     if outcome == "served" {
         return Cause::Served;
     }
-    if let Some(refused) = own.iter().rev().find(|line| line.event == "refused") {
+    let refuses = |line: &&&LogLine| REFUSALS.contains(&line.event.as_str());
+    if let Some(refused) = own.iter().rev().find(refuses) {
         return Cause::Refused(refused.text.clone());
     }
     let attempt = own.iter().find(|line| line.event == "attempt");
--- a/crates/gorsebank/src/commands/losses/cause.rs
+++ b/crates/gorsebank/src/commands/losses/cause.rs
@@ -57,6 +57,10 @@
     BackEnd(String),
     /// The retry budget was spent.
     Budget(String),
+    /// Its caller's key does not count, or may not any more.
+    Key(String),
+    /// Its tenant's limit: it is beyond that, or nobody could tell.
+    Limit(String),
     /// No line tells its end: its gateway is gone, or the line was left out.
     NoEnd,
     /// Anything else, by its outcome.
@@ -181,7 +185,7 @@
     outcome: &str,
 ) -> (Ending, Option<Cause>) {
     let ending = match end.number("status") {
-        Some(503 | 429) => Ending::Refused,
+        Some(401 | 429 | 503) => Ending::Refused,
         _ => Ending::Failed,
     };
     let retry = last_of(lines, "retry");
@@ -192,11 +196,22 @@
         (_, Some(_)) => waited_for(day, lines, end),
         (Some(result), None) if refused_retry => Some(Cause::Budget(result.to_owned())),
         (Some(result), None) => Some(Cause::BackEnd(result.to_owned())),
-        (None, None) => Some(Cause::Other(outcome.to_owned())),
+        (None, None) => Some(sent_away(lines, outcome)),
     };
     (ending, cause)
 }
 
+/// Why it was refused before anything was done for it.
+fn sent_away(lines: &RequestLines<'_>, outcome: &str) -> Cause {
+    if last_of(lines, "access_denied").is_some() {
+        Cause::Key(outcome.to_owned())
+    } else if last_of(lines, "limited").is_some() {
+        Cause::Limit(outcome.to_owned())
+    } else {
+        Cause::Other(outcome.to_owned())
+    }
+}
+
 impl fmt::Display for Ending {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         formatter.pad(match self {
@@ -233,6 +248,8 @@
             Cause::SlowAnswer => write!(formatter, "back end slow to answer"),
             Cause::BackEnd(result) => write!(formatter, "back end: {result}"),
             Cause::Budget(result) => write!(formatter, "no retry left after: {result}"),
+            Cause::Key(outcome) => write!(formatter, "key: {outcome}"),
+            Cause::Limit(outcome) => write!(formatter, "limit: {outcome}"),
             Cause::NoEnd => write!(formatter, "no line tells the end"),
             Cause::Other(outcome) => write!(formatter, "{outcome}"),
         }
--- a/crates/gorsebank/tests/explain.rs
+++ b/crates/gorsebank/tests/explain.rs
@@ -16,6 +16,10 @@
 time_ms=1250 node=n2 left_out=0 event=attempt request=r5 back_end=i-4 result=500 may_have_run=false attempt=1 row_version=9 row_age_ms=310
 time_ms=1250 node=n2 left_out=0 event=retry request=r5 service=app granted=false budget_left=0.4 gateways=8 sends=1 ran=1
 time_ms=1251 node=n2 left_out=0 event=request_end request=r5 outcome=back_end_failed status=500 route=read back_end=i-4 model=-
+time_ms=1260 node=n1 left_out=0 event=access_denied request=r6 reason=keys_not_confirmed route=crew age_ms=4710 configuration=7
+time_ms=1260 node=n1 left_out=0 event=request_end request=r6 outcome=keys_not_confirmed status=503 route=crew attempts=0 exposed=false
+time_ms=1270 node=n1 left_out=0 event=limited request=r7 reason=beyond_limit tenant=crews cost=1540 rate=2700 burst=2700 waited_ms=2 retry_after_ms=310
+time_ms=1270 node=n1 left_out=0 event=request_end request=r7 outcome=beyond_limit status=429 route=crew attempts=0 exposed=false
 time_ms=1300 node=n1 left_out=0 event=request_end request=r3 outcome=served status=200 route=crew back_end=i-2 model=m1
 ";
 
@@ -65,6 +69,22 @@
     assert!(told.contains("LoadModel(m1)"), "{told}");
 }
 
+#[test]
+fn what_was_refused_by_its_key_or_limit_is_told_with_the_inputs() {
+    let told = explain("r6");
+    assert!(
+        told.contains("refused by the gateway: event=access_denied"),
+        "{told}"
+    );
+    assert!(told.contains("age_ms=4710"), "{told}");
+    let told = explain("r7");
+    assert!(
+        told.contains("refused by the gateway: event=limited"),
+        "{told}"
+    );
+    assert!(told.contains("tenant=crews cost=1540"), "{told}");
+}
+
 #[test]
 fn a_request_whose_gateway_was_killed_is_told_with_its_last_line() {
     let told = explain("r4");
--- a/crates/gorsebank/tests/losses.rs
+++ b/crates/gorsebank/tests/losses.rs
@@ -21,6 +21,10 @@
 time_ms=6001 node=n1 left_out=0 event=request_end request=r4 outcome=back_end_failed status=500 route=read service=app back_end=a-1 model=- total_ms=60 objective_ms=300
 time_ms=7000 node=n1 left_out=0 event=request_end request=r5 outcome=served status=200 route=read service=app back_end=a-1 model=- total_ms=340 objective_ms=300
 time_ms=8000 node=n2 left_out=0 event=chosen request=r6 back_end=a-1 eligible=1 in_flight=0
+time_ms=8100 node=n1 left_out=0 event=access_denied request=r8 reason=unknown_key route=keyed age_ms=310 configuration=7
+time_ms=8100 node=n1 left_out=0 event=request_end request=r8 outcome=unknown_key status=401 route=keyed attempts=0 exposed=false
+time_ms=8200 node=n1 left_out=0 event=limited request=r9 reason=beyond_limit tenant=crews cost=1540 rate=2700 burst=2700 waited_ms=2 retry_after_ms=310
+time_ms=8200 node=n1 left_out=0 event=request_end request=r9 outcome=beyond_limit status=429 route=keyed attempts=0 exposed=false
 time_ms=9000 node=n1 left_out=0 event=request_end request=r7 outcome=caller_left status=0 route=live service=llm back_end=- model=m1 total_ms=100 objective_ms=400
 ";
 
@@ -54,6 +58,8 @@
     let told = told("causes");
     for (request, ending, cause) in [
         ("r2", "late", "pause, engine read long prompts"),
+        ("r8", "refused", "key: unknown_key"),
+        ("r9", "refused", "limit: beyond_limit"),
         (
             "r3",
             "refused",
