Limits of tenants are counted by halves at two seats, spread over the strongest gateways

Change: each tenant has two seats with half of its limit each, and gateways come for seats by turns, so that each of the strongest has one and no loss takes both halves. A request is beyond the limit when both halves say so. Retry-After of one beyond it is 100 ms at least.

--- a/crates/fleet/src/counting_seat.rs
+++ b/crates/fleet/src/counting_seat.rs
@@ -1,18 +1,24 @@
 //! Who counts for which tenants: a fixed number of seats, each held by one gateway under a
-//! lease, and each tenant counted at one of them.
+//! lease. Each tenant is counted at two of them, by halves.
 //!
-//! In: tenants, gateways with their strength. Out: a tenant's seat, and how soon a gateway
-//! takes one that is free. All gateways must agree on a tenant's seat, whatever they know of
+//! In: tenants, gateways with their strength. Out: a tenant's seats, and how soon a gateway
+//! takes one that is free. All gateways must agree on a tenant's seats, whatever they know of
 //! each other, so the number of seats is the same everywhere.
+//!
+//! Half of a limit is most of what a tenant usually asks for. When one gateway is lost, the
+//! other half goes on until another gateway has its seat, after 4.6 s. With one seat for each
+//! tenant, half of them at the gateway that was lost, 1,163 requests were refused in the 4.3 s
+//! after that (one day of 87 gateways, some 300 requests a second).
 
 use std::cmp::Reverse;
 
 use gorsebank_world::TenantId;
 use xxhash_rust::xxh3::xxh3_64;
 
-/// Seats. With the loss of one gateway a sixth of the tenants waits for the next one; each
-/// seat costs a write of the table every one and a half seconds.
+/// Seats. Each costs a write of the table every one and a half seconds.
 pub const SEATS: usize = 6;
+/// Seats at which each tenant is counted, next to each other.
+pub const HALVES: usize = 2;
 /// Each gateway that comes before another one for a seat has so much time to take it, in
 /// milliseconds.
 const TURN: u64 = 150;
@@ -21,13 +27,14 @@
 /// Longest delay of the strongest gateways, and the delay of all others on top, in
 /// milliseconds.
 const LONGEST_DELAY: u64 = 1_500;
-
 /// How names of seats' leases begin.
 const LEASE_PREFIX: &str = "count-";
 
-/// The seat at which a tenant is counted.
-pub fn seat_of(tenant: &TenantId) -> usize {
-    (xxh3_64(tenant.as_str().as_bytes()) % SEATS as u64) as usize
+/// The seats at which a tenant is counted.
+pub fn seats_of(tenant: &TenantId) -> [usize; HALVES] {
+    let pairs = (SEATS / HALVES) as u64;
+    let first = (xxh3_64(tenant.as_str().as_bytes()) % pairs) as usize * HALVES;
+    std::array::from_fn(|half| first + half)
 }
 
 /// How the lease of a seat is named.
@@ -50,19 +57,41 @@
     pub is_strong: bool,
 }
 
-/// For how long the gateway `own` leaves the free seat to others, in milliseconds; it holds
-/// `seats` of the others already.
-pub fn delay(own: &str, candidates: &[SeatCandidate<'_>], seat: usize, seats: usize) -> u64 {
-    let mut ranked: Vec<&SeatCandidate<'_>> = candidates.iter().collect();
-    ranked.sort_by_key(|it| (Reverse(it.is_strong), place(it.name, seat), it.name));
-    let is_strong = ranked.iter().any(|it| it.name == own && it.is_strong);
-    let rank = ranked.iter().position(|it| it.name == own);
-    let turns = rank.map_or(LONGEST_DELAY, |rank| TURN * rank as u64);
-    let crowd = if is_strong { 0 } else { LONGEST_DELAY };
-    turns.min(LONGEST_DELAY) + crowd + SEATED_DELAY * seats as u64
+/// In which order the gateway `own` comes for seats.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct SeatOrder {
+    /// Its place among those that are as strong; none if it is not known.
+    place: Option<usize>,
+    /// How many are as strong.
+    equals: usize,
+    is_strong: bool,
 }
 
-/// A gateway's place for a seat among equally strong ones.
-fn place(name: &str, seat: usize) -> u64 {
-    xxh3_64(format!("{seat}/{name}").as_bytes())
+impl SeatOrder {
+    /// The order of one gateway among all that are known.
+    pub fn new(own: &str, candidates: &[SeatCandidate<'_>]) -> Self {
+        let is_strong = candidates.iter().any(|it| it.name == own && it.is_strong);
+        let mut equals: Vec<&str> = candidates
+            .iter()
+            .filter(|it| it.is_strong == is_strong)
+            .map(|it| it.name)
+            .collect();
+        equals.sort_by_key(|name| (Reverse(xxh3_64(name.as_bytes())), *name));
+        SeatOrder {
+            place: equals.iter().position(|name| *name == own),
+            equals: equals.len(),
+            is_strong,
+        }
+    }
+
+    /// For how long the gateway leaves a free seat to others, in milliseconds; it holds
+    /// `held` of the others already. Another gateway comes first for each seat.
+    pub fn delay(&self, seat: usize, held: usize) -> u64 {
+        let turns = self.place.map_or(LONGEST_DELAY, |place| {
+            let rank = (place + self.equals - seat % self.equals) % self.equals;
+            (TURN * rank as u64).min(LONGEST_DELAY)
+        });
+        let weakness = if self.is_strong { 0 } else { LONGEST_DELAY };
+        turns + weakness + SEATED_DELAY * held as u64
+    }
 }
--- a/crates/fleet/src/ledger.rs
+++ b/crates/fleet/src/ledger.rs
@@ -3,9 +3,9 @@
 //! In: limits, and requests with what they count for. Out: whether a request is within its
 //! tenant's limit, or when it would be. Each tenant has a bucket that fills at its rate.
 //!
-//! Invariant: in any span of the bound's window the grants of one ledger are at most the
-//! tenant's limit of that span and what the bound allows over it. The same holds for ledgers
-//! that follow each other, none of which grants before the former one has ended: a ledger
+//! Invariant: in any span of the bound's window the grants of one ledger are at most its part
+//! of the tenant's limit of that span and of what the bound allows over it. The same holds for
+//! ledgers that follow each other, none of which grants before the former one has ended: a ledger
 //! begins with empty buckets, or with what has flowed in while nobody granted anything.
 //!
 //! A request counts when it is granted, which is after its caller has sent it and before it
@@ -38,6 +38,16 @@
     pub slack: f64,
 }
 
+impl LimitBound {
+    /// The bound that each of so many ledgers keeps of a limit divided among them.
+    fn part(&self, parts: f64) -> Self {
+        LimitBound {
+            slack: self.slack / parts,
+            ..*self
+        }
+    }
+}
+
 /// A bucket's figures.
 #[derive(Clone, Copy, Debug, PartialEq)]
 struct Allotment {
@@ -48,12 +58,13 @@
 }
 
 impl Allotment {
-    fn new(limit: &TenantLimit, bound: &LimitBound) -> Self {
+    fn new(limit: &TenantLimit, parts: f64, bound: &LimitBound) -> Self {
         let window = bound.window.as_secs_f64();
-        let over = bound.overage * (limit.rate * window + limit.burst) + bound.slack;
+        let (rate, burst) = (limit.rate / parts, limit.burst / parts);
+        let over = bound.overage * (rate * window + burst) + bound.slack;
         Allotment {
-            rate: limit.rate + RATE_PART * over / window,
-            capacity: limit.burst + CAPACITY_PART * over,
+            rate: rate + RATE_PART * over / window,
+            capacity: burst + CAPACITY_PART * over,
         }
     }
 
@@ -88,16 +99,21 @@
 #[derive(Debug)]
 pub struct Ledger {
     bound: LimitBound,
+    /// Ledgers that share each limit.
+    parts: f64,
     /// Since when nobody else has granted anything.
     since: Timestamp,
     buckets: HashMap<TenantId, Bucket>,
 }
 
 impl Ledger {
-    /// Empty buckets at `since`, from when on nobody else grants anything.
-    pub fn new(bound: LimitBound, since: Timestamp) -> Self {
+    /// Empty buckets for one of so many parts of each limit at `since`, from when on nobody
+    /// else grants anything of it.
+    pub fn new(bound: LimitBound, parts: usize, since: Timestamp) -> Self {
+        let parts = parts as f64;
         Ledger {
-            bound,
+            bound: bound.part(parts),
+            parts,
             since,
             buckets: HashMap::new(),
         }
@@ -136,7 +152,7 @@
     }
 
     fn bucket(&mut self, now: Timestamp, tenant: &TenantId, limit: &TenantLimit) -> &mut Bucket {
-        let allotment = Allotment::new(limit, &self.bound);
+        let allotment = Allotment::new(limit, self.parts, &self.bound);
         let since = self.since;
         let bucket = self.buckets.entry(tenant.clone()).or_insert(Bucket {
             allotment,
--- a/crates/fleet/tests/ledger.rs
+++ b/crates/fleet/tests/ledger.rs
@@ -5,7 +5,7 @@
 
 use gorsebank_coordination::Timestamp;
 use gorsebank_fleet::counting_seat::{
-    SEATS, SeatCandidate, delay, lease_name, seat_of, seat_of_lease,
+    HALVES, SEATS, SeatCandidate, SeatOrder, lease_name, seat_of_lease, seats_of,
 };
 use gorsebank_fleet::{Ledger, LimitBound, LimitUnit, Taken, TenantLimit};
 use gorsebank_world::TenantId;
@@ -50,19 +50,19 @@
 /// Something that happens to the counting.
 #[derive(Clone, Debug)]
 enum Step {
-    /// A request of this cost comes.
-    Ask(f64),
+    /// A request of this cost comes, and is asked for at one half first.
+    Ask(f64, usize),
     /// The last granted request is known not to have run.
     GiveBack,
-    /// Whoever counts is gone, and another one counts from now on.
-    Replaced,
+    /// Whoever counts one half is gone, and another one counts it from now on.
+    Replaced(usize),
 }
 
 fn step() -> impl Strategy<Value = Step> {
     prop_oneof![
-        20 => (100.0f64..5_400.0).prop_map(Step::Ask),
+        20 => (100.0f64..5_400.0, 0..HALVES).prop_map(|(cost, half)| Step::Ask(cost, half)),
         2 => Just(Step::GiveBack),
-        1 => Just(Step::Replaced),
+        1 => (0..HALVES).prop_map(Step::Replaced),
     ]
 }
 
@@ -75,26 +75,30 @@
         steps in prop::collection::vec((step(), 0u64..300), 1..600),
     ) {
         let limit = limit(rate, rate * burst_seconds);
-        let mut ledger = Ledger::new(BOUND, Timestamp(0));
+        let half = |since| Ledger::new(BOUND, HALVES, Timestamp(since));
+        let mut ledgers = [half(0), half(0)];
         let mut now = 60_000;
-        let mut grants: Vec<(u64, f64)> = Vec::new();
+        let mut grants: Vec<(u64, f64, usize)> = Vec::new();
         for (step, pause) in steps {
             now += pause;
+            let at = Timestamp(now);
             match step {
-                Step::Ask(cost) => {
-                    let taken = ledger.take(Timestamp(now), &tenant(), &limit, cost);
-                    if taken == Taken::Granted {
-                        grants.push((now, cost));
-                    }
+                Step::Ask(cost, first) => {
+                    let mut halves = [first, 1 - first].into_iter();
+                    let granted = halves.find(|half| {
+                        ledgers[*half].take(at, &tenant(), &limit, cost) == Taken::Granted
+                    });
+                    grants.extend(granted.map(|half| (now, cost, half)));
                 }
                 Step::GiveBack => {
-                    if let Some((_, cost)) = grants.pop() {
-                        ledger.give_back(Timestamp(now), &tenant(), &limit, cost);
+                    if let Some((_, cost, half)) = grants.pop() {
+                        ledgers[half].give_back(at, &tenant(), &limit, cost);
                     }
                 }
-                Step::Replaced => ledger = Ledger::new(BOUND, Timestamp(now)),
+                Step::Replaced(one) => ledgers[one] = half(now),
             }
         }
+        let grants: Vec<(u64, f64)> = grants.iter().map(|(at, cost, _)| (*at, *cost)).collect();
         let most = most_in_a_window(&grants);
         prop_assert!(most <= allowed(&limit) + 1.0, "{most} of {}", allowed(&limit));
     }
@@ -106,7 +110,7 @@
         asks in prop::collection::vec((100.0f64..2_700.0, 0u64..900), 1..300),
     ) {
         let limit = limit(rate, rate);
-        let mut ledger = Ledger::new(BOUND, Timestamp(0));
+        let mut ledger = Ledger::new(BOUND, 1, Timestamp(0));
         let (mut level, mut at, mut now) = (rate, 0, 60_000);
         for (cost, pause) in asks {
             now += pause;
@@ -124,7 +128,7 @@
 #[test]
 fn whoever_begins_to_count_says_not_yet_before_it_says_beyond() {
     let limit = limit(10_000.0, 10_000.0);
-    let mut ledger = Ledger::new(BOUND, Timestamp(1_000));
+    let mut ledger = Ledger::new(BOUND, 1, Timestamp(1_000));
     let mut ask = |now| ledger.take(Timestamp(now), &tenant(), &limit, 5_000.0);
     let Taken::NotYet(wait) = ask(1_000) else {
         panic!("it knows nothing of what was granted before");
@@ -146,7 +150,7 @@
         slack: 200.0,
         ..BOUND
     };
-    let mut ledger = Ledger::new(bound, Timestamp(0));
+    let mut ledger = Ledger::new(bound, 1, Timestamp(0));
     let mut ask = |now| ledger.take(Timestamp(now), &tenant(), &limit, 400.0);
     assert_eq!(ask(60_000), Taken::Granted);
     assert!(matches!(ask(61_000), Taken::Beyond(_)));
@@ -155,7 +159,7 @@
 
 #[test]
 fn a_lower_limit_binds_at_once() {
-    let mut ledger = Ledger::new(BOUND, Timestamp(0));
+    let mut ledger = Ledger::new(BOUND, 1, Timestamp(0));
     let (high, low) = (limit(50_000.0, 50_000.0), limit(2_700.0, 2_700.0));
     let full = ledger.take(Timestamp(60_000), &tenant(), &high, 1_000.0);
     assert_eq!(full, Taken::Granted);
@@ -169,34 +173,56 @@
 }
 
 #[test]
-fn seats_are_spread_and_the_strongest_take_them_first() {
-    let seats: Vec<usize> = (0..200)
-        .map(|number| seat_of(&TenantId::from(format!("tenant-{number}"))))
-        .collect();
+fn each_tenant_is_counted_at_two_seats_and_all_seats_are_used() {
+    let tenants = (0..200).map(|number| TenantId::from(format!("tenant-{number}")));
+    let seats: Vec<usize> = tenants.flat_map(|tenant| seats_of(&tenant)).collect();
     assert_eq!(seat_of_lease("placement"), None);
     for seat in 0..SEATS {
         assert_eq!(seat_of_lease(&lease_name(seat)), Some(seat));
         assert!(seats.contains(&seat), "{seat}");
     }
-    let names: Vec<String> = (0..20).map(|number| format!("node-{number}")).collect();
+    let [first, second] = seats_of(&tenant());
+    assert_ne!(first, second);
+}
+
+/// The gateways that come first for each seat.
+fn first_for_seats(strong: usize, all: usize) -> Vec<usize> {
+    let names: Vec<String> = (0..all).map(|number| format!("node-{number}")).collect();
     let candidates: Vec<SeatCandidate<'_>> = names
         .iter()
         .enumerate()
         .map(|(index, name)| SeatCandidate {
             name,
-            is_strong: index < 5,
+            is_strong: index < strong,
         })
         .collect();
-    for seat in 0..SEATS {
-        let first = (0..5).filter(|index| delay(&names[*index], &candidates, seat, 0) == 0);
-        assert_eq!(
-            first.count(),
-            1,
-            "one strong gateway takes seat {seat} at once"
-        );
-        let weak = (5..20).map(|index| delay(&names[index], &candidates, seat, 0));
-        assert!(weak.min() > Some(1_000), "weak ones come later");
+    let delay = |index: usize, seat| SeatOrder::new(&names[index], &candidates).delay(seat, 0);
+    let first = |seat| (0..all).min_by_key(|index| delay(*index, seat));
+    (0..SEATS).filter_map(first).collect()
+}
+
+#[test]
+fn strong_gateways_come_first_and_each_has_a_seat_of_its_own() {
+    let mut first = first_for_seats(SEATS, 80);
+    first.sort_unstable();
+    assert_eq!(first, (0..SEATS).collect::<Vec<usize>>());
+    for strong in 2..SEATS {
+        let first = first_for_seats(strong, 40);
+        assert!(first.iter().all(|index| *index < strong), "{first:?}");
+        for halves in first.chunks(HALVES) {
+            assert_ne!(halves[0], halves[1], "one loss takes one half: {first:?}");
+        }
     }
-    let unseated = delay(&names[0], &candidates, 0, 0);
-    assert!(delay(&names[0], &candidates, 0, 1) > unseated);
+}
+
+#[test]
+fn a_gateway_that_holds_a_seat_leaves_others_to_others() {
+    let candidates = ["a", "b"].map(|name| SeatCandidate {
+        name,
+        is_strong: true,
+    });
+    let order = SeatOrder::new("a", &candidates);
+    assert!(order.delay(0, 1) > order.delay(0, 0));
+    let stranger = SeatOrder::new("c", &candidates);
+    assert!(stranger.delay(0, 0) > order.delay(0, 0).max(order.delay(1, 0)));
 }
--- a/crates/gateway/src/allowance/message.rs
+++ b/crates/gateway/src/allowance/message.rs
@@ -20,6 +20,9 @@
 /// A question for one request.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Ask {
+    /// The seat.
+    #[serde(rename = "s")]
+    pub seat: usize,
     /// Whose it is.
     #[serde(rename = "t")]
     pub tenant: TenantId,
--- a/crates/gateway/src/allowance/mod.rs
+++ b/crates/gateway/src/allowance/mod.rs
@@ -6,9 +6,10 @@
 //!                     <-granted, beyond, not yet-
 //! ```
 //!
-//! Tenants are spread over a few seats ([`gorsebank_fleet::counting_seat`]); a gateway holds a
-//! seat by a lease of the table ([`seats`]) and counts while that is valid, so nobody counts
-//! beside it. Requests of one gateway alone say nothing of a limit: of 87 gateways each has
+//! Tenants are counted by halves at a few seats ([`gorsebank_fleet::counting_seat`]); a gateway
+//! holds a seat by a lease of the table ([`seats`]) and counts while that is valid, so nobody
+//! counts beside it. Gateways begin with one half each, and ask the other one before they say
+//! no. Requests of one gateway alone say nothing of a limit: of 87 gateways each has
 //! one request of a small tenant in half a minute.
 //!
 //! In: what a request counts for. Out: whether it is within its tenant's limit. This module
@@ -24,7 +25,7 @@
 use std::time::Duration;
 
 use gorsebank_coordination::Timestamp;
-use gorsebank_fleet::counting_seat::{SEATS, seat_of};
+use gorsebank_fleet::counting_seat::{HALVES, SEATS, seats_of};
 use gorsebank_fleet::{Configuration, LeaseKeeper, Ledger, LimitBound, Taken};
 use gorsebank_world::{NodeId, TenantId};
 use parking_lot::Mutex;
@@ -37,7 +38,7 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(60);
 /// A gateway that did not answer is not asked again for so long: requests that come
 /// meanwhile do not wait for it one after the other.
-const REST: Duration = Duration::from_millis(250);
+const REST: Duration = Duration::from_millis(600);
 /// Returns that wait for the next question to a seat at most.
 const MOST_RETURNS: usize = 64;
 
@@ -48,6 +49,8 @@
     pub tenant: TenantId,
     /// What it counts for.
     pub cost: f64,
+    /// The seat at which it was counted.
+    seat: usize,
     /// The lease under which it was counted.
     fence: u64,
 }
@@ -63,6 +66,16 @@
     Unknown,
 }
 
+/// What came of asking at all seats of a tenant once.
+enum Round {
+    /// One of them granted it.
+    Granted(Grant),
+    /// All of them say that it is beyond the limit; there is room after this time.
+    Beyond(Duration),
+    /// Not all of them said anything; another try makes sense after this time.
+    Unknown(Duration),
+}
+
 /// What a request counts for.
 #[derive(Clone, Debug)]
 pub struct Want {
@@ -124,7 +137,7 @@
         let counting = fence.map(|fence| Counting {
             keeper: keeper.clone(),
             fence,
-            ledger: Ledger::new(bound, now),
+            ledger: Ledger::new(bound, HALVES, now),
         });
         let begins = counting.is_some();
         self.seats[seat].lock().counting = counting;
@@ -136,14 +149,17 @@
         self.seats[seat].lock().counting = None;
     }
 
-    /// Answers another gateway, or this one, that asks for a tenant.
+    /// Answers another gateway, or this one, that asks at a seat.
     pub fn answer(
         &self,
         now: Timestamp,
         ask: &Ask,
         configuration: Option<&Configuration>,
     ) -> AskAnswer {
-        let mut seat = self.seats[seat_of(&ask.tenant)].lock();
+        let Some(seat) = self.seats.get(ask.seat) else {
+            return AskAnswer::NotHere;
+        };
+        let mut seat = seat.lock();
         let counting = seat.counting.as_mut();
         let valid = counting.filter(|counting| counting.is_valid(now));
         let tenants = configuration.and_then(|known| known.tenants.as_ref());
@@ -178,8 +194,8 @@
         }
     }
 
-    /// Asks whoever counts for a tenant, until it says yes or no, or until a time. `put` asks
-    /// a gateway, this one included; none if there was no answer.
+    /// Asks whoever counts for a tenant, until one grants it or all say no, or until a time.
+    /// `put` asks a gateway, this one included; none if there was no answer.
     pub async fn obtain<F>(
         &self,
         want: &Want,
@@ -193,46 +209,76 @@
             return Obtained::Beyond(left);
         }
         loop {
-            let mut pause = RETRY_PAUSE;
-            match self.ask(want, &put).await {
+            let pause = match self.ask_all(want, &put).await {
+                Round::Granted(grant) => return Obtained::Granted(grant),
+                Round::Beyond(wait) => {
+                    self.denials.lock().note(want, wait);
+                    return Obtained::Beyond(wait);
+                }
+                Round::Unknown(pause) => pause,
+            };
+            if Instant::now() + pause >= until {
+                return Obtained::Unknown;
+            }
+            sleep(pause).await;
+        }
+    }
+
+    /// Asks at the tenant's seats, one after the other.
+    async fn ask_all<F>(&self, want: &Want, put: &impl Fn(NodeId, Ask) -> F) -> Round
+    where
+        F: Future<Output = Option<AskAnswer>>,
+    {
+        let mut seats = seats_of(&want.tenant);
+        // Each begins with either: the halves are used alike.
+        seats.rotate_left(rand::random_range(0..HALVES));
+        let (mut denials, mut soonest) = (0, None::<Duration>);
+        let mut pause = RETRY_PAUSE;
+        for seat in seats {
+            match self.ask(seat, want, put).await {
                 Some(AskAnswer::Granted { fence }) => {
-                    return Obtained::Granted(Grant {
+                    return Round::Granted(Grant {
                         tenant: want.tenant.clone(),
                         cost: want.cost,
+                        seat,
                         fence,
                     });
                 }
                 Some(AskAnswer::Beyond { wait }) => {
                     let wait = Duration::from_millis(wait);
-                    self.denials.lock().note(want, wait);
-                    return Obtained::Beyond(wait);
+                    denials += 1;
+                    soonest = Some(soonest.map_or(wait, |soonest| soonest.min(wait)));
+                }
+                Some(AskAnswer::NotYet { wait }) => {
+                    pause = pause.min(Duration::from_millis(wait));
                 }
-                Some(AskAnswer::NotYet { wait }) => pause = Duration::from_millis(wait),
                 Some(AskAnswer::NotHere) | None => {}
             }
-            if Instant::now() + pause >= until {
-                return Obtained::Unknown;
-            }
-            sleep(pause).await;
+        }
+        match soonest {
+            Some(wait) if denials == HALVES => Round::Beyond(wait),
+            _ => Round::Unknown(pause),
         }
     }
 
-    async fn ask<F>(&self, want: &Want, put: &impl Fn(NodeId, Ask) -> F) -> Option<AskAnswer>
+    async fn ask<F>(
+        &self,
+        seat: usize,
+        want: &Want,
+        put: &impl Fn(NodeId, Ask) -> F,
+    ) -> Option<AskAnswer>
     where
         F: Future<Output = Option<AskAnswer>>,
     {
-        let (holder, returned) = {
-            let mut seat = self.seats[seat_of(&want.tenant)].lock();
-            let holder = seat.holder.clone()?;
-            (holder, std::mem::take(&mut seat.returns))
-        };
+        let holder = self.seats[seat].lock().holder.clone()?;
         if self.rests(&holder) {
             return None;
         }
         let ask = Ask {
+            seat,
             tenant: want.tenant.clone(),
             cost: want.cost,
-            returned,
+            returned: std::mem::take(&mut self.seats[seat].lock().returns),
         };
         let answer = put(holder.clone(), ask).await;
         if answer.is_none() {
@@ -252,7 +298,7 @@
     /// A request that was counted is known not to have run. That is told with the next
     /// question to the seat: before that nobody needs to know.
     pub fn give_back(&self, grant: Grant) {
-        let mut seat = self.seats[seat_of(&grant.tenant)].lock();
+        let mut seat = self.seats[grant.seat].lock();
         if seat.returns.len() < MOST_RETURNS {
             seat.returns.push(Returned {
                 tenant: grant.tenant,
--- a/crates/gateway/src/allowance/seats.rs
+++ b/crates/gateway/src/allowance/seats.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use gorsebank_fleet::Offer;
-use gorsebank_fleet::counting_seat::{SEATS, SeatCandidate, delay, lease_name};
+use gorsebank_fleet::counting_seat::{SEATS, SeatCandidate, SeatOrder, lease_name};
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::lease_seat::LeaseSeat;
@@ -35,7 +35,7 @@
     let mut seats = Seats {
         seats: (0..SEATS).map(seat).collect(),
         counts: [false; SEATS],
-        delays: [0; SEATS],
+        order: SeatOrder::default(),
         ordered: None,
         shared: shared.clone(),
     };
@@ -62,8 +62,8 @@
     seats: Vec<LeaseSeat>,
     /// Those at which this gateway counts.
     counts: [bool; SEATS],
-    /// How long this gateway leaves each to others, in milliseconds.
-    delays: [u64; SEATS],
+    /// When this gateway comes for a free seat.
+    order: SeatOrder,
     /// When that was worked out.
     ordered: Option<Instant>,
 }
@@ -118,12 +118,13 @@
         if shared.lateness() > LATE {
             return Offer::Never;
         }
-        self.order();
-        Offer::After(self.delays[seat])
+        self.put_in_order();
+        let held = self.counts.iter().filter(|counts| **counts).count();
+        Offer::After(self.order.delay(seat, held))
     }
 
-    /// Works out for how long this gateway leaves each seat to others.
-    fn order(&mut self) {
+    /// Works out when this gateway comes for seats, by the gateways that are known.
+    fn put_in_order(&mut self) {
         if self.ordered.is_some_and(|at| at.elapsed() < ORDER_LIFETIME) {
             return;
         }
@@ -138,10 +139,6 @@
                 is_strong: f64::from(member.row.millicores) >= strongest * STRONG_PART,
             })
             .collect();
-        let own = shared.settings.node.as_str();
-        let held = self.counts.iter().filter(|counts| **counts).count();
-        for seat in 0..SEATS {
-            self.delays[seat] = delay(own, &candidates, seat, held);
-        }
+        self.order = SeatOrder::new(shared.settings.node.as_str(), &candidates);
     }
 }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -56,6 +56,9 @@
 const COUNT_WAIT_PART: f64 = 0.25;
 /// A caller whose request nobody could count is asked to come back after this time.
 const UNCOUNTED_PAUSE: Duration = Duration::from_millis(400);
+/// Least pause of a caller that is beyond its tenant's limit: whatever flows in sooner goes to
+/// those that come by then.
+const LEAST_LIMIT_PAUSE: Duration = Duration::from_millis(100);
 /// Part of the grace of a planned stop after which no stream is begun.
 const LAST_STREAM: f64 = 0.35;
 /// However long the grace is, callers have gone elsewhere by then, and a stream
@@ -422,7 +425,9 @@
     let obtained = shared.count(&want, until).await;
     let failure = match obtained {
         Obtained::Granted(grant) => return Ok(Some(grant)),
-        Obtained::Beyond(retry_after) => Failure::BeyondLimit { retry_after },
+        Obtained::Beyond(wait) => Failure::BeyondLimit {
+            retry_after: wait.max(LEAST_LIMIT_PAUSE),
+        },
         Obtained::Unknown => Failure::Refused {
             reason: "limit_not_known",
             retry_after: UNCOUNTED_PAUSE,
