--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -189,7 +189,7 @@
             may_be_silent: is_kept,
         };
         self.call.begin_doubt();
-        let mut response = pin!(connection.sender.try_send_request(request));
+        let mut response = pin!(connection.http.sender.try_send_request(request));
         let mut until = self.call.deadline().min(sent + self.patience);
         let answered = loop {
             match timeout_at(until, response.as_mut()).await {
--- a/crates/gateway/src/back_end.rs
+++ b/crates/gateway/src/back_end.rs
@@ -11,21 +11,17 @@
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::time::Duration;
 
-use bytes::Bytes;
 use gorsebank_coordination::Timestamp;
 use gorsebank_fleet::health::Health;
 use gorsebank_fleet::running::{self, BackEndHash};
 use gorsebank_fleet::{BackEndReport, Fingerprint, KeptParts};
 use gorsebank_world::{AdapterId, BackEndId, ModelId, ServiceId};
-use http_body_util::Full;
-use hyper::client::conn::http1::{self, SendRequest};
-use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
 use tokio::net::TcpStream;
-use tokio::task::AbortHandle;
 use tokio::time::{Instant, timeout};
 
 use crate::clock::LEAST_SUSPENSION;
+use crate::http_connection::HttpConnection;
 use crate::ports::Ticket;
 
 /// Longest time to establish a connection.
@@ -96,19 +92,12 @@
 /// An open connection to a back end. Dropping it closes it at once.
 #[derive(Debug)]
 pub struct Connection {
-    /// Sends requests on it.
-    pub sender: SendRequest<Full<Bytes>>,
-    task: AbortHandle,
+    /// The connection itself.
+    pub http: HttpConnection,
     used: Instant,
     rest: Duration,
 }
 
-impl Drop for Connection {
-    fn drop(&mut self) {
-        self.task.abort();
-    }
-}
-
 /// A request that counts as in flight until this is dropped.
 #[derive(Debug)]
 pub struct InFlight(Arc<BackEnd>);
@@ -252,7 +241,7 @@
         idle.retain(Connection::is_usable);
         let index = idle
             .iter()
-            .rposition(|connection| connection.sender.is_ready())?;
+            .rposition(|connection| connection.http.sender.is_ready())?;
         Some(idle.remove(index))
     }
 
@@ -330,18 +319,9 @@
 
     /// A new connection.
     pub async fn connect(&self) -> std::io::Result<Connection> {
-        let connecting = TcpStream::connect(self.address);
-        let stream = timeout(CONNECT_TIMEOUT, connecting).await??;
-        stream.set_nodelay(true)?;
-        let handshake = http1::handshake(TokioIo::new(stream)).await;
-        let (sender, connection) = handshake.map_err(std::io::Error::other)?;
-        let task = tokio::spawn(async move {
-            // The request on it learns of any error from its own side.
-            let _ = connection.await;
-        });
+        let http = HttpConnection::open(self.address, CONNECT_TIMEOUT).await?;
         Ok(Connection {
-            sender,
-            task: task.abort_handle(),
+            http,
             used: Instant::now(),
             rest: DEFAULT_REST,
         })
@@ -365,6 +345,6 @@
 
 impl Connection {
     fn is_usable(&self) -> bool {
-        !self.sender.is_closed() && self.used.elapsed() < self.rest
+        !self.http.sender.is_closed() && self.used.elapsed() < self.rest
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod failure;
 pub mod feed;
 pub mod holder;
+pub mod http_connection;
 pub mod lateness;
 mod lease_seat;
 pub mod lines;
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -119,6 +119,6 @@
         return Err(Unsent);
     }
     let request = request.map(Full::new);
-    let response = connection.sender.send_request(request).await.ok();
+    let response = connection.http.sender.send_request(request).await.ok();
     Ok((response, connection))
 }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -1,6 +1,6 @@
 //! Settings of a gateway. The platform's adapter fills them from its own file.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use gorsebank_fleet::placement::LoadBound;
@@ -39,6 +39,17 @@
     pub path: String,
 }
 
+impl MetricsAddress {
+    /// `PORT/PATH` on a machine with this address; none if the text is something else.
+    pub fn parse(machine: IpAddr, text: &str) -> Option<Self> {
+        let (port, path) = text.split_once('/')?;
+        Some(MetricsAddress {
+            listen: SocketAddr::new(machine, port.parse().ok()?),
+            path: format!("/{path}"),
+        })
+    }
+}
+
 /// Bounds that the deployment sets.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Bounds {
