Limits of tenants are spans, not buckets, and what was granted is saved with the lease

Change: a ledger keeps the grants of the last window. Whoever counts next goes on from what was saved, in the same transaction as the lease, and takes a third of a window's grants for used; more than that is granted only once a save stands.

--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -89,6 +89,8 @@
     held_since: Option<Timestamp>,
     /// A write that hands the lease back was sent: others may hold the lease from then on.
     hands_back: bool,
+    /// Something is to be written beside the lease soon.
+    renews_soon: bool,
 }
 
 impl LeaseKeeper {
@@ -108,6 +110,7 @@
             lost: None,
             held_since: None,
             hands_back: false,
+            renews_soon: false,
         }
     }
 
@@ -120,6 +123,11 @@
         valid.then_some(fence)
     }
 
+    /// A holder's next step renews the lease, whenever that was done last.
+    pub fn renew_soon(&mut self) {
+        self.renews_soon = true;
+    }
+
     /// Whether this node took the lease and has not lost it since.
     pub fn is_holder(&self) -> bool {
         matches!(self.role, Role::Holder { .. })
@@ -177,7 +185,7 @@
             return self.write(now, version, None);
         }
         let renew_at = renewed + self.part(RENEW_PART);
-        if now < renew_at && !self.hands_back {
+        if now < renew_at && !self.hands_back && !self.renews_soon {
             return LeaseStep::Wait(renew_at);
         }
         self.write(now, version, Some(self.node.clone()))
@@ -266,6 +274,7 @@
             Role::Follower => version,
         };
         self.hands_back = false;
+        self.renews_soon = false;
         self.role = Role::Holder {
             fence,
             renewed: self.sent,
--- a/crates/fleet/src/ledger.rs
+++ b/crates/fleet/src/ledger.rs
@@ -1,31 +1,46 @@
-//! What tenants have used of their limits, at the one gateway that counts for them.
+//! What tenants have used of their limits, at a gateway that counts for them.
 //!
 //! In: limits, and requests with what they count for. Out: whether a request is within its
-//! tenant's limit, or when it would be. Each tenant has a bucket that fills at its rate.
+//! tenant's limit, or when it would be; and what has been granted, for whoever counts next.
 //!
 //! Invariant: in any span of the bound's window the grants of one ledger are at most its part
 //! of the tenant's limit of that span and of what the bound allows over it. The same holds for
-//! ledgers that follow each other, none of which grants before the former one has ended: a ledger
-//! begins with empty buckets, or with what has flowed in while nobody granted anything.
+//! ledgers that follow each other, none of which grants before the former one has ended: each
+//! begins with what the former one had saved, and takes for granted what that one may have
+//! granted since, which is a bounded part of the limit.
 //!
 //! A request counts when it is granted, which is after its caller has sent it and before it
 //! reaches a back end; so what is both sent and run within a span was granted within it, and
 //! nothing depends on how long a grant is under way.
+//!
+//! Why spans and not a bucket that fills at the limit's rate: a limit is a rate times a span
+//! and a burst on top, so a tenant that has used little may use most of it at once. With
+//! buckets, 470 requests of two tenants at three to five times their limits were refused in
+//! four seconds although their use of the last eight seconds was below the limit.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::time::Duration;
 
 use gorsebank_coordination::Timestamp;
 use gorsebank_world::TenantId;
+use serde::{Deserialize, Serialize};
 
 use crate::tenant::TenantLimit;
 
-/// Part of what the bound allows over a limit that flows in beside the limit's rate: a caller
-/// is refused nothing that it is owed when gateways see its requests in another order.
-const RATE_PART: f64 = 0.35;
-/// The part by which a bucket is larger than the limit's burst. The rest is for requests
-/// larger than a bucket, and for second sends.
-const CAPACITY_PART: f64 = 0.5;
+/// Part of what the bound allows over a limit that is granted too; the rest is for second
+/// sends of a request.
+const OVER_PART: f64 = 0.8;
+/// Part of what a span grants that may be granted before it is saved: whoever counts next has
+/// to take it for used.
+const UNSAVED_PART: f64 = 0.3;
+/// Once this part of that is granted it should be saved soon.
+const SAVE_PART: f64 = 0.5;
+/// Grants within this time are kept as one, in milliseconds.
+const BIN: u64 = 100;
+/// Saved grants within this time are one, in milliseconds.
+const SAVED_BIN: u64 = 500;
+/// A request that waits for what was granted to be saved is tried again after this time.
+const SAVING: Duration = Duration::from_millis(30);
 
 /// How far all gateways together may be over a limit.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -39,44 +54,14 @@
 }
 
 impl LimitBound {
-    /// The bound that each of so many ledgers keeps of a limit divided among them.
-    fn part(&self, parts: f64) -> Self {
-        LimitBound {
-            slack: self.slack / parts,
-            ..*self
-        }
-    }
-}
-
-/// A bucket's figures.
-#[derive(Clone, Copy, Debug, PartialEq)]
-struct Allotment {
-    /// Units a second.
-    rate: f64,
-    /// Units at most.
-    capacity: f64,
-}
-
-impl Allotment {
-    fn new(limit: &TenantLimit, parts: f64, bound: &LimitBound) -> Self {
-        let window = bound.window.as_secs_f64();
-        let (rate, burst) = (limit.rate / parts, limit.burst / parts);
-        let over = bound.overage * (rate * window + burst) + bound.slack;
-        Allotment {
-            rate: rate + RATE_PART * over / window,
-            capacity: burst + CAPACITY_PART * over,
-        }
-    }
-
-    /// Time in which so many units flow in.
-    fn time_for(&self, units: f64) -> Duration {
-        Duration::from_secs_f64((units / self.rate).clamp(0.0, LONGEST_WAIT.as_secs_f64()))
+    /// What one of so many ledgers grants within any window.
+    fn granted(&self, limit: &TenantLimit, parts: f64) -> f64 {
+        let own = limit.rate * self.window.as_secs_f64() + limit.burst;
+        let over = self.overage * own + self.slack;
+        (own + OVER_PART * over) / parts
     }
 }
 
-/// Longest wait that is told.
-const LONGEST_WAIT: Duration = Duration::from_secs(60);
-
 /// What came of asking for a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Taken {
@@ -84,38 +69,142 @@
     Granted,
     /// It is beyond the limit; there is room for it after this time.
     Beyond(Duration),
-    /// There is no room yet, since nobody knows what a former ledger has granted.
+    /// There is no room yet, since what was granted is not saved, or since nobody knows what
+    /// a former ledger has granted.
     NotYet(Duration),
 }
 
+/// What was granted within a short time.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct SavedGrants {
+    /// How long ago the last of it was granted, in milliseconds.
+    #[serde(rename = "a")]
+    pub age: u64,
+    /// What it counts for.
+    #[serde(rename = "c")]
+    pub cost: f64,
+}
+
+/// Grants of the last window by tenant.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct SavedUse(BTreeMap<TenantId, Vec<SavedGrants>>);
+
 #[derive(Clone, Copy, Debug)]
-struct Bucket {
-    allotment: Allotment,
-    level: f64,
-    at: Timestamp,
+struct Bin {
+    /// No grant in it is later than this.
+    until: Timestamp,
+    cost: f64,
+    /// Whether a former ledger granted it, or may have.
+    is_inherited: bool,
+}
+
+/// One tenant's grants of the last window.
+#[derive(Debug, Default)]
+struct Span {
+    bins: VecDeque<Bin>,
+    /// Granted since the last save that is known to stand.
+    unsaved: f64,
+    /// Of that, what the save under way holds.
+    saving: f64,
+}
+
+impl Span {
+    fn expire(&mut self, now: Timestamp, window: u64) {
+        self.bins.retain(|bin| now.since(bin.until) <= window);
+    }
+
+    fn total(&self) -> f64 {
+        self.bins.iter().map(|bin| bin.cost).sum()
+    }
+
+    fn add(&mut self, now: Timestamp, cost: f64) {
+        self.unsaved += cost;
+        match self.bins.back_mut() {
+            Some(bin) if !bin.is_inherited && now <= bin.until => bin.cost += cost,
+            _ => self.bins.push_back(Bin {
+                until: now + BIN,
+                cost,
+                is_inherited: false,
+            }),
+        }
+    }
+
+    /// Takes back what was granted last.
+    fn give_back(&mut self, cost: f64) {
+        let mut left = cost;
+        let own = self.bins.iter_mut().rev().filter(|bin| !bin.is_inherited);
+        for bin in own {
+            let part = left.min(bin.cost);
+            bin.cost -= part;
+            left -= part;
+        }
+    }
+
+    /// Time until so much has left the window, and whether that was granted by a former
+    /// ledger.
+    fn wait_for(&self, now: Timestamp, window: u64, cost: f64) -> (Duration, bool) {
+        let mut left = cost;
+        let mut bins: Vec<&Bin> = self.bins.iter().collect();
+        bins.sort_by_key(|bin| bin.until);
+        for bin in bins {
+            left -= bin.cost;
+            if left <= 0.0 {
+                let until = bin.until + window;
+                return (
+                    Duration::from_millis(until.since(now) + 1),
+                    bin.is_inherited,
+                );
+            }
+        }
+        (Duration::from_millis(window), false)
+    }
+
+    fn saved(&self, now: Timestamp) -> Vec<SavedGrants> {
+        let mut saved: Vec<SavedGrants> = Vec::new();
+        for bin in self.bins.iter().rev().filter(|bin| bin.cost > 0.0) {
+            let age = now.since(bin.until);
+            match saved.last_mut() {
+                Some(last) if age < last.age + SAVED_BIN => last.cost += bin.cost,
+                _ => saved.push(SavedGrants {
+                    age,
+                    cost: bin.cost,
+                }),
+            }
+        }
+        saved
+    }
 }
 
-/// Buckets of tenants.
+/// What a former ledger left.
+#[derive(Debug)]
+struct Inheritance {
+    /// No grant of it is later than this.
+    until: Timestamp,
+    saved: SavedUse,
+}
+
+/// Grants of tenants.
 #[derive(Debug)]
 pub struct Ledger {
     bound: LimitBound,
     /// Ledgers that share each limit.
     parts: f64,
-    /// Since when nobody else has granted anything.
-    since: Timestamp,
-    buckets: HashMap<TenantId, Bucket>,
+    inheritance: Inheritance,
+    spans: HashMap<TenantId, Span>,
+    needs_saving: bool,
 }
 
 impl Ledger {
-    /// Empty buckets for one of so many parts of each limit at `since`, from when on nobody
-    /// else grants anything of it.
-    pub fn new(bound: LimitBound, parts: usize, since: Timestamp) -> Self {
-        let parts = parts as f64;
+    /// A ledger of one of so many parts of each limit. Any former one has ended by `now` and
+    /// had saved this.
+    pub fn new(bound: LimitBound, parts: usize, now: Timestamp, saved: SavedUse) -> Self {
         Ledger {
-            bound: bound.part(parts),
-            parts,
-            since,
-            buckets: HashMap::new(),
+            bound,
+            parts: parts as f64,
+            inheritance: Inheritance { until: now, saved },
+            spans: HashMap::new(),
+            needs_saving: false,
         }
     }
 
@@ -127,42 +216,105 @@
         limit: &TenantLimit,
         cost: f64,
     ) -> Taken {
-        let since = self.since;
-        let bucket = self.bucket(now, tenant, limit);
-        // What is larger than a full bucket needs one.
-        let needed = cost.min(bucket.allotment.capacity);
-        if bucket.level >= needed {
-            bucket.level -= cost;
-            return Taken::Granted;
+        let granted = self.bound.granted(limit, self.parts);
+        let window = self.window();
+        let unsaved = granted * UNSAVED_PART;
+        let span = self.span(now, tenant, granted);
+        let total = span.total();
+        // What is larger than the limit is granted alone.
+        if total > 0.0 && total + cost > granted {
+            let (wait, is_inherited) = span.wait_for(now, window, total + cost - granted);
+            return if is_inherited {
+                Taken::NotYet(wait)
+            } else {
+                Taken::Beyond(wait)
+            };
+        }
+        let is_saved = span.unsaved == 0.0 || span.unsaved + cost <= unsaved;
+        if is_saved {
+            span.add(now, cost);
         }
-        let allotment = bucket.allotment;
-        let wait = allotment.time_for(needed - bucket.level);
-        let full = since + allotment.time_for(allotment.capacity).as_millis() as u64;
-        if now < full {
-            Taken::NotYet(wait)
+        let needs_saving = span.unsaved > unsaved * SAVE_PART;
+        self.needs_saving |= needs_saving;
+        if is_saved {
+            Taken::Granted
         } else {
-            Taken::Beyond(wait)
+            Taken::NotYet(SAVING)
         }
     }
 
     /// A request that was granted is known not to have run.
-    pub fn give_back(&mut self, now: Timestamp, tenant: &TenantId, limit: &TenantLimit, cost: f64) {
-        let bucket = self.bucket(now, tenant, limit);
-        bucket.level = (bucket.level + cost).min(bucket.allotment.capacity);
+    pub fn give_back(&mut self, tenant: &TenantId, cost: f64) {
+        if let Some(span) = self.spans.get_mut(tenant) {
+            span.give_back(cost);
+        }
+    }
+
+    /// Whether what was granted should be saved soon.
+    pub fn needs_saving(&self) -> bool {
+        self.needs_saving
     }
 
-    fn bucket(&mut self, now: Timestamp, tenant: &TenantId, limit: &TenantLimit) -> &mut Bucket {
-        let allotment = Allotment::new(limit, self.parts, &self.bound);
-        let since = self.since;
-        let bucket = self.buckets.entry(tenant.clone()).or_insert(Bucket {
-            allotment,
-            level: 0.0,
-            at: since,
+    /// What is to be saved now. `limits` are those of all tenants that are counted here: what a
+    /// former ledger may have granted them is passed on, asked for or not.
+    pub fn save<'a>(
+        &mut self,
+        now: Timestamp,
+        limits: impl Iterator<Item = (&'a TenantId, &'a TenantLimit)>,
+    ) -> SavedUse {
+        let window = self.window();
+        if now.since(self.inheritance.until) <= window {
+            for (tenant, limit) in limits {
+                let granted = self.bound.granted(limit, self.parts);
+                self.span(now, tenant, granted);
+            }
+        }
+        let mut saved = BTreeMap::new();
+        for (tenant, span) in &mut self.spans {
+            span.expire(now, window);
+            span.saving = span.unsaved;
+            if !span.bins.is_empty() {
+                saved.insert(tenant.clone(), span.saved(now));
+            }
+        }
+        SavedUse(saved)
+    }
+
+    /// What was last to be saved stands.
+    pub fn saved(&mut self) {
+        for span in self.spans.values_mut() {
+            span.unsaved -= std::mem::take(&mut span.saving);
+        }
+        self.spans
+            .retain(|_, span| !span.bins.is_empty() || span.unsaved > 0.0);
+        self.needs_saving = false;
+    }
+
+    fn window(&self) -> u64 {
+        self.bound.window.as_millis() as u64
+    }
+
+    /// A tenant's span. The first one after a former ledger holds what that had saved and what
+    /// it may have granted since.
+    fn span(&mut self, now: Timestamp, tenant: &TenantId, granted: f64) -> &mut Span {
+        let window = self.window();
+        let inheritance = &self.inheritance;
+        let span = self.spans.entry(tenant.clone()).or_insert_with(|| Span {
+            bins: inherited(inheritance, tenant, granted * UNSAVED_PART),
+            ..Span::default()
         });
-        let flowed = bucket.allotment.rate * now.since(bucket.at) as f64 / 1_000.0;
-        bucket.at = now;
-        bucket.allotment = allotment;
-        bucket.level = (bucket.level + flowed).min(allotment.capacity);
-        bucket
+        span.expire(now, window);
+        span
     }
 }
+
+fn inherited(inheritance: &Inheritance, tenant: &TenantId, unsaved: f64) -> VecDeque<Bin> {
+    let bin = |age: u64, cost| Bin {
+        until: Timestamp(inheritance.until.0.saturating_sub(age)),
+        cost,
+        is_inherited: true,
+    };
+    let saved = inheritance.saved.0.get(tenant).into_iter().flatten();
+    let saved = saved.map(|grants| bin(grants.age, grants.cost));
+    saved.chain([bin(0, unsaved)]).collect()
+}
--- a/crates/fleet/src/tenant.rs
+++ b/crates/fleet/src/tenant.rs
@@ -208,6 +208,11 @@
         self.by_name.get(id)
     }
 
+    /// All tenants.
+    pub fn iter(&self) -> impl Iterator<Item = &Arc<Tenant>> {
+        self.by_name.values()
+    }
+
     fn digest(&self, key: &ApiKey) -> Digest {
         let text = key.0.expose_secret().as_bytes();
         *blake3::keyed_hash(&self.secret, text).as_bytes()
--- a/crates/gateway/src/allowance/mod.rs
+++ b/crates/gateway/src/allowance/mod.rs
@@ -26,9 +26,11 @@
 
 use gorsebank_coordination::Timestamp;
 use gorsebank_fleet::counting_seat::{HALVES, SEATS, seats_of};
-use gorsebank_fleet::{Configuration, LeaseKeeper, Ledger, LimitBound, Taken};
+use gorsebank_fleet::ledger::SavedUse;
+use gorsebank_fleet::{Configuration, LeaseKeeper, Ledger, LimitBound, Taken, Tenants};
 use gorsebank_world::{NodeId, TenantId};
 use parking_lot::Mutex;
+use tokio::sync::Notify;
 use tokio::time::{Instant, sleep};
 
 use denials::Denials;
@@ -114,6 +116,8 @@
 #[derive(Default)]
 pub struct Allowance {
     seats: [Mutex<Seat>; SEATS],
+    /// Rings when what was granted at a seat should be saved soon.
+    pub unsaved: Notify,
     denials: Mutex<Denials>,
     resting: Mutex<HashMap<NodeId, Instant>>,
 }
@@ -124,26 +128,57 @@
         self.seats[seat].lock().holder = holder;
     }
 
-    /// This gateway has taken the lease of a seat, and nobody else counts there from now on.
-    /// Out: whether the lease is valid now.
+    /// This gateway has taken the lease of a seat, and nobody else counts there from now on;
+    /// whoever did had saved this. Out: whether the lease is valid now.
     pub fn begin_counting(
         &self,
         now: Timestamp,
         seat: usize,
         keeper: &Arc<Mutex<LeaseKeeper>>,
         bound: LimitBound,
+        saved: SavedUse,
     ) -> bool {
         let fence = keeper.lock().fence(now);
         let counting = fence.map(|fence| Counting {
             keeper: keeper.clone(),
             fence,
-            ledger: Ledger::new(bound, HALVES, now),
+            ledger: Ledger::new(bound, HALVES, now, saved),
         });
         let begins = counting.is_some();
         self.seats[seat].lock().counting = counting;
         begins
     }
 
+    /// What was granted at a seat, to be saved with its lease; none if this gateway does not
+    /// count there.
+    pub fn save(
+        &self,
+        now: Timestamp,
+        seat: usize,
+        configuration: &Configuration,
+    ) -> Option<SavedUse> {
+        let mut own = self.seats[seat].lock();
+        let counting = own.counting.as_mut()?;
+        let tenants = configuration.tenants.iter().flat_map(Tenants::iter);
+        let counted = tenants.filter(|tenant| seats_of(&tenant.id).contains(&seat));
+        let limits = counted.filter_map(|tenant| Some((&tenant.id, tenant.limit.as_ref()?)));
+        Some(counting.ledger.save(now, limits))
+    }
+
+    /// What was last to be saved for a seat stands.
+    pub fn saved(&self, seat: usize) {
+        if let Some(counting) = self.seats[seat].lock().counting.as_mut() {
+            counting.ledger.saved();
+        }
+    }
+
+    /// Whether what was granted at a seat should be saved soon.
+    pub fn needs_saving(&self, seat: usize) -> bool {
+        let seat = self.seats[seat].lock();
+        let counting = seat.counting.as_ref();
+        counting.is_some_and(|counting| counting.ledger.needs_saving())
+    }
+
     /// This gateway has lost a seat.
     pub fn end_counting(&self, seat: usize) {
         self.seats[seat].lock().counting = None;
@@ -167,11 +202,8 @@
             return AskAnswer::NotHere;
         };
         for returned in ask.returned.iter().filter(|it| it.fence == counting.fence) {
-            let tenant = tenants.tenant(&returned.tenant);
-            if let Some(limit) = tenant.and_then(|tenant| tenant.limit) {
-                let ledger = &mut counting.ledger;
-                ledger.give_back(now, &returned.tenant, &limit, returned.cost);
-            }
+            let ledger = &mut counting.ledger;
+            ledger.give_back(&returned.tenant, returned.cost);
         }
         let Some(tenant) = tenants.tenant(&ask.tenant) else {
             return AskAnswer::NotHere;
@@ -183,7 +215,11 @@
             return granted;
         };
         let milliseconds = |wait: Duration| wait.as_millis() as u64 + 1;
-        match counting.ledger.take(now, &ask.tenant, &limit, ask.cost) {
+        let taken = counting.ledger.take(now, &ask.tenant, &limit, ask.cost);
+        if counting.ledger.needs_saving() {
+            self.unsaved.notify_one();
+        }
+        match taken {
             Taken::Granted => granted,
             Taken::Beyond(wait) => AskAnswer::Beyond {
                 wait: milliseconds(wait),
--- a/crates/gateway/src/allowance/seats.rs
+++ b/crates/gateway/src/allowance/seats.rs
@@ -1,17 +1,22 @@
 //! Holds seats at which tenants are counted.
 //!
-//! In: the leases of seats. Out: ledgers, while this gateway holds a seat.
+//! In: the leases of seats. Out: ledgers, while this gateway holds a seat. What was granted is
+//! saved in a row beside the lease, so that whoever counts next goes on from there.
 
 use std::sync::Arc;
 use std::time::Duration;
 
+use gorsebank_contract::Put;
 use gorsebank_fleet::Offer;
 use gorsebank_fleet::counting_seat::{SEATS, SeatCandidate, SeatOrder, lease_name};
-use tokio::time::{Instant, sleep, timeout};
+use gorsebank_fleet::ledger::SavedUse;
+use tokio::time::{Instant, sleep};
 
-use crate::lease_seat::LeaseSeat;
+use crate::lease_seat::{LeaseSeat, Stepped};
 use crate::lines::{self, Rank};
+use crate::ports::WatchedTable;
 use crate::shared::Shared;
+use crate::watch::refuse_row;
 
 /// Length of a seat's lease, in bounds on turns of holders. While the table is out of order a
 /// lease of 3 s would end after 1.7 s; this one lasts for 3.4 s, when callers with keys are
@@ -51,8 +56,45 @@
             pause = pause.min(seats.step(seat).await);
         }
         sleep(LEAST_PAUSE).await;
-        // A change of the rows only shortens the pause.
-        let _ = timeout(pause, rows.changed()).await;
+        tokio::select! {
+            () = sleep(pause) => {}
+            _ = rows.changed() => {}
+            () = shared.allowance.unsaved.notified() => {}
+        }
+    }
+}
+
+/// The row that keeps what was granted at a seat.
+fn saved_key(shared: &Shared, seat: usize) -> String {
+    format!("{}/{}", shared.platform.tables().loads, lease_name(seat))
+}
+
+/// What was granted at a seat, to be written with its lease.
+fn save(shared: &Shared, seat: usize) -> Option<Put> {
+    let configuration = shared.configuration()?;
+    let saved = shared.allowance.save(shared.now(), seat, &configuration)?;
+    let value = serde_json::to_string(&saved).ok()?;
+    Some(Put {
+        key: saved_key(shared, seat),
+        value,
+    })
+}
+
+/// What was last saved of a seat; none if the table does not tell.
+async fn read_saved(shared: &Shared, seat: usize) -> Option<SavedUse> {
+    let snapshot = shared.table().read(shared.platform.tables().loads).await;
+    let key = saved_key(shared, seat);
+    let rows = snapshot.ok()?.rows;
+    let Some(row) = rows.iter().find(|row| row.key == key) else {
+        return Some(SavedUse::default());
+    };
+    match serde_json::from_str(&row.value) {
+        Ok(saved) => Some(saved),
+        Err(error) => {
+            // Only gateways write it. Counting goes on as if nothing had been saved.
+            refuse_row(&row.key, &error);
+            Some(SavedUse::default())
+        }
     }
 }
 
@@ -82,20 +124,33 @@
     /// One look at one seat. Out: when to look again.
     async fn step(&mut self, seat: usize) -> Duration {
         let offer = self.offer(seat);
-        let pause = self.seats[seat].step(offer, || None).await;
-        self.count(seat);
-        pause.unwrap_or(LEAST_PAUSE)
+        let shared = self.shared.clone();
+        if shared.allowance.needs_saving(seat) {
+            self.seats[seat].keeper.lock().renew_soon();
+        }
+        let stepped = self.seats[seat].step(offer, || save(&shared, seat)).await;
+        if stepped == Stepped::Written {
+            shared.allowance.saved(seat);
+        }
+        self.count(seat).await;
+        match stepped {
+            Stepped::Idle(pause) => pause,
+            Stepped::Done | Stepped::Written => LEAST_PAUSE,
+        }
     }
 
     /// Begins to count at a seat that was taken, and ends at one that was lost.
-    fn count(&mut self, seat: usize) {
+    async fn count(&mut self, seat: usize) {
         let (is_held, counts) = (self.seats[seat].is_held(), self.counts[seat]);
         let shared = &self.shared;
         if is_held && !counts {
+            let Some(saved) = read_saved(shared, seat).await else {
+                return;
+            };
             let bound = shared.settings.bounds.limits;
             let keeper = &self.seats[seat].keeper;
-            let now = shared.now();
-            self.counts[seat] = shared.allowance.begin_counting(now, seat, keeper, bound);
+            let (allowance, now) = (&shared.allowance, shared.now());
+            self.counts[seat] = allowance.begin_counting(now, seat, keeper, bound, saved);
         } else if !is_held && counts {
             shared.allowance.end_counting(seat);
             self.counts[seat] = false;
--- a/crates/gateway/src/holder.rs
+++ b/crates/gateway/src/holder.rs
@@ -10,7 +10,7 @@
 use tokio::time::sleep;
 
 use crate::demand_rows::AbortOnDrop;
-use crate::lease_seat::LeaseSeat;
+use crate::lease_seat::{LeaseSeat, Stepped};
 use crate::lines::{self, Rank};
 use crate::placement::Placement;
 use crate::shared::Shared;
@@ -79,7 +79,7 @@
         let offer = self.offer();
         let shared = self.shared.clone();
         let beside = move || store_records(&shared);
-        if let Some(pause) = self.seat.step(offer, beside).await {
+        if let Stepped::Idle(pause) = self.seat.step(offer, beside).await {
             sleep(pause.min(LONGEST_STEP)).await;
         }
     }
--- a/crates/gateway/src/lease_seat.rs
+++ b/crates/gateway/src/lease_seat.rs
@@ -17,6 +17,17 @@
 /// What was confirmed longer ago than this shows nothing of a lease.
 const FRESH: Duration = Duration::from_millis(1_600);
 
+/// What came of a step.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stepped {
+    /// Nothing is due for so long.
+    Idle(Duration),
+    /// The row was read, or somebody else has written it.
+    Done,
+    /// The row was written, and what belongs beside it.
+    Written,
+}
+
 /// A lease, and whether this process holds it.
 pub struct LeaseSeat {
     /// What this process knows of the lease.
@@ -49,22 +60,18 @@
     }
 
     /// Does what is due, on a gateway that offers itself so. `beside` is written with the
-    /// lease's row. Out: how long to wait before the next step, if nothing is due.
-    pub async fn step(
-        &mut self,
-        offer: Offer,
-        beside: impl FnOnce() -> Option<Put>,
-    ) -> Option<Duration> {
+    /// lease's row.
+    pub async fn step(&mut self, offer: Offer, beside: impl FnOnce() -> Option<Put>) -> Stepped {
         let now = self.shared.now();
         let step = self.keeper.lock().step(now, offer);
         match step {
-            LeaseStep::Wait(until) => Some(Duration::from_millis(until.since(now))),
+            LeaseStep::Wait(until) => Stepped::Idle(Duration::from_millis(until.since(now))),
             LeaseStep::Read => self.read().await,
             LeaseStep::Write { expected, row } => self.write(expected, row, beside()).await,
         }
     }
 
-    async fn read(&mut self) -> Option<Duration> {
+    async fn read(&mut self) -> Stepped {
         let shared = &self.shared;
         let table = shared.platform.tables().lease;
         let rows = if self.in_doubt {
@@ -74,52 +81,47 @@
             shared.feed.rows(table, FRESH)
         };
         let Some(rows) = rows else {
-            return Some(LOST_PAUSE);
+            return Stepped::Idle(LOST_PAUSE);
         };
         self.in_doubt = false;
         let row = rows.iter().find(|row| row.key == self.key);
         let version = row.map_or(0, |row| row.modified);
         if version < self.newest {
             // What other gateways tell is behind what this one knows.
-            return Some(LOST_PAUSE);
+            return Stepped::Idle(LOST_PAUSE);
         }
         self.newest = version;
         let lease = row.and_then(|row| serde_json::from_str::<LeaseRow>(&row.value).ok());
         let now = shared.now();
         self.keeper.lock().read(now, version, lease.as_ref());
-        None
+        Stepped::Done
     }
 
-    async fn write(
-        &mut self,
-        expected: u64,
-        row: LeaseRow,
-        beside: Option<Put>,
-    ) -> Option<Duration> {
+    async fn write(&mut self, expected: u64, row: LeaseRow, beside: Option<Put>) -> Stepped {
         let shared = &self.shared;
         let Ok(value) = serde_json::to_string(&row) else {
-            return Some(LOST_PAUSE);
+            return Stepped::Idle(LOST_PAUSE);
         };
         let mut transaction = Transaction::put_if(self.key.clone(), expected, value);
         transaction.puts.extend(beside);
         let answer = shared.table().transact(transaction).await;
         self.in_doubt = !matches!(answer, TableAnswer::Committed { .. });
-        if let TableAnswer::Committed { revision, .. } = &answer {
-            self.newest = *revision;
-        }
-        let had_no_answer = self.note_written(&row, &answer);
-        had_no_answer.then_some(LOST_PAUSE)
-    }
-
-    /// Whether the write had no answer, or was turned away.
-    fn note_written(&self, row: &LeaseRow, answer: &TableAnswer) -> bool {
         let now = self.shared.now();
         let mut keeper = self.keeper.lock();
         match answer {
-            TableAnswer::Committed { revision, .. } => keeper.written(now, *revision, row),
-            TableAnswer::Conflict { .. } => keeper.refused(),
-            TableAnswer::Refused { .. } | TableAnswer::Unknown => keeper.unanswered(),
+            TableAnswer::Committed { revision, .. } => {
+                self.newest = revision;
+                keeper.written(now, revision, &row);
+                Stepped::Written
+            }
+            TableAnswer::Conflict { .. } => {
+                keeper.refused();
+                Stepped::Done
+            }
+            TableAnswer::Refused { .. } | TableAnswer::Unknown => {
+                keeper.unanswered();
+                Stepped::Idle(LOST_PAUSE)
+            }
         }
-        matches!(answer, TableAnswer::Refused { .. } | TableAnswer::Unknown)
     }
 }
