Limits: a smaller reserve that is saved, beyond is told apart from not known, seats are spread again

Change: the reserve is 0.15, is saved itself, grows with the largest request and follows the limit; only it is uncertain for whoever counts next. Saved grants were put together in the wrong order after a change of ledgers (found on reading). A gateway that holds several seats while one as strong has none hands one back: limits.rs failed once in four runs since the gateway that started first kept all of them.

--- a/crates/fleet/src/ledger.rs
+++ b/crates/fleet/src/ledger.rs
@@ -7,7 +7,7 @@
 //! of the tenant's limit of that span and of what the bound allows over it. The same holds for
 //! ledgers that follow each other, none of which grants before the former one has ended: each
 //! begins with what the former one had saved, and takes for granted what that one may have
-//! granted since, which is a bounded part of the limit.
+//! granted since: its reserve, which is saved as well.
 //!
 //! A request counts when it is granted, which is after its caller has sent it and before it
 //! reaches a back end; so what is both sent and run within a span was granted within it, and
@@ -18,6 +18,7 @@
 //! buckets, 470 requests of two tenants at three to five times their limits were refused in
 //! four seconds although their use of the last eight seconds was below the limit.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::time::Duration;
 
@@ -30,10 +31,13 @@
 /// Part of what the bound allows over a limit that is granted too; the rest is for second
 /// sends of a request.
 const OVER_PART: f64 = 0.8;
-/// Part of what a span grants that may be granted before it is saved: whoever counts next has
-/// to take it for used.
-const UNSAVED_PART: f64 = 0.3;
-/// Once this part of that is granted it should be saved soon.
+/// The reserve: part of what a span grants that may be granted before it is saved, one and a
+/// half seconds of nearly twice what tenants usually ask for. Whoever counts next has to take
+/// it for used; with 0.3 tenants near their limits waited for eight seconds after a restart.
+const RESERVE_PART: f64 = 0.15;
+/// A request larger than the reserve makes it so many times as large as itself.
+const RESERVED_REQUESTS: f64 = 2.0;
+/// Once this part of the reserve is granted it should be saved soon.
 const SAVE_PART: f64 = 0.5;
 /// Grants within this time are kept as one, in milliseconds.
 const BIN: u64 = 100;
@@ -85,18 +89,29 @@
     pub cost: f64,
 }
 
-/// Grants of the last window by tenant.
+/// What one tenant has used.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+struct SavedSpan {
+    /// Grants of the last window, the newest first.
+    #[serde(rename = "g")]
+    grants: Vec<SavedGrants>,
+    /// What may be granted before the next save stands.
+    #[serde(rename = "r")]
+    reserve: f64,
+}
+
+/// What tenants have used in the last window.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(transparent)]
-pub struct SavedUse(BTreeMap<TenantId, Vec<SavedGrants>>);
+pub struct SavedUse(BTreeMap<TenantId, SavedSpan>);
 
 #[derive(Clone, Copy, Debug)]
 struct Bin {
     /// No grant in it is later than this.
     until: Timestamp,
     cost: f64,
-    /// Whether a former ledger granted it, or may have.
-    is_inherited: bool,
+    /// Whether nobody knows if a former ledger granted it.
+    is_uncertain: bool,
 }
 
 /// One tenant's grants of the last window.
@@ -107,6 +122,12 @@
     unsaved: f64,
     /// Of that, what the save under way holds.
     saving: f64,
+    /// What may be unsaved, by any save that may stand.
+    reserve: f64,
+    /// The same by the save under way.
+    reserve_saving: f64,
+    /// The least reserve that its requests need.
+    reserve_needed: f64,
 }
 
 impl Span {
@@ -118,14 +139,19 @@
         self.bins.iter().map(|bin| bin.cost).sum()
     }
 
+    fn uncertain(&self) -> f64 {
+        let uncertain = self.bins.iter().filter(|bin| bin.is_uncertain);
+        uncertain.map(|bin| bin.cost).sum()
+    }
+
     fn add(&mut self, now: Timestamp, cost: f64) {
         self.unsaved += cost;
         match self.bins.back_mut() {
-            Some(bin) if !bin.is_inherited && now <= bin.until => bin.cost += cost,
+            Some(bin) if !bin.is_uncertain && now <= bin.until => bin.cost += cost,
             _ => self.bins.push_back(Bin {
                 until: now + BIN,
                 cost,
-                is_inherited: false,
+                is_uncertain: false,
             }),
         }
     }
@@ -133,7 +159,7 @@
     /// Takes back what was granted last.
     fn give_back(&mut self, cost: f64) {
         let mut left = cost;
-        let own = self.bins.iter_mut().rev().filter(|bin| !bin.is_inherited);
+        let own = self.bins.iter_mut().rev().filter(|bin| !bin.is_uncertain);
         for bin in own {
             let part = left.min(bin.cost);
             bin.cost -= part;
@@ -141,9 +167,8 @@
         }
     }
 
-    /// Time until so much has left the window, and whether that was granted by a former
-    /// ledger.
-    fn wait_for(&self, now: Timestamp, window: u64, cost: f64) -> (Duration, bool) {
+    /// Time until so much has left the window.
+    fn wait_for(&self, now: Timestamp, window: u64, cost: f64) -> Duration {
         let mut left = cost;
         let mut bins: Vec<&Bin> = self.bins.iter().collect();
         bins.sort_by_key(|bin| bin.until);
@@ -151,18 +176,17 @@
             left -= bin.cost;
             if left <= 0.0 {
                 let until = bin.until + window;
-                return (
-                    Duration::from_millis(until.since(now) + 1),
-                    bin.is_inherited,
-                );
+                return Duration::from_millis(until.since(now) + 1);
             }
         }
-        (Duration::from_millis(window), false)
+        Duration::from_millis(window)
     }
 
     fn saved(&self, now: Timestamp) -> Vec<SavedGrants> {
+        let mut bins: Vec<&Bin> = self.bins.iter().filter(|bin| bin.cost > 0.0).collect();
+        bins.sort_by_key(|bin| Reverse(bin.until));
         let mut saved: Vec<SavedGrants> = Vec::new();
-        for bin in self.bins.iter().rev().filter(|bin| bin.cost > 0.0) {
+        for bin in bins {
             let age = now.since(bin.until);
             match saved.last_mut() {
                 Some(last) if age < last.age + SAVED_BIN => last.cost += bin.cost,
@@ -218,25 +242,26 @@
     ) -> Taken {
         let granted = self.bound.granted(limit, self.parts);
         let window = self.window();
-        let unsaved = granted * UNSAVED_PART;
         let span = self.span(now, tenant, granted);
         let total = span.total();
         // What is larger than the limit is granted alone.
         if total > 0.0 && total + cost > granted {
-            let (wait, is_inherited) = span.wait_for(now, window, total + cost - granted);
-            return if is_inherited {
-                Taken::NotYet(wait)
-            } else {
+            let wait = span.wait_for(now, window, total + cost - granted);
+            return if total - span.uncertain() + cost > granted {
                 Taken::Beyond(wait)
+            } else {
+                Taken::NotYet(wait)
             };
         }
-        let is_saved = span.unsaved == 0.0 || span.unsaved + cost <= unsaved;
-        if is_saved {
+        let has_reserve = span.unsaved + cost <= span.reserve;
+        if has_reserve {
             span.add(now, cost);
+        } else {
+            span.reserve_needed = span.reserve_needed.max(cost * RESERVED_REQUESTS);
         }
-        let needs_saving = span.unsaved > unsaved * SAVE_PART;
+        let needs_saving = !has_reserve || span.unsaved > span.reserve * SAVE_PART;
         self.needs_saving |= needs_saving;
-        if is_saved {
+        if has_reserve {
             Taken::Granted
         } else {
             Taken::NotYet(SAVING)
@@ -256,27 +281,25 @@
     }
 
     /// What is to be saved now. `limits` are those of all tenants that are counted here: what a
-    /// former ledger may have granted them is passed on, asked for or not.
+    /// former ledger may have granted them is passed on, asked for or not. From now on no more
+    /// is granted than the reserve that is saved, which follows the limit.
     pub fn save<'a>(
         &mut self,
         now: Timestamp,
         limits: impl Iterator<Item = (&'a TenantId, &'a TenantLimit)>,
     ) -> SavedUse {
-        let window = self.window();
-        if now.since(self.inheritance.until) <= window {
-            for (tenant, limit) in limits {
-                let granted = self.bound.granted(limit, self.parts);
-                self.span(now, tenant, granted);
-            }
-        }
         let mut saved = BTreeMap::new();
-        for (tenant, span) in &mut self.spans {
-            span.expire(now, window);
+        for (tenant, limit) in limits {
+            let granted = self.bound.granted(limit, self.parts);
+            let span = self.span(now, tenant, granted);
+            let reserve = span.reserve_needed.max(granted * RESERVE_PART);
             span.saving = span.unsaved;
-            if !span.bins.is_empty() {
-                saved.insert(tenant.clone(), span.saved(now));
-            }
+            span.reserve_saving = reserve;
+            span.reserve = span.reserve.min(reserve);
+            let grants = span.saved(now);
+            saved.insert(tenant.clone(), SavedSpan { grants, reserve });
         }
+        self.spans.retain(|tenant, _| saved.contains_key(tenant));
         SavedUse(saved)
     }
 
@@ -284,9 +307,8 @@
     pub fn saved(&mut self) {
         for span in self.spans.values_mut() {
             span.unsaved -= std::mem::take(&mut span.saving);
+            span.reserve = span.reserve_saving;
         }
-        self.spans
-            .retain(|_, span| !span.bins.is_empty() || span.unsaved > 0.0);
         self.needs_saving = false;
     }
 
@@ -298,9 +320,12 @@
     /// it may have granted since.
     fn span(&mut self, now: Timestamp, tenant: &TenantId, granted: f64) -> &mut Span {
         let window = self.window();
+        let reserve = granted * RESERVE_PART;
         let inheritance = &self.inheritance;
         let span = self.spans.entry(tenant.clone()).or_insert_with(|| Span {
-            bins: inherited(inheritance, tenant, granted * UNSAVED_PART),
+            bins: inherited(inheritance, tenant, reserve),
+            reserve,
+            reserve_saving: reserve,
             ..Span::default()
         });
         span.expire(now, window);
@@ -308,13 +333,16 @@
     }
 }
 
-fn inherited(inheritance: &Inheritance, tenant: &TenantId, unsaved: f64) -> VecDeque<Bin> {
-    let bin = |age: u64, cost| Bin {
+/// What a former ledger had saved, and what it may have granted since.
+fn inherited(inheritance: &Inheritance, tenant: &TenantId, reserve: f64) -> VecDeque<Bin> {
+    let bin = |age: u64, cost, is_uncertain| Bin {
         until: Timestamp(inheritance.until.0.saturating_sub(age)),
         cost,
-        is_inherited: true,
+        is_uncertain,
     };
-    let saved = inheritance.saved.0.get(tenant).into_iter().flatten();
-    let saved = saved.map(|grants| bin(grants.age, grants.cost));
-    saved.chain([bin(0, unsaved)]).collect()
+    let saved = inheritance.saved.0.get(tenant);
+    let reserve = saved.map_or(reserve, |saved| reserve.max(saved.reserve));
+    let grants = saved.into_iter().flat_map(|saved| &saved.grants);
+    let grants = grants.map(|grants| bin(grants.age, grants.cost, false));
+    grants.chain([bin(0, reserve, true)]).collect()
 }
--- a/crates/gateway/src/allowance/mod.rs
+++ b/crates/gateway/src/allowance/mod.rs
@@ -128,6 +128,12 @@
         self.seats[seat].lock().holder = holder;
     }
 
+    /// Who holds seats, as the table says.
+    pub fn holders(&self) -> Vec<NodeId> {
+        let holders = self.seats.iter().map(|seat| seat.lock().holder.clone());
+        holders.flatten().collect()
+    }
+
     /// This gateway has taken the lease of a seat, and nobody else counts there from now on;
     /// whoever did had saved this. Out: whether the lease is valid now.
     pub fn begin_counting(
--- a/crates/gateway/src/allowance/seats.rs
+++ b/crates/gateway/src/allowance/seats.rs
@@ -30,6 +30,9 @@
 const STRONG_PART: f64 = 0.8;
 /// A machine whose timers are so late on average does not offer itself.
 const LATE: Duration = Duration::from_millis(150);
+/// A gateway with several seats hands one back after this time, when one that is as strong has
+/// none: whoever was there first would keep them all.
+const LEAST_HOLD: Duration = Duration::from_secs(6);
 /// How long an order of gateways counts: it is worked out from all that are known.
 const ORDER_LIFETIME: Duration = Duration::from_secs(2);
 
@@ -168,7 +171,11 @@
             return Offer::Never;
         }
         if self.seats[seat].is_held() {
-            return Offer::After(0);
+            return if self.is_one_too_many(seat) {
+                Offer::Never
+            } else {
+                Offer::After(0)
+            };
         }
         if shared.lateness() > LATE {
             return Offer::Never;
@@ -178,6 +185,24 @@
         Offer::After(self.order.delay(seat, held))
     }
 
+    /// Whether this gateway holds other seats too, and one that is as strong holds none.
+    fn is_one_too_many(&self, seat: usize) -> bool {
+        let is_last = self.counts.iter().rposition(|counts| *counts) == Some(seat);
+        let held = self.counts.iter().filter(|counts| **counts).count();
+        let since = self.seats[seat].keeper.lock().held_for(self.shared.now());
+        let is_new = since.is_none_or(|held| Duration::from_millis(held) < LEAST_HOLD);
+        if !is_last || held < 2 || is_new {
+            return false;
+        }
+        let own = f64::from(self.shared.settings.millicores);
+        let holders = self.shared.allowance.holders();
+        let members = self.shared.answering_members();
+        members.iter().any(|member| {
+            let is_strong = f64::from(member.row.millicores) >= own * STRONG_PART;
+            is_strong && holders.iter().all(|holder| holder.as_str() != member.name)
+        })
+    }
+
     /// Works out when this gateway comes for seats, by the gateways that are known.
     fn put_in_order(&mut self) {
         if self.ordered.is_some_and(|at| at.elapsed() < ORDER_LIFETIME) {
