--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,7 +1,10 @@
 //! Counters and histograms of a gateway, in the Prometheus text format.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
+use parking_lot::Mutex;
+
 use prometheus::{
     Encoder, Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
 };
@@ -11,12 +14,22 @@
     0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0,
 ];
 
+/// Tenants that have figures of their own, those that came first; of thousands each would
+/// make a dozen series.
+const MOST_TENANTS: usize = 32;
+/// All other tenants together.
+const OTHER_TENANTS: &str = "other";
+
 /// All figures.
 #[derive(Debug)]
 pub struct Metrics {
     registry: Registry,
     /// Requests that ended, by outcome.
     pub requests: IntCounterVec,
+    /// Requests of tenants that ended, by tenant and outcome.
+    tenant_requests: IntCounterVec,
+    /// Tenants with figures of their own.
+    tenants: Mutex<BTreeSet<String>>,
     /// Sends to back ends, by result.
     pub attempts: IntCounterVec,
     /// Orders to engines, by result.
@@ -41,6 +54,11 @@
         let registry = Registry::new();
         let metrics = Metrics {
             requests: counters("gateway_requests_total", "Requests by outcome", "outcome")?,
+            tenant_requests: IntCounterVec::new(
+                Opts::new("gateway_tenant_requests_total", "Requests by tenant"),
+                &["tenant", "outcome"],
+            )?,
+            tenants: Mutex::default(),
             attempts: counters("gateway_attempts_total", "Sends by result", "result")?,
             orders: counters("gateway_orders_total", "Orders by result", "result")?,
             table_calls: counters("gateway_table_calls_total", "Table calls", "result")?,
@@ -60,6 +78,7 @@
     fn register(&self) -> eyre::Result<()> {
         let counters = [
             &self.requests,
+            &self.tenant_requests,
             &self.attempts,
             &self.orders,
             &self.table_calls,
@@ -98,6 +117,18 @@
         self.whole.observe(time.as_secs_f64());
     }
 
+    /// A request of a tenant ended, or was refused before anything was done for it.
+    pub fn tenant_ended(&self, tenant: &str, outcome: &str) {
+        let mut tenants = self.tenants.lock();
+        let has_own = tenants.contains(tenant)
+            || tenants.len() < MOST_TENANTS && tenants.insert(tenant.to_owned());
+        drop(tenants);
+        let label = if has_own { tenant } else { OTHER_TENANTS };
+        self.tenant_requests
+            .with_label_values(&[label, outcome])
+            .inc();
+    }
+
     /// The text that a collector reads.
     pub fn text(&self) -> eyre::Result<Vec<u8>> {
         let left_out = i64::try_from(crate::lines::left_out())?;
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -220,6 +220,10 @@
         };
         let total = self.age();
         self.shared.metrics.ended(outcome, total);
+        if let Some(tenant) = &self.tenant {
+            let metrics = &self.shared.metrics;
+            metrics.tenant_ended(tenant.id.as_str(), outcome);
+        }
         let model = self
             .ticket
             .model
@@ -445,6 +449,8 @@
         failure.retry_after().unwrap_or_default().as_millis(),
     );
     lines::write(Rank::Decision, "limited", fields);
+    let metrics = &shared.metrics;
+    metrics.tenant_ended(want.tenant.as_str(), failure.reason());
     Err(log_unread(ticket, &route.name, failure))
 }
 
