A grant that has left the window cannot be given back; who calls is one module

Found on reading: a request that waited for a model longer than a window and was refused as not run gave its grant back out of newer ones, so a limit could be passed by that.

--- a/crates/fleet/src/ledger.rs
+++ b/crates/fleet/src/ledger.rs
@@ -156,11 +156,12 @@
         }
     }
 
-    /// Takes back what was granted last.
+    /// Takes back a grant that is still in the window: from the oldest, so that nothing that
+    /// is left leaves the window later than it would.
     fn give_back(&mut self, cost: f64) {
         let mut left = cost;
-        let own = self.bins.iter_mut().rev().filter(|bin| !bin.is_uncertain);
-        for bin in own {
+        let known = self.bins.iter_mut().filter(|bin| !bin.is_uncertain);
+        for bin in known {
             let part = left.min(bin.cost);
             bin.cost -= part;
             left -= part;
@@ -268,9 +269,15 @@
         }
     }
 
-    /// A request that was granted is known not to have run.
-    pub fn give_back(&mut self, tenant: &TenantId, cost: f64) {
+    /// A request that this ledger granted at `granted` is known not to have run. What has left
+    /// the window counts no more, and cannot be given back.
+    pub fn give_back(&mut self, now: Timestamp, tenant: &TenantId, granted: Timestamp, cost: f64) {
+        let window = self.window();
+        if now.since(granted) >= window {
+            return;
+        }
         if let Some(span) = self.spans.get_mut(tenant) {
+            span.expire(now, window);
             span.give_back(cost);
         }
     }
--- a/crates/fleet/tests/ledger.rs
+++ b/crates/fleet/tests/ledger.rs
@@ -79,8 +79,8 @@
 enum Step {
     /// A request of this cost comes, and is asked for at one half first.
     Ask(f64, usize),
-    /// The last granted request is known not to have run.
-    GiveBack,
+    /// A request that was granted so many requests ago is known not to have run.
+    GiveBack(usize),
     /// Whoever counts one half is gone, and another one counts it from now on.
     Replaced(usize),
     /// What was granted of one half is saved.
@@ -90,7 +90,7 @@
 fn step() -> impl Strategy<Value = Step> {
     prop_oneof![
         20 => (100.0f64..5_400.0, 0..HALVES).prop_map(|(cost, half)| Step::Ask(cost, half)),
-        2 => Just(Step::GiveBack),
+        3 => (0usize..40).prop_map(Step::GiveBack),
         1 => (0..HALVES).prop_map(Step::Replaced),
         6 => (0..HALVES, save()).prop_map(|(half, save)| Step::Saved(half, save)),
     ]
@@ -121,11 +121,11 @@
                     });
                     grants.extend(granted.map(|half| (now, cost, half)));
                 }
-                Step::GiveBack => {
-                    if let Some((_, cost, half)) = grants.pop() {
-                        ledgers[half].give_back(&name, cost);
-                    }
+                Step::GiveBack(ago) if ago < grants.len() => {
+                    let (granted, cost, half) = grants.remove(grants.len() - 1 - ago);
+                    ledgers[half].give_back(at, &name, Timestamp(granted), cost);
                 }
+                Step::GiveBack(_) => {}
                 Step::Replaced(half) => {
                     ledgers[half] = Ledger::new(BOUND, HALVES, at, saved[half].clone());
                 }
--- a/crates/gateway/src/allowance/message.rs
+++ b/crates/gateway/src/allowance/message.rs
@@ -1,5 +1,6 @@
 //! What gateways say to each other of limits.
 
+use gorsebank_coordination::Timestamp;
 use gorsebank_world::TenantId;
 use serde::{Deserialize, Serialize};
 
@@ -15,6 +16,9 @@
     /// The lease under which it was counted: another ledger does not know of it.
     #[serde(rename = "f")]
     pub fence: u64,
+    /// When that was, by the clock of whoever counted it.
+    #[serde(rename = "g")]
+    pub granted: Timestamp,
 }
 
 /// A question for one request.
@@ -41,6 +45,8 @@
     Granted {
         /// The lease under which it was counted.
         fence: u64,
+        /// When, by the clock of whoever counted it.
+        at: Timestamp,
     },
     /// It is beyond the limit; there is room for it after so many milliseconds.
     Beyond {
--- a/crates/gateway/src/allowance/mod.rs
+++ b/crates/gateway/src/allowance/mod.rs
@@ -55,6 +55,8 @@
     seat: usize,
     /// The lease under which it was counted.
     fence: u64,
+    /// When, by the clock of whoever counted it.
+    granted: Timestamp,
 }
 
 /// What came of asking.
@@ -209,13 +211,14 @@
         };
         for returned in ask.returned.iter().filter(|it| it.fence == counting.fence) {
             let ledger = &mut counting.ledger;
-            ledger.give_back(&returned.tenant, returned.cost);
+            ledger.give_back(now, &returned.tenant, returned.granted, returned.cost);
         }
         let Some(tenant) = tenants.tenant(&ask.tenant) else {
             return AskAnswer::NotHere;
         };
         let granted = AskAnswer::Granted {
             fence: counting.fence,
+            at: now,
         };
         let Some(limit) = tenant.limit else {
             return granted;
@@ -278,12 +281,13 @@
         let mut pause = RETRY_PAUSE;
         for seat in seats {
             match self.ask(seat, want, put).await {
-                Some(AskAnswer::Granted { fence }) => {
+                Some(AskAnswer::Granted { fence, at }) => {
                     return Round::Granted(Grant {
                         tenant: want.tenant.clone(),
                         cost: want.cost,
                         seat,
                         fence,
+                        granted: at,
                     });
                 }
                 Some(AskAnswer::Beyond { wait }) => {
@@ -346,6 +350,7 @@
                 tenant: grant.tenant,
                 cost: grant.cost,
                 fence: grant.fence,
+                granted: grant.granted,
             });
         }
     }
--- a/crates/gateway/src/failure.rs
+++ b/crates/gateway/src/failure.rs
@@ -8,6 +8,7 @@
 
 use crate::ports::Platform;
 use crate::request::AnswerBody;
+use crate::tenancy::{BEYOND_LIMIT, SentAway};
 
 /// How callers state their keys.
 const KEY_SCHEME: &str = "Bearer";
@@ -49,6 +50,22 @@
     TimedOut,
 }
 
+impl From<SentAway> for Failure {
+    fn from(sent_away: SentAway) -> Self {
+        match sent_away {
+            SentAway::Unauthorized { reason } => Failure::Unauthorized { reason },
+            SentAway::BeyondLimit { retry_after } => Failure::BeyondLimit { retry_after },
+            SentAway::Unknown {
+                reason,
+                retry_after,
+            } => Failure::Refused {
+                reason,
+                retry_after,
+            },
+        }
+    }
+}
+
 impl Failure {
     /// The status that says no more than is true.
     pub fn status(&self) -> StatusCode {
@@ -74,7 +91,7 @@
             Failure::Refused { reason, .. }
             | Failure::Unknown { reason }
             | Failure::Unauthorized { reason } => reason,
-            Failure::BeyondLimit { .. } => "beyond_limit",
+            Failure::BeyondLimit { .. } => BEYOND_LIMIT,
             Failure::TimedOut => "timed_out",
         }
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,7 +14,6 @@
 //! [`holder`] keeps the placement lease, and [`placement`] places models while
 //! this process has it.
 
-mod access;
 pub mod admission;
 pub mod allowance;
 pub mod attempt;
@@ -54,6 +53,7 @@
 pub mod stream;
 mod suspension;
 pub mod sweeper;
+mod tenancy;
 pub mod watch;
 
 pub use clock::{Clock, TimeSource};
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use gorsebank_fleet::{Configuration, Denial, Fingerprint, Route, Tenant};
+use gorsebank_fleet::{Configuration, Fingerprint, Route, Tenant};
 use gorsebank_world::ServiceId;
 use http::header::{self, HeaderName};
 use http::request::Parts;
@@ -20,12 +20,12 @@
 use thiserror::Error;
 use tokio::time::{Instant, timeout_at};
 
-use crate::access::{Caller, KnownKeys, tenant_of};
-use crate::allowance::{Grant, Obtained, Want};
+use crate::allowance::Grant;
 use crate::failure::Failure;
 use crate::lines::{self, Rank};
 use crate::ports::Ticket;
 use crate::shared::Shared;
+use crate::tenancy::{self, Caller};
 use crate::{plain, stream};
 
 /// An answer broke off; the caller's connection is closed with it.
@@ -48,17 +48,6 @@
 ];
 /// More of them, which the library has no names for.
 const MORE_CONNECTION_HEADERS: [&str; 2] = ["keep-alive", "proxy-connection"];
-/// A caller that is sent away since nobody can tell whether its key still counts is asked to
-/// come back after this time: gateways that were cut off have asked others by then.
-const UNPROVED_PAUSE: Duration = Duration::from_millis(500);
-/// Part of the objective for which a request waits for somebody who counts for its tenant:
-/// another gateway takes that over within 0.6 s of a planned stop.
-const COUNT_WAIT_PART: f64 = 0.25;
-/// A caller whose request nobody could count is asked to come back after this time.
-const UNCOUNTED_PAUSE: Duration = Duration::from_millis(400);
-/// Least pause of a caller that is beyond its tenant's limit: whatever flows in sooner goes to
-/// those that come by then.
-const LEAST_LIMIT_PAUSE: Duration = Duration::from_millis(100);
 /// Part of the grace of a planned stop after which no stream is begun.
 const LAST_STREAM: f64 = 0.35;
 /// However long the grace is, callers have gone elsewhere by then, and a stream
@@ -339,22 +328,13 @@
         log_unrouted(&ticket, &head, configuration.version);
         return Err(Failure::NoRoute);
     };
-    let key = match &configuration.tenants {
-        Some(_) => shared.platform.take_key(&mut head.headers),
-        None => None,
-    };
     let caller = Caller {
-        request: &ticket.id,
-        key,
+        ticket: &ticket,
         route: &route,
+        arrived,
     };
-    let known = KnownKeys {
-        configuration: &configuration,
-        age,
-        bounds: shared.settings.bounds.keys,
-    };
-    let tenant = tenant_of(&caller, &known);
-    let tenant = tenant.map_err(|denial| log_unread(&ticket, &route.name, send_away(denial)))?;
+    let tenant = tenancy::tenant_of(shared, &caller, &configuration, age, &mut head.headers)
+        .map_err(|sent_away| log_unread(&ticket, &route.name, sent_away.into()))?;
     let held = ticket
         .deadline
         .map_or(route.timeout, |own| own.min(route.timeout));
@@ -365,10 +345,9 @@
     let body = read_body(body, limit, deadline)
         .await
         .map_err(|failure| log_unread(&ticket, &route.name, failure))?;
-    let grant = match &tenant {
-        Some(tenant) => count(shared, tenant, &ticket, &route, arrived).await?,
-        None => None,
-    };
+    let grant = tenancy::count(shared, &caller, tenant.as_deref())
+        .await
+        .map_err(|sent_away| log_unread(&ticket, &route.name, sent_away.into()))?;
     let service = shared.split(&route.services).ok_or(Failure::NoRoute)?;
     shared.count_request(&service);
     strip_connection_headers(&mut head.headers);
@@ -399,61 +378,6 @@
     Ok(call)
 }
 
-fn send_away(denial: Denial) -> Failure {
-    let reason = denial.reason();
-    match denial {
-        Denial::NoKey | Denial::UnknownKey => Failure::Unauthorized { reason },
-        Denial::OldKnowledge => Failure::Refused {
-            reason,
-            retry_after: UNPROVED_PAUSE,
-        },
-    }
-}
-
-/// Counts a request for its tenant, if that has a limit.
-async fn count(
-    shared: &Shared,
-    tenant: &Tenant,
-    ticket: &Ticket,
-    route: &Route,
-    arrived: Instant,
-) -> Result<Option<Grant>, Failure> {
-    let Some(limit) = &tenant.limit else {
-        return Ok(None);
-    };
-    let want = Want {
-        tenant: tenant.id.clone(),
-        cost: limit.cost(ticket.tokens),
-    };
-    let until = arrived + route.objective.mul_f64(COUNT_WAIT_PART);
-    let obtained = shared.count(&want, until).await;
-    let failure = match obtained {
-        Obtained::Granted(grant) => return Ok(Some(grant)),
-        Obtained::Beyond(wait) => Failure::BeyondLimit {
-            retry_after: wait.max(LEAST_LIMIT_PAUSE),
-        },
-        Obtained::Unknown => Failure::Refused {
-            reason: "limit_not_known",
-            retry_after: UNCOUNTED_PAUSE,
-        },
-    };
-    let fields = format_args!(
-        "request={} reason={} tenant={} cost={} rate={} burst={} waited_ms={} retry_after_ms={}",
-        ticket.id,
-        failure.reason(),
-        want.tenant,
-        want.cost,
-        limit.rate,
-        limit.burst,
-        arrived.elapsed().as_millis(),
-        failure.retry_after().unwrap_or_default().as_millis(),
-    );
-    lines::write(Rank::Decision, "limited", fields);
-    let metrics = &shared.metrics;
-    metrics.tenant_ended(want.tenant.as_str(), failure.reason());
-    Err(log_unread(ticket, &route.name, failure))
-}
-
 /// Method, host, target, model and body: all that a caller's next try has in common with
 /// this one. Headers are left out: deadline, id and last event differ from try to try.
 fn fingerprint(head: &Parts, ticket: &Ticket, body: &Bytes) -> Fingerprint {
