Halves of a tenant are spread over two gateways; a gateway that is kept out asks another one in time

Cause 1: a gateway handed a seat back only while another as strong had none, so whoever came first kept both halves of two pairs of three. Now it hands back the second half of each pair, to a gateway that answers (seat_to_spread; property test from any start with 2 to 8 gateways). Cause 2: a follower that is throttled found out only with its next call that the direct way is to be given up (up to 0.6 s later), and then waited 0.4 s for a change. Now it is told when the second is over, and a call after a failure waits for nothing: 0.55 + 1.0 s and one way, of 3 s. Denials keep when there is room, as whoever counts said, for Retry-After; only when to ask again is capped.

--- a/crates/fleet/src/counting_seat.rs
+++ b/crates/fleet/src/counting_seat.rs
@@ -48,6 +48,49 @@
     (seat < SEATS).then_some(seat)
 }
 
+/// The other half of the tenants that are counted at a seat.
+fn partner_of(seat: usize) -> usize {
+    seat ^ 1
+}
+
+/// A seat that a gateway should leave to another one, and to whom.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SeatToSpread<'a> {
+    /// The seat.
+    pub seat: usize,
+    /// A gateway that could count there.
+    pub to: &'a str,
+}
+
+/// Which of its seats the gateway `own` should leave to one of `others`, gateways that are as
+/// strong. It keeps no tenant's two halves, since both would be lost with it, and not all seats
+/// while another gateway has none. `holders` are those of all seats, as far as they are known.
+pub fn seat_to_spread<'a>(
+    own: &str,
+    holders: &[Option<&str>; SEATS],
+    others: &[&'a str],
+) -> Option<SeatToSpread<'a>> {
+    let held = |name: &str| {
+        holders
+            .iter()
+            .filter(|holder| **holder == Some(name))
+            .count()
+    };
+    let to = others
+        .iter()
+        .copied()
+        .min_by_key(|name| (held(name), *name))?;
+    let mine = (0..SEATS).rev().filter(|seat| holders[*seat] == Some(own));
+    let has_both = |seat: &usize| holders[partner_of(*seat)] == Some(own);
+    let second_half = mine.clone().find(has_both);
+    let one_too_many = mine
+        .clone()
+        .next()
+        .filter(|_| held(own) > 1 && held(to) == 0);
+    let seat = second_half.or(one_too_many)?;
+    Some(SeatToSpread { seat, to })
+}
+
 /// A gateway that may hold a seat.
 #[derive(Clone, Copy, Debug)]
 pub struct SeatCandidate<'a> {
@@ -84,6 +127,14 @@
         }
     }
 
+    /// For how long the gateway that holds these seats leaves a free one to others, in
+    /// milliseconds: longer where it counts the other half of the same tenants.
+    pub fn delay_beside(&self, seat: usize, held: &[bool; SEATS]) -> u64 {
+        let count = held.iter().filter(|held| **held).count();
+        let partner = if held[partner_of(seat)] { HALVES } else { 0 };
+        self.delay(seat, count + partner)
+    }
+
     /// For how long the gateway leaves a free seat to others, in milliseconds; it holds
     /// `held` of the others already. Another gateway comes first for each seat.
     pub fn delay(&self, seat: usize, held: usize) -> u64 {
--- a/crates/fleet/tests/ledger.rs
+++ b/crates/fleet/tests/ledger.rs
@@ -5,7 +5,7 @@
 
 use gorsebank_coordination::Timestamp;
 use gorsebank_fleet::counting_seat::{
-    HALVES, SEATS, SeatCandidate, SeatOrder, lease_name, seat_of_lease, seats_of,
+    HALVES, SEATS, SeatCandidate, SeatOrder, lease_name, seat_of_lease, seat_to_spread, seats_of,
 };
 use gorsebank_fleet::ledger::SavedUse;
 use gorsebank_fleet::{Ledger, LimitBound, LimitUnit, Taken, TenantLimit};
@@ -329,3 +329,44 @@
     let stranger = SeatOrder::new("c", &candidates);
     assert!(stranger.delay(0, 0) > order.delay(0, 0).max(order.delay(1, 0)));
 }
+
+/// Lets gateways hand seats on until none has one too many.
+fn spread_out(mut holders: [usize; SEATS], gateways: usize) -> [usize; SEATS] {
+    let names: Vec<String> = (0..gateways)
+        .map(|number| format!("node-{number}"))
+        .collect();
+    for _ in 0..100 {
+        let known = holders.map(|holder| Some(names[holder].as_str()));
+        let step = (0..gateways).find_map(|own| {
+            let others: Vec<&str> = (0..gateways)
+                .filter(|other| *other != own)
+                .map(|other| names[other].as_str())
+                .collect();
+            seat_to_spread(&names[own], &known, &others)
+        });
+        let Some(step) = step else { return holders };
+        let to = names.iter().position(|name| name == step.to);
+        holders[step.seat] = to.expect("one of them");
+    }
+    panic!("seats are handed on for ever: {holders:?}");
+}
+
+proptest! {
+    #[test]
+    fn halves_end_up_at_two_gateways_whoever_was_first(
+        gateways in 2_usize..9,
+        first in prop::array::uniform6(0_usize..9),
+    ) {
+        let settled = spread_out(first.map(|holder| holder % gateways), gateways);
+        for halves in settled.chunks(HALVES) {
+            prop_assert_ne!(halves[0], halves[1], "{:?}", settled);
+        }
+        let seated = (0..gateways).filter(|gateway| settled.contains(gateway)).count();
+        prop_assert_eq!(seated, gateways.min(SEATS), "{:?}", settled);
+    }
+}
+
+#[test]
+fn a_gateway_alone_keeps_all_seats() {
+    assert_eq!(seat_to_spread("a", &[Some("a"); SEATS], &[]), None);
+}
--- a/crates/gateway/src/allowance/denials.rs
+++ b/crates/gateway/src/allowance/denials.rs
@@ -9,13 +9,17 @@
 
 use super::Want;
 
-/// A denial counts for so long at most: requests that were counted may be given back.
+/// After this time whoever counts is asked again, whatever it said: requests that were counted
+/// may be given back.
 const LONGEST: Duration = Duration::from_millis(500);
 
 #[derive(Debug)]
 struct Denied {
     cost: f64,
-    until: Instant,
+    /// When there is room, as whoever counts said.
+    room_at: Instant,
+    /// Until when that is believed.
+    believed_until: Instant,
 }
 
 /// The last denial of each tenant.
@@ -27,17 +31,20 @@
 impl Denials {
     /// There is no room for this for so long.
     pub(super) fn note(&mut self, want: &Want, wait: Duration) {
+        let now = Instant::now();
         let denied = Denied {
             cost: want.cost,
-            until: Instant::now() + wait.min(LONGEST),
+            room_at: now + wait,
+            believed_until: now + wait.min(LONGEST),
         };
         self.last.insert(want.tenant.clone(), denied);
     }
 
-    /// For how long there is surely no room for this; none if there may be.
+    /// After which time there is room for this, as far as is known; none if there may be now.
     pub(super) fn left(&self, want: &Want) -> Option<Duration> {
         let denied = self.last.get(&want.tenant)?;
-        let left = denied.until.checked_duration_since(Instant::now())?;
-        (want.cost >= denied.cost).then_some(left)
+        let now = Instant::now();
+        let is_denied = now < denied.believed_until && want.cost >= denied.cost;
+        is_denied.then(|| denied.room_at - now)
     }
 }
--- a/crates/gateway/src/allowance/mod.rs
+++ b/crates/gateway/src/allowance/mod.rs
@@ -130,10 +130,9 @@
         self.seats[seat].lock().holder = holder;
     }
 
-    /// Who holds seats, as the table says.
-    pub fn holders(&self) -> Vec<NodeId> {
-        let holders = self.seats.iter().map(|seat| seat.lock().holder.clone());
-        holders.flatten().collect()
+    /// Who holds each seat, as the table says.
+    pub fn seat_holders(&self) -> [Option<NodeId>; SEATS] {
+        std::array::from_fn(|seat| self.seats[seat].lock().holder.clone())
     }
 
     /// This gateway has taken the lease of a seat, and nobody else counts there from now on;
--- a/crates/gateway/src/allowance/seats.rs
+++ b/crates/gateway/src/allowance/seats.rs
@@ -3,15 +3,18 @@
 //! In: the leases of seats. Out: ledgers, while this gateway holds a seat. What was granted is
 //! saved in a row beside the lease, so that whoever counts next goes on from there.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use gorsebank_contract::Put;
 use gorsebank_fleet::Offer;
-use gorsebank_fleet::counting_seat::{SEATS, SeatCandidate, SeatOrder, lease_name};
+use gorsebank_fleet::counting_seat::{self, SEATS, SeatCandidate, SeatOrder, lease_name};
 use gorsebank_fleet::ledger::SavedUse;
+use gorsebank_world::NodeId;
 use tokio::time::{Instant, sleep};
 
+use crate::feed::Member;
 use crate::lease_seat::{LeaseSeat, Stepped};
 use crate::lines::{self, Rank};
 use crate::ports::WatchedTable;
@@ -30,8 +33,8 @@
 const STRONG_PART: f64 = 0.8;
 /// A machine whose timers are so late on average does not offer itself.
 const LATE: Duration = Duration::from_millis(150);
-/// A gateway with several seats hands one back after this time, when one that is as strong has
-/// none: whoever was there first would keep them all.
+/// A gateway hands a seat back after this time, when another one should have it: whoever was
+/// there first would keep them all.
 const LEAST_HOLD: Duration = Duration::from_secs(6);
 /// How long an order of gateways counts: it is worked out from all that are known.
 const ORDER_LIFETIME: Duration = Duration::from_secs(2);
@@ -45,6 +48,8 @@
         counts: [false; SEATS],
         order: SeatOrder::default(),
         ordered: None,
+        leaving: None,
+        silent: HashMap::new(),
         shared: shared.clone(),
     };
     let mut rows = shared.feed.subscribe(shared.platform.tables().lease);
@@ -54,6 +59,7 @@
             continue;
         }
         rows.mark_unchanged();
+        seats.spread().await;
         let mut pause = LONGEST_PAUSE;
         for seat in 0..SEATS {
             pause = pause.min(seats.step(seat).await);
@@ -111,6 +117,10 @@
     order: SeatOrder,
     /// When that was worked out.
     ordered: Option<Instant>,
+    /// The seat that is being handed back, for another gateway to take.
+    leaving: Option<usize>,
+    /// Gateways that were to take a seat and did not answer, and when they may be asked again.
+    silent: HashMap<NodeId, Instant>,
 }
 
 impl Seats {
@@ -171,7 +181,7 @@
             return Offer::Never;
         }
         if self.seats[seat].is_held() {
-            return if self.is_one_too_many(seat) {
+            return if self.leaving == Some(seat) {
                 Offer::Never
             } else {
                 Offer::After(0)
@@ -181,26 +191,50 @@
             return Offer::Never;
         }
         self.put_in_order();
-        let held = self.counts.iter().filter(|counts| **counts).count();
-        Offer::After(self.order.delay(seat, held))
+        Offer::After(self.order.delay_beside(seat, &self.counts))
     }
 
-    /// Whether this gateway holds other seats too, and one that is as strong holds none.
-    fn is_one_too_many(&self, seat: usize) -> bool {
-        let is_last = self.counts.iter().rposition(|counts| *counts) == Some(seat);
-        let held = self.counts.iter().filter(|counts| **counts).count();
-        let since = self.seats[seat].keeper.lock().held_for(self.shared.now());
-        let is_new = since.is_none_or(|held| Duration::from_millis(held) < LEAST_HOLD);
-        if !is_last || held < 2 || is_new {
-            return false;
-        }
-        let own = f64::from(self.shared.settings.millicores);
-        let holders = self.shared.allowance.holders();
-        let members = self.shared.answering_members();
-        members.iter().any(|member| {
-            let is_strong = f64::from(member.row.millicores) >= own * STRONG_PART;
-            is_strong && holders.iter().all(|holder| holder.as_str() != member.name)
-        })
+    /// Chooses a seat that is left to another gateway, which answers: a seat that nobody takes
+    /// leaves its tenants with half of their limits.
+    async fn spread(&mut self) {
+        if self.leaving.is_some_and(|seat| self.seats[seat].is_held()) {
+            return;
+        }
+        self.leaving = None;
+        let now = Instant::now();
+        self.silent.retain(|_, until| now < *until);
+        let Some((seat, to)) = self.seat_to_spread() else {
+            return;
+        };
+        let held = self.seats[seat].keeper.lock().held_for(self.shared.now());
+        if held.is_none_or(|held| Duration::from_millis(held) < LEAST_HOLD) {
+            return;
+        }
+        if self.shared.answers_for_limits(&to).await {
+            self.leaving = Some(seat);
+        } else {
+            self.silent.insert(to, now + LEAST_HOLD);
+        }
+    }
+
+    fn seat_to_spread(&self) -> Option<(usize, NodeId)> {
+        let shared = &self.shared;
+        let own = shared.settings.node.as_str();
+        let least = f64::from(shared.settings.millicores) * STRONG_PART;
+        let members = shared.answering_members();
+        let is_as_strong = |member: &&Member| f64::from(member.row.millicores) >= least;
+        let strong = members.iter().filter(is_as_strong);
+        let others: Vec<&str> = strong
+            .map(|member| member.name.as_str())
+            .filter(|name| *name != own && !self.silent.contains_key(&NodeId::from(*name)))
+            .collect();
+        let holders = shared.allowance.seat_holders();
+        let holders = std::array::from_fn(|seat| {
+            let known = holders[seat].as_ref().map(NodeId::as_str);
+            if self.counts[seat] { Some(own) } else { known }
+        });
+        let spread = counting_seat::seat_to_spread(own, &holders, &others)?;
+        Some((spread.seat, spread.to.into()))
     }
 
     /// Works out when this gateway comes for seats, by the gateways that are known.
--- a/crates/gateway/src/feed/filler.rs
+++ b/crates/gateway/src/feed/filler.rs
@@ -143,7 +143,9 @@
     let mut lost = false;
     loop {
         let asked = Instant::now();
-        match advance(&shared, &rhythm).await {
+        // After a failure an answer is wanted at once: it also confirms what is known.
+        let wait = if lost { Duration::ZERO } else { rhythm.wait };
+        match advance(&shared, &rhythm, wait).await {
             Ok(()) => {
                 note_state(&rhythm, &mut lost, None);
                 backoff.reset();
@@ -157,7 +159,10 @@
             }
             Err(error) => {
                 note_state(&rhythm, &mut lost, Some(&error));
-                backoff.wait().await;
+                tokio::select! {
+                    () = backoff.wait() => {}
+                    () = shared.table().kept_out() => {}
+                }
             }
         }
     }
@@ -190,10 +195,11 @@
     }
 }
 
-/// One call of the table: all rows if they are not known, or else what changed. An answer
+/// One call of the table: all rows if they are not known, or else what changed, which is waited
+/// for as long as `wait`. An answer
 /// that may have lain there while the machine was suspended says nothing of now: the next
 /// call asks again.
-async fn advance(shared: &Shared, rhythm: &Rhythm) -> Result<(), TableError> {
+async fn advance(shared: &Shared, rhythm: &Rhythm, wait: Duration) -> Result<(), TableError> {
     let source = shared.table();
     let table = rhythm.table;
     let suspended = shared.clock.suspended();
@@ -209,7 +215,7 @@
                 .cache(|cache| cache.replace(table, &snapshot, asked));
         }
         Some(version) => {
-            let told = source.changes(table, version, rhythm.wait).await?;
+            let told = source.changes(table, version, wait).await?;
             if shared.clock.was_suspended_since(suspended) {
                 return Ok(());
             }
@@ -383,7 +389,7 @@
         let Some(first) = urgent.iter().find(|rhythm| rhythm.is_urgent) else {
             return;
         };
-        let answers = advance(&self.shared, first).await;
+        let answers = advance(&self.shared, first, first.wait).await;
         if matches!(answers, Ok(()) | Err(TableError::HistoryGone)) {
             self.shared.feed.parents.lock().note_on_its_own();
         }
--- a/crates/gateway/src/relay/table.rs
+++ b/crates/gateway/src/relay/table.rs
@@ -19,7 +19,7 @@
 use prometheus::IntCounterVec;
 use rand::seq::SliceRandom;
 use tokio::sync::Notify;
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep_until};
 
 use super::client::RelayClient;
 use super::message::{RelayAnswer, RelayRequest};
@@ -28,8 +28,13 @@
 
 /// Direct calls without an answer, in a row, after which others relay.
 const FAILURES: u32 = 2;
-/// When every direct call is throttled for so long, the table keeps this gateway out.
+/// When every direct call is throttled for so long, the table keeps this gateway out. With the
+/// wait and pause of a call before (0.55 s) and the way through another gateway, a gateway that
+/// follows the table goes without news for less than 1.7 s: users' least bound on news is 2 s,
+/// that on keys which were taken away 3 s.
 const THROTTLED_TOO_LONG: Duration = Duration::from_millis(1_000);
+/// Timers are this exact.
+const JUST_AFTER: Duration = Duration::from_millis(1);
 /// Pause between two direct calls while others relay.
 const PROBE_PAUSE: Duration = Duration::from_millis(1_000);
 /// Pause after no other gateway could relay.
@@ -140,6 +145,26 @@
         }
     }
 
+    /// Returns when the direct way is given up since the table keeps this gateway out, and never
+    /// if another way is taken already. Whoever waits for its next try of the table need not
+    /// wait any longer then: the way through another gateway is open.
+    pub async fn kept_out(&self) {
+        loop {
+            let kept_out_at = {
+                let state = self.state.lock();
+                let throttled_since = state.throttled_since.filter(|_| state.probe_at.is_none());
+                throttled_since.map(|since| since + THROTTLED_TOO_LONG)
+            };
+            let Some(kept_out_at) = kept_out_at else {
+                return std::future::pending().await;
+            };
+            if Instant::now() > kept_out_at {
+                return self.note_failures(FAILURES);
+            }
+            sleep_until(kept_out_at + JUST_AFTER).await;
+        }
+    }
+
     /// A direct call had no answer, or the table is out of order.
     fn note_failed(&self) {
         self.note_failures(1);
--- a/crates/gateway/src/shared/limits.rs
+++ b/crates/gateway/src/shared/limits.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use gorsebank_world::NodeId;
+use gorsebank_world::{NodeId, TenantId};
 use tokio::time::Instant;
 
 use super::Shared;
@@ -34,6 +34,18 @@
         }
     }
 
+    /// Whether another gateway answers questions on limits now: it is asked one that counts
+    /// nothing, whatever it holds.
+    pub async fn answers_for_limits(&self, gateway: &NodeId) -> bool {
+        let nothing = Ask {
+            seat: 0,
+            tenant: TenantId::from(""),
+            cost: 0.0,
+            returned: Vec::new(),
+        };
+        self.put(gateway.clone(), nothing).await.is_some()
+    }
+
     /// What this gateway, which may count for the tenant, says.
     pub fn answer_ask(&self, ask: &Ask) -> AskAnswer {
         let configuration = self.configuration();
