--- a/crates/fleet/src/back_end.rs
+++ b/crates/fleet/src/back_end.rs
@@ -7,6 +7,8 @@
 use gorsebank_world::{AdapterId, BackEndId, ModelId, ServiceId, ZoneId};
 use serde::{Deserialize, Serialize};
 
+use crate::incarnation::Born;
+
 /// Models with their adapters.
 pub type Holdings = BTreeMap<ModelId, BTreeSet<AdapterId>>;
 
@@ -25,8 +27,11 @@
 /// What a back end says of itself through discovery.
 #[derive(Clone, Debug, PartialEq)]
 pub struct BackEndReport {
-    /// Its name; another one after each start.
+    /// Its name.
     pub id: BackEndId,
+    /// When it started; none if it does not say so, and then it has another name after each
+    /// start.
+    pub born: Option<Born>,
     /// The service it belongs to.
     pub service: ServiceId,
     /// Where it listens.
@@ -61,6 +66,8 @@
 /// The answer of an engine to a question about its state, somewhat stale.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct EngineReport {
+    /// When it started, if it says so.
+    pub born: Option<Born>,
     /// Models and adapters that it holds.
     pub holdings: Holdings,
     /// Adapters on their way, as model and adapter.
@@ -91,6 +98,10 @@
 pub struct PlacedRow {
     /// The holder's generation.
     pub fence: u64,
+    /// The start of the back end that it speaks of; none in rows of gateways that know nothing
+    /// of starts, or if the back end does not tell it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub born: Option<Born>,
     /// What the back end holds and goes on holding.
     pub holdings: Holdings,
     /// A model that is about to be unloaded: nothing more is sent for it.
@@ -99,4 +110,8 @@
     /// A load under way or about to be ordered.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub loading: Option<PlannedLoad>,
+    /// Models whose load was ordered in a former life of the back end and may still begin: the
+    /// next holder leaves room for them.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub left_over: Vec<ModelId>,
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod feeders;
 pub mod fingerprint;
 pub mod health;
+pub mod incarnation;
 pub mod lease;
 pub mod ledger;
 pub mod member;
@@ -35,6 +36,7 @@
 pub use configuration::{Configuration, Engine, Limits, ModelSpec, RequestKind, Route, Service};
 pub use demand::{Demand, DemandRow, ModelDemand};
 pub use fingerprint::Fingerprint;
+pub use incarnation::{Born, Heard, Incarnation};
 pub use lease::{LeaseKeeper, LeaseRow, LeaseStep, Offer};
 pub use ledger::{Ledger, LimitBound, Taken};
 pub use member::MemberRow;
--- a/crates/fleet/src/placement/engine/mod.rs
+++ b/crates/fleet/src/placement/engine/mod.rs
@@ -5,17 +5,22 @@
 //! were acknowledged since. Only `known` sizes an order.
 
 mod next;
+mod open_orders;
 
 use std::collections::BTreeSet;
 use std::time::Duration;
 
 use gorsebank_coordination::Timestamp;
-use gorsebank_world::{AdapterId, ModelId, ServiceId};
+use gorsebank_world::{AdapterId, BackEndId, ModelId, ServiceId};
+
+pub use open_orders::ORDER_LIFETIME;
+use open_orders::OpenOrders;
 
 use super::goal::Goal;
 use super::{OrderKind, OrderResult};
 use crate::back_end::{BackEndReport, CopyTier, EngineReport, Holdings, PlacedRow, PlannedLoad};
 use crate::configuration::{Engine, ModelSpec};
+use crate::incarnation::{Born, Heard, Incarnation};
 
 /// An order without an answer is repeated so often before the state is asked for.
 const MOST_REPEATS: u32 = 2;
@@ -46,7 +51,13 @@
 /// One engine.
 #[derive(Debug)]
 pub struct EngineState {
+    incarnation: Incarnation,
     observed: BackEndReport,
+    /// Orders of this life that have had no answer.
+    open: OpenOrders,
+    /// Orders of former lives that may still be carried out in this one: the numbers under which
+    /// they were given come again. Their places and memory stay free.
+    left_over: OpenOrders,
     known: Option<Known>,
     goal: Option<Goal>,
     unloading: Option<ModelId>,
@@ -65,7 +76,10 @@
     /// An engine that discovery has just shown.
     pub fn new(now: Timestamp, observed: BackEndReport) -> Self {
         EngineState {
+            incarnation: Incarnation::new(observed.born),
             observed,
+            open: OpenOrders::default(),
+            left_over: OpenOrders::default(),
             known: None,
             goal: None,
             unloading: None,
@@ -80,13 +94,65 @@
         }
     }
 
-    /// Takes in a newer row of discovery.
-    pub fn observe(&mut self, report: &BackEndReport) {
-        self.observed = report.clone();
+    /// Takes in a row of discovery, unless it speaks of another life.
+    pub fn observe(&mut self, now: Timestamp, report: &BackEndReport) -> Heard {
+        let heard = self.hear(now, report.born);
+        if heard == Heard::Same {
+            self.observed = report.clone();
+        }
+        heard
+    }
+
+    /// Takes in a start that was told.
+    pub fn hear(&mut self, now: Timestamp, born: Option<Born>) -> Heard {
+        self.incarnation.hear(now, born)
+    }
+
+    /// When it started, if that is known.
+    pub fn born(&self) -> Option<Born> {
+        self.incarnation.born()
+    }
+
+    /// What is known of it when it says itself that it has started again.
+    pub fn restarted_as(&self, born: Option<Born>) -> BackEndReport {
+        BackEndReport {
+            born,
+            holdings: Holdings::new(),
+            ..self.observed.clone()
+        }
     }
 
-    /// Takes over from a former holder.
-    pub fn inherit(&mut self, row: &PlacedRow) {
+    /// It has started again under its name. It is asked for its state as one that is new.
+    /// A holder before this one may have given it orders until `others_until`.
+    pub fn begin_life(&mut self, now: Timestamp, report: BackEndReport, others_until: Timestamp) {
+        let mut left_over = std::mem::take(&mut self.left_over);
+        left_over.append(std::mem::take(&mut self.open));
+        *self = EngineState::new(now, report);
+        left_over.note_others(others_until);
+        left_over.forget_old(now);
+        self.left_over = left_over;
+    }
+
+    /// Takes over from a former holder, whose orders may have had no answer.
+    pub fn inherit(&mut self, now: Timestamp, row: &PlacedRow) {
+        let is_of_former_life = row.born.is_some() && row.born != self.born();
+        if let Some(load) = &row.loading {
+            let orders = if is_of_former_life {
+                &mut self.left_over
+            } else {
+                &mut self.open
+            };
+            orders.sent(now, OrderKind::LoadModel(load.model.clone()));
+        }
+        // What else was ordered there is not known.
+        if is_of_former_life {
+            self.left_over.note_others(now + ORDER_LIFETIME);
+            return;
+        }
+        for model in &row.left_over {
+            let order = OrderKind::LoadModel(model.clone());
+            self.left_over.sent(now, order);
+        }
         self.check = row.loading.is_some() || row.unloading.is_some();
         self.unloading = row.unloading.clone();
     }
@@ -97,6 +163,11 @@
         (!self.observed.draining).then_some(&goal.model)
     }
 
+    /// Its name.
+    pub fn id(&self) -> &BackEndId {
+        &self.observed.id
+    }
+
     /// Its service.
     pub fn service(&self) -> &ServiceId {
         &self.observed.service
@@ -225,7 +296,7 @@
         let pending: f64 = pending
             .filter_map(|(model, _)| Some(spec.models.get(model)?.adapter_mb))
             .sum();
-        spec.memory_mb - held_memory(spec, self.holdings()) - pending
+        spec.memory_mb - held_memory(spec, self.holdings()) - pending - self.left_over.memory(spec)
     }
 
     /// Time of a load here, by where the engine has a copy.
@@ -296,6 +367,10 @@
 
     /// An order had this result.
     pub fn ordered(&mut self, now: Timestamp, order: &OrderKind, result: OrderResult) {
+        match result {
+            OrderResult::Unanswered => self.open.unanswered(order),
+            _ => self.open.answered(order),
+        }
         self.in_flight = false;
         self.changed = Some(now);
         if result == OrderResult::Unanswered && self.repeats < MOST_REPEATS {
@@ -390,9 +465,11 @@
         });
         Some(PlacedRow {
             fence,
+            born: self.born(),
             holdings,
             unloading: self.unloading.clone(),
             loading,
+            left_over: self.left_over.models().into_iter().cloned().collect(),
         })
     }
 }
--- a/crates/fleet/src/placement/engine/next.rs
+++ b/crates/fleet/src/placement/engine/next.rs
@@ -26,6 +26,7 @@
         store: &mut WeightStore,
     ) -> Option<Action> {
         self.settle_goal(now);
+        self.left_over.forget_old(now);
         let waits = self.check || self.goal.is_some() || !self.wanted_adapters.is_empty();
         let pending = self
             .known
@@ -51,6 +52,7 @@
         };
         self.in_flight = true;
         self.changed = Some(now);
+        self.open.sent(now, order.clone());
         self.note_on_its_way(&order);
         let kind = ActionKind::Order { order, sequence };
         Some(self.action(kind, reason))
@@ -123,7 +125,8 @@
         }
         let held: usize = known.holdings.values().map(BTreeSet::len).sum();
         let memory = spec.models.get(model)?.adapter_mb;
-        let fits = held + known.pending.len() < spec.adapter_slots;
+        let taken = held + known.pending.len() + self.left_over.adapters(spec);
+        let fits = taken < spec.adapter_slots;
         if fits && self.free_memory(spec) >= memory {
             let order = OrderKind::LoadAdapter(model.clone(), adapter.clone());
             return Some((order, "adapter in demand"));
@@ -159,6 +162,7 @@
             engine: self.observed.id.clone(),
             kind,
             reason,
+            born: self.born(),
         }
     }
 }
--- a/crates/fleet/src/placement/mod.rs
+++ b/crates/fleet/src/placement/mod.rs
@@ -28,6 +28,7 @@
 use crate::back_end::{BackEndReport, EngineReport, PlacedRow};
 use crate::configuration::{Configuration, Engine};
 use crate::demand::DemandRow;
+use crate::incarnation::{Born, Heard};
 
 use engine::EngineState;
 use forecast::Forecast;
@@ -94,6 +95,8 @@
     pub kind: ActionKind,
     /// Why, for the logs.
     pub reason: &'static str,
+    /// The start of the engine's life that is meant; none if it does not tell it.
+    pub born: Option<Born>,
 }
 
 /// The holder's view and plans.
@@ -106,8 +109,17 @@
     inherited: Vec<BackEndId>,
     begun: Timestamp,
     unmet: Vec<UnmetWish>,
-    /// Engines that were gone while they loaded this.
-    gone_loading: BTreeMap<BackEndId, (ServiceId, ModelId)>,
+    /// Loads under which engines were gone.
+    gone_loading: BTreeMap<BackEndId, GoneLoad>,
+}
+
+/// A load under which an engine was gone.
+#[derive(Clone, Debug)]
+struct GoneLoad {
+    service: ServiceId,
+    model: ModelId,
+    /// The start of the engine's life that was gone.
+    born: Option<Born>,
 }
 
 impl Planner {
@@ -123,9 +135,10 @@
 
     /// What this holder and those before it know of weight stores, for the next one.
     pub fn store_records(&self, now: Timestamp) -> StoreRecords {
+        let born = |id: &BackEndId| self.engines.get(id).and_then(EngineState::born);
         let stores = self.stores.iter();
         stores
-            .map(|(service, store)| (service.clone(), store.record(now)))
+            .map(|(service, store)| (service.clone(), store.record(now, born)))
             .collect()
     }
 
@@ -138,24 +151,53 @@
         ended: &BTreeSet<BackEndId>,
     ) {
         let lives = |id: &BackEndId| !ended.contains(id);
-        let is_there = |id: &BackEndId| lives(id) && reports.iter().any(|it| it.id == *id);
+        let there = reports.iter().filter(|report| lives(&report.id));
+        let there: BTreeMap<&BackEndId, &BackEndReport> =
+            there.map(|report| (&report.id, report)).collect();
+        let is_there = |id: &BackEndId| there.contains_key(id);
         self.note_gone(now, |id| lives(id) && !is_there(id));
-        self.note_back(is_there);
+        self.note_back(&there);
         self.engines.retain(|id, _| is_there(id));
         for store in self.stores.values_mut() {
             store.retain(|id| self.engines.contains_key(id));
         }
-        for report in reports.iter().filter(|report| lives(&report.id)) {
-            match self.engines.get_mut(&report.id) {
-                Some(engine) => engine.observe(report),
+        for (id, report) in there {
+            match self.engines.get_mut(id) {
+                Some(engine) => {
+                    if engine.observe(now, report) == Heard::Other {
+                        self.begin_life(now, report.clone());
+                    }
+                }
                 None => {
                     let engine = EngineState::new(now, report.clone());
-                    self.engines.insert(report.id.clone(), engine);
+                    self.engines.insert(id.clone(), engine);
                 }
             }
         }
     }
 
+    /// An engine has started again under its name: it holds nothing that was ordered before,
+    /// and a load that was under way there has ended with its process.
+    fn begin_life(&mut self, now: Timestamp, report: BackEndReport) {
+        let Some(engine) = self.engines.get_mut(&report.id) else {
+            return;
+        };
+        if let Some(store) = self.stores.get_mut(engine.service()) {
+            if let Some(model) = engine.loading() {
+                store.engine_ended(now, model);
+            }
+            store.engine_restarted(now, &report.id);
+        }
+        engine.begin_life(now, report, self.begun + engine::ORDER_LIFETIME);
+    }
+
+    /// Whether this start is that of the engine's life that is planned for.
+    pub fn plans_for(&self, id: &BackEndId, born: Option<Born>) -> bool {
+        self.engines
+            .get(id)
+            .is_some_and(|engine| engine.born() == born)
+    }
+
     /// Engines are gone that no request ended: if one was loading, its load may have.
     fn note_gone(&mut self, now: Timestamp, is_gone: impl Fn(&BackEndId) -> bool) {
         for (id, engine) in self.engines.iter().filter(|(id, _)| is_gone(id)) {
@@ -164,21 +206,29 @@
             };
             if let Some(store) = self.stores.get_mut(engine.service()) {
                 store.engine_ended(now, model);
-                let gone = (engine.service().clone(), model.clone());
+                let gone = GoneLoad {
+                    service: engine.service().clone(),
+                    model: model.clone(),
+                    born: engine.born(),
+                };
                 self.gone_loading.insert(id.clone(), gone);
             }
         }
     }
 
-    /// Rows lapse while the table is away, and engines that were gone are there again under
-    /// the same name.
-    fn note_back(&mut self, is_there: impl Fn(&BackEndId) -> bool) {
-        self.gone_loading.retain(|id, (service, model)| {
-            let is_back = is_there(id);
-            if is_back && let Some(store) = self.stores.get_mut(service) {
-                store.engine_is_back(model);
+    /// Rows lapse while the table is away, and engines that were gone are there again. One that
+    /// has started again had ended all the same.
+    fn note_back(&mut self, there: &BTreeMap<&BackEndId, &BackEndReport>) {
+        self.gone_loading.retain(|id, gone| {
+            let Some(report) = there.get(id) else {
+                return true;
+            };
+            if report.born == gone.born
+                && let Some(store) = self.stores.get_mut(&gone.service)
+            {
+                store.engine_is_back(&gone.model);
             }
-            !is_back
+            false
         });
     }
 
@@ -188,7 +238,7 @@
             self.inherited.push(id.clone());
         }
         if let Some(engine) = self.engines.get_mut(id) {
-            engine.inherit(row);
+            engine.inherit(self.begun, row);
         }
     }
 
@@ -225,6 +275,13 @@
             let former = self.former.remove(service).unwrap_or_default();
             let mut store = WeightStore::new(self.begun, self.bound, &former);
             // An engine that is gone by now may have begun its load all the same.
+            // What is not known to be of an engine's present life may be of a former one.
+            for load in &former.recent {
+                let known = engines.iter().find(|engine| *engine.id() == load.engine);
+                if known.is_some_and(|engine| engine.born() != load.born) {
+                    store.engine_restarted(self.begun, &load.engine);
+                }
+            }
             for engine in &self.inherited {
                 store.inherit(self.begun, engine);
             }
@@ -248,6 +305,20 @@
 
     /// An engine answered the question for its state.
     pub fn reported(&mut self, now: Timestamp, id: &BackEndId, report: Option<EngineReport>) {
+        let Some(engine) = self.engines.get_mut(id) else {
+            return;
+        };
+        let told = report.as_ref().and_then(|report| report.born);
+        let report = match engine.hear(now, told) {
+            Heard::Same => report,
+            // The answer came by a connection to a process that is over.
+            Heard::Outdated => None,
+            Heard::Other => {
+                let observed = engine.restarted_as(told);
+                self.begin_life(now, observed);
+                report
+            }
+        };
         let Some(engine) = self.engines.get_mut(id) else {
             return;
         };
--- a/crates/fleet/src/placement/pace.rs
+++ b/crates/fleet/src/placement/pace.rs
@@ -18,6 +18,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::OrderResult;
+use crate::incarnation::Born;
 
 /// Loads that are left for what a holder cannot know.
 const RESERVE: f64 = 2.0;
@@ -58,6 +59,10 @@
     /// The sequence number under which it was ordered, if it may not have begun yet.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub open: Option<u64>,
+    /// The start of the engine's life in which it was ordered; none if that is not known, or if
+    /// that life is over.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub born: Option<Born>,
 }
 
 #[derive(Debug)]
@@ -67,9 +72,17 @@
     open: Option<u64>,
     /// Whether an order under that number had no answer.
     unanswered: bool,
+    /// Whether the engine has started again since: its numbers began anew.
+    is_of_former_life: bool,
 }
 
 impl Load {
+    /// Whether it was ordered under this number of the engine's present life and may not have
+    /// begun yet.
+    fn is_open_as(&self, sequence: u64) -> bool {
+        self.open == Some(sequence) && !self.is_of_former_life
+    }
+
     fn counts(&self, now: Timestamp, span: u64) -> bool {
         let lifetime = match self.open {
             Some(_) => OPEN_LIFETIME + span,
@@ -98,6 +111,7 @@
                 time: now - load.age,
                 open: load.open,
                 unanswered: load.open.is_some(),
+                is_of_former_life: false,
             };
             let loads = pace.loads.entry(load.engine.clone()).or_default();
             loads.push(load_of);
@@ -120,20 +134,21 @@
     pub fn is_open(&self, now: Timestamp, engine: &BackEndId, sequence: u64) -> bool {
         let span = self.span();
         let mut loads = self.loads.get(engine).into_iter().flatten();
-        loads.any(|load| load.open == Some(sequence) && load.counts(now, span))
+        loads.any(|load| load.is_open_as(sequence) && load.counts(now, span))
     }
 
     /// A load is about to be ordered at an engine under this sequence number.
     pub fn note(&mut self, now: Timestamp, engine: &BackEndId, sequence: u64) {
         self.forget_old(now);
         let loads = self.loads.entry(engine.clone()).or_default();
-        let former = loads.iter_mut().find(|load| load.open == Some(sequence));
+        let former = loads.iter_mut().find(|load| load.is_open_as(sequence));
         match former {
             Some(load) => load.time = now,
             None => loads.push(Load {
                 time: now,
                 open: Some(sequence),
                 unanswered: false,
+                is_of_former_life: false,
             }),
         }
     }
@@ -168,6 +183,18 @@
         }
     }
 
+    /// An engine has started again under its name, and counts its orders anew. What was ordered
+    /// before and had no answer may yet begin.
+    pub fn engine_restarted(&mut self, now: Timestamp, engine: &BackEndId) {
+        for load in self.loads.get_mut(engine).into_iter().flatten() {
+            load.is_of_former_life = true;
+            if load.open.is_some() {
+                load.time = now;
+                load.unanswered = true;
+            }
+        }
+    }
+
     /// The order of a load was not sent.
     pub fn unsent(&mut self, engine: &BackEndId) {
         if let Some(loads) = self.loads.get_mut(engine) {
@@ -180,7 +207,8 @@
     pub fn taken(&mut self, now: Timestamp, engine: &BackEndId, sequence: u64) {
         let loads = self.loads.get_mut(engine).into_iter().flatten();
         for load in loads {
-            if load.unanswered && load.open.is_some_and(|ordered| ordered < sequence) {
+            let is_settled = load.open.is_some_and(|ordered| ordered < sequence);
+            if load.unanswered && is_settled && !load.is_of_former_life {
                 load.time = now;
                 load.open = None;
             }
@@ -191,17 +219,22 @@
     /// ordered just now, unless it is known already.
     pub fn note_unless_known(&mut self, now: Timestamp, engine: &BackEndId) {
         let loads = self.loads.entry(engine.clone()).or_default();
-        if loads.is_empty() {
+        if loads.iter().all(|load| load.is_of_former_life) {
             loads.push(Load {
                 time: now,
                 open: None,
                 unanswered: false,
+                is_of_former_life: false,
             });
         }
     }
 
-    /// Loads of late, for the next holder.
-    pub fn recent(&self, now: Timestamp) -> Vec<RecentLoad> {
+    /// Loads of late, for the next holder. `born` tells when engines started.
+    pub fn recent(
+        &self,
+        now: Timestamp,
+        born: impl Fn(&BackEndId) -> Option<Born>,
+    ) -> Vec<RecentLoad> {
         let span = self.span();
         let mut recent = Vec::new();
         for (engine, loads) in &self.loads {
@@ -210,6 +243,7 @@
                     engine: engine.clone(),
                     age: now.since(load.time),
                     open: load.open,
+                    born: born(engine).filter(|_| !load.is_of_former_life),
                 });
             }
         }
--- a/crates/fleet/src/placement/weight_store.rs
+++ b/crates/fleet/src/placement/weight_store.rs
@@ -15,6 +15,7 @@
 use super::pace::{LoadBound, LoadPace, RecentLoad};
 use super::{Obstacle, OrderResult};
 use crate::back_end::EngineReport;
+use crate::incarnation::Born;
 
 /// What a holder tells the next one of each service's weight store.
 pub type StoreRecords = BTreeMap<ServiceId, StoreRecord>;
@@ -75,6 +76,13 @@
         self.ends.ended(now, model);
     }
 
+    /// An engine has started again under its name: its load is over, and orders that its former
+    /// life did not answer may still be carried out.
+    pub fn engine_restarted(&mut self, now: Timestamp, engine: &BackEndId) {
+        self.pace.engine_restarted(now, engine);
+        self.window.forget(engine);
+    }
+
     /// Such an engine is there after all.
     pub fn engine_is_back(&mut self, model: &ModelId) {
         self.ends.is_back(model);
@@ -140,10 +148,10 @@
         self.window.retain(known);
     }
 
-    /// For the next holder.
-    pub fn record(&self, now: Timestamp) -> StoreRecord {
+    /// For the next holder. `born` tells when engines started.
+    pub fn record(&self, now: Timestamp, born: impl Fn(&BackEndId) -> Option<Born>) -> StoreRecord {
         StoreRecord {
-            recent: self.pace.recent(now),
+            recent: self.pace.recent(now, born),
             limit: self.window.found(),
             ended: self.ends.record(now),
         }
--- a/crates/fleet/src/quarantine/mod.rs
+++ b/crates/fleet/src/quarantine/mod.rs
@@ -20,9 +20,9 @@
 use gorsebank_coordination::Timestamp;
 use gorsebank_world::BackEndId;
 use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-use crate::Fingerprint;
+use crate::{Born, Fingerprint};
 use recent::RecentlyServed;
 
 pub use blame::{ENDS_TO_BLAME, blame};
@@ -50,9 +50,13 @@
 /// A back end's name as it is told. Names that collide would count one end too few.
 pub type BackEndHash = u64;
 
-/// A back end's name as it is told.
-pub fn hash(back_end: &BackEndId) -> BackEndHash {
-    xxh3_64(back_end.as_str().as_bytes())
+/// A back end's name as it is told. Each life of one that starts again under its name ends for
+/// itself.
+pub fn hash(back_end: &BackEndId, born: Option<Born>) -> BackEndHash {
+    let name = xxh3_64(back_end.as_str().as_bytes());
+    born.map_or(name, |Born(start)| {
+        xxh3_64_with_seed(&start.to_le_bytes(), name)
+    })
 }
 
 /// What happened to a request.
@@ -154,9 +158,9 @@
     }
 
     /// A back end ended while this gateway's request was there.
-    pub fn note_end(&mut self, now: Timestamp, fingerprint: Fingerprint, back_end: &BackEndId) {
+    pub fn note_end(&mut self, now: Timestamp, fingerprint: Fingerprint, back_end: BackEndHash) {
         let now = since_before_start(now);
-        let outcome = RunOutcome::Ended(hash(back_end));
+        let outcome = RunOutcome::Ended(back_end);
         self.take_in(now, fingerprint, outcome, now, Source::Below);
     }
 
--- a/crates/fleet/tests/pace.rs
+++ b/crates/fleet/tests/pace.rs
@@ -86,7 +86,7 @@
     }
     assert!(pace.allows(Timestamp(500), RATE));
     assert!(pace.allows(Timestamp(6_000), RATE), "none is open any more");
-    assert!(pace.recent(Timestamp(6_000)).is_empty());
+    assert!(pace.recent(Timestamp(6_000), |_| None).is_empty());
 }
 
 #[test]
@@ -122,7 +122,7 @@
 fn the_next_holder_knows_what_began_and_what_may_begin() {
     let mut first = pace(&[]);
     fill(&mut first, 0, 0, OrderResult::Unanswered);
-    let mut next = pace(&first.recent(Timestamp(1_000)));
+    let mut next = pace(&first.recent(Timestamp(1_000), |_| None));
     assert!(!next.allows(Timestamp(11_000), RATE));
     next.taken(Timestamp(2_000), &engine(3), 1);
     assert!(next.allows(Timestamp(8_000), RATE));
--- a/crates/fleet/tests/placement.rs
+++ b/crates/fleet/tests/placement.rs
@@ -5,16 +5,11 @@
 mod support;
 
 use gorsebank_coordination::Timestamp;
+use gorsebank_fleet::PlacedRow;
 use gorsebank_fleet::placement::{ActionKind, Obstacle, OrderKind};
-use gorsebank_fleet::{DemandRow, PlacedRow};
 use proptest::prelude::*;
 
-use support::{EngineModel, World, configuration, demand, running};
-
-/// Loads of the weight store that may begin in any five seconds.
-fn most_loads() -> usize {
-    (support::LOADS_PER_SECOND * 5.0 * 1.1 + 3.0) as usize
-}
+use support::{EngineModel, World, configuration, demand, most_loads, moving_demand, running};
 
 #[test]
 fn a_cold_model_is_loaded_once_where_there_is_room() {
@@ -493,17 +488,6 @@
     );
 }
 
-/// Demand that moves from model to model.
-fn moving_demand() -> impl Strategy<Value = Vec<DemandRow>> {
-    let model = (0usize..12, 0.0f64..4.0, 0u32..3, 0usize..6);
-    let row = prop::collection::vec(model, 1..6);
-    prop::collection::vec(row, 4..10).prop_map(|rows| {
-        rows.into_iter()
-            .map(|models| support::demand_row(&models))
-            .collect()
-    })
-}
-
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(120))]
     #[test]
--- a/crates/fleet/tests/quarantine.rs
+++ b/crates/fleet/tests/quarantine.rs
@@ -5,7 +5,7 @@
 use gorsebank_coordination::Timestamp;
 use gorsebank_fleet::Fingerprint;
 use gorsebank_fleet::quarantine::{
-    ENDS_TO_BLAME, Quarantine, RunOutcome, Source, ToldOutcome, VERDICT_TIME, blame,
+    ENDS_TO_BLAME, Quarantine, RunOutcome, Source, ToldOutcome, VERDICT_TIME, blame, hash,
 };
 use proptest::prelude::*;
 
@@ -14,7 +14,7 @@
 }
 
 fn end(quarantine: &mut Quarantine, at: u64, number: u8, back_end: &str) {
-    quarantine.note_end(Timestamp(at), request(number), &back_end.into());
+    quarantine.note_end(Timestamp(at), request(number), hash(&back_end.into(), None));
 }
 
 fn is_kept_away(quarantine: &Quarantine, at: u64, number: u8) -> bool {
@@ -213,7 +213,11 @@
     for number in 0..20_000_u32 {
         let fingerprint = Fingerprint::of(&[&number.to_le_bytes()]);
         let back_end = format!("i-{}", number / 64);
-        quarantine.note_end(Timestamp(u64::from(number)), fingerprint, &back_end.into());
+        quarantine.note_end(
+            Timestamp(u64::from(number)),
+            fingerprint,
+            hash(&back_end.into(), None),
+        );
     }
     assert!(quarantine.since(Timestamp(20_000), None).len() <= 4_096);
     for back_end in ["i-a", "i-b", "i-c"] {
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -9,10 +9,11 @@
     Action, ActionKind, LoadBound, Obstacle, OrderKind, OrderResult, Planner,
 };
 use gorsebank_fleet::{
-    BackEndReport, Configuration, DemandRow, Engine, EngineReport, Holdings, Limits, ModelDemand,
-    ModelSpec, PlacedRow, Service,
+    BackEndReport, Born, Configuration, DemandRow, Engine, EngineReport, Holdings, Limits,
+    ModelDemand, ModelSpec, PlacedRow, Service,
 };
 use gorsebank_world::{AdapterId, BackEndId, ModelId, ServiceId};
+use proptest::prelude::*;
 
 /// Adapter places of an engine.
 pub const ADAPTER_SLOTS: usize = 4;
@@ -151,8 +152,10 @@
 
 /// An engine.
 pub struct EngineModel {
-    /// Its name; another one after a restart.
+    /// Its name; another one after most restarts.
     pub id: BackEndId,
+    /// Its start, if it tells it.
+    pub born: Option<Born>,
     holdings: Holdings,
     pending: Vec<(ModelId, AdapterId, u64)>,
     work: Option<Work>,
@@ -177,6 +180,7 @@
     pub fn new(number: usize, models: &[&str]) -> Self {
         EngineModel {
             id: BackEndId::from(format!("engine-{number}-0")),
+            born: Some(Born(0)),
             holdings: models
                 .iter()
                 .map(|model| ((*model).into(), Default::default()))
@@ -257,6 +261,7 @@
 
     fn report(&self) -> EngineReport {
         EngineReport {
+            born: self.born,
             holdings: self.holdings.clone(),
             pending: self
                 .pending
@@ -410,6 +415,7 @@
             .iter()
             .map(|engine| BackEndReport {
                 id: engine.id.clone(),
+                born: engine.born,
                 service: service(),
                 address: "127.0.0.1:1".parse().expect("an address"),
                 zone: "hall".into(),
@@ -485,6 +491,17 @@
         ending.len()
     }
 
+    /// An engine starts anew under its name, at this time.
+    #[allow(dead_code)]
+    pub fn restart_under_its_name(&mut self, now: u64, number: usize) {
+        let engine = &mut self.engines[number];
+        let (id, starts) = (engine.id.clone(), engine.starts);
+        *engine = EngineModel::new(number, &[]);
+        engine.id = id;
+        engine.starts = starts;
+        engine.born = Some(Born(now));
+    }
+
     /// One turn of the holder.
     pub fn turn(&mut self, now: u64, rows: &[DemandRow]) {
         self.share_weight_store(now);
@@ -599,3 +616,18 @@
         result
     }
 }
+
+/// Loads of the weight store that may begin in any five seconds.
+#[allow(dead_code)]
+pub fn most_loads() -> usize {
+    (LOADS_PER_SECOND * 5.0 * 1.1 + 3.0) as usize
+}
+
+/// Demand that moves from model to model.
+#[allow(dead_code)]
+pub fn moving_demand() -> impl Strategy<Value = Vec<DemandRow>> {
+    let model = (0usize..12, 0.0f64..4.0, 0u32..3, 0usize..6);
+    let row = prop::collection::vec(model, 1..6);
+    prop::collection::vec(row, 4..10)
+        .prop_map(|rows| rows.into_iter().map(|models| demand_row(&models)).collect())
+}
--- a/crates/gateway/src/allowance/seats.rs
+++ b/crates/gateway/src/allowance/seats.rs
@@ -19,7 +19,6 @@
 use crate::lines::{self, Rank};
 use crate::ports::WatchedTable;
 use crate::shared::Shared;
-use crate::watch::refuse_row;
 
 /// Length of a seat's lease, in bounds on turns of holders. While the table is out of order a
 /// lease of 3 s would end after 1.7 s; this one lasts for 3.4 s, when callers with keys are
@@ -101,7 +100,7 @@
         Ok(saved) => Some(saved),
         Err(error) => {
             // Only gateways write it. Counting goes on as if nothing had been saved.
-            refuse_row(&row.key, &error);
+            shared.refuse_row(row, &error);
             Some(SavedUse::default())
         }
     }
--- a/crates/gateway/src/back_end.rs
+++ b/crates/gateway/src/back_end.rs
@@ -1,4 +1,4 @@
-//! One back end as this gateway uses it: connections, requests in flight, health.
+//! One life of a back end as this gateway uses it: connections, requests in flight, health.
 //!
 //! A connection carries one request at a time and returns to the pool only
 //! after a whole answer that matched its request. Whatever is in doubt is
@@ -13,8 +13,9 @@
 
 use gorsebank_coordination::Timestamp;
 use gorsebank_fleet::health::Health;
+use gorsebank_fleet::quarantine;
 use gorsebank_fleet::running::{self, BackEndHash};
-use gorsebank_fleet::{BackEndReport, Fingerprint, KeptParts};
+use gorsebank_fleet::{BackEndReport, Born, Fingerprint, KeptParts};
 use gorsebank_world::{AdapterId, BackEndId, ModelId, ServiceId};
 use parking_lot::Mutex;
 use tokio::net::TcpStream;
@@ -46,8 +47,13 @@
 pub struct BackEnd {
     /// What it said of itself when it was first seen.
     pub id: BackEndId,
-    /// Its name as gateways tell it each other with what they have running there.
+    /// When it started, if it says so.
+    pub born: Option<Born>,
+    /// Its name as gateways tell it each other with what they have running there: counts of a
+    /// life that is over are gone within a second, so all lives share it.
     pub hash: BackEndHash,
+    /// This life of it as gateways tell it each other when it ends.
+    pub life_hash: quarantine::BackEndHash,
     /// Requests that it runs at once.
     pub slots: u32,
     /// Its service.
@@ -127,7 +133,9 @@
     pub fn new(report: &BackEndReport, same_zone: bool) -> Self {
         BackEnd {
             id: report.id.clone(),
+            born: report.born,
             hash: running::hash(&report.id),
+            life_hash: quarantine::hash(&report.id, report.born),
             slots: report.slots,
             service: report.service.clone(),
             address: report.address,
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -4,16 +4,17 @@
 //! Out: the candidates of a request. Of the two rows on one back end the newer
 //! counts for what it holds; the table orders them by one counter.
 //!
-//! Invariant: a back end that once said that it leaves stays leaving; one
-//! whose row is gone gets nothing new.
+//! Invariant: a back end that once said that it leaves stays leaving, until it starts again; one
+//! whose row is gone, or cannot be read, gets nothing new. Nothing that was known of a life of a
+//! back end is held against the next one, nor counted for it.
 
 use std::collections::{BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 
 use gorsebank_coordination::Timestamp;
-use gorsebank_fleet::quarantine::{self, BackEndHash};
+use gorsebank_fleet::quarantine::BackEndHash;
 use gorsebank_fleet::running::Counts;
-use gorsebank_fleet::{BackEndReport, CopyTier, Holdings, PlacedRow};
+use gorsebank_fleet::{BackEndReport, CopyTier, Heard, Holdings, Incarnation, PlacedRow};
 use gorsebank_world::{AdapterId, BackEndId, ModelId, ServiceId, ZoneId};
 
 use crate::back_end::{BackEnd, SeenRow};
@@ -25,9 +26,61 @@
 #[derive(Debug)]
 struct Entry {
     back_end: Arc<BackEnd>,
+    incarnation: Incarnation,
     report: BackEndReport,
     version: u64,
+    /// The version of the first row of this life.
+    first_version: u64,
     draining: bool,
+    /// Whether its newest row can be read. One that cannot is no end of its process.
+    is_readable: bool,
+    /// A row of a life that seems to be over, in case it is the newest one after all.
+    doubtful: Option<(BackEndReport, u64)>,
+}
+
+impl Entry {
+    /// A life that was first heard of by a row at this version.
+    fn new(zone: &ZoneId, report: BackEndReport, row: SeenRow) -> Self {
+        let back_end = BackEnd::new(&report, report.zone == *zone);
+        back_end.note_row(row);
+        Entry {
+            back_end: Arc::new(back_end),
+            incarnation: Incarnation::new(report.born),
+            version: row.version,
+            first_version: row.version,
+            draining: report.draining,
+            is_readable: true,
+            doubtful: None,
+            report,
+        }
+    }
+
+    /// A newer row of the same life.
+    fn take(&mut self, report: BackEndReport, row: SeenRow) {
+        self.back_end.note_row(row);
+        self.draining |= report.draining;
+        self.report = report;
+        self.version = row.version;
+        self.is_readable = true;
+        self.doubtful = None;
+        if self.draining {
+            self.back_end.retire();
+        }
+    }
+
+    /// Whether it may get new requests, as its rows say.
+    fn is_active(&self) -> bool {
+        !self.draining && self.is_readable
+    }
+
+    /// Whether the placement holder's row speaks of this life. Rows of gateways that know
+    /// nothing of starts do if they are newer than this life.
+    fn is_meant_by(&self, placed: &Placed) -> bool {
+        match (placed.row.born, self.incarnation.born()) {
+            (Some(meant), Some(own)) => meant == own,
+            _ => placed.version > self.first_version || self.incarnation.born().is_none(),
+        }
+    }
 }
 
 #[derive(Debug)]
@@ -81,34 +134,87 @@
 
     /// A back end's row was written, and seen at `now`.
     pub fn put(&mut self, now: Timestamp, report: BackEndReport, version: u64) {
-        let id = report.id.clone();
         let row = SeenRow { version, seen: now };
-        if let Some(entry) = self.entries.get_mut(&id) {
-            if entry.version >= version {
-                return;
-            }
-            entry.back_end.note_row(row);
-            entry.draining |= report.draining;
-            entry.report = report;
-            entry.version = version;
-            if entry.draining {
-                entry.back_end.retire();
-            }
+        let Some(entry) = self.entries.get_mut(&report.id) else {
+            return self.add(report, row);
+        };
+        if entry.version >= version {
             return;
         }
-        let same_zone = report.zone == self.zone;
-        let back_end = Arc::new(BackEnd::new(&report, same_zone));
-        back_end.note_row(row);
+        match entry.incarnation.hear(now, report.born) {
+            Heard::Same => {
+                let moved = entry.report.service != report.service;
+                let former = entry.report.service.clone();
+                let id = report.id.clone();
+                entry.take(report, row);
+                if moved {
+                    self.change_service(&id, &former);
+                }
+            }
+            Heard::Other => self.begin_life(report, row),
+            Heard::Outdated => entry.doubtful = Some((report, version)),
+        }
+    }
+
+    /// Rows of lives that seemed to be over are taken in after all, when nothing contradicted
+    /// them: the clock of a back end's machine may have been set back.
+    pub fn settle(&mut self, now: Timestamp) {
+        let doubtful = self
+            .entries
+            .values()
+            .filter_map(|entry| entry.doubtful.clone());
+        let doubtful: Vec<_> = doubtful.collect();
+        for (report, version) in doubtful {
+            self.put(now, report, version);
+        }
+    }
+
+    /// Whether there is anything to settle.
+    pub fn is_unsettled(&self) -> bool {
+        self.entries.values().any(|entry| entry.doubtful.is_some())
+    }
+
+    fn add(&mut self, report: BackEndReport, row: SeenRow) {
         let members = self.services.entry(report.service.clone()).or_default();
-        members.push(id.clone());
-        let draining = report.draining;
-        let entry = Entry {
-            back_end,
-            report,
-            version,
-            draining,
+        members.push(report.id.clone());
+        let id = report.id.clone();
+        self.entries.insert(id, Entry::new(&self.zone, report, row));
+    }
+
+    /// A back end has started again under its name: the process before it has ended.
+    fn begin_life(&mut self, report: BackEndReport, row: SeenRow) {
+        let placed = self.placed.remove(&report.id);
+        self.remove(&report.id);
+        let id = report.id.clone();
+        self.add(report, row);
+        // The holder may have heard of the new life first.
+        let entry = self.entries.get(&id);
+        if let Some(placed) = placed.filter(|it| entry.is_some_and(|entry| entry.is_meant_by(it))) {
+            self.placed.insert(id, placed);
+        }
+    }
+
+    fn change_service(&mut self, id: &BackEndId, former: &ServiceId) {
+        if let Some(members) = self.services.get_mut(former) {
+            members.retain(|member| member != id);
+        }
+        if let Some(entry) = self.entries.get(id) {
+            let members = self.services.entry(entry.report.service.clone());
+            members.or_default().push(id.clone());
+        }
+    }
+
+    /// A back end's row was written, and names none that could be used. True if one was used
+    /// until then; it may live, and is used again once its row can be read.
+    pub fn put_unreadable(&mut self, id: &BackEndId, version: u64) -> bool {
+        let Some(entry) = self.entries.get_mut(id) else {
+            return false;
         };
-        self.entries.insert(id, entry);
+        if entry.version >= version {
+            return false;
+        }
+        entry.version = version;
+        std::mem::replace(&mut entry.is_readable, false)
     }
 
     /// A back end's row was removed.
@@ -117,7 +223,7 @@
             return;
         };
         entry.back_end.retire();
-        if !entry.draining {
+        if entry.is_active() {
             self.gone_unsaid.push(entry.back_end.clone());
         }
         if let Some(members) = self.services.get_mut(&entry.report.service) {
@@ -126,20 +232,29 @@
         self.placed.remove(id);
     }
 
-    /// The whole table was read: what it does not hold is gone.
-    pub fn replace(&mut self, now: Timestamp, reports: Vec<(BackEndReport, u64)>) {
-        let gone: Vec<BackEndId> = self
-            .entries
-            .keys()
-            .filter(|id| !reports.iter().any(|(report, _)| report.id == **id))
-            .cloned()
+    /// The whole table was read: what it does not hold is gone. `unreadable` are rows that name
+    /// no back end to use.
+    pub fn replace(
+        &mut self,
+        now: Timestamp,
+        reports: Vec<(BackEndReport, u64)>,
+        unreadable: Vec<(BackEndId, u64)>,
+    ) {
+        let readable = reports.iter().map(|(report, _)| &report.id);
+        let stand: HashSet<&BackEndId> = readable
+            .chain(unreadable.iter().map(|(id, _)| id))
             .collect();
+        let gone = self.entries.keys().filter(|id| !stand.contains(id));
+        let gone: Vec<BackEndId> = gone.cloned().collect();
         for id in gone {
             self.remove(&id);
         }
         for (report, version) in reports {
             self.put(now, report, version);
         }
+        for (id, version) in unreadable {
+            self.put_unreadable(&id, version);
+        }
     }
 
     /// The placement holder's row on a back end was written.
@@ -172,7 +287,7 @@
     /// Other gateways saw the processes of these back ends end.
     pub fn note_ended(&self, now: Timestamp, ended: &HashSet<BackEndHash>) {
         let entries = self.entries.values();
-        let gone = entries.filter(|entry| ended.contains(&quarantine::hash(&entry.report.id)));
+        let gone = entries.filter(|entry| ended.contains(&entry.back_end.life_hash));
         gone.for_each(|entry| entry.back_end.note_ended(now));
     }
 
@@ -188,7 +303,7 @@
     /// Reports of all back ends, for the placement holder.
     pub fn reports(&self) -> Vec<BackEndReport> {
         let report = |entry: &Entry| BackEndReport {
-            draining: entry.draining,
+            draining: !entry.is_active(),
             ..entry.report.clone()
         };
         self.entries.values().map(report).collect()
@@ -203,7 +318,7 @@
 
     /// Whether the back end may get new requests.
     pub fn is_active(&self, id: &BackEndId) -> bool {
-        self.entries.get(id).is_some_and(|entry| !entry.draining)
+        self.entries.get(id).is_some_and(Entry::is_active)
     }
 
     /// Where a model, and an adapter of it, can be asked for at `now`.
@@ -217,6 +332,7 @@
         let mut places = ModelPlaces::default();
         for entry in self.active(now, service) {
             let placed = self.placed.get(&entry.report.id);
+            let placed = placed.filter(|placed| entry.is_meant_by(placed));
             self.add_place(now, entry, placed, model, adapter, &mut places);
         }
         places
@@ -262,7 +378,7 @@
         let members = self.services.get(service).into_iter().flatten();
         members
             .filter_map(|id| self.entries.get(id))
-            .filter(move |entry| !entry.draining && !entry.back_end.has_ended(now))
+            .filter(move |entry| entry.is_active() && !entry.back_end.has_ended(now))
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -46,6 +46,7 @@
 pub mod quarantine;
 mod quarantine_row;
 pub mod reading_rows;
+pub mod refused_rows;
 pub mod relay;
 pub mod request;
 pub mod server;
--- a/crates/gateway/src/lost_connection.rs
+++ b/crates/gateway/src/lost_connection.rs
@@ -38,7 +38,7 @@
         );
         lines::write(Rank::Decision, "connection_lost", fields);
         if ended && was_active {
-            shared.note_end_under(fingerprint, id);
+            shared.note_end_under(fingerprint, back_end.life_hash);
         } else if was_active {
             back_end.note_lost(shared.now(), fingerprint);
         }
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -17,7 +17,7 @@
 use crate::lines::{self, Rank};
 use crate::ports::{RowChange, WatchedTable};
 use crate::shared::Shared;
-use crate::watch::{Follower, refuse_row, row_name};
+use crate::watch::{Follower, row_name};
 
 /// Pause after a call of the table without an answer, doubled each time ...
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
@@ -162,7 +162,7 @@
             Ok(member) => {
                 self.rows.insert(row_name(&row.key).to_owned(), member);
             }
-            Err(error) => refuse_row(&row.key, &error),
+            Err(error) => self.shared.refuse_row(row, &error),
         }
     }
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -36,6 +36,8 @@
     pub orders: IntCounterVec,
     /// Calls of the table, by result.
     pub table_calls: IntCounterVec,
+    /// Rows of tables that could not be used, by reason.
+    pub refused_rows: IntCounterVec,
     /// Changes of the lease as this process saw them, by kind.
     pub lease_changes: IntCounterVec,
     /// Requests that are being served.
@@ -62,6 +64,7 @@
             attempts: counters("gateway_attempts_total", "Sends by result", "result")?,
             orders: counters("gateway_orders_total", "Orders by result", "result")?,
             table_calls: counters("gateway_table_calls_total", "Table calls", "result")?,
+            refused_rows: counters("gateway_refused_rows_total", "Refused rows", "reason")?,
             lease_changes: counters("gateway_lease_changes_total", "Lease changes", "kind")?,
             open_requests: IntGauge::new("gateway_open_requests", "Requests being served")?,
             lines_left_out: IntGauge::new("gateway_lines_left_out", "Log lines left out")?,
@@ -82,6 +85,7 @@
             &self.attempts,
             &self.orders,
             &self.table_calls,
+            &self.refused_rows,
             &self.lease_changes,
         ];
         for counter in counters {
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -18,12 +18,13 @@
 use gorsebank_fleet::placement::{
     Action, ActionKind, OrderKind, OrderResult, Planner, StoreRecords,
 };
-use gorsebank_fleet::{EngineReport, LeaseKeeper, PlacedRow};
+use gorsebank_fleet::{Born, EngineReport, LeaseKeeper, PlacedRow};
 use gorsebank_world::{BackEndId, ModelId};
 use parking_lot::Mutex;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep, timeout};
 
+use crate::back_end::BackEnd;
 use crate::directory::Directory;
 use crate::holder::loads_key;
 use crate::lines::{self, Rank};
@@ -52,11 +53,23 @@
 
 /// What came of an action.
 enum Done {
-    Reported(BackEndId, Option<EngineReport>),
-    Ordered(BackEndId, OrderKind, OrderResult),
+    Asked(Asked),
     Written(Vec<WrittenRow>),
 }
 
+/// What came of an action at one life of an engine.
+struct Asked {
+    engine: BackEndId,
+    born: Option<Born>,
+    answer: Answer,
+}
+
+/// What an engine answered.
+enum Answer {
+    Reported(Option<EngineReport>),
+    Ordered(OrderKind, OrderResult),
+}
+
 /// Places models while the lease is held. Dropping it begins nothing more.
 pub struct Placement {
     shared: Arc<Shared>,
@@ -187,8 +200,7 @@
     fn take(&mut self, done: Done) {
         let now = self.shared.now();
         match done {
-            Done::Reported(id, report) => self.planner.reported(now, &id, report),
-            Done::Ordered(id, order, result) => self.planner.ordered(now, &id, &order, result),
+            Done::Asked(asked) => self.take_answer(now, asked),
             Done::Written(rows) => {
                 self.is_writing = false;
                 rows.into_iter().for_each(|row| self.written(now, row));
@@ -197,6 +209,18 @@
         }
     }
 
+    /// An answer counts for the life that was asked: the next one has begun anew.
+    fn take_answer(&mut self, now: Timestamp, asked: Asked) {
+        let id = &asked.engine;
+        if !self.planner.plans_for(id, asked.born) {
+            return;
+        }
+        match asked.answer {
+            Answer::Reported(report) => self.planner.reported(now, id, report),
+            Answer::Ordered(order, result) => self.planner.ordered(now, id, &order, result),
+        }
+    }
+
     /// What waited for a row begins once the row stands, and only then.
     fn written(&mut self, now: Timestamp, written: WrittenRow) {
         let WrittenRow { id, row, write } = written;
@@ -319,7 +343,12 @@
     fn begin(&mut self, action: Action, fence: u64) {
         let engine = action.engine.clone();
         let find = |directory: &Directory| directory.back_end(&engine);
-        let Some(back_end) = self.shared.directory(find) else {
+        let back_end = self.shared.directory(find);
+        // What was sized for one life is not sent to the next one.
+        let is_meant = |back_end: &Arc<BackEnd>| {
+            back_end.born == action.born || action.kind == ActionKind::Report
+        };
+        let Some(back_end) = back_end.filter(is_meant) else {
             self.planner.abandoned(self.shared.now(), &action.engine);
             return;
         };
@@ -327,11 +356,11 @@
         let shared = self.shared.clone();
         let keeper = self.keeper.clone();
         tokio::spawn(async move {
-            let result = match &action.kind {
+            let answer = match &action.kind {
                 ActionKind::Report => {
                     let report = orders::ask(&shared, &back_end).await;
                     log_report(&action, report.as_ref());
-                    Done::Reported(action.engine.clone(), report)
+                    Answer::Reported(report)
                 }
                 ActionKind::Order { order, sequence } => {
                     let fenced = FencedOrder {
@@ -344,10 +373,15 @@
                     let valid = || keeper.lock().fence(shared.now()) == Some(fence);
                     let result = orders::order(&shared, &back_end, &fenced, valid).await;
                     log_order(&shared, &action, order, *sequence, fence, result);
-                    Done::Ordered(action.engine.clone(), order.clone(), result)
+                    Answer::Ordered(order.clone(), result)
                 }
             };
-            let _ = done.send(result);
+            // The receiver is gone when the lease was lost.
+            let _ = done.send(Done::Asked(Asked {
+                engine: action.engine,
+                born: action.born,
+                answer,
+            }));
         });
     }
 }
@@ -355,7 +389,8 @@
 /// The time until a load is done changes all the time; the load itself counts.
 fn says_the_same(published: &PlacedRow, row: &PlacedRow) -> bool {
     let model = |row: &PlacedRow| row.loading.as_ref().map(|load| load.model.clone());
-    published.holdings == row.holdings
+    published.born == row.born
+        && published.holdings == row.holdings
         && published.unloading == row.unloading
         && model(published) == model(row)
 }
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -155,10 +155,37 @@
     fn remove<'a>(&'a self, key: &'a str, version: u64) -> BoxFuture<'a, TableAnswer>;
 }
 
+/// In what way a row says nothing that could be used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RowFault {
+    /// Its bytes are no text.
+    Bytes,
+    /// It is no document of the right shape: a field is missing or of another type.
+    Shape,
+    /// A field holds a word that is not known.
+    UnknownWord,
+}
+
+impl RowFault {
+    /// A word for lines and counters.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            RowFault::Bytes => "bytes",
+            RowFault::Shape => "shape",
+            RowFault::UnknownWord => "unknown_word",
+        }
+    }
+}
+
+/// The value of a row whose bytes are no text: no document is empty.
+pub const UNREADABLE_VALUE: &str = "";
+
 /// A row or an answer that is not what the platform's pages say.
 #[derive(Clone, Debug, Error, PartialEq, Eq)]
 #[error("{place}: {reason}")]
 pub struct ContentError {
+    /// In what way.
+    pub fault: RowFault,
     /// Which field of which row.
     pub place: String,
     /// What is wrong with it.
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -16,9 +16,9 @@
 use std::time::Duration;
 
 use gorsebank_coordination::Timestamp;
-use gorsebank_fleet::quarantine::{Position, Source, ToldOutcome};
+use gorsebank_fleet::quarantine::{BackEndHash, Position, Source, ToldOutcome};
 use gorsebank_fleet::{Fingerprint, Quarantine};
-use gorsebank_world::BackEndId;
+
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
@@ -72,7 +72,7 @@
 
     /// A back end ended while a request of this gateway was there. True if other requests
     /// than before are kept away.
-    pub fn note_end(&self, now: Timestamp, request: Fingerprint, back_end: &BackEndId) -> bool {
+    pub fn note_end(&self, now: Timestamp, request: Fingerprint, back_end: BackEndHash) -> bool {
         self.change(|known| known.note_end(now, request, back_end))
     }
 
--- a/crates/gateway/src/quarantine_row.rs
+++ b/crates/gateway/src/quarantine_row.rs
@@ -17,7 +17,6 @@
 use crate::backoff::Backoff;
 use crate::ports::WatchedTable;
 use crate::shared::Shared;
-use crate::watch::refuse_row;
 
 /// Pause after a call of the table without an answer, doubled each time ...
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
@@ -53,7 +52,7 @@
 fn take_in(shared: &Shared, row: &TableRow) {
     match serde_json::from_str::<Vec<ToldOutcome>>(&row.value) {
         Ok(told) => shared.recall_outcomes(&told),
-        Err(error) => refuse_row(&row.key, &error),
+        Err(error) => shared.refuse_row(row, &error),
     }
 }
 
--- a/crates/gateway/src/reading_rows.rs
+++ b/crates/gateway/src/reading_rows.rs
@@ -16,7 +16,7 @@
 use crate::directory::Directory;
 use crate::ports::{RowChange, WatchedTable};
 use crate::shared::Shared;
-use crate::watch::{Follower, LOST_PAUSE, refuse_row, row_name};
+use crate::watch::{Follower, LOST_PAUSE, row_name};
 
 /// Pause between two looks at what gateways have seen, at least.
 const PAUSE: Duration = Duration::from_millis(1_000);
@@ -33,7 +33,7 @@
                 let service = ServiceId::from(row_name(&row.key));
                 self.0.reading(&service, |known| known.adopt(told));
             }
-            Err(error) => refuse_row(&row.key, &error),
+            Err(error) => self.0.refuse_row(row, &error),
         }
     }
 }
--- a/crates/gateway/src/shared/mod.rs
+++ b/crates/gateway/src/shared/mod.rs
@@ -16,6 +16,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 
+use gorsebank_contract::TableRow;
 use gorsebank_coordination::Timestamp;
 use gorsebank_fleet::placement::StoreRecords;
 use gorsebank_fleet::split::Split;
@@ -36,8 +37,9 @@
 use crate::metrics::Metrics;
 use crate::orders;
 use crate::patience::Patience;
-use crate::ports::Platform;
+use crate::ports::{Platform, RowFault, UNREADABLE_VALUE};
 use crate::quarantine::SharedQuarantine;
+use crate::refused_rows::RefusedRows;
 use crate::relay::RelayedTable;
 use crate::settings::GatewaySettings;
 
@@ -62,6 +64,8 @@
     pub new_holder: Notify,
     /// What this gateway knows of the tables.
     pub feed: Feed,
+    /// Rows of tables that could not be used.
+    pub refused_rows: RefusedRows,
     /// Limits of tenants.
     pub allowance: Allowance,
     /// Requests that are kept away from back ends.
@@ -103,12 +107,12 @@
         Ok(Shared {
             settings,
             platform,
-            metrics,
             demand: Mutex::default(),
             urgent_demand: Notify::new(),
             new_holder: Notify::new(),
             feed: Feed::new(clock.clone()),
             clock,
+            refused_rows: RefusedRows::new(metrics.refused_rows.clone()),
             allowance: Allowance::default(),
             quarantine: SharedQuarantine::default(),
             demand_rows: DemandRows::default(),
@@ -130,6 +134,7 @@
             store_records: Mutex::new(None),
             lateness: Arc::default(),
             table,
+            metrics,
         })
     }
 
@@ -214,6 +219,17 @@
         true
     }
 
+    /// A row that gateways write for each other could not be read.
+    pub fn refuse_row(&self, row: &TableRow, error: &dyn std::fmt::Display) {
+        let fault = if row.value == UNREADABLE_VALUE {
+            RowFault::Bytes
+        } else {
+            RowFault::Shape
+        };
+        let rows = &self.refused_rows;
+        rows.refuse(&row.key, row.modified, fault, error);
+    }
+
     /// Reads the directory.
     pub fn directory<T>(&self, read: impl FnOnce(&Directory) -> T) -> T {
         read(&self.directory.read())
--- a/crates/gateway/src/shared/outcomes.rs
+++ b/crates/gateway/src/shared/outcomes.rs
@@ -8,7 +8,6 @@
 
 use gorsebank_fleet::Fingerprint;
 use gorsebank_fleet::quarantine::{BackEndHash, RunOutcome, Source, ToldOutcome};
-use gorsebank_world::BackEndId;
 
 use super::Shared;
 use crate::quarantine::QuarantineNews;
@@ -52,7 +51,7 @@
     }
 
     /// A back end ended under a request of this gateway.
-    pub fn note_end_under(&self, request: Fingerprint, back_end: &BackEndId) {
+    pub fn note_end_under(&self, request: Fingerprint, back_end: BackEndHash) {
         if self.quarantine.note_end(self.now(), request, back_end) {
             self.changed();
         }
@@ -66,7 +65,7 @@
         let now = self.now();
         for back_end in gone {
             for request in back_end.lost_before(now) {
-                self.note_end_under(request, &back_end.id);
+                self.note_end_under(request, back_end.life_hash);
             }
         }
     }
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -13,13 +13,14 @@
 use gorsebank_fleet::{BackEndReport, LeaseRow, PlacedRow};
 use gorsebank_world::BackEndId;
 use tokio::task::JoinHandle;
+use tokio::time::sleep;
 
 use crate::directory::Directory;
 use crate::feed::{Rhythm, TablePosition, Told, rhythms};
 use crate::holder;
 use crate::lines::{self, Rank};
 use crate::members::MemberFollower;
-use crate::ports::RowChange;
+use crate::ports::{ContentError, RowChange};
 use crate::reading_rows::ReadingFollower;
 use crate::shared::Shared;
 
@@ -34,6 +35,9 @@
     fn change(&mut self, change: RowChange);
 }
 
+/// How often rows of back ends whose clock may have been set back are looked at again.
+const SETTLE_PAUSE: Duration = Duration::from_secs(1);
+
 /// Follows the tables until the process ends.
 pub fn start(shared: &Arc<Shared>) -> Vec<JoinHandle<()>> {
     let tables = shared.platform.tables();
@@ -51,7 +55,7 @@
         ),
         (tables.lease, Box::new(LeaseFollower(shared.clone()))),
     ];
-    let mut tasks = Vec::new();
+    let mut tasks = vec![tokio::spawn(settle_back_ends(shared.clone()))];
     for rhythm in rhythms(&tables) {
         let index = followers
             .iter()
@@ -63,6 +67,19 @@
     tasks
 }
 
+/// Takes in rows of back ends that seemed to be older than what is known, once nothing has
+/// contradicted them for long enough.
+async fn settle_back_ends(shared: Arc<Shared>) {
+    loop {
+        sleep(SETTLE_PAUSE).await;
+        if shared.directory(Directory::is_unsettled) {
+            let now = shared.now();
+            shared.change_directory(|directory| directory.settle(now));
+            shared.note_gone_back_ends();
+        }
+    }
+}
+
 /// Tells a follower what is new of one table, until it is dropped.
 async fn follow_fed(shared: Arc<Shared>, rhythm: Rhythm, mut follower: Box<dyn Follower>) {
     let mut newest = shared.feed.subscribe(rhythm.table);
@@ -138,6 +155,13 @@
     }
 }
 
+impl BackEndFollower {
+    fn refuse(&self, row: &TableRow, error: &ContentError) {
+        let rows = &self.0.refused_rows;
+        rows.refuse(&row.key, row.modified, error.fault, error);
+    }
+}
+
 fn log_back_end(report: &BackEndReport, version: u64) {
     let fields = format_args!(
         "back_end={} draining={} models={:?} version={version}",
@@ -148,17 +172,20 @@
 
 impl Follower for BackEndFollower {
     fn replace(&mut self, rows: Vec<TableRow>) {
-        let mut reports = Vec::new();
+        let (mut reports, mut unreadable) = (Vec::new(), Vec::new());
         for row in rows {
             match self.0.platform.back_end(&row) {
                 Ok(report) => reports.push((report, row.modified)),
-                Err(error) => refuse_row(&row.key, &error),
+                Err(error) => {
+                    self.refuse(&row, &error);
+                    unreadable.push((BackEndId::from(row_name(&row.key)), row.modified));
+                }
             }
         }
         let count = reports.len();
         let now = self.0.now();
         self.0
-            .change_directory(|directory| directory.replace(now, reports));
+            .change_directory(|directory| directory.replace(now, reports, unreadable));
         self.0.note_gone_back_ends();
         self.0.note_back_ends_read();
         lines::write(
@@ -172,6 +199,7 @@
         match change {
             RowChange::Put(row) => match self.0.platform.back_end(&row) {
                 Ok(report) => {
+                    self.0.refused_rows.forget(&row.key);
                     if self.is_worth_a_line(&report) {
                         log_back_end(&report, row.modified);
                     }
@@ -179,10 +207,19 @@
                     self.0.change_directory(|directory| {
                         directory.put(now, report, row.modified);
                     });
+                    // It may have started again.
+                    self.0.note_gone_back_ends();
+                }
+                Err(error) => {
+                    self.refuse(&row, &error);
+                    let id = BackEndId::from(row_name(&row.key));
+                    self.0.change_directory(|directory| {
+                        directory.put_unreadable(&id, row.modified);
+                    });
                 }
-                Err(error) => refuse_row(&row.key, &error),
             },
             RowChange::Removed { key, version } => {
+                self.0.refused_rows.forget(&key);
                 let id = BackEndId::from(row_name(&key));
                 let fields = format_args!("back_end={id} version={version}");
                 lines::write(Rank::Decision, "back_end_gone", fields);
@@ -205,7 +242,7 @@
                     directory.put_placed(now, id, placed, row.modified);
                 });
             }
-            Err(error) => refuse_row(&row.key, &error),
+            Err(error) => self.0.refuse_row(row, &error),
         }
     }
 }
@@ -234,7 +271,7 @@
     fn take(&self, row: &TableRow) {
         match serde_json::from_str::<LeaseRow>(&row.value) {
             Ok(lease) => self.take_lease(row_name(&row.key), lease),
-            Err(error) => refuse_row(&row.key, &error),
+            Err(error) => self.0.refuse_row(row, &error),
         }
     }
 
@@ -263,9 +300,3 @@
 pub fn row_name(key: &str) -> &str {
     key.split_once('/').map_or(key, |(_, name)| name)
 }
-
-/// A line on a row that cannot be read.
-pub fn refuse_row(key: &str, error: &dyn std::fmt::Display) {
-    let fields = format_args!("row={key} error=\"{error}\"");
-    lines::write(Rank::Decision, "row_refused", fields);
-}
--- a/crates/gateway/tests/directory.rs
+++ b/crates/gateway/tests/directory.rs
@@ -3,7 +3,7 @@
 use std::collections::HashSet;
 
 use gorsebank_coordination::Timestamp;
-use gorsebank_fleet::{BackEndReport, quarantine};
+use gorsebank_fleet::{BackEndReport, Born, PlacedRow, quarantine};
 use gorsebank_gateway::directory::Directory;
 use gorsebank_world::{BackEndId, ModelId, ServiceId};
 
@@ -12,6 +12,7 @@
 fn engine(id: &str) -> BackEndReport {
     BackEndReport {
         id: id.into(),
+        born: None,
         service: "llm".into(),
         address: "127.0.0.1:1".parse().expect("an address"),
         zone: "hall".into(),
@@ -37,7 +38,7 @@
     };
     assert_eq!(ready(&directory).len(), 2);
 
-    let ended: HashSet<_> = [quarantine::hash(&"i-1".into())].into();
+    let ended: HashSet<_> = [quarantine::hash(&"i-1".into(), None)].into();
     directory.note_ended(NOW, &ended);
     assert_eq!(ready(&directory), [BackEndId::from("i-2")]);
     assert_eq!(directory.members(NOW, &service).len(), 1);
@@ -52,3 +53,108 @@
     assert!(directory.ended(later).is_empty());
     assert_eq!(directory.members(later, &service).len(), 3);
 }
+
+fn of_life(id: &str, born: u64) -> BackEndReport {
+    BackEndReport {
+        born: Some(Born(born)),
+        ..engine(id)
+    }
+}
+
+fn holds(directory: &Directory, model: &str) -> bool {
+    let places = directory.places(NOW, &"llm".into(), &model.into(), None);
+    !places.ready.is_empty()
+}
+
+#[test]
+fn the_next_life_of_a_back_end_begins_anew() {
+    let mut directory = Directory::new("hall".into());
+    let (service, id) = (ServiceId::from("llm"), BackEndId::from("i-1"));
+    directory.put(NOW, of_life("i-1", 1), 1);
+    let former = directory.back_end(&id).expect("a back end");
+    former.note_absent(NOW, &"m".into(), None);
+    let leaving = BackEndReport {
+        draining: true,
+        ..of_life("i-1", 1)
+    };
+    directory.put(NOW, leaving, 2);
+    assert!(!directory.is_active(&id));
+    assert!(directory.take_gone_unsaid().is_empty(), "it said so");
+
+    directory.put(NOW, of_life("i-1", 2), 3);
+    assert!(directory.is_active(&id));
+    assert!(holds(&directory, "m"));
+    assert_eq!(directory.members(NOW, &service).len(), 1);
+    let ended: HashSet<_> = [former.life_hash].into();
+    directory.note_ended(NOW, &ended);
+    assert!(
+        directory.ended(NOW).is_empty(),
+        "the end of the former life"
+    );
+
+    directory.put(NOW, of_life("i-1", 3), 4);
+    assert_eq!(
+        directory.take_gone_unsaid().len(),
+        1,
+        "it ended without a word"
+    );
+}
+
+#[test]
+fn what_the_holder_placed_in_a_former_life_is_not_there_in_the_next() {
+    let mut directory = Directory::new("hall".into());
+    let id = BackEndId::from("i-1");
+    let placed = |born: Option<Born>| PlacedRow {
+        born,
+        holdings: [(ModelId::from("placed"), Default::default())].into(),
+        unloading: Some("m".into()),
+        ..PlacedRow::default()
+    };
+    directory.put(NOW, of_life("i-1", 1), 1);
+    directory.put_placed(NOW, id.clone(), placed(Some(Born(1))), 2);
+    assert!(holds(&directory, "placed"));
+    directory.put(NOW, of_life("i-1", 2), 3);
+    assert!(!holds(&directory, "placed") && holds(&directory, "m"));
+    // A row of the former life that comes late, of a gateway that tells starts.
+    directory.put_placed(NOW, id.clone(), placed(Some(Born(1))), 4);
+    assert!(!holds(&directory, "placed") && holds(&directory, "m"));
+    // A newer one of a gateway that knows nothing of starts.
+    directory.put_placed(NOW, id.clone(), placed(None), 5);
+    assert!(holds(&directory, "placed") && !holds(&directory, "m"));
+    // The holder may hear of the next life before this gateway does.
+    directory.put_placed(NOW, id, placed(Some(Born(3))), 6);
+    directory.put(NOW, of_life("i-1", 3), 5);
+    assert!(holds(&directory, "placed"));
+}
+
+#[test]
+fn a_row_of_an_earlier_life_is_taken_in_when_nothing_contradicts_it() {
+    let mut directory = Directory::new("hall".into());
+    let id = BackEndId::from("i-1");
+    let born = |directory: &Directory| directory.back_end(&id).and_then(|it| it.born);
+    directory.put(NOW, of_life("i-1", 5), 1);
+    directory.put(NOW, of_life("i-1", 4), 2);
+    assert!(directory.is_unsettled());
+    directory.settle(NOW + 1_000);
+    assert_eq!(born(&directory), Some(Born(5)));
+    directory.settle(NOW + 6_000);
+    assert_eq!(born(&directory), Some(Born(4)));
+    assert!(!directory.is_unsettled());
+}
+
+#[test]
+fn a_back_end_whose_row_cannot_be_read_has_not_ended() {
+    let mut directory = Directory::new("hall".into());
+    let id = BackEndId::from("i-1");
+    directory.put(NOW, engine("i-1"), 1);
+    assert!(directory.put_unreadable(&id, 2));
+    assert!(!directory.is_active(&id) && !holds(&directory, "m"));
+    directory.put(NOW, engine("i-1"), 3);
+    assert!(directory.is_active(&id));
+    let unreadable = vec![(id.clone(), 4)];
+    directory.replace(NOW, Vec::new(), unreadable);
+    assert!(!directory.is_active(&id));
+    assert!(directory.take_gone_unsaid().is_empty());
+    directory.remove(&id);
+    assert!(directory.take_gone_unsaid().is_empty());
+}
