--- a/crates/gorsebank/tests/soak/gateways.rs
+++ b/crates/gorsebank/tests/soak/gateways.rs
@@ -3,7 +3,7 @@
 
 use std::fs::File;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::process::Stdio;
 use std::time::Duration;
 
@@ -20,6 +20,9 @@
 /// A process that was asked to stop ends its requests within this time, or is killed.
 pub const GRACE: Duration = Duration::from_secs(8);
 
+/// Names the program of an earlier build.
+const EARLIER_BUILD: &str = "GORSEBANK_SOAK_EARLIER";
+
 /// A gateway, now this process, then that.
 pub struct Slot {
     name: String,
@@ -40,6 +43,14 @@
     pub callers: SocketAddr,
 }
 
+/// The program of the process with this number. Every second process is of an earlier build, if
+/// one is given, so that both run side by side and take each other's places.
+fn program(number: usize) -> PathBuf {
+    let earlier = std::env::var_os(EARLIER_BUILD).map(PathBuf::from);
+    let earlier = earlier.filter(|_| number % 2 == 1);
+    earlier.unwrap_or_else(|| PathBuf::from(env!("CARGO_BIN_EXE_gorsebank")))
+}
+
 impl Slot {
     /// Starts a gateway that reaches the table through `wire`, and writes its lines to a
     /// file of its process in `logs`.
@@ -66,9 +77,8 @@
             readiness: address(),
             relay: Some(address()),
         };
-        let program = Path::new(env!("CARGO_BIN_EXE_gorsebank"));
         self.process = Some(GatewayProcess::start_at(
-            program,
+            &program(number),
             &place,
             self.output(number),
         ));
