A fleet that starts for the first time begins when most of it is known

Cause (lines of 22 gateways at a start of 985): each read the table of members 60 ms after its start, found 0 to 13 rows, and took these gateways for the roots of the whole fleet. Now each writes its own row first, and looks until the list has grown by less than a tenth. Gateways that are added later, or start again, begin at once as before.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod fingerprint;
 pub mod health;
 pub mod incarnation;
+pub mod joining;
 pub mod lease;
 pub mod ledger;
 pub mod member;
@@ -37,6 +38,7 @@
 pub use demand::{Demand, DemandRow, ModelDemand};
 pub use fingerprint::Fingerprint;
 pub use incarnation::{Born, Heard, Incarnation};
+pub use joining::Joining;
 pub use lease::{LeaseKeeper, LeaseRow, LeaseStep, Offer};
 pub use ledger::{Ledger, LimitBound, Taken};
 pub use member::MemberRow;
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use gorsebank_contract::{TableAnswer, TableRow, Transaction};
-use gorsebank_fleet::MemberRow;
+use gorsebank_fleet::{Joining, MemberRow};
 use tokio::time::sleep;
 
 use crate::backoff::Backoff;
@@ -26,6 +26,11 @@
 /// A gateway that finds no other one at its start looks again after this time: those that
 /// start together have written their rows by then.
 const SECOND_LOOK: Duration = Duration::from_millis(500);
+/// Time from a gateway's own row to its first look at those that start with it: rows of all that
+/// wrote in the same moment stand by then, unless there are hundreds.
+const FIRST_LOOK: Duration = Duration::from_millis(700);
+/// Pause between two such looks: in this time the table takes some 300 rows.
+const LOOK_PAUSE: Duration = Duration::from_millis(1_500);
 /// Those that start together write within this time: the table makes the writes of one
 /// part one after the other.
 const WRITE_SPREAD: Duration = Duration::from_millis(1_500);
@@ -51,6 +56,9 @@
 /// gateways then ask others, and not the table. One that finds none makes itself known
 /// first, and looks again.
 pub async fn join(shared: &Arc<Shared>) {
+    if shared.settings.starts_with_all {
+        return join_with_all(shared).await;
+    }
     if look(shared).await > 0 {
         return;
     }
@@ -60,6 +68,21 @@
     look(shared).await;
 }
 
+/// Makes this gateway known, and waits until most of those that start with it are.
+async fn join_with_all(shared: &Arc<Shared>) {
+    sleep(WRITE_SPREAD.mul_f64(rand::random::<f64>())).await;
+    write_own(shared).await;
+    let mut joining = Joining::default();
+    let mut pause = FIRST_LOOK;
+    loop {
+        sleep(pause.mul_f64(0.75 + 0.5 * rand::random::<f64>())).await;
+        if joining.has_settled(look(shared).await) {
+            return;
+        }
+        pause = LOOK_PAUSE;
+    }
+}
+
 /// Reads the table of members. Out: how many other gateways there are.
 async fn look(shared: &Arc<Shared>) -> usize {
     let table = shared.platform.tables().members;
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -26,6 +26,8 @@
     pub link_megabits: u32,
     /// Processor that this process has, in thousandths of a core; 0 if it is not known.
     pub millicores: u32,
+    /// Whether all gateways start together, for the first time.
+    pub starts_with_all: bool,
     /// Bounds that the deployment sets.
     pub bounds: Bounds,
 }
