--- a/crates/gateway/src/feed/filler.rs
+++ b/crates/gateway/src/feed/filler.rs
@@ -259,6 +259,9 @@
         let began = Instant::now();
         let candidates = self.shared.feed.parents.lock().candidates();
         for parent in candidates {
+            if parent.is_root && self.leaves_roots_alone() {
+                continue;
+            }
             if self.ask(parent).await {
                 // The next page is asked for at once.
                 if !self.shared.feed.cache(|cache| cache.is_reading()) {
@@ -415,12 +418,20 @@
         }
     }
 
-    /// Whether a parent lives that is itself waiting for news: it tries the table for all those
-    /// that ask it, while each of them would have to read all of it.
+    /// Whether this gateway knows nothing yet, as at a start of all, and a parent lives that is
+    /// itself waiting for news: it tries the table for all those that ask it, while each of them
+    /// would have to read all of it.
     fn waits_with_parent(&self) -> bool {
         let is_recent = |at: Instant| at.elapsed() < PARENT_LIVES;
         let has_parent = self.unfed_parent.is_some_and(is_recent);
-        has_parent && self.shared.possible_gateways() > FEW_GATEWAYS
+        let is_many = self.shared.possible_gateways() > FEW_GATEWAYS;
+        has_parent && is_many && !self.shared.has_read_back_ends()
+    }
+
+    /// Roots feed those that feed the others, and at a start not all others at once.
+    fn leaves_roots_alone(&self) -> bool {
+        let place = self.shared.feed.parents.lock().place();
+        place == Place::LeafOfMiddle && self.waits_with_parent()
     }
 
     /// All gateways that nobody feeds share a rate; those that others need do not wait.
--- a/crates/gateway/src/feed/page.rs
+++ b/crates/gateway/src/feed/page.rs
@@ -131,8 +131,8 @@
     }
 
     /// Adds a page that the table confirmed at this time since the machine started. Out: the
-    /// whole table, once this was its last page. A page that is older than the first one begins
-    /// anew.
+    /// whole table, once this was its last page. A page that is older than the first one is passed
+    /// over.
     ///
     /// # Errors
     ///
@@ -147,7 +147,7 @@
             self.next.version = page.version;
             self.confirmed = confirmed;
         } else if page.version < self.next.version {
-            *self = PartOfTable::default();
+            // Whoever told it is behind the one that told the first page, and will catch up.
             return Ok(None);
         }
         self.rows
--- a/crates/gateway/src/shared/mod.rs
+++ b/crates/gateway/src/shared/mod.rs
@@ -246,6 +246,11 @@
         self.back_ends_read.store(true, Ordering::Relaxed);
     }
 
+    /// Whether the back ends' table was read since the start.
+    pub fn has_read_back_ends(&self) -> bool {
+        self.back_ends_read.load(Ordering::Relaxed)
+    }
+
     /// Rings whenever configuration or directory change.
     pub fn subscribe(&self) -> watch::Receiver<u64> {
         self.changes.subscribe()
@@ -310,9 +315,7 @@
 
     /// Whether callers should be sent here.
     pub fn is_ready(&self) -> bool {
-        !self.is_stopping()
-            && self.back_ends_read.load(Ordering::Relaxed)
-            && self.configuration.read().is_some()
+        !self.is_stopping() && self.has_read_back_ends() && self.configuration.read().is_some()
     }
 
     fn changed(&self) {
