--- a/crates/gateway/src/feed/cache.rs
+++ b/crates/gateway/src/feed/cache.rs
@@ -151,9 +151,10 @@
         kept.map_or_else(PageAsk::default, |kept| kept.part.next().clone())
     }
 
-    /// Whether some pages of any table have come, and others are still to come.
-    pub fn is_reading(&self) -> bool {
-        self.tables.values().any(|kept| kept.part.is_begun())
+    /// Whether some pages of a table have come, and others are still to come.
+    pub fn is_reading(&self, table: &str) -> bool {
+        let kept = self.tables.get(table);
+        kept.is_some_and(|kept| kept.part.is_begun())
     }
 
     fn replace_packed(
@@ -319,8 +320,8 @@
 }
 
 impl CachedTable {
-    /// A page of the table. One that was told before is told again while it goes with the
-    /// asker's others, and while all changes since then are known.
+    /// A page of the table. One of several that was told before is told again while it goes with
+    /// the asker's others, and while all changes since then are known.
     fn page(&self, ask: &PageAsk) -> Option<Arc<TablePage>> {
         let rows = self.rows.as_ref()?;
         let oldest = self.since.max(ask.version);
@@ -336,7 +337,9 @@
         if ask.after.is_none() {
             told_pages.clear();
         }
-        told_pages.insert(ask.after.clone(), page.clone());
+        if ask.after.is_some() || page.next.is_some() {
+            told_pages.insert(ask.after.clone(), page.clone());
+        }
         Some(page)
     }
 
--- a/crates/gateway/src/feed/filler.rs
+++ b/crates/gateway/src/feed/filler.rs
@@ -240,6 +240,9 @@
     asked: HashMap<&'static str, Instant>,
     /// When the table itself was last tried.
     tried: Option<Instant>,
+    /// Whether the last answer brought a page that is not the last one of its table: the next
+    /// page is asked for at once.
+    has_more_to_read: bool,
     /// When a parent last answered that it has no fresh news either.
     unfed_parent: Option<Instant>,
 }
@@ -250,6 +253,7 @@
             shared,
             asked: HashMap::new(),
             tried: None,
+            has_more_to_read: false,
             unfed_parent: None,
         }
     }
@@ -263,8 +267,7 @@
                 continue;
             }
             if self.ask(parent).await {
-                // The next page is asked for at once.
-                if !self.shared.feed.cache(|cache| cache.is_reading()) {
+                if !self.has_more_to_read {
                     sleep_until(began + self.pause()).await;
                 }
                 return;
@@ -318,6 +321,10 @@
             }
             _ => false,
         };
+        self.has_more_to_read = self.shared.feed.cache(|cache| {
+            let mut asked = question.tables.iter();
+            asked.any(|position| cache.is_reading(&position.table))
+        });
         let result = if is_taken { "fed" } else { "feed_failed" };
         self.shared.table().count(result);
         let mut parents = self.shared.feed.parents.lock();
