--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod metrics;
 pub mod orders;
 pub mod patience;
+pub mod patient_calls;
 mod placed_rows;
 pub mod placement;
 pub mod plain;
--- a/crates/gateway/tests/table_pages.rs
+++ b/crates/gateway/tests/table_pages.rs
@@ -14,7 +14,7 @@
 fn row(number: usize, modified: u64) -> TableRow {
     let value = format!(
         "{{\"service\":\"llm\",\"addr\":\"10.1.{}.{}:8080\",\"zone\":\"hall-a\",\"version\":\"v1\",\
-         \"slots\":12,\"state\":\"ready\",\"coldLeftMs\":0,\"models\":[{{\"name\":\"m{}\",\
+         \"slots\":12,\"state\":\"ready\",\"rest\":0,\"models\":[{{\"name\":\"m{}\",\
          \"version\":1,\"adapters\":[]}}],\"seq\":{modified}}}",
         number / 250,
         number % 250,
