--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod retry_window;
 pub mod running;
 pub mod split;
+pub mod stated_limits;
 pub mod sweep;
 pub mod tenant;
 
@@ -47,5 +48,6 @@
 pub use reading::ReadingModel;
 pub use reading_row::{GapSample, ReadingRow, ReadingSample};
 pub use retry_window::{RetryShare, RetryWindow};
+pub use stated_limits::{StatedLimits, Statement};
 pub use sweep::Sweep;
 pub use tenant::{ApiKey, LimitUnit, Tenant, TenantEntry, TenantLimit, Tenants, TenantsError};
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -295,6 +295,11 @@
     if !belongs && !call.ticket.id.is_empty() {
         return failed(call, back_end, "foreign_answer");
     }
+    // Whoever is misdirected was answered by another back end.
+    if head.parts.status != StatusCode::MISDIRECTED_REQUEST {
+        let shared = &call.shared;
+        shared.note_statement(back_end, head.sent.elapsed(), marks.limit);
+    }
     if !marks.not_run {
         call.expose();
     }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -42,6 +42,8 @@
     pub lease_changes: IntCounterVec,
     /// Requests that are being served.
     pub open_requests: IntGauge,
+    /// Back ends that state a limit, as this gateway knows.
+    pub stated_limits: IntGauge,
     /// Log lines that were left out.
     pub lines_left_out: IntGauge,
     queue: Histogram,
@@ -67,6 +69,7 @@
             refused_rows: counters("gateway_refused_rows_total", "Refused rows", "reason")?,
             lease_changes: counters("gateway_lease_changes_total", "Lease changes", "kind")?,
             open_requests: IntGauge::new("gateway_open_requests", "Requests being served")?,
+            stated_limits: IntGauge::new("gateway_stated_limits", "Back ends that state a limit")?,
             lines_left_out: IntGauge::new("gateway_lines_left_out", "Log lines left out")?,
             queue: latency("gateway_queue_seconds", "Wait for a back end")?,
             connect: latency("gateway_connect_seconds", "Time to connect to a back end")?,
@@ -91,7 +94,12 @@
         for counter in counters {
             self.registry.register(Box::new(counter.clone()))?;
         }
-        for gauge in [&self.open_requests, &self.lines_left_out] {
+        let gauges = [
+            &self.open_requests,
+            &self.stated_limits,
+            &self.lines_left_out,
+        ];
+        for gauge in gauges {
             self.registry.register(Box::new(gauge.clone()))?;
         }
         for histogram in [&self.queue, &self.connect, &self.first_byte, &self.whole] {
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -9,7 +9,7 @@
 use futures_util::future::BoxFuture;
 use gorsebank_contract::{TableAnswer, TableRow, Transaction};
 use gorsebank_fleet::placement::{OrderKind, OrderResult};
-use gorsebank_fleet::{ApiKey, BackEndReport, Configuration, EngineReport, Prompt};
+use gorsebank_fleet::{ApiKey, BackEndReport, Configuration, EngineReport, Prompt, Statement};
 use gorsebank_world::{AdapterId, BackEndId, ModelId, NodeId, ZoneId};
 use http::{HeaderMap, Request, StatusCode};
 use serde::{Deserialize, Serialize};
@@ -56,6 +56,8 @@
     pub request_id: Option<String>,
     /// It says that the request was not run.
     pub not_run: bool,
+    /// How many requests the back end takes.
+    pub limit: Statement,
 }
 
 /// An order with the holder's generation.
--- a/crates/gateway/src/shared/mod.rs
+++ b/crates/gateway/src/shared/mod.rs
@@ -10,6 +10,7 @@
 mod outcomes;
 mod running;
 mod shares;
+mod stated_limits;
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
@@ -20,7 +21,9 @@
 use gorsebank_coordination::Timestamp;
 use gorsebank_fleet::placement::StoreRecords;
 use gorsebank_fleet::split::Split;
-use gorsebank_fleet::{Configuration, Demand, ReadingModel, ReadingSample, RetryWindow};
+use gorsebank_fleet::{
+    Configuration, Demand, ReadingModel, ReadingSample, RetryWindow, StatedLimits,
+};
 use gorsebank_world::ServiceId;
 use parking_lot::{Mutex, RwLock};
 use tokio::sync::{Notify, watch};
@@ -70,6 +73,8 @@
     pub allowance: Allowance,
     /// Requests that are kept away from back ends.
     pub quarantine: SharedQuarantine,
+    /// Limits that back ends state.
+    stated_limits: Mutex<StatedLimits>,
     /// What all gateways have told of their demand, while this one places models.
     pub demand_rows: DemandRows,
     /// How long orders to engines wait for their answers.
@@ -118,6 +123,7 @@
             refused_rows: RefusedRows::new(metrics.refused_rows.clone()),
             allowance: Allowance::default(),
             quarantine: SharedQuarantine::default(),
+            stated_limits: Mutex::default(),
             demand_rows: DemandRows::default(),
             order_patience: orders::patience(),
             configuration: RwLock::new(None),
--- a/crates/gorsebank/tests/wire_names.rs
+++ b/crates/gorsebank/tests/wire_names.rs
@@ -7,11 +7,12 @@
 use std::path::{Path, PathBuf};
 
 /// Names that only the platform's wire uses.
-const WIRE_NAMES: [&str; 66] = [
+const WIRE_NAMES: [&str; 67] = [
     "request-id",
     "deadline-ms",
     "prompt-prefix",
     "server-seal",
+    "server-limit",
     "expect-instance",
     "not-executed",
     "instance-id",
