Back ends that state a limit get no more than it from all gateways together

Cause: the word was read nowhere, and nothing counted what gateways send together to one back end. Its class: what an answer says of its back end ended with the answer, at one gateway.

The mend: a gateway takes the word from the answer's head and tells the others with the news of the tables (up, down, among roots). A request for a back end with a limit asks the gateway that places models for a time; times follow each other at the rate, lie a second ahead at most, and whoever takes over begins after that and an interval, so no change of holder adds any. Such a back end is left alone while others have free places, but for a request each 1.5 s that brings its newest word. Who finds no room in time is refused at once, with when there is some.

Also here: which port answers other gateways is the product's choice, not the platform folder's.

--- a/crates/fleet/src/choice.rs
+++ b/crates/fleet/src/choice.rs
@@ -51,6 +51,13 @@
     pub relative_pace: f64,
 }
 
+impl Candidate {
+    /// Whether it has no free slot: it queues, or turns away.
+    pub fn is_full(&self) -> bool {
+        self.slots > 0 && self.running >= self.slots
+    }
+}
+
 /// The expected cost of one more request.
 pub fn cost(candidate: &Candidate) -> f64 {
     let zone = if candidate.same_zone {
@@ -71,8 +78,11 @@
     let stall = 1.0 + STALL_WEIGHT * (candidate.stall - STALL_FROM).max(0.0);
     let failures = 1.0 + FAILURE_WEIGHT * candidate.failure_rate;
     let load = f64::from(candidate.running) + 1.0;
-    let is_full = candidate.slots > 0 && candidate.running >= candidate.slots;
-    let full = if is_full { FULL_FACTOR } else { 1.0 };
+    let full = if candidate.is_full() {
+        FULL_FACTOR
+    } else {
+        1.0
+    };
     let pace = candidate.relative_pace.powi(PACE_POWER);
     load * full * pace * zone * prompt * connect * stall * failures * candidate.relative_latency
 }
--- a/crates/fleet/src/stated_limits.rs
+++ b/crates/fleet/src/stated_limits.rs
@@ -1,7 +1,9 @@
 //! Limits that back ends in need state in their answers: requests a second that they take from
 //! all gateways together, for as long as they say so.
 //!
-//! In: what each answer says. Out: the limit in force at a back end.
+//! In: what each answer says, and what other gateways tell. Out: the limit in force at a back
+//! end, and what is to be told on. What is told counts by age, so no clock is compared between
+//! gateways.
 //!
 //! Answers on different connections pass each other, so an answer without a limit lifts one
 //! only if its request was sent after the limit was last stated.
@@ -9,9 +11,26 @@
 use std::collections::HashMap;
 
 use gorsebank_coordination::Timestamp;
+use serde::{Deserialize, Serialize};
 
 use crate::quarantine::BackEndHash;
 
+/// A word that nobody has repeated for so long, in milliseconds, is forgotten: the back end may
+/// be gone, and if it is not, its next answer says what holds.
+const MEMORY: u64 = 600_000;
+/// Words younger than this are told on, in milliseconds: back ends in use repeat theirs, and
+/// each round among gateways takes half a second.
+const TOLD_FOR: u64 = 10_000;
+/// Words that are told at most, the newest first: about 20 bytes each, to each gateway twice a
+/// second. Whoever is not told hears it with its own first answer.
+const MOST_TOLD: usize = 200;
+/// A back end with a limit is asked again after this time, in milliseconds, though others could
+/// take the request. Gateways tell each other of words within half of it, so few of them ask.
+const WORD_LIFETIME: u64 = 1_500;
+/// The same word told again counts as new only if it is so much younger, in milliseconds: each
+/// hop takes time, and a word must not grow younger by going round.
+const SAME_WORD: u64 = 500;
+
 /// What an answer says of the requests that its back end takes.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub enum Statement {
@@ -24,6 +43,22 @@
     Unreadable,
 }
 
+impl Statement {
+    /// Reads requests a second, as a decimal number.
+    pub fn parse(text: &[u8]) -> Self {
+        let text = std::str::from_utf8(text).ok();
+        let rate = text.and_then(|text| text.trim().parse().ok());
+        match rate.filter(|rate| is_rate(*rate)) {
+            Some(rate) => Statement::PerSecond(rate),
+            None => Statement::Unreadable,
+        }
+    }
+}
+
+fn is_rate(rate: f64) -> bool {
+    rate.is_finite() && rate >= 0.0
+}
+
 /// The newest word of a back end.
 #[derive(Clone, Copy, Debug, PartialEq)]
 struct Stated {
@@ -32,6 +67,20 @@
     at: Timestamp,
 }
 
+/// What one gateway tells another of a back end's limit.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ToldLimit {
+    /// The back end, in its present life.
+    #[serde(rename = "b")]
+    pub back_end: BackEndHash,
+    /// Requests a second; none if it has lifted its limit.
+    #[serde(rename = "r")]
+    pub rate: Option<f64>,
+    /// How long ago it said so, in milliseconds.
+    #[serde(rename = "a")]
+    pub age: u64,
+}
+
 /// The limits that this gateway knows of. Each life of a back end states its own.
 #[derive(Debug, Default)]
 pub struct StatedLimits {
@@ -49,14 +98,61 @@
         statement: Statement,
     ) -> bool {
         let known = self.stated.get(&back_end).copied();
-        let former = known.and_then(|known| known.rate);
         let rate = match statement {
             Statement::PerSecond(rate) => Some(rate),
             Statement::Unlimited if known.is_some_and(|known| known.at <= sent) => None,
             Statement::Unlimited | Statement::Unreadable => return false,
         };
-        self.stated.insert(back_end, Stated { rate, at: now });
-        rate != former
+        self.forget_old(now);
+        self.set(back_end, Stated { rate, at: now })
+    }
+
+    /// Another gateway tells what back ends said. Out: those whose limit is another one now.
+    pub fn take(&mut self, now: Timestamp, told: &[ToldLimit]) -> Vec<BackEndHash> {
+        let is_usable = |limit: &&ToldLimit| limit.age < MEMORY && limit.rate.is_none_or(is_rate);
+        let mut changed = Vec::new();
+        for limit in told.iter().filter(is_usable) {
+            let stated = Stated {
+                rate: limit.rate,
+                at: now - limit.age,
+            };
+            let is_news = self.stated.get(&limit.back_end).is_none_or(|known| {
+                let same = if known.rate == stated.rate {
+                    SAME_WORD
+                } else {
+                    0
+                };
+                stated.at > known.at + same
+            });
+            if is_news && self.set(limit.back_end, stated) {
+                changed.push(limit.back_end);
+            }
+        }
+        changed
+    }
+
+    /// What other gateways should know.
+    pub fn told(&self, now: Timestamp) -> Vec<ToldLimit> {
+        let stated = self.stated.iter().map(|(back_end, stated)| ToldLimit {
+            back_end: *back_end,
+            rate: stated.rate,
+            age: now.since(stated.at),
+        });
+        let mut told: Vec<ToldLimit> = stated.filter(|limit| limit.age < TOLD_FOR).collect();
+        told.sort_by_key(|limit| limit.age);
+        told.truncate(MOST_TOLD);
+        told
+    }
+
+    /// True if the limit is another one than before.
+    fn set(&mut self, back_end: BackEndHash, stated: Stated) -> bool {
+        let former = self.stated.insert(back_end, stated);
+        former.and_then(|former| former.rate) != stated.rate
+    }
+
+    fn forget_old(&mut self, now: Timestamp) {
+        self.stated
+            .retain(|_, stated| now.since(stated.at) < MEMORY);
     }
 
     /// Requests a second that a back end takes of all gateways together; none if it takes what
@@ -65,6 +161,13 @@
         self.stated.get(&back_end)?.rate
     }
 
+    /// Whether a back end that states a limit has said nothing for a while: only its answers can
+    /// tell that it takes more again.
+    pub fn needs_word(&self, now: Timestamp, back_end: BackEndHash) -> bool {
+        let stated = self.stated.get(&back_end);
+        stated.is_some_and(|stated| stated.rate.is_some() && now.since(stated.at) >= WORD_LIFETIME)
+    }
+
     /// Back ends that state a limit.
     pub fn count(&self) -> usize {
         let stated = self.stated.values();
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -11,10 +11,11 @@
 use gorsebank_coordination::Timestamp;
 use gorsebank_fleet::CopyTier;
 use gorsebank_world::{AdapterId, BackEndId, ModelId};
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::back_end::BackEnd;
-use crate::candidates::choose;
+use crate::back_end_limits::Reservation;
+use crate::candidates::{Chosen, any_without_limit, choose, time_to_room};
 use crate::failure::Failure;
 use crate::lines::{self, Rank};
 use crate::request::Call;
@@ -25,6 +26,8 @@
 const FIRST_EVENT: Duration = Duration::from_millis(300);
 /// Part of the objective within which a served request is in time.
 const IN_TIME_PART: f64 = 0.95;
+/// Part of the objective that an answer takes at most where objectives are short.
+const ANSWER_PART: f64 = 0.33;
 /// Part of the objective within which a refusal costs the caller little.
 const EARLY_PART: f64 = 0.22;
 /// Part of the objective that a wait for an adapter may take.
@@ -52,6 +55,9 @@
 enum Missing {
     /// Any back end of the service that can take it.
     BackEnd,
+    /// Room at the back ends that could: all of them state limits. There may be some after
+    /// this time.
+    Room(Duration),
     /// The adapter, where the model is loaded.
     Adapter,
     /// The model; a load is expected to end in this time.
@@ -77,9 +83,12 @@
             return Err(refuse_quarantined(call, left));
         }
         let missing = match pick(call, tried) {
-            Ok(back_end) => {
+            Ok(chosen) => {
+                if !may_send(call, &chosen).await {
+                    continue;
+                }
                 call.shared.metrics.queued(began.elapsed());
-                return Ok(back_end);
+                return Ok(chosen.back_end);
             }
             Err(missing) => missing,
         };
@@ -94,19 +103,38 @@
     }
 }
 
-/// Whether a back end that was not tried could take the request now.
+/// Waits until the chosen back end takes the request, if it states a limit. False if it has no
+/// room in time: the next turn looks again, and finds others, or when there is room.
+async fn may_send(call: &Call, chosen: &Chosen) -> bool {
+    let Some(rate) = chosen.rate else {
+        return true;
+    };
+    let most = longest_wait_for_room(call);
+    match call.shared.reserve(&chosen.back_end, rate, most).await {
+        Reservation::In(wait) => {
+            sleep(wait).await;
+            true
+        }
+        Reservation::NoRoom => false,
+    }
+}
+
+/// Whether a back end that was not tried could take the request now. One that states a limit is
+/// no reason to give another one up.
 pub fn has_alternative(call: &Call, tried: &[BackEndId]) -> bool {
     let now = call.shared.now();
-    matches!(eligible(call, now, tried), Ok(back_ends) if !back_ends.is_empty())
+    let back_ends = eligible(call, now, tried);
+    back_ends.is_ok_and(|back_ends| any_without_limit(call, &back_ends))
 }
 
 /// Until when a wait for what is missing is worth it; none if it is not.
 fn worth_waiting(call: &Call, missing: &Missing) -> Option<Instant> {
     let now = Instant::now();
     let objective = call.route.objective;
-    let give_up = call.arrived() + caller_patience(call).mul_f64(PATIENCE_PART);
-    let give_up = give_up.min(call.deadline());
+    let give_up = time_to_give_up(call);
     let until = match missing {
+        Missing::Room(wait) if *wait > longest_wait_for_room(call) => return None,
+        Missing::Room(wait) => now + *wait,
         _ if call.returning && !matches!(missing, Missing::Model(_)) => give_up,
         Missing::BackEnd => call.arrived() + objective.mul_f64(EARLY_PART),
         Missing::Adapter => call.arrived() + objective.mul_f64(ADAPTER_WAIT_PART),
@@ -119,6 +147,28 @@
     (now < until).then_some(until)
 }
 
+/// When the caller, or this gateway, gives the request up.
+fn time_to_give_up(call: &Call) -> Instant {
+    let give_up = call.arrived() + caller_patience(call).mul_f64(PATIENCE_PART);
+    give_up.min(call.deadline())
+}
+
+/// How long a request may wait for room at a back end that states a limit: as long as its answer
+/// comes in time, or, once a refusal would gain nothing, at all.
+fn longest_wait_for_room(call: &Call) -> Duration {
+    let now = Instant::now();
+    let objective = call.route.objective;
+    let answer_time = FIRST_EVENT.min(objective.mul_f64(ANSWER_PART));
+    let early = call.arrived() + objective.mul_f64(EARLY_PART);
+    let until = if now <= early && !call.returning {
+        call.arrived() + objective.mul_f64(IN_TIME_PART)
+    } else {
+        time_to_give_up(call)
+    };
+    let wait = until.saturating_duration_since(now + answer_time);
+    call.time_to_begin().map_or(wait, |left| wait.min(left))
+}
+
 /// A load that ends in time is waited for. One that is not yet ordered gets a
 /// moment; and once a refusal would gain nothing, a late answer is better.
 fn wait_for_load(
@@ -157,7 +207,7 @@
 /// Tells the placement holder what is missing.
 fn wish(call: &Call, missing: &Missing) {
     match missing {
-        Missing::BackEnd => {}
+        Missing::BackEnd | Missing::Room(_) => {}
         Missing::Adapter => note_wish(call, call.ticket.adapter.as_ref()),
         Missing::Model(_) => note_wish(call, None),
     }
@@ -177,6 +227,7 @@
 fn refuse(call: &Call, missing: &Missing) -> Failure {
     let (reason, pause) = match missing {
         Missing::BackEnd => ("no_back_end", LEAST_PAUSE),
+        Missing::Room(wait) => ("back_end_limit", LEAST_PAUSE.max(*wait)),
         Missing::Adapter => ("no_adapter", LEAST_PAUSE),
         Missing::Model(load) => ("no_model", load.time + LOAD_SLACK),
     };
@@ -203,6 +254,7 @@
         Missing::Model(_) => "model",
         Missing::Adapter => "adapter",
         Missing::BackEnd => "back_end",
+        Missing::Room(_) => "room",
     };
     let fields = format_args!(
         "request={} missing={what} {load} longest_ms={} objective_ms={} returning={} configuration={}",
@@ -224,6 +276,7 @@
             load.ordered,
             load.copy
         ),
+        Missing::Room(wait) => format!("expected_ms={} load_ordered=false", wait.as_millis()),
         Missing::Adapter | Missing::BackEnd => "expected_ms=0 load_ordered=false".to_owned(),
     }
 }
@@ -265,10 +318,11 @@
 }
 
 /// The best back end now.
-fn pick(call: &Call, tried: &[BackEndId]) -> Result<Arc<BackEnd>, Missing> {
+fn pick(call: &Call, tried: &[BackEndId]) -> Result<Chosen, Missing> {
     let now = call.shared.now();
     let back_ends = eligible(call, now, tried)?;
-    let chosen = choose(call, now, &back_ends).ok_or(Missing::BackEnd)?;
+    let chosen = choose(call, now, &back_ends)
+        .ok_or_else(|| Missing::Room(time_to_room(call, now, &back_ends)))?;
     if let Some(model) = &call.ticket.model {
         let adapter = call.ticket.adapter.as_ref();
         let mut demand = call.shared.demand.lock();
--- a/crates/gateway/src/allowance/message.rs
+++ b/crates/gateway/src/allowance/message.rs
@@ -1,6 +1,7 @@
 //! What gateways say to each other of limits.
 
 use gorsebank_coordination::Timestamp;
+use gorsebank_fleet::quarantine::BackEndHash;
 use gorsebank_world::TenantId;
 use serde::{Deserialize, Serialize};
 
@@ -36,6 +37,45 @@
     /// What is given back, of tenants of the same seat.
     #[serde(rename = "r", default)]
     pub returned: Vec<Returned>,
+    /// A time for a request to a back end is asked for, and nothing of a tenant.
+    #[serde(rename = "b", default, skip_serializing_if = "Option::is_none")]
+    pub slot: Option<SlotAsk>,
+}
+
+impl Ask {
+    /// A question that counts nothing: whoever holds the seat of no tenant answers it, too.
+    pub fn nothing() -> Self {
+        Ask {
+            seat: 0,
+            tenant: TenantId::from(""),
+            cost: 0.0,
+            returned: Vec::new(),
+            slot: None,
+        }
+    }
+
+    /// A question for a time at a back end. A gateway of an earlier build takes it for one of a
+    /// tenant without a name, and answers that it does not count there.
+    pub fn for_slot(slot: SlotAsk) -> Self {
+        Ask {
+            slot: Some(slot),
+            ..Ask::nothing()
+        }
+    }
+}
+
+/// A question for a time at which a request may be sent to a back end that states a limit.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct SlotAsk {
+    /// The back end, in its present life.
+    #[serde(rename = "h")]
+    pub back_end: BackEndHash,
+    /// Requests a second that it takes, as the asker knows.
+    #[serde(rename = "r")]
+    pub rate: f64,
+    /// How long the request can wait, in milliseconds.
+    #[serde(rename = "w")]
+    pub most_wait: u64,
 }
 
 /// The answer.
@@ -59,6 +99,12 @@
         /// Milliseconds.
         wait: u64,
     },
-    /// This gateway does not count for the tenant.
+    /// This gateway does not count for the tenant, or not for back ends.
     NotHere,
+    /// The request may be sent to the back end after so many milliseconds. Only a question for
+    /// that is answered so.
+    Reserved {
+        /// Milliseconds.
+        wait: u64,
+    },
 }
--- a/crates/gateway/src/allowance/mod.rs
+++ b/crates/gateway/src/allowance/mod.rs
@@ -34,7 +34,7 @@
 use tokio::time::{Instant, sleep};
 
 use denials::Denials;
-pub use message::{Ask, AskAnswer, Returned};
+pub use message::{Ask, AskAnswer, Returned, SlotAsk};
 
 /// Pause before another try, while nobody counts for a tenant or nobody answers.
 const RETRY_PAUSE: Duration = Duration::from_millis(60);
@@ -297,7 +297,8 @@
                 Some(AskAnswer::NotYet { wait }) => {
                     pause = pause.min(Duration::from_millis(wait));
                 }
-                Some(AskAnswer::NotHere) | None => {}
+                // A time at a back end is no answer to this.
+                Some(AskAnswer::NotHere | AskAnswer::Reserved { .. }) | None => {}
             }
         }
         match soonest {
@@ -324,6 +325,7 @@
             tenant: want.tenant.clone(),
             cost: want.cost,
             returned: std::mem::take(&mut self.seats[seat].lock().returns),
+            slot: None,
         };
         let answer = put(holder.clone(), ask).await;
         if answer.is_none() {
--- a/crates/gateway/src/candidates.rs
+++ b/crates/gateway/src/candidates.rs
@@ -5,6 +5,7 @@
 //! cheapest one, with a line that tells why.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use gorsebank_coordination::Timestamp;
 use gorsebank_fleet::ReadingModel;
@@ -17,14 +18,72 @@
 /// Latencies count between these bounds, against the mean of the peers.
 const LATENCY_BOUNDS: (f64, f64) = (0.5, 8.0);
 
-/// The cheapest of the back ends.
-pub fn choose(call: &Call, now: Timestamp, eligible: &[Arc<BackEnd>]) -> Option<Arc<BackEnd>> {
-    let candidates = candidates(call, now, eligible);
+/// The back end of a request.
+pub struct Chosen {
+    /// The back end.
+    pub back_end: Arc<BackEnd>,
+    /// The limit that it states, in requests a second of all gateways together: a time has to
+    /// be asked for first.
+    pub rate: Option<f64>,
+}
+
+/// A back end may have got room since it was looked at: it is looked at again after this time.
+const LEAST_WAIT_FOR_ROOM: Duration = Duration::from_millis(5);
+
+/// The cheapest of the back ends. One that states a limit is left alone while any other one has
+/// a free place, but for a request now and then that brings its newest word. None if those that
+/// are left have no room.
+pub fn choose(call: &Call, now: Timestamp, eligible: &[Arc<BackEnd>]) -> Option<Chosen> {
+    let limits = &call.shared.back_end_limits;
+    let (limited, free): (Vec<_>, Vec<_>) = eligible
+        .iter()
+        .cloned()
+        .partition(|back_end| limits.rate(back_end.life_hash).is_some());
+    let with_room = |back_end: &Arc<BackEnd>| limits.full_for(now, back_end.life_hash).is_none();
+    let limited: Vec<Arc<BackEnd>> = limited.into_iter().filter(with_room).collect();
+    let needs_word =
+        |back_end: &&Arc<BackEnd>| limits.known(|known| known.needs_word(now, back_end.life_hash));
+    let silent: Vec<Arc<BackEnd>> = limited.iter().filter(needs_word).cloned().collect();
+    let (chosen, candidate) = match cheapest_candidate(call, now, &free) {
+        Some((_, candidate)) if candidate.is_full() && !limited.is_empty() => {
+            cheapest_candidate(call, now, &limited)?
+        }
+        Some(_) if !silent.is_empty() => cheapest_candidate(call, now, &silent)?,
+        Some(chosen) => chosen,
+        None => cheapest_candidate(call, now, &limited)?,
+    };
+    log_choice(call, &chosen, eligible.len(), &candidate);
+    Some(Chosen {
+        rate: limits.rate(chosen.life_hash),
+        back_end: chosen,
+    })
+}
+
+/// Whether a back end that states no limit is among these.
+pub fn any_without_limit(call: &Call, back_ends: &[Arc<BackEnd>]) -> bool {
+    let limits = &call.shared.back_end_limits;
+    let is_free = |back_end: &Arc<BackEnd>| limits.rate(back_end.life_hash).is_none();
+    back_ends.iter().any(is_free)
+}
+
+/// After which time one of these, which all state limits, may have room.
+pub fn time_to_room(call: &Call, now: Timestamp, back_ends: &[Arc<BackEnd>]) -> Duration {
+    let limits = &call.shared.back_end_limits;
+    let times = back_ends
+        .iter()
+        .map(|back_end| limits.full_for(now, back_end.life_hash).unwrap_or_default());
+    times.min().unwrap_or_default().max(LEAST_WAIT_FOR_ROOM)
+}
+
+fn cheapest_candidate(
+    call: &Call,
+    now: Timestamp,
+    back_ends: &[Arc<BackEnd>],
+) -> Option<(Arc<BackEnd>, Candidate)> {
+    let candidates = candidates(call, now, back_ends);
     let most = most_compared(call.shared.possible_gateways());
     let index = cheapest_of(most, &candidates, &mut rand::rng())?;
-    let chosen = eligible[index].clone();
-    log_choice(call, &chosen, candidates.len(), &candidates[index]);
-    Some(chosen)
+    Some((back_ends[index].clone(), candidates[index]))
 }
 
 fn candidates(call: &Call, now: Timestamp, back_ends: &[Arc<BackEnd>]) -> Vec<Candidate> {
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -297,6 +297,13 @@
         Some(self.entries.get(id)?.back_end.clone())
     }
 
+    /// A back end by its present life.
+    pub fn by_life(&self, life: BackEndHash) -> Option<Arc<BackEnd>> {
+        let mut entries = self.entries.values();
+        let entry = entries.find(|entry| entry.back_end.life_hash == life)?;
+        Some(entry.back_end.clone())
+    }
+
     /// Back ends whose process ended while requests were there, and whose row still stands.
     pub fn ended(&self, now: Timestamp) -> BTreeSet<BackEndId> {
         let entries = self.entries.values();
--- a/crates/gateway/src/feed/filler.rs
+++ b/crates/gateway/src/feed/filler.rs
@@ -132,15 +132,17 @@
         from: shared.settings.node.clone(),
         running: Counts::new(),
         quarantine: shared.quarantine.heard(fellow),
+        limits: shared.told_limits(),
     };
     let client = shared.table().client();
     let request = RelayRequest::News(question);
     let limit = FEED_WAIT + ANSWER_TIMEOUT;
     // One that does not answer is asked again in the next turn.
-    if let Some(RelayAnswer::News(answer)) = client.call(fellow, &request, limit).await
-        && let Some(news) = &answer.quarantine
-    {
-        shared.note_quarantine_news(fellow, news);
+    if let Some(RelayAnswer::News(answer)) = client.call(fellow, &request, limit).await {
+        shared.note_told_limits(&answer.limits);
+        if let Some(news) = &answer.quarantine {
+            shared.note_quarantine_news(fellow, news);
+        }
     }
 }
 
@@ -313,6 +315,7 @@
                 if let Some(news) = &answer.quarantine {
                     self.shared.note_quarantine_news(parent.address, news);
                 }
+                self.shared.note_told_limits(&answer.limits);
                 if let Some(sums) = &answer.running {
                     let now = self.shared.now();
                     self.shared.feed.running.lock().note_sums(now, sums, &own);
@@ -366,6 +369,7 @@
                 .lock()
                 .below(self.shared.now(), own),
             quarantine: self.shared.quarantine.heard(parent.address),
+            limits: self.shared.told_limits(),
         }
     }
 
--- a/crates/gateway/src/feed/message.rs
+++ b/crates/gateway/src/feed/message.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use gorsebank_fleet::ToldLimit;
 use gorsebank_fleet::quarantine::Position;
 use gorsebank_fleet::running::Counts;
 use gorsebank_world::NodeId;
@@ -34,7 +35,7 @@
 }
 
 /// A question for news of tables, all in one message.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct FeedQuestion {
     /// The tables, the most urgent first.
     pub tables: Vec<TablePosition>,
@@ -48,6 +49,9 @@
     /// none if it knows nothing, as one of an older version.
     #[serde(default)]
     pub quarantine: Option<Position>,
+    /// Limits that back ends state, as the asker knows.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub limits: Vec<ToldLimit>,
 }
 
 /// News of one table.
@@ -90,7 +94,7 @@
 }
 
 /// Answer to a [`FeedQuestion`]; a table that is not known is left out.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct FeedAnswer {
     /// News of the tables that were asked for.
     pub tables: Vec<TableNews>,
@@ -103,4 +107,7 @@
     /// Requests under which back ends ended; none from a gateway of an older version.
     #[serde(default)]
     pub quarantine: Option<QuarantineNews>,
+    /// Limits that back ends state, as the teller knows.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub limits: Vec<ToldLimit>,
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,7 +7,8 @@
 //! connections, [`request`] reads one request and finds its route, `tenancy` finds its tenant
 //! and has it counted by [`allowance`],
 //! [`admission`] waits for a back end or refuses, [`candidates`] chooses
-//! between several, [`attempt`] sends once,
+//! between several, [`back_end_limits`] keeps to what those in need say they take, [`attempt`]
+//! sends once,
 //! [`plain`] and [`stream`] turn attempts into one answer. Beside them
 //! [`feed`] learns what is new of the tables, from the table or from other gateways, and
 //! [`watch`] takes it in; [`members`] makes this gateway known, [`demand_teller`] tells
@@ -20,6 +21,7 @@
 pub mod attempt;
 pub mod attempts;
 pub mod back_end;
+pub mod back_end_limits;
 pub mod backoff;
 pub mod candidates;
 pub mod clock;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -32,6 +32,8 @@
     tenants: Mutex<BTreeSet<String>>,
     /// Sends to back ends, by result.
     pub attempts: IntCounterVec,
+    /// Questions for times at back ends that state a limit, by result.
+    pub reservations: IntCounterVec,
     /// Orders to engines, by result.
     pub orders: IntCounterVec,
     /// Calls of the table, by result.
@@ -64,6 +66,11 @@
             )?,
             tenants: Mutex::default(),
             attempts: counters("gateway_attempts_total", "Sends by result", "result")?,
+            reservations: counters(
+                "gateway_reservations_total",
+                "Questions for times at limited back ends",
+                "result",
+            )?,
             orders: counters("gateway_orders_total", "Orders by result", "result")?,
             table_calls: counters("gateway_table_calls_total", "Table calls", "result")?,
             refused_rows: counters("gateway_refused_rows_total", "Refused rows", "reason")?,
@@ -86,6 +93,7 @@
             &self.requests,
             &self.tenant_requests,
             &self.attempts,
+            &self.reservations,
             &self.orders,
             &self.table_calls,
             &self.refused_rows,
--- a/crates/gateway/src/relay/message.rs
+++ b/crates/gateway/src/relay/message.rs
@@ -81,7 +81,7 @@
 }
 
 /// The answer to a [`RelayRequest`].
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum RelayAnswer {
     /// To a read.
     Rows(TableSnapshot),
--- a/crates/gateway/src/relay/server.rs
+++ b/crates/gateway/src/relay/server.rs
@@ -87,6 +87,7 @@
     let (from, now) = (question.from.as_str(), shared.now());
     let counts = question.running.clone();
     shared.feed.running.lock().note_fed(now, from, counts);
+    shared.note_told_limits(&question.limits);
     let arrived = shared.clock.since_boot();
     let tables = shared.feed.news(&question, &shared.quarantine).await;
     let held = shared.clock.since_boot().saturating_sub(arrived);
@@ -97,6 +98,7 @@
         held: held.as_millis() as u64,
         running,
         quarantine: Some(quarantine),
+        limits: shared.told_limits(),
     }
 }
 
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -77,3 +77,16 @@
     /// Writing calls of the table a second, of all gateways together.
     pub table_writes: f64,
 }
+
+/// Where a gateway answers others: the first of the ports from the first to the last one that are
+/// free for that, but for the one of its figures. None if there is none.
+pub fn relay_address(
+    address: IpAddr,
+    ports: Option<(u16, u16)>,
+    metrics: Option<&MetricsAddress>,
+) -> Option<SocketAddr> {
+    let (first, last) = ports?;
+    let taken = metrics.map(|metrics| metrics.listen.port());
+    let port = (first..=last).find(|port| Some(*port) != taken)?;
+    Some(SocketAddr::new(address, port))
+}
--- /dev/null
+++ b/crates/gateway/src/shared/back_end_limits.rs
@@ -0,0 +1,104 @@
+//! Limits that back ends state: learned from answers and from other gateways, and this
+//! gateway's way to whoever gives out times at such back ends.
+
+use std::fmt;
+use std::time::Duration;
+
+use gorsebank_fleet::quarantine::BackEndHash;
+use gorsebank_fleet::{Statement, ToldLimit};
+
+use super::Shared;
+use crate::allowance::{Ask, SlotAsk};
+use crate::back_end::BackEnd;
+use crate::back_end_limits::Reservation;
+use crate::directory::Directory;
+use crate::lines::{self, Rank};
+
+impl Shared {
+    /// A back end's answer to a request that was sent so long ago says how many requests it
+    /// takes.
+    pub fn note_statement(&self, back_end: &BackEnd, since_sent: Duration, statement: Statement) {
+        if matches!(statement, Statement::Unreadable) {
+            let fields = format_args!("back_end={} reason=no_number", back_end.id);
+            lines::write(Rank::Decision, "back_end_limit_refused", fields);
+        }
+        let now = self.now();
+        let sent = now - since_sent.as_millis() as u64;
+        let life = back_end.life_hash;
+        let note =
+            |known: &mut gorsebank_fleet::StatedLimits| known.note(now, sent, life, statement);
+        if self.back_end_limits.known(note) {
+            self.note_limits_changed(&[life], "answer");
+        }
+    }
+
+    /// Another gateway tells of limits.
+    pub fn note_told_limits(&self, told: &[ToldLimit]) {
+        if told.is_empty() {
+            return;
+        }
+        let now = self.now();
+        let changed = self.back_end_limits.known(|known| known.take(now, told));
+        if !changed.is_empty() {
+            self.note_limits_changed(&changed, "gateway");
+        }
+    }
+
+    /// What other gateways should know of limits.
+    pub fn told_limits(&self) -> Vec<ToldLimit> {
+        let now = self.now();
+        self.back_end_limits.known(|known| known.told(now))
+    }
+
+    /// Asks for a time at a back end that takes so many requests a second, for a request that
+    /// can wait so long.
+    pub async fn reserve(&self, back_end: &BackEnd, rate: f64, most_wait: Duration) -> Reservation {
+        let ask = Ask::for_slot(SlotAsk {
+            back_end: back_end.life_hash,
+            rate,
+            most_wait: most_wait.as_millis() as u64,
+        });
+        let answer = match self.holder() {
+            Some(holder) => self.put(holder, ask).await,
+            None => None,
+        };
+        let life = back_end.life_hash;
+        let reservation = self.back_end_limits.take_answer(self.now(), life, answer);
+        let result = match (reservation, answer) {
+            (Reservation::In(_), _) => "reserved",
+            (Reservation::NoRoom, Some(_)) => "no_room",
+            (Reservation::NoRoom, None) => "no_answer",
+        };
+        let metrics = &self.metrics;
+        metrics.reservations.with_label_values(&[result]).inc();
+        reservation
+    }
+
+    fn note_limits_changed(&self, changed: &[BackEndHash], source: &str) {
+        for life in changed {
+            let back_end = self.directory(|directory: &Directory| directory.by_life(*life));
+            let fields = format_args!(
+                "back_end={} requests_per_second={} source={source} running={}",
+                back_end.as_ref().map_or("-", |it| it.id.as_str()),
+                OrNone(self.back_end_limits.rate(*life)),
+                back_end.as_ref().map_or(0, |it| it.in_flight()),
+            );
+            lines::write(Rank::Decision, "back_end_limit", fields);
+        }
+        let count = self.back_end_limits.known(|known| known.count());
+        self.metrics.stated_limits.set(count as i64);
+        self.changed();
+    }
+}
+
+/// A rate for a line, or a dash.
+struct OrNone(Option<f64>);
+
+impl fmt::Display for OrNone {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.0 {
+            Some(rate) => write!(formatter, "{rate}"),
+            None => formatter.write_str("-"),
+        }
+    }
+}
--- a/crates/gateway/src/shared/gateways.rs
+++ b/crates/gateway/src/shared/gateways.rs
@@ -46,9 +46,11 @@
         if members.holder == holder {
             return;
         }
+        let counts = holder.as_ref() == Some(&self.settings.node);
         members.holder = holder;
         self.place_in_feed(&members);
         drop(members);
+        self.back_end_limits.set_counting(self.now(), counts);
         self.new_holder.notify_one();
     }
 
@@ -61,11 +63,15 @@
         }
     }
 
+    /// The gateway that places models, as the lease says.
+    pub fn holder(&self) -> Option<NodeId> {
+        self.members.lock().holder.clone()
+    }
+
     /// Where the gateway that places models answers; none if there is none, or if it is
     /// not known.
     pub fn holder_address(&self) -> Option<SocketAddr> {
-        let holder = self.members.lock().holder.clone()?;
-        self.address_of(&holder)
+        self.address_of(&self.holder()?)
     }
 
     /// Where a gateway answers others; none if that is not known.
--- a/crates/gateway/src/shared/limits.rs
+++ b/crates/gateway/src/shared/limits.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use gorsebank_world::{NodeId, TenantId};
+use gorsebank_world::NodeId;
 use tokio::time::Instant;
 
 use super::Shared;
@@ -21,7 +21,8 @@
         self.allowance.obtain(want, until, put).await
     }
 
-    async fn put(&self, holder: NodeId, ask: Ask) -> Option<AskAnswer> {
+    /// Asks another gateway, or this one; none if there was no answer in time.
+    pub(super) async fn put(&self, holder: NodeId, ask: Ask) -> Option<AskAnswer> {
         if holder == self.settings.node {
             return Some(self.answer_ask(&ask));
         }
@@ -37,17 +38,14 @@
     /// Whether another gateway answers questions on limits now: it is asked one that counts
     /// nothing, whatever it holds.
     pub async fn answers_for_limits(&self, gateway: &NodeId) -> bool {
-        let nothing = Ask {
-            seat: 0,
-            tenant: TenantId::from(""),
-            cost: 0.0,
-            returned: Vec::new(),
-        };
-        self.put(gateway.clone(), nothing).await.is_some()
+        self.put(gateway.clone(), Ask::nothing()).await.is_some()
     }
 
-    /// What this gateway, which may count for the tenant, says.
+    /// What this gateway, which may count for the tenant or give out times, says.
     pub fn answer_ask(&self, ask: &Ask) -> AskAnswer {
+        if let Some(slot) = &ask.slot {
+            return self.back_end_limits.answer(self.now(), slot);
+        }
         let configuration = self.configuration();
         self.allowance
             .answer(self.now(), ask, configuration.as_deref())
--- a/crates/gateway/src/shared/mod.rs
+++ b/crates/gateway/src/shared/mod.rs
@@ -5,12 +5,12 @@
 //! `feed.parents`, then any other.
 //! No lock is held over an await.
 
+mod back_end_limits;
 mod gateways;
 mod limits;
 mod outcomes;
 mod running;
 mod shares;
-mod stated_limits;
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
@@ -21,9 +21,7 @@
 use gorsebank_coordination::Timestamp;
 use gorsebank_fleet::placement::StoreRecords;
 use gorsebank_fleet::split::Split;
-use gorsebank_fleet::{
-    Configuration, Demand, ReadingModel, ReadingSample, RetryWindow, StatedLimits,
-};
+use gorsebank_fleet::{Configuration, Demand, ReadingModel, ReadingSample, RetryWindow};
 use gorsebank_world::ServiceId;
 use parking_lot::{Mutex, RwLock};
 use tokio::sync::{Notify, watch};
@@ -32,6 +30,7 @@
 pub use shares::RetryGrant;
 
 use crate::allowance::Allowance;
+use crate::back_end_limits::BackEndLimits;
 use crate::clock::Clock;
 use crate::demand_rows::DemandRows;
 use crate::directory::Directory;
@@ -74,7 +73,7 @@
     /// Requests that are kept away from back ends.
     pub quarantine: SharedQuarantine,
     /// Limits that back ends state.
-    stated_limits: Mutex<StatedLimits>,
+    pub back_end_limits: BackEndLimits,
     /// What all gateways have told of their demand, while this one places models.
     pub demand_rows: DemandRows,
     /// How long orders to engines wait for their answers.
@@ -123,7 +122,7 @@
             refused_rows: RefusedRows::new(metrics.refused_rows.clone()),
             allowance: Allowance::default(),
             quarantine: SharedQuarantine::default(),
-            stated_limits: Mutex::default(),
+            back_end_limits: BackEndLimits::default(),
             demand_rows: DemandRows::default(),
             order_patience: orders::patience(),
             configuration: RwLock::new(None),
