Models and adapters of back ends that state a limit are brought to others

Cause: the placement holder counted such a back end as a whole replica, and requests for an adapter looked at nobody but those that hold it. Now a limited back end is a replica only of models that nobody else has, and only if it takes all that is asked of these; nothing new is loaded there while others are; an adapter is asked for where its model has room.

--- a/crates/fleet/src/placement/adapters.rs
+++ b/crates/fleet/src/placement/adapters.rs
@@ -65,6 +65,10 @@
     }
     let holders = engines.iter_mut().filter(|engine| engine.keeps(model));
     let mut holders: Vec<&mut &mut EngineState> = holders.collect();
+    // An adapter at an engine that states a limit is out of reach for most requests.
+    if holders.iter().any(|engine| engine.limit().is_none()) {
+        holders.retain(|engine| engine.limit().is_none());
+    }
     if holders
         .iter()
         .any(|engine| engine.has_adapter(model, adapter))
--- a/crates/fleet/src/placement/engine/mod.rs
+++ b/crates/fleet/src/placement/engine/mod.rs
@@ -70,6 +70,8 @@
     suspected: bool,
     heard: Timestamp,
     changed: Option<Timestamp>,
+    /// Requests a second that it takes, if it states a limit.
+    limit: Option<f64>,
 }
 
 impl EngineState {
@@ -91,6 +93,7 @@
             suspected: false,
             heard: now,
             changed: None,
+            limit: None,
         }
     }
 
@@ -186,6 +189,16 @@
         }
     }
 
+    /// It states this limit, in requests a second, or none.
+    pub fn set_limit(&mut self, limit: Option<f64>) {
+        self.limit = limit;
+    }
+
+    /// Requests a second that it takes, if it states a limit.
+    pub fn limit(&self) -> Option<f64> {
+        self.limit
+    }
+
     /// Whether it answers, holds the model and goes on holding it.
     pub fn keeps(&self, model: &ModelId) -> bool {
         !self.suspected && self.holds(model)
--- a/crates/fleet/src/placement/goals.rs
+++ b/crates/fleet/src/placement/goals.rs
@@ -60,14 +60,31 @@
 struct Replicas(BTreeMap<ModelId, usize>);
 
 impl Replicas {
-    fn count(engines: &[&mut EngineState]) -> Self {
-        let mut counts = BTreeMap::new();
-        for engine in engines {
-            for model in engine.holdings().keys().filter(|model| engine.keeps(model)) {
-                *counts.entry(model.clone()).or_default() += 1;
+    /// An engine that states a limit has a replica of a model only if no engine without one has,
+    /// and if it takes all that is asked of such models of it. Otherwise requests for them would
+    /// be turned away while other engines have room.
+    fn count(totals: &Totals, engines: &[&mut EngineState]) -> Self {
+        let mut replicas = Replicas(BTreeMap::new());
+        let (limited, others): (Vec<_>, Vec<_>) =
+            engines.iter().partition(|engine| engine.limit().is_some());
+        for engine in others {
+            kept(engine).for_each(|model| replicas.add(model));
+        }
+        let mut sufficient = Vec::new();
+        for engine in limited {
+            let alone = kept(engine).filter(|model| replicas.of(model) == 0);
+            let alone: Vec<&ModelId> = alone.collect();
+            let asked: f64 = alone.iter().map(|model| totals.rate(model)).sum();
+            if engine.limit().is_some_and(|limit| asked <= limit) {
+                sufficient.extend(alone);
             }
         }
-        Replicas(counts)
+        sufficient.into_iter().for_each(|model| replicas.add(model));
+        replicas
+    }
+
+    fn add(&mut self, model: &ModelId) {
+        *self.0.entry(model.clone()).or_default() += 1;
     }
 
     fn of(&self, model: &ModelId) -> usize {
@@ -75,6 +92,12 @@
     }
 }
 
+/// Models that an engine holds and goes on holding.
+fn kept(engine: &EngineState) -> impl Iterator<Item = &ModelId> {
+    let models = engine.holdings().keys();
+    models.filter(|model| engine.keeps(model))
+}
+
 /// Why a model that is wanted is not loaded now.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Obstacle {
@@ -139,7 +162,7 @@
         totals,
         forecast,
         store,
-        replicas: Replicas::count(engines),
+        replicas: Replicas::count(totals, engines),
     };
     let mut unmet = Vec::new();
     let mut from_store = view.may_use_store(engines);
@@ -257,7 +280,11 @@
         if self.store.puts_off(self.now, &wish.model) {
             return Err(Obstacle::EndsEngines);
         }
-        let is_free = |engine: &EngineState| engine.is_free() && !engine.keeps(&wish.model);
+        let all_limited = engines.iter().all(|engine| engine.limit().is_some());
+        let is_free = |engine: &EngineState| {
+            let takes_more = all_limited || engine.limit().is_none();
+            takes_more && engine.is_free() && !engine.keeps(&wish.model)
+        };
         if !engines.iter().any(|engine| is_free(engine)) {
             return Err(Obstacle::NoFreeEngine);
         }
--- a/crates/fleet/src/placement/mod.rs
+++ b/crates/fleet/src/placement/mod.rs
@@ -176,6 +176,13 @@
         }
     }
 
+    /// Engines that state limits, with the requests a second that each takes, and no others.
+    pub fn set_limits(&mut self, limits: &BTreeMap<BackEndId, f64>) {
+        for (id, engine) in &mut self.engines {
+            engine.set_limit(limits.get(id).copied());
+        }
+    }
+
     /// An engine has started again under its name: it holds nothing that was ordered before,
     /// and a load that was under way there has ended with its process.
     fn begin_life(&mut self, now: Timestamp, report: BackEndReport) {
--- a/crates/fleet/src/placement/totals.rs
+++ b/crates/fleet/src/placement/totals.rs
@@ -54,6 +54,11 @@
         })
     }
 
+    /// Requests a second for a model.
+    pub fn rate(&self, model: &ModelId) -> f64 {
+        self.models.get(model).map_or(0.0, |demand| demand.rate)
+    }
+
     /// Requests that run on a model.
     pub fn running(&self, model: &ModelId) -> u32 {
         self.models.get(model).map_or(0, |demand| demand.running)
--- a/crates/fleet/src/stated_limits.rs
+++ b/crates/fleet/src/stated_limits.rs
@@ -168,9 +168,16 @@
         stated.is_some_and(|stated| stated.rate.is_some() && now.since(stated.at) >= WORD_LIFETIME)
     }
 
-    /// Back ends that state a limit.
+    /// Back ends that state a limit, with the requests a second that each takes.
+    pub fn in_force(&self) -> HashMap<BackEndHash, f64> {
+        let stated = self.stated.iter();
+        stated
+            .filter_map(|(back_end, stated)| Some((*back_end, stated.rate?)))
+            .collect()
+    }
+
+    /// How many back ends state a limit.
     pub fn count(&self) -> usize {
-        let stated = self.stated.values();
-        stated.filter(|stated| stated.rate.is_some()).count()
+        self.in_force().len()
     }
 }
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -109,7 +109,11 @@
     let Some(rate) = chosen.rate else {
         return true;
     };
-    let most = longest_wait_for_room(call);
+    let most = if chosen.has_alternative {
+        Duration::ZERO
+    } else {
+        longest_wait_for_room(call)
+    };
     match call.shared.reserve(&chosen.back_end, rate, most).await {
         Reservation::In(wait) => {
             sleep(wait).await;
@@ -207,9 +211,9 @@
 /// Tells the placement holder what is missing.
 fn wish(call: &Call, missing: &Missing) {
     match missing {
-        Missing::BackEnd | Missing::Room(_) => {}
+        Missing::BackEnd => {}
         Missing::Adapter => note_wish(call, call.ticket.adapter.as_ref()),
-        Missing::Model(_) => note_wish(call, None),
+        Missing::Model(_) | Missing::Room(_) => note_wish(call, None),
     }
 }
 
@@ -321,8 +325,7 @@
 fn pick(call: &Call, tried: &[BackEndId]) -> Result<Chosen, Missing> {
     let now = call.shared.now();
     let back_ends = eligible(call, now, tried)?;
-    let chosen = choose(call, now, &back_ends)
-        .ok_or_else(|| Missing::Room(time_to_room(call, now, &back_ends)))?;
+    let chosen = choose(call, now, &back_ends).ok_or_else(|| no_room(call, now, &back_ends))?;
     if let Some(model) = &call.ticket.model {
         let adapter = call.ticket.adapter.as_ref();
         let mut demand = call.shared.demand.lock();
@@ -331,6 +334,24 @@
     Ok(chosen)
 }
 
+/// All back ends that could take the request state limits and have no room. An adapter is soon
+/// brought to one that holds the model and has room; a model takes longer than a time at one of
+/// these mostly does.
+fn no_room(call: &Call, now: Timestamp, back_ends: &[Arc<BackEnd>]) -> Missing {
+    let adapter = call.ticket.adapter.as_ref();
+    let (Some(model), Some(adapter)) = (needed_model(call), adapter) else {
+        return Missing::Room(time_to_room(call, now, back_ends));
+    };
+    let places = call
+        .shared
+        .directory(|directory| directory.places(now, &call.service, model, Some(adapter)));
+    if any_without_limit(call, &places.without_adapter) {
+        Missing::Adapter
+    } else {
+        Missing::Room(time_to_room(call, now, back_ends))
+    }
+}
+
 /// Back ends that could take the request now and were not tried; never empty.
 /// Those that do not answer are among them only if there are no others.
 fn eligible(
@@ -352,7 +373,7 @@
     if let Some(back_ends) = answering(now, places.ready, tried) {
         return Ok(back_ends);
     }
-    if places.without_adapter > 0 {
+    if !places.without_adapter.is_empty() {
         return Err(Missing::Adapter);
     }
     let load = match places.loading_until {
--- a/crates/gateway/src/candidates.rs
+++ b/crates/gateway/src/candidates.rs
@@ -25,6 +25,8 @@
     /// The limit that it states, in requests a second of all gateways together: a time has to
     /// be asked for first.
     pub rate: Option<f64>,
+    /// Whether another one without a limit could take the request: a wait is not worth it.
+    pub has_alternative: bool,
 }
 
 /// A back end may have got room since it was looked at: it is looked at again after this time.
@@ -55,6 +57,7 @@
     log_choice(call, &chosen, eligible.len(), &candidate);
     Some(Chosen {
         rate: limits.rate(chosen.life_hash),
+        has_alternative: !free.is_empty(),
         back_end: chosen,
     })
 }
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -8,7 +8,7 @@
 //! whose row is gone, or cannot be read, gets nothing new. Nothing that was known of a life of a
 //! back end is held against the next one, nor counted for it.
 
-use std::collections::{BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 
 use gorsebank_coordination::Timestamp;
@@ -98,7 +98,7 @@
     /// Back ends that hold the model, and the adapter if one is asked for.
     pub ready: Vec<Arc<BackEnd>>,
     /// Back ends that hold the model, but not the adapter.
-    pub without_adapter: usize,
+    pub without_adapter: Vec<Arc<BackEnd>>,
     /// When a load under way is expected to be done.
     pub loading_until: Option<Timestamp>,
     /// The nearest copy from which a back end without the model could load it.
@@ -304,6 +304,15 @@
         Some(entry.back_end.clone())
     }
 
+    /// What is known of lives of back ends, by the names of those that there are.
+    pub fn by_name(&self, lives: &HashMap<BackEndHash, f64>) -> BTreeMap<BackEndId, f64> {
+        let named = |entry: &Entry| {
+            let known = lives.get(&entry.back_end.life_hash)?;
+            Some((entry.report.id.clone(), *known))
+        };
+        self.entries.values().filter_map(named).collect()
+    }
+
     /// Back ends whose process ended while requests were there, and whose row still stands.
     pub fn ended(&self, now: Timestamp) -> BTreeSet<BackEndId> {
         let entries = self.entries.values();
@@ -396,7 +405,7 @@
         if has_adapter {
             places.ready.push(entry.back_end.clone());
         } else {
-            places.without_adapter += 1;
+            places.without_adapter.push(entry.back_end.clone());
         }
     }
 
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -195,6 +195,7 @@
             .shared
             .directory(|directory| (directory.reports(), directory.ended(now)));
         self.planner.observe(now, &reports, &ended);
+        self.planner.set_limits(&self.shared.engine_limits());
     }
 
     fn take(&mut self, done: Done) {
--- a/crates/gateway/src/shared/back_end_limits.rs
+++ b/crates/gateway/src/shared/back_end_limits.rs
@@ -1,11 +1,13 @@
 //! Limits that back ends state: learned from answers and from other gateways, and this
 //! gateway's way to whoever gives out times at such back ends.
 
+use std::collections::BTreeMap;
 use std::fmt;
 use std::time::Duration;
 
 use gorsebank_fleet::quarantine::BackEndHash;
 use gorsebank_fleet::{Statement, ToldLimit};
+use gorsebank_world::BackEndId;
 
 use super::Shared;
 use crate::allowance::{Ask, SlotAsk};
@@ -44,6 +46,15 @@
         }
     }
 
+    /// Back ends that state limits, with the requests a second that each takes.
+    pub fn engine_limits(&self) -> BTreeMap<BackEndId, f64> {
+        let lives = self.back_end_limits.known(|known| known.in_force());
+        if lives.is_empty() {
+            return BTreeMap::new();
+        }
+        self.directory(|directory: &Directory| directory.by_name(&lives))
+    }
+
     /// What other gateways should know of limits.
     pub fn told_limits(&self) -> Vec<ToldLimit> {
         let now = self.now();
