--- a/crates/gateway/tests/earlier_builds.rs
+++ b/crates/gateway/tests/earlier_builds.rs
@@ -11,13 +11,14 @@
 use gorsebank_fleet::placement::StoreRecords;
 use gorsebank_fleet::quarantine::ToldOutcome;
 use gorsebank_fleet::{LeaseRow, MemberRow, PlacedRow, ReadingRow};
+use gorsebank_gateway::allowance::{Ask, SlotAsk};
 use gorsebank_gateway::relay::{RelayAnswer, RelayRequest};
-use serde::Serialize;
 use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
 /// Builds that may run beside this one.
-const BUILDS: [&str; 1] = ["4986580"];
+const BUILDS: [&str; 2] = ["4986580", "4aa18de"];
 
 fn sample(build: &str, name: &str) -> String {
     let tests = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("tests");
@@ -116,3 +117,39 @@
         assert!(serde_json::from_value::<ReadingRow>(read("reading")).is_ok());
     }
 }
+
+/// A question on limits as builds before 4aa18de, and that one, know it.
+#[derive(Debug, Deserialize, PartialEq)]
+struct EarlierAsk {
+    #[serde(rename = "s")]
+    seat: usize,
+    #[serde(rename = "t")]
+    tenant: String,
+    #[serde(rename = "c")]
+    cost: f64,
+}
+
+#[derive(Debug, Deserialize, PartialEq)]
+enum EarlierRequest {
+    Allowance(EarlierAsk),
+}
+
+/// It counts for no tenant without a name, and answers that.
+#[test]
+fn a_question_for_a_time_at_a_back_end_is_one_of_no_tenant_to_earlier_builds() {
+    let slot = SlotAsk {
+        back_end: 7,
+        rate: 0.5,
+        most_wait: 300,
+    };
+    let mut bytes = Vec::new();
+    let request = RelayRequest::Allowance(Ask::for_slot(slot));
+    ciborium::into_writer(&request, &mut bytes).expect("it can be encoded");
+    let read: EarlierRequest = ciborium::from_reader(bytes.as_slice()).expect("it is read");
+    let nothing = EarlierAsk {
+        seat: 0,
+        tenant: String::new(),
+        cost: 0.0,
+    };
+    assert_eq!(read, EarlierRequest::Allowance(nothing));
+}
--- a/crates/gorsebank/tests/losses.rs
+++ b/crates/gorsebank/tests/losses.rs
@@ -25,6 +25,8 @@
 time_ms=8100 node=n1 left_out=0 event=request_end request=r8 outcome=unknown_key status=401 route=keyed attempts=0 exposed=false
 time_ms=8200 node=n1 left_out=0 event=limited request=r9 reason=beyond_limit tenant=crews cost=1540 rate=2700 burst=2700 waited_ms=2 retry_after_ms=310
 time_ms=8200 node=n1 left_out=0 event=request_end request=r9 outcome=beyond_limit status=429 route=keyed attempts=0 exposed=false
+time_ms=8300 node=n1 left_out=0 event=refused request=r10 reason=back_end_limit expected_ms=800 load_ordered=false waited_ms=1
+time_ms=8300 node=n1 left_out=0 event=request_end request=r10 outcome=back_end_limit status=503 route=live service=llm back_end=- model=m1 total_ms=1 objective_ms=400
 time_ms=9000 node=n1 left_out=0 event=request_end request=r7 outcome=caller_left status=0 route=live service=llm back_end=- model=m1 total_ms=100 objective_ms=400
 ";
 
@@ -60,6 +62,7 @@
         ("r2", "late", "pause, engine read long prompts"),
         ("r8", "refused", "key: unknown_key"),
         ("r9", "refused", "limit: beyond_limit"),
+        ("r10", "refused", "back ends take no more"),
         (
             "r3",
             "refused",
@@ -82,7 +85,7 @@
         .find(|line| line.starts_with("live"))
         .expect("a line");
     let numbers: Vec<&str> = live.split_whitespace().skip(1).collect();
-    assert_eq!(numbers, ["3", "1", "1", "0", "0", "1"]);
+    assert_eq!(numbers, ["4", "1", "1", "1", "0", "1"]);
     assert!(told.contains("1 lines were no log lines"), "{told}");
 }
 
