An engine that begins to tell its start is still the one that was asked

What would be seen: a row that first lacks the start and tells it later, within one life, while an order is under way; the order's answer was dropped as one of another life, and the engine waited for it without end; orders for it were never begun, since the connection's side kept 'no start'. Cause: starts were compared exactly in two places beside Incarnation. Now it is asked there, too: what bears no start may be of the known life.

--- a/crates/fleet/src/incarnation.rs
+++ b/crates/fleet/src/incarnation.rs
@@ -52,6 +52,15 @@
         self.born
     }
 
+    /// Whether something with this start may speak of the life that is known: what bears none was
+    /// said, or asked, when that was not told yet.
+    pub fn may_be(&self, told: Option<Born>) -> bool {
+        match (self.born, told) {
+            (Some(known), Some(told)) => known == told,
+            _ => true,
+        }
+    }
+
     /// Takes in a start that was told. A later one takes the place of the known one at once,
     /// an earlier one only when the known one was not heard of for a while.
     pub fn hear(&mut self, now: Timestamp, told: Option<Born>) -> Heard {
--- a/crates/fleet/src/placement/engine/mod.rs
+++ b/crates/fleet/src/placement/engine/mod.rs
@@ -111,6 +111,11 @@
         self.incarnation.hear(now, born)
     }
 
+    /// Whether something with this start may speak of its present life.
+    pub fn may_be(&self, told: Option<Born>) -> bool {
+        self.incarnation.may_be(told)
+    }
+
     /// When it started, if that is known.
     pub fn born(&self) -> Option<Born> {
         self.incarnation.born()
--- a/crates/fleet/src/placement/mod.rs
+++ b/crates/fleet/src/placement/mod.rs
@@ -202,7 +202,7 @@
     pub fn plans_for(&self, id: &BackEndId, born: Option<Born>) -> bool {
         self.engines
             .get(id)
-            .is_some_and(|engine| engine.born() == born)
+            .is_some_and(|engine| engine.may_be(born))
     }
 
     /// Engines are gone that no request ended: if one was loading, its load may have.
--- a/crates/fleet/tests/incarnation.rs
+++ b/crates/fleet/tests/incarnation.rs
@@ -61,6 +61,21 @@
     assert_eq!((world.holders("m1"), world.holders("m2")), (1, 1));
 }
 
+/// What was asked of it before it told its start is answered by the same life: an order whose
+/// answer is dropped would be waited for without end.
+#[test]
+fn an_engine_that_begins_to_tell_its_start_is_still_the_one_that_was_asked() {
+    let mut world = World::new(1, &[]);
+    world.engines[0].born = None;
+    world.observe(0);
+    let engine = world.engines[0].id.clone();
+    world.engines[0].born = EARLY;
+    world.observe(100);
+    assert!(world.planner.plans_for(&engine, None));
+    assert!(world.planner.plans_for(&engine, EARLY));
+    assert!(!world.planner.plans_for(&engine, LATE));
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(200))]
     /// An order of a former life that had no answer may be carried out in the next one: it bears
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -18,7 +18,7 @@
 use gorsebank_fleet::placement::{
     Action, ActionKind, OrderKind, OrderResult, Planner, StoreRecords,
 };
-use gorsebank_fleet::{Born, EngineReport, LeaseKeeper, PlacedRow};
+use gorsebank_fleet::{Born, EngineReport, Incarnation, LeaseKeeper, PlacedRow};
 use gorsebank_world::{BackEndId, ModelId};
 use parking_lot::Mutex;
 use tokio::sync::mpsc;
@@ -347,7 +347,8 @@
         let back_end = self.shared.directory(find);
         // What was sized for one life is not sent to the next one.
         let is_meant = |back_end: &Arc<BackEnd>| {
-            back_end.born == action.born || action.kind == ActionKind::Report
+            let life = Incarnation::new(back_end.born);
+            life.may_be(action.born) || action.kind == ActionKind::Report
         };
         let Some(back_end) = back_end.filter(is_meant) else {
             self.planner.abandoned(self.shared.now(), &action.engine);
