Soak: back ends state limits; a promise that they get no more

Limits are drawn apart from the faults, so that the plans of seeds stay as they are. The checker is seen to fail on a broken history.

--- a/crates/gorsebank/tests/soak/broken.rs
+++ b/crates/gorsebank/tests/soak/broken.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use super::history::{Done, End, History, Kind, Left, Try, What};
+use super::history::{Done, End, History, Kind, Left, Limited, Try, What};
 use super::promises::{Promise, check};
 
 const fn at(seconds: u64) -> Duration {
@@ -136,6 +136,33 @@
     assert_eq!(broken(&history), [Promise::EndingKeptAway]);
 }
 
+#[test]
+fn more_than_a_back_end_says_it_takes_is_seen() {
+    let mut history = sound();
+    // Twelve requests within four seconds, once gateways can know of the limit.
+    let arrival = |number: u32| (at(5) + Duration::from_millis(300) * number, 1);
+    history.limits.push(Limited {
+        back_end: "i-1".to_owned(),
+        rate: 1.0,
+        from: at(1),
+        until: at(20),
+        arrivals: (0..12).map(arrival).collect(),
+    });
+    assert_eq!(broken(&history), [Promise::LimitKept]);
+    history.limits[0].from = at(4);
+    assert_eq!(broken(&history), [], "most came before gateways can know");
+    history.limits[0].from = at(1);
+    history.done.push(Done {
+        from: at(2),
+        until: at(3),
+        what: What::Paused(1),
+    });
+    assert_eq!(broken(&history), [], "the process stood still");
+    history.done.clear();
+    history.limits[0].rate = 1.5;
+    assert_eq!(broken(&history), [], "14 are allowed");
+}
+
 #[test]
 fn an_engine_with_more_models_than_memory_is_seen() {
     let mut history = sound();
--- a/crates/gorsebank/tests/soak/history.rs
+++ b/crates/gorsebank/tests/soak/history.rs
@@ -94,6 +94,21 @@
     pub arrived_in_the_end: usize,
 }
 
+/// A limit that a back end stated.
+#[derive(Clone, Debug)]
+pub struct Limited {
+    /// Its name.
+    pub back_end: String,
+    /// Requests a second.
+    pub rate: f64,
+    /// When it said so first.
+    pub from: Duration,
+    /// When it said so last.
+    pub until: Duration,
+    /// When requests arrived there, and of which process, in order.
+    pub arrivals: Vec<(Duration, usize)>,
+}
+
 /// All of it.
 #[derive(Clone, Debug, Default)]
 pub struct History {
@@ -111,6 +126,8 @@
     pub done: Vec<Done>,
     /// Back ends that left.
     pub left: Vec<Left>,
+    /// Limits that back ends stated.
+    pub limits: Vec<Limited>,
     /// Gateways that did not serve all kinds in time once everything was over.
     pub not_recovered: Vec<String>,
     /// Gateways that did not have the last configuration in time.
--- a/crates/gorsebank/tests/soak/main.rs
+++ b/crates/gorsebank/tests/soak/main.rs
@@ -27,6 +27,7 @@
 
 use plan::plan;
 use report::Report;
+use run::Play;
 
 /// Seeds that are always played.
 const SEEDS: Range<u64> = 1..4;
@@ -44,7 +45,14 @@
     let length = Duration::from_secs(number("GORSEBANK_SOAK_SECONDS").unwrap_or(SECONDS));
     let gateways = number("GORSEBANK_SOAK_GATEWAYS").unwrap_or(GATEWAYS);
     let gateways = gateways.clamp(1, MOST_GATEWAYS) as usize;
-    hold(seeds(), length, gateways).await;
+    hold(seeds(), length, gateways, false).await;
+}
+
+/// The same, where back ends also say for a while how few requests they take.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn promises_hold_where_back_ends_state_limits() {
+    let length = Duration::from_secs(number("GORSEBANK_SOAK_SECONDS").unwrap_or(SECONDS));
+    hold(seeds(), length, GATEWAYS as usize, true).await;
 }
 
 /// Orders of a former holder followed those of a newer one, one at each of two engines, once in
@@ -53,18 +61,30 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn promises_hold_with_seeds_that_showed_a_fault() {
     let length = Duration::from_secs(SECONDS);
-    hold(SEEDS_WITH_A_FAULT, length, GATEWAYS as usize).await;
+    hold(SEEDS_WITH_A_FAULT, length, GATEWAYS as usize, false).await;
 }
 
 /// Plays seeds, and fails if any promise was broken.
-async fn hold(seeds: impl IntoIterator<Item = u64>, length: Duration, gateways: usize) {
+async fn hold(
+    seeds: impl IntoIterator<Item = u64>,
+    length: Duration,
+    gateways: usize,
+    with_limits: bool,
+) {
     let mut broken = Vec::new();
     for seed in seeds {
         let folder = std::env::var_os("GORSEBANK_SOAK_REPORT").map(PathBuf::from);
         let logs = folder
             .as_ref()
             .map(|folder| folder.join(format!("seed-{seed}")));
-        let history = run::play(seed, length, gateways, logs).await;
+        let play = Play {
+            seed,
+            length,
+            gateways,
+            with_limits,
+            logs,
+        };
+        let history = run::play(play).await;
         let findings = promises::check(&history);
         let plan = plan(seed, length);
         let report = Report::new(seed, &plan, &history, &findings);
--- a/crates/gorsebank/tests/soak/plan.rs
+++ b/crates/gorsebank/tests/soak/plan.rs
@@ -13,6 +13,13 @@
 const LEAST_FAULT: u64 = 200;
 const LONGEST_FAULT: u64 = 2_500;
 
+/// The stream of random numbers from which limits of back ends are drawn.
+const LIMITS: u64 = 1;
+/// Limits in a run at most: half of the back ends take what they are sent.
+const MOST_LIMITS: usize = 3;
+/// What back ends with a limit take, in requests a second.
+const LIMIT_RATES: [f64; 6] = [0.0, 0.5, 1.0, 2.0, 5.0, 10.0];
+
 /// A fault.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fault {
@@ -104,6 +111,39 @@
     pub target: usize,
 }
 
+/// A back end says for a while that it takes so few requests.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct StatedLimit {
+    /// When it begins to.
+    pub at: Duration,
+    /// How long it does.
+    pub lasts: Duration,
+    /// Requests a second.
+    pub rate: f64,
+    /// Which one; taken modulo how many there are.
+    pub target: usize,
+}
+
+/// Limits that back ends state in a run. They are drawn apart from its faults, which are the
+/// same with them as without.
+pub fn limits(seed: u64, length: Duration) -> Vec<StatedLimit> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    random.set_stream(LIMITS);
+    let count = random.random_range(1..=MOST_LIMITS);
+    let length = length.as_millis() as u64;
+    let drawn = (0..count).map(|_| {
+        let at = random.random_range(0..length / 4);
+        let rate = LIMIT_RATES.choose(&mut random).expect("there are rates");
+        StatedLimit {
+            at: Duration::from_millis(at),
+            lasts: Duration::from_millis(random.random_range(length / 2..length - at)),
+            rate: *rate,
+            target: random.random_range(0..64),
+        }
+    });
+    drawn.collect()
+}
+
 /// The faults of a run, in order.
 pub fn plan(seed: u64, length: Duration) -> Vec<Strike> {
     let mut random = ChaCha8Rng::seed_from_u64(seed);
--- a/crates/gorsebank/tests/soak/promises.rs
+++ b/crates/gorsebank/tests/soak/promises.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::gateways::GRACE;
-use super::history::{End, History, Kind, Try, What};
+use super::history::{End, History, Kind, Limited, Try, What};
 
 /// Statuses that promise that the request did not run and never will.
 const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
@@ -15,6 +15,12 @@
 const MOST_LATE_ENDINGS: usize = 3;
 /// An engine has memory for so many models of the configuration (200 MB, 70 MB each).
 const MOST_MODELS: usize = 2;
+/// Within any span of this length ...
+const LIMIT_SPAN: Duration = Duration::from_secs(4);
+/// ... a back end that states a limit gets this many times what it takes ...
+const LIMIT_EXCESS: f64 = 1.5;
+/// ... and so many requests on top, at most.
+const LIMIT_ON_TOP: f64 = 5.0;
 /// Events of a stream.
 pub const EVENTS: u64 = 5;
 /// The body of a plain answer.
@@ -39,6 +45,8 @@
     Memory,
     /// Orders of a former holder do not follow those of a newer one.
     OneHolder,
+    /// A back end that states a limit gets no more, once gateways can know, of all together.
+    LimitKept,
     /// Everything works again in time once all faults are over.
     Recovery,
     /// The last configuration is in force in time.
@@ -83,6 +91,9 @@
             findings.push(find(Promise::Memory, what));
         }
     }
+    for limited in &history.limits {
+        findings.extend(check_limit(history, limited));
+    }
     let any_paused = history
         .done
         .iter()
@@ -99,6 +110,37 @@
     findings
 }
 
+/// Requests of processes that were killed or stood still not long before do not count.
+fn check_limit(history: &History, limited: &Limited) -> Option<Finding> {
+    let since = limited.from + KNOWN_BOUND;
+    let counts = |(at, process): &&(Duration, usize)| {
+        let excuses = |what| match what {
+            What::Killed(struck) | What::Stopped(struck) | What::Paused(struck) => {
+                struck == *process
+            }
+            What::Table | What::BackEndCutOff | What::BackEndEnded => false,
+        };
+        let until = limited.until + LIMIT_SPAN;
+        *at >= since && *at <= limited.until && !history.overlaps(limited.from, until, excuses)
+    };
+    let arrivals = limited.arrivals.iter().filter(counts);
+    let arrivals: Vec<Duration> = arrivals.map(|(at, _)| *at).collect();
+    let in_span = |(index, begin): (usize, &Duration)| {
+        let within = |at: &&Duration| **at - *begin < LIMIT_SPAN;
+        arrivals[index..].iter().filter(within).count()
+    };
+    let most = arrivals.iter().enumerate().map(in_span).max()?;
+    let allowed = limited.rate * LIMIT_SPAN.as_secs_f64() * LIMIT_EXCESS + LIMIT_ON_TOP;
+    (most as f64 > allowed).then(|| {
+        let (back_end, rate) = (&limited.back_end, limited.rate);
+        let what = format!("{back_end} takes {rate} a second and got {most} in four");
+        Finding {
+            promise: Promise::LimitKept,
+            what,
+        }
+    })
+}
+
 /// Arrivals later than the bound on news after the third.
 fn late_arrivals(arrivals: &[Duration]) -> usize {
     let Some(third) = arrivals.get(ENDS_TO_BLAME - 1) else {
--- a/crates/gorsebank/tests/soak/run.rs
+++ b/crates/gorsebank/tests/soak/run.rs
@@ -15,8 +15,8 @@
 
 use super::callers::Caller;
 use super::gateways::Slot;
-use super::history::{Done, History, Left, What};
-use super::plan::plan;
+use super::history::{Done, History, Left, Limited, What};
+use super::plan::{limits, plan};
 use super::platform::client::{request, send};
 use super::platform::runner::{End, Reply, Runner, Seen};
 use super::platform::store::Store;
@@ -81,15 +81,36 @@
     over: Duration,
     done: Mutex<Vec<Done>>,
     left: Mutex<Vec<Left>>,
+    limits: Mutex<Vec<Limited>>,
     began: Instant,
     processes: AtomicUsize,
     version: Mutex<u64>,
 }
 
-/// Plays the faults of a seed against so many gateways, and tells what was seen. Gateways
-/// write their lines to `logs`.
-pub async fn play(seed: u64, length: Duration, gateways: usize, logs: Option<PathBuf>) -> History {
-    let run = Arc::new(Run::start(gateways, length, logs).await);
+/// What a run plays.
+#[derive(Clone, Debug)]
+pub struct Play {
+    /// What it draws from.
+    pub seed: u64,
+    /// Length of its faults.
+    pub length: Duration,
+    /// Gateways.
+    pub gateways: usize,
+    /// Whether back ends state limits, beside the faults.
+    pub with_limits: bool,
+    /// Where gateways write their lines.
+    pub logs: Option<PathBuf>,
+}
+
+/// Plays the faults of a seed, and tells what was seen.
+pub async fn play(play: Play) -> History {
+    let Play {
+        seed,
+        length,
+        gateways,
+        ..
+    } = play;
+    let run = Arc::new(Run::start(gateways, length, play.logs).await);
     let tries = Arc::default();
     let mut tasks = JoinSet::new();
     for number in 0..CALLERS * gateways {
@@ -104,6 +125,11 @@
     for back_end in run.listed.lock().iter() {
         keepers.spawn(run.clone().replace_when_ended(back_end.clone()));
     }
+    if play.with_limits {
+        for limit in limits(seed, length) {
+            strikes.spawn(run.clone().state_limit(limit));
+        }
+    }
     for strike in plan(seed, length) {
         sleep_until(base + strike.at).await;
         strikes.spawn(run.clone().strike(strike));
@@ -138,6 +164,7 @@
             over: Duration::ZERO,
             done: Mutex::default(),
             left: Mutex::default(),
+            limits: Mutex::default(),
             began: Instant::now(),
             processes: AtomicUsize::new(gateways),
             version: Mutex::new(1),
@@ -300,11 +327,24 @@
         history.runs = runs;
         history.done = std::mem::take(&mut *self.done.lock());
         history.left = std::mem::take(&mut *self.left.lock());
+        history.limits = std::mem::take(&mut *self.limits.lock());
+        let tries = history.tries.iter();
+        let process_of: BTreeMap<&str, usize> =
+            tries.map(|one| (one.id.as_str(), one.process)).collect();
         let all = self.all.lock();
         for left in &mut history.left {
             let back_end = all.iter().find(|one| one.runner.id == left.back_end);
             left.arrived_in_the_end = back_end.map_or(0, |one| one.runner.seen().len());
         }
+        for limited in &mut history.limits {
+            let back_end = all.iter().find(|one| one.runner.id == limited.back_end);
+            let seen = back_end.map(|one| one.runner.seen()).unwrap_or_default();
+            let arrival = |seen: Seen| {
+                let process = process_of.get(seen.id())?;
+                Some((seen.at.checked_duration_since(self.began)?, *process))
+            };
+            limited.arrivals = seen.into_iter().filter_map(arrival).collect();
+        }
     }
 }
 
--- a/crates/gorsebank/tests/soak/run/strikes.rs
+++ b/crates/gorsebank/tests/soak/run/strikes.rs
@@ -9,8 +9,8 @@
 
 use super::{BackEnd, ENDING, Mood, NEWS, Run, SLACK};
 use crate::gateways::Slot;
-use crate::history::{Done, Left, What};
-use crate::plan::{Fault, Strike};
+use crate::history::{Done, Left, Limited, What};
+use crate::plan::{Fault, StatedLimit, Strike};
 use crate::platform::client::{Client, request_with};
 use crate::platform::store::Inner;
 use crate::platform::wire::Wire;
@@ -197,6 +197,29 @@
         }
     }
 
+    /// A back end says for a while how many requests it takes.
+    pub(super) async fn state_limit(self: Arc<Self>, limit: StatedLimit) {
+        sleep(limit.at).await;
+        let Some(back_end) = self.back_end(limit.target) else {
+            return;
+        };
+        let runner = &back_end.runner;
+        if runner.states_limit() {
+            return;
+        }
+        let from = self.began.elapsed();
+        runner.state_limit(Some(&limit.rate.to_string()));
+        sleep(limit.lasts).await;
+        runner.state_limit(None);
+        self.limits.lock().push(Limited {
+            back_end: runner.id.clone(),
+            rate: limit.rate,
+            from,
+            until: self.began.elapsed(),
+            arrivals: Vec::new(),
+        });
+    }
+
     /// Something happens to the connections of a back end that are open.
     fn cut_off(&self, target: usize, how: impl Fn(&Wire)) -> Option<What> {
         how(&self.back_end(target)?.wire);
