Admission in three files; no look for limits or the age of keys where there are none

admission/mod.rs finds the back end, waits.rs says how long a wait is worth it, refusal.rs what its caller is told. A request asks for the age of what is known of keys only where callers have keys, and looks back ends through for limits only where one was stated.

--- a/crates/fleet/src/stated_limits.rs
+++ b/crates/fleet/src/stated_limits.rs
@@ -176,6 +176,11 @@
             .collect()
     }
 
+    /// Whether no back end has stated a limit of late.
+    pub fn is_empty(&self) -> bool {
+        self.stated.is_empty()
+    }
+
     /// How many back ends state a limit.
     pub fn count(&self) -> usize {
         self.in_force().len()
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission/mod.rs
@@ -5,6 +5,9 @@
 //! the model will be there. A caller that has come back is not sent away again
 //! as long as a late answer is possible.
 
+mod refusal;
+mod waits;
+
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -17,61 +20,15 @@
 use crate::back_end_limits::Reservation;
 use crate::candidates::{Chosen, any_without_limit, choose, time_to_room};
 use crate::failure::Failure;
-use crate::lines::{self, Rank};
 use crate::request::Call;
+use refusal::{log_wait, refuse, refuse_quarantined};
+use waits::{ExpectedLoad, Missing, longest_wait_for_room, worth_waiting};
 
 /// Time from a wish until a load is ordered, until one is seen to be.
 const ORDER_DELAY: Duration = Duration::from_millis(500);
-/// Time from the end of a load until the first event.
-const FIRST_EVENT: Duration = Duration::from_millis(300);
-/// Part of the objective within which a served request is in time.
-const IN_TIME_PART: f64 = 0.95;
-/// Part of the objective that an answer takes at most where objectives are short.
-const ANSWER_PART: f64 = 0.33;
-/// Part of the objective within which a refusal costs the caller little.
-const EARLY_PART: f64 = 0.22;
-/// Part of the objective that a wait for an adapter may take.
-const ADAPTER_WAIT_PART: f64 = 0.9;
-/// Callers give a silent answer up after the longest of this time ...
-const LEAST_CALLER_PATIENCE: Duration = Duration::from_secs(2);
-/// ... so many objectives ...
-const PATIENCE_OBJECTIVES: u32 = 4;
-/// ... and so many pause objectives.
-const PATIENCE_PAUSES: u32 = 8;
-/// Part of a caller's patience that is used.
-const PATIENCE_PART: f64 = 0.85;
-/// Part of the time that a request has for which it waits, late already, for a
-/// load that nobody has ordered: callers may still be served elsewhere then.
-const UNORDERED_PART: f64 = 0.45;
-/// Least pause that a refused caller is asked for.
-const LEAST_PAUSE: Duration = Duration::from_millis(250);
-/// A caller that waits for a load is asked to come back this much after it.
-const LOAD_SLACK: Duration = Duration::from_millis(600);
-
 /// Time of a load of a model that the configuration does not list.
 const UNKNOWN_LOAD: Duration = Duration::from_secs(2);
 
-/// What is missing for sending a request.
-enum Missing {
-    /// Any back end of the service that can take it.
-    BackEnd,
-    /// Room at the back ends that could: all of them state limits. There may be some after
-    /// this time.
-    Room(Duration),
-    /// The adapter, where the model is loaded.
-    Adapter,
-    /// The model; a load is expected to end in this time.
-    Model(ExpectedLoad),
-}
-
-/// When a load is expected to end.
-#[derive(Clone, Copy)]
-struct ExpectedLoad {
-    time: Duration,
-    ordered: bool,
-    copy: CopyTier,
-}
-
 /// A back end for the next attempt; none of `tried`.
 pub async fn admit(call: &Call, tried: &[BackEndId]) -> Result<Arc<BackEnd>, Failure> {
     let mut changes = call.shared.subscribe();
@@ -131,83 +88,6 @@
     back_ends.is_ok_and(|back_ends| any_without_limit(call, &back_ends))
 }
 
-/// Until when a wait for what is missing is worth it; none if it is not.
-fn worth_waiting(call: &Call, missing: &Missing) -> Option<Instant> {
-    let now = Instant::now();
-    let objective = call.route.objective;
-    let give_up = time_to_give_up(call);
-    let until = match missing {
-        Missing::Room(wait) if *wait > longest_wait_for_room(call) => return None,
-        Missing::Room(wait) => now + *wait,
-        _ if call.returning && !matches!(missing, Missing::Model(_)) => give_up,
-        Missing::BackEnd => call.arrived() + objective.mul_f64(EARLY_PART),
-        Missing::Adapter => call.arrived() + objective.mul_f64(ADAPTER_WAIT_PART),
-        Missing::Model(load) => wait_for_load(call, now, *load, give_up)?,
-    };
-    let until = match call.time_to_begin() {
-        Some(left) => until.min(now + left),
-        None => until,
-    };
-    (now < until).then_some(until)
-}
-
-/// When the caller, or this gateway, gives the request up.
-fn time_to_give_up(call: &Call) -> Instant {
-    let give_up = call.arrived() + caller_patience(call).mul_f64(PATIENCE_PART);
-    give_up.min(call.deadline())
-}
-
-/// How long a request may wait for room at a back end that states a limit: as long as its answer
-/// comes in time, or, once a refusal would gain nothing, at all.
-fn longest_wait_for_room(call: &Call) -> Duration {
-    let now = Instant::now();
-    let objective = call.route.objective;
-    let answer_time = FIRST_EVENT.min(objective.mul_f64(ANSWER_PART));
-    let early = call.arrived() + objective.mul_f64(EARLY_PART);
-    let until = if now <= early && !call.returning {
-        call.arrived() + objective.mul_f64(IN_TIME_PART)
-    } else {
-        time_to_give_up(call)
-    };
-    let wait = until.saturating_duration_since(now + answer_time);
-    call.time_to_begin().map_or(wait, |left| wait.min(left))
-}
-
-/// A load that ends in time is waited for. One that is not yet ordered gets a
-/// moment; and once a refusal would gain nothing, a late answer is better.
-fn wait_for_load(
-    call: &Call,
-    now: Instant,
-    load: ExpectedLoad,
-    give_up: Instant,
-) -> Option<Instant> {
-    let objective = call.route.objective;
-    let ready = now + load.time + FIRST_EVENT;
-    let in_time = call.arrived() + objective.mul_f64(IN_TIME_PART);
-    if ready <= in_time {
-        return Some(in_time);
-    }
-    let early = call.arrived() + objective.mul_f64(EARLY_PART);
-    if !load.ordered && now < early && load.time < objective {
-        return Some(early);
-    }
-    let refusal_gains = now <= early && !call.returning;
-    let until = if load.ordered {
-        give_up
-    } else {
-        give_up.min(call.arrived() + call.held().mul_f64(UNORDERED_PART))
-    };
-    (!refusal_gains && ready <= give_up).then_some(until)
-}
-
-/// How long the caller waits for the first event.
-fn caller_patience(call: &Call) -> Duration {
-    let pauses = call.route.pause_objective.unwrap_or_default() * PATIENCE_PAUSES;
-    LEAST_CALLER_PATIENCE
-        .max(call.route.objective * PATIENCE_OBJECTIVES)
-        .max(pauses)
-}
-
 /// Tells the placement holder what is missing.
 fn wish(call: &Call, missing: &Missing) {
     match missing {
@@ -228,77 +108,6 @@
     }
 }
 
-fn refuse(call: &Call, missing: &Missing) -> Failure {
-    let (reason, pause) = match missing {
-        Missing::BackEnd => ("no_back_end", LEAST_PAUSE),
-        Missing::Room(wait) => ("back_end_limit", LEAST_PAUSE.max(*wait)),
-        Missing::Adapter => ("no_adapter", LEAST_PAUSE),
-        Missing::Model(load) => ("no_model", load.time + LOAD_SLACK),
-    };
-    log_refusal(call, missing, reason, pause);
-    call.refuse(reason, pause)
-}
-
-/// Nobody can serve it: its caller is told at once, and for how long that is certain.
-fn refuse_quarantined(call: &Call, left: Duration) -> Failure {
-    let fields = format_args!(
-        "request={} reason=quarantined fingerprint={} waited_ms={} retry_after_ms={}",
-        call.ticket.id,
-        call.fingerprint,
-        call.age().as_millis(),
-        left.as_millis(),
-    );
-    lines::write(Rank::Decision, "refused", fields);
-    call.refuse("quarantined", left)
-}
-
-fn log_wait(call: &Call, missing: &Missing, until: Instant) {
-    let load = load_fields(missing);
-    let what = match missing {
-        Missing::Model(_) => "model",
-        Missing::Adapter => "adapter",
-        Missing::BackEnd => "back_end",
-        Missing::Room(_) => "room",
-    };
-    let fields = format_args!(
-        "request={} missing={what} {load} longest_ms={} objective_ms={} returning={} configuration={}",
-        call.ticket.id,
-        until.saturating_duration_since(Instant::now()).as_millis(),
-        call.route.objective.as_millis(),
-        call.returning,
-        call.configuration.version,
-    );
-    lines::write(Rank::Decision, "waiting", fields);
-}
-
-/// For lines: when a load is expected to end, whether it is ordered, and the nearest copy.
-fn load_fields(missing: &Missing) -> String {
-    match missing {
-        Missing::Model(load) => format!(
-            "expected_ms={} load_ordered={} nearest_copy={:?}",
-            load.time.as_millis(),
-            load.ordered,
-            load.copy
-        ),
-        Missing::Room(wait) => format!("expected_ms={} load_ordered=false", wait.as_millis()),
-        Missing::Adapter | Missing::BackEnd => "expected_ms=0 load_ordered=false".to_owned(),
-    }
-}
-
-fn log_refusal(call: &Call, missing: &Missing, reason: &str, pause: Duration) {
-    let load = load_fields(missing);
-    let fields = format_args!(
-        "request={} reason={reason} {load} waited_ms={} objective_ms={} returning={} retry_after_ms={} configuration={}",
-        call.ticket.id,
-        call.age().as_millis(),
-        call.route.objective.as_millis(),
-        call.returning,
-        pause.as_millis(),
-        call.configuration.version,
-    );
-    lines::write(Rank::Decision, "refused", fields);
-}
-
 /// Counts as waiting for the model until it is dropped.
 struct Waiting<'a> {
     call: &'a Call,
--- a/crates/gateway/src/candidates.rs
+++ b/crates/gateway/src/candidates.rs
@@ -36,32 +36,64 @@
 /// a free place, but for a request now and then that brings its newest word. None if those that
 /// are left have no room.
 pub fn choose(call: &Call, now: Timestamp, eligible: &[Arc<BackEnd>]) -> Option<Chosen> {
-    let limits = &call.shared.back_end_limits;
-    let (limited, free): (Vec<_>, Vec<_>) = eligible
-        .iter()
-        .cloned()
-        .partition(|back_end| limits.rate(back_end.life_hash).is_some());
-    let with_room = |back_end: &Arc<BackEnd>| limits.full_for(now, back_end.life_hash).is_none();
-    let limited: Vec<Arc<BackEnd>> = limited.into_iter().filter(with_room).collect();
-    let needs_word =
-        |back_end: &&Arc<BackEnd>| limits.known(|known| known.needs_word(now, back_end.life_hash));
-    let silent: Vec<Arc<BackEnd>> = limited.iter().filter(needs_word).cloned().collect();
-    let (chosen, candidate) = match cheapest_candidate(call, now, &free) {
-        Some((_, candidate)) if candidate.is_full() && !limited.is_empty() => {
-            cheapest_candidate(call, now, &limited)?
-        }
-        Some(_) if !silent.is_empty() => cheapest_candidate(call, now, &silent)?,
-        Some(chosen) => chosen,
-        None => cheapest_candidate(call, now, &limited)?,
+    let is_any_limited = call.shared.back_end_limits.known(|known| !known.is_empty());
+    let (back_end, candidate, has_alternative) = if is_any_limited {
+        let by_limit = ByLimit::new(call, now, eligible);
+        let (back_end, candidate) = by_limit.cheapest(call, now)?;
+        (back_end, candidate, !by_limit.free.is_empty())
+    } else {
+        let (back_end, candidate) = cheapest_candidate(call, now, eligible)?;
+        (back_end, candidate, true)
     };
-    log_choice(call, &chosen, eligible.len(), &candidate);
+    log_choice(call, &back_end, eligible.len(), &candidate);
     Some(Chosen {
-        rate: limits.rate(chosen.life_hash),
-        has_alternative: !free.is_empty(),
-        back_end: chosen,
+        rate: call.shared.back_end_limits.rate(back_end.life_hash),
+        back_end,
+        has_alternative,
     })
 }
 
+/// Back ends that could take a request, by what they say of that.
+struct ByLimit {
+    /// They take what they are sent.
+    free: Vec<Arc<BackEnd>>,
+    /// They state limits, and may have room.
+    limited: Vec<Arc<BackEnd>>,
+    /// Those of them that have said nothing for a while.
+    silent: Vec<Arc<BackEnd>>,
+}
+
+impl ByLimit {
+    fn new(call: &Call, now: Timestamp, eligible: &[Arc<BackEnd>]) -> Self {
+        let limits = &call.shared.back_end_limits;
+        let (mut limited, free): (Vec<Arc<BackEnd>>, Vec<Arc<BackEnd>>) = eligible
+            .iter()
+            .cloned()
+            .partition(|back_end| limits.rate(back_end.life_hash).is_some());
+        limited.retain(|back_end| limits.full_for(now, back_end.life_hash).is_none());
+        let needs_word = |back_end: &&Arc<BackEnd>| {
+            limits.known(|known| known.needs_word(now, back_end.life_hash))
+        };
+        ByLimit {
+            silent: limited.iter().filter(needs_word).cloned().collect(),
+            free,
+            limited,
+        }
+    }
+
+    fn cheapest(&self, call: &Call, now: Timestamp) -> Option<(Arc<BackEnd>, Candidate)> {
+        let Some(free) = cheapest_candidate(call, now, &self.free) else {
+            return cheapest_candidate(call, now, &self.limited);
+        };
+        let instead = if free.1.is_full() {
+            &self.limited
+        } else {
+            &self.silent
+        };
+        cheapest_candidate(call, now, instead).or(Some(free))
+    }
+}
+
 /// Whether a back end that states no limit is among these.
 pub fn any_without_limit(call: &Call, back_ends: &[Arc<BackEnd>]) -> bool {
     let limits = &call.shared.back_end_limits;
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -319,9 +319,7 @@
 ) -> Result<Call, Failure> {
     let (mut head, body) = request.into_parts();
     let ticket = shared.platform.ticket(&head.headers);
-    // The age first: a configuration that comes in between is no older.
-    let age = shared.configuration_age();
-    let Some(configuration) = shared.configuration() else {
+    let Some((configuration, age)) = shared.configuration_for_caller() else {
         return Err(log_unread(&ticket, "-", Failure::NoConfiguration));
     };
     let Some(route) = find_route(&configuration, &head) else {
--- a/crates/gateway/src/shared/mod.rs
+++ b/crates/gateway/src/shared/mod.rs
@@ -214,6 +214,18 @@
         self.feed.proved_age(table)
     }
 
+    /// The configuration in force and, where callers have keys, the time since the moment for
+    /// which it is proved; other requests do not pay for asking.
+    pub fn configuration_for_caller(&self) -> Option<(Arc<Configuration>, Option<Duration>)> {
+        let known = self.configuration()?;
+        if known.tenants.is_none() {
+            return Some((known, None));
+        }
+        // The age first: a configuration that comes in between is no older.
+        let age = self.configuration_age();
+        Some((self.configuration()?, age))
+    }
+
     /// Puts a configuration in force, unless a newer one is. True if it is news.
     pub fn set_configuration(&self, configuration: Configuration) -> bool {
         let mut current = self.configuration.write();
