Cold back ends get no more than they bear from all gateways together

The same class as back ends that state a limit: a bound on what all gateways do together, kept by none. What a service's cold back ends bear is read from the configuration now, and while a row says that one is cold it counts as a limit, with times given out as for those that state one.

--- a/crates/fleet/src/configuration.rs
+++ b/crates/fleet/src/configuration.rs
@@ -120,6 +120,9 @@
     pub id: ServiceId,
     /// Connections that a back end accepts from all callers.
     pub max_connections: u32,
+    /// Requests a second that a back end of it bears while it is cold, of all gateways together;
+    /// none if cold ones are merely slow.
+    pub cold_rate: Option<f64>,
     /// Set where the back ends are model engines.
     pub engine: Option<Engine>,
 }
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -69,6 +69,7 @@
     let service = Service {
         id: service(),
         max_connections: 100,
+        cold_rate: None,
         engine: Some(engine),
     };
     let limits = Limits {
--- a/crates/gateway/src/admission/mod.rs
+++ b/crates/gateway/src/admission/mod.rs
@@ -85,7 +85,7 @@
 pub fn has_alternative(call: &Call, tried: &[BackEndId]) -> bool {
     let now = call.shared.now();
     let back_ends = eligible(call, now, tried);
-    back_ends.is_ok_and(|back_ends| any_without_limit(call, &back_ends))
+    back_ends.is_ok_and(|back_ends| any_without_limit(call, now, &back_ends))
 }
 
 /// Tells the placement holder what is missing.
@@ -154,7 +154,7 @@
     let places = call
         .shared
         .directory(|directory| directory.places(now, &call.service, model, Some(adapter)));
-    if any_without_limit(call, &places.without_adapter) {
+    if any_without_limit(call, now, &places.without_adapter) {
         Missing::Adapter
     } else {
         Missing::Room(time_to_room(call, now, back_ends))
--- a/crates/gateway/src/candidates.rs
+++ b/crates/gateway/src/candidates.rs
@@ -22,21 +22,23 @@
 pub struct Chosen {
     /// The back end.
     pub back_end: Arc<BackEnd>,
-    /// The limit that it states, in requests a second of all gateways together: a time has to
-    /// be asked for first.
+    /// Requests a second that it takes of all gateways together: a time has to be asked for
+    /// first. None if it takes what it is sent.
     pub rate: Option<f64>,
-    /// Whether another one without a limit could take the request: a wait is not worth it.
+    /// Whether another one that takes what it is sent could take the request: a wait is not worth it.
     pub has_alternative: bool,
 }
 
 /// A back end may have got room since it was looked at: it is looked at again after this time.
 const LEAST_WAIT_FOR_ROOM: Duration = Duration::from_millis(5);
 
-/// The cheapest of the back ends. One that states a limit is left alone while any other one has
-/// a free place, but for a request now and then that brings its newest word. None if those that
-/// are left have no room.
+/// The cheapest of the back ends. One that takes a limited number of requests is left alone while
+/// any other one has a free place, but for a request now and then that brings its newest word.
+/// None if those that are left have no room.
 pub fn choose(call: &Call, now: Timestamp, eligible: &[Arc<BackEnd>]) -> Option<Chosen> {
-    let is_any_limited = call.shared.back_end_limits.known(|known| !known.is_empty());
+    let is_any_limited = eligible
+        .iter()
+        .any(|back_end| limit(call, now, back_end).is_some());
     let (back_end, candidate, has_alternative) = if is_any_limited {
         let by_limit = ByLimit::new(call, now, eligible);
         let (back_end, candidate) = by_limit.cheapest(call, now)?;
@@ -47,19 +49,30 @@
     };
     log_choice(call, &back_end, eligible.len(), &candidate);
     Some(Chosen {
-        rate: call.shared.back_end_limits.rate(back_end.life_hash),
+        rate: limit(call, now, &back_end),
         back_end,
         has_alternative,
     })
 }
 
-/// Back ends that could take a request, by what they say of that.
+/// Requests a second that a back end takes of all gateways together: what it states, or what it
+/// bears while it is cold. None if it takes what it is sent.
+fn limit(call: &Call, now: Timestamp, back_end: &BackEnd) -> Option<f64> {
+    let stated = call.shared.back_end_limits.rate(back_end.life_hash);
+    let service = call.configuration.service(&call.service);
+    let cold_rate = service.and_then(|service| service.cold_rate);
+    let cold_rate = cold_rate.filter(|_| back_end.is_cold(now));
+    let rates = stated.into_iter().chain(cold_rate);
+    rates.min_by(f64::total_cmp)
+}
+
+/// Back ends that could take a request, by how many they take.
 struct ByLimit {
     /// They take what they are sent.
     free: Vec<Arc<BackEnd>>,
-    /// They state limits, and may have room.
+    /// They take a limited number, and may have room.
     limited: Vec<Arc<BackEnd>>,
-    /// Those of them that have said nothing for a while.
+    /// Those of them that state a limit and have said nothing for a while.
     silent: Vec<Arc<BackEnd>>,
 }
 
@@ -69,7 +82,7 @@
         let (mut limited, free): (Vec<Arc<BackEnd>>, Vec<Arc<BackEnd>>) = eligible
             .iter()
             .cloned()
-            .partition(|back_end| limits.rate(back_end.life_hash).is_some());
+            .partition(|back_end| limit(call, now, back_end).is_some());
         limited.retain(|back_end| limits.full_for(now, back_end.life_hash).is_none());
         let needs_word = |back_end: &&Arc<BackEnd>| {
             limits.known(|known| known.needs_word(now, back_end.life_hash))
@@ -94,14 +107,13 @@
     }
 }
 
-/// Whether a back end that states no limit is among these.
-pub fn any_without_limit(call: &Call, back_ends: &[Arc<BackEnd>]) -> bool {
-    let limits = &call.shared.back_end_limits;
-    let is_free = |back_end: &Arc<BackEnd>| limits.rate(back_end.life_hash).is_none();
+/// Whether a back end that takes what it is sent is among these.
+pub fn any_without_limit(call: &Call, now: Timestamp, back_ends: &[Arc<BackEnd>]) -> bool {
+    let is_free = |back_end: &Arc<BackEnd>| limit(call, now, back_end).is_none();
     back_ends.iter().any(is_free)
 }
 
-/// After which time one of these, which all state limits, may have room.
+/// After which time one of these, which all take a limited number of requests, may have room.
 pub fn time_to_room(call: &Call, now: Timestamp, back_ends: &[Arc<BackEnd>]) -> Duration {
     let limits = &call.shared.back_end_limits;
     let times = back_ends
