--- a/crates/gorsebank/src/arguments.rs
+++ b/crates/gorsebank/src/arguments.rs
@@ -46,6 +46,8 @@
     Explain(ExplainArguments),
     /// Tell which requests of a day were late, refused or failed, and why, from logs.
     Losses(LossesArguments),
+    /// List rows of tables that gateways could not use, from their logs.
+    RefusedRows(RefusedRowsArguments),
 }
 
 /// Arguments of `node`. Flags go before the file.
@@ -95,6 +97,14 @@
     pub files: Vec<PathBuf>,
 }
 
+/// Arguments of `refused-rows`.
+#[derive(Debug, Args)]
+pub struct RefusedRowsArguments {
+    /// Log files of any number of gateways.
+    #[arg(required = true)]
+    pub files: Vec<PathBuf>,
+}
+
 /// Arguments of `gateway`.
 #[derive(Debug, Args)]
 pub struct GatewayArguments {
--- a/crates/gorsebank/src/commands/mod.rs
+++ b/crates/gorsebank/src/commands/mod.rs
@@ -11,4 +11,5 @@
 pub mod logs;
 pub mod losses;
 pub mod node;
+pub mod refused_rows;
 pub mod status;
--- a/crates/gorsebank/src/main.rs
+++ b/crates/gorsebank/src/main.rs
@@ -46,5 +46,6 @@
         Command::Status(arguments) => commands::status::run(arguments).await,
         Command::Explain(arguments) => commands::explain::run(&arguments),
         Command::Losses(arguments) => commands::losses::run(&arguments),
+        Command::RefusedRows(arguments) => commands::refused_rows::run(&arguments),
     }
 }
