--- a/crates/gorsebank/tests/soak/main.rs
+++ b/crates/gorsebank/tests/soak/main.rs
@@ -27,7 +27,7 @@
 
 use plan::plan;
 use report::Report;
-use run::Play;
+use run::{Beside, Play};
 
 /// Seeds that are always played.
 const SEEDS: Range<u64> = 1..4;
@@ -45,14 +45,22 @@
     let length = Duration::from_secs(number("GORSEBANK_SOAK_SECONDS").unwrap_or(SECONDS));
     let gateways = number("GORSEBANK_SOAK_GATEWAYS").unwrap_or(GATEWAYS);
     let gateways = gateways.clamp(1, MOST_GATEWAYS) as usize;
-    hold(seeds(), length, gateways, false).await;
+    hold(seeds(), length, gateways, Beside::Nothing).await;
 }
 
 /// The same, where back ends also say for a while how few requests they take.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn promises_hold_where_back_ends_state_limits() {
     let length = Duration::from_secs(number("GORSEBANK_SOAK_SECONDS").unwrap_or(SECONDS));
-    hold(seeds(), length, GATEWAYS as usize, true).await;
+    hold(seeds(), length, GATEWAYS as usize, Beside::Limits).await;
+}
+
+/// The same, where rows of back ends are spoiled for a while, and back ends start again under
+/// the names that they had.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn promises_hold_where_rows_are_spoiled_and_names_come_back() {
+    let length = Duration::from_secs(number("GORSEBANK_SOAK_SECONDS").unwrap_or(SECONDS));
+    hold(seeds(), length, GATEWAYS as usize, Beside::Rows).await;
 }
 
 /// Orders of a former holder followed those of a newer one, one at each of two engines, once in
@@ -61,7 +69,13 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn promises_hold_with_seeds_that_showed_a_fault() {
     let length = Duration::from_secs(SECONDS);
-    hold(SEEDS_WITH_A_FAULT, length, GATEWAYS as usize, false).await;
+    hold(
+        SEEDS_WITH_A_FAULT,
+        length,
+        GATEWAYS as usize,
+        Beside::Nothing,
+    )
+    .await;
 }
 
 /// Plays seeds, and fails if any promise was broken.
@@ -69,7 +83,7 @@
     seeds: impl IntoIterator<Item = u64>,
     length: Duration,
     gateways: usize,
-    with_limits: bool,
+    beside: Beside,
 ) {
     let mut broken = Vec::new();
     for seed in seeds {
@@ -81,7 +95,7 @@
             seed,
             length,
             gateways,
-            with_limits,
+            beside,
             logs,
         };
         let history = run::play(play).await;
--- a/crates/gorsebank/tests/soak/plan.rs
+++ b/crates/gorsebank/tests/soak/plan.rs
@@ -15,6 +15,10 @@
 
 /// The stream of random numbers from which limits of back ends are drawn.
 const LIMITS: u64 = 1;
+/// The stream from which faults of rows are drawn.
+const ROWS: u64 = 2;
+/// Faults of rows in a run at most.
+const MOST_ROW_FAULTS: usize = 5;
 /// Limits in a run at most: half of the back ends take what they are sent.
 const MOST_LIMITS: usize = 3;
 /// What back ends with a limit take, in requests a second.
@@ -144,6 +148,55 @@
     drawn.collect()
 }
 
+/// What becomes of a back end's row.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RowFault {
+    /// Its process ends, and another one starts under its name.
+    StartsAgain,
+    /// It lacks a field, until it is mended.
+    LacksField,
+    /// A field has another type, until it is mended.
+    OtherType,
+    /// It holds a word that nobody knows, until it is mended.
+    UnknownWord,
+}
+
+/// Every kind.
+const ROW_KINDS: [RowFault; 4] = [
+    RowFault::StartsAgain,
+    RowFault::LacksField,
+    RowFault::OtherType,
+    RowFault::UnknownWord,
+];
+
+/// A fault of a row with its time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RowStrike {
+    /// When it begins.
+    pub at: Duration,
+    /// How long it lasts, where it ends by itself.
+    pub lasts: Duration,
+    /// What.
+    pub fault: RowFault,
+    /// Which back end is struck; taken modulo how many there are.
+    pub target: usize,
+}
+
+/// Faults of rows in a run, drawn apart from its other faults, in no order.
+pub fn row_strikes(seed: u64, length: Duration) -> Vec<RowStrike> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    random.set_stream(ROWS);
+    let length = length.as_millis() as u64;
+    let count = random.random_range(2..=MOST_ROW_FAULTS);
+    let drawn = (0..count).map(|_| RowStrike {
+        at: Duration::from_millis(random.random_range(0..length)),
+        lasts: Duration::from_millis(random.random_range(LEAST_FAULT..LONGEST_FAULT)),
+        fault: *ROW_KINDS.choose(&mut random).expect("there are kinds"),
+        target: random.random_range(0..64),
+    });
+    drawn.collect()
+}
+
 /// The faults of a run, in order.
 pub fn plan(seed: u64, length: Duration) -> Vec<Strike> {
     let mut random = ChaCha8Rng::seed_from_u64(seed);
--- a/crates/gorsebank/tests/soak/run.rs
+++ b/crates/gorsebank/tests/soak/run.rs
@@ -2,7 +2,7 @@
 
 mod strikes;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -16,7 +16,7 @@
 use super::callers::Caller;
 use super::gateways::Slot;
 use super::history::{Done, History, Left, Limited, What};
-use super::plan::{limits, plan};
+use super::plan::{limits, plan, row_strikes};
 use super::platform::client::{request, send};
 use super::platform::runner::{End, Reply, Runner, Seen};
 use super::platform::store::Store;
@@ -46,6 +46,8 @@
 pub const MORE_MODELS: [&str; 2] = ["rare", "rarer"];
 /// How bodies begin under which back ends end.
 const ENDING: &[u8] = b"ends whoever runs it ";
+/// When the first back ends start, in milliseconds since the epoch.
+const FIRST_START: u64 = 1_700_000_000_000;
 /// Pause between two looks.
 const LOOK: Duration = Duration::from_millis(50);
 
@@ -65,6 +67,8 @@
     service: &'static str,
     wire: Arc<Wire>,
     mood: Arc<Mood>,
+    /// When it started, in milliseconds since the epoch, if it tells.
+    born: Option<u64>,
 }
 
 /// All that a run consists of.
@@ -82,11 +86,26 @@
     done: Mutex<Vec<Done>>,
     left: Mutex<Vec<Left>>,
     limits: Mutex<Vec<Limited>>,
+    /// Whether back ends tell their starts, as those do that start again under their names.
+    tells_starts: bool,
+    /// Names of back ends that ended and are to start again under them.
+    starting_again: Mutex<BTreeSet<String>>,
     began: Instant,
     processes: AtomicUsize,
     version: Mutex<u64>,
 }
 
+/// What happens beside the faults, drawn apart from them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Beside {
+    /// Nothing.
+    Nothing,
+    /// Back ends state limits.
+    Limits,
+    /// Rows of back ends are spoiled, and back ends start again under their names.
+    Rows,
+}
+
 /// What a run plays.
 #[derive(Clone, Debug)]
 pub struct Play {
@@ -96,8 +115,8 @@
     pub length: Duration,
     /// Gateways.
     pub gateways: usize,
-    /// Whether back ends state limits, beside the faults.
-    pub with_limits: bool,
+    /// What happens beside the faults.
+    pub beside: Beside,
     /// Where gateways write their lines.
     pub logs: Option<PathBuf>,
 }
@@ -110,7 +129,7 @@
         gateways,
         ..
     } = play;
-    let run = Arc::new(Run::start(gateways, length, play.logs).await);
+    let run = Arc::new(Run::start(&play).await);
     let tries = Arc::default();
     let mut tasks = JoinSet::new();
     for number in 0..CALLERS * gateways {
@@ -125,9 +144,17 @@
     for back_end in run.listed.lock().iter() {
         keepers.spawn(run.clone().replace_when_ended(back_end.clone()));
     }
-    if play.with_limits {
-        for limit in limits(seed, length) {
-            strikes.spawn(run.clone().state_limit(limit));
+    match play.beside {
+        Beside::Nothing => {}
+        Beside::Limits => {
+            for limit in limits(seed, length) {
+                strikes.spawn(run.clone().state_limit(limit));
+            }
+        }
+        Beside::Rows => {
+            for strike in row_strikes(seed, length) {
+                strikes.spawn(run.clone().strike_row(strike));
+            }
         }
     }
     for strike in plan(seed, length) {
@@ -146,13 +173,14 @@
 }
 
 impl Run {
-    async fn start(gateways: usize, length: Duration, logs: Option<PathBuf>) -> Self {
+    async fn start(play: &Play) -> Self {
+        let gateways = play.gateways;
         let store = Store::start().await;
         store.put("op", "config", with_more_models(configuration(1)));
         let mut slots = Vec::new();
         for number in 0..gateways {
             let wire = Wire::to(store.address).await;
-            let slot = Slot::start(&format!("node-{number}"), wire, number, logs.clone());
+            let slot = Slot::start(&format!("node-{number}"), wire, number, play.logs.clone());
             slots.push(Mutex::new(slot));
         }
         let mut run = Run {
@@ -165,6 +193,8 @@
             done: Mutex::default(),
             left: Mutex::default(),
             limits: Mutex::default(),
+            tells_starts: play.beside == Beside::Rows,
+            starting_again: Mutex::default(),
             began: Instant::now(),
             processes: AtomicUsize::new(gateways),
             version: Mutex::new(1),
@@ -175,12 +205,17 @@
         }
         let is_up = run.all_serve(START).await;
         assert!(is_up.is_empty(), "gateways do not start: {is_up:?}");
-        run.over = run.began.elapsed() + length;
+        run.over = run.began.elapsed() + play.length;
         run
     }
 
     async fn add_back_end(&self, service: &'static str) -> BackEnd {
         let id = format!("i-{}", self.all.lock().len());
+        self.add_back_end_as(&id, service).await
+    }
+
+    /// A back end under this name, which it may have had before.
+    async fn add_back_end_as(&self, id: &str, service: &'static str) -> BackEnd {
         let mood = Arc::new(Mood::default());
         let (present, endings, began) = (mood.clone(), self.endings.clone(), self.began);
         let behaviour = move |seen: &Seen| {
@@ -192,13 +227,15 @@
             }
             behave(seen, &present)
         };
-        let runner = Runner::start(&id, behaviour).await;
+        let runner = Runner::start(id, behaviour).await;
         let wire = Arc::new(Wire::to(runner.address).await);
+        let start = FIRST_START + self.began.elapsed().as_millis() as u64;
         let back_end = BackEnd {
             runner,
             service,
             wire,
             mood,
+            born: self.tells_starts.then_some(start),
         };
         self.put_row(&back_end, "ready");
         self.listed.lock().push(back_end.clone());
@@ -213,7 +250,10 @@
             back_end.wire.end();
             let from = self.began.elapsed();
             sleep(RESTART).await;
-            self.store.remove("servers", &back_end.runner.id);
+            let starts_again = self.starting_again.lock().remove(&back_end.runner.id);
+            if !starts_again {
+                self.store.remove("servers", &back_end.runner.id);
+            }
             let until = self.began.elapsed();
             let what = What::BackEndEnded;
             self.done.lock().push(Done { from, until, what });
@@ -228,14 +268,18 @@
                 // It was about to leave, and another one has come already.
                 return;
             }
-            back_end = self.add_back_end(back_end.service).await;
+            back_end = if starts_again {
+                let id = back_end.runner.id.clone();
+                self.add_back_end_as(&id, back_end.service).await
+            } else {
+                self.add_back_end(back_end.service).await
+            };
         }
     }
 
     fn put_row(&self, back_end: &BackEnd, state: &str) {
-        let mut row = server_row(&back_end.runner, back_end.service, state);
-        row["addr"] = json!(back_end.wire.address.to_string());
-        self.store.put("servers", &back_end.runner.id, row);
+        let id = &back_end.runner.id;
+        self.store.put("servers", id, row_of(back_end, state));
     }
 
     fn next_process(&self) -> usize {
@@ -310,15 +354,17 @@
         let mut runs: BTreeMap<String, Vec<String>> = BTreeMap::new();
         for back_end in self.all.lock().iter() {
             let runner = &back_end.runner;
+            // Each life of it for itself.
+            let life = format!("{} of {:?}", runner.id, back_end.born);
             for seen in runner.seen() {
                 let at = runs.entry(seen.id().to_owned()).or_default();
                 at.push(runner.id.clone());
             }
             let models = runner.most_models();
-            history.most_models.insert(runner.id.clone(), models);
+            history.most_models.insert(life.clone(), models);
             let orders = runner.orders();
             let fences = orders.iter().filter_map(|order| order["fence"].as_u64());
-            history.fences.insert(runner.id.clone(), fences.collect());
+            history.fences.insert(life, fences.collect());
         }
         // What asks whether gateways serve bears one id.
         runs.remove("probe");
@@ -348,6 +394,16 @@
     }
 }
 
+/// The row of a back end.
+fn row_of(back_end: &BackEnd, state: &str) -> Value {
+    let mut row = server_row(&back_end.runner, back_end.service, state);
+    row["addr"] = json!(back_end.wire.address.to_string());
+    if let Some(born) = back_end.born {
+        row["born"] = json!(born);
+    }
+    row
+}
+
 /// The same with more models than an engine has memory for.
 fn with_more_models(mut configuration: Value) -> Value {
     let models = &mut configuration["services"][1]["engine"]["models"];
--- a/crates/gorsebank/tests/soak/run/strikes.rs
+++ b/crates/gorsebank/tests/soak/run/strikes.rs
@@ -5,12 +5,13 @@
 use std::time::Duration;
 
 use nix::sys::signal::Signal;
+use serde_json::json;
 use tokio::time::sleep;
 
-use super::{BackEnd, ENDING, Mood, NEWS, Run, SLACK};
+use super::{BackEnd, ENDING, Mood, NEWS, Run, SLACK, row_of};
 use crate::gateways::Slot;
 use crate::history::{Done, Left, Limited, What};
-use crate::plan::{Fault, StatedLimit, Strike};
+use crate::plan::{Fault, RowFault, RowStrike, StatedLimit, Strike};
 use crate::platform::client::{Client, request_with};
 use crate::platform::store::Inner;
 use crate::platform::wire::Wire;
@@ -220,6 +221,39 @@
         });
     }
 
+    /// Something happens to the row of a back end.
+    pub(super) async fn strike_row(self: Arc<Self>, strike: RowStrike) {
+        sleep(strike.at).await;
+        let Some(back_end) = self.back_end(strike.target) else {
+            return;
+        };
+        let id = back_end.runner.id.clone();
+        let mut row = row_of(&back_end, "ready");
+        match strike.fault {
+            RowFault::StartsAgain => {
+                self.starting_again.lock().insert(id);
+                back_end.runner.end();
+                return;
+            }
+            RowFault::LacksField => {
+                row.as_object_mut().expect("a row").remove("addr");
+            }
+            RowFault::OtherType => row["slots"] = json!("eight"),
+            RowFault::UnknownWord => row["state"] = json!("dreaming"),
+        }
+        let from = self.began.elapsed();
+        self.store.put("servers", &id, row);
+        sleep(strike.lasts).await;
+        // It may have ended, or begun to leave, meanwhile.
+        let is_listed = |one: &BackEnd| one.runner.id == id && one.born == back_end.born;
+        if self.listed.lock().iter().any(is_listed) {
+            self.put_row(&back_end, "ready");
+        }
+        let until = self.began.elapsed() + NEWS;
+        let what = What::BackEndCutOff;
+        self.done.lock().push(Done { from, until, what });
+    }
+
     /// Something happens to the connections of a back end that are open.
     fn cut_off(&self, target: usize, how: impl Fn(&Wire)) -> Option<What> {
         how(&self.back_end(target)?.wire);
