--- a/crates/fleet/src/slots.rs
+++ b/crates/fleet/src/pacer.rs
@@ -28,7 +28,7 @@
 
 /// Whether a request may be sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Slot {
+pub enum SendTime {
     /// It may, after so many milliseconds; nobody else may then.
     In(u64),
     /// Not within the time that it can wait: there is room after so many milliseconds.
@@ -37,16 +37,16 @@
 
 /// The times that were given out.
 #[derive(Debug)]
-pub struct Slots {
+pub struct Pacer {
     begun: Timestamp,
     /// The last time at each back end, in milliseconds of this process's clock.
     last: HashMap<BackEndHash, f64>,
 }
 
-impl Slots {
+impl Pacer {
     /// This gateway counts from now on, and no other one does.
     pub fn new(now: Timestamp) -> Self {
-        Slots {
+        Pacer {
             begun: now,
             last: HashMap::new(),
         }
@@ -60,7 +60,7 @@
         back_end: BackEndHash,
         rate: f64,
         most_wait: u64,
-    ) -> Slot {
+    ) -> SendTime {
         let interval = 1_000.0 / rate.max(LEAST_RATE);
         let present = now.0 as f64;
         // Whoever counted before may have given out the time one interval before this.
@@ -70,11 +70,11 @@
         let at = next.max(present - BURST).max(first);
         let wait = (at - present).max(0.0).ceil() as u64;
         if wait > most_wait.min(AHEAD) {
-            return Slot::Later(wait);
+            return SendTime::Later(wait);
         }
         self.forget_old(now);
         self.last.insert(back_end, at);
-        Slot::In(wait)
+        SendTime::In(wait)
     }
 
     fn forget_old(&mut self, now: Timestamp) {
--- a/crates/fleet/src/stated_limits.rs
+++ b/crates/fleet/src/stated_limits.rs
@@ -15,21 +15,21 @@
 
 use crate::quarantine::BackEndHash;
 
-/// A word that nobody has repeated for so long, in milliseconds, is forgotten: the back end may
+/// A statement that nobody has repeated for so long, in milliseconds, is forgotten: the back end may
 /// be gone, and if it is not, its next answer says what holds.
 const MEMORY: u64 = 600_000;
-/// Words younger than this are told on, in milliseconds: back ends in use repeat theirs, and
+/// Statements younger than this are told on, in milliseconds: back ends in use repeat theirs, and
 /// each round among gateways takes half a second.
 const TOLD_FOR: u64 = 10_000;
-/// Words that are told at most, the newest first: about 20 bytes each, to each gateway twice a
+/// Statements that are told at most, the newest first: about 20 bytes each, to each gateway twice a
 /// second. Whoever is not told hears it with its own first answer.
 const MOST_TOLD: usize = 200;
 /// A back end with a limit is asked again after this time, in milliseconds, though others could
-/// take the request. Gateways tell each other of words within half of it, so few of them ask.
-const WORD_LIFETIME: u64 = 1_500;
-/// The same word told again counts as new only if it is so much younger, in milliseconds: each
-/// hop takes time, and a word must not grow younger by going round.
-const SAME_WORD: u64 = 500;
+/// take the request. Gateways tell each other of statements within half of it, so few of them ask.
+const ASKED_AGAIN_AFTER: u64 = 1_500;
+/// The same statement told again counts as new only if it is so much younger, in milliseconds: each
+/// hop takes time, and a statement must not grow younger by going round.
+const SAME_STATEMENT: u64 = 500;
 
 /// What an answer says of the requests that its back end takes.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -59,7 +59,7 @@
     rate.is_finite() && rate >= 0.0
 }
 
-/// The newest word of a back end.
+/// The newest statement of a back end.
 #[derive(Clone, Copy, Debug, PartialEq)]
 struct Stated {
     /// Requests a second; none once it has lifted its limit.
@@ -118,7 +118,7 @@
             };
             let is_news = self.stated.get(&limit.back_end).is_none_or(|known| {
                 let same = if known.rate == stated.rate {
-                    SAME_WORD
+                    SAME_STATEMENT
                 } else {
                     0
                 };
@@ -163,9 +163,11 @@
 
     /// Whether a back end that states a limit has said nothing for a while: only its answers can
     /// tell that it takes more again.
-    pub fn needs_word(&self, now: Timestamp, back_end: BackEndHash) -> bool {
+    pub fn needs_statement(&self, now: Timestamp, back_end: BackEndHash) -> bool {
         let stated = self.stated.get(&back_end);
-        stated.is_some_and(|stated| stated.rate.is_some() && now.since(stated.at) >= WORD_LIFETIME)
+        stated.is_some_and(|stated| {
+            stated.rate.is_some() && now.since(stated.at) >= ASKED_AGAIN_AFTER
+        })
     }
 
     /// Back ends that state a limit, with the requests a second that each takes.
--- a/crates/fleet/tests/slots.rs
+++ b/crates/fleet/tests/pacer.rs
@@ -1,7 +1,7 @@
 //! Times at which gateways may send to back ends that state a limit.
 
 use gorsebank_coordination::Timestamp;
-use gorsebank_fleet::slots::{AHEAD, BURST, Slot, Slots};
+use gorsebank_fleet::pacer::{AHEAD, BURST, Pacer, SendTime};
 use proptest::prelude::*;
 
 const ENGINE: u64 = 7;
@@ -10,61 +10,64 @@
 const USERS_SPAN: f64 = 4_000.0;
 
 /// A gateway that has counted for long enough to give out times at any rate.
-fn settled() -> (Slots, u64) {
-    (Slots::new(Timestamp(0)), AHEAD + 10_000)
+fn settled() -> (Pacer, u64) {
+    (Pacer::new(Timestamp(0)), AHEAD + 10_000)
 }
 
 #[test]
 fn times_follow_each_other_at_the_rate() {
-    let (mut slots, now) = settled();
-    let take = |slots: &mut Slots, now, most| slots.take(Timestamp(now), ENGINE, 2.0, most);
+    let (mut pacer, now) = settled();
+    let take = |pacer: &mut Pacer, now, most| pacer.take(Timestamp(now), ENGINE, 2.0, most);
     // After a rest the first one counts as a tenth of a second old.
-    assert_eq!(take(&mut slots, now, 0), Slot::In(0));
-    assert_eq!(take(&mut slots, now, 0), Slot::Later(400));
-    assert_eq!(take(&mut slots, now, 600), Slot::In(400));
-    assert_eq!(take(&mut slots, now, 9_000), Slot::In(900));
-    let too_far_ahead = Slot::Later(1_400);
-    assert_eq!(take(&mut slots, now, 9_000), too_far_ahead);
+    assert_eq!(take(&mut pacer, now, 0), SendTime::In(0));
+    assert_eq!(take(&mut pacer, now, 0), SendTime::Later(400));
+    assert_eq!(take(&mut pacer, now, 600), SendTime::In(400));
+    assert_eq!(take(&mut pacer, now, 9_000), SendTime::In(900));
+    let too_far_ahead = SendTime::Later(1_400);
+    assert_eq!(take(&mut pacer, now, 9_000), too_far_ahead);
     // A time that was refused is nobody's.
-    assert_eq!(take(&mut slots, now + 1_400, 0), Slot::In(0));
+    assert_eq!(take(&mut pacer, now + 1_400, 0), SendTime::In(0));
 }
 
 #[test]
 fn whoever_begins_to_count_leaves_room_for_what_the_former_one_gave_out() {
-    let mut slots = Slots::new(Timestamp(5_000));
+    let mut pacer = Pacer::new(Timestamp(5_000));
     assert_eq!(
-        slots.take(Timestamp(5_200), ENGINE, 4.0, 0),
-        Slot::Later(1_050)
+        pacer.take(Timestamp(5_200), ENGINE, 4.0, 0),
+        SendTime::Later(1_050)
+    );
+    assert_eq!(
+        pacer.take(Timestamp(6_250), ENGINE, 4.0, 0),
+        SendTime::In(0)
     );
-    assert_eq!(slots.take(Timestamp(6_250), ENGINE, 4.0, 0), Slot::In(0));
 }
 
 #[test]
 fn each_back_end_has_its_own_times() {
-    let (mut slots, now) = settled();
-    assert_eq!(slots.take(Timestamp(now), 1, 1.0, 0), Slot::In(0));
-    assert_eq!(slots.take(Timestamp(now), 2, 1.0, 0), Slot::In(0));
-    assert_eq!(slots.take(Timestamp(now), 1, 1.0, 0), Slot::Later(900));
+    let (mut pacer, now) = settled();
+    assert_eq!(pacer.take(Timestamp(now), 1, 1.0, 0), SendTime::In(0));
+    assert_eq!(pacer.take(Timestamp(now), 2, 1.0, 0), SendTime::In(0));
+    assert_eq!(pacer.take(Timestamp(now), 1, 1.0, 0), SendTime::Later(900));
 }
 
 /// One that takes nothing has to be asked some time whether it still says so.
 #[test]
 fn a_back_end_that_takes_nothing_is_asked_now_and_then() {
-    let (mut slots, now) = settled();
-    assert_eq!(slots.take(Timestamp(now), ENGINE, 0.0, 0), Slot::In(0));
+    let (mut pacer, now) = settled();
+    assert_eq!(pacer.take(Timestamp(now), ENGINE, 0.0, 0), SendTime::In(0));
     assert_eq!(
-        slots.take(Timestamp(now), ENGINE, 0.0, 0),
-        Slot::Later(10_000)
+        pacer.take(Timestamp(now), ENGINE, 0.0, 0),
+        SendTime::Later(10_000)
     );
 }
 
 #[test]
 fn a_rate_that_rises_counts_at_once() {
-    let (mut slots, now) = settled();
-    assert_eq!(slots.take(Timestamp(now), ENGINE, 0.1, 0), Slot::In(0));
+    let (mut pacer, now) = settled();
+    assert_eq!(pacer.take(Timestamp(now), ENGINE, 0.1, 0), SendTime::In(0));
     assert_eq!(
-        slots.take(Timestamp(now + 100), ENGINE, 100.0, 0),
-        Slot::In(0)
+        pacer.take(Timestamp(now + 100), ENGINE, 100.0, 0),
+        SendTime::In(0)
     );
 }
 
@@ -77,15 +80,15 @@
         rate in 0.1..200.0_f64,
         asks in proptest::collection::vec((0..400_u64, 0..3_000_u64, 0..60_u32), 1..400),
     ) {
-        let mut slots = Slots::new(Timestamp(0));
+        let mut pacer = Pacer::new(Timestamp(0));
         let mut now = 0;
         let mut times: Vec<f64> = Vec::new();
         for (pause, most_wait, turn) in asks {
             now += pause;
             if turn == 0 {
-                slots = Slots::new(Timestamp(now));
+                pacer = Pacer::new(Timestamp(now));
             }
-            if let Slot::In(wait) = slots.take(Timestamp(now), ENGINE, rate, most_wait) {
+            if let SendTime::In(wait) = pacer.take(Timestamp(now), ENGINE, rate, most_wait) {
                 prop_assert!(wait <= most_wait.min(AHEAD));
                 times.push((now + wait) as f64);
             }
--- a/crates/fleet/tests/stated_limits.rs
+++ b/crates/fleet/tests/stated_limits.rs
@@ -33,7 +33,7 @@
 }
 
 #[test]
-fn the_newest_word_counts_whoever_tells_it() {
+fn the_newest_statement_counts_whoever_tells_it() {
     let mut limits = StatedLimits::default();
     limits.note(at(10_000), at(9_950), ENGINE, Statement::PerSecond(2.0));
     let told = |rate, age| {
@@ -66,10 +66,10 @@
     assert_eq!(limits.rate(ENGINE), None);
 }
 
-/// Two gateways that tell each other the same word again and again: each hop takes a while, and
-/// the word grows old all the same.
+/// Two gateways that tell each other the same statement again and again: each hop takes a while, and
+/// it grows old all the same.
 #[test]
-fn a_word_grows_old_while_it_goes_round() {
+fn a_statement_grows_old_while_it_goes_round() {
     const HOP: u64 = 40;
     let (mut first, mut second) = (StatedLimits::default(), StatedLimits::default());
     first.note(at(1_000), at(990), ENGINE, Statement::PerSecond(1.0));
@@ -88,14 +88,14 @@
 }
 
 #[test]
-fn a_silent_back_end_is_asked_for_its_word() {
+fn a_silent_back_end_is_asked_again() {
     let mut limits = StatedLimits::default();
-    assert!(!limits.needs_word(at(50_000), ENGINE));
+    assert!(!limits.needs_statement(at(50_000), ENGINE));
     limits.note(at(50_000), at(49_000), ENGINE, Statement::PerSecond(1.0));
-    assert!(!limits.needs_word(at(50_500), ENGINE));
-    assert!(limits.needs_word(at(52_000), ENGINE));
+    assert!(!limits.needs_statement(at(50_500), ENGINE));
+    assert!(limits.needs_statement(at(52_000), ENGINE));
     limits.note(at(52_100), at(52_000), ENGINE, Statement::Unlimited);
-    assert!(!limits.needs_word(at(60_000), ENGINE));
+    assert!(!limits.needs_statement(at(60_000), ENGINE));
 }
 
 #[test]
--- a/crates/gateway/src/allowance/message.rs
+++ b/crates/gateway/src/allowance/message.rs
@@ -39,7 +39,7 @@
     pub returned: Vec<Returned>,
     /// A time for a request to a back end is asked for, and nothing of a tenant.
     #[serde(rename = "b", default, skip_serializing_if = "Option::is_none")]
-    pub slot: Option<SlotAsk>,
+    pub send_time: Option<SendTimeAsk>,
 }
 
 impl Ask {
@@ -50,15 +50,15 @@
             tenant: TenantId::from(""),
             cost: 0.0,
             returned: Vec::new(),
-            slot: None,
+            send_time: None,
         }
     }
 
     /// A question for a time at a back end. A gateway of an earlier build takes it for one of a
     /// tenant without a name, and answers that it does not count there.
-    pub fn for_slot(slot: SlotAsk) -> Self {
+    pub fn for_send_time(send_time: SendTimeAsk) -> Self {
         Ask {
-            slot: Some(slot),
+            send_time: Some(send_time),
             ..Ask::nothing()
         }
     }
@@ -66,7 +66,7 @@
 
 /// A question for a time at which a request may be sent to a back end that states a limit.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-pub struct SlotAsk {
+pub struct SendTimeAsk {
     /// The back end, in its present life.
     #[serde(rename = "h")]
     pub back_end: BackEndHash,
--- a/crates/gateway/src/allowance/mod.rs
+++ b/crates/gateway/src/allowance/mod.rs
@@ -34,7 +34,7 @@
 use tokio::time::{Instant, sleep};
 
 use denials::Denials;
-pub use message::{Ask, AskAnswer, Returned, SlotAsk};
+pub use message::{Ask, AskAnswer, Returned, SendTimeAsk};
 
 /// Pause before another try, while nobody counts for a tenant or nobody answers.
 const RETRY_PAUSE: Duration = Duration::from_millis(60);
@@ -325,7 +325,7 @@
             tenant: want.tenant.clone(),
             cost: want.cost,
             returned: std::mem::take(&mut self.seats[seat].lock().returns),
-            slot: None,
+            send_time: None,
         };
         let answer = put(holder.clone(), ask).await;
         if answer.is_none() {
--- a/crates/gateway/src/back_end_limits.rs
+++ b/crates/gateway/src/back_end_limits.rs
@@ -20,10 +20,10 @@
 
 use gorsebank_coordination::Timestamp;
 use gorsebank_fleet::quarantine::BackEndHash;
-use gorsebank_fleet::{Slot, Slots, StatedLimits};
+use gorsebank_fleet::{Pacer, SendTime, StatedLimits};
 use parking_lot::Mutex;
 
-use crate::allowance::{AskAnswer, SlotAsk};
+use crate::allowance::{AskAnswer, SendTimeAsk};
 
 /// While nobody gives out times, or whoever does gives no answer, a back end has no room for
 /// this time: another gateway takes that over within some seconds.
@@ -45,7 +45,7 @@
     /// Until when back ends have no room, as this gateway was told.
     full_until: Mutex<HashMap<BackEndHash, Timestamp>>,
     /// The times that were given out, while this gateway does so.
-    slots: Mutex<Option<Slots>>,
+    pacer: Mutex<Option<Pacer>>,
 }
 
 impl BackEndLimits {
@@ -62,24 +62,24 @@
 
     /// This gateway gives out times from now on, or another one does.
     pub fn set_counting(&self, now: Timestamp, counts: bool) {
-        *self.slots.lock() = counts.then(|| Slots::new(now));
+        *self.pacer.lock() = counts.then(|| Pacer::new(now));
     }
 
     /// Answers a gateway, this one included, that asks for a time.
-    pub fn answer(&self, now: Timestamp, ask: &SlotAsk) -> AskAnswer {
+    pub fn answer(&self, now: Timestamp, ask: &SendTimeAsk) -> AskAnswer {
         if !ask.rate.is_finite() {
             return AskAnswer::NotHere;
         }
-        // Of two words that differ the lower one does no harm.
+        // Of two statements that differ the lower one does no harm.
         let known = self.rate(ask.back_end);
         let rate = known.map_or(ask.rate, |known| known.min(ask.rate));
-        let mut slots = self.slots.lock();
-        let Some(slots) = slots.as_mut() else {
+        let mut pacer = self.pacer.lock();
+        let Some(pacer) = pacer.as_mut() else {
             return AskAnswer::NotHere;
         };
-        match slots.take(now, ask.back_end, rate, ask.most_wait) {
-            Slot::In(wait) => AskAnswer::Reserved { wait },
-            Slot::Later(wait) => AskAnswer::Beyond { wait },
+        match pacer.take(now, ask.back_end, rate, ask.most_wait) {
+            SendTime::In(wait) => AskAnswer::Reserved { wait },
+            SendTime::Later(wait) => AskAnswer::Beyond { wait },
         }
     }
 
--- a/crates/gateway/src/candidates.rs
+++ b/crates/gateway/src/candidates.rs
@@ -33,7 +33,8 @@
 const LEAST_WAIT_FOR_ROOM: Duration = Duration::from_millis(5);
 
 /// The cheapest of the back ends. One that takes a limited number of requests is left alone while
-/// any other one has a free place, but for a request now and then that brings its newest word.
+/// any other one has a free place, but for a request now and then that brings its newest
+/// statement.
 /// None if those that are left have no room.
 pub fn choose(call: &Call, now: Timestamp, eligible: &[Arc<BackEnd>]) -> Option<Chosen> {
     let is_any_limited = eligible
@@ -84,11 +85,11 @@
             .cloned()
             .partition(|back_end| limit(call, now, back_end).is_some());
         limited.retain(|back_end| limits.full_for(now, back_end.life_hash).is_none());
-        let needs_word = |back_end: &&Arc<BackEnd>| {
-            limits.known(|known| known.needs_word(now, back_end.life_hash))
+        let needs_statement = |back_end: &&Arc<BackEnd>| {
+            limits.known(|known| known.needs_statement(now, back_end.life_hash))
         };
         ByLimit {
-            silent: limited.iter().filter(needs_word).cloned().collect(),
+            silent: limited.iter().filter(needs_statement).cloned().collect(),
             free,
             limited,
         }
--- a/crates/gateway/src/shared/back_end_limits.rs
+++ b/crates/gateway/src/shared/back_end_limits.rs
@@ -10,7 +10,7 @@
 use gorsebank_world::BackEndId;
 
 use super::Shared;
-use crate::allowance::{Ask, SlotAsk};
+use crate::allowance::{Ask, SendTimeAsk};
 use crate::back_end::BackEnd;
 use crate::back_end_limits::Reservation;
 use crate::directory::Directory;
@@ -64,7 +64,7 @@
     /// Asks for a time at a back end that takes so many requests a second, for a request that
     /// can wait so long.
     pub async fn reserve(&self, back_end: &BackEnd, rate: f64, most_wait: Duration) -> Reservation {
-        let ask = Ask::for_slot(SlotAsk {
+        let ask = Ask::for_send_time(SendTimeAsk {
             back_end: back_end.life_hash,
             rate,
             most_wait: most_wait.as_millis() as u64,
--- a/crates/gateway/src/shared/limits.rs
+++ b/crates/gateway/src/shared/limits.rs
@@ -43,8 +43,8 @@
 
     /// What this gateway, which may count for the tenant or give out times, says.
     pub fn answer_ask(&self, ask: &Ask) -> AskAnswer {
-        if let Some(slot) = &ask.slot {
-            return self.back_end_limits.answer(self.now(), slot);
+        if let Some(send_time) = &ask.send_time {
+            return self.back_end_limits.answer(self.now(), send_time);
         }
         let configuration = self.configuration();
         self.allowance
--- a/crates/gateway/tests/back_end_limits.rs
+++ b/crates/gateway/tests/back_end_limits.rs
@@ -4,7 +4,7 @@
 
 use gorsebank_coordination::Timestamp;
 use gorsebank_fleet::Statement;
-use gorsebank_gateway::allowance::{AskAnswer, SlotAsk};
+use gorsebank_gateway::allowance::{AskAnswer, SendTimeAsk};
 use gorsebank_gateway::back_end_limits::{BackEndLimits, Reservation};
 
 const ENGINE: u64 = 7;
@@ -13,8 +13,8 @@
     Timestamp(milliseconds)
 }
 
-fn ask(rate: f64, most_wait: u64) -> SlotAsk {
-    SlotAsk {
+fn ask(rate: f64, most_wait: u64) -> SendTimeAsk {
+    SendTimeAsk {
         back_end: ENGINE,
         rate,
         most_wait,
--- a/crates/gateway/tests/earlier_builds.rs
+++ b/crates/gateway/tests/earlier_builds.rs
@@ -11,7 +11,7 @@
 use gorsebank_fleet::placement::StoreRecords;
 use gorsebank_fleet::quarantine::ToldOutcome;
 use gorsebank_fleet::{LeaseRow, MemberRow, PlacedRow, ReadingRow};
-use gorsebank_gateway::allowance::{Ask, SlotAsk};
+use gorsebank_gateway::allowance::{Ask, SendTimeAsk};
 use gorsebank_gateway::relay::{RelayAnswer, RelayRequest};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -137,13 +137,13 @@
 /// It counts for no tenant without a name, and answers that.
 #[test]
 fn a_question_for_a_time_at_a_back_end_is_one_of_no_tenant_to_earlier_builds() {
-    let slot = SlotAsk {
+    let send_time = SendTimeAsk {
         back_end: 7,
         rate: 0.5,
         most_wait: 300,
     };
     let mut bytes = Vec::new();
-    let request = RelayRequest::Allowance(Ask::for_slot(slot));
+    let request = RelayRequest::Allowance(Ask::for_send_time(send_time));
     ciborium::into_writer(&request, &mut bytes).expect("it can be encoded");
     let read: EarlierRequest = ciborium::from_reader(bytes.as_slice()).expect("it is read");
     let nothing = EarlierAsk {
