Back ends are not looked through for limits where none can have one

Since cold back ends count as limited, each request took a lock and looked up its service for each back end that could take it, limits or none, and StatedLimits::is_empty had no caller left. One look decides now whether any may have a limit. Behaviour is the same.

--- a/crates/gateway/src/candidates.rs
+++ b/crates/gateway/src/candidates.rs
@@ -34,12 +34,10 @@
 
 /// The cheapest of the back ends. One that takes a limited number of requests is left alone while
 /// any other one has a free place, but for a request now and then that brings its newest
-/// statement.
-/// None if those that are left have no room.
+/// statement. None if those that are left have no room.
 pub fn choose(call: &Call, now: Timestamp, eligible: &[Arc<BackEnd>]) -> Option<Chosen> {
-    let is_any_limited = eligible
-        .iter()
-        .any(|back_end| limit(call, now, back_end).is_some());
+    let is_limited = |back_end: &Arc<BackEnd>| limit(call, now, back_end).is_some();
+    let is_any_limited = may_have_limits(call) && eligible.iter().any(is_limited);
     let (back_end, candidate, has_alternative) = if is_any_limited {
         let by_limit = ByLimit::new(call, now, eligible);
         let (back_end, candidate) = by_limit.cheapest(call, now)?;
@@ -56,13 +54,23 @@
     })
 }
 
+/// Whether any back end of the service may have a limit: where none can, back ends are not looked
+/// through for it.
+fn may_have_limits(call: &Call) -> bool {
+    let limits = &call.shared.back_end_limits;
+    cold_rate(call).is_some() || limits.known(|known| !known.is_empty())
+}
+
+/// Requests a second that cold back ends of the service bear; none if they are merely slow.
+fn cold_rate(call: &Call) -> Option<f64> {
+    call.configuration.service(&call.service)?.cold_rate
+}
+
 /// Requests a second that a back end takes of all gateways together: what it states, or what it
 /// bears while it is cold. None if it takes what it is sent.
 fn limit(call: &Call, now: Timestamp, back_end: &BackEnd) -> Option<f64> {
     let stated = call.shared.back_end_limits.rate(back_end.life_hash);
-    let service = call.configuration.service(&call.service);
-    let cold_rate = service.and_then(|service| service.cold_rate);
-    let cold_rate = cold_rate.filter(|_| back_end.is_cold(now));
+    let cold_rate = cold_rate(call).filter(|_| back_end.is_cold(now));
     let rates = stated.into_iter().chain(cold_rate);
     rates.min_by(f64::total_cmp)
 }
