--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -297,8 +297,7 @@
     }
     // Whoever is misdirected was answered by another back end.
     if head.parts.status != StatusCode::MISDIRECTED_REQUEST {
-        let shared = &call.shared;
-        shared.note_statement(back_end, head.sent.elapsed(), marks.limit);
+        call.shared.note_answer(back_end, head.sent, &marks);
     }
     if !marks.not_run {
         call.expose();
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -34,6 +34,8 @@
     pub attempts: IntCounterVec,
     /// Questions for times at back ends that state a limit, by result.
     pub reservations: IntCounterVec,
+    /// Answers in which back ends say that they leave or ask for a pause, by kind.
+    pub back_end_statements: IntCounterVec,
     /// Orders to engines, by result.
     pub orders: IntCounterVec,
     /// Calls of the table, by result.
@@ -71,6 +73,11 @@
                 "Questions for times at limited back ends",
                 "result",
             )?,
+            back_end_statements: counters(
+                "gateway_back_end_statements_total",
+                "Answers in which back ends say that they leave or ask for a pause",
+                "kind",
+            )?,
             orders: counters("gateway_orders_total", "Orders by result", "result")?,
             table_calls: counters("gateway_table_calls_total", "Table calls", "result")?,
             refused_rows: counters("gateway_refused_rows_total", "Refused rows", "reason")?,
@@ -94,6 +101,7 @@
             &self.tenant_requests,
             &self.attempts,
             &self.reservations,
+            &self.back_end_statements,
             &self.orders,
             &self.table_calls,
             &self.refused_rows,
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -9,7 +9,9 @@
 use futures_util::future::BoxFuture;
 use gorsebank_contract::{TableAnswer, TableRow, Transaction};
 use gorsebank_fleet::placement::{OrderKind, OrderResult};
-use gorsebank_fleet::{ApiKey, BackEndReport, Configuration, EngineReport, Prompt, Statement};
+use gorsebank_fleet::{
+    ApiKey, BackEndReport, Configuration, EngineReport, Prompt, RequestedPause, Statement,
+};
 use gorsebank_world::{AdapterId, BackEndId, ModelId, NodeId, ZoneId};
 use http::{HeaderMap, Request, StatusCode};
 use serde::{Deserialize, Serialize};
@@ -58,6 +60,10 @@
     pub not_run: bool,
     /// How many requests the back end takes.
     pub limit: Statement,
+    /// The back end leaves: it serves on for a while, and then ends.
+    pub is_leaving: bool,
+    /// For how long the back end wants no requests from this gateway.
+    pub pause: RequestedPause,
 }
 
 /// An order with the holder's generation.
--- a/crates/gateway/src/shared/mod.rs
+++ b/crates/gateway/src/shared/mod.rs
@@ -5,6 +5,7 @@
 //! `feed.parents`, then any other.
 //! No lock is held over an await.
 
+mod answers;
 mod back_end_limits;
 mod gateways;
 mod limits;
--- a/crates/gorsebank/tests/wire_names.rs
+++ b/crates/gorsebank/tests/wire_names.rs
@@ -7,12 +7,13 @@
 use std::path::{Path, PathBuf};
 
 /// Names that only the platform's wire uses.
-const WIRE_NAMES: [&str; 67] = [
+const WIRE_NAMES: [&str; 68] = [
     "request-id",
     "deadline-ms",
     "prompt-prefix",
     "server-seal",
     "server-limit",
+    "server-leaving",
     "expect-instance",
     "not-executed",
     "instance-id",
