A back end that says in an answer that it leaves gets nothing more

Requests that are there when it ends are lost.

Cause: only the back end's row counted, and the row could not be written. Its class: what an answer says of its back end ended with the answer.

The mend: a departure belongs to a life of a back end, whoever tells of it: its row, the answer to a request, to an order or to a question for its state, or another gateway (with the news of the tables, in a field that earlier builds pass over). It is kept while the row is gone, since a row that comes again would take it back.

--- a/crates/fleet/src/stated_limits.rs
+++ b/crates/fleet/src/stated_limits.rs
@@ -14,16 +14,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::quarantine::BackEndHash;
+use crate::telling::{MEMORY, newest};
 
-/// A statement that nobody has repeated for so long, in milliseconds, is forgotten: the back end may
-/// be gone, and if it is not, its next answer says what holds.
-const MEMORY: u64 = 600_000;
-/// Statements younger than this are told on, in milliseconds: back ends in use repeat theirs, and
-/// each round among gateways takes half a second.
-const TOLD_FOR: u64 = 10_000;
-/// Statements that are told at most, the newest first: about 20 bytes each, to each gateway twice a
-/// second. Whoever is not told hears it with its own first answer.
-const MOST_TOLD: usize = 200;
 /// A back end with a limit is asked again after this time, in milliseconds, though others could
 /// take the request. Gateways tell each other of statements within half of it, so few of them ask.
 const ASKED_AGAIN_AFTER: u64 = 1_500;
@@ -138,10 +130,7 @@
             rate: stated.rate,
             age: now.since(stated.at),
         });
-        let mut told: Vec<ToldLimit> = stated.filter(|limit| limit.age < TOLD_FOR).collect();
-        told.sort_by_key(|limit| limit.age);
-        told.truncate(MOST_TOLD);
-        told
+        newest(stated, |limit| limit.age)
     }
 
     /// True if the limit is another one than before.
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -1,7 +1,7 @@
 //! The back ends that requests may go to, and what each holds.
 //!
-//! In: rows of discovery and of the placement holder, with their versions.
-//! Out: the candidates of a request. Of the two rows on one back end the newer
+//! In: rows of discovery and of the placement holder, with their versions; what back ends and
+//! other gateways say of those that leave. Out: the candidates of a request. Of the two rows on one back end the newer
 //! counts for what it holds; the table orders them by one counter.
 //!
 //! Invariant: a back end that once said that it leaves stays leaving, until it starts again; one
@@ -12,9 +12,11 @@
 use std::sync::Arc;
 
 use gorsebank_coordination::Timestamp;
-use gorsebank_fleet::quarantine::BackEndHash;
+use gorsebank_fleet::quarantine::{self, BackEndHash};
 use gorsebank_fleet::running::Counts;
-use gorsebank_fleet::{BackEndReport, CopyTier, Heard, Holdings, Incarnation, PlacedRow};
+use gorsebank_fleet::{
+    BackEndReport, CopyTier, Departures, Heard, Holdings, Incarnation, PlacedRow, ToldDeparture,
+};
 use gorsebank_world::{AdapterId, BackEndId, ModelId, ServiceId, ZoneId};
 
 use crate::back_end::{BackEnd, SeenRow};
@@ -31,6 +33,7 @@
     version: u64,
     /// The version of the first row of this life.
     first_version: u64,
+    /// Whether it has said that it leaves.
     draining: bool,
     /// Whether its newest row can be read. One that cannot is no end of its process.
     is_readable: bool,
@@ -49,7 +52,7 @@
             incarnation: Incarnation::new(report.born),
             version: row.version,
             first_version: row.version,
-            draining: report.draining,
+            draining: false,
             is_readable: true,
             doubtful: None,
             report,
@@ -60,14 +63,16 @@
     fn take(&mut self, report: BackEndReport, row: SeenRow) {
         self.back_end.note_row(row);
         self.back_end.note_cold(row.seen + report.cold_left);
-        self.draining |= report.draining;
         self.report = report;
         self.version = row.version;
         self.is_readable = true;
         self.doubtful = None;
-        if self.draining {
-            self.back_end.retire();
-        }
+    }
+
+    /// It has said that it leaves.
+    fn leave(&mut self) {
+        self.draining = true;
+        self.back_end.retire();
     }
 
     /// Whether it may get new requests, as its rows say.
@@ -112,6 +117,8 @@
     entries: HashMap<BackEndId, Entry>,
     placed: HashMap<BackEndId, Placed>,
     services: HashMap<ServiceId, Vec<BackEndId>>,
+    /// Lives of back ends that have said that they leave, also of those without a row.
+    departures: Departures,
     /// Zones whose back ends are to get nothing.
     evacuated: BTreeSet<ZoneId>,
     /// Whether warm back ends come before cold ones.
@@ -128,6 +135,7 @@
             entries: HashMap::new(),
             placed: HashMap::new(),
             services: HashMap::new(),
+            departures: Departures::default(),
             evacuated: BTreeSet::new(),
             spares_cold: false,
             gone_unsaid: Vec::new(),
@@ -166,6 +174,10 @@
                 let moved = entry.report.service != report.service;
                 let former = entry.report.service.clone();
                 let id = report.id.clone();
+                if report.draining {
+                    self.departures.note(now, entry.back_end.life_hash);
+                    entry.leave();
+                }
                 entry.take(report, row);
                 if moved {
                     self.change_service(&id, &former);
@@ -198,7 +210,15 @@
         let members = self.services.entry(report.service.clone()).or_default();
         members.push(report.id.clone());
         let id = report.id.clone();
-        self.entries.insert(id, Entry::new(&self.zone, report, row));
+        let life = quarantine::hash(&id, report.born);
+        if report.draining {
+            self.departures.note(row.seen, life);
+        }
+        let mut entry = Entry::new(&self.zone, report, row);
+        if self.departures.contains(life) {
+            entry.leave();
+        }
+        self.entries.insert(id, entry);
     }
 
     /// A back end has started again under its name: the process before it has ended.
@@ -237,6 +257,44 @@
         std::mem::replace(&mut entry.is_readable, false)
     }
 
+    /// A back end says in an answer that it leaves. True if that is news.
+    pub fn note_departure(&mut self, now: Timestamp, back_end: &BackEnd) -> bool {
+        let entry = self.entries.get_mut(&back_end.id);
+        if let Some(entry) = entry.filter(|entry| entry.back_end.life_hash == back_end.life_hash) {
+            entry.leave();
+        }
+        self.departures.note(now, back_end.life_hash)
+    }
+
+    /// Other gateways tell of back ends that leave. Out: those that are news and have a row.
+    pub fn take_departures(&mut self, now: Timestamp, told: &[ToldDeparture]) -> Vec<Arc<BackEnd>> {
+        let news = self.departures.take(now, told);
+        let entries = self.entries.values_mut();
+        let leaving = entries.filter(|entry| news.contains(&entry.back_end.life_hash));
+        leaving
+            .map(|entry| {
+                entry.leave();
+                entry.back_end.clone()
+            })
+            .collect()
+    }
+
+    /// Whether all of these departures are known.
+    pub fn knows_departures(&self, told: &[ToldDeparture]) -> bool {
+        let mut told = told.iter();
+        told.all(|departure| self.departures.contains(departure.back_end))
+    }
+
+    /// What other gateways should know of back ends that leave.
+    pub fn told_departures(&self, now: Timestamp) -> Vec<ToldDeparture> {
+        self.departures.told(now)
+    }
+
+    /// Whether a back end has said that it leaves.
+    pub fn has_departed(&self, back_end: &BackEnd) -> bool {
+        self.departures.contains(back_end.life_hash)
+    }
+
     /// A back end's row was removed.
     pub fn remove(&mut self, id: &BackEndId) {
         let Some(entry) = self.entries.remove(id) else {
--- a/crates/gateway/src/feed/filler.rs
+++ b/crates/gateway/src/feed/filler.rs
@@ -133,6 +133,7 @@
         running: Counts::new(),
         quarantine: shared.quarantine.heard(fellow),
         limits: shared.told_limits(),
+        departures: shared.told_departures(),
     };
     let client = shared.table().client();
     let request = RelayRequest::News(question);
@@ -140,6 +141,7 @@
     // One that does not answer is asked again in the next turn.
     if let Some(RelayAnswer::News(answer)) = client.call(fellow, &request, limit).await {
         shared.note_told_limits(&answer.limits);
+        shared.note_told_departures(&answer.departures);
         if let Some(news) = &answer.quarantine {
             shared.note_quarantine_news(fellow, news);
         }
@@ -316,6 +318,7 @@
                     self.shared.note_quarantine_news(parent.address, news);
                 }
                 self.shared.note_told_limits(&answer.limits);
+                self.shared.note_told_departures(&answer.departures);
                 if let Some(sums) = &answer.running {
                     let now = self.shared.now();
                     self.shared.feed.running.lock().note_sums(now, sums, &own);
@@ -370,6 +373,7 @@
                 .below(self.shared.now(), own),
             quarantine: self.shared.quarantine.heard(parent.address),
             limits: self.shared.told_limits(),
+            departures: self.shared.told_departures(),
         }
     }
 
--- a/crates/gateway/src/feed/message.rs
+++ b/crates/gateway/src/feed/message.rs
@@ -2,9 +2,9 @@
 
 use std::sync::Arc;
 
-use gorsebank_fleet::ToldLimit;
 use gorsebank_fleet::quarantine::Position;
 use gorsebank_fleet::running::Counts;
+use gorsebank_fleet::{ToldDeparture, ToldLimit};
 use gorsebank_world::NodeId;
 use serde::{Deserialize, Serialize};
 
@@ -52,6 +52,9 @@
     /// Limits that back ends state, as the asker knows.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub limits: Vec<ToldLimit>,
+    /// Back ends that leave, as the asker knows.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub departures: Vec<ToldDeparture>,
 }
 
 /// News of one table.
@@ -110,4 +113,7 @@
     /// Limits that back ends state, as the teller knows.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub limits: Vec<ToldLimit>,
+    /// Back ends that leave, as the teller knows.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub departures: Vec<ToldDeparture>,
 }
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use gorsebank_fleet::EngineReport;
 use gorsebank_fleet::placement::OrderResult;
-use http::{Request, Response};
+use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use tokio::time::{Instant, timeout};
@@ -39,6 +39,7 @@
         return None;
     };
     let (response, connection) = answered?;
+    note_departure(shared, engine, &response);
     let status = response.status();
     let rest = stated_rest(response.headers());
     let body = timeout(ANSWER_TIMEOUT, response.into_body().collect())
@@ -83,6 +84,7 @@
         return OrderResult::Unanswered;
     };
     shared.order_patience.answered(began.elapsed());
+    note_departure(shared, engine, &response);
     let result = shared.platform.order_result(response.status());
     let rest = stated_rest(response.headers());
     if let Ok(Ok(_)) = timeout(ANSWER_TIMEOUT, response.into_body().collect()).await {
@@ -91,6 +93,16 @@
     result
 }
 
+/// An engine may say with any answer that it leaves. Whoever is misdirected was answered by
+/// another one.
+fn note_departure(shared: &Shared, engine: &BackEnd, response: &Response<Incoming>) {
+    let status = response.status();
+    let marks = shared.platform.answer_marks(status, response.headers());
+    if marks.is_leaving && status != StatusCode::MISDIRECTED_REQUEST {
+        shared.note_departure(engine);
+    }
+}
+
 async fn send(
     shared: &Shared,
     engine: &Arc<BackEnd>,
--- a/crates/gateway/src/relay/server.rs
+++ b/crates/gateway/src/relay/server.rs
@@ -88,6 +88,7 @@
     let counts = question.running.clone();
     shared.feed.running.lock().note_fed(now, from, counts);
     shared.note_told_limits(&question.limits);
+    shared.note_told_departures(&question.departures);
     let arrived = shared.clock.since_boot();
     let tables = shared.feed.news(&question, &shared.quarantine).await;
     let held = shared.clock.since_boot().saturating_sub(arrived);
@@ -99,6 +100,7 @@
         running,
         quarantine: Some(quarantine),
         limits: shared.told_limits(),
+        departures: shared.told_departures(),
     }
 }
 
--- a/crates/gateway/tests/directory.rs
+++ b/crates/gateway/tests/directory.rs
@@ -159,3 +159,74 @@
     directory.remove(&id);
     assert!(directory.take_gone_unsaid().is_empty());
 }
+
+/// The table lost its row for a moment, and the back end, which has said that it leaves, writes
+/// it again as one that is ready.
+#[test]
+fn a_departure_is_kept_while_the_row_of_its_life_is_gone() {
+    let (service, id) = (ServiceId::from("llm"), BackEndId::from("i-1"));
+    for says_in_row in [true, false] {
+        let mut directory = Directory::new("hall".into());
+        directory.put(NOW, of_life("i-1", 1), 1);
+        let back_end = directory.back_end(&id).expect("a back end");
+        if says_in_row {
+            let leaving = BackEndReport {
+                draining: true,
+                ..of_life("i-1", 1)
+            };
+            directory.put(NOW, leaving, 2);
+        } else {
+            assert!(directory.note_departure(NOW, &back_end));
+        }
+        directory.remove(&id);
+        assert!(
+            directory.take_gone_unsaid().is_empty(),
+            "it said that it leaves"
+        );
+        directory.put(NOW, of_life("i-1", 1), 3);
+        assert!(directory.members(NOW, &service).is_empty());
+        directory.put(NOW, of_life("i-1", 9_000), 4);
+        assert_eq!(directory.members(NOW, &service).len(), 1);
+    }
+}
+
+#[test]
+fn a_departure_that_is_told_counts_also_for_a_row_that_comes_later() {
+    let mut teller = Directory::new("hall".into());
+    teller.put(NOW, engine("i-1"), 1);
+    let back_end = teller.back_end(&"i-1".into()).expect("a back end");
+    teller.note_departure(NOW, &back_end);
+    let told = teller.told_departures(NOW + 100);
+    assert_eq!(told.len(), 1);
+
+    let mut directory = Directory::new("hall".into());
+    assert!(!directory.knows_departures(&told));
+    assert!(directory.take_departures(NOW, &told).is_empty(), "no row");
+    directory.put(NOW, engine("i-1"), 1);
+    assert!(directory.members(NOW, &"llm".into()).is_empty());
+    assert!(!directory.is_active(&"i-1".into()));
+    assert!(directory.reports()[0].draining, "nothing is loaded there");
+}
+
+/// What goes round among gateways for longer than it is told on is told no more.
+#[test]
+fn a_departure_does_not_grow_younger_by_being_told() {
+    let mut directories = [Directory::new("a".into()), Directory::new("b".into())];
+    for directory in &mut directories {
+        directory.put(NOW, engine("i-1"), 1);
+    }
+    let back_end = directories[0].back_end(&"i-1".into()).expect("a back end");
+    directories[0].note_departure(NOW, &back_end);
+    for round in 1..=30 {
+        let now = NOW + 500 * round;
+        let [first, second] = &mut directories;
+        second.take_departures(now, &first.told_departures(now));
+        first.take_departures(now, &second.told_departures(now));
+    }
+    let later = NOW + 15_000;
+    assert!(
+        directories
+            .iter()
+            .all(|it| it.told_departures(later).is_empty())
+    );
+}
