--- a/crates/gorsebank/tests/soak/broken.rs
+++ b/crates/gorsebank/tests/soak/broken.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use super::history::{Done, End, History, Kind, Left, Limited, Try, What};
+use super::history::{Departed, Done, End, History, Kind, Left, Limited, PauseWanted, Try, What};
 use super::promises::{Promise, check};
 
 const fn at(seconds: u64) -> Duration {
@@ -163,6 +163,70 @@
     assert_eq!(broken(&history), [], "14 are allowed");
 }
 
+#[test]
+fn work_for_a_back_end_whose_answer_said_that_it_leaves_is_seen() {
+    let mut history = sound();
+    history.departed.push(Departed {
+        back_end: "i-1".to_owned(),
+        said: at(1),
+    });
+    let later = |id: &str, sent| Try {
+        id: id.to_owned(),
+        sent,
+        ended: sent + at(1),
+        end: End::Closed,
+        ..history.tries[0].clone()
+    };
+    // The answer was passed on at 2 s.
+    let (under_way, late) = (later("r2", at(4)), later("r3", at(5)));
+    history.tries.extend([under_way, late]);
+    let arrived = vec!["i-1".to_owned()];
+    history.runs.insert("r2".to_owned(), arrived.clone());
+    assert_eq!(broken(&history), [], "within the bound");
+    history.runs.insert("r3".to_owned(), arrived);
+    assert_eq!(broken(&history), [Promise::DepartureKept]);
+    let done = |what| Done {
+        from: at(3),
+        until: at(4),
+        what,
+    };
+    history.done.push(done(What::Table));
+    assert_eq!(broken(&history), [Promise::DepartureKept], "no excuse");
+    history.done.push(done(What::Paused(1)));
+    assert_eq!(broken(&history), [], "the process stood still");
+    history.done.clear();
+    history.tries[2].process = 2;
+    assert_eq!(broken(&history), [], "another process was not told");
+}
+
+#[test]
+fn requests_in_a_pause_that_was_asked_for_are_seen() {
+    let mut history = sound();
+    let arrival = |millis: u64, process| (at(5) + Duration::from_millis(millis), process);
+    history.pauses.push(PauseWanted {
+        back_end: "i-1".to_owned(),
+        turned_away: vec![arrival(0, 1)],
+        arrivals: vec![
+            arrival(0, 1),
+            arrival(100, 1),
+            arrival(400, 1),
+            arrival(600, 1),
+            arrival(700, 1),
+            arrival(800, 2),
+            arrival(1_600, 1),
+        ],
+    });
+    assert_eq!(broken(&history), [], "two in the rest of the pause");
+    history.pauses[0].arrivals.push(arrival(900, 1));
+    assert_eq!(broken(&history), [Promise::PauseKept]);
+    history.done.push(Done {
+        from: at(4),
+        until: at(5),
+        what: What::BackEndCutOff,
+    });
+    assert_eq!(broken(&history), [], "the answer may not have come");
+}
+
 #[test]
 fn an_engine_with_more_models_than_memory_is_seen() {
     let mut history = sound();
--- a/crates/gorsebank/tests/soak/history.rs
+++ b/crates/gorsebank/tests/soak/history.rs
@@ -109,6 +109,26 @@
     pub arrivals: Vec<(Duration, usize)>,
 }
 
+/// A back end that said in its answers that it leaves.
+#[derive(Clone, Debug)]
+pub struct Departed {
+    /// Its name.
+    pub back_end: String,
+    /// When it began to say so.
+    pub said: Duration,
+}
+
+/// A back end that turned requests away and wanted a pause after each.
+#[derive(Clone, Debug)]
+pub struct PauseWanted {
+    /// Its name.
+    pub back_end: String,
+    /// When it turned a request of a process away, in order.
+    pub turned_away: Vec<(Duration, usize)>,
+    /// When requests arrived there, and of which process, in order.
+    pub arrivals: Vec<(Duration, usize)>,
+}
+
 /// All of it.
 #[derive(Clone, Debug, Default)]
 pub struct History {
@@ -128,6 +148,10 @@
     pub left: Vec<Left>,
     /// Limits that back ends stated.
     pub limits: Vec<Limited>,
+    /// Back ends that said in their answers that they leave.
+    pub departed: Vec<Departed>,
+    /// Back ends that wanted pauses.
+    pub pauses: Vec<PauseWanted>,
     /// Gateways that did not serve all kinds in time once everything was over.
     pub not_recovered: Vec<String>,
     /// Gateways that did not have the last configuration in time.
--- a/crates/gorsebank/tests/soak/main.rs
+++ b/crates/gorsebank/tests/soak/main.rs
@@ -20,6 +20,7 @@
 mod promises;
 mod report;
 mod run;
+mod statements;
 
 use std::ops::Range;
 use std::path::PathBuf;
@@ -63,6 +64,14 @@
     hold(seeds(), length, GATEWAYS as usize, Beside::Rows).await;
 }
 
+/// The same, where back ends also say in their answers that they leave, or turn requests away and
+/// ask for pauses.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn promises_hold_where_back_ends_leave_by_answers_or_ask_for_pauses() {
+    let length = Duration::from_secs(number("GORSEBANK_SOAK_SECONDS").unwrap_or(SECONDS));
+    hold(seeds(), length, GATEWAYS as usize, Beside::Statements).await;
+}
+
 /// Orders of a former holder followed those of a newer one, one at each of two engines, once in
 /// five plays of this seed: the former one was asked to stop while the table lost its answers,
 /// and ordered on after its hand-back, which the table had made.
--- a/crates/gorsebank/tests/soak/plan.rs
+++ b/crates/gorsebank/tests/soak/plan.rs
@@ -17,6 +17,10 @@
 const LIMITS: u64 = 1;
 /// The stream from which faults of rows are drawn.
 const ROWS: u64 = 2;
+/// The stream from which statements in answers are drawn.
+const STATEMENTS: u64 = 3;
+/// Back ends that make a statement in a run at most: half of them say nothing.
+const MOST_STATEMENTS: usize = 3;
 /// Faults of rows in a run at most.
 const MOST_ROW_FAULTS: usize = 5;
 /// Limits in a run at most: half of the back ends take what they are sent.
@@ -197,6 +201,45 @@
     drawn.collect()
 }
 
+/// What a back end says of itself in its answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Statement {
+    /// It leaves; its row does not say so.
+    Leaves,
+    /// It turns requests away, and wants a pause after each.
+    WantsPause,
+}
+
+/// A statement with its time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StatementStrike {
+    /// When it begins.
+    pub at: Duration,
+    /// How long it lasts, where it ends by itself.
+    pub lasts: Duration,
+    /// What.
+    pub statement: Statement,
+    /// Which back end makes it; taken modulo how many there are.
+    pub target: usize,
+}
+
+/// Statements of back ends in a run, drawn apart from its faults, in no order.
+pub fn statement_strikes(seed: u64, length: Duration) -> Vec<StatementStrike> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    random.set_stream(STATEMENTS);
+    let length = length.as_millis() as u64;
+    let count = random.random_range(1..=MOST_STATEMENTS);
+    let drawn = (0..count).map(|_| StatementStrike {
+        at: Duration::from_millis(random.random_range(0..length / 2)),
+        lasts: Duration::from_millis(random.random_range(length / 4..length / 2)),
+        statement: *[Statement::Leaves, Statement::WantsPause]
+            .choose(&mut random)
+            .expect("there are two"),
+        target: random.random_range(0..64),
+    });
+    drawn.collect()
+}
+
 /// The faults of a run, in order.
 pub fn plan(seed: u64, length: Duration) -> Vec<Strike> {
     let mut random = ChaCha8Rng::seed_from_u64(seed);
--- a/crates/gorsebank/tests/soak/promises.rs
+++ b/crates/gorsebank/tests/soak/promises.rs
@@ -4,6 +4,7 @@
 
 use super::gateways::GRACE;
 use super::history::{End, History, Kind, Limited, Try, What};
+use super::statements;
 
 /// Statuses that promise that the request did not run and never will.
 const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
@@ -47,6 +48,10 @@
     OneHolder,
     /// A back end that states a limit gets no more, once gateways can know, of all together.
     LimitKept,
+    /// A process that has passed on an answer of a back end that leaves sends it nothing new.
+    DepartureKept,
+    /// A back end gets next to nothing from a process that it asked for a pause.
+    PauseKept,
     /// Everything works again in time once all faults are over.
     Recovery,
     /// The last configuration is in force in time.
@@ -94,6 +99,12 @@
     for limited in &history.limits {
         findings.extend(check_limit(history, limited));
     }
+    for departed in &history.departed {
+        findings.extend(statements::check_departure(history, departed));
+    }
+    for wanted in &history.pauses {
+        findings.extend(statements::check_pauses(history, wanted));
+    }
     let any_paused = history
         .done
         .iter()
--- a/crates/gorsebank/tests/soak/run.rs
+++ b/crates/gorsebank/tests/soak/run.rs
@@ -15,14 +15,15 @@
 
 use super::callers::Caller;
 use super::gateways::Slot;
-use super::history::{Done, History, Left, Limited, What};
-use super::plan::{limits, plan, row_strikes};
+use super::history::{Departed, Done, History, Left, Limited, PauseWanted, What};
+use super::plan::{limits, plan, row_strikes, statement_strikes};
 use super::platform::client::{request, send};
 use super::platform::runner::{End, Reply, Runner, Seen};
 use super::platform::store::Store;
 use super::platform::wire::Wire;
 use super::platform::{configuration, configuration_with_prefix, server_row};
 use super::promises::{EVENTS, PLAIN, event};
+use super::statements::PAUSE_TEXT;
 
 /// Back ends of each service.
 const BACK_ENDS: usize = 3;
@@ -57,6 +58,10 @@
     slow: AtomicBool,
     /// Fails every second request.
     grey: AtomicBool,
+    /// Turns requests away and wants a pause after each.
+    busy: AtomicBool,
+    /// Requests that it turned away, by their ids, and when.
+    turned_away: Mutex<Vec<(Instant, String)>>,
     requests: AtomicUsize,
 }
 
@@ -86,6 +91,7 @@
     done: Mutex<Vec<Done>>,
     left: Mutex<Vec<Left>>,
     limits: Mutex<Vec<Limited>>,
+    departed: Mutex<Vec<Departed>>,
     /// Whether back ends tell their starts, as those do that start again under their names.
     tells_starts: bool,
     /// Names of back ends that ended and are to start again under them.
@@ -104,6 +110,8 @@
     Limits,
     /// Rows of back ends are spoiled, and back ends start again under their names.
     Rows,
+    /// Back ends say in their answers that they leave, or turn requests away and want pauses.
+    Statements,
 }
 
 /// What a run plays.
@@ -156,6 +164,11 @@
                 strikes.spawn(run.clone().strike_row(strike));
             }
         }
+        Beside::Statements => {
+            for strike in statement_strikes(seed, length) {
+                strikes.spawn(run.clone().make_statement(strike));
+            }
+        }
     }
     for strike in plan(seed, length) {
         sleep_until(base + strike.at).await;
@@ -193,6 +206,7 @@
             done: Mutex::default(),
             left: Mutex::default(),
             limits: Mutex::default(),
+            departed: Mutex::default(),
             tells_starts: play.beside == Beside::Rows,
             starting_again: Mutex::default(),
             began: Instant::now(),
@@ -360,6 +374,14 @@
                 let at = runs.entry(seen.id().to_owned()).or_default();
                 at.push(runner.id.clone());
             }
+            // What it turned away did not run there.
+            for (_, id) in back_end.mood.turned_away.lock().iter() {
+                if let Some(at) = runs.get_mut(id)
+                    && let Some(index) = at.iter().position(|name| *name == runner.id)
+                {
+                    at.remove(index);
+                }
+            }
             let models = runner.most_models();
             history.most_models.insert(life.clone(), models);
             let orders = runner.orders();
@@ -382,15 +404,35 @@
             let back_end = all.iter().find(|one| one.runner.id == left.back_end);
             left.arrived_in_the_end = back_end.map_or(0, |one| one.runner.seen().len());
         }
+        let of_process = |at: Instant, id: &str| {
+            let process = process_of.get(id)?;
+            Some((at.checked_duration_since(self.began)?, *process))
+        };
+        let arrivals = |back_end: &BackEnd| -> Vec<(Duration, usize)> {
+            let seen = back_end.runner.seen().into_iter();
+            seen.filter_map(|seen| of_process(seen.at, seen.id()))
+                .collect()
+        };
         for limited in &mut history.limits {
             let back_end = all.iter().find(|one| one.runner.id == limited.back_end);
-            let seen = back_end.map(|one| one.runner.seen()).unwrap_or_default();
-            let arrival = |seen: Seen| {
-                let process = process_of.get(seen.id())?;
-                Some((seen.at.checked_duration_since(self.began)?, *process))
-            };
-            limited.arrivals = seen.into_iter().filter_map(arrival).collect();
+            limited.arrivals = back_end.map(arrivals).unwrap_or_default();
         }
+        history.departed = std::mem::take(&mut *self.departed.lock());
+        let busy = all
+            .iter()
+            .filter(|one| !one.mood.turned_away.lock().is_empty());
+        let pauses = busy.map(|back_end| PauseWanted {
+            back_end: back_end.runner.id.clone(),
+            turned_away: back_end
+                .mood
+                .turned_away
+                .lock()
+                .iter()
+                .filter_map(|(at, id)| of_process(*at, id))
+                .collect(),
+            arrivals: arrivals(back_end),
+        });
+        history.pauses = pauses.collect();
     }
 }
 
@@ -419,6 +461,11 @@
 
 /// What a back end does with a request.
 fn behave(seen: &Seen, mood: &Mood) -> Reply {
+    if mood.busy.load(Ordering::Relaxed) {
+        let turned_away = (seen.at, seen.id().to_owned());
+        mood.turned_away.lock().push(turned_away);
+        return Reply::Pause(PAUSE_TEXT);
+    }
     let number = mood.requests.fetch_add(1, Ordering::Relaxed);
     if mood.grey.load(Ordering::Relaxed) && number.is_multiple_of(2) {
         return Reply::Answer(500, "failed");
--- a/crates/gorsebank/tests/soak/run/strikes.rs
+++ b/crates/gorsebank/tests/soak/run/strikes.rs
@@ -10,8 +10,8 @@
 
 use super::{BackEnd, ENDING, Mood, NEWS, Run, SLACK, row_of};
 use crate::gateways::Slot;
-use crate::history::{Done, Left, Limited, What};
-use crate::plan::{Fault, RowFault, RowStrike, StatedLimit, Strike};
+use crate::history::{Departed, Done, Left, Limited, What};
+use crate::plan::{Fault, RowFault, RowStrike, StatedLimit, Statement, StatementStrike, Strike};
 use crate::platform::client::{Client, request_with};
 use crate::platform::store::Inner;
 use crate::platform::wire::Wire;
@@ -221,6 +221,45 @@
         });
     }
 
+    /// A back end says something of itself in its answers.
+    pub(super) async fn make_statement(self: Arc<Self>, strike: StatementStrike) {
+        sleep(strike.at).await;
+        match strike.statement {
+            Statement::Leaves => self.leave_by_answers(strike).await,
+            Statement::WantsPause => {
+                let Some(back_end) = self.back_end(strike.target) else {
+                    return;
+                };
+                back_end.mood.busy.store(true, Ordering::Relaxed);
+                sleep(strike.lasts).await;
+                back_end.mood.busy.store(false, Ordering::Relaxed);
+            }
+        }
+    }
+
+    /// A back end leaves and says so in its answers alone; another one comes.
+    async fn leave_by_answers(self: Arc<Self>, strike: StatementStrike) {
+        let Some(leaving) = self.take_off_the_list(strike.target) else {
+            return;
+        };
+        let next = self.add_back_end(leaving.service).await;
+        tokio::spawn(self.clone().replace_when_ended(next));
+        leaving.runner.say_leaving(true);
+        self.departed.lock().push(Departed {
+            back_end: leaving.runner.id.clone(),
+            said: self.began.elapsed(),
+        });
+        sleep(strike.lasts).await;
+        self.store.remove("servers", &leaving.runner.id);
+    }
+
+    /// A back end that faults strike no more, since it leaves.
+    fn take_off_the_list(&self, target: usize) -> Option<BackEnd> {
+        let mut listed = self.listed.lock();
+        let count = listed.len();
+        (count > 0).then(|| listed.remove(target % count))
+    }
+
     /// Something happens to the row of a back end.
     pub(super) async fn strike_row(self: Arc<Self>, strike: RowStrike) {
         sleep(strike.at).await;
@@ -262,13 +301,8 @@
 
     /// A back end says that it leaves, and another one comes.
     async fn replace_back_end(self: Arc<Self>, target: usize) {
-        let leaving = {
-            let mut listed = self.listed.lock();
-            if listed.is_empty() {
-                return;
-            }
-            let index = target % listed.len();
-            listed.remove(index)
+        let Some(leaving) = self.take_off_the_list(target) else {
+            return;
         };
         let next = self.add_back_end(leaving.service).await;
         tokio::spawn(self.clone().replace_when_ended(next));
