A back end's mean time to answer lapses after five seconds without an answer

What callers saw: a back end that was slow for its first answers got nothing more from a gateway whose other back ends answered sooner, however long ago that was; requests went to another zone meanwhile. Cause: the mean aged with answers only, and there were none. Evidence: the test.

A mean of 0 ms counted as not known; it is a mean now.

--- a/crates/fleet/src/health.rs
+++ b/crates/fleet/src/health.rs
@@ -13,29 +13,27 @@
 const LONGEST_PAUSE: u64 = 4_000;
 /// The failure rate halves in this time without requests, in milliseconds.
 const FAILURE_HALF_LIFE: f64 = 4_000.0;
-/// Latency before the first answer, in milliseconds.
-const UNKNOWN_LATENCY: f64 = 0.0;
+/// A mean time to answer is believed for so long after the last answer, in milliseconds: a back end
+/// that was slow for a while gets another try, though its peers could take all requests.
+const LATENCY_LIFETIME: u64 = 5_000;
 
 /// Running means over one back end's answers.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Health {
     failure_rate: f64,
     failure_noted: Timestamp,
-    latency: f64,
+    latency: Option<MeanLatency>,
     pause: u64,
     paused_until: Timestamp,
 }
 
-impl Default for Health {
-    fn default() -> Self {
-        Health {
-            failure_rate: 0.0,
-            failure_noted: Timestamp(0),
-            latency: UNKNOWN_LATENCY,
-            pause: 0,
-            paused_until: Timestamp(0),
-        }
-    }
+/// A running mean of times to answer.
+#[derive(Clone, Copy, Debug)]
+struct MeanLatency {
+    /// In milliseconds.
+    mean: f64,
+    /// When the last answer came.
+    noted: Timestamp,
 }
 
 impl Health {
@@ -43,11 +41,11 @@
     pub fn answered(&mut self, now: Timestamp, latency: u64) {
         self.note(now, 0.0);
         let latency = latency as f64;
-        self.latency = if self.latency == UNKNOWN_LATENCY {
-            latency
-        } else {
-            self.latency + NEWEST_WEIGHT * (latency - self.latency)
-        };
+        let former = self.latency(now).unwrap_or(latency);
+        self.latency = Some(MeanLatency {
+            mean: former + NEWEST_WEIGHT * (latency - former),
+            noted: now,
+        });
         self.pause = 0;
         self.paused_until = Timestamp(0);
     }
@@ -76,9 +74,10 @@
         self.failure_rate * (-age / FAILURE_HALF_LIFE).exp2()
     }
 
-    /// Mean time to answer in milliseconds, if one is known.
-    pub fn latency(&self) -> Option<f64> {
-        (self.latency != UNKNOWN_LATENCY).then_some(self.latency)
+    /// Mean time to answer in milliseconds, if one is known that is not too old.
+    pub fn latency(&self, now: Timestamp) -> Option<f64> {
+        let known = self.latency?;
+        (now.since(known.noted) < LATENCY_LIFETIME).then_some(known.mean)
     }
 
     fn note(&mut self, now: Timestamp, outcome: f64) {
--- a/crates/gateway/src/candidates.rs
+++ b/crates/gateway/src/candidates.rs
@@ -145,7 +145,7 @@
 fn candidates(call: &Call, now: Timestamp, back_ends: &[Arc<BackEnd>]) -> Vec<Candidate> {
     let latencies: Vec<Option<f64>> = back_ends
         .iter()
-        .map(|back_end| back_end.health().latency())
+        .map(|back_end| back_end.health().latency(now))
         .collect();
     let known: Vec<f64> = latencies.iter().flatten().copied().collect();
     let paces = paces(call, now, back_ends);
@@ -228,7 +228,7 @@
         call.ticket.id,
         chosen.id,
         chosen.in_flight(),
-        health.latency().unwrap_or(0.0),
+        health.latency(call.shared.now()).unwrap_or(0.0),
         call.age().as_millis(),
         call.priority(),
         chosen.fresh_tokens(&call.ticket),
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -28,7 +28,7 @@
     loop {
         let back_end = admit(call, &attempts.tried).await?;
         attempts.begin(call, &back_end.id);
-        let patience = patience(call, back_end.health().latency());
+        let patience = patience(call, back_end.health().latency(call.shared.now()));
         let next = match send(call, &back_end, None, patience, &mut attempts).await {
             AttemptEnd::NotSent(reason) => attempts.not_sent(call, reason),
             AttemptEnd::MayHaveRun(reason) => attempts.may_have_run(call, reason),
