--- a/crates/gateway/tests/earlier_builds.rs
+++ b/crates/gateway/tests/earlier_builds.rs
@@ -10,8 +10,9 @@
 use gorsebank_fleet::ledger::SavedUse;
 use gorsebank_fleet::placement::StoreRecords;
 use gorsebank_fleet::quarantine::ToldOutcome;
-use gorsebank_fleet::{LeaseRow, MemberRow, PlacedRow, ReadingRow};
+use gorsebank_fleet::{LeaseRow, MemberRow, PlacedRow, ReadingRow, ToldDeparture, ToldLimit};
 use gorsebank_gateway::allowance::{Ask, SendTimeAsk};
+use gorsebank_gateway::feed::{FeedQuestion, TablePosition};
 use gorsebank_gateway::relay::{RelayAnswer, RelayRequest};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -129,9 +130,19 @@
     cost: f64,
 }
 
+/// A question for news as builds before 0b4f494, and that one, know it.
+#[derive(Debug, Deserialize, PartialEq)]
+struct EarlierQuestion {
+    tables: Vec<TablePosition>,
+    wait: u64,
+    from: String,
+    limits: Vec<ToldLimit>,
+}
+
 #[derive(Debug, Deserialize, PartialEq)]
 enum EarlierRequest {
     Allowance(EarlierAsk),
+    News(EarlierQuestion),
 }
 
 /// It counts for no tenant without a name, and answers that.
@@ -153,3 +164,36 @@
     };
     assert_eq!(read, EarlierRequest::Allowance(nothing));
 }
+
+/// They read what they know of it, and go by the back end's row.
+#[test]
+fn back_ends_that_leave_are_passed_over_by_earlier_builds() {
+    let limits = vec![ToldLimit {
+        back_end: 7,
+        rate: Some(0.5),
+        age: 20,
+    }];
+    let question = FeedQuestion {
+        tables: Vec::new(),
+        wait: 300,
+        from: "node-1".into(),
+        running: Vec::new(),
+        quarantine: None,
+        limits: limits.clone(),
+        departures: vec![ToldDeparture {
+            back_end: 8,
+            age: 30,
+        }],
+    };
+    let mut bytes = Vec::new();
+    let request = RelayRequest::News(question);
+    ciborium::into_writer(&request, &mut bytes).expect("it can be encoded");
+    let read: EarlierRequest = ciborium::from_reader(bytes.as_slice()).expect("it is read");
+    let known = EarlierQuestion {
+        tables: Vec::new(),
+        wait: 300,
+        from: "node-1".to_owned(),
+        limits,
+    };
+    assert_eq!(read, EarlierRequest::News(known));
+}
