--- a/crates/fleet/src/departures.rs
+++ b/crates/fleet/src/departures.rs
@@ -33,13 +33,14 @@
 impl Departures {
     /// A back end says that it leaves. True if that is news.
     pub fn note(&mut self, now: Timestamp, back_end: BackEndHash) -> bool {
-        self.said.retain(|_, at| now.since(*at) < MEMORY);
+        self.forget_old(now);
         self.said.insert(back_end, now).is_none()
     }
 
     /// Another gateway tells of back ends that leave. Out: those that are news. What is known
     /// does not grow younger by being told, or it would go round for ever.
     pub fn take(&mut self, now: Timestamp, told: &[ToldDeparture]) -> Vec<BackEndHash> {
+        self.forget_old(now);
         let mut news = Vec::new();
         for departure in told.iter().filter(|departure| departure.age < MEMORY) {
             if !self.contains(departure.back_end) {
@@ -50,6 +51,10 @@
         news
     }
 
+    fn forget_old(&mut self, now: Timestamp) {
+        self.said.retain(|_, at| now.since(*at) < MEMORY);
+    }
+
     /// Whether a back end has said that it leaves.
     pub fn contains(&self, back_end: BackEndHash) -> bool {
         self.said.contains_key(&back_end)
--- a/crates/fleet/src/requested_pause.rs
+++ b/crates/fleet/src/requested_pause.rs
@@ -4,6 +4,7 @@
 //! that has the answer. Each gateway is asked for itself, so nothing of it is told to others.
 
 use std::collections::HashMap;
+use std::collections::hash_map::Entry;
 use std::time::Duration;
 
 use gorsebank_coordination::Timestamp;
@@ -53,11 +54,16 @@
     pub fn note(&mut self, now: Timestamp, back_end: BackEndHash, pause: Duration) -> bool {
         self.until.retain(|_, until| now < *until);
         let until = now + whole_milliseconds(pause);
-        let former = self.until.insert(back_end, until);
-        if let Some(former) = former.filter(|former| *former > until) {
-            self.until.insert(back_end, former);
+        match self.until.entry(back_end) {
+            Entry::Vacant(unknown) => {
+                unknown.insert(until);
+                true
+            }
+            Entry::Occupied(mut known) => {
+                known.insert(until.max(*known.get()));
+                false
+            }
         }
-        former.is_none()
     }
 
     /// How much longer a back end wants no requests; none if it takes them.
--- a/crates/gateway/src/admission/waits.rs
+++ b/crates/gateway/src/admission/waits.rs
@@ -86,8 +86,8 @@
     give_up.min(call.deadline())
 }
 
-/// How long a request may wait for room at a back end, or for the end of a pause: as long as its answer
-/// comes in time, or, once a refusal would gain nothing, at all.
+/// How long a request may wait for room at a back end, or for the end of a pause: as long as its
+/// answer comes in time, or, once a refusal would gain nothing, at all.
 pub(super) fn longest_wait_for_room(call: &Call) -> Duration {
     let now = Instant::now();
     let objective = call.route.objective;
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -1,8 +1,8 @@
 //! The back ends that requests may go to, and what each holds.
 //!
 //! In: rows of discovery and of the placement holder, with their versions; what back ends and
-//! other gateways say of those that leave. Out: the candidates of a request. Of the two rows on one back end the newer
-//! counts for what it holds; the table orders them by one counter.
+//! other gateways say of those that leave. Out: the candidates of a request. Of the two rows on
+//! one back end the newer counts for what it holds; the table orders them by one counter.
 //!
 //! Invariant: a back end that once said that it leaves stays leaving, until it starts again; one
 //! whose row is gone, or cannot be read, gets nothing new. Nothing that was known of a life of a
@@ -268,7 +268,7 @@
 
     /// Other gateways tell of back ends that leave. Out: those that are news and have a row.
     pub fn take_departures(&mut self, now: Timestamp, told: &[ToldDeparture]) -> Vec<Arc<BackEnd>> {
-        let news = self.departures.take(now, told);
+        let news: HashSet<BackEndHash> = self.departures.take(now, told).into_iter().collect();
         let entries = self.entries.values_mut();
         let leaving = entries.filter(|entry| news.contains(&entry.back_end.life_hash));
         leaving
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -39,7 +39,7 @@
         return None;
     };
     let (response, connection) = answered?;
-    note_departure(shared, engine, &response);
+    note_if_leaving(shared, engine, &response);
     let status = response.status();
     let rest = stated_rest(response.headers());
     let body = timeout(ANSWER_TIMEOUT, response.into_body().collect())
@@ -84,7 +84,7 @@
         return OrderResult::Unanswered;
     };
     shared.order_patience.answered(began.elapsed());
-    note_departure(shared, engine, &response);
+    note_if_leaving(shared, engine, &response);
     let result = shared.platform.order_result(response.status());
     let rest = stated_rest(response.headers());
     if let Ok(Ok(_)) = timeout(ANSWER_TIMEOUT, response.into_body().collect()).await {
@@ -95,7 +95,7 @@
 
 /// An engine may say with any answer that it leaves. Whoever is misdirected was answered by
 /// another one.
-fn note_departure(shared: &Shared, engine: &BackEnd, response: &Response<Incoming>) {
+fn note_if_leaving(shared: &Shared, engine: &BackEnd, response: &Response<Incoming>) {
     let status = response.status();
     let marks = shared.platform.answer_marks(status, response.headers());
     if marks.is_leaving && status != StatusCode::MISDIRECTED_REQUEST {
