--- a/crates/gorsebank/tests/explain.rs
+++ b/crates/gorsebank/tests/explain.rs
@@ -1,7 +1,6 @@
 //! `gorsebank explain` on logs with bad lines among them.
 
-use std::io::Write as _;
-use std::process::Command;
+mod logs;
 
 const LOG: &str = "\
 time_ms=800 node=n3 left_out=0 event=waiting request=r4 missing=model expected_ms=4800
@@ -24,16 +23,7 @@
 ";
 
 fn explain(request: &str) -> String {
-    let path = std::env::temp_dir().join(format!("explain-{}-{request}.log", std::process::id()));
-    let mut file = std::fs::File::create(&path).expect("a file");
-    file.write_all(LOG.as_bytes()).expect("written");
-    let output = Command::new(env!("CARGO_BIN_EXE_gorsebank"))
-        .args(["explain", request])
-        .arg(&path)
-        .output()
-        .expect("it runs");
-    assert!(output.status.success());
-    String::from_utf8(output.stdout).expect("text")
+    logs::told(&["explain", request], request, LOG)
 }
 
 #[test]
--- a/crates/gorsebank/tests/losses.rs
+++ b/crates/gorsebank/tests/losses.rs
@@ -1,6 +1,7 @@
 //! `gorsebank losses` on recorded lines with bad ones among them.
 
-use std::io::Write as _;
+mod logs;
+
 use std::process::{Command, Output};
 
 const LOG: &str = "\
@@ -31,20 +32,11 @@
 ";
 
 fn losses(name: &str, log: &str) -> Output {
-    let path = std::env::temp_dir().join(format!("losses-{}-{name}.log", std::process::id()));
-    let mut file = std::fs::File::create(&path).expect("a file");
-    file.write_all(log.as_bytes()).expect("written");
-    Command::new(env!("CARGO_BIN_EXE_gorsebank"))
-        .arg("losses")
-        .arg(&path)
-        .output()
-        .expect("it runs")
+    logs::run(&["losses"], name, log)
 }
 
 fn told(name: &str) -> String {
-    let output = losses(name, LOG);
-    assert!(output.status.success());
-    String::from_utf8(output.stdout).expect("text")
+    logs::told(&["losses"], name, LOG)
 }
 
 /// The line that names a request as an example.
--- a/crates/gorsebank/tests/refused_rows.rs
+++ b/crates/gorsebank/tests/refused_rows.rs
@@ -1,7 +1,6 @@
 //! `gorsebank refused-rows` on logs with bad lines among them.
 
-use std::io::Write as _;
-use std::process::Command;
+mod logs;
 
 const LOG: &str = "\
 time_ms=900 node=n1 left_out=0 event=row_refused row=\"servers/i-1\" version=7 reason=shape error=\"addr: missing\"
@@ -14,16 +13,7 @@
 ";
 
 fn told(name: &str, log: &str) -> String {
-    let path = std::env::temp_dir().join(format!("refused-{}-{name}.log", std::process::id()));
-    let mut file = std::fs::File::create(&path).expect("a file");
-    file.write_all(log.as_bytes()).expect("written");
-    let output = Command::new(env!("CARGO_BIN_EXE_gorsebank"))
-        .arg("refused-rows")
-        .arg(&path)
-        .output()
-        .expect("it runs");
-    assert!(output.status.success());
-    String::from_utf8(output.stdout).expect("text")
+    logs::told(&["refused-rows"], name, log)
 }
 
 #[test]
--- a/crates/gorsebank/tests/soak/run.rs
+++ b/crates/gorsebank/tests/soak/run.rs
@@ -1,11 +1,13 @@
 //! One run: gateways as processes, stand-ins of the table and of back ends, callers, faults.
 
+mod behaviour;
 mod strikes;
+mod tell;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::path::PathBuf;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use parking_lot::Mutex;
@@ -15,15 +17,14 @@
 
 use super::callers::Caller;
 use super::gateways::Slot;
-use super::history::{Departed, Done, History, Left, Limited, PauseWanted, What};
+use super::history::{Departed, Done, History, Left, Limited, What};
 use super::plan::{limits, plan, row_strikes, statement_strikes};
 use super::platform::client::{request, send};
-use super::platform::runner::{End, Reply, Runner, Seen};
+use super::platform::runner::{Reply, Runner, Seen};
 use super::platform::store::Store;
 use super::platform::wire::Wire;
 use super::platform::{configuration, configuration_with_prefix, server_row};
-use super::promises::{EVENTS, PLAIN, event};
-use super::statements::PAUSE_TEXT;
+use behaviour::{Mood, behave};
 
 /// Back ends of each service.
 const BACK_ENDS: usize = 3;
@@ -39,10 +40,6 @@
 const SLACK: Duration = Duration::from_millis(500);
 /// A back end whose process ended has a row for so long, and another one comes then.
 const RESTART: Duration = Duration::from_secs(2);
-/// Pause between two events, and before the first.
-const PAUSE: Duration = Duration::from_millis(20);
-/// The same, and before a plain answer, at a slow back end.
-const SLOW: Duration = Duration::from_millis(200);
 /// Models beside those of the tests' configuration; with these an engine cannot hold all.
 pub const MORE_MODELS: [&str; 2] = ["rare", "rarer"];
 /// How bodies begin under which back ends end.
@@ -52,19 +49,6 @@
 /// Pause between two looks.
 const LOOK: Duration = Duration::from_millis(50);
 
-/// How a back end is.
-#[derive(Debug, Default)]
-struct Mood {
-    slow: AtomicBool,
-    /// Fails every second request.
-    grey: AtomicBool,
-    /// Turns requests away and wants a pause after each.
-    busy: AtomicBool,
-    /// Requests that it turned away, by their ids, and when.
-    turned_away: Mutex<Vec<(Instant, String)>>,
-    requests: AtomicUsize,
-}
-
 /// A back end with its row and the way to it.
 #[derive(Clone)]
 struct BackEnd {
@@ -362,78 +346,6 @@
             }
         }
     }
-
-    /// What back ends saw.
-    fn tell(&self, history: &mut History) {
-        let mut runs: BTreeMap<String, Vec<String>> = BTreeMap::new();
-        for back_end in self.all.lock().iter() {
-            let runner = &back_end.runner;
-            // Each life of it for itself.
-            let life = format!("{} of {:?}", runner.id, back_end.born);
-            for seen in runner.seen() {
-                let at = runs.entry(seen.id().to_owned()).or_default();
-                at.push(runner.id.clone());
-            }
-            // What it turned away did not run there.
-            for (_, id) in back_end.mood.turned_away.lock().iter() {
-                if let Some(at) = runs.get_mut(id)
-                    && let Some(index) = at.iter().position(|name| *name == runner.id)
-                {
-                    at.remove(index);
-                }
-            }
-            let models = runner.most_models();
-            history.most_models.insert(life.clone(), models);
-            let orders = runner.orders();
-            let fences = orders.iter().filter_map(|order| order["fence"].as_u64());
-            history.fences.insert(life, fences.collect());
-        }
-        // What asks whether gateways serve bears one id.
-        runs.remove("probe");
-        runs.remove("ending");
-        history.endings = std::mem::take(&mut *self.endings.lock());
-        history.runs = runs;
-        history.done = std::mem::take(&mut *self.done.lock());
-        history.left = std::mem::take(&mut *self.left.lock());
-        history.limits = std::mem::take(&mut *self.limits.lock());
-        let tries = history.tries.iter();
-        let process_of: BTreeMap<&str, usize> =
-            tries.map(|one| (one.id.as_str(), one.process)).collect();
-        let all = self.all.lock();
-        for left in &mut history.left {
-            let back_end = all.iter().find(|one| one.runner.id == left.back_end);
-            left.arrived_in_the_end = back_end.map_or(0, |one| one.runner.seen().len());
-        }
-        let of_process = |at: Instant, id: &str| {
-            let process = process_of.get(id)?;
-            Some((at.checked_duration_since(self.began)?, *process))
-        };
-        let arrivals = |back_end: &BackEnd| -> Vec<(Duration, usize)> {
-            let seen = back_end.runner.seen().into_iter();
-            seen.filter_map(|seen| of_process(seen.at, seen.id()))
-                .collect()
-        };
-        for limited in &mut history.limits {
-            let back_end = all.iter().find(|one| one.runner.id == limited.back_end);
-            limited.arrivals = back_end.map(arrivals).unwrap_or_default();
-        }
-        history.departed = std::mem::take(&mut *self.departed.lock());
-        let busy = all
-            .iter()
-            .filter(|one| !one.mood.turned_away.lock().is_empty());
-        let pauses = busy.map(|back_end| PauseWanted {
-            back_end: back_end.runner.id.clone(),
-            turned_away: back_end
-                .mood
-                .turned_away
-                .lock()
-                .iter()
-                .filter_map(|(at, id)| of_process(*at, id))
-                .collect(),
-            arrivals: arrivals(back_end),
-        });
-        history.pauses = pauses.collect();
-    }
 }
 
 /// The row of a back end.
@@ -458,31 +370,3 @@
     }
     configuration
 }
-
-/// What a back end does with a request.
-fn behave(seen: &Seen, mood: &Mood) -> Reply {
-    if mood.busy.load(Ordering::Relaxed) {
-        let turned_away = (seen.at, seen.id().to_owned());
-        mood.turned_away.lock().push(turned_away);
-        return Reply::Pause(PAUSE_TEXT);
-    }
-    let number = mood.requests.fetch_add(1, Ordering::Relaxed);
-    if mood.grey.load(Ordering::Relaxed) && number.is_multiple_of(2) {
-        return Reply::Answer(500, "failed");
-    }
-    let is_slow = mood.slow.load(Ordering::Relaxed);
-    let is_stream = seen.line.contains("/stream/") || seen.line.contains("/resumable/");
-    if !is_stream && is_slow {
-        return Reply::Late(SLOW, 200, PLAIN);
-    }
-    if !is_stream {
-        return Reply::Answer(200, PLAIN);
-    }
-    let last = seen
-        .header("last-event-id")
-        .and_then(|id| id.parse::<u64>().ok());
-    let first = last.unwrap_or(0) + 1;
-    let pause = if is_slow { SLOW } else { PAUSE };
-    let events = (first..=EVENTS).map(|number| (pause, event(number)));
-    Reply::Events(events.collect(), End::Whole)
-}
