--- a/crates/gorsebank/tests/soak/main.rs
+++ b/crates/gorsebank/tests/soak/main.rs
@@ -87,6 +87,15 @@
     .await;
 }
 
+/// A request that had ended three back ends was sent to five others later than the bound, three
+/// are allowed, in one of four plays of this seed. It kills all gateways at once, twice, while the
+/// request comes again, the second time when the table has just been throttled and lost its answers.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn an_ending_request_is_kept_away_though_all_gateways_are_killed_twice() {
+    let length = Duration::from_secs(SECONDS);
+    hold([5102], length, GATEWAYS as usize, Beside::Nothing).await;
+}
+
 /// Plays seeds, and fails if any promise was broken.
 async fn hold(
     seeds: impl IntoIterator<Item = u64>,
