--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -42,6 +42,8 @@
     pub table_calls: IntCounterVec,
     /// Rows of tables that could not be used, by reason.
     pub refused_rows: IntCounterVec,
+    /// Reads and writes of the quarantine row, by result.
+    pub quarantine_row: IntCounterVec,
     /// Changes of the lease as this process saw them, by kind.
     pub lease_changes: IntCounterVec,
     /// Requests that are being served.
@@ -81,6 +83,11 @@
             orders: counters("gateway_orders_total", "Orders by result", "result")?,
             table_calls: counters("gateway_table_calls_total", "Table calls", "result")?,
             refused_rows: counters("gateway_refused_rows_total", "Refused rows", "reason")?,
+            quarantine_row: counters(
+                "gateway_quarantine_row_total",
+                "Reads and writes of the row that keeps quarantine verdicts",
+                "result",
+            )?,
             lease_changes: counters("gateway_lease_changes_total", "Lease changes", "kind")?,
             open_requests: IntGauge::new("gateway_open_requests", "Requests being served")?,
             stated_limits: IntGauge::new("gateway_stated_limits", "Back ends that state a limit")?,
@@ -105,6 +112,7 @@
             &self.orders,
             &self.table_calls,
             &self.refused_rows,
+            &self.quarantine_row,
             &self.lease_changes,
         ];
         for counter in counters {
--- a/crates/gateway/src/quarantine_row.rs
+++ b/crates/gateway/src/quarantine_row.rs
@@ -7,15 +7,18 @@
 //! Invariant: the row only adds to what gateways know. Ages in it are those of its last write,
 //! so a verdict may stand for longer than it should, never shorter.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
 use gorsebank_contract::{TableAnswer, TableRow, Transaction};
+use gorsebank_fleet::Fingerprint;
 use gorsebank_fleet::quarantine::ToldOutcome;
 use tokio::time::{sleep, timeout};
 
 use crate::backoff::Backoff;
-use crate::ports::WatchedTable;
+use crate::lines::{self, Rank};
+use crate::ports::{TableError, WatchedTable};
 use crate::shared::Shared;
 
 /// Pause after a call of the table without an answer, doubled each time ...
@@ -41,21 +44,62 @@
             Ok(snapshot) => {
                 let key = key(shared);
                 let row = snapshot.rows.iter().find(|row| row.key == key);
-                row.inspect(|row| take_in(shared, row));
-                return row.map_or(0, |row| row.modified);
+                let told = row.map(|row| take_in(shared, row)).unwrap_or_default();
+                let version = row.map_or(0, |row| row.modified);
+                note_success(shared, "read", &told, version);
+                return version;
+            }
+            Err(error) => {
+                note_read_failure(shared, &error);
+                backoff.wait().await;
             }
-            Err(_) => backoff.wait().await,
         }
     }
 }
 
-fn take_in(shared: &Shared, row: &TableRow) {
+/// Merges the outcomes in the row and returns them; returns none if the row cannot be parsed.
+fn take_in(shared: &Shared, row: &TableRow) -> Vec<ToldOutcome> {
     match serde_json::from_str::<Vec<ToldOutcome>>(&row.value) {
-        Ok(told) => shared.recall_outcomes(&told),
-        Err(error) => shared.refuse_row(row, &error),
+        Ok(told) => {
+            shared.recall_outcomes(&told);
+            told
+        }
+        Err(error) => {
+            shared.refuse_row(row, &error);
+            Vec::new()
+        }
     }
 }
 
+/// Counts and logs a successful read or write of the row.
+fn note_success(shared: &Shared, result: &str, told: &[ToldOutcome], version: u64) {
+    count_result(shared, result);
+    let requests: BTreeSet<Fingerprint> = told.iter().map(|end| end.fingerprint).collect();
+    let fields = format_args!(
+        "result={result} requests={} ends={} version={version}",
+        requests.len(),
+        told.len()
+    );
+    lines::write(Rank::Decision, "quarantine_row", fields);
+}
+
+fn note_read_failure(shared: &Shared, error: &TableError) {
+    count_result(shared, "read_failed");
+    let fields = format_args!("result=read_failed error=\"{error}\"");
+    lines::write(Rank::Decision, "quarantine_row", fields);
+}
+
+fn note_write_failure(shared: &Shared, answer: &str) {
+    count_result(shared, answer);
+    let fields = format_args!("result=write_failed answer={answer}");
+    lines::write(Rank::Decision, "quarantine_row", fields);
+}
+
+fn count_result(shared: &Shared, result: &str) {
+    let results = &shared.metrics.quarantine_row;
+    results.with_label_values(&[result]).inc();
+}
+
 /// Keeps the row while this gateway places models, until it is dropped.
 pub async fn keep(shared: Arc<Shared>) {
     let mut grown = shared.quarantine.subscribe();
@@ -70,15 +114,24 @@
             sleep(WRITE_PAUSE).await;
             continue;
         }
-        match write(&shared, version).await {
+        let told = shared.quarantine.verdict_events(shared.now());
+        match write(&shared, version, &told).await {
             TableAnswer::Committed { revision, .. } => {
+                note_success(&shared, "written", &told, revision);
                 (version, written) = (revision, changes);
                 backoff.reset();
             }
-            TableAnswer::Conflict { .. } => version = recall(&shared).await,
-            TableAnswer::Refused { .. } => backoff.wait().await,
+            TableAnswer::Conflict { .. } => {
+                note_write_failure(&shared, "conflict");
+                version = recall(&shared).await;
+            }
+            TableAnswer::Refused { .. } => {
+                note_write_failure(&shared, "refused");
+                backoff.wait().await;
+            }
             // It may stand, or may do so later.
             TableAnswer::Unknown => {
+                note_write_failure(&shared, "unknown");
                 backoff.wait().await;
                 version = recall(&shared).await;
             }
@@ -86,9 +139,8 @@
     }
 }
 
-async fn write(shared: &Shared, version: u64) -> TableAnswer {
-    let told = shared.quarantine.verdict_events(shared.now());
-    match serde_json::to_string(&told) {
+async fn write(shared: &Shared, version: u64, told: &[ToldOutcome]) -> TableAnswer {
+    match serde_json::to_string(told) {
         Ok(value) => {
             let transaction = Transaction::put_if(key(shared), version, value);
             shared.table().transact(transaction).await
