--- a/crates/gateway/src/quarantine_row.rs
+++ b/crates/gateway/src/quarantine_row.rs
@@ -35,8 +35,16 @@
     format!("{}/quarantine", shared.platform.tables().loads)
 }
 
-/// Takes in what the row says, however long it takes. Out: its version, 0 if there is none.
-pub async fn recall(shared: &Shared) -> u64 {
+/// State of the row at the time of a read.
+pub struct RowSnapshot {
+    /// 0 if the row does not exist.
+    version: u64,
+    /// The requests that the row names.
+    requests: BTreeSet<Fingerprint>,
+}
+
+/// Reads the row and merges its outcomes. Retries until a read succeeds.
+pub async fn recall(shared: &Shared) -> RowSnapshot {
     let mut backoff = Backoff::new(FIRST_PAUSE, LONGEST_PAUSE);
     let table = shared.platform.tables().loads;
     loop {
@@ -47,7 +55,10 @@
                 let told = row.map(|row| take_in(shared, row)).unwrap_or_default();
                 let version = row.map_or(0, |row| row.modified);
                 note_success(shared, "read", &told, version);
-                return version;
+                return RowSnapshot {
+                    version,
+                    requests: distinct_requests(&told),
+                };
             }
             Err(error) => {
                 note_read_failure(shared, &error);
@@ -57,6 +68,10 @@
     }
 }
 
+fn distinct_requests(told: &[ToldOutcome]) -> BTreeSet<Fingerprint> {
+    told.iter().map(|outcome| outcome.fingerprint).collect()
+}
+
 /// Merges the outcomes in the row and returns them; returns none if the row cannot be parsed.
 fn take_in(shared: &Shared, row: &TableRow) -> Vec<ToldOutcome> {
     match serde_json::from_str::<Vec<ToldOutcome>>(&row.value) {
@@ -74,10 +89,9 @@
 /// Counts and logs a successful read or write of the row.
 fn note_success(shared: &Shared, result: &str, told: &[ToldOutcome], version: u64) {
     count_result(shared, result);
-    let requests: BTreeSet<Fingerprint> = told.iter().map(|end| end.fingerprint).collect();
     let fields = format_args!(
         "result={result} requests={} ends={} version={version}",
-        requests.len(),
+        distinct_requests(told).len(),
         told.len()
     );
     lines::write(Rank::Decision, "quarantine_row", fields);
@@ -103,37 +117,43 @@
 /// Keeps the row while this gateway places models, until it is dropped.
 pub async fn keep(shared: Arc<Shared>) {
     let mut grown = shared.quarantine.subscribe();
-    let mut version = recall(&shared).await;
-    let mut written = shared.quarantine.verdict_changes();
-    let mut backoff = Backoff::new(FIRST_PAUSE, LONGEST_PAUSE);
     loop {
         let changes = shared.quarantine.verdict_changes();
-        if changes == written {
+        update_row(&shared).await;
+        while shared.quarantine.verdict_changes() == changes {
             // Time is up or there is more to tell: the next turn looks.
             let _ = timeout(IDLE, grown.changed()).await;
             sleep(WRITE_PAUSE).await;
-            continue;
         }
+    }
+}
+
+/// Writes the known verdicts unless the row already names the same requests. Retries until the
+/// row is up to date.
+///
+/// Comparing with the stored row covers verdicts that were known before the lease was taken.
+async fn update_row(shared: &Shared) {
+    let mut backoff = Backoff::new(FIRST_PAUSE, LONGEST_PAUSE);
+    loop {
+        let row = recall(shared).await;
         let told = shared.quarantine.verdict_events(shared.now());
-        match write(&shared, version, &told).await {
+        if distinct_requests(&told) == row.requests {
+            return;
+        }
+        match write(shared, row.version, &told).await {
             TableAnswer::Committed { revision, .. } => {
-                note_success(&shared, "written", &told, revision);
-                (version, written) = (revision, changes);
-                backoff.reset();
-            }
-            TableAnswer::Conflict { .. } => {
-                note_write_failure(&shared, "conflict");
-                version = recall(&shared).await;
+                note_success(shared, "written", &told, revision);
+                return;
             }
+            TableAnswer::Conflict { .. } => note_write_failure(shared, "conflict"),
             TableAnswer::Refused { .. } => {
-                note_write_failure(&shared, "refused");
+                note_write_failure(shared, "refused");
                 backoff.wait().await;
             }
             // It may stand, or may do so later.
             TableAnswer::Unknown => {
-                note_write_failure(&shared, "unknown");
+                note_write_failure(shared, "unknown");
                 backoff.wait().await;
-                version = recall(&shared).await;
             }
         }
     }
