--- a/crates/gateway/src/admission/mod.rs
+++ b/crates/gateway/src/admission/mod.rs
@@ -39,6 +39,11 @@
         if let Some(left) = call.quarantined_for() {
             return Err(refuse_quarantined(call, left));
         }
+        if call.shared.awaits_quarantine() {
+            // A verdict from before the start may still apply to this request.
+            let _ = changes.changed().await;
+            continue;
+        }
         let missing = match pick(call, tried) {
             Ok(chosen) => {
                 if !may_send(call, &chosen).await {
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -18,7 +18,10 @@
 use crate::server::{self, Connections};
 use crate::settings::GatewaySettings;
 use crate::shared::Shared;
-use crate::{demand_teller, feed, holder, lateness, members, quarantine, relay, suspension, watch};
+use crate::{
+    demand_teller, feed, holder, lateness, members, quarantine, quarantine_row, relay, suspension,
+    watch,
+};
 
 /// How often a stopping process looks whether all requests have ended.
 const DRAIN_POLL: Duration = Duration::from_millis(50);
@@ -87,6 +90,8 @@
         let measuring = lateness::measure(shared.lateness_measured());
         self.tasks.push(tokio::spawn(measuring));
         self.tasks.push(tokio::spawn(take_part(shared.clone())));
+        let initial_read_timeout = quarantine_row::enforce_initial_read_timeout(shared.clone());
+        self.tasks.push(tokio::spawn(initial_read_timeout));
         self.tasks.push(serve_readiness(shared, readiness));
     }
 
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -13,6 +13,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use gorsebank_coordination::Timestamp;
@@ -51,6 +52,8 @@
     /// Rings when there is more to tell.
     grown: watch::Sender<()>,
     heard: Mutex<HashMap<SocketAddr, Position>>,
+    /// See [`SharedQuarantine::is_initialized`].
+    is_initialized: AtomicBool,
 }
 
 impl Default for SharedQuarantine {
@@ -59,6 +62,7 @@
             known: Mutex::new(Quarantine::new(rand::random())),
             grown: watch::Sender::new(()),
             heard: Mutex::default(),
+            is_initialized: AtomicBool::new(false),
         }
     }
 }
@@ -94,18 +98,38 @@
         self.take(now, &news.events, Source::Beside)
     }
 
+    /// Whether the verdicts from before the start of this gateway are known or the wait for them
+    /// has timed out.
+    pub fn is_initialized(&self) -> bool {
+        self.is_initialized.load(Ordering::Acquire)
+    }
+
+    /// Marks the quarantine as initialized and wakes subscribers. Returns true on the first call
+    /// only.
+    pub fn note_initialized(&self) -> bool {
+        let is_first = !self.is_initialized.swap(true, Ordering::AcqRel);
+        if is_first {
+            self.grown.send_replace(());
+        }
+        is_first
+    }
+
     /// How far the gateway at `address` is known.
     pub fn heard(&self, address: SocketAddr) -> Option<Position> {
         self.heard.lock().get(&address).copied()
     }
 
-    /// What is new to one at this position.
-    pub fn news(&self, now: Timestamp, position: Option<Position>) -> QuarantineNews {
+    /// What is new to a gateway at this position. None until this gateway is initialized: the
+    /// receiver treats the events as complete.
+    pub fn news(&self, now: Timestamp, position: Option<Position>) -> Option<QuarantineNews> {
+        if !self.is_initialized() {
+            return None;
+        }
         let known = self.known.lock();
-        QuarantineNews {
+        Some(QuarantineNews {
             position: known.position(),
             events: known.since(now, position),
-        }
+        })
     }
 
     /// The ends that verdicts hang on.
@@ -120,7 +144,8 @@
 
     /// Whether anything is new to one at this position.
     pub fn is_ahead_of(&self, position: Option<Position>) -> bool {
-        self.known.lock().is_ahead_of(position)
+        // A gateway without a position may need the answer to become ready, even without events.
+        self.is_initialized() && (position.is_none() || self.known.lock().is_ahead_of(position))
     }
 
     /// Rings when there is more to tell.
--- a/crates/gateway/src/quarantine_row.rs
+++ b/crates/gateway/src/quarantine_row.rs
@@ -31,6 +31,10 @@
 /// Without news the holder looks again after so long.
 const IDLE: Duration = Duration::from_secs(30);
 
+/// How long a gateway that has read the back ends waits for the verdicts before it serves without
+/// them, so that an unavailable table does not block it.
+const INITIAL_READ_TIMEOUT: Duration = Duration::from_secs(2);
+
 fn key(shared: &Shared) -> String {
     format!("{}/quarantine", shared.platform.tables().loads)
 }
@@ -55,6 +59,7 @@
                 let told = row.map(|row| take_in(shared, row)).unwrap_or_default();
                 let version = row.map_or(0, |row| row.modified);
                 note_success(shared, "read", &told, version);
+                shared.note_quarantine_initialized();
                 return RowSnapshot {
                     version,
                     requests: distinct_requests(&told),
@@ -114,6 +119,26 @@
     results.with_label_values(&[result]).inc();
 }
 
+/// Marks the quarantine as initialized [`INITIAL_READ_TIMEOUT`] after the back ends were read, and
+/// logs and counts the timeout if the verdicts are still unknown.
+pub async fn enforce_initial_read_timeout(shared: Arc<Shared>) {
+    let mut changes = shared.subscribe();
+    while !shared.has_read_back_ends() {
+        if changes.changed().await.is_err() {
+            return;
+        }
+    }
+    sleep(INITIAL_READ_TIMEOUT).await;
+    if shared.note_quarantine_initialized() {
+        count_result(&shared, "read_timed_out");
+        let fields = format_args!(
+            "result=read_timed_out waited_ms={}",
+            INITIAL_READ_TIMEOUT.as_millis()
+        );
+        lines::write(Rank::Decision, "quarantine_row", fields);
+    }
+}
+
 /// Keeps the row while this gateway places models, until it is dropped.
 pub async fn keep(shared: Arc<Shared>) {
     let mut grown = shared.quarantine.subscribe();
--- a/crates/gateway/src/relay/server.rs
+++ b/crates/gateway/src/relay/server.rs
@@ -98,7 +98,7 @@
         tables,
         held: held.as_millis() as u64,
         running,
-        quarantine: Some(quarantine),
+        quarantine,
         limits: shared.told_limits(),
         departures: shared.told_departures(),
     }
--- a/crates/gateway/src/shared/mod.rs
+++ b/crates/gateway/src/shared/mod.rs
@@ -269,12 +269,12 @@
 
     /// The back ends' table was read for the first time.
     pub fn note_back_ends_read(&self) {
-        self.back_ends_read.store(true, Ordering::Relaxed);
+        self.back_ends_read.store(true, Ordering::Release);
     }
 
     /// Whether the back ends' table was read since the start.
     pub fn has_read_back_ends(&self) -> bool {
-        self.back_ends_read.load(Ordering::Relaxed)
+        self.back_ends_read.load(Ordering::Acquire)
     }
 
     /// Rings whenever configuration or directory change.
@@ -341,7 +341,10 @@
 
     /// Whether callers should be sent here.
     pub fn is_ready(&self) -> bool {
-        !self.is_stopping() && self.has_read_back_ends() && self.configuration.read().is_some()
+        !self.is_stopping()
+            && self.has_read_back_ends()
+            && self.quarantine.is_initialized()
+            && self.configuration.read().is_some()
     }
 
     fn changed(&self) {
--- a/crates/gateway/src/shared/outcomes.rs
+++ b/crates/gateway/src/shared/outcomes.rs
@@ -27,6 +27,8 @@
         if self.quarantine.take_news(self.now(), address, news) {
             self.changed();
         }
+        // Gateways send news only after their own quarantine is initialized.
+        self.note_quarantine_initialized();
     }
 
     /// Whoever was at an engine when it ended tells all others before they send there.
@@ -50,6 +52,22 @@
         }
     }
 
+    /// Marks the quarantine as initialized and wakes waiting requests. Returns true on the first
+    /// call only.
+    pub fn note_quarantine_initialized(&self) -> bool {
+        let is_first = self.quarantine.note_initialized();
+        if is_first {
+            self.changed();
+        }
+        is_first
+    }
+
+    /// Whether requests have to wait for the verdicts from before the start. Before the back ends
+    /// are known, requests are refused for want of one.
+    pub fn awaits_quarantine(&self) -> bool {
+        self.has_read_back_ends() && !self.quarantine.is_initialized()
+    }
+
     /// A back end ended under a request of this gateway.
     pub fn note_end_under(&self, request: Fingerprint, back_end: BackEndHash) {
         if self.quarantine.note_end(self.now(), request, back_end) {
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -225,10 +225,11 @@
         }
         let count = reports.len();
         let now = self.0.now();
+        // Before they can be chosen: requests then wait for the quarantine.
+        self.0.note_back_ends_read();
         self.0
             .change_directory(|directory| directory.replace(now, reports, unreadable));
         self.0.note_gone_back_ends();
-        self.0.note_back_ends_read();
         lines::write(
             Rank::Decision,
             "back_ends_read",
