--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -157,6 +157,7 @@
         tokio::spawn(feed::filler::run(shared.clone())),
         tokio::spawn(demand_teller::run(shared.clone())),
         tokio::spawn(quarantine::hand_up(shared.clone())),
+        tokio::spawn(quarantine_row::write_local_verdicts(shared.clone())),
         tokio::spawn(holder::run(shared.clone())),
         tokio::spawn(seats::run(shared.clone())),
         tokio::spawn(members::keep(shared)),
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -22,7 +22,7 @@
 
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use tokio::time::{sleep, timeout};
 
 use crate::lines::{self, Rank};
@@ -51,6 +51,8 @@
     known: Mutex<Quarantine>,
     /// Rings when there is more to tell.
     grown: watch::Sender<()>,
+    /// Notified when the end of a back end under a request of this gateway changes the verdicts.
+    local_verdict_change: Notify,
     heard: Mutex<HashMap<SocketAddr, Position>>,
     /// See [`SharedQuarantine::is_initialized`].
     is_initialized: AtomicBool,
@@ -61,6 +63,7 @@
         SharedQuarantine {
             known: Mutex::new(Quarantine::new(rand::random())),
             grown: watch::Sender::new(()),
+            local_verdict_change: Notify::new(),
             heard: Mutex::default(),
             is_initialized: AtomicBool::new(false),
         }
@@ -77,7 +80,17 @@
     /// A back end ended while a request of this gateway was there. True if other requests
     /// than before are kept away.
     pub fn note_end(&self, now: Timestamp, request: Fingerprint, back_end: BackEndHash) -> bool {
-        self.change(|known| known.note_end(now, request, back_end))
+        let has_changed = self.change(|known| known.note_end(now, request, back_end));
+        if has_changed {
+            self.local_verdict_change.notify_one();
+        }
+        has_changed
+    }
+
+    /// Waits until the end of a back end under a request of this gateway changes the verdicts.
+    /// Returns at once if that has happened since the last call; several changes count as one.
+    pub async fn local_verdict_change(&self) {
+        self.local_verdict_change.notified().await;
     }
 
     /// A back end answered a request of this gateway whole. True as above.
--- a/crates/gateway/src/quarantine_row.rs
+++ b/crates/gateway/src/quarantine_row.rs
@@ -1,8 +1,9 @@
 //! The verdicts that outlast all gateways: one row of the table.
 //!
-//! Nothing on a machine outlasts its process, and all machines may lose power at once. So the
-//! placement holder writes the verdicts when they change, and gateways that follow the table
-//! read them once after their start; all others are told by these.
+//! Gateways keep no state that outlives their process, and all machines may lose power at once.
+//! Verdicts are therefore stored in the table: a gateway writes them when the end of a back end
+//! under one of its requests changes them, and the placement holder writes them when they change.
+//! Gateways that follow the table read them once after their start and pass them on to the others.
 //!
 //! Invariant: the row only adds to what gateways know. Ages in it are those of its last write,
 //! so a verdict may stand for longer than it should, never shorter.
@@ -153,6 +154,16 @@
     }
 }
 
+/// Updates the row when the end of a back end under a request of this gateway changes the verdicts,
+/// until it is dropped. Does not require the placement lease: all gateways may be lost while none
+/// holds it.
+pub async fn write_local_verdicts(shared: Arc<Shared>) {
+    loop {
+        shared.quarantine.local_verdict_change().await;
+        update_row(&shared).await;
+    }
+}
+
 /// Writes the known verdicts unless the row already names the same requests. Retries until the
 /// row is up to date.
 ///
