--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -59,6 +59,7 @@
 mod suspension;
 pub mod sweeper;
 mod tenancy;
+mod unread_body;
 pub mod watch;
 
 pub use clock::{Clock, TimeSource};
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -14,6 +14,7 @@
 use http::header::{self, HeaderName};
 use http::request::Parts;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Version};
+use http_body::Body as _;
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
@@ -26,6 +27,7 @@
 use crate::ports::Ticket;
 use crate::shared::Shared;
 use crate::tenancy::{self, Caller};
+use crate::unread_body::discard;
 use crate::{plain, stream};
 
 /// An answer broke off; the caller's connection is closed with it.
@@ -48,6 +50,8 @@
 ];
 /// More of them, which the library has no names for.
 const MORE_CONNECTION_HEADERS: [&str; 2] = ["keep-alive", "proxy-connection"];
+/// Refusal reason: the body was not fully received before the deadline.
+const BODY_LATE: &str = "body_late";
 /// Part of the grace of a planned stop after which no stream is begun.
 const LAST_STREAM: f64 = 0.35;
 /// However long the grace is, callers have gone elsewhere by then, and a stream
@@ -253,14 +257,22 @@
     let arrived = Instant::now();
     shared.metrics.open_requests.inc();
     let open = OpenRequest(shared.clone());
-    let mut response = match read(&shared, request, arrived).await {
-        Ok(call) => serve(call).await,
+    let (head, mut body) = request.into_parts();
+    let expects_continue = head.headers.contains_key(header::EXPECT);
+    let (mut response, body_consumed) = match read(&shared, head, &mut body, arrived).await {
+        Ok(call) => (serve(call).await, true),
         Err(failure) => {
             shared.metrics.ended(failure.reason(), arrived.elapsed());
-            failure.answer(shared.platform.as_ref())
+            let response = failure.answer(shared.platform.as_ref());
+            // Reading the body makes hyper send 100 Continue, which asks the caller to send it.
+            // This has already happened when the body is found to be too large.
+            let may_discard = !expects_continue || failure == Failure::BodyTooLarge;
+            let may_discard = may_discard && failure.reason() != BODY_LATE;
+            let body_consumed = body.is_end_stream() || may_discard && discard(body).await;
+            (response, body_consumed)
         }
     };
-    if shared.is_stopping() {
+    if shared.is_stopping() || !body_consumed {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
@@ -314,10 +326,10 @@
 
 async fn read(
     shared: &Arc<Shared>,
-    request: Request<Incoming>,
+    mut head: Parts,
+    body: &mut Incoming,
     arrived: Instant,
 ) -> Result<Call, Failure> {
-    let (mut head, body) = request.into_parts();
     let ticket = shared.platform.ticket(&head.headers);
     let Some((configuration, age)) = shared.configuration_for_caller() else {
         return Err(log_unread(&ticket, "-", Failure::NoConfiguration));
@@ -422,14 +434,14 @@
     lines::write(Rank::Decision, "request_end", fields);
 }
 
-async fn read_body(body: Incoming, limit: usize, deadline: Instant) -> Result<Bytes, Failure> {
+async fn read_body(body: &mut Incoming, limit: usize, deadline: Instant) -> Result<Bytes, Failure> {
     let reading = Limited::new(body, limit).collect();
     match timeout_at(deadline, reading).await {
         Ok(Ok(whole)) => Ok(whole.to_bytes()),
         Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Failure::BodyTooLarge),
         Ok(Err(_)) => Err(Failure::BadBody),
         Err(_) => Err(Failure::Refused {
-            reason: "body_late",
+            reason: BODY_LATE,
             retry_after: Duration::ZERO,
         }),
     }
