--- a/crates/gorsebank/tests/soak/main.rs
+++ b/crates/gorsebank/tests/soak/main.rs
@@ -43,33 +43,29 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn promises_hold_under_faults_from_outside() {
-    let length = Duration::from_secs(number("GORSEBANK_SOAK_SECONDS").unwrap_or(SECONDS));
     let gateways = number("GORSEBANK_SOAK_GATEWAYS").unwrap_or(GATEWAYS);
     let gateways = gateways.clamp(1, MOST_GATEWAYS) as usize;
-    hold(seeds(), length, gateways, Beside::Nothing).await;
+    hold(seeds(), run_length(), gateways, Beside::Nothing).await;
 }
 
 /// The same, where back ends also say for a while how few requests they take.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn promises_hold_where_back_ends_state_limits() {
-    let length = Duration::from_secs(number("GORSEBANK_SOAK_SECONDS").unwrap_or(SECONDS));
-    hold(seeds(), length, GATEWAYS as usize, Beside::Limits).await;
+    hold(seeds(), run_length(), GATEWAYS as usize, Beside::Limits).await;
 }
 
 /// The same, where rows of back ends are spoiled for a while, and back ends start again under
 /// the names that they had.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn promises_hold_where_rows_are_spoiled_and_names_come_back() {
-    let length = Duration::from_secs(number("GORSEBANK_SOAK_SECONDS").unwrap_or(SECONDS));
-    hold(seeds(), length, GATEWAYS as usize, Beside::Rows).await;
+    hold(seeds(), run_length(), GATEWAYS as usize, Beside::Rows).await;
 }
 
 /// The same, where back ends also say in their answers that they leave, or turn requests away and
 /// ask for pauses.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn promises_hold_where_back_ends_leave_by_answers_or_ask_for_pauses() {
-    let length = Duration::from_secs(number("GORSEBANK_SOAK_SECONDS").unwrap_or(SECONDS));
-    hold(seeds(), length, GATEWAYS as usize, Beside::Statements).await;
+    hold(seeds(), run_length(), GATEWAYS as usize, Beside::Statements).await;
 }
 
 /// Orders of a former holder followed those of a newer one, one at each of two engines, once in
@@ -138,6 +134,12 @@
     );
 }
 
+/// Length of a run's faults: `GORSEBANK_SOAK_SECONDS`, or else `SECONDS`. Regression seeds ignore
+/// the variable.
+fn run_length() -> Duration {
+    Duration::from_secs(number("GORSEBANK_SOAK_SECONDS").unwrap_or(SECONDS))
+}
+
 fn number(variable: &str) -> Option<u64> {
     std::env::var(variable).ok()?.parse().ok()
 }
--- a/crates/gorsebank/tests/soak/plan.rs
+++ b/crates/gorsebank/tests/soak/plan.rs
@@ -1,5 +1,6 @@
 //! Which faults strike when, drawn from a seed: in series, and overlapping.
 
+use std::ops::Range;
 use std::time::Duration;
 
 use rand::seq::IndexedRandom;
@@ -132,11 +133,22 @@
     pub target: usize,
 }
 
+/// Returns the generator for one stream of a seed. Draws from one stream do not affect the others.
+fn random_stream(seed: u64, stream: u64) -> ChaCha8Rng {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    random.set_stream(stream);
+    random
+}
+
+/// Draws a duration from a range of milliseconds.
+fn draw_duration(random: &mut ChaCha8Rng, range: Range<u64>) -> Duration {
+    Duration::from_millis(random.random_range(range))
+}
+
 /// Limits that back ends state in a run. They are drawn apart from its faults, which are the
 /// same with them as without.
 pub fn limits(seed: u64, length: Duration) -> Vec<StatedLimit> {
-    let mut random = ChaCha8Rng::seed_from_u64(seed);
-    random.set_stream(LIMITS);
+    let mut random = random_stream(seed, LIMITS);
     let count = random.random_range(1..=MOST_LIMITS);
     let length = length.as_millis() as u64;
     let drawn = (0..count).map(|_| {
@@ -144,7 +156,7 @@
         let rate = LIMIT_RATES.choose(&mut random).expect("there are rates");
         StatedLimit {
             at: Duration::from_millis(at),
-            lasts: Duration::from_millis(random.random_range(length / 2..length - at)),
+            lasts: draw_duration(&mut random, length / 2..length - at),
             rate: *rate,
             target: random.random_range(0..64),
         }
@@ -188,13 +200,12 @@
 
 /// Faults of rows in a run, drawn apart from its other faults, in no order.
 pub fn row_strikes(seed: u64, length: Duration) -> Vec<RowStrike> {
-    let mut random = ChaCha8Rng::seed_from_u64(seed);
-    random.set_stream(ROWS);
+    let mut random = random_stream(seed, ROWS);
     let length = length.as_millis() as u64;
     let count = random.random_range(2..=MOST_ROW_FAULTS);
     let drawn = (0..count).map(|_| RowStrike {
-        at: Duration::from_millis(random.random_range(0..length)),
-        lasts: Duration::from_millis(random.random_range(LEAST_FAULT..LONGEST_FAULT)),
+        at: draw_duration(&mut random, 0..length),
+        lasts: draw_duration(&mut random, LEAST_FAULT..LONGEST_FAULT),
         fault: *ROW_KINDS.choose(&mut random).expect("there are kinds"),
         target: random.random_range(0..64),
     });
@@ -225,13 +236,12 @@
 
 /// Statements of back ends in a run, drawn apart from its faults, in no order.
 pub fn statement_strikes(seed: u64, length: Duration) -> Vec<StatementStrike> {
-    let mut random = ChaCha8Rng::seed_from_u64(seed);
-    random.set_stream(STATEMENTS);
+    let mut random = random_stream(seed, STATEMENTS);
     let length = length.as_millis() as u64;
     let count = random.random_range(1..=MOST_STATEMENTS);
     let drawn = (0..count).map(|_| StatementStrike {
-        at: Duration::from_millis(random.random_range(0..length / 2)),
-        lasts: Duration::from_millis(random.random_range(length / 4..length / 2)),
+        at: draw_duration(&mut random, 0..length / 2),
+        lasts: draw_duration(&mut random, length / 4..length / 2),
         statement: *[Statement::Leaves, Statement::WantsPause]
             .choose(&mut random)
             .expect("there are two"),
@@ -244,16 +254,16 @@
 pub fn plan(seed: u64, length: Duration) -> Vec<Strike> {
     let mut random = ChaCha8Rng::seed_from_u64(seed);
     let mut strikes = Vec::new();
-    let mut at = Duration::from_millis(random.random_range(LEAST_PAUSE..LONGEST_PAUSE));
+    let mut at = draw_duration(&mut random, LEAST_PAUSE..LONGEST_PAUSE);
     while at < length {
         let fault = *KINDS.choose(&mut random).expect("there are kinds");
         strikes.push(Strike {
             at,
-            lasts: Duration::from_millis(random.random_range(LEAST_FAULT..LONGEST_FAULT)),
+            lasts: draw_duration(&mut random, LEAST_FAULT..LONGEST_FAULT),
             fault,
             target: random.random_range(0..64),
         });
-        at += Duration::from_millis(random.random_range(LEAST_PAUSE..LONGEST_PAUSE));
+        at += draw_duration(&mut random, LEAST_PAUSE..LONGEST_PAUSE);
     }
     strikes
 }
