--- a/crates/gateway/src/feed/mod.rs
+++ b/crates/gateway/src/feed/mod.rs
@@ -15,6 +15,7 @@
 //! table's versions counts; no clock is compared between gateways, ages are added up.
 
 pub mod cache;
+mod fed;
 pub mod filler;
 pub mod message;
 pub mod packed;
