--- a/crates/gateway/src/feed/fed.rs
+++ b/crates/gateway/src/feed/fed.rs
@@ -15,6 +15,7 @@
 use super::message::{FeedAnswer, FeedQuestion, TablePosition};
 use super::parents::Parent;
 use super::rhythm::{FEED_WAIT, Rhythm, longest_without_news, rhythms};
+use crate::lines::{self, Rank};
 use crate::ports::TableError;
 use crate::relay::{RelayAnswer, RelayRequest};
 use crate::shared::Shared;
@@ -34,6 +35,21 @@
 const PARENT_LIVES: Duration = Duration::from_secs(2);
 /// Pause between two tries of one that others need.
 const NEEDED_TRY_PAUSE: Duration = Duration::from_millis(300);
+/// Pause after the first failed try of a gateway whose parents do not answer. Doubles with each
+/// further consecutive failure.
+const FIRST_RETRY_PAUSE: Duration = Duration::from_millis(150);
+/// Prevents overflow of the doubled pause, which exceeds one hour at this limit.
+const MAX_PAUSE_DOUBLINGS: u32 = 15;
+
+/// Result of asking a parent.
+enum AskOutcome {
+    /// The answer was fresh for every requested table.
+    Fresh,
+    /// There was an answer, but it was not fresh for every requested table.
+    Stale,
+    /// There was no usable answer within the time limit.
+    NoAnswer,
+}
 
 /// A gateway that others feed.
 pub(super) struct Fed {
@@ -42,6 +58,8 @@
     asked: HashMap<&'static str, Instant>,
     /// When the table itself was last tried.
     tried: Option<Instant>,
+    /// Number of consecutive failed tries of the table.
+    failed_tries: u32,
     /// Whether the last answer brought a page that is not the last one of its table: the next
     /// page is asked for at once.
     has_more_to_read: bool,
@@ -55,6 +73,7 @@
             shared,
             asked: HashMap::new(),
             tried: None,
+            failed_tries: 0,
             has_more_to_read: false,
             unfed_parent: None,
         }
@@ -64,15 +83,22 @@
     pub(super) async fn turn(&mut self) {
         let began = Instant::now();
         let candidates = self.shared.feed.parents.lock().candidates();
+        let mut wait = FEED_WAIT;
         for parent in candidates {
             if parent.is_root && self.leaves_roots_alone() {
                 continue;
             }
-            if self.ask(parent).await {
-                if !self.has_more_to_read {
-                    sleep_until(began + self.pause()).await;
+            match self.ask(parent, wait).await {
+                AskOutcome::Fresh => {
+                    if !self.has_more_to_read {
+                        sleep_until(began + self.pause()).await;
+                    }
+                    return;
                 }
-                return;
+                AskOutcome::Stale => {}
+                // Request immediate answers from the remaining parents: the waits for several
+                // unresponsive parents would otherwise use up the bound on news.
+                AskOutcome::NoAnswer => wait = Duration::ZERO,
             }
         }
         self.try_table().await;
@@ -88,8 +114,8 @@
         }
     }
 
-    /// Asks one gateway. True if what it tells is fresh.
-    async fn ask(&mut self, parent: Parent) -> bool {
+    /// Asks one parent, which may delay its answer for up to `wait` until there is a change.
+    async fn ask(&mut self, parent: Parent, wait: Duration) -> AskOutcome {
         let now = Instant::now();
         let due: Vec<Rhythm> = rhythms(&self.shared.platform.tables())
             .into_iter()
@@ -99,9 +125,9 @@
             })
             .collect();
         let own = self.shared.own_running();
-        let question = self.question(parent, &due, &own);
+        let question = self.question(parent, wait, &due, &own);
         let request = RelayRequest::News(question.clone());
-        let limit = FEED_WAIT + ANSWER_TIMEOUT;
+        let limit = wait + ANSWER_TIMEOUT;
         let client = self.shared.table().client();
         let suspended = self.shared.clock.suspended();
         let asked = self.shared.clock.since_boot();
@@ -136,16 +162,24 @@
             self.asked
                 .extend(due.iter().map(|rhythm| (rhythm.table, now)));
             parents.note_feeder(Some(parent.address));
+            return AskOutcome::Fresh;
+        }
+        parents.note_failed(parent, answered);
+        if answered {
+            self.unfed_parent = Some(now);
+            AskOutcome::Stale
         } else {
-            parents.note_failed(parent, answered);
-            if answered {
-                self.unfed_parent = Some(now);
-            }
+            AskOutcome::NoAnswer
         }
-        is_taken
     }
 
-    fn question(&self, parent: Parent, due: &[Rhythm], own: &Counts) -> FeedQuestion {
+    fn question(
+        &self,
+        parent: Parent,
+        wait: Duration,
+        due: &[Rhythm],
+        own: &Counts,
+    ) -> FeedQuestion {
         let bound = self.shared.settings.bounds.news;
         let position = |rhythm: &Rhythm| TablePosition {
             table: rhythm.table.to_owned(),
@@ -160,7 +194,7 @@
         };
         FeedQuestion {
             tables: due.iter().map(position).collect(),
-            wait: FEED_WAIT.as_millis() as u64,
+            wait: wait.as_millis() as u64,
             from: self.shared.settings.node.clone(),
             running: self
                 .shared
@@ -226,19 +260,41 @@
             return;
         };
         let answers = advance(&self.shared, first, first.wait).await;
-        if matches!(answers, Ok(()) | Err(TableError::HistoryGone)) {
+        let has_answered = matches!(answers, Ok(()) | Err(TableError::HistoryGone));
+        self.note_try(first.table, has_answered);
+        if has_answered {
             self.shared.feed.parents.lock().note_on_its_own();
         }
     }
 
+    /// Updates the failure count, the metric and the log after a try of the table.
+    fn note_try(&mut self, table: &str, has_answered: bool) {
+        self.failed_tries = if has_answered {
+            0
+        } else {
+            self.failed_tries + 1
+        };
+        let result = if has_answered { "tried" } else { "try_failed" };
+        self.shared.table().count(result);
+        let fields = format_args!(
+            "table={table} result={result} consecutive_failures={}",
+            self.failed_tries
+        );
+        lines::write(Rank::Decision, "table_tried", fields);
+    }
+
+    /// Whether a parent recently answered without fresh news.
+    fn has_unfed_parent(&self) -> bool {
+        let is_recent = |at: Instant| at.elapsed() < PARENT_LIVES;
+        self.unfed_parent.is_some_and(is_recent)
+    }
+
     /// Whether this gateway knows nothing yet, as at a start of all, and a parent lives that is
     /// itself waiting for news: it tries the table for all those that ask it, while each of them
     /// would have to read all of it.
     fn waits_with_parent(&self) -> bool {
-        let is_recent = |at: Instant| at.elapsed() < PARENT_LIVES;
-        let has_parent = self.unfed_parent.is_some_and(is_recent);
         let is_many = self.shared.possible_gateways() > FEW_GATEWAYS;
-        has_parent && is_many && !self.shared.has_read_back_ends()
+        self.has_unfed_parent() && is_many && !self.shared.has_read_back_ends()
     }
 
     /// Roots feed those that feed the others, and at a start not all others at once.
@@ -247,7 +303,9 @@
         place == Place::LeafOfMiddle && self.waits_with_parent()
     }
 
-    /// All gateways that nobody feeds share a rate; those that others need do not wait.
+    /// Minimum time between two tries of the table. After failures, it rises to a pause that
+    /// limits the combined rate of all gateways that nobody feeds. It is at most
+    /// [`NEEDED_TRY_PAUSE`] for gateways that others need.
     fn try_pause(&self) -> Duration {
         let crowd = self.shared.possible_gateways() as f64 / TRIES_PER_SECOND;
         let shared_pause = Duration::from_secs_f64(crowd * (0.5 + rand::random::<f64>()));
@@ -255,8 +313,15 @@
             shared_pause.min(NEEDED_TRY_PAUSE)
         } else if self.waits_with_parent() {
             shared_pause * PAUSES_WITH_PARENT
-        } else {
+        } else if self.failed_tries == 0 {
+            // A pause while the table answers could delay changes beyond the bound on news.
+            Duration::ZERO
+        } else if self.has_unfed_parent() {
+            // The parent tries the table for the gateways that ask it and reports when it answers.
             shared_pause
+        } else {
+            let doublings = (self.failed_tries - 1).min(MAX_PAUSE_DOUBLINGS);
+            shared_pause.min(FIRST_RETRY_PAUSE * 2_u32.pow(doublings))
         }
     }
 }
