--- a/crates/fleet/src/quarantine/mod.rs
+++ b/crates/fleet/src/quarantine/mod.rs
@@ -15,6 +15,7 @@
 mod blame;
 mod recent;
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 
 use gorsebank_coordination::Timestamp;
@@ -215,12 +216,20 @@
     }
 
     /// The ends that verdicts hang on, the newest of each request: to be kept where they
-    /// outlast this process.
+    /// outlast this process. At most `MOST_KEPT` verdicts are included, latest expiry first.
     pub fn verdict_events(&self, now: Timestamp) -> Vec<ToldOutcome> {
         let now = since_before_start(now);
-        let verdicts = self.verdicts.keys().take(MOST_KEPT);
-        verdicts
-            .flat_map(|fingerprint| self.newest_ends(now, *fingerprint))
+        let verdicts = self.verdicts.iter();
+        let mut newest_verdicts: Vec<(Timestamp, Fingerprint)> = verdicts
+            .map(|(fingerprint, last_end)| (*last_end, *fingerprint))
+            .collect();
+        // Ties are broken by fingerprint, so that gateways with the same verdicts select the
+        // same subset.
+        newest_verdicts.sort_unstable_by_key(|verdict| Reverse(*verdict));
+        newest_verdicts.truncate(MOST_KEPT);
+        newest_verdicts
+            .into_iter()
+            .flat_map(|(_, fingerprint)| self.newest_ends(now, fingerprint))
             .collect()
     }
 
--- a/crates/fleet/tests/quarantine.rs
+++ b/crates/fleet/tests/quarantine.rs
@@ -48,6 +48,31 @@
     assert_eq!(left, Some(VERDICT_TIME - 1_000));
 }
 
+/// Guards against storing an arbitrary subset when there are more verdicts than the row holds:
+/// expired verdicts could displace those in force, and gateways could store different subsets.
+#[test]
+fn verdict_events_keeps_the_newest_verdicts() {
+    const VERDICTS: u8 = 100;
+    let mut quarantine = Quarantine::new(1);
+    for number in 0..VERDICTS {
+        for back_end in 0..3 {
+            let at = u64::from(number) * 1_000 + back_end;
+            end(
+                &mut quarantine,
+                at,
+                number,
+                &format!("i-{number}-{back_end}"),
+            );
+        }
+    }
+    assert_eq!(quarantine.verdict_count(), usize::from(VERDICTS));
+    let events = quarantine.verdict_events(Timestamp(200_000));
+    let kept_requests: BTreeSet<Fingerprint> =
+        events.iter().map(|event| event.fingerprint).collect();
+    let newest_requests: BTreeSet<Fingerprint> = (40..VERDICTS).map(request).collect();
+    assert_eq!(kept_requests, newest_requests);
+}
+
 #[test]
 fn after_a_verdict_one_more_end_is_enough() {
     let mut quarantine = Quarantine::new(1);
