--- a/crates/gateway/src/feed/fed.rs
+++ b/crates/gateway/src/feed/fed.rs
@@ -95,10 +95,11 @@
                     }
                     return;
                 }
-                AskOutcome::Stale => {}
                 // Request immediate answers from the remaining parents: the waits for several
-                // unresponsive parents would otherwise use up the bound on news.
-                AskOutcome::NoAnswer => wait = Duration::ZERO,
+                // unresponsive parents would otherwise use up the bound on news. The full wait
+                // applies until the back ends have been read.
+                AskOutcome::NoAnswer if self.shared.has_read_back_ends() => wait = Duration::ZERO,
+                AskOutcome::Stale | AskOutcome::NoAnswer => {}
             }
         }
         self.try_table().await;
@@ -303,8 +304,9 @@
         place == Place::LeafOfMiddle && self.waits_with_parent()
     }
 
-    /// Minimum time between two tries of the table. After failures, it rises to a pause that
-    /// limits the combined rate of all gateways that nobody feeds. It is at most
+    /// Minimum time between two tries of the table. At startup, while a parent waits for news as
+    /// well, and after repeated failures, it is a pause that limits the combined rate of all
+    /// gateways that nobody feeds. It is at most
     /// [`NEEDED_TRY_PAUSE`] for gateways that others need.
     fn try_pause(&self) -> Duration {
         let crowd = self.shared.possible_gateways() as f64 / TRIES_PER_SECOND;
@@ -313,12 +315,13 @@
             shared_pause.min(NEEDED_TRY_PAUSE)
         } else if self.waits_with_parent() {
             shared_pause * PAUSES_WITH_PARENT
+        } else if self.has_unfed_parent() || !self.shared.has_read_back_ends() {
+            // A parent without fresh news tries the table and reports when the table answers.
+            // Until the back ends have been read, the parents may still be starting.
+            shared_pause
         } else if self.failed_tries == 0 {
             // A pause while the table answers could delay changes beyond the bound on news.
             Duration::ZERO
-        } else if self.has_unfed_parent() {
-            // The parent tries the table for the gateways that ask it and reports when it answers.
-            shared_pause
         } else {
             let doublings = (self.failed_tries - 1).min(MAX_PAUSE_DOUBLINGS);
             shared_pause.min(FIRST_RETRY_PAUSE * 2_u32.pow(doublings))
