--- a/crates/gateway/src/adaptive_client.rs
+++ b/crates/gateway/src/adaptive_client.rs
@@ -1,7 +1,7 @@
 //! HTTP client for one service over pooled connections, with a timeout that adapts to recent
 //! response times.
 //!
-//! The input is a request. The output is status and body, or an error that says that the response
+//! The input is a request. The output is the response, or an error that says that the response
 //! was lost. After a lost response, its connection is silent, and other connections that were open
 //! at the time may be silent too.
 
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use http::header::{CONTENT_TYPE, HOST};
-use http::{HeaderValue, Method, Request, StatusCode};
+use http::{HeaderValue, Method, Request, Response, StatusCode};
 use tokio::time::{Instant, timeout};
 
 use crate::adaptive_timeout::AdaptiveTimeout;
@@ -67,11 +67,11 @@
         &self,
         request: Request<Bytes>,
         is_rejected: impl Fn(StatusCode) -> bool,
-    ) -> Result<(StatusCode, Bytes), TableError> {
+    ) -> Result<Response<Bytes>, TableError> {
         let started = Instant::now();
         let result = self.call(request, self.timeout.current()).await;
         match &result {
-            Ok((status, _)) if is_rejected(*status) => {}
+            Ok(response) if is_rejected(response.status()) => {}
             Ok(_) => self.timeout.record_response(started.elapsed()),
             Err(_) => self.timeout.record_timeout(),
         }
@@ -87,7 +87,7 @@
         &self,
         request: Request<Bytes>,
         wait: Duration,
-    ) -> Result<(StatusCode, Bytes), TableError> {
+    ) -> Result<Response<Bytes>, TableError> {
         let result = self.call(request, wait + self.timeout.current()).await;
         if result.is_err() {
             self.timeout.record_timeout();
@@ -99,7 +99,7 @@
         &self,
         request: Request<Bytes>,
         time_limit: Duration,
-    ) -> Result<(StatusCode, Bytes), TableError> {
+    ) -> Result<Response<Bytes>, TableError> {
         match timeout(time_limit, self.connections.exchange(request)).await {
             Ok(result) => result.map_err(|error| TableError::NoResponse(error.to_string())),
             Err(_) => {
--- a/crates/gateway/src/feed/cache.rs
+++ b/crates/gateway/src/feed/cache.rs
@@ -183,6 +183,9 @@
         let now = self.clock.since_boot();
         let cached = self.entry(table);
         if version < cached.version {
+            if cached.has_gap {
+                log_dropped_read(table, version, cached.version);
+            }
             return;
         }
         let rows: BTreeMap<_, _> = rows.into_iter().map(|row| (row.key.clone(), row)).collect();
@@ -444,6 +447,12 @@
     }
 }
 
+/// Logs a read that is older than the cached content although the content has to be read again.
+fn log_dropped_read(table: &str, version: u64, cached_version: u64) {
+    let fields = format_args!("table={table} version={version} cached_version={cached_version}");
+    event_log::write(LogPriority::Decision, "table_read_dropped", fields);
+}
+
 fn log_page_error(error: &PageError) {
     event_log::write(
         LogPriority::Decision,
--- a/crates/gateway/src/http_connection.rs
+++ b/crates/gateway/src/http_connection.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, StatusCode};
+use http::{Request, Response};
 use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper_util::rt::TokioIo;
@@ -77,7 +77,7 @@
     /// # Errors
     ///
     /// Fails if no connection could be opened, or if it was lost before the end of the response.
-    pub async fn exchange(&self, request: Request<Bytes>) -> std::io::Result<(StatusCode, Bytes)> {
+    pub async fn exchange(&self, request: Request<Bytes>) -> std::io::Result<Response<Bytes>> {
         let lost_error = std::io::Error::other::<hyper::Error>;
         let mut connection = match self.take_idle() {
             Some(connection) => connection,
@@ -85,13 +85,13 @@
         };
         let sending = connection.sender.send_request(request.map(Full::new));
         let response = sending.await.map_err(lost_error)?;
-        let status = response.status();
-        let body = response.into_body().collect().await.map_err(lost_error)?;
+        let (head, body) = response.into_parts();
+        let body = body.collect().await.map_err(lost_error)?;
         let mut idle = self.idle.lock();
         if idle.len() < self.max_idle {
             idle.push(connection);
         }
-        Ok((status, body.to_bytes()))
+        Ok(Response::from_parts(head, body.to_bytes()))
     }
 
     fn take_idle(&self) -> Option<HttpConnection> {
