Keep the placement lease valid across restores of the table

Cause: the holder's lease row counted as outdated until its version passed the lost one, and a missing row for ever, while other gateways saw a row that nobody renewed under versions that went back. The fencing token was a version and could fall below one that engines had seen, which then reject every order with 412.

Change: the age of the cached row follows the revision of its table, so a row that a restore lost is recognized as missing. A keeper is told the era of each read. A holder that may give orders when it learns of a restore keeps the lease and has a new, greater fencing token with its next write; any other node waits until a holder of the lost history can give no orders. Quota shards follow the tenure, which a restore does not change.

--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -1,9 +1,15 @@
 //! A lease, such as the placement lease: one row of the table, changed by conditional writes only.
 //!
 //! Input: the row as read, the outcomes of writes, and monotonic time. Output: the next step. The
-//! fencing token is the table's version of the write that took the lease. It increases with every
+//! fencing token is the table's revision of the write that took the lease. It increases with every
 //! holder, and no clocks are compared between nodes.
 //!
+//! A table that is restored from an older copy may show a holder that lost the lease since, and the
+//! holder of the lost history may still give orders. A node therefore takes the lease only when it
+//! has known of the restore for `lease * TAKE_FRACTION`, unless it held the lease when it learned
+//! of the restore. A holder that continues has a new fencing token, which is greater than all of
+//! the lost history.
+//!
 //! Invariants: a holder gives orders only until `lease * ORDER_FRACTION` after it *sent* its last
 //! successful write, and none once it has sent the write that hands the lease back, whether or not
 //! that write is confirmed. Another node takes the lease only when it has seen the same version for
@@ -11,6 +17,7 @@
 //! `lease * COOL_DOWN_LEASES`, so that holders do not alternate. A crash at any point leaves a row
 //! that no node renews.
 
+use gorsebank_contract::era_of;
 use gorsebank_coordination::Timestamp;
 use gorsebank_world::NodeId;
 use serde::{Deserialize, Serialize};
@@ -71,7 +78,13 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Role {
     Follower,
-    Holder { fence: u64, renewed: Timestamp },
+    Holder {
+        /// Revision of the write that took the lease.
+        tenure: u64,
+        /// Equal to `tenure` until the table is restored.
+        fence: u64,
+        renewed: Timestamp,
+    },
 }
 
 /// The state of one node that competes for or holds the lease.
@@ -86,6 +99,10 @@
     is_free: bool,
     version_since: Timestamp,
     last_read: Option<Timestamp>,
+    /// The era of the last read.
+    era: Option<u64>,
+    /// When no holder of a lost history can give orders any more.
+    settled_at: Timestamp,
     write_sent: Timestamp,
     lost_at: Option<Timestamp>,
     held_since: Option<Timestamp>,
@@ -109,6 +126,8 @@
             is_free: false,
             version_since: Timestamp(0),
             last_read: None,
+            era: None,
+            settled_at: Timestamp(0),
             write_sent: Timestamp(0),
             lost_at: None,
             held_since: None,
@@ -119,13 +138,22 @@
 
     /// The fencing token under which orders may be given at `now`; `None` if none may be given.
     pub fn fence(&self, now: Timestamp) -> Option<u64> {
-        let Role::Holder { fence, renewed } = self.role else {
+        let Role::Holder { fence, renewed, .. } = self.role else {
             return None;
         };
         let valid = !self.release_sent && now.since(renewed) < self.fraction_ms(ORDER_FRACTION);
         valid.then_some(fence)
     }
 
+    /// Identifies the time since this node has taken the lease; `None` if no orders may be given at
+    /// `now`. Unlike the fencing token, it does not change when the table is restored.
+    pub fn tenure(&self, now: Timestamp) -> Option<u64> {
+        let Role::Holder { tenure, .. } = self.role else {
+            return None;
+        };
+        self.fence(now).map(|_| tenure)
+    }
+
     /// Makes the holder's next step a renewal, regardless of the time of the last one.
     pub fn request_renewal(&mut self) {
         self.renewal_requested = true;
@@ -163,7 +191,7 @@
         };
         let take_at = match candidacy {
             Candidacy::Never => None,
-            Candidacy::After(delay) => Some(free_at + delay),
+            Candidacy::After(delay) => Some(free_at.max(self.settled_at) + delay),
         };
         let is_cooling_down = self
             .lost_at
@@ -207,6 +235,31 @@
         LeaseStep::Write { expected, row }
     }
 
+    /// Records the era of a read, before [`LeaseKeeper::record_read`]. In a later era than the known
+    /// one, earlier reads say nothing about the row. A holder keeps the lease only if it may give
+    /// orders now, since nobody else can have taken the lease in the lost history then.
+    pub fn observe_era(&mut self, now: Timestamp, era: u64) {
+        if self.era >= Some(era) {
+            return;
+        }
+        self.era = Some(era);
+        // In era 0, the table was never restored.
+        if era == 0 {
+            return;
+        }
+        self.version = None;
+        self.last_read = None;
+        self.settled_at = now + self.fraction_ms(TAKE_FRACTION);
+        if self.fence(now).is_some() {
+            self.renewal_requested = true;
+            return;
+        }
+        self.role = Role::Follower;
+        self.release_sent = false;
+        // The restored row may show the last write of this process, which confirms nothing now.
+        self.writes += 1;
+    }
+
     /// Records a read of the row: its version (0 if it does not exist) and its content.
     pub fn record_read(&mut self, now: Timestamp, version: u64, row: Option<&LeaseRow>) {
         let stale_after = self.fraction_ms(STALE_FRACTION);
@@ -276,13 +329,17 @@
         if !self.is_holder() {
             self.held_since = Some(now);
         }
-        let fence = match self.role {
-            Role::Holder { fence, .. } => fence,
-            Role::Follower => version,
+        let (tenure, fence) = match self.role {
+            Role::Holder { tenure, fence, .. } if era_of(fence) == era_of(version) => {
+                (tenure, fence)
+            }
+            Role::Holder { tenure, .. } => (tenure, version),
+            Role::Follower => (version, version),
         };
         self.release_sent = false;
         self.renewal_requested = false;
         self.role = Role::Holder {
+            tenure,
             fence,
             renewed: self.write_sent,
         };
--- a/crates/gateway/src/feed/mod.rs
+++ b/crates/gateway/src/feed/mod.rs
@@ -45,7 +45,7 @@
 
 use crate::clock::Clock;
 use crate::event_log::{self, LogPriority};
-use crate::ports::RowChange;
+use crate::ports::{RowChange, TableSnapshot};
 use crate::quarantine::SharedQuarantine;
 
 /// The tables as this gateway knows them, and the gateways from which it receives updates.
@@ -92,6 +92,11 @@
 
     /// The rows of a table, if the table confirmed them within the last `max_age`.
     pub fn rows(&self, table: &str, max_age: Duration) -> Option<Vec<TableRow>> {
+        Some(self.snapshot(table, max_age)?.rows)
+    }
+
+    /// The rows of a table and its version, if the table confirmed them within the last `max_age`.
+    pub fn snapshot(&self, table: &str, max_age: Duration) -> Option<TableSnapshot> {
         let position = TablePosition {
             table: table.to_owned(),
             version: None,
@@ -103,9 +108,9 @@
         if Duration::from_millis(update.age_ms) > max_age {
             return None;
         }
-        match unpack(update.content).0 {
-            FollowerUpdate::Rows(rows) => Some(rows),
-            FollowerUpdate::Changes(_) => None,
+        match unpack(update.content) {
+            (FollowerUpdate::Rows(rows), version) => Some(TableSnapshot { rows, version }),
+            (FollowerUpdate::Changes(_), _) => None,
         }
     }
 
--- a/crates/gateway/src/lease_session.rs
+++ b/crates/gateway/src/lease_session.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use gorsebank_contract::{Put, Transaction, TransactionResult};
+use gorsebank_contract::{Put, Transaction, TransactionResult, era_of};
 use gorsebank_fleet::{Candidacy, LeaseKeeper, LeaseRow, LeaseStep};
 use parking_lot::Mutex;
 
@@ -83,27 +83,28 @@
     async fn read(&mut self) -> LeaseStepResult {
         let shared = &self.shared;
         let table = shared.platform.tables().lease;
-        let rows = if self.must_read_table {
-            let read = shared.table().read(table).await;
-            read.ok().map(|snapshot| snapshot.rows)
+        let snapshot = if self.must_read_table {
+            shared.table().read(table).await.ok()
         } else {
-            shared.feed.rows(table, MAX_ROW_AGE)
+            shared.feed.snapshot(table, MAX_ROW_AGE)
         };
-        let Some(rows) = rows else {
+        let Some(snapshot) = snapshot else {
             return LeaseStepResult::Idle(NO_RESPONSE_PAUSE);
         };
         self.must_read_table = false;
-        let row = rows.iter().find(|row| row.key == self.key);
-        let version = row.map_or(0, |row| row.modified);
-        if version < self.newest_version {
-            // The row in the cache is older than the version that this process has already read or
-            // written.
+        if snapshot.version < self.newest_version {
+            // The cache is older than the row that this process has already read or written.
             return LeaseStepResult::Idle(NO_RESPONSE_PAUSE);
         }
+        let row = snapshot.rows.iter().find(|row| row.key == self.key);
+        // A restored table may not have the row.
+        let version = row.map_or(0, |row| row.modified);
         self.newest_version = version;
         let lease = row.and_then(|row| serde_json::from_str::<LeaseRow>(&row.value).ok());
         let now = shared.now();
-        self.keeper.lock().record_read(now, version, lease.as_ref());
+        let mut keeper = self.keeper.lock();
+        keeper.observe_era(now, era_of(snapshot.version));
+        keeper.record_read(now, version, lease.as_ref());
         LeaseStepResult::Done
     }
 
--- a/crates/gateway/src/tenant_quotas/mod.rs
+++ b/crates/gateway/src/tenant_quotas/mod.rs
@@ -96,6 +96,7 @@
 /// The ledger of a shard that this gateway holds, under one lease.
 struct ActiveShard {
     keeper: Arc<Mutex<LeaseKeeper>>,
+    /// The tenure of the lease, which is also the fencing token of grants.
     fence: u64,
     ledger: Ledger,
 }
@@ -103,7 +104,7 @@
 impl ActiveShard {
     /// Whether the lease is still valid, so that no other gateway can have activated the shard.
     fn is_valid(&self, now: Timestamp) -> bool {
-        self.keeper.lock().fence(now) == Some(self.fence)
+        self.keeper.lock().tenure(now) == Some(self.fence)
     }
 }
 
@@ -152,8 +153,8 @@
         bound: LimitBound,
         saved: SavedUsage,
     ) -> bool {
-        let fence = keeper.lock().fence(now);
-        let active = fence.map(|fence| ActiveShard {
+        let tenure = keeper.lock().tenure(now);
+        let active = tenure.map(|fence| ActiveShard {
             keeper: keeper.clone(),
             fence,
             ledger: Ledger::new(bound, SHARDS_PER_TENANT, now, saved),
