Write gorsebank's own rows again after a restore of the table

Nobody else writes rows of gateways again that a restore of the table has lost. The placement holder compared its plan with what it had published, and the quarantine entries were compared only when they changed or every 30 s. Until then, gateways chose engines by rows of the lost past, and a loss of all gateways lost the quarantine entries.

Change: when the era of a followed table rises, the placement holder reads its rows again and writes those that differ, as well as rows of prefill speeds; the quarantine row is compared at once, and each gateway checks its own row. The rows of the lease and the load records are written with its next renewal.

--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -10,7 +10,7 @@
 
 use gorsebank_contract::{TableRow, Transaction, TransactionResult};
 use gorsebank_fleet::{MemberRow, MembershipConvergence};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::backoff::Backoff;
 use crate::event_log::{self, LogPriority};
@@ -145,11 +145,15 @@
     rows.into_iter().find(|row| row.key == key)
 }
 
-/// Writes this gateway's row again whenever it is missing, until the process stops.
+/// Writes this gateway's row again whenever it is missing, until the process stops. A restored
+/// table may lack it, and then lacks the rows of all gateways that started at the same time.
 pub async fn maintain_own_row(shared: Arc<Shared>) {
+    let mut era = shared.feed.subscribe_to_era();
     let mut pause = WRITE_SPREAD.mul_f64(rand::random::<f64>());
     while !shared.is_stopping() {
-        sleep(pause).await;
+        if let Ok(Ok(())) = timeout(pause, era.changed()).await {
+            sleep(WRITE_SPREAD.mul_f64(rand::random::<f64>())).await;
+        }
         write_own_row(&shared).await;
         pause = CHECK_INTERVAL.mul_f64(0.5 + rand::random::<f64>());
     }
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -21,7 +21,7 @@
 use gorsebank_fleet::{Born, EngineReport, Incarnation, LeaseKeeper, PlacedRow};
 use gorsebank_world::{BackEndId, ModelId};
 use parking_lot::Mutex;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::back_end::BackEnd;
@@ -81,6 +81,8 @@
     lease: Arc<Mutex<LeaseKeeper>>,
     planner: Planner,
     published: BTreeMap<BackEndId, (PlacedRow, u64)>,
+    /// The era of the table, in which `published` was read.
+    era: watch::Receiver<u64>,
     /// Rows that wait for the write in progress to end.
     queued: BTreeMap<BackEndId, PlacedRow>,
     /// Engines whose row is queued or being written, with the action to start once the row is
@@ -109,6 +111,7 @@
                 records,
             ),
             published: BTreeMap::new(),
+            era: shared.feed.subscribe_to_era(),
             queued: BTreeMap::new(),
             waiting_actions: BTreeMap::new(),
             is_write_in_progress: false,
@@ -127,6 +130,7 @@
         let shared = self.shared.clone();
         let mut changes = shared.subscribe();
         loop {
+            self.read_published_after_restore().await;
             let started_at = Instant::now();
             self.run_iteration();
             // The pause bounds the processor time for plans, however often the input changes.
@@ -192,13 +196,29 @@
             self.shared.settings.bounds.load_rate_limit,
             records.unwrap_or_default(),
         );
-        let rows = self.read_rows(tables.placed).await;
+        self.read_published().await;
         self.observe();
-        for row in rows {
-            let id = BackEndId::from(row_name(&row.key));
-            let placed: PlacedRow = serde_json::from_str(&row.value).unwrap_or_default();
-            self.planner.restore(&id, &placed);
-            self.published.insert(id, (placed, row.modified));
+        for (id, (placed, _)) in &self.published {
+            self.planner.restore(id, placed);
+        }
+    }
+
+    /// Reads the rows that this holder or previous ones wrote.
+    async fn read_published(&mut self) {
+        self.era.mark_unchanged();
+        let rows = self.read_rows(self.shared.platform.tables().placed).await;
+        let published = rows.into_iter().map(|row| {
+            let placed = serde_json::from_str(&row.value).unwrap_or_default();
+            (BackEndId::from(row_name(&row.key)), (placed, row.modified))
+        });
+        self.published = published.collect();
+    }
+
+    /// Reads the rows again if the table was restored: it may lack rows of this holder, which are
+    /// then written again.
+    async fn read_published_after_restore(&mut self) {
+        if self.era.has_changed().unwrap_or(false) {
+            self.read_published().await;
         }
     }
 
--- a/crates/gateway/src/prefill_speed_rows.rs
+++ b/crates/gateway/src/prefill_speed_rows.rs
@@ -58,9 +58,15 @@
         written: BTreeMap::new(),
         last_row_bytes: 0,
     };
+    let mut era = writer.shared.feed.subscribe_to_era();
     writer.read_rows().await;
     loop {
         sleep(EVALUATION_PAUSE.max(writer.min_write_interval())).await;
+        // A restored table may lack the last writes.
+        if era.has_changed().unwrap_or(false) {
+            era.mark_unchanged();
+            writer.read_rows().await;
+        }
         let now = writer.shared.now();
         for (service, row) in writer.shared.demand_rows.merged_prefill_speed(now) {
             writer.write(service, row).await;
--- a/crates/gateway/src/quarantine_row.rs
+++ b/crates/gateway/src/quarantine_row.rs
@@ -147,12 +147,22 @@
 /// dropped.
 pub async fn maintain(shared: Arc<Shared>) {
     let mut updates = shared.quarantine.subscribe();
+    let mut era = shared.feed.subscribe_to_era();
     loop {
         let changes = shared.quarantine.changes();
+        era.mark_unchanged();
         update_row(&shared).await;
-        while shared.quarantine.changes() == changes {
+        // A restored table may lack the last write.
+        while shared.quarantine.changes() == changes && !era.has_changed().unwrap_or(false) {
+            let mut restored = era.clone();
+            let woken = async {
+                tokio::select! {
+                    _ = updates.changed() => {}
+                    _ = restored.changed() => {}
+                }
+            };
             // After the timeout or a notification, the loop checks the entries again.
-            let _ = timeout(IDLE_CHECK_INTERVAL, updates.changed()).await;
+            let _ = timeout(IDLE_CHECK_INTERVAL, woken).await;
             sleep(WRITE_PAUSE).await;
         }
     }
