Soak: restore the table from older copies as a fault

guarantees_hold_with_restores_of_the_table draws up to three restores a run from a random stream of its own, so that the faults of all seeds stay as they were. Each loses up to 3 s of writes in an outage of up to 2.5 s; back ends and the operator write their rows again up to 0.3 s later, and gateways are killed, stopped and cut off meanwhile by the usual faults.

--- a/crates/gorsebank/tests/soak/main.rs
+++ b/crates/gorsebank/tests/soak/main.rs
@@ -93,6 +93,19 @@
     .await;
 }
 
+/// The table is also restored from older copies: it loses acknowledged writes and assigns their
+/// versions again.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn guarantees_hold_with_restores_of_the_table() {
+    check_seeds(
+        selected_seeds(),
+        run_length(),
+        DEFAULT_GATEWAYS as usize,
+        ExtraFaults::Restores,
+    )
+    .await;
+}
+
 /// Guards against orders that a previous placement holder sends after those of a newer holder. The
 /// previous holder was asked to stop while the table lost responses. The table had applied the
 /// release of its lease, but the holder did not receive the response and went on sending orders. In
--- a/crates/gorsebank/tests/soak/plan.rs
+++ b/crates/gorsebank/tests/soak/plan.rs
@@ -22,6 +22,14 @@
 const ROW_FAULT_STREAM: u64 = 2;
 /// Random stream from which statements in responses are drawn.
 const STATEMENT_STREAM: u64 = 3;
+/// Random stream from which restores of the table are drawn.
+const RESTORE_STREAM: u64 = 4;
+/// Maximum number of restores of the table in a run.
+const MAX_RESTORES: usize = 3;
+/// Upper bound on the time of which a restore loses the writes, in milliseconds.
+const MAX_LOST_MS: u64 = 3_000;
+/// Upper bound on the time until back ends and the operator write lost rows again, in milliseconds.
+const MAX_REWRITE_DELAY_MS: u64 = 300;
 /// Maximum number of statements in a run: at least half of the back ends make none.
 const MAX_STATEMENTS: usize = 3;
 /// Maximum number of row faults in a run.
@@ -260,6 +268,35 @@
     drawn.collect()
 }
 
+/// A restore of the table from an older copy, after an outage.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ScheduledRestore {
+    /// Time of the copy.
+    pub copied_at: Duration,
+    /// Time from the copy to the outage, whose writes are lost.
+    pub lost: Duration,
+    /// Duration of the outage.
+    pub outage: Duration,
+    /// Time from the end of the outage until the lost rows of back ends and the operator are
+    /// written again.
+    pub rewrite_delay: Duration,
+}
+
+/// Draws the restores of the table in a run from a separate random stream. They may overlap, and a
+/// later one may use the older copy.
+pub fn draw_restores(seed: u64, length: Duration) -> Vec<ScheduledRestore> {
+    let mut random = random_stream(seed, RESTORE_STREAM);
+    let length = length.as_millis() as u64;
+    let count = random.random_range(1..=MAX_RESTORES);
+    let drawn = (0..count).map(|_| ScheduledRestore {
+        copied_at: draw_duration(&mut random, 0..length * 3 / 4),
+        lost: draw_duration(&mut random, 0..MAX_LOST_MS),
+        outage: draw_duration(&mut random, 0..MAX_FAULT_MS),
+        rewrite_delay: draw_duration(&mut random, 0..MAX_REWRITE_DELAY_MS),
+    });
+    drawn.collect()
+}
+
 /// Draws the faults of a run, sorted by time.
 pub fn draw_faults(seed: u64, length: Duration) -> Vec<ScheduledFault> {
     let mut random = ChaCha8Rng::seed_from_u64(seed);
--- a/crates/gorsebank/tests/soak/run.rs
+++ b/crates/gorsebank/tests/soak/run.rs
@@ -20,7 +20,7 @@
 use super::history::{
     Disturbance, DisturbanceKind, History, LimitedBackEnd, ResponseDrain, RowDrain,
 };
-use super::plan::{draw_faults, draw_limits, draw_row_faults, draw_statements};
+use super::plan::{draw_faults, draw_limits, draw_restores, draw_row_faults, draw_statements};
 use super::platform::client::{request, send};
 use super::platform::runner::{ReceivedRequest, Reply, Runner};
 use super::platform::store::Store;
@@ -86,6 +86,8 @@
     started_at: Instant,
     process_count: AtomicUsize,
     configuration_version: Mutex<u64>,
+    /// Held while the table is restored.
+    restoring: tokio::sync::Mutex<()>,
 }
 
 /// Faults that are injected in addition to the schedule, drawn from separate random streams.
@@ -99,6 +101,8 @@
     Rows,
     /// Back ends announce their drain in their responses, or reject requests and request pauses.
     Statements,
+    /// The table is restored from older copies.
+    Restores,
 }
 
 /// Options of a run.
@@ -157,6 +161,11 @@
                 faults.spawn(run.clone().make_statement(statement));
             }
         }
+        ExtraFaults::Restores => {
+            for restore in draw_restores(seed, length) {
+                faults.spawn(run.clone().restore_table(restore));
+            }
+        }
     }
     for fault in draw_faults(seed, length) {
         sleep_until(base + fault.at).await;
@@ -205,6 +214,7 @@
             started_at: Instant::now(),
             process_count: AtomicUsize::new(gateways),
             configuration_version: Mutex::new(1),
+            restoring: tokio::sync::Mutex::default(),
         };
         for _ in 0..BACK_ENDS_PER_SERVICE {
             run.add_back_end("app").await;
--- a/crates/gorsebank/tests/soak/run/faults.rs
+++ b/crates/gorsebank/tests/soak/run/faults.rs
@@ -14,8 +14,8 @@
 use crate::gateways::GatewaySlot;
 use crate::history::{Disturbance, DisturbanceKind, LimitedBackEnd, ResponseDrain, RowDrain};
 use crate::plan::{
-    Fault, ResponseStatement, RowFault, ScheduledFault, ScheduledLimit, ScheduledRowFault,
-    ScheduledStatement,
+    Fault, ResponseStatement, RowFault, ScheduledFault, ScheduledLimit, ScheduledRestore,
+    ScheduledRowFault, ScheduledStatement,
 };
 use crate::platform::client::{Client, request_with};
 use crate::platform::store::StoreState;
@@ -233,6 +233,28 @@
         }
     }
 
+    /// Lets the table continue from an older copy after an outage.
+    pub(super) async fn restore_table(self: Arc<Self>, restore: ScheduledRestore) {
+        sleep(restore.copied_at).await;
+        let copy = self.store.copy();
+        sleep(restore.lost).await;
+        // Rows that one restore has lost are written again before the next one.
+        let _restoring = self.restoring.lock().await;
+        let from = self.started_at.elapsed();
+        let is_unavailable = &self.store.inner.is_unavailable;
+        is_unavailable.store(true, Ordering::Relaxed);
+        sleep(restore.outage).await;
+        let lost_rows = self.store.restore(&copy);
+        is_unavailable.store(false, Ordering::Relaxed);
+        sleep(restore.rewrite_delay).await;
+        self.store.write_again(lost_rows);
+        self.disturbances.lock().push(Disturbance {
+            from,
+            until: self.started_at.elapsed() + PROPAGATION_BOUND,
+            kind: DisturbanceKind::Table,
+        });
+    }
+
     /// Lets a back end state a rate limit for some time.
     pub(super) async fn state_limit(self: Arc<Self>, limit: ScheduledLimit) {
         sleep(limit.at).await;
