--- a/crates/gateway/src/lease_session.rs
+++ b/crates/gateway/src/lease_session.rs
@@ -37,7 +37,8 @@
     /// Whether the last write was refused or had no response. The next read then bypasses the cache
     /// and reads the table.
     must_read_table: bool,
-    /// The newest version of the row that this process has read or written.
+    /// The newest version of the row that this process has read or written; if the row was missing,
+    /// that of the table.
     newest_version: u64,
 }
 
@@ -99,7 +100,7 @@
         let row = snapshot.rows.iter().find(|row| row.key == self.key);
         // A restored table may not have the row.
         let version = row.map_or(0, |row| row.modified);
-        self.newest_version = version;
+        self.newest_version = row.map_or(snapshot.version, |row| row.modified);
         let lease = row.and_then(|row| serde_json::from_str::<LeaseRow>(&row.value).ok());
         let now = shared.now();
         let mut keeper = self.keeper.lock();
