--- a/crates/gateway/src/tenant_quotas/mod.rs
+++ b/crates/gateway/src/tenant_quotas/mod.rs
@@ -96,15 +96,15 @@
 /// The ledger of a shard that this gateway holds, under one lease.
 struct ActiveShard {
     keeper: Arc<Mutex<LeaseKeeper>>,
-    /// The tenure of the lease, which is also the fencing token of grants.
-    fence: u64,
+    /// The tenure of the lease, by which grants name it.
+    tenure: u64,
     ledger: Ledger,
 }
 
 impl ActiveShard {
     /// Whether the lease is still valid, so that no other gateway can have activated the shard.
     fn is_valid(&self, now: Timestamp) -> bool {
-        self.keeper.lock().tenure(now) == Some(self.fence)
+        self.keeper.lock().tenure(now) == Some(self.tenure)
     }
 }
 
@@ -154,9 +154,9 @@
         saved: SavedUsage,
     ) -> bool {
         let tenure = keeper.lock().tenure(now);
-        let active = tenure.map(|fence| ActiveShard {
+        let active = tenure.map(|tenure| ActiveShard {
             keeper: keeper.clone(),
-            fence,
+            tenure,
             ledger: Ledger::new(bound, SHARDS_PER_TENANT, now, saved),
         });
         let is_active = active.is_some();
@@ -216,7 +216,11 @@
         let (Some(active), Some(tenants)) = (valid, tenants) else {
             return QuotaResponse::NotHolder;
         };
-        for refund in request.refunds.iter().filter(|it| it.fence == active.fence) {
+        for refund in request
+            .refunds
+            .iter()
+            .filter(|it| it.fence == active.tenure)
+        {
             let ledger = &mut active.ledger;
             ledger.refund(now, &refund.tenant, refund.granted_at, refund.cost);
         }
@@ -224,7 +228,7 @@
             return QuotaResponse::NotHolder;
         };
         let granted = QuotaResponse::Granted {
-            fence: active.fence,
+            fence: active.tenure,
             granted_at: now,
         };
         let Some(limit) = tenant.limit else {
