Stop using a throttled direct path although earlier waits are still answered

Callers with keys got 503 (keys_not_confirmed) at a gateway that the table throttled while it served others. Quota shards have no part in it: the tenants of the failing test have no limits, so nothing is charged.

Cause: a gateway leaves its direct path when every call has been throttled for 1.0 s. The waits for changes of the members and prefill-speed tables last 1.5 s. Those that the table had accepted before it began to throttle were answered up to 1.5 s later, and each answer restarted the 1.0 s, although it says nothing about calls made since. The comment at MAX_THROTTLED_TIME promises 1.7 s.

A wait for changes now counts as accepted when it was sent, and a call accepted before the table throttled another one does not restart the time or resume the direct path. Reads and writes count when they are answered, as before, so queued writes in a contended partition keep the direct path.

The failing test is unchanged: the fault lay in the product.

--- a/crates/gateway/src/relay/table.rs
+++ b/crates/gateway/src/relay/table.rs
@@ -59,7 +59,7 @@
     peers: Vec<SocketAddr>,
     /// Number of consecutive direct calls without a response.
     failures: u32,
-    /// Since when every direct call was throttled.
+    /// Since when the table has accepted no direct call and throttled at least one.
     throttled_since: Option<Instant>,
     /// When the direct path is probed next; `None` while calls are direct.
     probe_at: Option<Instant>,
@@ -119,11 +119,18 @@
         CallPath::Relayed
     }
 
-    /// Records that a direct call received a response. Resumes the direct path if it was abandoned.
-    fn record_success(&self) {
+    /// Records the response to a direct call that the table accepted at `accepted_at`. Resumes the
+    /// direct path if it was abandoned, unless the table has throttled a call since then.
+    fn record_success(&self, accepted_at: Instant) {
         self.count_call("direct");
         let mut state = self.state.lock();
         state.failures = 0;
+        if state
+            .throttled_since
+            .is_some_and(|since| accepted_at < since)
+        {
+            return;
+        }
         state.throttled_since = None;
         let was_relayed = state.probe_at.take().is_some();
         drop(state);
@@ -203,10 +210,10 @@
         self.calls.with_label_values(&[result]).inc();
     }
 
-    fn record_read<T>(&self, result: &Result<T, TableError>) {
+    fn record_read<T>(&self, accepted_at: Instant, result: &Result<T, TableError>) {
         match result {
             Ok(_) | Err(TableError::HistoryGone | TableError::InvalidResponse(_)) => {
-                self.record_success()
+                self.record_success(accepted_at)
             }
             Err(TableError::Throttled) => self.record_throttled(),
             Err(TableError::Unavailable(_) | TableError::NoResponse(_)) => self.record_failure(),
@@ -254,7 +261,7 @@
     async fn read_by_path(&self, table: &str) -> Result<TableSnapshot, TableError> {
         if self.choose_path() == CallPath::Direct {
             let result = self.platform.table().read(table).await;
-            self.record_read(&result);
+            self.record_read(Instant::now(), &result);
             return result;
         }
         let table = table.to_owned();
@@ -274,9 +281,11 @@
     ) -> Result<TableChanges, TableError> {
         if self.choose_path() == CallPath::Direct {
             let abandoned = self.direct_abandoned.notified();
+            // The table accepts the call at once, but may respond more than a second later.
+            let accepted_at = Instant::now();
             return tokio::select! {
                 result = self.platform.table().changes(table, version, wait) => {
-                    self.record_read(&result);
+                    self.record_read(accepted_at, &result);
                     result
                 }
                 () = abandoned => Err(table_unreachable()),
@@ -317,7 +326,7 @@
     fn record_write(&self, response: &TransactionResult) {
         match response {
             TransactionResult::Committed { .. } | TransactionResult::Conflict { .. } => {
-                self.record_success()
+                self.record_success(Instant::now())
             }
             TransactionResult::Refused { throttled: true } => self.record_throttled(),
             TransactionResult::Refused { throttled: false } | TransactionResult::Unknown => {
