End the pauses of all followers when a throttled direct path is left

A gateway that the table throttles learned of changes, revoked keys among them, up to 0.6 s later than it could have. Requests with keys came that much closer to 503.

Cause: each follower of a table that pauses after a throttled call waits for the direct path to be left. The first one to wake left it; the others then saw that calls were relayed already, which ends no pause, and slept for the rest of their backoff (0.6 s at most). Which follower woke first was chance.

A wait that began before the path was left now ends when another task leaves it. A wait that begins when calls are relayed already still does not end by that, as before.

--- a/crates/gateway/src/relay/table.rs
+++ b/crates/gateway/src/relay/table.rs
@@ -162,19 +162,24 @@
     }
 
     /// Waits until the direct path is abandoned because every call was throttled. Never returns if
-    /// calls are relayed already, or if no direct call was throttled since the last successful one.
-    /// A task that pauses before its next call of the table can end the pause then, since calls are
-    /// relayed.
+    /// no direct call was throttled since the last successful one. If calls are relayed already,
+    /// waits until the path is abandoned again. A task that pauses before its next call of the
+    /// table can end the pause then, since calls are relayed.
     pub async fn wait_until_abandoned(&self) {
+        let abandoned = self.direct_abandoned.notified();
         loop {
-            let abandon_at = {
+            let (throttled_since, is_abandoned) = {
                 let state = self.state.lock();
-                let throttled_since = state.throttled_since.filter(|_| state.probe_at.is_none());
-                throttled_since.map(|since| since + MAX_THROTTLED_TIME)
+                (state.throttled_since, state.probe_at.is_some())
             };
-            let Some(abandon_at) = abandon_at else {
+            let Some(throttled_since) = throttled_since else {
                 return std::future::pending().await;
             };
+            if is_abandoned {
+                // Another task may have abandoned the path since this wait began.
+                return abandoned.await;
+            }
+            let abandon_at = throttled_since + MAX_THROTTLED_TIME;
             if Instant::now() > abandon_at {
                 return self.record_failures(MAX_FAILURES);
             }
@@ -182,11 +187,6 @@
         }
     }
 
-    /// Records that a direct call received no response, or that the table is unavailable.
-    fn record_failure(&self) {
-        self.record_failures(1);
-    }
-
     /// Records an event that counts as `count` consecutive direct calls without a response.
     /// Abandons the direct path after [`MAX_FAILURES`] of them.
     fn record_failures(&self, count: u32) {
@@ -216,7 +216,7 @@
                 self.record_success(accepted_at)
             }
             Err(TableError::Throttled) => self.record_throttled(),
-            Err(TableError::Unavailable(_) | TableError::NoResponse(_)) => self.record_failure(),
+            Err(TableError::Unavailable(_) | TableError::NoResponse(_)) => self.record_failures(1),
         }
     }
 
@@ -330,7 +330,7 @@
             }
             TransactionResult::Refused { throttled: true } => self.record_throttled(),
             TransactionResult::Refused { throttled: false } | TransactionResult::Unknown => {
-                self.record_failure()
+                self.record_failures(1)
             }
         }
     }
--- a/crates/gateway/tests/throttled_table.rs
+++ b/crates/gateway/tests/throttled_table.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use futures_util::FutureExt;
-use futures_util::future::BoxFuture;
+use futures_util::future::{BoxFuture, join_all};
 use gorsebank_contract::{TableRow, Transaction, TransactionResult};
 use gorsebank_fleet::placement::OrderResult;
 use gorsebank_fleet::{ApiKey, BackEndReport, Configuration, EngineReport};
@@ -19,7 +19,7 @@
 use gorsebank_gateway::relay::RelayedTable;
 use gorsebank_world::{BackEndId, ZoneId};
 use http::{HeaderMap, Request, StatusCode};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 /// Time after which a gateway whose calls are all throttled stops using its direct path.
 const MAX_THROTTLED_TIME: Duration = Duration::from_millis(1_000);
@@ -143,3 +143,15 @@
     assert_eq!(relayed.read("t").await, Err(TableError::Throttled));
     assert!(relayed.direct().is_some(), "the time starts again");
 }
+
+/// Guards against a path that only one of several waiting tasks sees abandoned. The followers of the
+/// other tables then paused for up to 0.6 s more before their first relayed call.
+#[tokio::test(start_paused = true)]
+async fn all_waiting_tasks_are_notified_when_the_direct_path_is_abandoned() {
+    let (table, relayed) = relayed_table();
+    throttle(&table, &relayed).await;
+    let waiting = (0..3).map(|_| relayed.wait_until_abandoned());
+    let notified = timeout(MAX_THROTTLED_TIME + RESOLUTION, join_all(waiting)).await;
+    assert!(notified.is_ok(), "a task was not notified");
+    assert!(relayed.direct().is_none(), "the direct path is still used");
+}
