--- a/crates/gateway/src/relay/table.rs
+++ b/crates/gateway/src/relay/table.rs
@@ -59,7 +59,7 @@
     peers: Vec<SocketAddr>,
     /// Number of consecutive direct calls without a response.
     failures: u32,
-    /// Since when every direct call was throttled.
+    /// Since when the table has accepted no direct call and throttled at least one.
     throttled_since: Option<Instant>,
     /// When the direct path is probed next; `None` while calls are direct.
     probe_at: Option<Instant>,
@@ -119,11 +119,18 @@
         CallPath::Relayed
     }
 
-    /// Records that a direct call received a response. Resumes the direct path if it was abandoned.
-    fn record_success(&self) {
+    /// Records the response to a direct call that the table accepted at `accepted_at`. Resumes the
+    /// direct path if it was abandoned, unless the table has throttled a call since then.
+    fn record_success(&self, accepted_at: Instant) {
         self.count_call("direct");
         let mut state = self.state.lock();
         state.failures = 0;
+        if state
+            .throttled_since
+            .is_some_and(|since| accepted_at < since)
+        {
+            return;
+        }
         state.throttled_since = None;
         let was_relayed = state.probe_at.take().is_some();
         drop(state);
@@ -155,19 +162,24 @@
     }
 
     /// Waits until the direct path is abandoned because every call was throttled. Never returns if
-    /// calls are relayed already, or if no direct call was throttled since the last successful one.
-    /// A task that pauses before its next call of the table can end the pause then, since calls are
-    /// relayed.
+    /// no direct call was throttled since the last successful one. If calls are relayed already,
+    /// waits until the path is abandoned again. A task that pauses before its next call of the
+    /// table can end the pause then, since calls are relayed.
     pub async fn wait_until_abandoned(&self) {
+        let abandoned = self.direct_abandoned.notified();
         loop {
-            let abandon_at = {
+            let (throttled_since, is_abandoned) = {
                 let state = self.state.lock();
-                let throttled_since = state.throttled_since.filter(|_| state.probe_at.is_none());
-                throttled_since.map(|since| since + MAX_THROTTLED_TIME)
+                (state.throttled_since, state.probe_at.is_some())
             };
-            let Some(abandon_at) = abandon_at else {
+            let Some(throttled_since) = throttled_since else {
                 return std::future::pending().await;
             };
+            if is_abandoned {
+                // Another task may have abandoned the path since this wait began.
+                return abandoned.await;
+            }
+            let abandon_at = throttled_since + MAX_THROTTLED_TIME;
             if Instant::now() > abandon_at {
                 return self.record_failures(MAX_FAILURES);
             }
@@ -175,11 +187,6 @@
         }
     }
 
-    /// Records that a direct call received no response, or that the table is unavailable.
-    fn record_failure(&self) {
-        self.record_failures(1);
-    }
-
     /// Records an event that counts as `count` consecutive direct calls without a response.
     /// Abandons the direct path after [`MAX_FAILURES`] of them.
     fn record_failures(&self, count: u32) {
@@ -203,13 +210,13 @@
         self.calls.with_label_values(&[result]).inc();
     }
 
-    fn record_read<T>(&self, result: &Result<T, TableError>) {
+    fn record_read<T>(&self, accepted_at: Instant, result: &Result<T, TableError>) {
         match result {
             Ok(_) | Err(TableError::HistoryGone | TableError::InvalidResponse(_)) => {
-                self.record_success()
+                self.record_success(accepted_at)
             }
             Err(TableError::Throttled) => self.record_throttled(),
-            Err(TableError::Unavailable(_) | TableError::NoResponse(_)) => self.record_failure(),
+            Err(TableError::Unavailable(_) | TableError::NoResponse(_)) => self.record_failures(1),
         }
     }
 
@@ -254,7 +261,7 @@
     async fn read_by_path(&self, table: &str) -> Result<TableSnapshot, TableError> {
         if self.choose_path() == CallPath::Direct {
             let result = self.platform.table().read(table).await;
-            self.record_read(&result);
+            self.record_read(Instant::now(), &result);
             return result;
         }
         let table = table.to_owned();
@@ -274,9 +281,11 @@
     ) -> Result<TableChanges, TableError> {
         if self.choose_path() == CallPath::Direct {
             let abandoned = self.direct_abandoned.notified();
+            // The table accepts the call at once, but may respond more than a second later.
+            let accepted_at = Instant::now();
             return tokio::select! {
                 result = self.platform.table().changes(table, version, wait) => {
-                    self.record_read(&result);
+                    self.record_read(accepted_at, &result);
                     result
                 }
                 () = abandoned => Err(table_unreachable()),
@@ -317,11 +326,11 @@
     fn record_write(&self, response: &TransactionResult) {
         match response {
             TransactionResult::Committed { .. } | TransactionResult::Conflict { .. } => {
-                self.record_success()
+                self.record_success(Instant::now())
             }
             TransactionResult::Refused { throttled: true } => self.record_throttled(),
             TransactionResult::Refused { throttled: false } | TransactionResult::Unknown => {
-                self.record_failure()
+                self.record_failures(1)
             }
         }
     }
