Move the checks of eras and revisions from the platform crate to the gateway

The gateway's ports have VersionedTable now, a table service that answers with versions of its own and its era. RestorableTable turns it into the WatchedTable as before, with the logic moved from store.rs, store_era.rs and rows.rs.

The log line store_era, the name of a header, is now table_era; its fields are the same. A transaction whose key names no table still matches no row and is not sent.

Tests: store_client.rs and silent_connections.rs put the client into RestorableTable; their cases and bounds are as they were. New: crates/gateway/tests/restorable_table.rs for responses of other eras.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -3,7 +3,8 @@
 //!
 //! All gateways run the same process. Persistent state, and state that gateways share with each
 //! other, is kept in rows of a table service. [`ports::Platform`] hides the differences between
-//! platforms.
+//! platforms, and [`restorable_table`] orders the states of a table service that is restored from an
+//! older copy.
 //!
 //! A request passes through these modules:
 //!
@@ -58,6 +59,7 @@
 pub mod refused_rows;
 pub mod relay;
 pub mod request;
+pub mod restorable_table;
 pub mod server;
 pub mod settings;
 pub mod shared;
@@ -65,6 +67,7 @@
 pub mod stream;
 mod suspension;
 pub mod sweeper;
+mod table_era;
 pub mod table_followers;
 mod tenancy;
 pub mod tenant_quotas;
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -162,6 +162,74 @@
     fn remove<'a>(&'a self, key: &'a str, version: u64) -> BoxFuture<'a, TransactionResult>;
 }
 
+/// An answer of a table service that may be restored from an older copy.
+#[derive(Clone, Debug)]
+pub struct EraAnswer<T> {
+    /// Number of times that the service was restored before it sent the response.
+    pub era: u64,
+    /// HTTP status of the response.
+    pub status: u16,
+    pub content: T,
+}
+
+/// Rows that a table service sent, with versions of the service's own.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct VersionedRows {
+    /// The rows, or their changes in order.
+    pub changes: Vec<RowChange>,
+    /// Newest version of the service.
+    pub version: u64,
+    /// Key from which the next page of rows continues; `None` after the last page.
+    pub next: Option<String>,
+}
+
+/// The answer to a call that reads rows, or an error if no response arrived.
+pub type RowsResult = Result<EraAnswer<Result<VersionedRows, TableError>>, TableError>;
+
+/// The response of a table service to a write.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum VersionedWrite {
+    /// All conditions held and the write was made at the version of these rows.
+    Committed(VersionedRows),
+    /// A condition did not hold; nothing was written. Contains the current rows.
+    Conflict(VersionedRows),
+    /// The service rejected the call. Nothing was written or will be written later.
+    Refused {
+        /// Whether the service limited the rate of calls; otherwise it is unavailable.
+        throttled: bool,
+    },
+    /// The response does not tell whether the write was made.
+    Unknown,
+}
+
+/// The answer to a write, or an error if no response arrived.
+pub type WriteResult = Result<EraAnswer<VersionedWrite>, TableError>;
+
+/// A table service that numbers its writes by versions of its own, which it assigns again after it
+/// was restored from an older copy. [`RestorableTable`](crate::restorable_table::RestorableTable)
+/// turns it into a [`WatchedTable`]. All versions here, also in rows and conditions, are the
+/// service's own. Keys have the form `TABLE/KEY`. Every response states its era, also one that
+/// reports an error.
+pub trait VersionedTable: Send + Sync + 'static {
+    /// Reads a page of a table's rows in ascending order of keys, from a key that the previous page
+    /// stated. The first page is from the empty key.
+    fn page<'a>(&'a self, table: &'a str, from: &'a str) -> BoxFuture<'a, RowsResult>;
+
+    /// Returns the changes after `version`; waits up to `wait` for the first change.
+    fn changes_after<'a>(
+        &'a self,
+        table: &'a str,
+        version: u64,
+        wait: Duration,
+    ) -> BoxFuture<'a, RowsResult>;
+
+    /// Writes rows if all conditions hold. Rows that the transaction reads are not returned.
+    fn write(&self, transaction: Transaction) -> BoxFuture<'_, WriteResult>;
+
+    /// Removes a row if `version` is the version at which the row was last written.
+    fn remove_at<'a>(&'a self, key: &'a str, version: u64) -> BoxFuture<'a, WriteResult>;
+}
+
 /// Why a row could not be parsed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RowFault {
