Start no more long loads at once than a store that performs one would end in 35 s

Cause: the first window of concurrent loads is eight whatever a load takes, and it narrows only when a load has ended. It now follows the longest load: as many as a store that performs one at full speed would end within 35 s, so two for 13.2 s, three for 10.2 s and eight as before up to 4.3 s.

Weighed and left out: one more concurrent load against waiting. With equal shares a load beyond full speed ends no sooner than after the others.

--- a/crates/fleet/src/placement/load_concurrency.rs
+++ b/crates/fleet/src/placement/load_concurrency.rs
@@ -26,6 +26,9 @@
 /// limit (standard error 0.004), and by 0.007 compared to an initial estimate of 8 (standard error
 /// 0.0045).
 const INITIAL_MAX_LOADS: f64 = 8.0;
+/// Maximum time that the first concurrent loads may take if the store performs only one at full
+/// speed. Loads cannot be cancelled, and nothing is known about the store until one has ended.
+const MAX_INITIAL_LOAD_DURATION: Duration = Duration::from_secs(35);
 /// Factor by which a load at full speed that filled the window widens it, until the first slow
 /// load. A store for a hundred engines performs more than eighty loads at full speed.
 const INITIAL_GROWTH_FACTOR: f64 = 4.0;
@@ -67,6 +70,17 @@
     }
 }
 
+impl LoadConcurrencyEstimate {
+    /// The initial estimate for a store from which one load takes `load` without other loads.
+    pub fn for_load_duration(load: Duration) -> Self {
+        let max_loads = MAX_INITIAL_LOAD_DURATION.as_secs_f64() / load.as_secs_f64();
+        LoadConcurrencyEstimate {
+            max_loads: max_loads.floor().clamp(1.0, INITIAL_MAX_LOADS),
+            ..LoadConcurrencyEstimate::default()
+        }
+    }
+}
+
 /// The loads in progress and the estimated limit on their number.
 #[derive(Debug)]
 pub struct LoadConcurrency {
--- a/crates/fleet/src/placement/mod.rs
+++ b/crates/fleet/src/placement/mod.rs
@@ -279,7 +279,8 @@
             .filter(|engine| engine.serves(service))
             .collect();
         let store = self.stores.entry(service.clone()).or_insert_with(|| {
-            let previous_records = self.previous_records.remove(service).unwrap_or_default();
+            let previous_records = self.previous_records.remove(service);
+            let previous_records = previous_records.unwrap_or_else(|| StoreRecord::initial(spec));
             let mut store = WeightStore::new(self.started_at, self.rate_limit, &previous_records);
             // An engine that has disappeared by now may still have started its load. A load without
             // a matching start time may belong to a previous incarnation of the engine.
--- a/crates/fleet/src/placement/weight_store.rs
+++ b/crates/fleet/src/placement/weight_store.rs
@@ -17,6 +17,7 @@
 use super::load_rate_limiter::{LoadRateLimit, LoadRateLimiter, RecentLoad};
 use super::{Obstacle, OrderResult};
 use crate::back_end::EngineReport;
+use crate::configuration::Engine;
 use crate::incarnation::Born;
 
 /// The records of weight stores that one holder leaves for the next, by service.
@@ -35,6 +36,20 @@
     pub load_crashes: Vec<LoadCrashRecord>,
 }
 
+impl StoreRecord {
+    /// The record of a weight store that no holder has used yet.
+    pub fn initial(spec: &Engine) -> Self {
+        let longest = spec.models.values().map(|model| model.load).max();
+        StoreRecord {
+            concurrency: longest.map_or_else(
+                LoadConcurrencyEstimate::default,
+                LoadConcurrencyEstimate::for_load_duration,
+            ),
+            ..StoreRecord::default()
+        }
+    }
+}
+
 /// One weight store as the placement holder uses it.
 #[derive(Debug)]
 pub struct WeightStore {
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -43,6 +43,11 @@
 
 /// Returns a configuration with twelve models of 45 to 78 MB. Every second model has adapters.
 pub fn configuration() -> Configuration {
+    configuration_with_load_time(Duration::from_millis(LOAD_TIME_MS))
+}
+
+/// Returns the same configuration with another duration of loads from the weight store.
+fn configuration_with_load_time(load: Duration) -> Configuration {
     let models = (0..12)
         .map(|number| {
             let spec = ModelSpec {
@@ -54,7 +59,7 @@
                 } else {
                     Vec::new()
                 },
-                load: Duration::from_millis(LOAD_TIME_MS),
+                load,
                 load_from_memory: Duration::from_millis(LOAD_TIME_MS / 4),
                 load_from_disk: Duration::from_millis(LOAD_TIME_MS / 2),
             };
@@ -169,6 +174,8 @@
     pub unload_time_ms: u64,
     /// Models of which the engine has a copy in host memory.
     pub models_in_memory: Vec<ModelId>,
+    /// Milliseconds that a load from the weight store takes without other loads.
+    pub store_load_ms: u64,
     history: VecDeque<(u64, EngineReport)>,
 }
 
@@ -197,6 +204,7 @@
             starts: 0,
             unload_time_ms: UNLOAD_TIME_MS,
             models_in_memory: Vec::new(),
+            store_load_ms: LOAD_TIME_MS,
             history: VecDeque::new(),
         }
     }
@@ -356,7 +364,7 @@
         if self.models_in_memory.contains(model) {
             LOAD_TIME_MS / 4
         } else {
-            LOAD_TIME_MS
+            self.store_load_ms
         }
     }
 
@@ -379,6 +387,8 @@
     pub planner: Planner,
     /// The engines.
     pub engines: Vec<SimulatedEngine>,
+    /// The configuration of the service.
+    pub configuration: Configuration,
     /// Start times of the loads from the weight store.
     pub load_starts: Vec<u64>,
     /// Descriptions of each overcommitment of memory or adapter slots.
@@ -412,6 +422,7 @@
             engines: (0..count)
                 .map(|number| SimulatedEngine::new(number, models))
                 .collect(),
+            configuration: configuration(),
             load_starts: Vec::new(),
             violations: Vec::new(),
             obstacles: Vec::new(),
@@ -426,6 +437,15 @@
         }
     }
 
+    /// Makes loads from the weight store take `load_ms` milliseconds each without other loads.
+    #[allow(dead_code)]
+    pub fn set_store_load_time(&mut self, load_ms: u64) {
+        self.configuration = configuration_with_load_time(Duration::from_millis(load_ms));
+        for engine in &mut self.engines {
+            engine.store_load_ms = load_ms;
+        }
+    }
+
     /// Returns the reports that discovery shows.
     pub fn reports(&self) -> Vec<BackEndReport> {
         self.engines
@@ -527,7 +547,7 @@
         }
         self.execute_late_orders(now);
         self.observe(now);
-        let actions = self.planner.plan(Timestamp(now), &configuration(), rows);
+        let actions = self.planner.plan(Timestamp(now), &self.configuration, rows);
         let deferred = self.planner.deferred_loads().iter();
         self.obstacles.extend(deferred.map(|load| load.obstacle));
         let written = self.planner.rows(Timestamp(now), 1);
