Let requests that queue at full engines raise the value of another replica

Callers of a hot model queued at its one to three engines, while the value of another replica followed its request rate only: requests beyond the slots did not count, and those that wait for a loaded model were ignored.

Value and number of needed replicas now count requests beyond the slots of the replicas, and waiting ones while at least half of the slots are in use (a row is otherwise older than the load that the requests waited for), less the slots of replicas that are being prepared. The need of replicas is a module of its own. The growth of queues between rows is not used.

One test fails on the earlier sources; the other guards against a second replica for old rows.

--- a/crates/fleet/src/placement/load_selection.rs
+++ b/crates/fleet/src/placement/load_selection.rs
@@ -15,43 +15,19 @@
 
 use super::engine::EngineState;
 use super::forecast::Forecast;
+use super::replica_need::{ReplicaNeed, WAITING_REQUEST_VALUE};
 use super::totals::DemandTotals;
 use super::weight_store::WeightStore;
 use crate::configuration::{Engine, ModelSpec};
 use crate::demand::ModelDemand;
 
-/// Value of one waiting request of low priority, in requests per second.
-const WAITING_REQUEST_VALUE: f64 = 0.3;
 /// Value that one running request adds to a loaded model, in requests per second.
 const RUNNING_REQUEST_VALUE: f64 = 0.6;
 /// Minimum ratio between the value of a load and its cost, most of which is the value of the
 /// evicted models.
 const MIN_VALUE_RATIO: f64 = 1.3;
-/// Fraction of the slots of a model's engines above which the running requests of the model call
-/// for another replica.
-const SATURATED_SLOT_FRACTION: f64 = 0.2;
-/// Rate of urgent requests for a model, in requests per second, above which the model is kept on
-/// several engines.
-const REDUNDANCY_RATE_PER_SECOND: f64 = 0.8;
-/// Number of engines that keep a model with a high urgent rate, so that the loss of one engine does
-/// not interrupt service.
-const REDUNDANT_REPLICAS: usize = 2;
-/// Value of an additional replica as a fraction of its share of the request rate, while the present
-/// replicas have free slots.
-const EXTRA_REPLICA_VALUE_FRACTION: f64 = 0.5;
-/// Fraction of slots in use above which the value of an additional replica rises.
-const FILLING_SLOT_FRACTION: f64 = 0.5;
-/// Fraction of slots in use from which an additional replica has the full value of its share,
-/// because requests are being rejected.
-const FULL_SLOT_FRACTION: f64 = 0.9;
-/// Target fraction of slots in use. As many replicas are loaded at the same time as the running
-/// requests need to reach it.
-const TARGET_SLOT_FRACTION: f64 = 0.6;
 /// Fraction of the requests for adapters on an engine that a model load on the engine delays.
 const DELAYED_ADAPTER_FRACTION: f64 = 0.1;
-/// Fraction of the adapter slots above which the number of requested adapters calls for another
-/// replica.
-const SATURATED_ADAPTER_FRACTION: f64 = 0.6;
 /// Value of the first model in the operator's list while it has no requests, in requests per
 /// second.
 const FIRST_RANK_VALUE: f64 = 0.1;
@@ -276,20 +252,15 @@
     ) -> Option<f64> {
         let replicas = self.replicas.count_of(model);
         let expected_replicas = expected_replicas(self.now, engines, model);
-        if expected_replicas > 0
-            && replicas + expected_replicas >= needed_replicas(self.spec, demand, replicas)
-        {
+        let need = ReplicaNeed::new(self.spec, demand, replicas, expected_replicas);
+        if need.is_met() {
             return None;
         }
         if replicas == 0 {
             let waiting = WAITING_REQUEST_VALUE * demand.waiting_weight;
             return Some(demand.rate + waiting + self.forecast.value(model));
         }
-        let wants_more =
-            replicas < REDUNDANT_REPLICAS && demand.urgent_rate > REDUNDANCY_RATE_PER_SECOND;
-        let wants_more = wants_more || is_saturated(self.spec, demand, replicas);
-        let share = demand.rate / (replicas + expected_replicas + 1) as f64;
-        wants_more.then(|| extra_replica_fraction(self.spec, demand, replicas) * share)
+        need.value()
     }
 
     /// Sets a goal for the candidate on the engine with the lowest cost.
@@ -436,37 +407,6 @@
     }
 }
 
-/// Whether the replicas of a model run too many requests, or have too few adapter slots.
-fn is_saturated(spec: &Engine, demand: &ModelDemand, replicas: usize) -> bool {
-    let running = f64::from(demand.running);
-    let slots = f64::from(spec.slots) * replicas as f64;
-    let adapter_slots = (spec.adapter_slots * replicas) as f64;
-    let adapters = demand.adapters.len() as f64;
-    running > SATURATED_SLOT_FRACTION * slots
-        || adapters > SATURATED_ADAPTER_FRACTION * adapter_slots
-}
-
-/// Number of replicas that can run the present requests at the target fraction of their slots. A
-/// model without a replica is loaded once, because the number of its running requests is not known
-/// yet.
-fn needed_replicas(spec: &Engine, demand: &ModelDemand, replicas: usize) -> usize {
-    if replicas == 0 {
-        return 1;
-    }
-    let target = f64::from(spec.slots) * TARGET_SLOT_FRACTION;
-    (f64::from(demand.running) / target.max(1.0)).ceil() as usize
-}
-
-/// Value of an additional replica as a fraction of its share of the request rate.
-fn extra_replica_fraction(spec: &Engine, demand: &ModelDemand, replicas: usize) -> f64 {
-    let slots = f64::from(spec.slots) * replicas as f64;
-    let used_fraction = f64::from(demand.running) / slots.max(1.0);
-    let urgency = ((used_fraction - FILLING_SLOT_FRACTION)
-        / (FULL_SLOT_FRACTION - FILLING_SLOT_FRACTION))
-        .clamp(0.0, 1.0);
-    EXTRA_REPLICA_VALUE_FRACTION + (1.0 - EXTRA_REPLICA_VALUE_FRACTION) * urgency
-}
-
 /// Number of engines that are expected to have the model soon. An engine with a late goal does not
 /// count.
 fn expected_replicas(now: Timestamp, engines: &[&mut EngineState], model: &ModelId) -> usize {
--- a/crates/fleet/src/placement/mod.rs
+++ b/crates/fleet/src/placement/mod.rs
@@ -17,6 +17,7 @@
 mod load_crashes;
 mod load_rate_limiter;
 mod load_selection;
+mod replica_need;
 mod totals;
 mod weight_store;
 
--- a/crates/fleet/tests/long_loads.rs
+++ b/crates/fleet/tests/long_loads.rs
@@ -3,7 +3,7 @@
 
 mod support;
 
-use support::{Simulation, demand};
+use support::{Simulation, demand, running};
 
 /// Milliseconds that a load from the weight store takes without other loads.
 const STORE_LOAD_MS: u64 = 13_000;
@@ -35,3 +35,37 @@
     let loaded = (1..10).filter(|number| simulation.replica_count(&format!("m{number}")) > 0);
     assert!(loaded.count() > 0, "{:?}", simulation.load_starts);
 }
+
+/// A model whose only engine is full, while requests queue there and others wait, has a copy in the
+/// memory of an engine whose models are worth more than its request rate.
+#[test]
+fn requests_that_queue_at_a_full_engine_call_for_another_replica() {
+    let mut simulation = Simulation::new(3, &["m0", "m1", "m2"]);
+    simulation.engines[0] = support::SimulatedEngine::new(0, &["m5"]);
+    for engine in &mut simulation.engines[1..] {
+        engine.models_in_memory = vec!["m5".into()];
+    }
+    let others = [("m0", 1.0, 0), ("m1", 1.0, 0), ("m2", 1.0, 0)];
+    let rows = vec![
+        demand(&others),
+        running(&[("m5", 0.4, 64)]),
+        demand(&[("m5", 0.0, 20)]),
+    ];
+    for now in (0..3_000).step_by(50) {
+        simulation.run_iteration(now, &rows);
+    }
+    assert!(simulation.replica_count("m5") >= 2);
+    assert!(simulation.replica_count("m0") >= 1);
+}
+
+/// The demand of gateways may be older than the load that its requests waited for.
+#[test]
+fn requests_that_waited_for_a_load_call_for_no_second_replica() {
+    let mut simulation = Simulation::new(3, &["m0"]);
+    simulation.engines[0] = support::SimulatedEngine::new(0, &["m5"]);
+    let rows = vec![demand(&[("m5", 0.4, 20)])];
+    for now in (0..3_000).step_by(50) {
+        simulation.run_iteration(now, &rows);
+    }
+    assert_eq!(simulation.replica_count("m5"), 1);
+}
