Log each load that is decided on, and the window of concurrent loads

An operator saw which loads were put off, but neither the value and cost of those chosen nor how many loads the weight store is thought to make at once. The log lines of placement move into a module of their own.

--- a/crates/fleet/src/placement/load_selection.rs
+++ b/crates/fleet/src/placement/load_selection.rs
@@ -5,13 +5,14 @@
 //! is its share of that rate.
 //!
 //! The input is the total demand, the demand forecast, the engine states and the limits of the
-//! weight store. The output is goals for engines that have none, and the loads that are deferred.
+//! weight store. The output is goals for engines that have none, and the loads that are
+//! chosen or deferred.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use gorsebank_coordination::Timestamp;
-use gorsebank_world::ModelId;
+use gorsebank_world::{BackEndId, ModelId};
 
 use super::engine::EngineState;
 use super::forecast::Forecast;
@@ -117,6 +118,28 @@
     pub obstacle: Obstacle,
 }
 
+/// A load that was decided on.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ChosenLoad {
+    /// The model to load.
+    pub model: ModelId,
+    /// The engine that loads it.
+    pub engine: BackEndId,
+    /// Value of the load, in requests per second.
+    pub value: f64,
+    /// Cost of the load, in requests per second.
+    pub loss: f64,
+    /// Whether the weights come from the weight store.
+    pub is_from_store: bool,
+}
+
+/// The loads that a plan decided on, and those that it deferred.
+#[derive(Debug, Default)]
+pub struct LoadDecisions {
+    pub chosen: Vec<ChosenLoad>,
+    pub deferred: Vec<DeferredLoad>,
+}
+
 /// A model that another engine should load.
 struct LoadCandidate {
     model: ModelId,
@@ -133,7 +156,7 @@
     replicas: Replicas,
 }
 
-/// Sets goals on engines that have none, and returns the loads that are deferred.
+/// Sets goals on engines that have none.
 pub fn set_goals(
     now: Timestamp,
     spec: &Engine,
@@ -141,7 +164,7 @@
     forecast: &Forecast,
     engines: &mut [&mut EngineState],
     store: &WeightStore,
-) -> Vec<DeferredLoad> {
+) -> LoadDecisions {
     poll_silent_engines(now, totals, engines);
     let context = PlanContext {
         now,
@@ -151,20 +174,23 @@
         store,
         replicas: Replicas::count(totals, engines),
     };
-    let mut deferred = Vec::new();
+    let mut decisions = LoadDecisions::default();
     let mut store_check = context.check_store_limits(engines);
     for candidate in context.candidates(engines) {
         match context.assign_goal(engines, &candidate, store_check) {
-            // The new goal may be a load from the weight store.
-            Ok(()) => store_check = context.check_store_limits(engines),
-            Err(obstacle) => deferred.push(DeferredLoad {
+            Ok(chosen) => {
+                decisions.chosen.extend(chosen);
+                // The new goal may be a load from the weight store.
+                store_check = context.check_store_limits(engines);
+            }
+            Err(obstacle) => decisions.deferred.push(DeferredLoad {
                 model: candidate.model,
                 value: candidate.value,
                 obstacle,
             }),
         }
     }
-    deferred
+    decisions
 }
 
 /// Schedules polls of engines that hold a model for which requests are waiting, to find out whether
@@ -269,9 +295,9 @@
         engines: &mut [&mut EngineState],
         candidate: &LoadCandidate,
         store_check: Result<(), Obstacle>,
-    ) -> Result<(), Obstacle> {
+    ) -> Result<Option<ChosenLoad>, Obstacle> {
         let Some(model_spec) = self.spec.models.get(&candidate.model) else {
-            return Ok(());
+            return Ok(None);
         };
         if self.store.is_deferred(self.now, &candidate.model) {
             return Err(Obstacle::EndsEngines);
@@ -308,13 +334,20 @@
         for engine in engines.iter_mut() {
             engine.drop_late_goal(self.now, &candidate.model);
         }
+        let chosen = ChosenLoad {
+            model: candidate.model.clone(),
+            engine: engines[index].id().clone(),
+            value: candidate.value,
+            loss: evictions.loss,
+            is_from_store: !engines[index].has_local_copy(&candidate.model),
+        };
         engines[index].set_goal(
             self.now,
             candidate.model.clone(),
             evictions.delay,
             evictions.victims,
         );
-        Ok(())
+        Ok(Some(chosen))
     }
 
     /// Whether an engine with a local copy, once it is free, completes a load of the model no later
--- a/crates/fleet/src/placement/mod.rs
+++ b/crates/fleet/src/placement/mod.rs
@@ -36,7 +36,8 @@
 pub use load_concurrency::{LoadConcurrency, LoadConcurrencyEstimate};
 pub use load_crashes::LoadCrashRecord;
 pub use load_rate_limiter::{LoadRateLimit, LoadRateLimiter, RecentLoad};
-pub use load_selection::{DeferredLoad, Obstacle};
+use load_selection::LoadDecisions;
+pub use load_selection::{ChosenLoad, DeferredLoad, Obstacle};
 use totals::DemandTotals;
 use weight_store::WeightStore;
 pub use weight_store::{StoreRecord, StoreRecords};
@@ -106,7 +107,8 @@
     /// Engines for which the row of a previous holder names a load.
     engines_with_restored_loads: Vec<BackEndId>,
     started_at: Timestamp,
-    deferred: Vec<DeferredLoad>,
+    /// The decisions of the last plan.
+    decisions: LoadDecisions,
     /// Loads during which engines disappeared from discovery.
     interrupted_loads: BTreeMap<BackEndId, InterruptedLoad>,
 }
@@ -258,7 +260,7 @@
         rows: &[DemandRow],
     ) -> Vec<Action> {
         let mut actions = Vec::new();
-        self.deferred.clear();
+        self.decisions = LoadDecisions::default();
         for (service, spec) in configuration.engine_services() {
             let totals = DemandTotals::new(service, rows);
             self.plan_service(now, service, spec, &totals, &mut actions);
@@ -297,8 +299,10 @@
             store
         });
         let forecast = Forecast::new(spec, totals);
-        let deferred = load_selection::set_goals(now, spec, totals, &forecast, &mut engines, store);
-        self.deferred.extend(deferred);
+        let decisions =
+            load_selection::set_goals(now, spec, totals, &forecast, &mut engines, store);
+        self.decisions.chosen.extend(decisions.chosen);
+        self.decisions.deferred.extend(decisions.deferred);
         adapters::assign(spec, totals, &forecast, &mut engines);
         for engine in engines {
             if let Some(action) = engine.next_action(now, spec, totals, store) {
@@ -309,7 +313,12 @@
 
     /// Loads that the last plan deferred, with the reasons.
     pub fn deferred_loads(&self) -> &[DeferredLoad] {
-        &self.deferred
+        &self.decisions.deferred
+    }
+
+    /// Loads that the last plan decided on.
+    pub fn chosen_loads(&self) -> &[ChosenLoad] {
+        &self.decisions.chosen
     }
 
     /// Applies the response of an engine to a poll; `None` if the engine did not respond.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -50,6 +50,7 @@
 pub mod orders;
 mod placed_rows;
 pub mod placement;
+mod placement_log;
 pub mod ports;
 pub mod prefill_speed_rows;
 pub mod process;
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -19,19 +19,19 @@
     Action, ActionKind, OrderKind, OrderResult, Planner, StoreRecords,
 };
 use gorsebank_fleet::{Born, EngineReport, Incarnation, LeaseKeeper, PlacedRow};
-use gorsebank_world::{BackEndId, ModelId};
+use gorsebank_world::BackEndId;
 use parking_lot::Mutex;
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::back_end::BackEnd;
 use crate::directory::Directory;
-use crate::event_log::{self, LogPriority};
 use crate::holder::store_records_key;
 use crate::orders;
 use crate::placed_rows::{
     self, AttemptedRow, MAX_ROWS_PER_TRANSACTION, RowToWrite, RowWriteResult,
 };
+use crate::placement_log::{self, PlacementLog};
 use crate::ports::{FencedOrder, WatchedTable};
 use crate::shared::Shared;
 use crate::table_followers::{NO_RESPONSE_PAUSE, row_name};
@@ -52,9 +52,6 @@
 const MAX_DEMAND_WAIT: Duration = Duration::from_millis(1_000);
 /// Maximum interval between two checks for how many gateways have sent their demand.
 const DEMAND_CHECK_INTERVAL: Duration = Duration::from_millis(50);
-/// Minimum interval between two log lines on the same deferred model, in milliseconds.
-const DEFERRED_LOG_INTERVAL_MS: u64 = 3_000;
-
 /// The completion of an asynchronous operation of the placement loop.
 enum Completion {
     EngineResponded(EngineResponse),
@@ -93,7 +90,7 @@
     is_write_in_progress: bool,
     /// The start of the last write.
     last_write_at: Option<Instant>,
-    deferred_logged_at: BTreeMap<ModelId, Timestamp>,
+    log: PlacementLog,
     completions: mpsc::UnboundedReceiver<Completion>,
     completion_sender: mpsc::UnboundedSender<Completion>,
 }
@@ -116,7 +113,7 @@
             waiting_actions: BTreeMap::new(),
             is_write_in_progress: false,
             last_write_at: None,
-            deferred_logged_at: BTreeMap::new(),
+            log: PlacementLog::default(),
             completions,
             completion_sender,
             shared,
@@ -314,8 +311,10 @@
         self.observe();
         let rows = self.shared.demand_rows.recent_rows(now);
         let actions = self.planner.plan(now, &configuration, &rows);
-        self.log_deferred(now);
+        self.log.write_deferred(now, self.planner.deferred_loads());
+        self.log.write_chosen(self.planner.chosen_loads());
         let records = self.planner.store_records(now);
+        self.log.write_load_windows(&records);
         self.shared.set_store_records(records);
         self.publish(now, fence);
         for action in actions {
@@ -323,26 +322,6 @@
         }
     }
 
-    /// Logs each deferred load when it is first deferred and at intervals while it remains
-    /// deferred.
-    fn log_deferred(&mut self, now: Timestamp) {
-        let deferred = self.planner.deferred_loads();
-        self.deferred_logged_at
-            .retain(|model, _| deferred.iter().any(|load| load.model == *model));
-        for load in deferred {
-            let logged_at = self.deferred_logged_at.get(&load.model);
-            if logged_at.is_some_and(|at| now.since(*at) < DEFERRED_LOG_INTERVAL_MS) {
-                continue;
-            }
-            self.deferred_logged_at.insert(load.model.clone(), now);
-            let fields = format_args!(
-                "model={} worth={:.2} obstacle=\"{:?}\"",
-                load.model, load.value, load.obstacle
-            );
-            event_log::write(LogPriority::Decision, "load_put_off", fields);
-        }
-    }
-
     /// Queues the rows that changed, unless a row of the same engine is being written.
     fn publish(&mut self, now: Timestamp, fence: u64) {
         for (id, row) in self.planner.rows(now, fence) {
@@ -406,7 +385,7 @@
             let content = match &action.kind {
                 ActionKind::Report => {
                     let report = orders::poll_engine(&shared, &back_end).await;
-                    log_report(&action, report.as_ref());
+                    placement_log::write_report(&action, report.as_ref());
                     ResponseContent::Reported(report)
                 }
                 ActionKind::Order { order, sequence } => {
@@ -419,7 +398,7 @@
                     };
                     let valid = || lease.lock().fence(shared.now()) == Some(fence);
                     let result = orders::send_order(&shared, &back_end, &fenced, valid).await;
-                    log_order(&shared, &action, order, *sequence, fence, result);
+                    placement_log::write_order(&shared, &action, order, *sequence, fence, result);
                     ResponseContent::Ordered(order.clone(), result)
                 }
             };
@@ -441,28 +420,3 @@
         && published.unloading == row.unloading
         && model(published) == model(row)
 }
-
-fn log_report(action: &Action, report: Option<&EngineReport>) {
-    let fields = format_args!(
-        "engine={} reason=\"{}\" report={report:?}",
-        action.engine, action.reason
-    );
-    event_log::write(LogPriority::Decision, "engine_report", fields);
-}
-
-fn log_order(
-    shared: &Shared,
-    action: &Action,
-    order: &OrderKind,
-    sequence: u64,
-    fence: u64,
-    result: OrderResult,
-) {
-    let label = format!("{result:?}");
-    shared.metrics.orders.with_label_values(&[&label]).inc();
-    let fields = format_args!(
-        "engine={} order={order:?} sequence={sequence} fence={fence} reason=\"{}\" result={label}",
-        action.engine, action.reason
-    );
-    event_log::write(LogPriority::Decision, "order", fields);
-}
--- /dev/null
+++ b/crates/gateway/src/placement_log.rs
@@ -0,0 +1,99 @@
+//! Log lines of the placement holder.
+//!
+//! The input is the decisions of a plan, and the results of polls and orders. The output is log
+//! lines, at most one in some seconds on the same deferred model, and the counter of orders.
+
+use std::collections::BTreeMap;
+
+use gorsebank_coordination::Timestamp;
+use gorsebank_fleet::EngineReport;
+use gorsebank_fleet::placement::{
+    Action, ChosenLoad, DeferredLoad, OrderKind, OrderResult, StoreRecords,
+};
+use gorsebank_world::{ModelId, ServiceId};
+
+use crate::event_log::{self, LogPriority};
+use crate::shared::Shared;
+
+/// Minimum interval between two log lines on the same deferred model, in milliseconds.
+const DEFERRED_LOG_INTERVAL_MS: u64 = 3_000;
+
+/// What was logged on models and weight stores.
+#[derive(Debug, Default)]
+pub struct PlacementLog {
+    deferred_logged_at: BTreeMap<ModelId, Timestamp>,
+    /// The window of concurrent loads that was last logged, by service.
+    load_windows: BTreeMap<ServiceId, usize>,
+}
+
+impl PlacementLog {
+    /// Logs each deferred load when it is first deferred and at intervals while it remains
+    /// deferred.
+    pub fn write_deferred(&mut self, now: Timestamp, deferred: &[DeferredLoad]) {
+        self.deferred_logged_at
+            .retain(|model, _| deferred.iter().any(|load| load.model == *model));
+        for load in deferred {
+            let logged_at = self.deferred_logged_at.get(&load.model);
+            if logged_at.is_some_and(|at| now.since(*at) < DEFERRED_LOG_INTERVAL_MS) {
+                continue;
+            }
+            self.deferred_logged_at.insert(load.model.clone(), now);
+            let fields = format_args!(
+                "model={} worth={:.2} obstacle=\"{:?}\"",
+                load.model, load.value, load.obstacle
+            );
+            event_log::write(LogPriority::Decision, "load_put_off", fields);
+        }
+    }
+
+    /// Logs each load that a plan decided on, with its value and its cost.
+    pub fn write_chosen(&self, chosen: &[ChosenLoad]) {
+        for load in chosen {
+            let fields = format_args!(
+                "model={} engine={} worth={:.2} loss={:.2} from_store={}",
+                load.model, load.engine, load.value, load.loss, load.is_from_store
+            );
+            event_log::write(LogPriority::Decision, "load_chosen", fields);
+        }
+    }
+
+    /// Logs the number of concurrent loads that each weight store is thought to perform at full
+    /// speed, when it changes.
+    pub fn write_load_windows(&mut self, records: &StoreRecords) {
+        for (service, record) in records {
+            let max_loads = record.concurrency.max_loads as usize;
+            let previous = self.load_windows.insert(service.clone(), max_loads);
+            if previous != Some(max_loads) {
+                let fields = format_args!("service={service} max_loads={max_loads}");
+                event_log::write(LogPriority::Decision, "load_window", fields);
+            }
+        }
+    }
+}
+
+/// Logs the response of an engine to a poll.
+pub fn write_report(action: &Action, report: Option<&EngineReport>) {
+    let fields = format_args!(
+        "engine={} reason=\"{}\" report={report:?}",
+        action.engine, action.reason
+    );
+    event_log::write(LogPriority::Decision, "engine_report", fields);
+}
+
+/// Logs an order with its result, and counts it.
+pub fn write_order(
+    shared: &Shared,
+    action: &Action,
+    order: &OrderKind,
+    sequence: u64,
+    fence: u64,
+    result: OrderResult,
+) {
+    let label = format!("{result:?}");
+    shared.metrics.orders.with_label_values(&[&label]).inc();
+    let fields = format_args!(
+        "engine={} order={order:?} sequence={sequence} fence={fence} reason=\"{}\" result={label}",
+        action.engine, action.reason
+    );
+    event_log::write(LogPriority::Decision, "order", fields);
+}
