--- a/crates/fleet/src/placement/load_selection.rs
+++ b/crates/fleet/src/placement/load_selection.rs
@@ -5,53 +5,30 @@
 //! is its share of that rate.
 //!
 //! The input is the total demand, the demand forecast, the engine states and the limits of the
-//! weight store. The output is goals for engines that have none, and the loads that are deferred.
+//! weight store. The output is goals for engines that have none, and the loads that are
+//! chosen or deferred.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use gorsebank_coordination::Timestamp;
-use gorsebank_world::ModelId;
+use gorsebank_world::{BackEndId, ModelId};
 
 use super::engine::EngineState;
 use super::forecast::Forecast;
+use super::replica_need::{ReplicaNeed, WAITING_REQUEST_VALUE};
 use super::totals::DemandTotals;
 use super::weight_store::WeightStore;
 use crate::configuration::{Engine, ModelSpec};
 use crate::demand::ModelDemand;
 
-/// Value of one waiting request of low priority, in requests per second.
-const WAITING_REQUEST_VALUE: f64 = 0.3;
 /// Value that one running request adds to a loaded model, in requests per second.
 const RUNNING_REQUEST_VALUE: f64 = 0.6;
 /// Minimum ratio between the value of a load and its cost, most of which is the value of the
 /// evicted models.
 const MIN_VALUE_RATIO: f64 = 1.3;
-/// Fraction of the slots of a model's engines above which the running requests of the model call
-/// for another replica.
-const SATURATED_SLOT_FRACTION: f64 = 0.2;
-/// Rate of urgent requests for a model, in requests per second, above which the model is kept on
-/// several engines.
-const REDUNDANCY_RATE_PER_SECOND: f64 = 0.8;
-/// Number of engines that keep a model with a high urgent rate, so that the loss of one engine does
-/// not interrupt service.
-const REDUNDANT_REPLICAS: usize = 2;
-/// Value of an additional replica as a fraction of its share of the request rate, while the present
-/// replicas have free slots.
-const EXTRA_REPLICA_VALUE_FRACTION: f64 = 0.5;
-/// Fraction of slots in use above which the value of an additional replica rises.
-const FILLING_SLOT_FRACTION: f64 = 0.5;
-/// Fraction of slots in use from which an additional replica has the full value of its share,
-/// because requests are being rejected.
-const FULL_SLOT_FRACTION: f64 = 0.9;
-/// Target fraction of slots in use. As many replicas are loaded at the same time as the running
-/// requests need to reach it.
-const TARGET_SLOT_FRACTION: f64 = 0.6;
 /// Fraction of the requests for adapters on an engine that a model load on the engine delays.
 const DELAYED_ADAPTER_FRACTION: f64 = 0.1;
-/// Fraction of the adapter slots above which the number of requested adapters calls for another
-/// replica.
-const SATURATED_ADAPTER_FRACTION: f64 = 0.6;
 /// Value of the first model in the operator's list while it has no requests, in requests per
 /// second.
 const FIRST_RANK_VALUE: f64 = 0.1;
@@ -141,6 +118,28 @@
     pub obstacle: Obstacle,
 }
 
+/// A load that was decided on.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ChosenLoad {
+    /// The model to load.
+    pub model: ModelId,
+    /// The engine that loads it.
+    pub engine: BackEndId,
+    /// Value of the load, in requests per second.
+    pub value: f64,
+    /// Cost of the load, in requests per second.
+    pub loss: f64,
+    /// Whether the weights come from the weight store.
+    pub is_from_store: bool,
+}
+
+/// The loads that a plan decided on, and those that it deferred.
+#[derive(Debug, Default)]
+pub struct LoadDecisions {
+    pub chosen: Vec<ChosenLoad>,
+    pub deferred: Vec<DeferredLoad>,
+}
+
 /// A model that another engine should load.
 struct LoadCandidate {
     model: ModelId,
@@ -157,7 +156,7 @@
     replicas: Replicas,
 }
 
-/// Sets goals on engines that have none, and returns the loads that are deferred.
+/// Sets goals on engines that have none.
 pub fn set_goals(
     now: Timestamp,
     spec: &Engine,
@@ -165,7 +164,7 @@
     forecast: &Forecast,
     engines: &mut [&mut EngineState],
     store: &WeightStore,
-) -> Vec<DeferredLoad> {
+) -> LoadDecisions {
     poll_silent_engines(now, totals, engines);
     let context = PlanContext {
         now,
@@ -175,20 +174,23 @@
         store,
         replicas: Replicas::count(totals, engines),
     };
-    let mut deferred = Vec::new();
+    let mut decisions = LoadDecisions::default();
     let mut store_check = context.check_store_limits(engines);
     for candidate in context.candidates(engines) {
         match context.assign_goal(engines, &candidate, store_check) {
-            // The new goal may be a load from the weight store.
-            Ok(()) => store_check = context.check_store_limits(engines),
-            Err(obstacle) => deferred.push(DeferredLoad {
+            Ok(chosen) => {
+                decisions.chosen.extend(chosen);
+                // The new goal may be a load from the weight store.
+                store_check = context.check_store_limits(engines);
+            }
+            Err(obstacle) => decisions.deferred.push(DeferredLoad {
                 model: candidate.model,
                 value: candidate.value,
                 obstacle,
             }),
         }
     }
-    deferred
+    decisions
 }
 
 /// Schedules polls of engines that hold a model for which requests are waiting, to find out whether
@@ -276,20 +278,15 @@
     ) -> Option<f64> {
         let replicas = self.replicas.count_of(model);
         let expected_replicas = expected_replicas(self.now, engines, model);
-        if expected_replicas > 0
-            && replicas + expected_replicas >= needed_replicas(self.spec, demand, replicas)
-        {
+        let need = ReplicaNeed::new(self.spec, demand, replicas, expected_replicas);
+        if need.is_met() {
             return None;
         }
         if replicas == 0 {
             let waiting = WAITING_REQUEST_VALUE * demand.waiting_weight;
             return Some(demand.rate + waiting + self.forecast.value(model));
         }
-        let wants_more =
-            replicas < REDUNDANT_REPLICAS && demand.urgent_rate > REDUNDANCY_RATE_PER_SECOND;
-        let wants_more = wants_more || is_saturated(self.spec, demand, replicas);
-        let share = demand.rate / (replicas + expected_replicas + 1) as f64;
-        wants_more.then(|| extra_replica_fraction(self.spec, demand, replicas) * share)
+        need.value()
     }
 
     /// Sets a goal for the candidate on the engine with the lowest cost.
@@ -298,9 +295,9 @@
         engines: &mut [&mut EngineState],
         candidate: &LoadCandidate,
         store_check: Result<(), Obstacle>,
-    ) -> Result<(), Obstacle> {
+    ) -> Result<Option<ChosenLoad>, Obstacle> {
         let Some(model_spec) = self.spec.models.get(&candidate.model) else {
-            return Ok(());
+            return Ok(None);
         };
         if self.store.is_deferred(self.now, &candidate.model) {
             return Err(Obstacle::EndsEngines);
@@ -337,13 +334,20 @@
         for engine in engines.iter_mut() {
             engine.drop_late_goal(self.now, &candidate.model);
         }
+        let chosen = ChosenLoad {
+            model: candidate.model.clone(),
+            engine: engines[index].id().clone(),
+            value: candidate.value,
+            loss: evictions.loss,
+            is_from_store: !engines[index].has_local_copy(&candidate.model),
+        };
         engines[index].set_goal(
             self.now,
             candidate.model.clone(),
             evictions.delay,
             evictions.victims,
         );
-        Ok(())
+        Ok(Some(chosen))
     }
 
     /// Whether an engine with a local copy, once it is free, completes a load of the model no later
@@ -436,37 +440,6 @@
     }
 }
 
-/// Whether the replicas of a model run too many requests, or have too few adapter slots.
-fn is_saturated(spec: &Engine, demand: &ModelDemand, replicas: usize) -> bool {
-    let running = f64::from(demand.running);
-    let slots = f64::from(spec.slots) * replicas as f64;
-    let adapter_slots = (spec.adapter_slots * replicas) as f64;
-    let adapters = demand.adapters.len() as f64;
-    running > SATURATED_SLOT_FRACTION * slots
-        || adapters > SATURATED_ADAPTER_FRACTION * adapter_slots
-}
-
-/// Number of replicas that can run the present requests at the target fraction of their slots. A
-/// model without a replica is loaded once, because the number of its running requests is not known
-/// yet.
-fn needed_replicas(spec: &Engine, demand: &ModelDemand, replicas: usize) -> usize {
-    if replicas == 0 {
-        return 1;
-    }
-    let target = f64::from(spec.slots) * TARGET_SLOT_FRACTION;
-    (f64::from(demand.running) / target.max(1.0)).ceil() as usize
-}
-
-/// Value of an additional replica as a fraction of its share of the request rate.
-fn extra_replica_fraction(spec: &Engine, demand: &ModelDemand, replicas: usize) -> f64 {
-    let slots = f64::from(spec.slots) * replicas as f64;
-    let used_fraction = f64::from(demand.running) / slots.max(1.0);
-    let urgency = ((used_fraction - FILLING_SLOT_FRACTION)
-        / (FULL_SLOT_FRACTION - FILLING_SLOT_FRACTION))
-        .clamp(0.0, 1.0);
-    EXTRA_REPLICA_VALUE_FRACTION + (1.0 - EXTRA_REPLICA_VALUE_FRACTION) * urgency
-}
-
 /// Number of engines that are expected to have the model soon. An engine with a late goal does not
 /// count.
 fn expected_replicas(now: Timestamp, engines: &[&mut EngineState], model: &ModelId) -> usize {
