--- a/crates/fleet/src/configuration.rs
+++ b/crates/fleet/src/configuration.rs
@@ -147,6 +147,8 @@
     pub version: u64,
     routes: HashMap<String, Vec<Arc<Route>>>,
     services: HashMap<ServiceId, Service>,
+    /// The longest timeout among the routes of each service.
+    longest_timeouts: HashMap<ServiceId, Duration>,
     /// Limits on clients.
     pub limits: Limits,
     /// Tenants that may call; `None` if callers need no API key.
@@ -157,7 +159,12 @@
     /// Indexes the routes by host, longest prefix first.
     pub fn new(version: u64, routes: Vec<Route>, services: Vec<Service>, limits: Limits) -> Self {
         let mut by_host: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
+        let mut longest_timeouts: HashMap<ServiceId, Duration> = HashMap::new();
         for route in routes {
+            for (service, _) in &route.services {
+                let longest = longest_timeouts.entry(service.clone()).or_default();
+                *longest = route.timeout.max(*longest);
+            }
             let host = route.host.clone();
             by_host.entry(host).or_default().push(Arc::new(route));
         }
@@ -172,6 +179,7 @@
             version,
             routes: by_host,
             services,
+            longest_timeouts,
             limits,
             tenants: None,
         }
@@ -203,6 +211,19 @@
             .filter_map(|service| Some((&service.id, service.engine.as_ref()?)))
     }
 
+    /// Whether a load of the model from the weight store takes so long that no caller of the service
+    /// can wait for it: more than half of the longest timeout.
+    pub fn loads_outlast_callers(&self, service: &ServiceId, model: &ModelId) -> bool {
+        let engine = self
+            .service(service)
+            .and_then(|known| known.engine.as_ref());
+        let Some(spec) = engine.and_then(|engine| engine.models.get(model)) else {
+            return false;
+        };
+        let timeout = self.longest_timeouts.get(service);
+        timeout.is_some_and(|timeout| spec.load > *timeout / 2)
+    }
+
     /// Number of routes over all hosts.
     pub fn route_count(&self) -> usize {
         self.routes.values().map(Vec::len).sum()
