--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -53,6 +53,7 @@
 pub mod placement;
 mod placement_log;
 pub mod ports;
+pub mod prefill_pacing;
 pub mod prefill_speed_rows;
 pub mod process;
 pub mod quarantine;
