--- a/crates/gateway/tests/prefill_pacing.rs
+++ b/crates/gateway/tests/prefill_pacing.rs
@@ -60,7 +60,9 @@
 #[test]
 fn long_pause_delays_later_prompts() {
     let pacing = pacing_of(&["a"]);
-    (0..6).for_each(|_| drop(pacing.handle_request(NOW, &prompt(7))));
+    for _ in 0..6 {
+        pacing.handle_request(NOW, &prompt(7));
+    }
     let pause = PrefillRequest {
         tokens: 0,
         pause_ms: 360,
