Bound the queues of engines over all gateways

Callers of a model that one to three engines hold found 40 to 54 requests of all gateways at an engine of 12 slots: of 932 streams that were sent to an engine with 24 or more, 497 were served. Every gateway knew it and went on sending, because a request that found a candidate was sent whatever queued there.

Where a load takes longer than the route's objective, and the slots are known, all gateways now send no more to an engine than it can begin in time: slots, plus what turns over within the request's objective and the age of the counts. Each contender is sent with a probability that lets all together take the free places; contenders, promised returns and waiting requests travel as further pairs of the counts of running requests. Others wait at the gateway (timely before late, priority, time left) or are refused with a Retry-After that counts those before. What an engine rejects as full is not sent to another full one.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod demand;
 pub mod distribution_tree;
 pub mod drain_notices;
+pub mod engine_queue;
 pub mod events;
 pub mod fingerprint;
 pub mod health;
--- a/crates/gateway/src/admission/mod.rs
+++ b/crates/gateway/src/admission/mod.rs
@@ -5,6 +5,7 @@
 //! in `Retry-After`. A caller that retries is not refused again as long as a late response is
 //! possible.
 
+mod full_engines;
 mod refusal;
 mod waits;
 
@@ -21,6 +22,7 @@
 use crate::candidates::{ChosenBackEnd, choose_back_end, has_unlimited, time_to_capacity};
 use crate::failure::Failure;
 use crate::request::Call;
+use full_engines::{FullEngines, QueuePlace, below_bound, bounded_model, has_room};
 use refusal::{log_wait, refuse, refuse_quarantined};
 use waits::{ExpectedLoad, Missing, max_capacity_wait, wait_deadline};
 
@@ -29,11 +31,16 @@
 /// Assumed load time of a model that the configuration does not list.
 const DEFAULT_LOAD_TIME: Duration = Duration::from_secs(2);
 
+/// How often a request that waits for a full engine looks for room: more often than the counts of
+/// other gateways change.
+const ROOM_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Returns a back end for the next attempt that is not in `tried`, waiting for one if worthwhile.
 pub async fn admit(call: &Call, tried: &[BackEndId]) -> Result<Arc<BackEnd>, Failure> {
     let mut changes = call.shared.subscribe();
     let started = Instant::now();
     let mut waiting_guard = None;
+    let mut place: Option<QueuePlace<'_>> = None;
     loop {
         changes.mark_unchanged();
         if let Some(left) = call.quarantine_left() {
@@ -44,11 +51,14 @@
             let _ = changes.changed().await;
             continue;
         }
-        let missing = match pick_back_end(call, tried) {
+        let missing = match pick_back_end(call, tried, place.as_ref()) {
             Ok(chosen) => {
                 if !wait_for_capacity(call, &chosen).await {
                     continue;
                 }
+                if let Some(place) = &mut place {
+                    place.record_sent();
+                }
                 call.shared.metrics.record_queue_time(started.elapsed());
                 return Ok(chosen.back_end);
             }
@@ -60,8 +70,13 @@
             log_wait(call, &missing, until);
             waiting_guard = WaitingGuard::begin(call);
         }
+        let mut check_at = until;
+        if let Missing::FullEngines(full) = &missing {
+            place = place.or_else(|| QueuePlace::join(call, full));
+            check_at = until.min(Instant::now() + ROOM_CHECK_INTERVAL);
+        }
         // After a timeout, the next iteration decides by the state at that time.
-        let _ = timeout_at(until, changes.changed()).await;
+        let _ = timeout_at(check_at, changes.changed()).await;
     }
 }
 
@@ -90,6 +105,11 @@
     }
 }
 
+/// Whether the request waits for another place when an engine rejects it as full.
+pub fn queues_for_engines(call: &Call) -> bool {
+    bounded_model(call).is_some()
+}
+
 /// Whether an untried back end could take the request now. A back end with a rate limit does not
 /// count, because it is no reason to abandon another one.
 pub fn has_alternative(call: &Call, tried: &[BackEndId]) -> bool {
@@ -121,7 +141,7 @@
     match missing {
         Missing::BackEnd => {}
         Missing::Adapter => record_unmet_demand(call, call.metadata.adapter.as_ref()),
-        Missing::Model(_) | Missing::Capacity(_) | Missing::Pause(_) => {
+        Missing::Model(_) | Missing::Capacity(_) | Missing::FullEngines(_) | Missing::Pause(_) => {
             record_unmet_demand(call, None)
         }
     }
@@ -161,9 +181,15 @@
 }
 
 /// Picks the best back end at present.
-fn pick_back_end(call: &Call, tried: &[BackEndId]) -> Result<ChosenBackEnd, Missing> {
+fn pick_back_end(
+    call: &Call,
+    tried: &[BackEndId],
+    place: Option<&QueuePlace<'_>>,
+) -> Result<ChosenBackEnd, Missing> {
     let now = call.shared.now();
     let back_ends = eligible(call, now, tried)?;
+    let back_ends =
+        below_bound(call, now, back_ends, place).map_err(|full| missing_room(call, now, full))?;
     let chosen = choose_back_end(call, now, &back_ends)
         .ok_or_else(|| missing_capacity(call, now, &back_ends))?;
     if let Some(model) = &call.metadata.model {
@@ -174,6 +200,24 @@
     Ok(chosen)
 }
 
+/// What is missing when all eligible engines are full: the adapter, if another engine that holds the
+/// model has room.
+fn missing_room(call: &Call, now: Timestamp, full: FullEngines) -> Missing {
+    let adapter = call.metadata.adapter.as_ref();
+    let (Some(model), Some(adapter)) = (required_model(call), adapter) else {
+        return Missing::FullEngines(full);
+    };
+    let availability = call
+        .shared
+        .directory(|directory| directory.availability(now, &call.service, model, Some(adapter)));
+    let engines = availability.without_adapter;
+    if !engines.is_empty() && has_room(call, now, &engines) {
+        Missing::Adapter
+    } else {
+        Missing::FullEngines(full)
+    }
+}
+
 /// What is missing when every eligible back end has a rate limit and none has capacity. An adapter
 /// is loaded quickly on another back end that holds the model and has capacity. Loading a model
 /// mostly takes longer than a send time at one of the eligible back ends.
--- a/crates/gateway/src/admission/refusal.rs
+++ b/crates/gateway/src/admission/refusal.rs
@@ -7,6 +7,7 @@
 
 use tokio::time::Instant;
 
+use super::full_engines::record_refusal;
 use super::waits::Missing;
 use crate::event_log::{self, LogPriority};
 use crate::failure::Failure;
@@ -23,6 +24,11 @@
     let (reason, retry_after) = match missing {
         Missing::BackEnd => ("no_back_end", MIN_RETRY_AFTER),
         Missing::Capacity(wait) => ("back_end_limit", MIN_RETRY_AFTER.max(*wait)),
+        Missing::FullEngines(full) => {
+            let retry_after = MIN_RETRY_AFTER.max(full.return_after);
+            record_refusal(call, retry_after);
+            ("engines_full", retry_after)
+        }
         Missing::Pause(left) => ("back_end_pause", MIN_RETRY_AFTER.max(*left)),
         Missing::Adapter => ("no_adapter", MIN_RETRY_AFTER),
         Missing::Model(load) => ("no_model", load.time_left + LOAD_RETRY_MARGIN),
@@ -52,6 +58,7 @@
         Missing::Adapter => "adapter",
         Missing::BackEnd => "back_end",
         Missing::Capacity(_) => "room",
+        Missing::FullEngines(_) => "full_engines",
         Missing::Pause(_) => "pause",
     };
     let fields = format_args!(
@@ -77,6 +84,14 @@
         Missing::Capacity(wait) | Missing::Pause(wait) => {
             format!("expected_ms={} load_ordered=false", wait.as_millis())
         }
+        Missing::FullEngines(full) => format!(
+            "expected_ms={} load_ordered=false engines={} running={} bound={} ahead={}",
+            full.expected.as_millis(),
+            full.engines,
+            full.running,
+            full.bound,
+            full.ahead,
+        ),
         Missing::Adapter | Missing::BackEnd => "expected_ms=0 load_ordered=false".to_owned(),
     }
 }
--- a/crates/gateway/src/admission/waits.rs
+++ b/crates/gateway/src/admission/waits.rs
@@ -9,6 +9,7 @@
 use gorsebank_fleet::CopyTier;
 use tokio::time::Instant;
 
+use super::full_engines::FullEngines;
 use crate::request::Call;
 
 /// Time from the end of a load until the first event.
@@ -30,6 +31,8 @@
 const CALLER_TIMEOUT_GAPS: u32 = 8;
 /// Fraction of the caller's timeout that a request may wait.
 const CALLER_TIMEOUT_FRACTION: f64 = 0.85;
+/// Multiple of the expected time in a queue that must be left for a wait.
+const QUEUE_MARGIN: u32 = 2;
 /// Fraction of the request's time limit that a late request waits for a load that nobody has
 /// ordered. After that, another gateway may still have time to serve the caller.
 const UNORDERED_LOAD_FRACTION: f64 = 0.45;
@@ -44,6 +47,8 @@
     /// All back ends that could take the request have requested a pause, which ends after this
     /// time.
     Pause(Duration),
+    /// All engines that hold the model have as many requests as they can begin in time.
+    FullEngines(FullEngines),
     /// The adapter is missing on the back ends that have loaded the model.
     Adapter,
     /// The model is not loaded; a load is expected to end at the given time.
@@ -71,6 +76,7 @@
             return None;
         }
         Missing::Capacity(wait) | Missing::Pause(wait) => now + *wait,
+        Missing::FullEngines(full) => queue_deadline(call, now, full.expected)?,
         _ if call.is_returning && !matches!(missing, Missing::Model(_)) => give_up,
         Missing::BackEnd => call.arrived() + objective.mul_f64(EARLY_REFUSAL_FRACTION),
         Missing::Adapter => call.arrived() + objective.mul_f64(ADAPTER_WAIT_FRACTION),
@@ -84,25 +90,49 @@
 }
 
 /// When the caller or this gateway gives the request up.
-fn give_up_time(call: &Call) -> Instant {
+pub(super) fn give_up_time(call: &Call) -> Instant {
     let give_up = call.arrived() + caller_timeout(call).mul_f64(CALLER_TIMEOUT_FRACTION);
     give_up.min(call.deadline())
 }
 
+/// Until when to wait for full engines, whose order is partly by chance: a request that can be
+/// refused early waits only where its response will most likely be in time.
+fn queue_deadline(call: &Call, now: Instant, expected: Duration) -> Option<Instant> {
+    let max_wait = max_capacity_wait(call);
+    let early_refusal_end = call.arrived() + call.route.objective.mul_f64(EARLY_REFUSAL_FRACTION);
+    let needed = if now <= early_refusal_end && !call.is_returning {
+        expected * QUEUE_MARGIN
+    } else {
+        expected
+    };
+    (needed <= max_wait).then_some(now + max_wait)
+}
+
+/// Time within which a response must begin to be in time; `None` if that has passed.
+pub(super) fn begin_within(call: &Call) -> Option<Duration> {
+    let objective = call.route.objective;
+    let until = call.arrived() + objective.mul_f64(IN_TIME_FRACTION);
+    until.checked_duration_since(Instant::now() + response_time(objective))
+}
+
+/// Time from sending a request until its first event.
+fn response_time(objective: Duration) -> Duration {
+    FIRST_EVENT_DELAY.min(objective.mul_f64(RESPONSE_FRACTION))
+}
+
 /// How long a request may wait for capacity at a back end, or for the end of a requested pause: as
 /// long as its response comes in time, or, once an early refusal has no benefit, until the request
 /// is given up.
 pub(super) fn max_capacity_wait(call: &Call) -> Duration {
     let now = Instant::now();
     let objective = call.route.objective;
-    let response_time = FIRST_EVENT_DELAY.min(objective.mul_f64(RESPONSE_FRACTION));
     let early_refusal_end = call.arrived() + objective.mul_f64(EARLY_REFUSAL_FRACTION);
     let until = if now <= early_refusal_end && !call.is_returning {
         call.arrived() + objective.mul_f64(IN_TIME_FRACTION)
     } else {
         give_up_time(call)
     };
-    let wait = until.saturating_duration_since(now + response_time);
+    let wait = until.saturating_duration_since(now + response_time(objective));
     call.time_left_to_send().map_or(wait, |left| wait.min(left))
 }
 
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -11,6 +11,7 @@
 use gorsebank_world::BackEndId;
 
 use crate::admission;
+use crate::back_end::BackEnd;
 use crate::event_log::{self, LogPriority};
 use crate::failure::Failure;
 use crate::request::Call;
@@ -79,6 +80,17 @@
         NextStep::GiveUp(call.refuse("turned_away", MIN_REJECTION_RETRY_AFTER.max(pause)))
     }
 
+    /// Records that a back end rejected the request because it was full. A request that queues for
+    /// full engines may be sent there again, once there is room.
+    pub fn record_full(&mut self, call: &Call, back_end: &BackEnd) {
+        if back_end.slots > 0 && admission::queues_for_engines(call) {
+            let now = call.shared.now();
+            let queues = &call.shared.engine_queues;
+            queues.record_full(now, back_end.incarnation_hash);
+            self.tried.pop();
+        }
+    }
+
     /// Decides after an attempt that may have run without a usable response.
     pub fn after_may_have_run(&mut self, call: &Call, reason: &'static str) -> NextStep {
         if reason == CONNECTION_LOST {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 //! - `tenancy` identifies the tenant and charges the request to its quota in [`tenant_quotas`].
 //! - [`admission`] queues the request until a back end is available, or refuses it.
 //! - [`candidates`] chooses between several back ends.
+//! - [`engine_queues`] holds the queues for engines that are full.
 //! - [`back_end_limits`] enforces the limits that overloaded back ends state.
 //! - [`attempt`] sends the request once.
 //! - [`single_response`] and [`stream`] combine attempts into one response.
@@ -38,6 +39,7 @@
 pub mod demand_rows;
 pub mod demand_sender;
 pub mod directory;
+pub mod engine_queues;
 pub mod event_log;
 pub mod failure;
 pub mod feed;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -34,6 +34,8 @@
     pub attempts: IntCounterVec,
     /// Requests for send times at back ends that state a limit, by result.
     pub reservations: IntCounterVec,
+    /// Requests that waited for full engines or were refused for them, by result.
+    engine_queue: IntCounterVec,
     /// Responses in which back ends announce a drain or request a pause, by kind.
     pub back_end_statements: IntCounterVec,
     /// Orders to engines, by result.
@@ -77,6 +79,11 @@
                 "Questions for times at limited back ends",
                 "result",
             )?,
+            engine_queue: counters(
+                "gateway_engine_queue_total",
+                "Requests that waited for full engines or were refused for them",
+                "result",
+            )?,
             back_end_statements: counters(
                 "gateway_back_end_statements_total",
                 "Answers in which back ends say that they leave or ask for a pause",
@@ -114,6 +121,7 @@
             &self.tenant_requests,
             &self.attempts,
             &self.reservations,
+            &self.engine_queue,
             &self.back_end_statements,
             &self.orders,
             &self.table_calls,
@@ -144,6 +152,11 @@
         Ok(())
     }
 
+    /// Counts a request that waited for full engines, or was refused for them.
+    pub fn record_engine_queue(&self, result: &str) {
+        self.engine_queue.with_label_values(&[result]).inc();
+    }
+
     /// Records the time that a request waited for a back end.
     pub fn record_queue_time(&self, time: Duration) {
         self.queue_time.observe(time.as_secs_f64());
--- a/crates/gateway/src/shared/mod.rs
+++ b/crates/gateway/src/shared/mod.rs
@@ -36,6 +36,7 @@
 use crate::clock::Clock;
 use crate::demand_rows::DemandRows;
 use crate::directory::Directory;
+use crate::engine_queues::EngineQueues;
 use crate::feed::Feed;
 use crate::metrics::Metrics;
 use crate::orders;
@@ -75,6 +76,8 @@
     pub quarantine: SharedQuarantine,
     /// Rate limits that back ends state.
     pub back_end_limits: BackEndLimits,
+    /// Requests that contend for engines that are full.
+    pub engine_queues: EngineQueues,
     /// Back ends that have asked this gateway for a pause.
     paused: Mutex<PausedBackEnds>,
     /// Demand of all gateways, while this gateway is the placement holder.
@@ -126,6 +129,7 @@
             tenant_quotas: TenantQuotas::default(),
             quarantine: SharedQuarantine::default(),
             back_end_limits: BackEndLimits::default(),
+            engine_queues: EngineQueues::default(),
             paused: Mutex::default(),
             demand_rows: DemandRows::default(),
             order_timeout: orders::adaptive_timeout(),
--- a/crates/gateway/src/shared/running.rs
+++ b/crates/gateway/src/shared/running.rs
@@ -9,9 +9,12 @@
 use crate::relay::RootCounts;
 
 impl Shared {
-    /// Requests of this gateway in flight at each back end.
+    /// Requests of this gateway in flight at each back end, and those that contend for models whose
+    /// engines are full.
     pub fn own_running(&self) -> Counts {
-        self.directory(Directory::running)
+        let mut counts = self.directory(Directory::running);
+        counts.extend(self.engine_queues.counts(self.now()));
+        counts
     }
 
     /// Requests in flight of this gateway and of all gateways below it in the tree, for another
--- a/crates/gateway/src/single_response.rs
+++ b/crates/gateway/src/single_response.rs
@@ -13,7 +13,8 @@
 use crate::lost_connection;
 use crate::request::{Call, ResponseBody, response_head};
 use bytes::Bytes;
-use http::Response;
+use gorsebank_fleet::RequestedPause;
+use http::{Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use tokio::time::Instant;
 
@@ -77,7 +78,11 @@
     if response.metadata.has_not_run {
         record_absence(call, &response);
         let pause = response.metadata.pause;
+        let is_full = response.head.status == StatusCode::SERVICE_UNAVAILABLE;
         response.return_connection(&call.shared);
+        if is_full && pause == RequestedPause::None {
+            attempts.record_full(call, &back_end);
+        }
         return Err(attempts.after_not_run(call, pause));
     }
     call.shared.record_complete_response(call.fingerprint);
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -199,6 +199,7 @@
                     let latency = self.first_event.unwrap_or_default().as_millis() as u64;
                     let now = self.call.shared.now();
                     back_end.update_health(|health| health.record_response(now, latency));
+                    self.record_length();
                     let shared = &self.call.shared;
                     shared.record_complete_response(self.call.fingerprint);
                     response.return_connection(&self.call.shared);
@@ -304,6 +305,16 @@
         });
     }
 
+    /// Measures how long a complete stream ran from its first event on.
+    fn record_length(&self) {
+        let (Some(began), Some(ended)) = (self.first_event, self.last_forwarded) else {
+            return;
+        };
+        let ran = ended.saturating_duration_since(self.call.arrived() + began);
+        let queues = &self.call.shared.engine_queues;
+        queues.record_stream(&self.call.service, self.events, milliseconds(ran));
+    }
+
     fn record_event(&mut self, id: Option<String>) {
         self.events += 1;
         let now = Instant::now();
--- a/crates/gorsebank/src/commands/losses/cause.rs
+++ b/crates/gorsebank/src/commands/losses/cause.rs
@@ -51,6 +51,8 @@
     NoBackEnd,
     /// All suitable back ends state rate limits and had no capacity left.
     BackEndLimit,
+    /// All engines that hold the model had as many requests as they can begin in time.
+    FullEngines,
     /// All suitable back ends had requested a pause.
     BackEndPause,
     /// The engine was slow to send the first event of the stream.
@@ -199,6 +201,7 @@
         "adapter" | "no_adapter" => Cause::MissingAdapter,
         "back_end" | "no_back_end" => Cause::NoBackEnd,
         "room" | "back_end_limit" => Cause::BackEndLimit,
+        "full_engines" | "engines_full" => Cause::FullEngines,
         "pause" | "back_end_pause" => Cause::BackEndPause,
         other => Cause::Other(other.to_owned()),
     })
@@ -276,6 +279,7 @@
             Cause::MissingAdapter => write!(formatter, "adapter not loaded"),
             Cause::NoBackEnd => write!(formatter, "no back end with a free slot"),
             Cause::BackEndLimit => write!(formatter, "back ends take no more"),
+            Cause::FullEngines => write!(formatter, "engines that hold the model are full"),
             Cause::BackEndPause => write!(formatter, "back ends asked for a pause"),
             Cause::SlowStart => write!(formatter, "engine slow to send the first event"),
             Cause::GapByOrder => write!(formatter, "pause, engine changed models"),
--- a/crates/gorsebank/tests/losses.rs
+++ b/crates/gorsebank/tests/losses.rs
@@ -28,6 +28,8 @@
 time_ms=8200 node=n1 left_out=0 event=request_end request=r9 outcome=beyond_limit status=429 route=keyed attempts=0 exposed=false
 time_ms=8300 node=n1 left_out=0 event=refused request=r10 reason=back_end_limit expected_ms=800 load_ordered=false waited_ms=1
 time_ms=8300 node=n1 left_out=0 event=request_end request=r10 outcome=back_end_limit status=503 route=live service=llm back_end=- model=m1 total_ms=1 objective_ms=400
+time_ms=8400 node=n1 left_out=0 event=refused request=r11 reason=engines_full expected_ms=900 load_ordered=false engines=1 running=16 bound=14 ahead=5 waited_ms=1
+time_ms=8400 node=n1 left_out=0 event=request_end request=r11 outcome=engines_full status=503 route=batch service=llm back_end=- model=m1 total_ms=1 objective_ms=400
 time_ms=9000 node=n1 left_out=0 event=request_end request=r7 outcome=caller_left status=0 route=live service=llm back_end=- model=m1 total_ms=100 objective_ms=400
 ";
 
@@ -55,6 +57,7 @@
         ("r8", "refused", "key: unknown_key"),
         ("r9", "refused", "limit: beyond_limit"),
         ("r10", "refused", "back ends take no more"),
+        ("r11", "refused", "engines that hold the model are full"),
         (
             "r3",
             "refused",
