--- a/crates/fleet/src/configuration.rs
+++ b/crates/fleet/src/configuration.rs
@@ -211,8 +211,9 @@
             .filter_map(|service| Some((&service.id, service.engine.as_ref()?)))
     }
 
-    /// Whether a load of the model from the weight store takes so long that no caller of the service
-    /// can wait for it: more than half of the longest timeout.
+    /// Whether a load of the model from the weight store takes more than half of the longest timeout
+    /// of the service's routes. Then no caller can wait for another engine to load the model, and
+    /// all callers share the engines that hold it.
     pub fn loads_outlast_callers(&self, service: &ServiceId, model: &ModelId) -> bool {
         let engine = self
             .service(service)
--- a/crates/fleet/src/prefill_pacing.rs
+++ b/crates/fleet/src/prefill_pacing.rs
@@ -43,6 +43,10 @@
 const CUT_PAUSE_GAPS: u64 = 3;
 /// Gap objectives for which prompts are remembered. Within this time a pause is reported.
 const MEMORY_GAPS: u64 = 8;
+/// Upper bound of a gap objective, in milliseconds.
+const MAX_GAP_MS: u64 = 10_000;
+/// Upper bound of the time that a prompt waits, in milliseconds.
+const MAX_WAIT_MS: u64 = 30_000;
 /// Time without prompts after which an engine is forgotten, in milliseconds.
 const RETENTION_MS: u64 = 60_000;
 /// Minimum time between two searches for forgotten engines, in milliseconds.
@@ -63,6 +67,17 @@
     pub has_alternative: bool,
 }
 
+impl PromptSend {
+    /// The prompt with times that no message can make arbitrarily long.
+    fn clamped(self) -> Self {
+        PromptSend {
+            gap_ms: self.gap_ms.clamp(1, MAX_GAP_MS),
+            max_wait_ms: self.max_wait_ms.min(MAX_WAIT_MS),
+            ..self
+        }
+    }
+}
+
 /// A pause in a stream that was longer than the gap objective.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LongPause {
@@ -139,12 +154,14 @@
         })
     }
 
-    /// The first time at which the prompt may be sent.
+    /// The first time at which the prompt may be sent, at most the end of its wait.
     fn first_send_time(&self, now: Timestamp, prompt: &PromptSend, limit: f64) -> Timestamp {
         let ends = self.scheduled.iter().map(|it| it.at + prompt.gap_ms);
-        let candidates = std::iter::once(now).chain(ends.filter(|end| *end > now));
+        let latest = now + prompt.max_wait_ms;
+        let candidates = ends.filter(|end| *end > now && *end < latest);
+        let candidates = std::iter::once(now).chain(candidates);
         let mut fitting = candidates.filter(|at| self.fits(*at, prompt, limit));
-        fitting.next().unwrap_or(now)
+        fitting.next().unwrap_or(latest)
     }
 
     fn insert(&mut self, at: Timestamp, tokens: u32) {
@@ -166,6 +183,7 @@
     /// better than none. A prompt that has to wait and has an alternative is not scheduled.
     pub fn assign(&mut self, now: Timestamp, prompt: &PromptSend) -> SendTime {
         self.sweep(now);
+        let prompt = &prompt.clamped();
         let engine = self.engines.entry(prompt.engine).or_default();
         engine.expire(now, prompt.gap_ms);
         let wait = match engine.limit_at(now) {
@@ -174,7 +192,7 @@
                 let is_patient = prompt.max_wait_ms > PATIENT_GAPS * prompt.gap_ms;
                 let fraction = if is_patient { PATIENT_FRACTION } else { 1.0 };
                 let at = engine.first_send_time(now, prompt, limit * fraction);
-                at.since(now).min(prompt.max_wait_ms)
+                at.since(now)
             }
         };
         if wait > 0 && prompt.has_alternative {
@@ -187,6 +205,11 @@
     /// Lowers the limit of an engine after a long pause. Returns the new limit in tokens within one
     /// gap objective; `None` if the pause is ignored.
     pub fn record_pause(&mut self, now: Timestamp, pause: &LongPause) -> Option<f64> {
+        let pause = &LongPause {
+            pause_ms: pause.pause_ms.min(MAX_GAP_MS),
+            gap_ms: pause.gap_ms.clamp(1, MAX_GAP_MS),
+            ..*pause
+        };
         let engine = self.engines.get_mut(&pause.engine)?;
         let limit = engine.limit_at(now);
         let last_cut = engine.limit.map(|limit| limit.set);
--- a/crates/gateway/src/prefill_pacing.rs
+++ b/crates/gateway/src/prefill_pacing.rs
@@ -58,20 +58,34 @@
 #[derive(Debug, Default)]
 pub struct PrefillPacing {
     pacer: Mutex<PrefillPacer>,
-    ring: Mutex<HashRing>,
+    owners: Mutex<Owners>,
     /// Owners that did not respond, and when they may be asked again.
     cooldowns: Mutex<HashMap<NodeId, Timestamp>>,
 }
 
+/// The gateways that can own engines.
+#[derive(Debug, Default)]
+struct Owners {
+    names: Vec<String>,
+    ring: HashRing,
+}
+
 impl PrefillPacing {
     /// Sets the gateways that can own engines.
-    pub fn set_gateways<'a>(&self, names: impl IntoIterator<Item = &'a str>) {
-        *self.ring.lock() = HashRing::new(names);
+    pub fn set_gateways<'a>(&self, names: impl Iterator<Item = &'a str> + Clone) {
+        let mut owners = self.owners.lock();
+        if names.clone().eq(owners.names.iter().map(String::as_str)) {
+            return;
+        }
+        *owners = Owners {
+            names: names.clone().map(str::to_owned).collect(),
+            ring: HashRing::new(names),
+        };
     }
 
     /// The owner of an engine; `None` if no gateway is known, or if it did not respond recently.
     pub fn owner(&self, now: Timestamp, engine: IncarnationHash) -> Option<NodeId> {
-        let owner = self.ring.lock().owner(engine).cloned()?;
+        let owner = self.owners.lock().ring.owner(engine).cloned()?;
         let mut cooldowns = self.cooldowns.lock();
         cooldowns.retain(|_, until| now < *until);
         (!cooldowns.contains_key(&owner)).then_some(owner)
--- a/crates/gateway/src/shared/mod.rs
+++ b/crates/gateway/src/shared/mod.rs
@@ -37,6 +37,7 @@
 use crate::clock::Clock;
 use crate::demand_rows::DemandRows;
 use crate::directory::Directory;
+use crate::engine_queues::EngineQueues;
 use crate::feed::Feed;
 use crate::metrics::Metrics;
 use crate::orders;
@@ -77,6 +78,8 @@
     pub quarantine: SharedQuarantine,
     /// Rate limits that back ends state.
     pub back_end_limits: BackEndLimits,
+    /// Requests that contend for engines that are full.
+    pub engine_queues: EngineQueues,
     /// Send times of prompts at engines.
     pub prefill_pacing: PrefillPacing,
     /// Back ends that have asked this gateway for a pause.
@@ -130,6 +133,7 @@
             tenant_quotas: TenantQuotas::default(),
             quarantine: SharedQuarantine::default(),
             back_end_limits: BackEndLimits::default(),
+            engine_queues: EngineQueues::default(),
             prefill_pacing: PrefillPacing::default(),
             paused: Mutex::default(),
             demand_rows: DemandRows::default(),
--- a/crates/gateway/src/shared/prefill_pacing.rs
+++ b/crates/gateway/src/shared/prefill_pacing.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use gorsebank_fleet::SendTime;
-use gorsebank_world::{ModelId, ServiceId};
 
 use super::Shared;
 use crate::back_end::BackEnd;
@@ -46,13 +45,6 @@
         let _ = self.send_prefill_request(request).await;
     }
 
-    /// Whether prompts of a model are paced: another engine could not load the model while callers
-    /// wait, so their prompts share the engines that hold it.
-    pub fn paces_prefill(&self, service: &ServiceId, model: &ModelId) -> bool {
-        let configuration = self.configuration();
-        configuration.is_some_and(|known| known.loads_outlast_callers(service, model))
-    }
-
     async fn send_prefill_request(&self, request: PrefillRequest) -> Option<QuotaResponse> {
         let owner = self.prefill_pacing.owner(self.now(), request.engine)?;
         if owner == self.settings.node {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -199,6 +199,7 @@
                     let latency = self.first_event.unwrap_or_default().as_millis() as u64;
                     let now = self.call.shared.now();
                     back_end.update_health(|health| health.record_response(now, latency));
+                    self.record_length();
                     let shared = &self.call.shared;
                     shared.record_complete_response(self.call.fingerprint);
                     response.return_connection(&self.call.shared);
@@ -269,11 +270,7 @@
                 // A caller whose connection went silent accepts no data and does not disconnect
                 // either.
                 match timeout_at(self.call.deadline(), self.sender.send(event.bytes)).await {
-                    Ok(Ok(())) => {
-                        if let Some(pause) = self.record_event(event.id) {
-                            self.report_pause(&response.back_end, pause);
-                        }
-                    }
+                    Ok(Ok(())) => self.record_event(event.id),
                     Ok(Err(_)) => return SegmentEnd::CallerLeft,
                     Err(_) => return SegmentEnd::TimedOut,
                 }
@@ -291,6 +288,7 @@
         let service = &self.call.service;
         let now = Instant::now();
         if let Some(before) = self.segment_last_event.replace(now) {
+            self.report_pause(&response.back_end, now - before);
             let gap = milliseconds(now - before) / events as f64;
             let engine = &response.back_end.id;
             shared.with_prefill_model(service, |known| {
@@ -308,40 +306,44 @@
         });
     }
 
-    /// Records a forwarded event. Returns the pause before it if that was longer than the objective.
-    fn record_event(&mut self, id: Option<String>) -> Option<Duration> {
+    /// Measures how long a complete stream ran from its first event on.
+    fn record_length(&self) {
+        let (Some(began), Some(ended)) = (self.first_event, self.last_forwarded) else {
+            return;
+        };
+        let ran = ended.saturating_duration_since(self.call.arrived() + began);
+        let queues = &self.call.shared.engine_queues;
+        queues.record_stream(&self.call.service, self.events, milliseconds(ran));
+    }
+
+    fn record_event(&mut self, id: Option<String>) {
         self.events += 1;
         let now = Instant::now();
         let since_arrival = now - self.call.arrived();
         self.first_event.get_or_insert(since_arrival);
-        let gap = self.last_forwarded.replace(now).map(|last| now - last);
-        if let Some(gap) = gap.filter(|gap| *gap > self.max_gap) {
-            self.max_gap = gap;
+        if let Some(last) = self.last_forwarded.replace(now)
+            && now - last > self.max_gap
+        {
+            self.max_gap = now - last;
             self.max_gap_end = since_arrival;
         }
         if id.is_some() {
             self.last_event = id;
         }
-        gap.filter(|gap| {
-            self.call
-                .route
-                .gap_objective
-                .is_some_and(|objective| *gap > objective)
-        })
     }
 
-    /// Reports a long pause, in the background, if prompts of the model are paced.
+    /// Reports a pause that is longer than the gap objective, in the background, if prompts of the model are paced.
     fn report_pause(&self, back_end: &Arc<BackEnd>, pause: Duration) {
-        let shared = self.call.shared.clone();
         let (Some(model), Some(objective)) =
             (&self.call.metadata.model, self.call.route.gap_objective)
         else {
             return;
         };
-        if !shared.paces_prefill(&self.call.service, model) {
+        let configuration = &self.call.configuration;
+        if pause <= objective || !configuration.loads_outlast_callers(&self.call.service, model) {
             return;
         }
-        let back_end = back_end.clone();
+        let (shared, back_end) = (self.call.shared.clone(), back_end.clone());
         tokio::spawn(async move { shared.report_long_pause(&back_end, pause, objective).await });
     }
 
