An engine that has just rejected a request has no room

Callers saw: a request could be sent four times in some milliseconds to the same rejecting engine, with three retries of the shared budget. Cause: a rejection raised the known load to the bound, but what the engine begins while counts are old was added on top. The load test states again that no more requests than are useful are ever at the engine.

--- a/crates/fleet/src/engine_queue.rs
+++ b/crates/fleet/src/engine_queue.rs
@@ -66,6 +66,8 @@
     pub running: u32,
     /// Time for which a request occupies a slot, in milliseconds.
     pub request_ms: f64,
+    /// Whether the engine has just rejected a request because it was full.
+    pub has_rejected: bool,
 }
 
 impl EngineLoad {
@@ -83,6 +85,9 @@
 
     /// Places that are left below the bound, or will be while the counts are old.
     pub fn free(&self, begin_within_ms: Option<f64>) -> u32 {
+        if self.has_rejected {
+            return 0;
+        }
         let begun = self.turnover() * COUNT_AGE_MS * f64::from(self.running.min(self.slots))
             / f64::from(self.slots.max(1));
         (self.bound(begin_within_ms) + begun as u32).saturating_sub(self.running)
--- a/crates/fleet/tests/engine_queue.rs
+++ b/crates/fleet/tests/engine_queue.rs
@@ -33,6 +33,7 @@
         slots: SLOTS,
         running,
         request_ms: REQUEST_MS,
+        has_rejected: false,
     }
 }
 
@@ -393,6 +394,7 @@
         let credits = Fleet::play(Way::Credits, gateways, 0..0);
         let sampling = Fleet::play(Way::Sampling, gateways, 0..0);
         println!("{gateways} gateways\n{unbounded}\n{credits}\n{sampling}");
+        assert!(sampling.max_running <= max_useful());
         assert!(sampling.steps_too_long * 100 <= sampling.steps);
         assert!(sampling.busy_slots >= 0.8 * f64::from(SLOTS));
         assert!(f64::from(sampling.all_timely()) >= 0.5 * capacity());
@@ -403,6 +405,16 @@
     }
 }
 
+#[test]
+fn engine_that_has_just_rejected_a_request_has_no_room() {
+    let rejecting = EngineLoad {
+        has_rejected: true,
+        ..engine(0)
+    };
+    assert_eq!(rejecting.free(Some(500.0)), 0);
+    assert_eq!(rejecting.free(None), 0);
+}
+
 #[test]
 fn a_queue_that_grew_while_counts_were_unknown_is_short_again_soon() {
     let outcome = Fleet::play(Way::Sampling, 70, 20_000..21_500);
--- a/crates/gateway/src/admission/full_engines.rs
+++ b/crates/gateway/src/admission/full_engines.rs
@@ -8,9 +8,7 @@
 use std::time::Duration;
 
 use gorsebank_coordination::Timestamp;
-use gorsebank_fleet::engine_queue::{
-    COUNT_AGE_MS, Class, EngineLoad, expected_wait, return_after, share,
-};
+use gorsebank_fleet::engine_queue::{Class, EngineLoad, expected_wait, return_after, share};
 use gorsebank_world::ModelId;
 use tokio::time::Instant;
 
@@ -140,14 +138,9 @@
             slots: engine.slots,
             running: engine.in_flight() + running.running_elsewhere(now, engine.hash),
             request_ms: length.request_ms(gap),
+            has_rejected: shared.engine_queues.was_full(now, engine.incarnation_hash),
         };
-        let full = load.bound(Some(COUNT_AGE_MS));
-        let running = if shared.engine_queues.was_full(now, engine.incarnation_hash) {
-            load.running.max(full)
-        } else {
-            load.running
-        };
-        (engine.slots > 0).then_some(EngineLoad { running, ..load })
+        (engine.slots > 0).then_some(load)
     });
     loads.collect()
 }
