Return charges of requests that did not run at once

Callers saw 429 while their tenant's window had room: a request is charged on arrival, waits for a model and is refused unexecuted, and the refund travelled with this gateway's next charge to the same shard, which may be seconds away at a gateway that sees few requests of the tenant. A refund in a message without a response was lost.

Refunds now leave in a message of their own within 30 ms, and are repeated once, in a field that builds without message numbers do not read; the holder applies each number once within a window, after which refunds are void anyhow.

Tests: a refund alone makes room for another gateway's callers; a lost response does not refund twice; a lost message is made good.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod prompt;
 pub mod quarantine;
 pub mod quota_shard;
+pub mod received_numbers;
 pub mod requested_pause;
 pub mod retry_window;
 pub mod running;
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -17,7 +17,7 @@
 use crate::server::{self, CallerConnections};
 use crate::settings::GatewaySettings;
 use crate::shared::Shared;
-use crate::tenant_quotas::shards;
+use crate::tenant_quotas::{refunds, shards};
 use crate::{
     demand_sender, feed, holder, members, quarantine, quarantine_row, relay, suspension,
     table_followers, timer_lag,
@@ -167,6 +167,7 @@
         tokio::spawn(quarantine_row::write_local_entries(shared.clone())),
         tokio::spawn(holder::run(shared.clone())),
         tokio::spawn(shards::run(shared.clone())),
+        tokio::spawn(refunds::run(shared.clone())),
         tokio::spawn(members::maintain_own_row(shared)),
     ]
     .map(AbortOnDrop);
--- a/crates/gateway/src/shared/quotas.rs
+++ b/crates/gateway/src/shared/quotas.rs
@@ -23,7 +23,7 @@
 
     /// Sends a quota request to another gateway, or handles it locally if `holder` is this gateway.
     /// Returns `None` if there is no response in time.
-    pub(super) async fn send_quota_request(
+    pub(crate) async fn send_quota_request(
         &self,
         holder: NodeId,
         quota_request: QuotaRequest,
--- a/crates/gateway/src/tenant_quotas/message.rs
+++ b/crates/gateway/src/tenant_quotas/message.rs
@@ -38,6 +38,13 @@
     /// Refunds for tenants of the same shard.
     #[serde(rename = "r", default)]
     pub refunds: Vec<Refund>,
+    /// Number of the message that carries the refunds, so that they are applied once.
+    #[serde(rename = "n", default, skip_serializing_if = "Option::is_none")]
+    pub refund_message: Option<u64>,
+    /// Refunds of a message that had no response. Gateways that do not know numbers of messages
+    /// ignore this field, and so cannot apply them twice.
+    #[serde(rename = "rr", default, skip_serializing_if = "Vec::is_empty")]
+    pub repeated_refunds: Vec<Refund>,
     /// If set, the message asks for a send time at a back end and charges no tenant.
     #[serde(rename = "b", default, skip_serializing_if = "Option::is_none")]
     pub send_time: Option<SendTimeRequest>,
@@ -52,10 +59,29 @@
             tenant: TenantId::from(""),
             cost: 0.0,
             refunds: Vec::new(),
+            refund_message: None,
+            repeated_refunds: Vec::new(),
             send_time: None,
         }
     }
 
+    /// A message with refunds, which charges nothing. The holder responds that it does not hold
+    /// the shard, as for any tenant that it does not know.
+    pub fn for_refunds(shard: usize, number: u64, refunds: Vec<Refund>) -> Self {
+        QuotaRequest {
+            shard,
+            refunds,
+            refund_message: Some(number),
+            ..QuotaRequest::without_charge()
+        }
+    }
+
+    /// The same message for a second attempt.
+    pub fn repeated(mut self) -> Self {
+        self.repeated_refunds.append(&mut self.refunds);
+        self
+    }
+
     /// A request for a send time at a back end. A gateway of an earlier build reads it as a
     /// charge to a tenant with an empty name, and responds that it does not hold the shard.
     pub fn for_send_time(send_time: SendTimeRequest) -> Self {
--- a/crates/gateway/src/tenant_quotas/mod.rs
+++ b/crates/gateway/src/tenant_quotas/mod.rs
@@ -20,6 +20,7 @@
 
 mod denials;
 mod message;
+pub mod refunds;
 pub mod shards;
 
 use std::collections::HashMap;
@@ -30,6 +31,7 @@
 use gorsebank_coordination::Timestamp;
 use gorsebank_fleet::ledger::SavedUsage;
 use gorsebank_fleet::quota_shard::{QUOTA_SHARDS, SHARDS_PER_TENANT, shards_of};
+use gorsebank_fleet::received_numbers::ReceivedNumbers;
 use gorsebank_fleet::{Configuration, LeaseKeeper, Ledger, LimitBound, QuotaDecision, Tenants};
 use gorsebank_world::{NodeId, TenantId};
 use parking_lot::Mutex;
@@ -44,8 +46,6 @@
 /// A gateway that did not respond is not asked again for this time, so that the requests that
 /// arrive meanwhile do not each wait for its timeout.
 const PEER_COOLDOWN: Duration = Duration::from_millis(600);
-/// Maximum number of refunds that wait for the next request to a shard's holder.
-const MAX_PENDING_REFUNDS: usize = 64;
 
 /// A request that was charged to its tenant's quota.
 #[derive(Clone, Debug, PartialEq)]
@@ -99,6 +99,8 @@
     /// The tenure of the lease, by which grants name it.
     tenure: u64,
     ledger: Ledger,
+    /// Numbers of the messages whose refunds were applied.
+    refund_messages: ReceivedNumbers,
 }
 
 impl ActiveShard {
@@ -106,6 +108,19 @@
     fn is_valid(&self, now: Timestamp) -> bool {
         self.keeper.lock().tenure(now) == Some(self.tenure)
     }
+
+    /// Applies the refunds of a message, unless a message with the same number has been applied.
+    fn apply_refunds(&mut self, now: Timestamp, request: &QuotaRequest) {
+        let is_new = |number| self.refund_messages.record(now, number);
+        if !request.refund_message.is_none_or(is_new) {
+            return;
+        }
+        let refunds = request.refunds.iter().chain(&request.repeated_refunds);
+        for refund in refunds.filter(|refund| refund.fence == self.tenure) {
+            self.ledger
+                .refund(now, &refund.tenant, refund.granted_at, refund.cost);
+        }
+    }
 }
 
 /// One quota shard, as this gateway knows it.
@@ -115,7 +130,7 @@
     holder: Option<NodeId>,
     /// The ledger, while this gateway holds the shard.
     active: Option<ActiveShard>,
-    /// Refunds to be sent with the next request to the holder.
+    /// Refunds to be sent to the holder.
     refunds: Vec<Refund>,
 }
 
@@ -126,6 +141,8 @@
     shards: [Mutex<Shard>; QUOTA_SHARDS],
     /// Notified when a ledger should be saved soon.
     pub save_wanted: Notify,
+    /// Notified when refunds wait to be sent.
+    pub refunds_pending: Notify,
     denials: Mutex<DenialCache>,
     /// Gateways that did not respond, and the end of their cooldown.
     cooldowns: Mutex<HashMap<NodeId, Instant>>,
@@ -158,6 +175,7 @@
             keeper: keeper.clone(),
             tenure,
             ledger: Ledger::new(bound, SHARDS_PER_TENANT, now, saved),
+            refund_messages: ReceivedNumbers::new(bound.window.as_millis() as u64),
         });
         let is_active = active.is_some();
         self.shards[shard].lock().active = active;
@@ -216,14 +234,7 @@
         let (Some(active), Some(tenants)) = (valid, tenants) else {
             return QuotaResponse::NotHolder;
         };
-        for refund in request
-            .refunds
-            .iter()
-            .filter(|it| it.fence == active.tenure)
-        {
-            let ledger = &mut active.ledger;
-            ledger.refund(now, &refund.tenant, refund.granted_at, refund.cost);
-        }
+        active.apply_refunds(now, request);
         let Some(tenant) = tenants.tenant(&request.tenant) else {
             return QuotaResponse::NotHolder;
         };
@@ -345,8 +356,7 @@
             shard,
             tenant: demand.tenant.clone(),
             cost: demand.cost,
-            refunds: std::mem::take(&mut self.shards[shard].lock().refunds),
-            send_time: None,
+            ..QuotaRequest::without_charge()
         };
         let response = send(holder.clone(), request).await;
         if response.is_none() {
@@ -362,18 +372,4 @@
         cooldowns.retain(|_, until| now < *until);
         cooldowns.contains_key(holder)
     }
-
-    /// Refunds a request that was charged and is known not to have run. The refund is sent with
-    /// the next request to the shard's holder, since it only matters for later charges.
-    pub fn refund(&self, grant: Grant) {
-        let mut shard = self.shards[grant.shard].lock();
-        if shard.refunds.len() < MAX_PENDING_REFUNDS {
-            shard.refunds.push(Refund {
-                tenant: grant.tenant,
-                cost: grant.cost,
-                fence: grant.fence,
-                granted_at: grant.granted_at,
-            });
-        }
-    }
 }
--- /dev/null
+++ b/crates/gateway/src/tenant_quotas/refunds.rs
@@ -0,0 +1,106 @@
+//! Returns charges of requests that did not run to the holders of the shards that granted them.
+//!
+//! In: refunds that wait at this gateway. Out: one message per shard, sent soon after the first
+//! refund, so that callers of the same tenant find the capacity. A message without a response is
+//! repeated once; the holder applies it once, by its number.
+
+use std::future::Future;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::future::join_all;
+use gorsebank_fleet::quota_shard::QUOTA_SHARDS;
+use gorsebank_world::NodeId;
+use tokio::time::sleep;
+
+use super::{Grant, QuotaRequest, QuotaResponse, Refund, TenantQuotas};
+use crate::event_log::{self, LogPriority};
+use crate::shared::Shared;
+
+/// Time for which refunds are collected before they are sent in one message.
+const COLLECTION_TIME: Duration = Duration::from_millis(30);
+/// Pause before a message without a response is repeated. The address of a new holder may be
+/// known by then.
+const REPEAT_PAUSE: Duration = Duration::from_millis(100);
+/// Maximum number of refunds that wait for one shard. Further ones are dropped: their charges
+/// leave the window by themselves.
+const MAX_PENDING_REFUNDS: usize = 256;
+
+/// Sends refunds until the future is dropped.
+pub async fn run(shared: Arc<Shared>) {
+    loop {
+        shared.tenant_quotas.refunds_pending.notified().await;
+        sleep(COLLECTION_TIME).await;
+        let send = |holder, request| shared.send_quota_request(holder, request);
+        shared.tenant_quotas.send_refunds(send).await;
+    }
+}
+
+impl TenantQuotas {
+    /// Refunds a request that was charged and is known not to have run.
+    pub fn refund(&self, grant: Grant) {
+        let mut shard = self.shards[grant.shard].lock();
+        if shard.refunds.len() >= MAX_PENDING_REFUNDS {
+            drop(shard);
+            log_dropped(grant.shard, 1, "too_many");
+            return;
+        }
+        shard.refunds.push(Refund {
+            tenant: grant.tenant,
+            cost: grant.cost,
+            fence: grant.fence,
+            granted_at: grant.granted_at,
+        });
+        drop(shard);
+        self.refunds_pending.notify_one();
+    }
+
+    /// Sends all pending refunds. `send` sends a request to a gateway, this one included, and
+    /// returns `None` if there was no response.
+    pub async fn send_refunds<F>(&self, send: impl Fn(NodeId, QuotaRequest) -> F)
+    where
+        F: Future<Output = Option<QuotaResponse>>,
+    {
+        let send = &send;
+        let shards = (0..QUOTA_SHARDS).map(|shard| self.send_refunds_of(shard, send));
+        join_all(shards).await;
+    }
+
+    async fn send_refunds_of<F>(&self, shard: usize, send: &impl Fn(NodeId, QuotaRequest) -> F)
+    where
+        F: Future<Output = Option<QuotaResponse>>,
+    {
+        let refunds = std::mem::take(&mut self.shards[shard].lock().refunds);
+        if refunds.is_empty() {
+            return;
+        }
+        let count = refunds.len();
+        let first = QuotaRequest::for_refunds(shard, rand::random(), refunds);
+        let repeated = first.clone().repeated();
+        if self.send_to_holder(shard, first, send).await.is_some() {
+            return;
+        }
+        sleep(REPEAT_PAUSE).await;
+        if self.send_to_holder(shard, repeated, send).await.is_none() {
+            log_dropped(shard, count, "no_response");
+        }
+    }
+
+    async fn send_to_holder<F>(
+        &self,
+        shard: usize,
+        request: QuotaRequest,
+        send: &impl Fn(NodeId, QuotaRequest) -> F,
+    ) -> Option<QuotaResponse>
+    where
+        F: Future<Output = Option<QuotaResponse>>,
+    {
+        let holder = self.shards[shard].lock().holder.clone()?;
+        send(holder, request).await
+    }
+}
+
+fn log_dropped(shard: usize, count: usize, reason: &str) {
+    let fields = format_args!("seat={shard} refunds={count} reason={reason}");
+    event_log::write(LogPriority::Decision, "refunds_dropped", fields);
+}
