Give requests beyond their tenant's limit a place in its quota

Callers beyond a limit were told when their own request would fit if nobody else asked. Hundreds were told the same time, came back together, found the room taken and had no retry left.

The holder of a shard knows when charges leave the window, so it gives each request the earliest time at which it fits beside the places given before, within its kind's weighted share of the room to come. The request waits for it at the gateway, or its caller is told the time and finds the room kept on return. The ledger alone grants, so the bound is untouched by lost or wrong places. Denials that gateways remember now cover only requests of the same kind that could wait no longer, and never returning ones.

The property test of the bound now charges through the queue, with places, returns and lost queues. Its step generator changed accordingly; its bound did not.

--- a/crates/fleet/src/fingerprint.rs
+++ b/crates/fleet/src/fingerprint.rs
@@ -34,6 +34,12 @@
         hasher.finalize_xof().fill(&mut bytes);
         Fingerprint(bytes)
     }
+
+    /// A short hash, for uses in which a collision does no harm.
+    pub fn short_hash(&self) -> u64 {
+        let (first, _) = self.0.split_first_chunk().unwrap_or((&[0; 8], &[]));
+        u64::from_le_bytes(*first)
+    }
 }
 
 impl fmt::Display for Fingerprint {
--- a/crates/fleet/src/ledger.rs
+++ b/crates/fleet/src/ledger.rs
@@ -81,6 +81,15 @@
     NotYet(Duration),
 }
 
+/// The units that may be granted at later times if nothing else is granted until then.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RoomAhead {
+    /// Units that are granted within any window.
+    pub granted: f64,
+    /// Units that may be granted from each time on, in order of time; the first time is now.
+    pub steps: Vec<(Timestamp, f64)>,
+}
+
 /// The grants within a saved bin.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct SavedGrants {
@@ -245,7 +254,7 @@
         cost: f64,
     ) -> QuotaDecision {
         let granted = self.bound.granted_units(limit, self.shards);
-        let window = self.window();
+        let window = self.window_ms();
         let usage = self.usage_mut(now, tenant, granted);
         let total = usage.total();
         // A request larger than the limit is granted if it is the only one in the window.
@@ -272,10 +281,33 @@
         }
     }
 
+    /// The units that may be granted to a tenant now and later, as charges leave the window.
+    pub fn room_ahead(
+        &mut self,
+        now: Timestamp,
+        tenant: &TenantId,
+        limit: &TenantLimit,
+    ) -> RoomAhead {
+        let granted = self.bound.granted_units(limit, self.shards);
+        let window = self.window_ms();
+        let usage = self.usage_mut(now, tenant, granted);
+        let mut bins: Vec<&Bin> = usage.bins.iter().collect();
+        bins.sort_by_key(|bin| Reverse(bin.until));
+        // From the last release back, so that a window without charges has exactly all units.
+        let (mut used, mut steps) = (0.0, Vec::with_capacity(bins.len() + 1));
+        for bin in bins {
+            steps.push((bin.until + window + 1, granted - used));
+            used += bin.cost;
+        }
+        steps.push((now, granted - usage.total()));
+        steps.reverse();
+        RoomAhead { granted, steps }
+    }
+
     /// Refunds a request that this ledger granted at `granted` and that is known not to have been
     /// executed. A charge that has left the window is not refunded.
     pub fn refund(&mut self, now: Timestamp, tenant: &TenantId, granted: Timestamp, cost: f64) {
-        let window = self.window();
+        let window = self.window_ms();
         if now.since(granted) >= window {
             return;
         }
@@ -322,14 +354,15 @@
         self.needs_saving = false;
     }
 
-    fn window(&self) -> u64 {
+    /// Length of the window in milliseconds.
+    pub fn window_ms(&self) -> u64 {
         self.bound.window.as_millis() as u64
     }
 
     /// The usage of a tenant. If it is new, it is initialised with the grants that the previous
     /// ledger had saved and with those that it may have made since.
     fn usage_mut(&mut self, now: Timestamp, tenant: &TenantId, granted: f64) -> &mut TenantUsage {
-        let window = self.window();
+        let window = self.window_ms();
         let reserve = granted * RESERVE_FRACTION;
         let previous = &self.previous;
         let usage = self
--- a/crates/fleet/tests/ledger.rs
+++ b/crates/fleet/tests/ledger.rs
@@ -10,7 +10,10 @@
     QUOTA_SHARDS, SHARDS_PER_TENANT, ShardCandidate, ShardOrder, lease_name, shard_of_lease,
     shard_to_hand_over, shards_of,
 };
-use gorsebank_fleet::{Ledger, LimitBound, LimitUnit, QuotaDecision, TenantLimit};
+use gorsebank_fleet::{
+    Charge, Ledger, LimitBound, LimitUnit, PlaceRequest, QueueDecision, QuotaDecision, QuotaQueue,
+    TenantLimit,
+};
 use gorsebank_world::TenantId;
 use proptest::prelude::*;
 
@@ -81,8 +84,9 @@
 /// An event of the test.
 #[derive(Clone, Debug)]
 enum Step {
-    /// A request of this cost arrives, and is charged to this shard or, if refused, to the other.
-    Charge(f64, usize),
+    /// A request of this cost arrives, and is charged to this shard or, if refused, to the other,
+    /// where it may ask for a place or use one.
+    Charge(f64, usize, Option<PlaceRequest>),
     /// A request did not run and is refunded; the number counts back from the last granted request.
     Refund(usize),
     /// Another gateway takes over this shard and restores its saved usage.
@@ -91,9 +95,27 @@
     Save(usize, Save),
 }
 
+/// A charge; the few costs and callers make returns to places likely.
+fn charge() -> impl Strategy<Value = Step> {
+    let cost = prop_oneof![100.0f64..5_400.0, Just(1_500.0)];
+    let place = (0u64..4, 0u32..3, 0u8..3, 0u64..7_000, any::<bool>());
+    let place =
+        place.prop_map(
+            |(caller, kind, priority, max_wait_ms, is_returning)| PlaceRequest {
+                caller,
+                kind,
+                priority,
+                max_wait_ms,
+                is_returning,
+            },
+        );
+    (cost, 0..SHARDS_PER_TENANT, prop::option::of(place))
+        .prop_map(|(cost, shard, place)| Step::Charge(cost, shard, place))
+}
+
 fn step() -> impl Strategy<Value = Step> {
     prop_oneof![
-        20 => (100.0f64..5_400.0, 0..SHARDS_PER_TENANT).prop_map(|(cost, shard)| Step::Charge(cost, shard)),
+        20 => charge(),
         3 => (0usize..40).prop_map(Step::Refund),
         1 => (0..SHARDS_PER_TENANT).prop_map(Step::ReplaceHolder),
         6 => (0..SHARDS_PER_TENANT, save()).prop_map(|(shard, save)| Step::Save(shard, save)),
@@ -110,6 +132,7 @@
     ) {
         let limit = limit(rate, rate * burst_seconds);
         let mut ledgers = [ledger(SHARDS_PER_TENANT, 0), ledger(SHARDS_PER_TENANT, 0)];
+        let mut queues = [QuotaQueue::default(), QuotaQueue::default()];
         let mut saved = [SavedUsage::default(), SavedUsage::default()];
         let name = tenant();
         let mut now = 60_000;
@@ -118,10 +141,12 @@
             now += elapsed;
             let at = Timestamp(now);
             match step {
-                Step::Charge(cost, first) => {
+                Step::Charge(cost, first, place) => {
                     let mut shards = [first, 1 - first].into_iter();
+                    let charge = Charge { tenant: &name, limit: &limit, cost, place };
                     let granted = shards.find(|shard| {
-                        ledgers[*shard].charge(at, &tenant(), &limit, cost) == QuotaDecision::Granted
+                        let decision = queues[*shard].charge(&mut ledgers[*shard], at, &charge);
+                        matches!(decision, QueueDecision::Granted { .. })
                     });
                     grants.extend(granted.map(|shard| (now, cost, shard)));
                 }
@@ -132,6 +157,7 @@
                 Step::Refund(_) => {}
                 Step::ReplaceHolder(shard) => {
                     ledgers[shard] = Ledger::new(BOUND, SHARDS_PER_TENANT, at, saved[shard].clone());
+                    queues[shard] = QuotaQueue::default();
                 }
                 Step::Save(shard, save) => {
                     let usage = ledgers[shard].begin_save(at, [(&name, &limit)].into_iter());
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -28,6 +28,8 @@
     pub requests: IntCounterVec,
     /// Completed requests of tenants, by tenant and outcome.
     tenant_requests: IntCounterVec,
+    /// Places in tenants' quotas, by what became of them.
+    pub quota_places: IntCounterVec,
     /// Tenants with time series of their own.
     tenants: Mutex<BTreeSet<String>>,
     /// Attempts at back ends, by result.
@@ -70,6 +72,11 @@
                 Opts::new("gateway_tenant_requests_total", "Requests by tenant"),
                 &["tenant", "outcome"],
             )?,
+            quota_places: counters(
+                "gateway_quota_places_total",
+                "Places of requests beyond their tenant's limit, by result",
+                "result",
+            )?,
             tenants: Mutex::default(),
             attempts: counters("gateway_attempts_total", "Sends by result", "result")?,
             reservations: counters(
@@ -112,6 +119,7 @@
         let counters = [
             &self.requests,
             &self.tenant_requests,
+            &self.quota_places,
             &self.attempts,
             &self.reservations,
             &self.back_end_statements,
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -25,7 +25,7 @@
 use crate::failure::Failure;
 use crate::ports::RequestMetadata;
 use crate::shared::Shared;
-use crate::tenancy::{self, Caller};
+use crate::tenancy::{self, Caller, PlaceTerms};
 use crate::tenant_quotas::Grant;
 use crate::unread_body::discard;
 use crate::{single_response, stream};
@@ -362,17 +362,22 @@
     let body = read_body(body, limit, deadline)
         .await
         .map_err(|failure| log_rejected(&metadata, &route.name, failure))?;
-    let quota_charge = tenancy::charge(shared, &caller, tenant.as_deref())
+    strip_hop_by_hop_headers(&mut head.headers);
+    head.headers.remove(header::CONTENT_LENGTH);
+    let fingerprint = fingerprint(&head, &metadata, &body);
+    let terms = PlaceTerms {
+        fingerprint,
+        is_returning,
+        deadline,
+    };
+    let quota_charge = tenancy::charge(shared, &caller, tenant.as_deref(), &terms)
         .await
         .map_err(|rejection| log_rejected(&metadata, &route.name, rejection.into()))?;
     let service = shared
         .choose_service(&route.services)
         .ok_or(Failure::NoRoute)?;
     shared.count_request(&service);
-    strip_hop_by_hop_headers(&mut head.headers);
-    head.headers.remove(header::CONTENT_LENGTH);
     head.version = Version::HTTP_11;
-    let fingerprint = fingerprint(&head, &metadata, &body);
     let call = Call {
         shared: shared.clone(),
         configuration,
--- a/crates/gateway/src/shared/quotas.rs
+++ b/crates/gateway/src/shared/quotas.rs
@@ -54,7 +54,10 @@
             return self.back_end_limits.handle_request(self.now(), send_time);
         }
         let configuration = self.configuration();
-        self.tenant_quotas
-            .handle_request(self.now(), request, configuration.as_deref())
+        let quotas = &self.tenant_quotas;
+        let response = quotas.handle_request(self.now(), request, configuration.as_deref());
+        let lapsed = self.metrics.quota_places.with_label_values(&["lapsed"]);
+        lapsed.inc_by(quotas.take_lapsed_places());
+        response
     }
 }
--- a/crates/gateway/src/tenancy.rs
+++ b/crates/gateway/src/tenancy.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use gorsebank_fleet::{Configuration, Denial, Route, Tenant, identify};
+use gorsebank_fleet::{Configuration, Denial, Fingerprint, PlaceRequest, Route, Tenant, identify};
 use http::HeaderMap;
 use tokio::time::Instant;
 
@@ -35,6 +35,13 @@
 /// sooner goes to requests that arrive in the meantime.
 const MIN_QUOTA_PAUSE: Duration = Duration::from_millis(100);
 
+/// Fraction of the route's objective for which a request waits for its place. The rest is for the
+/// back end.
+const PLACE_WAIT_FRACTION: f64 = 0.5;
+/// Fraction of the remaining time for which callers honour `Retry-After`. Later places are not
+/// given, and a caller who has come back waits no longer for its place.
+const RETURN_FRACTION: f64 = 1.0 / 3.0;
+
 /// Why a request was rejected before it ran.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Rejection {
@@ -76,6 +83,16 @@
     pub arrived: Instant,
 }
 
+/// What determines which places in a tenant's quota a request can use.
+pub struct PlaceTerms {
+    /// Identifies the content of the request; equal for every retry by the caller.
+    pub fingerprint: Fingerprint,
+    /// Whether the request is most likely a retry after a refusal.
+    pub is_returning: bool,
+    /// When the request must have its response.
+    pub deadline: Instant,
+}
+
 /// Removes the API key from the headers, where callers need one, and identifies its tenant. `age`
 /// is the time since the moment for which the table has confirmed the configuration.
 ///
@@ -118,6 +135,7 @@
     shared: &Shared,
     caller: &Caller<'_>,
     tenant: Option<&Tenant>,
+    terms: &PlaceTerms,
 ) -> Result<Option<Grant>, Rejection> {
     let limited = tenant.and_then(|tenant| Some((tenant, tenant.limit?)));
     let Some((tenant, limit)) = limited else {
@@ -126,22 +144,42 @@
     let demand = QuotaDemand {
         tenant: tenant.id.clone(),
         cost: limit.cost(caller.metadata.tokens),
+        place: terms.place_request(caller.route),
+        wait_until: terms.wait_until(caller),
     };
     let until = caller.arrived + caller.route.objective.mul_f64(CHARGE_WAIT_FRACTION);
-    let (reason, retry_after) = match shared.charge(&demand, until).await {
-        QuotaOutcome::Granted(grant) => return Ok(Some(grant)),
-        QuotaOutcome::OverQuota(wait) => (QUOTA_EXCEEDED, wait.max(MIN_QUOTA_PAUSE)),
-        QuotaOutcome::Unknown => (LIMIT_NOT_KNOWN, UNCHARGED_PAUSE),
+    let (reason, retry_after, place) = match shared.charge(&demand, until).await {
+        QuotaOutcome::Granted {
+            grant,
+            place_error_ms,
+        } => {
+            if let Some(error_ms) = place_error_ms {
+                record_used_place(shared, caller, &demand, error_ms);
+            }
+            return Ok(Some(grant));
+        }
+        QuotaOutcome::Placed(wait) => (QUOTA_EXCEEDED, wait, "kept"),
+        QuotaOutcome::OverQuota(wait) => (QUOTA_EXCEEDED, wait.max(MIN_QUOTA_PAUSE), "none"),
+        QuotaOutcome::Unknown => (LIMIT_NOT_KNOWN, UNCHARGED_PAUSE, "none"),
     };
+    shared
+        .metrics
+        .quota_places
+        .with_label_values(&[place])
+        .inc();
     let fields = format_args!(
-        "request={} reason={reason} tenant={} cost={} rate={} burst={} waited_ms={} retry_after_ms={}",
+        "request={} reason={reason} tenant={} route={} cost={} rate={} burst={} waited_ms={} retry_after_ms={} \
+         place={place} max_wait_ms={} returning={}",
         caller.metadata.id,
         demand.tenant,
+        caller.route.name,
         demand.cost,
         limit.rate,
         limit.burst,
         caller.arrived.elapsed().as_millis(),
         retry_after.as_millis(),
+        demand.place.max_wait_ms,
+        terms.is_returning,
     );
     event_log::write(LogPriority::Decision, "limited", fields);
     shared
@@ -156,3 +194,50 @@
         }
     })
 }
+
+impl PlaceTerms {
+    fn time_to_return(&self) -> Duration {
+        let remaining = self.deadline.saturating_duration_since(Instant::now());
+        remaining.mul_f64(RETURN_FRACTION)
+    }
+
+    fn place_request(&self, route: &Route) -> PlaceRequest {
+        PlaceRequest {
+            caller: self.fingerprint.short_hash(),
+            kind: PlaceRequest::kind_of_route(&route.name),
+            priority: route.priority,
+            max_wait_ms: self.time_to_return().as_millis() as u64,
+            is_returning: self.is_returning,
+        }
+    }
+
+    /// Until when the request waits for its place at this gateway. A caller that has come back is
+    /// unlikely to do so again.
+    fn wait_until(&self, caller: &Caller<'_>) -> Instant {
+        let usual = caller.arrived + caller.route.objective.mul_f64(PLACE_WAIT_FRACTION);
+        if self.is_returning {
+            usual.max(Instant::now() + self.time_to_return())
+        } else {
+            usual
+        }
+    }
+}
+
+/// Logs and counts a request that was charged at the time of its place.
+fn record_used_place(shared: &Shared, caller: &Caller<'_>, demand: &QuotaDemand, error_ms: i64) {
+    let fields = format_args!(
+        "request={} tenant={} route={} cost={} error_ms={error_ms} waited_ms={} returning={}",
+        caller.metadata.id,
+        demand.tenant,
+        caller.route.name,
+        demand.cost,
+        caller.arrived.elapsed().as_millis(),
+        demand.place.is_returning,
+    );
+    event_log::write(LogPriority::Decision, "quota_place_used", fields);
+    shared
+        .metrics
+        .quota_places
+        .with_label_values(&["used"])
+        .inc();
+}
--- a/crates/gateway/src/tenant_quotas/message.rs
+++ b/crates/gateway/src/tenant_quotas/message.rs
@@ -1,6 +1,7 @@
 //! Messages between gateways about tenants' quotas and the rate limits that back ends state.
 
 use gorsebank_coordination::Timestamp;
+use gorsebank_fleet::PlaceRequest;
 use gorsebank_fleet::quarantine::IncarnationHash;
 use gorsebank_world::TenantId;
 use serde::{Deserialize, Serialize};
@@ -35,6 +36,9 @@
     /// The cost to charge.
     #[serde(rename = "c")]
     pub cost: f64,
+    /// What the holder needs to give the request a place; `None` if the sender cannot use one.
+    #[serde(rename = "p", default, skip_serializing_if = "Option::is_none")]
+    pub place: Option<PlaceRequest>,
     /// Refunds for tenants of the same shard.
     #[serde(rename = "r", default)]
     pub refunds: Vec<Refund>,
@@ -58,6 +62,7 @@
             shard: 0,
             tenant: TenantId::from(""),
             cost: 0.0,
+            place: None,
             refunds: Vec::new(),
             refund_message: None,
             repeated_refunds: Vec::new(),
@@ -116,6 +121,17 @@
         /// When the request was charged, by the clock of the shard holder.
         #[serde(rename = "at")]
         granted_at: Timestamp,
+        /// How much later than first stated the request's place was used, in milliseconds; `None`
+        /// if it had none.
+        #[serde(rename = "e", default, skip_serializing_if = "Option::is_none")]
+        place_error_ms: Option<i64>,
+    },
+    /// The request would exceed the quota now, and has a place. Only the response to a request
+    /// that asks for a place has this value.
+    Placed {
+        /// Time until the place, in milliseconds.
+        #[serde(rename = "wait")]
+        wait_ms: u64,
     },
     /// The request would exceed the quota or, for a send time, wait longer than it can.
     #[serde(rename = "Beyond")]
--- a/crates/gateway/src/tenant_quotas/mod.rs
+++ b/crates/gateway/src/tenant_quotas/mod.rs
@@ -10,7 +10,9 @@
 //! ([`gorsebank_fleet::quota_shard`]). A gateway holds a shard by a lease in the table
 //! ([`shards`]) and charges requests to it only while the lease is valid, so no two gateways
 //! charge to the same shard at a time. A gateway first asks the holder of one of the two shards,
-//! chosen at random, and asks the other one before it rejects a request. The requests of a
+//! chosen by the request's content, and asks the other one before it rejects a request
+//! ([`charging`]). The second one may give the request a place for a later time
+//! ([`gorsebank_fleet::quota_queue`]). The requests of a
 //! single gateway are too few to tell whether a quota is exceeded: with 87 gateways, each sees
 //! one request of a small tenant in half a minute.
 //!
@@ -18,35 +20,33 @@
 //! quota. This module opens no connections: its caller supplies the function that sends a
 //! message to another gateway.
 
+mod charging;
 mod denials;
 mod message;
 pub mod refunds;
 pub mod shards;
 
 use std::collections::HashMap;
-use std::future::Future;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use gorsebank_coordination::Timestamp;
 use gorsebank_fleet::ledger::SavedUsage;
 use gorsebank_fleet::quota_shard::{QUOTA_SHARDS, SHARDS_PER_TENANT, shards_of};
 use gorsebank_fleet::received_numbers::ReceivedNumbers;
-use gorsebank_fleet::{Configuration, LeaseKeeper, Ledger, LimitBound, QuotaDecision, Tenants};
+use gorsebank_fleet::{
+    Charge, Configuration, LeaseKeeper, Ledger, LimitBound, QueueDecision, QuotaQueue, Tenants,
+};
 use gorsebank_world::{NodeId, TenantId};
 use parking_lot::Mutex;
 use tokio::sync::Notify;
-use tokio::time::{Instant, sleep};
+use tokio::time::Instant;
 
+pub use charging::{QuotaDemand, QuotaOutcome};
 use denials::DenialCache;
 pub use message::{QuotaRequest, QuotaResponse, Refund, SendTimeRequest};
 
-/// Pause before a retry while no gateway holds a tenant's shard or no holder responds.
-const RETRY_PAUSE: Duration = Duration::from_millis(60);
-/// A gateway that did not respond is not asked again for this time, so that the requests that
-/// arrive meanwhile do not each wait for its timeout.
-const PEER_COOLDOWN: Duration = Duration::from_millis(600);
-
 /// A request that was charged to its tenant's quota.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Grant {
@@ -62,43 +62,13 @@
     granted_at: Timestamp,
 }
 
-/// The result of charging a request.
-#[derive(Clone, Debug, PartialEq)]
-pub enum QuotaOutcome {
-    /// The request is within the quota and was charged.
-    Granted(Grant),
-    /// The request would exceed the quota; there is capacity for it after this time.
-    OverQuota(Duration),
-    /// The shard holders gave no conclusive response before the deadline.
-    Unknown,
-}
-
-/// The result of asking the holders of all shards of a tenant once.
-enum RoundOutcome {
-    /// One of the holders granted the request.
-    Granted(Grant),
-    /// All holders responded that the request exceeds the quota; one of them has capacity for
-    /// it after this time.
-    OverQuota(Duration),
-    /// At least one shard gave no conclusive response; a retry can succeed after this time.
-    Unknown(Duration),
-}
-
-/// What is to be charged for one request.
-#[derive(Clone, Debug)]
-pub struct QuotaDemand {
-    /// The tenant that sent the request.
-    pub tenant: TenantId,
-    /// The cost to charge.
-    pub cost: f64,
-}
-
 /// The ledger of a shard that this gateway holds, under one lease.
 struct ActiveShard {
     keeper: Arc<Mutex<LeaseKeeper>>,
     /// The tenure of the lease, by which grants name it.
     tenure: u64,
     ledger: Ledger,
+    queue: QuotaQueue,
     /// Numbers of the messages whose refunds were applied.
     refund_messages: ReceivedNumbers,
 }
@@ -143,6 +113,8 @@
     pub save_wanted: Notify,
     /// Notified when refunds wait to be sent.
     pub refunds_pending: Notify,
+    /// Places that lapsed at this gateway and have not been counted yet.
+    lapsed_places: AtomicU64,
     denials: Mutex<DenialCache>,
     /// Gateways that did not respond, and the end of their cooldown.
     cooldowns: Mutex<HashMap<NodeId, Instant>>,
@@ -175,6 +147,7 @@
             keeper: keeper.clone(),
             tenure,
             ledger: Ledger::new(bound, SHARDS_PER_TENANT, now, saved),
+            queue: QuotaQueue::default(),
             refund_messages: ReceivedNumbers::new(bound.window.as_millis() as u64),
         });
         let is_active = active.is_some();
@@ -238,138 +211,44 @@
         let Some(tenant) = tenants.tenant(&request.tenant) else {
             return QuotaResponse::NotHolder;
         };
-        let granted = QuotaResponse::Granted {
-            fence: active.tenure,
+        let fence = active.tenure;
+        let granted = |place_error_ms| QuotaResponse::Granted {
+            fence,
             granted_at: now,
+            place_error_ms,
         };
-        let Some(limit) = tenant.limit else {
-            return granted;
+        let Some(limit) = &tenant.limit else {
+            return granted(None);
         };
         let milliseconds = |wait: Duration| wait.as_millis() as u64 + 1;
-        let decision = active
-            .ledger
-            .charge(now, &request.tenant, &limit, request.cost);
+        let charge = Charge {
+            tenant: &request.tenant,
+            limit,
+            cost: request.cost,
+            place: request.place,
+        };
+        let decision = active.queue.charge(&mut active.ledger, now, &charge);
+        let lapsed = active.queue.take_lapsed();
+        self.lapsed_places.fetch_add(lapsed, Ordering::Relaxed);
         if active.ledger.needs_saving() {
             self.save_wanted.notify_one();
         }
         match decision {
-            QuotaDecision::Granted => granted,
-            QuotaDecision::Beyond(wait) => QuotaResponse::OverLimit {
+            QueueDecision::Granted { place_error_ms } => granted(place_error_ms),
+            QueueDecision::Placed(wait) => QuotaResponse::Placed {
                 wait_ms: milliseconds(wait),
             },
-            QuotaDecision::NotYet(wait) => QuotaResponse::NotReady {
+            QueueDecision::Beyond(wait) => QuotaResponse::OverLimit {
+                wait_ms: milliseconds(wait),
+            },
+            QueueDecision::NotYet(wait) => QuotaResponse::NotReady {
                 wait_ms: milliseconds(wait),
             },
         }
     }
 
-    /// Charges a request to its tenant's quota. Retries until a shard holder grants the request,
-    /// all holders respond that it exceeds the quota, or the time `until` would be passed.
-    /// `send` sends a request to a gateway, this one included, and returns `None` if there was no
-    /// response.
-    pub async fn charge<F>(
-        &self,
-        demand: &QuotaDemand,
-        until: Instant,
-        send: impl Fn(NodeId, QuotaRequest) -> F,
-    ) -> QuotaOutcome
-    where
-        F: Future<Output = Option<QuotaResponse>>,
-    {
-        if let Some(remaining) = self.denials.lock().remaining_wait(demand) {
-            return QuotaOutcome::OverQuota(remaining);
-        }
-        loop {
-            let pause = match self.charge_at_any_shard(demand, &send).await {
-                RoundOutcome::Granted(grant) => return QuotaOutcome::Granted(grant),
-                RoundOutcome::OverQuota(wait) => {
-                    self.denials.lock().record(demand, wait);
-                    return QuotaOutcome::OverQuota(wait);
-                }
-                RoundOutcome::Unknown(pause) => pause,
-            };
-            if Instant::now() + pause >= until {
-                return QuotaOutcome::Unknown;
-            }
-            sleep(pause).await;
-        }
-    }
-
-    /// Asks the holders of the tenant's shards, one after the other, until one of them charges the
-    /// request.
-    async fn charge_at_any_shard<F>(
-        &self,
-        demand: &QuotaDemand,
-        send: &impl Fn(NodeId, QuotaRequest) -> F,
-    ) -> RoundOutcome
-    where
-        F: Future<Output = Option<QuotaResponse>>,
-    {
-        let mut shards = shards_of(&demand.tenant);
-        // A random first shard balances the usage of the two.
-        shards.rotate_left(rand::random_range(0..SHARDS_PER_TENANT));
-        let (mut denials, mut soonest) = (0, None::<Duration>);
-        let mut pause = RETRY_PAUSE;
-        for shard in shards {
-            match self.charge_at_shard(shard, demand, send).await {
-                Some(QuotaResponse::Granted { fence, granted_at }) => {
-                    return RoundOutcome::Granted(Grant {
-                        tenant: demand.tenant.clone(),
-                        cost: demand.cost,
-                        shard,
-                        fence,
-                        granted_at,
-                    });
-                }
-                Some(QuotaResponse::OverLimit { wait_ms: wait }) => {
-                    let wait = Duration::from_millis(wait);
-                    denials += 1;
-                    soonest = Some(soonest.map_or(wait, |soonest| soonest.min(wait)));
-                }
-                Some(QuotaResponse::NotReady { wait_ms }) => {
-                    pause = pause.min(Duration::from_millis(wait_ms));
-                }
-                // `Reserved` responds to requests for send times only.
-                Some(QuotaResponse::NotHolder | QuotaResponse::Reserved { .. }) | None => {}
-            }
-        }
-        match soonest {
-            Some(wait) if denials == SHARDS_PER_TENANT => RoundOutcome::OverQuota(wait),
-            _ => RoundOutcome::Unknown(pause),
-        }
-    }
-
-    async fn charge_at_shard<F>(
-        &self,
-        shard: usize,
-        demand: &QuotaDemand,
-        send: &impl Fn(NodeId, QuotaRequest) -> F,
-    ) -> Option<QuotaResponse>
-    where
-        F: Future<Output = Option<QuotaResponse>>,
-    {
-        let holder = self.shards[shard].lock().holder.clone()?;
-        if self.is_in_cooldown(&holder) {
-            return None;
-        }
-        let request = QuotaRequest {
-            shard,
-            tenant: demand.tenant.clone(),
-            cost: demand.cost,
-            ..QuotaRequest::without_charge()
-        };
-        let response = send(holder.clone(), request).await;
-        if response.is_none() {
-            let until = Instant::now() + PEER_COOLDOWN;
-            self.cooldowns.lock().insert(holder, until);
-        }
-        response
-    }
-
-    fn is_in_cooldown(&self, holder: &NodeId) -> bool {
-        let mut cooldowns = self.cooldowns.lock();
-        let now = Instant::now();
-        cooldowns.retain(|_, until| now < *until);
-        cooldowns.contains_key(holder)
+    /// Returns the number of places that have lapsed at this gateway since the last call.
+    pub fn take_lapsed_places(&self) -> u64 {
+        self.lapsed_places.swap(0, Ordering::Relaxed)
     }
 }
--- a/crates/gateway/tests/tenant_quotas.rs
+++ b/crates/gateway/tests/tenant_quotas.rs
@@ -10,8 +10,8 @@
 use gorsebank_fleet::ledger::SavedUsage;
 use gorsebank_fleet::quota_shard::QUOTA_SHARDS;
 use gorsebank_fleet::{
-    Configuration, LeaseKeeper, LeaseRow, LimitBound, LimitUnit, Limits, Tenant, TenantEntry,
-    TenantLimit, Tenants,
+    Configuration, LeaseKeeper, LeaseRow, LimitBound, LimitUnit, Limits, PlaceRequest, Tenant,
+    TenantEntry, TenantLimit, Tenants,
 };
 use gorsebank_gateway::tenant_quotas::{
     Grant, QuotaDemand, QuotaOutcome, QuotaRequest, QuotaResponse, TenantQuotas,
@@ -120,11 +120,24 @@
     quotas
 }
 
-async fn charge(gateway: &TenantQuotas, holder: &Holder) -> QuotaOutcome {
-    let demand = QuotaDemand {
+/// A request that honours no `Retry-After` and does not wait, unless it says so.
+fn demand(caller: u64, is_returning: bool) -> QuotaDemand {
+    QuotaDemand {
         tenant: tenant(),
         cost: COST,
-    };
+        place: PlaceRequest {
+            caller,
+            kind: 1,
+            priority: 0,
+            max_wait_ms: 0,
+            is_returning,
+        },
+        wait_until: Instant::now(),
+    }
+}
+
+async fn charge(gateway: &TenantQuotas, holder: &Holder) -> QuotaOutcome {
+    let demand = demand(0, false);
     let send = |_: NodeId, request: QuotaRequest| ready(Some(holder.handle(&request)));
     let until = Instant::now() + Duration::from_millis(200);
     gateway.charge(&demand, until, send).await
@@ -133,7 +146,7 @@
 /// Charges requests until one exceeds the quota.
 async fn charge_all(gateway: &TenantQuotas, holder: &Holder) -> Vec<Grant> {
     let mut grants = Vec::new();
-    while let QuotaOutcome::Granted(grant) = charge(gateway, holder).await {
+    while let QuotaOutcome::Granted { grant, .. } = charge(gateway, holder).await {
         grants.push(grant);
     }
     grants
@@ -183,3 +196,44 @@
         .await;
     assert_eq!(charge_all(&self::gateway(), &holder).await.len(), 1);
 }
+
+/// Charges one request, and handles it by the holder at the holder's own time.
+async fn charge_demand(
+    gateway: &TenantQuotas,
+    holder: &Holder,
+    demand: &QuotaDemand,
+) -> QuotaOutcome {
+    let send = |_: NodeId, request: QuotaRequest| ready(Some(holder.handle(&request)));
+    let until = Instant::now() + Duration::from_millis(200);
+    gateway.charge(demand, until, send).await
+}
+
+/// A caller that is refused with a place finds it through another gateway, while a caller without
+/// one is refused.
+#[tokio::test]
+async fn a_place_is_kept_for_the_return_of_its_caller_at_any_gateway() {
+    for caller in 0..4 {
+        let holder = Holder::start();
+        charge_all(&gateway(), &holder).await;
+        let mut first = demand(caller, false);
+        first.place.max_wait_ms = 8_500;
+        let outcome = charge_demand(&gateway(), &holder, &first).await;
+        let QuotaOutcome::Placed(wait) = outcome else {
+            panic!("{outcome:?}");
+        };
+        let now = *holder.now.lock() + wait.as_millis() as u64;
+        *holder.now.lock() = now;
+        assert!(!charge_all(&gateway(), &holder).await.is_empty());
+        let outcome = charge_demand(&gateway(), &holder, &demand(caller, true)).await;
+        assert!(
+            matches!(
+                outcome,
+                QuotaOutcome::Granted {
+                    place_error_ms: Some(_),
+                    ..
+                }
+            ),
+            "{outcome:?}"
+        );
+    }
+}
