Narrow the first window and count queues only where loads outlast callers

Callers of deployments with loads of 4.4 s and more were served otherwise than before: the first window of concurrent loads was five instead of eight for loads of 6.9 s, and requests beyond the slots raised the value of another replica whatever a load takes.

Cause: neither rule looked at how long callers wait. Both now hold only for a service whose longest load from the weight store takes more than half of the longest timeout of its routes, the rule that the gateways already use for one model. Elsewhere the window starts at eight, and need and value of a replica are computed as before the two rules.

--- a/crates/fleet/src/configuration.rs
+++ b/crates/fleet/src/configuration.rs
@@ -113,6 +113,13 @@
     pub slots: u32,
 }
 
+impl Engine {
+    /// Duration of the longest load of a model from the weight store; `None` without models.
+    pub fn longest_load(&self) -> Option<Duration> {
+        self.models.values().map(|model| model.load).max()
+    }
+}
+
 /// A pool of interchangeable back ends.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Service {
@@ -221,8 +228,21 @@
         let Some(spec) = engine.and_then(|engine| engine.models.get(model)) else {
             return false;
         };
+        self.outlasts_callers(service, spec.load)
+    }
+
+    /// Whether the longest load of any of the service's models from the weight store takes so long.
+    pub fn longest_load_outlasts_callers(&self, service: &ServiceId) -> bool {
+        let engine = self
+            .service(service)
+            .and_then(|known| known.engine.as_ref());
+        let longest = engine.and_then(Engine::longest_load);
+        longest.is_some_and(|load| self.outlasts_callers(service, load))
+    }
+
+    fn outlasts_callers(&self, service: &ServiceId, load: Duration) -> bool {
         let timeout = self.longest_timeouts.get(service);
-        timeout.is_some_and(|timeout| spec.load > *timeout / 2)
+        timeout.is_some_and(|timeout| load > *timeout / 2)
     }
 
     /// Number of routes over all hosts.
--- a/crates/fleet/src/placement/load_selection.rs
+++ b/crates/fleet/src/placement/load_selection.rs
@@ -146,10 +146,22 @@
     value: f64,
 }
 
-/// The inputs of a plan.
+/// The inputs of a plan for one service, besides its engines.
+pub struct PlanInputs<'a> {
+    pub now: Timestamp,
+    pub spec: &'a Engine,
+    /// Whether loads from the weight store outlast the callers of the service.
+    pub has_long_loads: bool,
+    pub totals: &'a DemandTotals,
+    pub forecast: &'a Forecast,
+    pub store: &'a WeightStore,
+}
+
+/// The inputs of a plan with what is computed from them once.
 struct PlanContext<'a> {
     now: Timestamp,
     spec: &'a Engine,
+    has_long_loads: bool,
     totals: &'a DemandTotals,
     forecast: &'a Forecast,
     store: &'a WeightStore,
@@ -157,22 +169,16 @@
 }
 
 /// Sets goals on engines that have none.
-pub fn set_goals(
-    now: Timestamp,
-    spec: &Engine,
-    totals: &DemandTotals,
-    forecast: &Forecast,
-    engines: &mut [&mut EngineState],
-    store: &WeightStore,
-) -> LoadDecisions {
-    poll_silent_engines(now, totals, engines);
+pub fn set_goals(inputs: PlanInputs<'_>, engines: &mut [&mut EngineState]) -> LoadDecisions {
+    poll_silent_engines(inputs.now, inputs.totals, engines);
     let context = PlanContext {
-        now,
-        spec,
-        totals,
-        forecast,
-        store,
-        replicas: Replicas::count(totals, engines),
+        replicas: Replicas::count(inputs.totals, engines),
+        now: inputs.now,
+        spec: inputs.spec,
+        has_long_loads: inputs.has_long_loads,
+        totals: inputs.totals,
+        forecast: inputs.forecast,
+        store: inputs.store,
     };
     let mut decisions = LoadDecisions::default();
     let mut store_check = context.check_store_limits(engines);
@@ -278,7 +284,13 @@
     ) -> Option<f64> {
         let replicas = self.replicas.count_of(model);
         let expected_replicas = expected_replicas(self.now, engines, model);
-        let need = ReplicaNeed::new(self.spec, demand, replicas, expected_replicas);
+        let need = ReplicaNeed::new(
+            self.spec,
+            self.has_long_loads,
+            demand,
+            replicas,
+            expected_replicas,
+        );
         if need.is_met() {
             return None;
         }
--- a/crates/fleet/src/placement/mod.rs
+++ b/crates/fleet/src/placement/mod.rs
@@ -36,8 +36,8 @@
 pub use load_concurrency::{LoadConcurrency, LoadConcurrencyEstimate};
 pub use load_crashes::LoadCrashRecord;
 pub use load_rate_limiter::{LoadRateLimit, LoadRateLimiter, RecentLoad};
-use load_selection::LoadDecisions;
 pub use load_selection::{ChosenLoad, DeferredLoad, Obstacle};
+use load_selection::{LoadDecisions, PlanInputs};
 use totals::DemandTotals;
 use weight_store::WeightStore;
 pub use weight_store::{StoreRecord, StoreRecords};
@@ -263,7 +263,8 @@
         self.decisions = LoadDecisions::default();
         for (service, spec) in configuration.engine_services() {
             let totals = DemandTotals::new(service, rows);
-            self.plan_service(now, service, spec, &totals, &mut actions);
+            let has_long_loads = configuration.longest_load_outlasts_callers(service);
+            self.plan_service(now, service, spec, has_long_loads, &totals, &mut actions);
         }
         actions
     }
@@ -273,6 +274,7 @@
         now: Timestamp,
         service: &ServiceId,
         spec: &Engine,
+        has_long_loads: bool,
         totals: &DemandTotals,
         actions: &mut Vec<Action>,
     ) {
@@ -282,12 +284,12 @@
             .filter(|engine| engine.serves(service))
             .collect();
         let store = self.stores.entry(service.clone()).or_insert_with(|| {
-            let previous_records = self.previous_records.remove(service);
-            let previous_records = previous_records.unwrap_or_else(|| StoreRecord::initial(spec));
-            let mut store = WeightStore::new(self.started_at, self.rate_limit, &previous_records);
+            let previous = self.previous_records.remove(service);
+            let record = previous.unwrap_or_else(|| StoreRecord::initial(spec, has_long_loads));
+            let mut store = WeightStore::new(self.started_at, self.rate_limit, &record);
             // An engine that has disappeared by now may still have started its load. A load without
             // a matching start time may belong to a previous incarnation of the engine.
-            for load in &previous_records.recent {
+            for load in &record.recent {
                 let known = engines.iter().find(|engine| *engine.id() == load.engine);
                 if known.is_some_and(|engine| engine.born() != load.born) {
                     store.record_restart(self.started_at, &load.engine);
@@ -299,8 +301,15 @@
             store
         });
         let forecast = Forecast::new(spec, totals);
-        let decisions =
-            load_selection::set_goals(now, spec, totals, &forecast, &mut engines, store);
+        let inputs = PlanInputs {
+            now,
+            spec,
+            has_long_loads,
+            totals,
+            forecast: &forecast,
+            store,
+        };
+        let decisions = load_selection::set_goals(inputs, &mut engines);
         self.decisions.chosen.extend(decisions.chosen);
         self.decisions.deferred.extend(decisions.deferred);
         adapters::assign(spec, totals, &forecast, &mut engines);
--- a/crates/fleet/src/placement/replica_need.rs
+++ b/crates/fleet/src/placement/replica_need.rs
@@ -36,6 +36,7 @@
 /// The demand for a loaded model compared to the capacity of its replicas.
 pub struct ReplicaNeed<'a> {
     spec: &'a Engine,
+    counts_queued_requests: bool,
     demand: &'a ModelDemand,
     replicas: usize,
     expected_replicas: usize,
@@ -43,15 +44,18 @@
 
 impl<'a> ReplicaNeed<'a> {
     /// Compares the demand to `replicas` that hold the model and `expected_replicas` that will hold
-    /// it soon.
+    /// it soon. Requests that queue at full engines count only if `has_long_loads`: loads from the
+    /// weight store outlast the callers of the service.
     pub fn new(
         spec: &'a Engine,
+        has_long_loads: bool,
         demand: &'a ModelDemand,
         replicas: usize,
         expected_replicas: usize,
     ) -> Self {
         ReplicaNeed {
             spec,
+            counts_queued_requests: has_long_loads,
             demand,
             replicas,
             expected_replicas,
@@ -114,7 +118,7 @@
     /// Weight of the requests that wait although the model is loaded. While most slots are free,
     /// the demand is older than the load that the requests waited for.
     fn waiting_for_slots(&self) -> f64 {
-        if self.used_fraction() < FILLING_SLOT_FRACTION {
+        if !self.counts_queued_requests || self.used_fraction() < FILLING_SLOT_FRACTION {
             return 0.0;
         }
         self.demand.waiting_weight
@@ -122,6 +126,9 @@
 
     /// Requests that neither the slots of the replicas nor those of the expected ones take.
     fn queued_beyond_expected(&self) -> f64 {
+        if !self.counts_queued_requests {
+            return 0.0;
+        }
         let expected_slots = f64::from(self.spec.slots) * self.expected_replicas as f64;
         (self.present_requests() - self.slots() - expected_slots).max(0.0)
     }
--- a/crates/fleet/src/placement/weight_store.rs
+++ b/crates/fleet/src/placement/weight_store.rs
@@ -37,11 +37,12 @@
 }
 
 impl StoreRecord {
-    /// The record of a weight store that no holder has used yet.
-    pub fn initial(spec: &Engine) -> Self {
-        let longest = spec.models.values().map(|model| model.load).max();
+    /// The record of a weight store that no holder has used yet. `has_long_loads` tells whether
+    /// loads outlast the callers of the service.
+    pub fn initial(spec: &Engine, has_long_loads: bool) -> Self {
+        let long_load = spec.longest_load().filter(|_| has_long_loads);
         StoreRecord {
-            concurrency: longest.map_or_else(
+            concurrency: long_load.map_or_else(
                 LoadConcurrencyEstimate::default,
                 LoadConcurrencyEstimate::for_load_duration,
             ),
