Count each request that queues at full engines once

The value of another replica counted streams that wait for a slot twice: a gateway counts a stream as running before it is admitted, and the waiting requests of the demand row were added to the running ones. 20 streams beyond 64 slots, reported as both, gave 12.2 instead of 6.2 requests per second. The queue is now the running requests beyond the slots of the present and the expected replicas; waiting requests that are no streams are left out.

A first window of eight that an earlier build left in the record of the weight store was kept although loads are long. An estimate of eight without a slow load is now replaced by the first window where loads outlast callers. Loads at full speed may also have raised it from two to eight; then that is learnt again after a change of the holder, since the record does not tell the two apart.

Changed tests, each stricter or as strict: the test of a queue at a full engine reports the 20 streams that wait as running too (84, was 64), as gateways do; the test of the first load also rejects more than two loads begun before it is complete; the tests against overcommitment run up to 200 requests of a model, and check each case with short and with long loads.

--- a/crates/fleet/src/placement/load_concurrency.rs
+++ b/crates/fleet/src/placement/load_concurrency.rs
@@ -26,9 +26,10 @@
 /// limit (standard error 0.004), and by 0.007 compared to an initial estimate of 8 (standard error
 /// 0.0045).
 const INITIAL_MAX_LOADS: f64 = 8.0;
-/// Maximum time that the first concurrent loads may take if the store performs only one at full
-/// speed. Loads cannot be cancelled, and nothing is known about the store until one has ended.
-const MAX_INITIAL_LOAD_DURATION: Duration = Duration::from_secs(35);
+/// Bound on the number of the first concurrent loads times the duration of one: the time that they
+/// take together from a store that performs only one at full speed. Loads cannot be cancelled, and
+/// nothing is known about the store until one has ended.
+const MAX_INITIAL_WINDOW_DURATION: Duration = Duration::from_secs(35);
 /// Factor by which a load at full speed that filled the window widens it, until the first slow
 /// load. A store for a hundred engines performs more than eighty loads at full speed.
 const INITIAL_GROWTH_FACTOR: f64 = 4.0;
@@ -71,9 +72,10 @@
 }
 
 impl LoadConcurrencyEstimate {
-    /// The initial estimate for a store from which one load takes `load` without other loads.
-    pub fn for_load_duration(load: Duration) -> Self {
-        let max_loads = MAX_INITIAL_LOAD_DURATION.as_secs_f64() / load.as_secs_f64();
+    /// The initial estimate for a store from which one load takes `load_duration` without other
+    /// loads.
+    pub fn for_load_duration(load_duration: Duration) -> Self {
+        let max_loads = MAX_INITIAL_WINDOW_DURATION.as_secs_f64() / load_duration.as_secs_f64();
         LoadConcurrencyEstimate {
             max_loads: max_loads.floor().clamp(1.0, INITIAL_MAX_LOADS),
             ..LoadConcurrencyEstimate::default()
--- a/crates/fleet/src/placement/load_selection.rs
+++ b/crates/fleet/src/placement/load_selection.rs
@@ -136,7 +136,9 @@
 /// The loads that a plan decided on, and those that it deferred.
 #[derive(Debug, Default)]
 pub struct LoadDecisions {
+    /// Loads that became goals of engines.
     pub chosen: Vec<ChosenLoad>,
+    /// Loads that would be useful and that no engine got as a goal.
     pub deferred: Vec<DeferredLoad>,
 }
 
@@ -168,7 +170,8 @@
     replicas: Replicas,
 }
 
-/// Sets goals on engines that have none.
+/// Sets goals on engines that have none. Returns the loads that became goals, and those that were
+/// deferred.
 pub fn set_goals(inputs: PlanInputs<'_>, engines: &mut [&mut EngineState]) -> LoadDecisions {
     poll_silent_engines(inputs.now, inputs.totals, engines);
     let context = PlanContext {
@@ -298,7 +301,7 @@
             let waiting = WAITING_REQUEST_VALUE * demand.waiting_weight;
             return Some(demand.rate + waiting + self.forecast.value(model));
         }
-        need.value()
+        need.additional_replica_value()
     }
 
     /// Sets a goal for the candidate on the engine with the lowest cost.
--- a/crates/fleet/src/placement/mod.rs
+++ b/crates/fleet/src/placement/mod.rs
@@ -285,7 +285,7 @@
             .collect();
         let store = self.stores.entry(service.clone()).or_insert_with(|| {
             let previous = self.previous_records.remove(service);
-            let record = previous.unwrap_or_else(|| StoreRecord::initial(spec, has_long_loads));
+            let record = StoreRecord::for_next_holder(previous, spec, has_long_loads);
             let mut store = WeightStore::new(self.started_at, self.rate_limit, &record);
             // An engine that has disappeared by now may still have started its load. A load without
             // a matching start time may belong to a previous incarnation of the engine.
--- a/crates/fleet/src/placement/replica_need.rs
+++ b/crates/fleet/src/placement/replica_need.rs
@@ -1,7 +1,8 @@
-//! The need of a loaded model for further replicas.
+//! The need of a model for further replicas.
 //!
-//! The input is the model's demand and the number of its replicas. The output is the number of
-//! replicas that the demand needs, and the value of one more: its share of the request rate, and
+//! The input is the model's demand, the number of engines that hold the model, and the number of
+//! those that are expected to hold it soon because they load it or make room for it. The output is
+//! whether these engines are enough, and the value of one more: its share of the request rate, and
 //! the requests that queue because the slots of all replicas are in use.
 
 use crate::configuration::Engine;
@@ -33,111 +34,101 @@
 /// replica.
 const SATURATED_ADAPTER_FRACTION: f64 = 0.6;
 
-/// The demand for a loaded model compared to the capacity of its replicas.
+/// The demand for a model compared to the capacity of its replicas.
 pub struct ReplicaNeed<'a> {
     spec: &'a Engine,
     counts_queued_requests: bool,
     demand: &'a ModelDemand,
-    replicas: usize,
-    expected_replicas: usize,
+    replica_count: usize,
+    expected_replica_count: usize,
 }
 
 impl<'a> ReplicaNeed<'a> {
-    /// Compares the demand to `replicas` that hold the model and `expected_replicas` that will hold
-    /// it soon. Requests that queue at full engines count only if `has_long_loads`: loads from the
-    /// weight store outlast the callers of the service.
+    /// Compares the demand to `replica_count` engines that hold the model and
+    /// `expected_replica_count` others that will hold it soon. Requests that queue at full engines
+    /// count only if `has_long_loads`: loads from the weight store outlast the callers of the
+    /// service.
     pub fn new(
         spec: &'a Engine,
         has_long_loads: bool,
         demand: &'a ModelDemand,
-        replicas: usize,
-        expected_replicas: usize,
+        replica_count: usize,
+        expected_replica_count: usize,
     ) -> Self {
         ReplicaNeed {
             spec,
             counts_queued_requests: has_long_loads,
             demand,
-            replicas,
-            expected_replicas,
+            replica_count,
+            expected_replica_count,
         }
     }
 
     /// Whether the expected replicas meet the need.
     pub fn is_met(&self) -> bool {
-        let provided = self.replicas + self.expected_replicas;
-        self.expected_replicas > 0 && provided >= self.needed_replicas()
+        let provided = self.replica_count + self.expected_replica_count;
+        self.expected_replica_count > 0 && provided >= self.needed_replica_count()
     }
 
-    /// Value of an additional replica, in requests per second; `None` if it is not needed.
-    pub fn value(&self) -> Option<f64> {
-        let is_redundant = self.replicas >= REDUNDANT_REPLICAS;
+    /// Value of an additional replica of a loaded model, in requests per second; `None` if it is
+    /// not needed.
+    pub fn additional_replica_value(&self) -> Option<f64> {
+        let is_redundant = self.replica_count >= REDUNDANT_REPLICAS;
         let wants_redundancy =
             !is_redundant && self.demand.urgent_rate > REDUNDANCY_RATE_PER_SECOND;
         if !wants_redundancy && !self.is_saturated() {
             return None;
         }
-        let share = self.demand.rate / (self.replicas + self.expected_replicas + 1) as f64;
-        let relieved = self
-            .queued_beyond_expected()
-            .min(f64::from(self.spec.slots));
-        Some(self.share_fraction() * share + WAITING_REQUEST_VALUE * relieved)
+        let sharing_replica_count = self.replica_count + self.expected_replica_count + 1;
+        let rate_share_per_second = self.demand.rate / sharing_replica_count as f64;
+        let relieved_request_count = self.queued_request_count().min(self.spec.slots);
+        let queue_value = WAITING_REQUEST_VALUE * f64::from(relieved_request_count);
+        Some(self.share_fraction() * rate_share_per_second + queue_value)
     }
 
-    /// Number of replicas that can serve the present requests at the target fraction of their
+    /// Number of replicas that can serve the running requests at the target fraction of their
     /// slots. A model without a replica is loaded once, because the number of its running requests
     /// is not known yet.
-    fn needed_replicas(&self) -> usize {
-        if self.replicas == 0 {
+    fn needed_replica_count(&self) -> usize {
+        if self.replica_count == 0 {
             return 1;
         }
-        let target = f64::from(self.spec.slots) * TARGET_SLOT_FRACTION;
-        (self.present_requests() / target.max(1.0)).ceil() as usize
+        let target_slot_count = f64::from(self.spec.slots) * TARGET_SLOT_FRACTION;
+        (f64::from(self.demand.running) / target_slot_count.max(1.0)).ceil() as usize
     }
 
     /// Whether the replicas serve too many requests, or have too few adapter slots.
     fn is_saturated(&self) -> bool {
-        let adapter_slots = (self.spec.adapter_slots * self.replicas) as f64;
-        let adapters = self.demand.adapters.len() as f64;
-        self.present_requests() > SATURATED_SLOT_FRACTION * self.slots()
-            || adapters > SATURATED_ADAPTER_FRACTION * adapter_slots
+        let running = f64::from(self.demand.running);
+        let adapter_slot_count = (self.spec.adapter_slots * self.replica_count) as f64;
+        let adapter_count = self.demand.adapters.len() as f64;
+        running > SATURATED_SLOT_FRACTION * self.slot_count()
+            || adapter_count > SATURATED_ADAPTER_FRACTION * adapter_slot_count
     }
 
     /// Value of an additional replica as a fraction of its share of the request rate.
     fn share_fraction(&self) -> f64 {
-        let urgency = (self.used_fraction() - FILLING_SLOT_FRACTION)
+        let used_slot_fraction = f64::from(self.demand.running) / self.slot_count().max(1.0);
+        let urgency = (used_slot_fraction - FILLING_SLOT_FRACTION)
             / (FULL_SLOT_FRACTION - FILLING_SLOT_FRACTION);
         let urgency = urgency.clamp(0.0, 1.0);
         EXTRA_REPLICA_VALUE_FRACTION + (1.0 - EXTRA_REPLICA_VALUE_FRACTION) * urgency
     }
 
-    /// Running requests, and those that wait because the replicas are full.
-    fn present_requests(&self) -> f64 {
-        f64::from(self.demand.running) + self.waiting_for_slots()
-    }
-
-    /// Weight of the requests that wait although the model is loaded. While most slots are free,
-    /// the demand is older than the load that the requests waited for.
-    fn waiting_for_slots(&self) -> f64 {
-        if !self.counts_queued_requests || self.used_fraction() < FILLING_SLOT_FRACTION {
-            return 0.0;
-        }
-        self.demand.waiting_weight
-    }
-
-    /// Requests that neither the slots of the replicas nor those of the expected ones take.
-    fn queued_beyond_expected(&self) -> f64 {
+    /// Requests for which neither the replicas nor the expected ones have a slot. A stream counts as
+    /// running from its arrival at a gateway, so those that wait for a slot are among the running
+    /// ones and the waiting ones must not be added.
+    fn queued_request_count(&self) -> u32 {
         if !self.counts_queued_requests {
-            return 0.0;
+            return 0;
         }
-        let expected_slots = f64::from(self.spec.slots) * self.expected_replicas as f64;
-        (self.present_requests() - self.slots() - expected_slots).max(0.0)
-    }
-
-    fn used_fraction(&self) -> f64 {
-        f64::from(self.demand.running) / self.slots().max(1.0)
+        let replica_count = self.replica_count + self.expected_replica_count;
+        let slot_count = self.spec.slots.saturating_mul(replica_count as u32);
+        self.demand.running.saturating_sub(slot_count)
     }
 
-    fn slots(&self) -> f64 {
-        f64::from(self.spec.slots) * self.replicas as f64
+    /// Slots of the engines that hold the model.
+    fn slot_count(&self) -> f64 {
+        f64::from(self.spec.slots) * self.replica_count as f64
     }
 }
--- a/crates/fleet/src/placement/weight_store.rs
+++ b/crates/fleet/src/placement/weight_store.rs
@@ -37,9 +37,26 @@
 }
 
 impl StoreRecord {
+    /// The record that a holder starts with, given the one of previous holders. An estimate there
+    /// that equals the default may be one that no load has confirmed, of a build whose first
+    /// estimate does not depend on the duration of loads; so the initial estimate replaces it.
+    pub fn for_next_holder(previous: Option<Self>, spec: &Engine, has_long_loads: bool) -> Self {
+        let initial = StoreRecord::initial(spec, has_long_loads);
+        match previous {
+            Some(previous) if previous.concurrency == LoadConcurrencyEstimate::default() => {
+                StoreRecord {
+                    concurrency: initial.concurrency,
+                    ..previous
+                }
+            }
+            Some(previous) => previous,
+            None => initial,
+        }
+    }
+
     /// The record of a weight store that no holder has used yet. `has_long_loads` tells whether
     /// loads outlast the callers of the service.
-    pub fn initial(spec: &Engine, has_long_loads: bool) -> Self {
+    fn initial(spec: &Engine, has_long_loads: bool) -> Self {
         let long_load = spec.longest_load().filter(|_| has_long_loads);
         StoreRecord {
             concurrency: long_load.map_or_else(
--- a/crates/fleet/tests/long_loads.rs
+++ b/crates/fleet/tests/long_loads.rs
@@ -4,6 +4,7 @@
 mod support;
 
 use gorsebank_coordination::Timestamp;
+use gorsebank_fleet::placement::{LoadConcurrencyEstimate, Planner, StoreRecord, StoreRecords};
 use support::{Simulation, demand, running};
 
 /// Milliseconds that a load from the weight store takes without other loads.
@@ -12,6 +13,8 @@
 const TIMEOUT_MS: u64 = 25_000;
 /// Milliseconds within which the first load of a model that is in demand must be complete.
 const FIRST_LOAD_BOUND_MS: u64 = 30_000;
+/// Loads of that duration that may begin before the first of them is complete.
+const FIRST_WINDOW: usize = 2;
 
 /// Returns engines that hold `m0` only, and a weight store that performs one load at full speed.
 fn engines_with_a_slow_store(count: usize) -> Simulation {
@@ -32,15 +35,21 @@
         .map(|(model, rate, waiting)| (model.as_str(), *rate, *waiting))
         .collect();
     let rows = vec![demand(&missing)];
+    let mut is_any_loaded = false;
     for now in (0..FIRST_LOAD_BOUND_MS).step_by(50) {
+        if !is_any_loaded {
+            let begun = simulation.load_starts.len();
+            assert!(begun <= FIRST_WINDOW, "{:?}", simulation.load_starts);
+        }
         simulation.run_iteration(now, &rows);
+        is_any_loaded |= (1..10).any(|number| simulation.replica_count(&format!("m{number}")) > 0);
     }
-    let loaded = (1..10).filter(|number| simulation.replica_count(&format!("m{number}")) > 0);
-    assert!(loaded.count() > 0, "{:?}", simulation.load_starts);
+    assert!(is_any_loaded, "{:?}", simulation.load_starts);
 }
 
-/// A model whose only engine is full, while requests queue there and others wait, has a copy in the
-/// memory of an engine whose models are worth more than its request rate.
+/// A model whose only engine is full, while requests queue there, has a copy in the memory of an
+/// engine whose models are worth more than its request rate. Gateways count streams that wait as
+/// running too.
 #[test]
 fn requests_that_queue_at_a_full_engine_call_for_another_replica() {
     let mut simulation = Simulation::new(3, &["m0", "m1", "m2"]);
@@ -52,7 +61,7 @@
     let others = [("m0", 1.0, 0), ("m1", 1.0, 0), ("m2", 1.0, 0)];
     let rows = vec![
         demand(&others),
-        running(&[("m5", 0.4, 64)]),
+        running(&[("m5", 0.4, 84)]),
         demand(&[("m5", 0.0, 20)]),
     ];
     for now in (0..3_000).step_by(50) {
@@ -62,7 +71,8 @@
     assert!(simulation.replica_count("m0") >= 1);
 }
 
-/// The demand of gateways may be older than the load that its requests waited for.
+/// Requests that are reported as waiting for a model that is loaded meanwhile do not queue for a
+/// slot.
 #[test]
 fn requests_that_waited_for_a_load_call_for_no_second_replica() {
     let mut simulation = Simulation::new(3, &["m0"]);
@@ -93,13 +103,48 @@
     }
 }
 
+#[test]
+fn only_a_window_that_no_load_has_confirmed_is_replaced_by_the_first_one() {
+    let cases = [
+        (LONG_LOADS, 8.0, false, 2.0),
+        (LONG_LOADS, 8.0, true, 8.0),
+        (LONG_LOADS, 32.0, false, 32.0),
+        (LONG_LOADS, 1.5, true, 1.5),
+        (SHORT_LOADS, 8.0, false, 8.0),
+    ];
+    for ((load_ms, timeout_ms), max_loads, has_been_saturated, expected) in cases {
+        let record = StoreRecord {
+            concurrency: LoadConcurrencyEstimate {
+                max_loads,
+                has_been_saturated,
+            },
+            ..StoreRecord::default()
+        };
+        let records = StoreRecords::from([(support::service(), record)]);
+        let mut simulation = Simulation::new(1, &["m0"]);
+        simulation.planner = Planner::new(Timestamp(0), support::load_rate_limit(), records);
+        simulation.set_load_time_and_timeout(load_ms, timeout_ms);
+        simulation.run_iteration(0, &[]);
+        let records = simulation.planner.store_records(Timestamp(0));
+        let estimate = records[&support::service()].concurrency;
+        assert_eq!(
+            estimate.max_loads, expected,
+            "{max_loads}, loads of {load_ms} ms"
+        );
+    }
+}
+
 /// Returns the value of a second replica of a model in the first plan for it; 64 slots serve the
-/// model.
+/// model. Requests beyond them are also reported as waiting.
 fn second_replica_value((load_ms, timeout_ms): (u64, u64), running_count: u32) -> Option<f64> {
     let mut simulation = Simulation::new(3, &["m0"]);
     simulation.engines[0] = support::SimulatedEngine::new(0, &["m5"]);
     simulation.set_load_time_and_timeout(load_ms, timeout_ms);
-    let rows = vec![running(&[("m5", 0.4, running_count)])];
+    let waiting_count = running_count.saturating_sub(64);
+    let rows = vec![
+        running(&[("m5", 0.4, running_count)]),
+        demand(&[("m5", 0.0, waiting_count)]),
+    ];
     for now in (0..3_000).step_by(50) {
         simulation.run_iteration(now, &rows);
         let chosen = simulation.planner.chosen_loads().first();
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -153,7 +153,7 @@
 /// Returns demand for models, each given as number, requests per second, waiting requests and
 /// number of missing adapters.
 #[allow(dead_code)]
-pub fn demand_row(models: &[(usize, f64, u32, usize)]) -> DemandRow {
+pub fn demand_row(models: &[ModelOfRow]) -> DemandRow {
     let models = models.iter().map(|(number, rate, waiting, missing)| {
         let demand = ModelDemand {
             rate: *rate,
@@ -687,9 +687,28 @@
 #[allow(dead_code)]
 pub fn shifting_demand() -> impl Strategy<Value = Vec<DemandRow>> {
     let model = (0usize..12, 0.0f64..4.0, 0u32..3, 0usize..6);
-    let row = prop::collection::vec(model, 1..6);
-    prop::collection::vec(row, 4..10)
-        .prop_map(|rows| rows.into_iter().map(|models| demand_row(&models)).collect())
+    let row = prop::collection::vec((model, 0u32..=200), 1..6);
+    prop::collection::vec(row, 4..10).prop_map(|rows| {
+        rows.iter()
+            .map(|models| demand_row_with_running(models))
+            .collect()
+    })
+}
+
+/// A model of `demand_row`.
+type ModelOfRow = (usize, f64, u32, usize);
+
+/// Returns the demand of `demand_row`, with the number of running requests of each model.
+#[allow(dead_code)]
+fn demand_row_with_running(models: &[(ModelOfRow, u32)]) -> DemandRow {
+    let (models, running): (Vec<_>, Vec<u32>) = models.iter().copied().unzip();
+    let mut row = demand_row(&models);
+    for ((number, ..), running) in models.iter().zip(running) {
+        let models = row.services.get_mut(&service()).expect("the service");
+        let model = models.get_mut(&ModelId::from(format!("m{number}")));
+        model.expect("the model").running = running;
+    }
+    row
 }
 
 /// Faults of the holder and its engines in sixteen seconds.
@@ -703,16 +722,35 @@
     pub restarts: Vec<(usize, u64)>,
 }
 
-/// Simulates sixteen seconds of this demand and checks that no engine is ordered to hold more than
-/// it has room for, and that every window keeps the rate limit of loads from the weight store.
+/// Timeouts of a route, in milliseconds: one is longer than two loads and one is shorter.
+#[allow(dead_code)]
+const TIMEOUTS_MS: [u64; 2] = [30_000, 2_000];
+
+/// Simulates sixteen seconds of this demand for each of the timeouts and checks that no engine is
+/// ordered to hold more than it has room for, and that every window keeps the rate limit of loads
+/// from the weight store.
 #[allow(dead_code)]
 pub fn check_no_overcommitment(
     rows: &[DemandRow],
     fault_plan: FaultPlan,
     restart: impl Fn(&mut Simulation, u64, usize),
+) -> Result<(), TestCaseError> {
+    for timeout_ms in TIMEOUTS_MS {
+        check_no_overcommitment_with_timeout(rows, timeout_ms, &fault_plan, &restart)?;
+    }
+    Ok(())
+}
+
+#[allow(dead_code)]
+fn check_no_overcommitment_with_timeout(
+    rows: &[DemandRow],
+    timeout_ms: u64,
+    fault_plan: &FaultPlan,
+    restart: &impl Fn(&mut Simulation, u64, usize),
 ) -> Result<(), TestCaseError> {
     let mut simulation = Simulation::new(4, &["m0", "m1"]);
-    simulation.faults = fault_plan.faults;
+    simulation.set_load_time_and_timeout(LOAD_TIME_MS, timeout_ms);
+    simulation.faults = fault_plan.faults.clone();
     for now in (0..16_000u64).step_by(40) {
         let is_now = |at: &u64| now <= *at && *at < now + 40;
         if fault_plan.holder_changes.iter().any(is_now) {
