Queues for full engines: count an arrival once, and leave no free slot to a draw

Found in review. Callers saw: a single waiting request left a free slot unused for some 0.2 s; a request that waited for an adapter counted as a new arrival each time it looked; Retry-After counted arrivals by their weight, up to eight times too long; joining could remove another request's arrival. Now: the only contender takes a free place at once; shares are drawn only while places are free; arrivals are counted at the first look, and removed by class; weights are converted to numbers. While an engine has less than half of its slots in use and room, nothing is drawn and no contenders are summed.

--- a/crates/fleet/src/engine_queue.rs
+++ b/crates/fleet/src/engine_queue.rs
@@ -24,6 +24,8 @@
 const GAIN: f64 = 0.6;
 /// Number of classes of waiting requests.
 pub const CLASSES: usize = 5;
+/// Usual weight of a contender, with which weights are converted to numbers of requests.
+const USUAL_WEIGHT: f64 = 4.0;
 /// Class of requests that can only be late.
 const LATE: usize = CLASSES - 1;
 /// Weights of the classes. A lower class gets less, but never nothing.
@@ -123,6 +125,11 @@
         self.arrived += class.weight();
     }
 
+    /// Whether a request of this class, which is among the contenders, is the only one.
+    pub fn is_only(&self, class: Class) -> bool {
+        self.weight() <= f64::from(class.weight())
+    }
+
     /// Requests that are served before a new one of this class.
     pub fn ahead_of(&self, class: Class) -> u32 {
         self.waiting[..=class.0].iter().sum()
@@ -137,17 +144,15 @@
     }
 }
 
-/// Probability with which one of the `contenders`, of this class, takes one of the `free` places while the counts
-/// are old, so that all contenders together take no more than are free. Late requests have
-/// the smallest share, of free slots only.
+/// Probability with which one of the `contenders`, of this class, takes one of the `free` places
+/// while the counts are old, so that all contenders together take no more than are free. Late
+/// requests have the smallest share, of free slots only.
 pub fn share(free: u32, contenders: &Contenders, class: Class) -> f64 {
     let free = f64::from(free);
-    let weight = f64::from(class.weight());
-    let all = contenders.weight();
-    if all <= weight {
+    if contenders.is_only(class) {
         return free.min(1.0);
     }
-    (GAIN * free * weight / all).min(1.0)
+    (GAIN * free * f64::from(class.weight()) / contenders.weight()).min(1.0)
 }
 
 /// Time in milliseconds after which a new contender of this class can expect to be sent.
@@ -177,7 +182,7 @@
     position: f64,
 ) -> f64 {
     let mut ahead = *contenders;
-    let beside = position * f64::from(contenders.arrived);
+    let beside = position * f64::from(contenders.arrived) / USUAL_WEIGHT;
     ahead.waiting[0] += contenders.promised + beside as u32;
     expected_wait(engines, begin_within_ms, &ahead, class)
 }
@@ -245,10 +250,22 @@
         self.promises.push(at);
     }
 
-    /// Adds a waiting request, which was recorded as an arrival and must be sent until the given time.
-    /// Returns its number.
-    pub fn join(&mut self, now: Timestamp, class: Class, until: Timestamp) -> u64 {
-        self.arrivals.pop_back();
+    /// Adds a waiting request, which must be sent until the given time. It no longer counts as an
+    /// arrival, if it was recorded as one. Returns its number.
+    pub fn join(
+        &mut self,
+        now: Timestamp,
+        class: Class,
+        until: Timestamp,
+        is_arrival: bool,
+    ) -> u64 {
+        let own = self
+            .arrivals
+            .iter()
+            .rposition(|(_, arrived)| *arrived == class);
+        if let Some(index) = own.filter(|_| is_arrival) {
+            self.arrivals.remove(index);
+        }
         self.next_number += 1;
         if self.waiters.is_empty() {
             self.drawn_until = now;
@@ -266,12 +283,16 @@
         self.waiters.retain(|waiter| waiter.number != number);
     }
 
-    /// Updates a waiting request. Returns the fraction of a share that it may draw with: nothing
-    /// unless it is the first of this gateway, which draws for all of them.
-    pub fn draw(&mut self, now: Timestamp, number: u64, class: Class, until: Timestamp) -> f64 {
+    /// Updates a waiting request.
+    pub fn update(&mut self, number: u64, class: Class, until: Timestamp) {
         if let Some(waiter) = self.waiters.iter_mut().find(|known| known.number == number) {
             (waiter.class, waiter.until) = (class, until);
         }
+    }
+
+    /// The fraction of a share that a waiting request may draw with while places are free: nothing
+    /// unless it is the first of this gateway, which draws for all of them.
+    pub fn draw(&mut self, now: Timestamp, number: u64) -> f64 {
         let count = self.waiters.len() as f64;
         let order = |waiter: &&Waiter| (waiter.class, waiter.until, waiter.number);
         let first = self.waiters.iter().min_by_key(order);
--- a/crates/fleet/tests/engine_queue.rs
+++ b/crates/fleet/tests/engine_queue.rs
@@ -90,13 +90,13 @@
     let mut queue = ModelQueue::default();
     let (timely, late) = (Class::of(1, true, false), Class::of(1, false, false));
     let soon = Timestamp(3_000);
-    let first = queue.join(Timestamp(1_000), late, soon);
-    let second = queue.join(Timestamp(1_000), timely, soon);
-    assert_eq!(queue.draw(Timestamp(1_250), first, late, soon), 0.0);
-    assert_eq!(queue.draw(Timestamp(1_250), second, timely, soon), 1.0);
-    assert_eq!(queue.draw(Timestamp(1_250), second, timely, soon), 0.0);
+    let first = queue.join(Timestamp(1_000), late, soon, false);
+    let second = queue.join(Timestamp(1_000), timely, soon, false);
+    assert_eq!(queue.draw(Timestamp(1_250), first), 0.0);
+    assert_eq!(queue.draw(Timestamp(1_250), second), 1.0);
+    assert_eq!(queue.draw(Timestamp(1_250), second), 0.0);
     queue.leave(second);
-    assert_eq!(queue.draw(Timestamp(1_500), first, late, soon), 0.5);
+    assert_eq!(queue.draw(Timestamp(1_500), first), 0.5);
 }
 
 /// How gateways take free places.
@@ -326,7 +326,13 @@
         }
         let portion = match request.number {
             0 => 1.0,
-            number => queue.draw(time, number, class, until),
+            number => {
+                queue.update(number, class, until);
+                match contenders.is_only(class) || free == 0 {
+                    true => 1.0,
+                    false => queue.draw(time, number),
+                }
+            }
         };
         let may_send = match self.way {
             Way::Unbounded => true,
@@ -351,7 +357,7 @@
         let can_wait = left.map_or(GIVE_UP_MS as f64, |left| left / WAIT_MARGIN);
         let has_ended = now >= until.0;
         if request.number == 0 && wait <= can_wait {
-            request.number = queue.join(time, class, until);
+            request.number = queue.join(time, class, until, load.is_crowded());
             request.expected = wait;
         }
         if request.number > 0 && !has_ended {
--- a/crates/gateway/src/admission/full_engines.rs
+++ b/crates/gateway/src/admission/full_engines.rs
@@ -8,7 +8,9 @@
 use std::time::Duration;
 
 use gorsebank_coordination::Timestamp;
-use gorsebank_fleet::engine_queue::{Class, EngineLoad, expected_wait, return_after, share};
+use gorsebank_fleet::engine_queue::{
+    Class, Contenders, EngineLoad, expected_wait, return_after, share,
+};
 use gorsebank_world::ModelId;
 use tokio::time::Instant;
 
@@ -33,14 +35,17 @@
     pub bound: u32,
     /// Requests of all gateways that go before this one.
     pub ahead: u32,
+    /// Whether the request was counted as an arrival.
+    is_arrival: bool,
 }
 
-/// The engines that the request may be sent to now.
+/// The engines that the request may be sent to now. It counts as an arrival at its first look only.
 pub(super) fn below_bound(
     call: &Call,
     now: Timestamp,
     engines: Vec<Arc<BackEnd>>,
     place: Option<&QueuePlace<'_>>,
+    is_first_look: bool,
 ) -> Result<Vec<Arc<BackEnd>>, FullEngines> {
     let Some(model) = bounded_model(call) else {
         return Ok(engines);
@@ -48,32 +53,30 @@
     let Some(loads) = engine_loads(call, now, model, &engines) else {
         return Ok(engines);
     };
+    let begin_within_ms = begin_within(call).map(|left| left.as_secs_f64() * 1_000.0);
+    let is_roomy = |load: &EngineLoad| !load.is_crowded() && load.free(begin_within_ms) > 0;
+    if place.is_none() && loads.iter().any(is_roomy) {
+        return Ok(with_room(engines, &loads, begin_within_ms));
+    }
     let queues = &call.shared.engine_queues;
     let mut contenders = {
         let running = call.shared.feed.running.lock();
         queues.contenders(now, &running, &call.service, model)
     };
-    let begin_within_ms = begin_within(call).map(|left| left.as_secs_f64() * 1_000.0);
     let class = class(call);
     let free: u32 = loads.iter().map(|load| load.free(begin_within_ms)).sum();
-    let portion = match place {
-        Some(place) => place.draw(now, class),
-        None => {
-            contenders.add_arrival(class);
-            1.0
-        }
-    };
-    if place.is_none() && loads.iter().all(EngineLoad::is_crowded) {
+    let is_arrival = place.is_none() && is_first_look;
+    match place {
+        Some(place) => place.update(now, class),
+        None => contenders.add_arrival(class),
+    }
+    if is_arrival {
         queues.with_queue(&call.service, model, |queue| {
             queue.record_arrival(now, class)
         });
     }
-    let probability = share(free, &contenders, class) * portion;
-    if free > 0 && rand::random::<f64>() < probability {
-        let mut has_room = loads.iter().map(|load| load.free(begin_within_ms) > 0);
-        let mut engines = engines;
-        engines.retain(|_| has_room.next().unwrap_or(true));
-        return Ok(engines);
+    if free > 0 && takes_place(now, place, free, &contenders, class) {
+        return Ok(with_room(engines, &loads, begin_within_ms));
     }
     if place.is_some() {
         contenders.remove(class);
@@ -88,9 +91,37 @@
         running: least.map_or(0, |load| load.running),
         bound: least.map_or(0, |load| load.bound(begin_within_ms)),
         ahead: contenders.ahead_of(class),
+        is_arrival,
     })
 }
 
+/// Whether the request takes one of the free places. A waiting request looks again many times while
+/// the counts are old, and draws with a part of its share each time, unless nobody else contends.
+fn takes_place(
+    now: Timestamp,
+    place: Option<&QueuePlace<'_>>,
+    free: u32,
+    contenders: &Contenders,
+    class: Class,
+) -> bool {
+    let portion = match place {
+        Some(place) if !contenders.is_only(class) => place.draw(now),
+        _ => 1.0,
+    };
+    rand::random::<f64>() < share(free, contenders, class) * portion
+}
+
+/// The engines with a free place.
+fn with_room(
+    mut engines: Vec<Arc<BackEnd>>,
+    loads: &[EngineLoad],
+    begin_within_ms: Option<f64>,
+) -> Vec<Arc<BackEnd>> {
+    let mut has_room = loads.iter().map(|load| load.free(begin_within_ms) > 0);
+    engines.retain(|_| has_room.next().unwrap_or(true));
+    engines
+}
+
 /// Records that the request is refused, and that its caller is told to return after this time.
 pub(super) fn record_refusal(call: &Call, retry_after: Duration) {
     call.shared.metrics.record_engine_queue("refused");
@@ -170,7 +201,7 @@
         let now = call.shared.now();
         let queues = &call.shared.engine_queues;
         let number = queues.with_queue(&call.service, model, |queue| {
-            queue.join(now, class(call), give_up_at(call, now))
+            queue.join(now, class(call), give_up_at(call, now), full.is_arrival)
         });
         Some(QueuePlace {
             call,
@@ -187,10 +218,17 @@
         self.is_sent = true;
     }
 
-    fn draw(&self, now: Timestamp, class: Class) -> f64 {
+    fn update(&self, now: Timestamp, class: Class) {
+        let queues = &self.call.shared.engine_queues;
+        queues.with_queue(&self.call.service, self.model, |queue| {
+            queue.update(self.number, class, give_up_at(self.call, now));
+        });
+    }
+
+    fn draw(&self, now: Timestamp) -> f64 {
         let queues = &self.call.shared.engine_queues;
         queues.with_queue(&self.call.service, self.model, |queue| {
-            queue.draw(now, self.number, class, give_up_at(self.call, now))
+            queue.draw(now, self.number)
         })
     }
 }
--- a/crates/gateway/src/admission/mod.rs
+++ b/crates/gateway/src/admission/mod.rs
@@ -42,6 +42,7 @@
     let started = Instant::now();
     let mut waiting_guard = None;
     let mut place: Option<QueuePlace<'_>> = None;
+    let mut is_first_look = true;
     loop {
         changes.mark_unchanged();
         if let Some(left) = call.quarantine_left() {
@@ -52,7 +53,9 @@
             let _ = changes.changed().await;
             continue;
         }
-        let missing = match pick_back_end(call, tried, place.as_ref()) {
+        let picked = pick_back_end(call, tried, place.as_ref(), is_first_look);
+        is_first_look = false;
+        let missing = match picked {
             Ok(chosen) => {
                 if !wait_for_capacity(call, &chosen).await {
                     continue;
@@ -187,11 +190,12 @@
     call: &Call,
     tried: &[BackEndId],
     place: Option<&QueuePlace<'_>>,
+    is_first_look: bool,
 ) -> Result<ChosenBackEnd, Missing> {
     let now = call.shared.now();
     let back_ends = eligible(call, now, tried)?;
-    let back_ends =
-        below_bound(call, now, back_ends, place).map_err(|full| missing_room(call, now, full))?;
+    let back_ends = below_bound(call, now, back_ends, place, is_first_look)
+        .map_err(|full| missing_room(call, now, full))?;
     let chosen = choose_back_end(call, now, &back_ends)
         .ok_or_else(|| missing_capacity(call, now, &back_ends))?;
     if let Some(model) = &call.metadata.model {
