--- a/crates/gateway/src/tenant_quotas/mod.rs
+++ b/crates/gateway/src/tenant_quotas/mod.rs
@@ -111,8 +111,8 @@
 
     /// Applies the refunds of a message, unless a message with the same number has been applied.
     fn apply_refunds(&mut self, now: Timestamp, request: &QuotaRequest) {
-        let is_new = |number| self.refund_messages.record(now, number);
-        if !request.refund_message.is_none_or(is_new) {
+        let is_applied_now = |number| self.refund_messages.record(now, number);
+        if !request.refund_message.is_none_or(is_applied_now) {
             return;
         }
         let refunds = request.refunds.iter().chain(&request.repeated_refunds);
@@ -141,8 +141,8 @@
     shards: [Mutex<Shard>; QUOTA_SHARDS],
     /// Notified when a ledger should be saved soon.
     pub save_wanted: Notify,
-    /// Notified when refunds wait to be sent.
-    pub refunds_pending: Notify,
+    /// Notified when refunds of a shard wait to be sent.
+    pub refunds_pending: [Notify; QUOTA_SHARDS],
     denials: Mutex<DenialCache>,
     /// Gateways that did not respond, and the end of their cooldown.
     cooldowns: Mutex<HashMap<NodeId, Instant>>,
--- a/crates/gateway/src/tenant_quotas/refunds.rs
+++ b/crates/gateway/src/tenant_quotas/refunds.rs
@@ -26,23 +26,30 @@
 /// leave the window by themselves.
 const MAX_PENDING_REFUNDS: usize = 256;
 
-/// Sends refunds until the future is dropped.
+/// Sends refunds until the future is dropped. A holder that does not respond delays the refunds of
+/// its own shard only.
 pub async fn run(shared: Arc<Shared>) {
+    join_all((0..QUOTA_SHARDS).map(|shard| send_refunds_of_shard(&shared, shard))).await;
+}
+
+async fn send_refunds_of_shard(shared: &Shared, shard: usize) {
+    let send = |holder, request| shared.send_quota_request(holder, request);
+    let quotas = &shared.tenant_quotas;
     loop {
-        shared.tenant_quotas.refunds_pending.notified().await;
+        quotas.refunds_pending[shard].notified().await;
         sleep(COLLECTION_TIME).await;
-        let send = |holder, request| shared.send_quota_request(holder, request);
-        shared.tenant_quotas.send_refunds(send).await;
+        quotas.send_refunds_of(shard, &send).await;
     }
 }
 
 impl TenantQuotas {
     /// Refunds a request that was charged and is known not to have run.
     pub fn refund(&self, grant: Grant) {
-        let mut shard = self.shards[grant.shard].lock();
+        let index = grant.shard;
+        let mut shard = self.shards[index].lock();
         if shard.refunds.len() >= MAX_PENDING_REFUNDS {
             drop(shard);
-            log_dropped(grant.shard, 1, "too_many");
+            log_dropped(index, 1, "too_many");
             return;
         }
         shard.refunds.push(Refund {
@@ -52,7 +59,7 @@
             granted_at: grant.granted_at,
         });
         drop(shard);
-        self.refunds_pending.notify_one();
+        self.refunds_pending[index].notify_one();
     }
 
     /// Sends all pending refunds. `send` sends a request to a gateway, this one included, and
@@ -82,7 +89,13 @@
         }
         sleep(REPEAT_PAUSE).await;
         if self.send_to_holder(shard, repeated, send).await.is_none() {
-            log_dropped(shard, count, "no_response");
+            let has_holder = self.shards[shard].lock().holder.is_some();
+            let reason = if has_holder {
+                "no_response"
+            } else {
+                "no_holder"
+            };
+            log_dropped(shard, count, reason);
         }
     }
 
