--- a/crates/fleet/tests/prefill_pacing.rs
+++ b/crates/fleet/tests/prefill_pacing.rs
@@ -53,7 +53,7 @@
 }
 
 #[test]
-fn pause_without_prompts_sets_no_limit() {
+fn pause_with_too_few_prompts_sets_no_limit() {
     let mut pacer = PrefillPacer::default();
     wait(&mut pacer, Timestamp(1_000), prompt(700, URGENT_WAIT_MS));
     assert_eq!(pacer.record_pause(Timestamp(1_400), &pause(350)), None);
@@ -107,8 +107,11 @@
 }
 
 #[test]
-fn limit_is_dropped_after_a_time_without_pauses() {
-    let (mut pacer, _) = limited_pacer(Timestamp(1_000), 9_000);
+fn limit_is_dropped_after_a_time_without_pauses_only() {
+    let (mut pacer, limit) = limited_pacer(Timestamp(1_000), 9_000);
+    let soon = Timestamp(15_000);
+    wait(&mut pacer, soon, prompt(2 * limit as u32, URGENT_WAIT_MS));
+    assert!(wait(&mut pacer, soon, prompt(100, URGENT_WAIT_MS)) > 0);
     let later = Timestamp(60_000);
     let waits = (0..10).map(|_| wait(&mut pacer, later, prompt(4_000, PATIENT_WAIT_MS)));
     assert_eq!(waits.sum::<u64>(), 0);
--- a/crates/gateway/tests/prefill_pacing.rs
+++ b/crates/gateway/tests/prefill_pacing.rs
@@ -81,9 +81,20 @@
 
 #[test]
 fn earlier_build_reads_the_request_as_a_charge_to_no_tenant() {
+    /// The fields that the build before reads.
+    #[derive(serde::Deserialize)]
+    struct EarlierRequest {
+        #[serde(rename = "t")]
+        tenant: String,
+        #[serde(rename = "c")]
+        cost: f64,
+        #[serde(rename = "b", default)]
+        send_time: Option<serde_json::Value>,
+    }
     let message = serde_json::to_value(QuotaRequest::for_prefill(prompt(7))).expect("it is valid");
-    assert_eq!(message["t"], "");
-    assert_eq!(message["c"], 0.0);
+    let read: EarlierRequest = serde_json::from_value(message).expect("it can be read");
+    assert_eq!((read.tenant.as_str(), read.cost), ("", 0.0));
+    assert!(read.send_time.is_none());
     let without = serde_json::to_value(QuotaRequest::without_charge()).expect("it is valid");
     assert_eq!(without.get("p"), None);
 }
