Log why a back end is not reached, and where the evidence of an exit comes from

New: lines back_end_connect and back_end_exit, counters gateway_back_end_connects_total{path,result} and gateway_back_end_exits_total{source}.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -21,6 +21,7 @@
 use crate::back_end::{BackEnd, Connection, InFlight, PendingPrefill};
 use crate::directory::Directory;
 use crate::event_log::{self, LogPriority};
+use crate::http_connection::connect_failure;
 use crate::lost_connection;
 use crate::ports::{AttemptHeaders, ResponseMetadata};
 use crate::request::Call;
@@ -143,10 +144,13 @@
             .shared
             .metrics
             .record_connect_time(started_at.elapsed());
-        let Ok(Ok(connection)) = connecting else {
-            self.record_unreachable();
-            return AttemptResult::NotSent("not_connected");
+        let connection = match connecting {
+            Ok(Ok(connection)) => connection,
+            Ok(Err(error)) => return self.conclude_unconnected(connect_failure(&error)),
+            Err(_) => return self.conclude_unconnected("deadline"),
         };
+        let metrics = &self.call.shared.metrics;
+        metrics.record_back_end_connect("direct", "connected");
         let result = self.exchange(connection, false).await;
         self.conclude(result, load).await
     }
@@ -167,6 +171,18 @@
         }
     }
 
+    fn conclude_unconnected(&self, cause: &'static str) -> AttemptResult {
+        let shared = &self.call.shared;
+        shared.metrics.record_back_end_connect("direct", cause);
+        let fields = format_args!(
+            "request={} back_end={} path=direct result={cause}",
+            self.call.metadata.id, self.back_end.id
+        );
+        event_log::write(LogPriority::Decision, "back_end_connect", fields);
+        self.record_unreachable();
+        AttemptResult::NotSent("not_connected")
+    }
+
     fn record_unreachable(&self) {
         let now = self.call.shared.now();
         self.back_end
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -401,11 +401,20 @@
         exited.map(|entry| entry.report.id.clone()).collect()
     }
 
-    /// Records exits of back ends that other gateways have reported.
-    pub fn record_exits(&self, now: Timestamp, exited: &HashSet<IncarnationHash>) {
-        let entries = self.entries.values();
-        let known = entries.filter(|entry| exited.contains(&entry.back_end.incarnation_hash));
-        known.for_each(|entry| entry.back_end.record_exit(now));
+    /// Records exits of back ends that other gateways have reported. Returns the back ends whose
+    /// exit was unknown.
+    pub fn record_exits(
+        &self,
+        now: Timestamp,
+        exited: &HashSet<IncarnationHash>,
+    ) -> Vec<Arc<BackEnd>> {
+        let back_ends = self.entries.values().map(|entry| &entry.back_end);
+        let is_new = |back_end: &&Arc<BackEnd>| {
+            exited.contains(&back_end.incarnation_hash) && !back_end.has_exited(now)
+        };
+        let newly_exited: Vec<_> = back_ends.filter(is_new).cloned().collect();
+        newly_exited.iter().for_each(|it| it.record_exit(now));
+        newly_exited
     }
 
     /// Numbers of requests of this gateway in flight at each back end.
--- a/crates/gateway/src/http_connection.rs
+++ b/crates/gateway/src/http_connection.rs
@@ -1,5 +1,6 @@
 //! HTTP/1.1 client connections to one address, and a pool of them.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -13,6 +14,16 @@
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
+/// Why a connection could not be opened, for log lines and metrics.
+pub fn connect_failure(error: &std::io::Error) -> &'static str {
+    match error.kind() {
+        ErrorKind::ConnectionRefused => "refused",
+        ErrorKind::ConnectionReset => "reset",
+        ErrorKind::TimedOut => "timed_out",
+        _ => "failed",
+    }
+}
+
 /// A connection that is closed when dropped.
 #[derive(Debug)]
 pub struct HttpConnection {
--- a/crates/gateway/src/lost_connection.rs
+++ b/crates/gateway/src/lost_connection.rs
@@ -38,6 +38,7 @@
         );
         event_log::write(LogPriority::Decision, "connection_lost", fields);
         if has_exited && was_active {
+            shared.log_exit(&back_end, "own");
             shared.record_crash(fingerprint, back_end.incarnation_hash);
         } else if was_active {
             back_end.record_lost(shared.now(), fingerprint);
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -32,6 +32,10 @@
     tenants: Mutex<BTreeSet<String>>,
     /// Attempts at back ends, by result.
     pub attempts: IntCounterVec,
+    /// Connections that were opened to back ends, by path and result.
+    back_end_connects: IntCounterVec,
+    /// Exits of back ends that this gateway has concluded or learned of, by source.
+    back_end_exits: IntCounterVec,
     /// Requests for send times at back ends that state a limit, by result.
     pub reservations: IntCounterVec,
     /// Requests that waited for full engines or were refused for them, by result.
@@ -76,6 +80,18 @@
             )?,
             tenants: Mutex::default(),
             attempts: counters("gateway_attempts_total", "Sends by result", "result")?,
+            back_end_connects: IntCounterVec::new(
+                Opts::new(
+                    "gateway_back_end_connects_total",
+                    "Connections opened to back ends by path and result",
+                ),
+                &["path", "result"],
+            )?,
+            back_end_exits: counters(
+                "gateway_back_end_exits_total",
+                "Exits of back ends by source of the evidence",
+                "source",
+            )?,
             prompt_sends: counters(
                 "gateway_prompt_sends_total",
                 "Requests for send times of prompts by result",
@@ -127,6 +143,8 @@
             &self.requests,
             &self.tenant_requests,
             &self.attempts,
+            &self.back_end_connects,
+            &self.back_end_exits,
             &self.reservations,
             &self.engine_queue,
             &self.prompt_sends,
@@ -160,6 +178,17 @@
         Ok(())
     }
 
+    /// Counts a connection to a back end that was opened, or could not be, over a path.
+    pub fn record_back_end_connect(&self, path: &str, result: &str) {
+        let labels = [path, result];
+        self.back_end_connects.with_label_values(&labels).inc();
+    }
+
+    /// Counts the exit of a back end, by where the evidence comes from.
+    pub fn record_back_end_exit(&self, source: &str) {
+        self.back_end_exits.with_label_values(&[source]).inc();
+    }
+
     /// Counts a request that waited for full engines, or was refused for them.
     pub fn record_engine_queue(&self, result: &str) {
         self.engine_queue.with_label_values(&[result]).inc();
--- a/crates/gateway/src/shared/outcomes.rs
+++ b/crates/gateway/src/shared/outcomes.rs
@@ -11,6 +11,8 @@
 use gorsebank_fleet::quarantine::{EventSource, IncarnationHash, OutcomeNotice, RunOutcome};
 
 use super::Shared;
+use crate::back_end::BackEnd;
+use crate::event_log::{self, LogPriority};
 use crate::quarantine::QuarantineUpdate;
 
 impl Shared {
@@ -45,11 +47,25 @@
         let crashed: HashSet<IncarnationHash> = crashed.collect();
         if !crashed.is_empty() {
             let now = self.now();
-            self.directory(|directory| directory.record_exits(now, &crashed));
+            let newly_exited = self.directory(|directory| directory.record_exits(now, &crashed));
+            for back_end in newly_exited {
+                self.log_exit(&back_end, "gateway");
+            }
             self.notify_changed();
         }
     }
 
+    /// Logs and counts that a back end is taken to have exited, and where the evidence comes from.
+    pub fn log_exit(&self, back_end: &BackEnd, source: &str) {
+        self.metrics.record_back_end_exit(source);
+        let fields = format_args!(
+            "back_end={} source={source} in_flight={}",
+            back_end.id,
+            back_end.in_flight()
+        );
+        event_log::write(LogPriority::Decision, "back_end_exit", fields);
+    }
+
     /// Merges outcomes from the quarantine row, which were recorded before this process started.
     pub fn merge_stored_outcomes(&self, notices: &[OutcomeNotice]) {
         if self
