Reach back ends through other gateways while a gateway's own links are cut

Cause: a gateway took what its own links showed for facts about the back ends. It had one path to a back end, so a cut path was a failed back end; and a reset connection with a refused new one was an exit, which every gateway believed for ten seconds. Evidence: 24 lines connection_lost ended=true although no back end ended, refusals at the others without a failed attempt until 15.0, ten seconds after the first of these lines.

Change: a peer opens a tunnel, a connection of its own that only copies bytes; the gateway that took the request keeps every decision, so at-most-once, whole responses and cancellation by closing are as before. Direct connection and tunnel race with a head start of 100 ms; several distinct unreachable back ends with none reached since make the gateway suspect its links, ask peers first and probe directly four times a second. While it does, failures are not booked on the back ends. An exit needs a witness that observes the refusal while it reaches others; if nobody can look, the gateway must reach most others itself.

--- a/crates/gateway/src/admission/mod.rs
+++ b/crates/gateway/src/admission/mod.rs
@@ -296,6 +296,10 @@
 ) -> Result<Vec<Arc<BackEnd>>, Missing> {
     let unpaused = call.shared.without_paused(now, back_ends);
     let unpaused = unpaused.map_err(Missing::Pause)?;
+    if call.shared.links.is_suspect(now) {
+        // The back ends were paused because of this gateway's links.
+        return Ok(unpaused);
+    }
     let responding: Vec<Arc<BackEnd>> = unpaused
         .iter()
         .filter(|back_end| !back_end.health().is_paused(now))
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -17,11 +17,11 @@
 use hyper::body::Incoming;
 use tokio::time::{Instant, timeout_at};
 
-use crate::attempts::{Attempts, CONNECTION_LOST, PAUSED};
+use crate::attempts::{Attempts, CONNECTION_LOST, NO_PATH, PAUSED};
 use crate::back_end::{BackEnd, Connection, InFlight, PendingPrefill};
 use crate::directory::Directory;
 use crate::event_log::{self, LogPriority};
-use crate::http_connection::connect_failure;
+use crate::links::{self, ConnectError};
 use crate::lost_connection;
 use crate::ports::{AttemptHeaders, ResponseMetadata};
 use crate::request::Call;
@@ -130,7 +130,11 @@
     async fn send(&mut self, load: AttemptLoad) -> AttemptResult {
         let suspended = self.call.shared.clock.total_suspension();
         for _ in 0..MAX_IDLE_TRIES {
-            let Some(connection) = self.back_end.take_idle_connection(suspended) else {
+            let links = &self.call.shared.links;
+            let now = self.call.shared.now();
+            let is_usable = |it: &Connection| links.is_usable(now, self.back_end, it);
+            let idle = self.back_end.take_idle_connection(suspended, is_usable);
+            let Some(connection) = idle else {
                 break;
             };
             match self.exchange(connection, true).await {
@@ -139,18 +143,20 @@
             }
         }
         let started_at = Instant::now();
-        let connecting = timeout_at(self.call.deadline(), self.back_end.connect()).await;
+        let connecting = timeout_at(
+            self.call.deadline(),
+            links::connect(&self.call.shared, self.back_end),
+        )
+        .await;
         self.call
             .shared
             .metrics
             .record_connect_time(started_at.elapsed());
         let connection = match connecting {
             Ok(Ok(connection)) => connection,
-            Ok(Err(error)) => return self.conclude_unconnected(connect_failure(&error)),
-            Err(_) => return self.conclude_unconnected("deadline"),
+            Ok(Err(error)) => return self.conclude_unconnected(error),
+            Err(_) => return AttemptResult::NotSent("not_connected"),
         };
-        let metrics = &self.call.shared.metrics;
-        metrics.record_back_end_connect("direct", "connected");
         let result = self.exchange(connection, false).await;
         self.conclude(result, load).await
     }
@@ -171,16 +177,19 @@
         }
     }
 
-    fn conclude_unconnected(&self, cause: &'static str) -> AttemptResult {
-        let shared = &self.call.shared;
-        shared.metrics.record_back_end_connect("direct", cause);
+    fn conclude_unconnected(&self, error: ConnectError) -> AttemptResult {
         let fields = format_args!(
-            "request={} back_end={} path=direct result={cause}",
+            "request={} back_end={} result={error}",
             self.call.metadata.id, self.back_end.id
         );
         event_log::write(LogPriority::Decision, "back_end_connect", fields);
-        self.record_unreachable();
-        AttemptResult::NotSent("not_connected")
+        match error {
+            ConnectError::BackEnd(_) => {
+                self.record_unreachable();
+                AttemptResult::NotSent("not_connected")
+            }
+            ConnectError::NoPath => AttemptResult::NotSent(NO_PATH),
+        }
     }
 
     fn record_unreachable(&self) {
@@ -240,13 +249,16 @@
                     sent,
                 }))
             }
-            Err(mut error) => match error.take_message() {
-                Some(_) => {
-                    self.call.clear_in_doubt();
-                    ExchangeResult::Unsent
+            Err(mut error) => {
+                self.call.shared.links.record_lost(&connection);
+                match error.take_message() {
+                    Some(_) => {
+                        self.call.clear_in_doubt();
+                        ExchangeResult::Unsent
+                    }
+                    None => ExchangeResult::Failed(CONNECTION_LOST),
                 }
-                None => ExchangeResult::Failed(CONNECTION_LOST),
-            },
+            }
         }
     }
 }
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -22,6 +22,8 @@
 pub const CONNECTION_LOST: &str = "connection_lost";
 /// Reason: the connection was lost, and the back end's address refuses connections since.
 pub const BACK_END_ENDED: &str = "back_end_ended";
+/// Reason: this gateway's links are cut, and no other gateway reached the back end for it.
+pub const NO_PATH: &str = "no_path";
 /// Reason: nothing was sent, because the back end had requested a pause in the meantime.
 pub const PAUSED: &str = "paused";
 /// Minimum `Retry-After` when back ends reject requests.
@@ -58,6 +60,10 @@
         if reason == PAUSED {
             self.tried.pop();
         }
+        if reason == NO_PATH {
+            // The same holds for every other back end, and the caller may use another gateway.
+            return NextStep::GiveUp(call.refuse(NO_PATH, MIN_REJECTION_RETRY_AFTER));
+        }
         if self.sends < MAX_SENDS {
             return NextStep::Retry;
         }
--- a/crates/gateway/src/back_end.rs
+++ b/crates/gateway/src/back_end.rs
@@ -5,7 +5,6 @@
 //! request at the back end.
 
 use std::collections::{HashMap, VecDeque};
-use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
@@ -18,15 +17,12 @@
 use gorsebank_fleet::{BackEndReport, Born, CachedPrefixes, Fingerprint};
 use gorsebank_world::{AdapterId, BackEndId, ModelId, ServiceId};
 use parking_lot::Mutex;
-use tokio::net::TcpStream;
-use tokio::time::{Instant, timeout};
+use tokio::time::Instant;
 
 use crate::clock::MIN_SUSPENSION;
 use crate::http_connection::HttpConnection;
 use crate::ports::RequestMetadata;
 
-/// Maximum time to establish a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
 /// How long an idle connection is kept if the back end states no keep-alive timeout.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(4);
 /// Fraction of the stated keep-alive timeout during which an idle connection is used.
@@ -99,11 +95,22 @@
     pub seen: Timestamp,
 }
 
+/// The path of a connection to a back end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectionPath {
+    /// The gateway's own link.
+    Direct,
+    /// The link of the gateway at this address.
+    Peer(SocketAddr),
+}
+
 /// An open connection to a back end. Dropping it closes it at once.
 #[derive(Debug)]
 pub struct Connection {
     /// The HTTP connection.
     pub http: HttpConnection,
+    /// The path of the connection.
+    pub path: ConnectionPath,
     last_used: Instant,
     keep_alive: Duration,
 }
@@ -257,10 +264,14 @@
         self.pending_prefill_tokens.load(Ordering::Relaxed)
     }
 
-    /// Takes a ready connection from the pool, if there is one. `suspended` is the total time for
-    /// which the machine has been suspended: the back end may have closed connections that are
-    /// older than a suspension.
-    pub fn take_idle_connection(&self, suspended: Duration) -> Option<Connection> {
+    /// Takes a ready connection that is usable from the pool, if there is one. `suspended` is the
+    /// total time for which the machine has been suspended: the back end may have closed
+    /// connections that are older than a suspension.
+    pub fn take_idle_connection(
+        &self,
+        suspended: Duration,
+        is_usable: impl Fn(&Connection) -> bool,
+    ) -> Option<Connection> {
         let mut idle = self.idle.lock();
         let last_known_ms = self
             .suspended_ms
@@ -271,7 +282,7 @@
         idle.retain(Connection::is_reusable);
         let index = idle
             .iter()
-            .rposition(|connection| connection.http.sender.is_ready())?;
+            .rposition(|connection| connection.http.sender.is_ready() && is_usable(connection))?;
         Some(idle.remove(index))
     }
 
@@ -289,11 +300,14 @@
         idle.iter().any(Connection::is_reusable)
     }
 
-    /// Checks whether the process has exited: a connection was lost at `lost_at`, and the address
-    /// refuses connections since. A connection that the network resets, or a merely silent back
-    /// end, is no evidence of an exit. One check serves all requests that lost a connection before
-    /// it.
-    pub async fn check_for_exit(&self, now: Timestamp, lost_at: Instant) -> bool {
+    /// Checks whether the process has exited after a connection was lost at `lost_at`. One `check`
+    /// serves all requests that lost a connection before it.
+    pub async fn check_for_exit(
+        &self,
+        now: Timestamp,
+        lost_at: Instant,
+        check: impl Future<Output = bool>,
+    ) -> bool {
         let mut last = self.exit_check.lock().await;
         if self.has_exited(now) || last.is_some_and(|check| check.started >= lost_at) {
             return self.has_exited(now);
@@ -301,7 +315,7 @@
         *last = Some(ExitCheck {
             started: Instant::now(),
         });
-        if self.refuses_connections().await {
+        if check.await {
             self.record_exit(now);
         }
         self.has_exited(now)
@@ -314,6 +328,17 @@
         exited_at.is_some_and(|at| now.since(at) < EXIT_LIFETIME_MS)
     }
 
+    /// Withdraws the recorded exit if the back end was alive at least `margin_ms` milliseconds after
+    /// it. Returns whether there was such an exit.
+    pub fn refute_exit(&self, alive_at: Timestamp, margin_ms: u64) -> bool {
+        let mut exited_at = self.exited_at.lock();
+        let is_refuted = exited_at.is_some_and(|at| alive_at >= at + margin_ms);
+        if is_refuted {
+            *exited_at = None;
+        }
+        is_refuted
+    }
+
     /// Records that the process has exited, as observed by this gateway or another one.
     pub fn record_exit(&self, now: Timestamp) {
         *self.exited_at.lock() = Some(now);
@@ -339,27 +364,6 @@
         recent.map(|(request, _)| *request).collect()
     }
 
-    async fn refuses_connections(&self) -> bool {
-        let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address)).await;
-        let Ok(Err(error)) = connecting else {
-            return false;
-        };
-        matches!(
-            error.kind(),
-            ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset
-        )
-    }
-
-    /// Opens a new connection.
-    pub async fn connect(&self) -> std::io::Result<Connection> {
-        let http = HttpConnection::open(self.address, CONNECT_TIMEOUT).await?;
-        Ok(Connection {
-            http,
-            last_used: Instant::now(),
-            keep_alive: DEFAULT_KEEP_ALIVE,
-        })
-    }
-
     /// Returns a connection to the pool after a complete response, if fewer than `max_idle` are
     /// idle. `keep_alive` is the timeout that the response states.
     pub fn return_connection(
@@ -384,6 +388,21 @@
 }
 
 impl Connection {
+    /// Creates a connection that was just opened.
+    pub fn new(http: HttpConnection, path: ConnectionPath) -> Self {
+        Connection {
+            http,
+            path,
+            last_used: Instant::now(),
+            keep_alive: DEFAULT_KEEP_ALIVE,
+        }
+    }
+
+    /// Time since the last complete response on the connection, or since it was opened.
+    pub fn idle_time(&self) -> Duration {
+        self.last_used.elapsed()
+    }
+
     fn is_reusable(&self) -> bool {
         !self.http.sender.is_closed() && self.last_used.elapsed() < self.keep_alive
     }
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -21,6 +21,8 @@
 };
 use gorsebank_world::{AdapterId, BackEndId, ModelId, ServiceId, ZoneId};
 
+use rand::seq::IteratorRandom;
+
 use crate::back_end::{BackEnd, SeenRow};
 
 /// Time after the expected end of a load from which the load is no longer expected to succeed.
@@ -401,6 +403,17 @@
         exited.map(|entry| entry.report.id.clone()).collect()
     }
 
+    /// Up to `count` other back ends that accept requests and have not exited, chosen at random.
+    pub fn sample_others(&self, now: Timestamp, id: &BackEndId, count: usize) -> Vec<Arc<BackEnd>> {
+        let entries = self.entries.values();
+        let others = entries.filter(|entry| {
+            entry.is_active() && !entry.back_end.has_exited(now) && entry.report.id != *id
+        });
+        others
+            .map(|entry| entry.back_end.clone())
+            .sample(&mut rand::rng(), count)
+    }
+
     /// Records exits of back ends that other gateways have reported. Returns the back ends whose
     /// exit was unknown.
     pub fn record_exits(
--- a/crates/gateway/src/http_connection.rs
+++ b/crates/gateway/src/http_connection.rs
@@ -24,6 +24,16 @@
     }
 }
 
+/// Connects to an address within `connect_timeout`.
+pub async fn open_stream(
+    address: SocketAddr,
+    connect_timeout: Duration,
+) -> std::io::Result<TcpStream> {
+    let stream = timeout(connect_timeout, TcpStream::connect(address)).await??;
+    stream.set_nodelay(true)?;
+    Ok(stream)
+}
+
 /// A connection that is closed when dropped.
 #[derive(Debug)]
 pub struct HttpConnection {
@@ -35,8 +45,11 @@
 impl HttpConnection {
     /// Connects within `connect_timeout`.
     pub async fn open(address: SocketAddr, connect_timeout: Duration) -> std::io::Result<Self> {
-        let stream = timeout(connect_timeout, TcpStream::connect(address)).await??;
-        stream.set_nodelay(true)?;
+        HttpConnection::start(open_stream(address, connect_timeout).await?).await
+    }
+
+    /// Starts HTTP on a connection that was just opened.
+    pub async fn start(stream: TcpStream) -> std::io::Result<Self> {
         let result = handshake(TokioIo::new(stream)).await;
         let (sender, connection) = result.map_err(std::io::Error::other)?;
         let task = tokio::spawn(async move {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 //! - [`candidates`] chooses between several back ends.
 //! - [`engine_queues`] holds the queues for engines that are full.
 //! - [`back_end_limits`] enforces the limits that overloaded back ends state.
+//! - [`links`] connects to the back end, directly or through another gateway.
 //! - [`attempt`] sends the request once.
 //! - [`single_response`] and [`stream`] combine attempts into one response.
 //!
@@ -47,6 +48,7 @@
 pub mod holder;
 pub mod http_connection;
 mod lease_session;
+pub mod links;
 mod lost_connection;
 pub mod members;
 pub mod metrics;
--- /dev/null
+++ b/crates/gateway/src/links/connect.rs
@@ -0,0 +1,243 @@
+//! Opens a connection to a back end by the path that is likely to work.
+//!
+//! In: a back end, and what is known of the links. Out: a connection, or the reason why there is
+//! none. The paths race as in Happy Eyeballs (RFC 8305): the preferred one has a head start.
+
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::{Pin, pin};
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
+use gorsebank_fleet::PathOrder;
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+use tokio::time::timeout;
+
+use super::peers::PeerFault;
+use crate::back_end::{BackEnd, Connection, ConnectionPath};
+use crate::event_log::{self, LogPriority};
+use crate::http_connection::{HttpConnection, connect_failure, open_stream};
+use crate::relay::tunnel::{self, TunnelError};
+use crate::relay::{TunnelRefusal, TunnelRequest};
+use crate::shared::Shared;
+
+/// Maximum time to establish a direct connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
+/// Head start of the direct connection, and of each gateway over the next one: the lowest that
+/// RFC 8305 permits, and much longer than a connection takes.
+const HEAD_START: Duration = Duration::from_millis(100);
+/// Maximum number of gateways that are asked for one tunnel.
+const MAX_PEERS: usize = 3;
+
+/// Why there is no connection to a back end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectError {
+    /// The back end cannot be reached, for the given reason.
+    BackEnd(&'static str),
+    /// This gateway's links are suspected, and no other gateway reached the back end for it.
+    NoPath,
+}
+
+impl fmt::Display for ConnectError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            ConnectError::BackEnd(cause) => formatter.write_str(cause),
+            ConnectError::NoPath => formatter.write_str("no_path"),
+        }
+    }
+}
+
+/// Opens a connection to a back end, directly or through another gateway.
+pub async fn connect(
+    shared: &Arc<Shared>,
+    back_end: &Arc<BackEnd>,
+) -> Result<Connection, ConnectError> {
+    match shared.links.path_order(shared.now(), back_end) {
+        PathOrder::DirectFirst => connect_direct_first(shared, back_end).await,
+        PathOrder::PeersFirst => connect_peers_first(shared, back_end).await,
+    }
+}
+
+async fn connect_direct_first(
+    shared: &Arc<Shared>,
+    back_end: &Arc<BackEnd>,
+) -> Result<Connection, ConnectError> {
+    let mut direct = pin!(connect_directly(shared, back_end));
+    let error = match timeout(HEAD_START, direct.as_mut()).await {
+        Ok(Ok(connection)) => return Ok(connection),
+        Ok(Err(error)) => error,
+        Err(_) => return race(shared, back_end, direct).await,
+    };
+    let bridged = connect_through_peers(shared, back_end).await;
+    bridged.map_err(|_| ConnectError::BackEnd(connect_failure(&error)))
+}
+
+/// Asks other gateways while the direct connection has no reply.
+async fn race(
+    shared: &Arc<Shared>,
+    back_end: &Arc<BackEnd>,
+    mut direct: Pin<&mut impl Future<Output = io::Result<Connection>>>,
+) -> Result<Connection, ConnectError> {
+    let mut through_peers = pin!(connect_through_peers(shared, back_end));
+    let direct_error = |error: io::Error| ConnectError::BackEnd(connect_failure(&error));
+    tokio::select! {
+        result = direct.as_mut() => match result {
+            Ok(connection) => Ok(connection),
+            Err(error) => through_peers.await.map_err(|_| direct_error(error)),
+        },
+        result = through_peers.as_mut() => match result {
+            Ok(connection) => {
+                let now = shared.now();
+                shared.links.record_direct_failure(now, back_end);
+                shared.links.record_bridged(now, back_end);
+                Ok(connection)
+            }
+            Err(_) => direct.await.map_err(direct_error),
+        },
+    }
+}
+
+async fn connect_peers_first(
+    shared: &Arc<Shared>,
+    back_end: &Arc<BackEnd>,
+) -> Result<Connection, ConnectError> {
+    let is_suspect = shared.links.is_suspect(shared.now());
+    let probe = start_probe(shared, back_end);
+    let error = match connect_through_peers(shared, back_end).await {
+        Ok(connection) => return Ok(connection),
+        Err(error) => error,
+    };
+    let direct = match probe {
+        Some(probe) => probe.await.map_err(io::Error::other).flatten(),
+        None if is_suspect => return Err(error),
+        None => connect_directly(shared, back_end).await,
+    };
+    direct.map_err(|_| error)
+}
+
+/// Opens a direct connection in the background if the links are due to be probed.
+pub fn start_probe(
+    shared: &Arc<Shared>,
+    back_end: &Arc<BackEnd>,
+) -> Option<JoinHandle<io::Result<Connection>>> {
+    shared.links.take_probe(shared.now()).then(|| {
+        let (shared, back_end) = (shared.clone(), back_end.clone());
+        tokio::spawn(async move { connect_directly(&shared, &back_end).await })
+    })
+}
+
+/// Opens a direct connection to a back end.
+///
+/// # Errors
+///
+/// Fails if the back end refuses the connection or does not reply in time.
+pub async fn connect_directly(
+    shared: &Arc<Shared>,
+    back_end: &Arc<BackEnd>,
+) -> io::Result<Connection> {
+    let stream = open_directly(shared, back_end).await?;
+    let http = HttpConnection::start(stream).await?;
+    Ok(Connection::new(http, ConnectionPath::Direct))
+}
+
+/// Opens a direct connection without a protocol, and records the result.
+///
+/// # Errors
+///
+/// Fails if the back end refuses the connection or does not reply in time.
+pub async fn open_directly(shared: &Arc<Shared>, back_end: &BackEnd) -> io::Result<TcpStream> {
+    let result = open_stream(back_end.address, CONNECT_TIMEOUT).await;
+    let now = shared.now();
+    let label = match &result {
+        Ok(_) => {
+            shared.links.record_direct(now, back_end);
+            "connected"
+        }
+        Err(error) => {
+            shared.links.record_direct_failure(now, back_end);
+            connect_failure(error)
+        }
+    };
+    shared.metrics.record_back_end_connect("direct", label);
+    result
+}
+
+/// Opens a tunnel through one of several gateways, which are asked one after the other.
+async fn connect_through_peers(
+    shared: &Arc<Shared>,
+    back_end: &Arc<BackEnd>,
+) -> Result<Connection, ConnectError> {
+    let mut peers = shared.tunnel_peers(MAX_PEERS).into_iter();
+    let mut pending = FuturesUnordered::new();
+    loop {
+        match peers.next() {
+            Some(peer) => pending.push(connect_through(shared, back_end, peer)),
+            None if pending.is_empty() => return Err(ConnectError::NoPath),
+            None => {}
+        }
+        match timeout(HEAD_START, pending.next()).await {
+            Ok(Some(Ok(connection))) => return Ok(connection),
+            Ok(Some(Err(error @ ConnectError::BackEnd(_)))) => return Err(error),
+            Ok(Some(Err(ConnectError::NoPath)) | None) | Err(_) => {}
+        }
+    }
+}
+
+async fn connect_through(
+    shared: &Arc<Shared>,
+    back_end: &Arc<BackEnd>,
+    peer: SocketAddr,
+) -> Result<Connection, ConnectError> {
+    let request = TunnelRequest {
+        back_end: back_end.id.clone(),
+        incarnation: back_end.incarnation_hash,
+        is_exit_check: false,
+    };
+    let result = async {
+        let stream = tunnel::open(peer, &request).await?;
+        let http = HttpConnection::start(stream).await;
+        http.map_err(|_| TunnelError::NoReply)
+    };
+    let result = result.await;
+    let label = match &result {
+        Ok(_) => "connected",
+        Err(error) => error.as_str(),
+    };
+    shared.metrics.record_back_end_connect("peer", label);
+    let fields = format_args!("back_end={} peer={peer} result={label}", back_end.id);
+    event_log::write(LogPriority::Served, "tunnel", fields);
+    match result {
+        Ok(http) => {
+            shared.links.record_bridged(shared.now(), back_end);
+            Ok(Connection::new(http, ConnectionPath::Peer(peer)))
+        }
+        Err(TunnelError::Refused(refusal)) if refusal.shows_exit() => {
+            Err(ConnectError::BackEnd("refused"))
+        }
+        Err(error) => {
+            record_fault(shared, peer, error);
+            Err(ConnectError::NoPath)
+        }
+    }
+}
+
+/// Records why a gateway opened no tunnel, unless the reason concerns this back end only.
+fn record_fault(shared: &Shared, peer: SocketAddr, error: TunnelError) {
+    let fault = match error {
+        TunnelError::NoReply => PeerFault::NoReply,
+        TunnelError::Unsupported => PeerFault::Unsupported,
+        TunnelError::Refused(TunnelRefusal::UnknownBackEnd) => return,
+        TunnelError::Refused(TunnelRefusal::NotConnected { reaches_others, .. }) => {
+            if reaches_others {
+                return;
+            }
+            PeerFault::Unavailable
+        }
+        TunnelError::Refused(_) => PeerFault::Unavailable,
+    };
+    shared.links.record_peer_fault(peer, fault);
+}
--- a/crates/gateway/src/lost_connection.rs
+++ b/crates/gateway/src/lost_connection.rs
@@ -14,6 +14,7 @@
 use crate::back_end::BackEnd;
 use crate::directory::Directory;
 use crate::event_log::{self, LogPriority};
+use crate::links::exit_evidence;
 use crate::request::Call;
 
 /// Maximum time for which a request waits for the check of its back end. A refused connection is
@@ -30,7 +31,8 @@
         let id = &back_end.id;
         // A back end that is draining, or whose row is removed, exits as planned.
         let was_active = shared.directory(|directory: &Directory| directory.is_active(id));
-        let has_exited = back_end.check_for_exit(shared.now(), lost_at).await;
+        let check = exit_evidence::has_exited(&shared, &back_end);
+        let has_exited = back_end.check_for_exit(shared.now(), lost_at, check).await;
         let fields = format_args!(
             "request={request} fingerprint={fingerprint} back_end={id} ended={has_exited} \
              planned={}",
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -58,6 +58,8 @@
     pub table_era: IntGauge,
     /// Requests in progress.
     pub open_requests: IntGauge,
+    /// Tunnels that this gateway maintains for other gateways.
+    pub open_tunnels: IntGauge,
     /// Number of back ends with a known stated limit.
     pub stated_limits: IntGauge,
     /// Dropped log lines.
@@ -126,6 +128,10 @@
                 "Restores of the table from older copies",
             )?,
             open_requests: IntGauge::new("gateway_open_requests", "Requests being served")?,
+            open_tunnels: IntGauge::new(
+                "gateway_open_tunnels",
+                "Connections to back ends that serve other gateways",
+            )?,
             stated_limits: IntGauge::new("gateway_stated_limits", "Back ends that state a limit")?,
             dropped_lines: IntGauge::new("gateway_lines_left_out", "Log lines left out")?,
             queue_time: latency("gateway_queue_seconds", "Wait for a back end")?,
@@ -161,6 +167,7 @@
         let gauges = [
             &self.table_era,
             &self.open_requests,
+            &self.open_tunnels,
             &self.stated_limits,
             &self.dropped_lines,
         ];
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -16,8 +16,9 @@
 
 use crate::adaptive_timeout::AdaptiveTimeout;
 use crate::attempt::keep_alive_timeout;
-use crate::back_end::{BackEnd, Connection};
+use crate::back_end::{BackEnd, Connection, ConnectionPath};
 use crate::event_log::{self, LogPriority};
+use crate::links;
 use crate::ports::FencedOrder;
 use crate::shared::Shared;
 
@@ -34,7 +35,7 @@
 
 /// Polls an engine for its state. Returns `None` if the engine does not respond or its report
 /// cannot be read.
-pub async fn poll_engine(shared: &Shared, engine: &Arc<BackEnd>) -> Option<EngineReport> {
+pub async fn poll_engine(shared: &Arc<Shared>, engine: &Arc<BackEnd>) -> Option<EngineReport> {
     let request = shared.platform.report_request(&engine.id);
     let sent_at = Instant::now();
     let suspended = shared.clock.total_suspension();
@@ -71,13 +72,13 @@
 
 /// Sends an order. `still_valid` is called right before the order is written to the connection.
 pub async fn send_order(
-    shared: &Shared,
+    shared: &Arc<Shared>,
     engine: &Arc<BackEnd>,
     order: &FencedOrder<'_>,
     still_valid: impl Fn() -> bool,
 ) -> OrderResult {
     let request = shared.platform.order_request(order);
-    let sending = send_if_valid(shared, engine, request, still_valid);
+    let sending = send_if_valid(shared, engine, request, OrderPath::Direct, still_valid);
     let sent_at = Instant::now();
     let (response, connection) = match timeout(shared.order_timeout.current(), sending).await {
         Ok(Ok(result)) => result,
@@ -118,14 +119,36 @@
 }
 
 async fn send(
-    shared: &Shared,
+    shared: &Arc<Shared>,
     engine: &Arc<BackEnd>,
     request: Request<Bytes>,
 ) -> Option<(Response<Incoming>, Connection)> {
-    let (response, connection) = send_if_valid(shared, engine, request, || true).await.ok()?;
+    let (response, connection) = send_if_valid(shared, engine, request, OrderPath::Any, || true)
+        .await
+        .ok()?;
     Some((response?, connection))
 }
 
+/// The paths by which a message may reach an engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum OrderPath {
+    /// Polls may pass through another gateway.
+    Any,
+    /// Orders of one fencing token must come from one machine.
+    Direct,
+}
+
+async fn connect(
+    shared: &Arc<Shared>,
+    engine: &Arc<BackEnd>,
+    path: OrderPath,
+) -> Option<Connection> {
+    match path {
+        OrderPath::Any => links::connect(shared, engine).await.ok(),
+        OrderPath::Direct => links::connect_directly(shared, engine).await.ok(),
+    }
+}
+
 /// The request was not written: there is no connection, or the order is no longer valid.
 struct NotWritten;
 
@@ -133,14 +156,21 @@
 /// no wait lies between the check and the write. Returns no response if the connection was lost
 /// after the write.
 async fn send_if_valid(
-    shared: &Shared,
+    shared: &Arc<Shared>,
     engine: &Arc<BackEnd>,
     request: Request<Bytes>,
+    path: OrderPath,
     still_valid: impl Fn() -> bool,
 ) -> Result<(Option<Response<Incoming>>, Connection), NotWritten> {
-    let mut connection = match engine.take_idle_connection(shared.clock.total_suspension()) {
+    let now = shared.now();
+    let is_usable = |connection: &Connection| {
+        let is_permitted = path == OrderPath::Any || connection.path == ConnectionPath::Direct;
+        is_permitted && shared.links.is_usable(now, engine, connection)
+    };
+    let suspended = shared.clock.total_suspension();
+    let mut connection = match engine.take_idle_connection(suspended, is_usable) {
         Some(connection) => connection,
-        None => engine.connect().await.map_err(|_| NotWritten)?,
+        None => connect(shared, engine, path).await.ok_or(NotWritten)?,
     };
     if !still_valid() {
         return Err(NotWritten);
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -136,6 +136,7 @@
         tokio::spawn(members::remove_own_row(self.shared.clone()));
         let grace = self.shared.settings.bounds.shutdown_grace;
         self.connections.drain(grace, DRAIN_POLL).await;
+        self.shared.links.drain_tunnels(DRAIN_POLL).await;
         event_log::write(LogPriority::Decision, "stop", format_args!("phase=drained"));
     }
 }
--- a/crates/gateway/src/relay/message.rs
+++ b/crates/gateway/src/relay/message.rs
@@ -3,9 +3,9 @@
 
 use gorsebank_contract::{Transaction, TransactionResult};
 use gorsebank_fleet::DemandRow;
-use gorsebank_fleet::quarantine::OutcomeNotice;
+use gorsebank_fleet::quarantine::{IncarnationHash, OutcomeNotice};
 use gorsebank_fleet::running::Counts;
-use gorsebank_world::NodeId;
+use gorsebank_world::{BackEndId, NodeId};
 use serde::{Deserialize, Serialize};
 
 use crate::feed::{FeedRequest, FeedResponse};
@@ -35,6 +35,77 @@
     pub counts: Counts,
 }
 
+/// Asks a gateway to connect to a back end over its own link and to copy bytes both ways from then
+/// on. The sender uses the connection as if it were its own. A tunnel takes one hop at most.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TunnelRequest {
+    /// The back end.
+    pub back_end: BackEndId,
+    /// The incarnation that the sender knows.
+    pub incarnation: IncarnationHash,
+    /// Whether the sender only asks whether the receiver reaches the back end. The receiver then
+    /// tries even if it suspects its own links.
+    pub is_exit_check: bool,
+}
+
+/// The response to a [`TunnelRequest`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum TunnelResponse {
+    /// The connection to the back end is open, and bytes are copied from now on.
+    Opened,
+    /// There is no connection to the back end.
+    Refused(TunnelRefusal),
+}
+
+/// Why a gateway opens no tunnel.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum TunnelRefusal {
+    /// The gateway does not know this incarnation, or it is draining.
+    UnknownBackEnd,
+    /// The gateway needs its capacity for its own callers.
+    Overloaded,
+    /// The gateway is stopping.
+    Stopping,
+    /// The gateway suspects its own links to the back ends.
+    CutOff,
+    /// The back end did not accept the connection.
+    NotConnected {
+        /// Whether its address refused the connection; otherwise there was no reply.
+        is_refused: bool,
+        /// Whether the gateway reaches another back end at the same time.
+        reaches_others: bool,
+    },
+}
+
+impl TunnelRefusal {
+    /// Value for log lines and metric labels.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            TunnelRefusal::UnknownBackEnd => "unknown_back_end",
+            TunnelRefusal::Overloaded => "overloaded",
+            TunnelRefusal::Stopping => "stopping",
+            TunnelRefusal::CutOff => "cut_off",
+            TunnelRefusal::NotConnected { .. } => "not_connected",
+        }
+    }
+
+    /// Whether the gateway tried to reach the back end.
+    pub fn is_observation(self) -> bool {
+        matches!(self, TunnelRefusal::NotConnected { .. })
+    }
+
+    /// Whether the gateway observed that the back end does not listen, while it reached others.
+    pub fn shows_exit(self) -> bool {
+        matches!(
+            self,
+            TunnelRefusal::NotConnected {
+                is_refused: true,
+                reaches_others: true
+            }
+        )
+    }
+}
+
 /// A request from one gateway to another.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum RelayRequest {
@@ -67,6 +138,8 @@
     /// Send the outcomes that the sender and its children observed for requests under which back
     /// ends crashed.
     Quarantine(Vec<OutcomeNotice>),
+    /// Open a tunnel to a back end. No frame follows on the connection after the response.
+    Tunnel(TunnelRequest),
     /// Execute a transaction on the table.
     Transact(Transaction),
     /// Remove a row from the table.
@@ -113,6 +186,8 @@
     /// The acknowledgement of outcomes of requests under which back ends crashed.
     #[serde(rename = "Noted")]
     Acknowledged,
+    /// The response to a request for a tunnel.
+    Tunnel(TunnelResponse),
     /// The result of a transaction or a removal.
     Transacted(TransactionResult),
     /// The table did not respond, or the responding gateway does not reach it either.
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -7,7 +7,7 @@
 //!
 //! The same connections carry the other requests between gateways: for updates of the tables
 //! ([`crate::feed`]), for quotas ([`crate::tenant_quotas`]), and to send demand to the placement
-//! holder.
+//! holder. A gateway whose links to the back ends are cut reaches them by [`tunnel`]s.
 //!
 //! In: calls of this gateway and of other gateways. Out: the responses.
 
@@ -15,8 +15,12 @@
 mod message;
 mod server;
 mod table;
+pub mod tunnel;
 
 pub use client::RelayClient;
-pub use message::{GatewayDemand, RelayRequest, RelayResponse, RootCounts};
+pub use message::{
+    GatewayDemand, RelayRequest, RelayResponse, RootCounts, TunnelRefusal, TunnelRequest,
+    TunnelResponse,
+};
 pub use server::serve;
 pub use table::RelayedTable;
--- a/crates/gateway/src/relay/server.rs
+++ b/crates/gateway/src/relay/server.rs
@@ -9,12 +9,13 @@
 use futures_util::{SinkExt, StreamExt};
 use gorsebank_contract::frame::FrameCodec;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Semaphore;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::{sleep, timeout};
 use tokio_util::codec::{FramedRead, FramedWrite};
 
 use super::message::{GatewayDemand, RelayRequest, RelayResponse};
 use super::table::table_unreachable;
+use super::tunnel;
 use crate::feed::{FeedRequest, FeedResponse};
 use crate::ports::WatchedTable;
 use crate::shared::Shared;
@@ -46,20 +47,31 @@
         };
         let shared = shared.clone();
         tokio::spawn(async move {
-            serve_connection(stream, &shared).await;
-            drop(permit);
+            serve_connection(stream, &shared, permit).await;
         });
     }
 }
 
-/// Serves the requests of one connection, one after the other, until the connection ends or
-/// receives an invalid frame.
-async fn serve_connection(mut stream: TcpStream, shared: &Shared) {
+/// Serves the requests of one connection, one after the other, until the connection ends, receives
+/// an invalid frame or becomes a tunnel.
+async fn serve_connection(
+    mut stream: TcpStream,
+    shared: &Arc<Shared>,
+    permit: OwnedSemaphorePermit,
+) {
     let _ = stream.set_nodelay(true);
     let (read, write) = stream.split();
     let mut requests = FramedRead::new(read, FrameCodec::<RelayRequest>::default());
     let mut responses = FramedWrite::new(write, FrameCodec::<RelayResponse>::default());
     while let Ok(Some(Ok(request))) = timeout(IDLE_TIMEOUT, requests.next()).await {
+        if let RelayRequest::Tunnel(request) = request {
+            let has_early_bytes = !requests.read_buffer().is_empty();
+            drop((requests, responses, permit));
+            if !has_early_bytes {
+                tunnel::serve(stream, shared, &request).await;
+            }
+            return;
+        }
         let response = handle_request(shared, request).await;
         if responses.send(&response).await.is_err() {
             return;
@@ -159,8 +171,9 @@
         RelayRequest::Transact(transaction) => {
             RelayResponse::Transacted(table.transact(transaction).await)
         }
-        // `handle_request` handles these requests itself, since they are not calls of the table.
-        RelayRequest::Updates(_)
+        // These requests are handled elsewhere, since they are not calls of the table.
+        RelayRequest::Tunnel(_)
+        | RelayRequest::Updates(_)
         | RelayRequest::RunningCounts(_)
         | RelayRequest::Demand(_)
         | RelayRequest::Quota(_)
--- a/crates/gateway/src/relay/table.rs
+++ b/crates/gateway/src/relay/table.rs
@@ -351,6 +351,7 @@
         | RelayResponse::RunningCounts(_)
         | RelayResponse::DemandReceived { .. }
         | RelayResponse::Quota(_)
+        | RelayResponse::Tunnel(_)
         | RelayResponse::Acknowledged => false,
         RelayResponse::Transacted(response) => matches!(
             response,
--- a/crates/gateway/src/shared/gateways.rs
+++ b/crates/gateway/src/shared/gateways.rs
@@ -88,6 +88,16 @@
         self.members.lock().serving.clone()
     }
 
+    /// Up to `count` other gateways that may open a tunnel to a back end, in the order in which to
+    /// ask them.
+    pub fn tunnel_peers(&self, count: usize) -> Vec<SocketAddr> {
+        let settings = &self.settings;
+        let members = self.members.lock();
+        let peers = &members.serving;
+        self.links
+            .select_peers(peers, &settings.node, &settings.zone, count)
+    }
+
     /// Number of gateways that have a row.
     pub fn known_gateway_count(&self) -> usize {
         self.members.lock().count
--- a/crates/gateway/src/shared/mod.rs
+++ b/crates/gateway/src/shared/mod.rs
@@ -23,7 +23,8 @@
 use gorsebank_fleet::placement::StoreRecords;
 use gorsebank_fleet::split::WeightedSplit;
 use gorsebank_fleet::{
-    Configuration, Demand, PausedBackEnds, PrefillModel, PrefillSpeedSample, RetryWindow,
+    Configuration, Demand, LivenessProofs, PausedBackEnds, PrefillModel, PrefillSpeedSample,
+    RetryWindow,
 };
 use gorsebank_world::ServiceId;
 use parking_lot::{Mutex, RwLock};
@@ -39,6 +40,7 @@
 use crate::directory::Directory;
 use crate::engine_queues::EngineQueues;
 use crate::feed::Feed;
+use crate::links::Links;
 use crate::metrics::Metrics;
 use crate::orders;
 use crate::ports::{Platform, RowFault, UNREADABLE_VALUE};
@@ -78,6 +80,10 @@
     pub quarantine: SharedQuarantine,
     /// Rate limits that back ends state.
     pub back_end_limits: BackEndLimits,
+    /// Links to back ends, and the gateways that help when links are cut.
+    pub links: Links,
+    /// Proofs that back ends are alive whose exit was recorded.
+    liveness: Mutex<LivenessProofs>,
     /// Requests that contend for engines that are full.
     pub engine_queues: EngineQueues,
     /// Send times of prompts at engines.
@@ -133,6 +139,8 @@
             tenant_quotas: TenantQuotas::default(),
             quarantine: SharedQuarantine::default(),
             back_end_limits: BackEndLimits::default(),
+            links: Links::default(),
+            liveness: Mutex::default(),
             engine_queues: EngineQueues::default(),
             prefill_pacing: PrefillPacing::default(),
             paused: Mutex::default(),
