Give up the placement lease without a link to the engines

Orders of one fencing token must come from one machine, so they take no tunnel: the lease has to move. A gateway that peers have shown to be cut off neither takes nor keeps it. Test: the_placement_lease_moves_to_a_gateway_that_reaches_the_engines.

--- a/crates/gateway/src/holder.rs
+++ b/crates/gateway/src/holder.rs
@@ -96,7 +96,9 @@
     /// planner has to keep up with hundreds of engines.
     fn candidacy(&self) -> Candidacy {
         let shared = &self.shared;
-        if shared.is_stopping() || !shared.may_place() {
+        // Orders reach engines over this gateway's own links only.
+        let is_cut_off = shared.links.is_cut_off(shared.now());
+        if shared.is_stopping() || !shared.may_place() || is_cut_off {
             return Candidacy::Never;
         }
         let own = f64::from(shared.settings.millicores);
