Withdraw a back end's recorded exit at all gateways once it responds

An exit that one gateway concluded took the back end from every gateway for ten seconds, and was charged to the request for ten minutes, whatever the back end did afterwards. A response at any gateway later than the exit now withdraws both, and a proof with an age goes on with the messages between gateways; earlier builds ignore the field.

--- a/crates/fleet/src/quarantine/mod.rs
+++ b/crates/fleet/src/quarantine/mod.rs
@@ -119,6 +119,8 @@
     /// Crashes that count against each request, with their times.
     crashes: HashMap<Fingerprint, BTreeMap<IncarnationHash, Timestamp>>,
     cleared: HashMap<Fingerprint, Timestamp>,
+    /// Back ends whose recorded exits up to a time were refuted by a later response.
+    refuted: HashMap<IncarnationHash, Timestamp>,
     recently_served: RecentlyServed,
     /// Quarantined requests, with the time of the last crash under each.
     quarantined: HashMap<Fingerprint, Timestamp>,
@@ -135,6 +137,7 @@
             known_crashes: HashSet::new(),
             crashes: HashMap::new(),
             cleared: HashMap::new(),
+            refuted: HashMap::new(),
             recently_served: RecentlyServed::default(),
             quarantined: HashMap::new(),
             quarantine_changes: 0,
@@ -186,6 +189,26 @@
         }
     }
 
+    /// Records that a back end was alive at `at`: exits of it that were recorded for an earlier time
+    /// did not happen, and count against no request.
+    pub fn refute_exits(&mut self, at: Timestamp, back_end: IncarnationHash) {
+        let at = shift(at);
+        let refuted = self.refuted.entry(back_end).or_insert(at);
+        *refuted = at.max(*refuted);
+        self.crashes.retain(|_, crashes| {
+            if crashes.get(&back_end).is_some_and(|crash| *crash <= at) {
+                crashes.remove(&back_end);
+            }
+            !crashes.is_empty()
+        });
+        self.update_quarantined();
+    }
+
+    fn is_refuted(&self, back_end: IncarnationHash, at: Timestamp) -> bool {
+        let refuted = self.refuted.get(&back_end);
+        refuted.is_some_and(|refuted| at <= *refuted)
+    }
+
     /// Merges the notices of another gateway. Returns true if any of them was new.
     pub fn merge(
         &mut self,
@@ -280,7 +303,11 @@
             .filter(|position| position.process == self.process)
             .map_or(0, |position| position.events);
         let first = known.saturating_sub(self.dropped);
-        self.events.iter().skip(first as usize)
+        let is_valid = |event: &&Event| match event.outcome {
+            RunOutcome::Ended(back_end) => !self.is_refuted(back_end, event.at),
+            RunOutcome::Served => true,
+        };
+        self.events.iter().skip(first as usize).filter(is_valid)
     }
 
     /// Returns true if the event was new.
@@ -330,7 +357,7 @@
         back_end: IncarnationHash,
         at: Timestamp,
     ) -> bool {
-        if !self.known_crashes.insert((fingerprint, back_end)) {
+        if self.is_refuted(back_end, at) || !self.known_crashes.insert((fingerprint, back_end)) {
             return false;
         }
         let cleared = self.cleared.get(&fingerprint);
--- a/crates/gateway/src/feed/message.rs
+++ b/crates/gateway/src/feed/message.rs
@@ -4,7 +4,7 @@
 
 use gorsebank_fleet::quarantine::EventPosition;
 use gorsebank_fleet::running::Counts;
-use gorsebank_fleet::{DrainNotice, LimitNotice};
+use gorsebank_fleet::{DrainNotice, LimitNotice, LivenessProof};
 use gorsebank_world::NodeId;
 use serde::{Deserialize, Serialize};
 
@@ -56,6 +56,9 @@
     /// Draining back ends, as known to the sender.
     #[serde(rename = "departures", default, skip_serializing_if = "Vec::is_empty")]
     pub drain_notices: Vec<DrainNotice>,
+    /// Proofs that back ends are alive whose exit was recorded, as known to the sender.
+    #[serde(rename = "alive", default, skip_serializing_if = "Vec::is_empty")]
+    pub liveness_proofs: Vec<LivenessProof>,
 }
 
 /// An update of one table.
@@ -129,4 +132,7 @@
     /// Draining back ends, as known to the sender.
     #[serde(rename = "departures", default, skip_serializing_if = "Vec::is_empty")]
     pub drain_notices: Vec<DrainNotice>,
+    /// Proofs that back ends are alive whose exit was recorded, as known to the sender.
+    #[serde(rename = "alive", default, skip_serializing_if = "Vec::is_empty")]
+    pub liveness_proofs: Vec<LivenessProof>,
 }
--- a/crates/gateway/src/feed/parent_follower.rs
+++ b/crates/gateway/src/feed/parent_follower.rs
@@ -154,6 +154,7 @@
                 }
                 self.shared.merge_limit_notices(&response.limits);
                 self.shared.merge_drain_notices(&response.drain_notices);
+                self.shared.merge_liveness_proofs(&response.liveness_proofs);
                 if let Some(sums) = &response.running {
                     let now = self.shared.now();
                     self.shared
@@ -221,6 +222,7 @@
             quarantine: self.shared.quarantine.position_in(parent.address),
             limits: self.shared.limit_notices(),
             drain_notices: self.shared.drain_notices(),
+            liveness_proofs: self.shared.liveness_proofs(),
         }
     }
 
--- a/crates/gateway/src/feed/table_sync.rs
+++ b/crates/gateway/src/feed/table_sync.rs
@@ -118,6 +118,7 @@
         quarantine: shared.quarantine.position_in(peer),
         limits: shared.limit_notices(),
         drain_notices: shared.drain_notices(),
+        liveness_proofs: shared.liveness_proofs(),
     };
     let client = shared.table().client();
     let request = RelayRequest::Updates(request);
@@ -126,6 +127,7 @@
     if let Some(RelayResponse::Updates(response)) = client.call(peer, &request, time_limit).await {
         shared.merge_limit_notices(&response.limits);
         shared.merge_drain_notices(&response.drain_notices);
+        shared.merge_liveness_proofs(&response.liveness_proofs);
         if let Some(update) = &response.quarantine {
             shared.merge_quarantine_update(peer, update);
         }
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -108,6 +108,11 @@
         self.apply(|known| known.record_served(now, request))
     }
 
+    /// Withdraws exits of a back end that was alive at `at`.
+    pub fn refute_exits(&self, at: Timestamp, back_end: IncarnationHash) {
+        self.apply(|known| known.refute_exits(at, back_end));
+    }
+
     /// Merges outcome notices of another gateway. Returns whether the quarantine entries changed.
     pub fn merge(&self, now: Timestamp, notices: &[OutcomeNotice], source: EventSource) -> bool {
         self.apply(|known| {
--- a/crates/gateway/src/relay/server.rs
+++ b/crates/gateway/src/relay/server.rs
@@ -109,6 +109,7 @@
     shared.feed.running.lock().record_child(now, from, counts);
     shared.merge_limit_notices(&request.limits);
     shared.merge_drain_notices(&request.drain_notices);
+    shared.merge_liveness_proofs(&request.liveness_proofs);
     let received_at = shared.clock.since_boot();
     let tables = shared
         .feed
@@ -126,6 +127,7 @@
         quarantine,
         limits: shared.limit_notices(),
         drain_notices: shared.drain_notices(),
+        liveness_proofs: shared.liveness_proofs(),
     }
 }
 
--- a/crates/gateway/src/shared/outcomes.rs
+++ b/crates/gateway/src/shared/outcomes.rs
@@ -7,14 +7,21 @@
 use std::collections::HashSet;
 use std::net::SocketAddr;
 
-use gorsebank_fleet::Fingerprint;
+use gorsebank_coordination::Timestamp;
 use gorsebank_fleet::quarantine::{EventSource, IncarnationHash, OutcomeNotice, RunOutcome};
+use gorsebank_fleet::{Fingerprint, LivenessProof};
 
 use super::Shared;
 use crate::back_end::BackEnd;
 use crate::event_log::{self, LogPriority};
 use crate::quarantine::QuarantineUpdate;
 
+/// Time after a recorded exit from which a response refutes it, in milliseconds. An earlier one may
+/// have been on its way when the process exited.
+const RESPONSE_MARGIN_MS: u64 = 250;
+/// Same for a proof of another gateway, whose age does not include the delay of the message.
+const NOTICE_MARGIN_MS: u64 = 1_000;
+
 impl Shared {
     /// Merges outcome notices from child gateways.
     pub fn merge_child_outcomes(&self, notices: &[OutcomeNotice]) {
@@ -55,6 +62,48 @@
         }
     }
 
+    /// Records that a back end has just responded. If its exit was recorded, the record is withdrawn
+    /// here and at all other gateways.
+    pub fn record_alive(&self, back_end: &BackEnd) {
+        let now = self.now();
+        if back_end.refute_exit(now, RESPONSE_MARGIN_MS) {
+            self.liveness
+                .lock()
+                .record(now, back_end.incarnation_hash, now);
+            self.apply_refutation(now, back_end, "own");
+        }
+    }
+
+    /// Merges proofs of other gateways that back ends are alive.
+    pub fn merge_liveness_proofs(&self, proofs: &[LivenessProof]) {
+        let now = self.now();
+        for proof in proofs {
+            let alive_at = now - proof.age;
+            if !self.liveness.lock().record(now, proof.back_end, alive_at) {
+                continue;
+            }
+            let back_end = self.directory(|directory| directory.by_incarnation(proof.back_end));
+            if let Some(back_end) = back_end
+                && back_end.refute_exit(alive_at, NOTICE_MARGIN_MS)
+            {
+                self.apply_refutation(alive_at - NOTICE_MARGIN_MS, &back_end, "gateway");
+            }
+        }
+    }
+
+    /// Proofs for other gateways.
+    pub fn liveness_proofs(&self) -> Vec<LivenessProof> {
+        self.liveness.lock().notices(self.now())
+    }
+
+    fn apply_refutation(&self, alive_at: Timestamp, back_end: &BackEnd, source: &str) {
+        self.quarantine
+            .refute_exits(alive_at, back_end.incarnation_hash);
+        let fields = format_args!("back_end={} source={source}", back_end.id);
+        event_log::write(LogPriority::Decision, "back_end_exit_refuted", fields);
+        self.notify_changed();
+    }
+
     /// Logs and counts that a back end is taken to have exited, and where the evidence comes from.
     pub fn log_exit(&self, back_end: &BackEnd, source: &str) {
         self.metrics.record_back_end_exit(source);
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -201,6 +201,7 @@
                     back_end.update_health(|health| health.record_response(now, latency));
                     self.record_length();
                     let shared = &self.call.shared;
+                    shared.record_alive(&back_end);
                     shared.record_complete_response(self.call.fingerprint);
                     response.return_connection(&self.call.shared);
                     self.is_complete.store(true, Ordering::Release);
--- a/crates/gateway/tests/earlier_builds.rs
+++ b/crates/gateway/tests/earlier_builds.rs
@@ -11,9 +11,11 @@
 use gorsebank_fleet::ledger::SavedUsage;
 use gorsebank_fleet::placement::StoreRecords;
 use gorsebank_fleet::quarantine::OutcomeNotice;
-use gorsebank_fleet::{DrainNotice, LeaseRow, LimitNotice, MemberRow, PlacedRow, PrefillSpeedRow};
+use gorsebank_fleet::{
+    DrainNotice, LeaseRow, LimitNotice, LivenessProof, MemberRow, PlacedRow, PrefillSpeedRow,
+};
 use gorsebank_gateway::feed::{FeedRequest, TablePosition};
-use gorsebank_gateway::relay::{RelayRequest, RelayResponse};
+use gorsebank_gateway::relay::{RelayRequest, RelayResponse, TunnelRequest};
 use gorsebank_gateway::tenant_quotas::{QuotaRequest, SendTimeRequest};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -171,10 +173,23 @@
     assert_eq!(decoded, EarlierRequest::Allowance(without_tenant));
 }
 
-/// Earlier builds ignore the drain notices of a feed request, and learn of a drain from the back
-/// end's row.
+/// Earlier builds close the connection on which they receive a request for a tunnel.
 #[test]
-fn earlier_builds_ignore_drain_notices() {
+fn earlier_builds_do_not_decode_a_request_for_a_tunnel() {
+    let request = RelayRequest::Tunnel(TunnelRequest {
+        back_end: "i-1".into(),
+        incarnation: 7,
+        is_exit_check: false,
+    });
+    let mut bytes = Vec::new();
+    ciborium::into_writer(&request, &mut bytes).expect("the value can be encoded");
+    assert!(ciborium::from_reader::<EarlierRequest, _>(bytes.as_slice()).is_err());
+}
+
+/// Earlier builds ignore the drain notices and liveness proofs of a feed request, and learn of a
+/// drain from the back end's row.
+#[test]
+fn earlier_builds_ignore_drain_notices_and_liveness_proofs() {
     let limits = vec![LimitNotice {
         back_end: 7,
         rate: Some(0.5),
@@ -191,6 +206,10 @@
             back_end: 8,
             age: 30,
         }],
+        liveness_proofs: vec![LivenessProof {
+            back_end: 9,
+            age: 40,
+        }],
     };
     let mut bytes = Vec::new();
     let request = RelayRequest::Updates(feed_request);
