Let the operating system end connections that went silent for good

Nothing set keep-alive probes or TCP_USER_TIMEOUT, so a connection whose other end lost power stayed until a request waited on it in vain, and a tunnel of a gateway that lost power would have stayed for ever. Connections to back ends and both ends of tunnels are now probed every 3 s and end after 10 s without an acknowledgement: longer than partitions of seconds, after which late responses still arrive, and than a second's silence of a sound back end. That a packet-dropping network ends a connection in time is shown by no test here; loopback always acknowledges.

--- a/crates/gateway/src/http_connection.rs
+++ b/crates/gateway/src/http_connection.rs
@@ -10,10 +10,18 @@
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
+use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
+/// Time without bytes after which the operating system probes a connection, and interval of the
+/// probes.
+const PROBE_INTERVAL: Duration = Duration::from_secs(3);
+/// Time without an acknowledgement after which a connection is closed. It is longer than the
+/// partitions that end by themselves, after which late responses still arrive.
+const SILENCE_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Why a connection could not be opened, for log lines and metrics.
 pub fn connect_failure(error: &std::io::Error) -> &'static str {
     match error.kind() {
@@ -31,9 +39,21 @@
 ) -> std::io::Result<TcpStream> {
     let stream = timeout(connect_timeout, TcpStream::connect(address)).await??;
     stream.set_nodelay(true)?;
+    detect_silence(&stream)?;
     Ok(stream)
 }
 
+/// Lets the operating system close a connection that stays silent. The user timeout also decides
+/// when unanswered keep-alive probes end the connection.
+pub fn detect_silence(stream: &TcpStream) -> std::io::Result<()> {
+    let socket = SockRef::from(stream);
+    let probes = TcpKeepalive::new()
+        .with_time(PROBE_INTERVAL)
+        .with_interval(PROBE_INTERVAL);
+    socket.set_tcp_keepalive(&probes)?;
+    socket.set_tcp_user_timeout(Some(SILENCE_TIMEOUT))
+}
+
 /// A connection that is closed when dropped.
 #[derive(Debug)]
 pub struct HttpConnection {
--- a/crates/gateway/src/relay/tunnel.rs
+++ b/crates/gateway/src/relay/tunnel.rs
@@ -22,7 +22,7 @@
 use crate::back_end::BackEnd;
 use crate::directory::Directory;
 use crate::event_log::{self, LogPriority};
-use crate::http_connection::open_stream;
+use crate::http_connection::{detect_silence, open_stream};
 use crate::links::{self, exit_evidence, open_directly};
 use crate::shared::Shared;
 
@@ -99,6 +99,9 @@
 
 /// Serves a request for a tunnel on the connection that the request arrived on.
 pub(super) async fn serve(mut origin: TcpStream, shared: &Arc<Shared>, request: &TunnelRequest) {
+    // Otherwise the tunnel of a gateway that lost power would never end. Without the options, the
+    // tunnel still works.
+    let _ = detect_silence(&origin);
     let opened = connect(shared, request).await;
     let response = match &opened {
         Ok(_) => TunnelResponse::Opened,
