Keep away from brittle back ends before they have to reject requests

Users' back ends state in all answers how many rejections in a second they bear (Server-Brittle); above that they fall over. Gateways sent to the cheapest back end whether it had room or not, and a rejected request went on to the next one. A service counts as brittle while its back ends say so. A gateway then sends more than its share of a back end's slots only while one more request of every gateway fits, waits or refuses otherwise, and after a rejection keeps away for so long that all gateways together stay below the stated number. crates/fleet/src/brittle.rs decides, without I/O.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod access;
 pub mod back_end;
+pub mod brittle;
 pub mod choice;
 pub mod configuration;
 pub mod demand;
@@ -45,6 +46,7 @@
 
 pub use access::{Denial, KeyBounds, identify};
 pub use back_end::{BackEndReport, CopyTier, EngineReport, Holdings, PlacedRow, PlannedLoad};
+pub use brittle::BrittleServices;
 pub use configuration::{Configuration, Engine, Limits, ModelSpec, RequestKind, Route, Service};
 pub use demand::{Demand, DemandRow, ModelDemand};
 pub use drain_notices::{DrainNotice, DrainNotices};
--- a/crates/gateway/src/admission/mod.rs
+++ b/crates/gateway/src/admission/mod.rs
@@ -36,6 +36,9 @@
 /// other gateways change.
 const ROOM_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// How often a request that waits for a brittle back end looks for room.
+const BRITTLE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Returns a back end for the next attempt that is not in `tried`, waiting for one if worthwhile.
 pub async fn admit(call: &Call, tried: &[BackEndId]) -> Result<Arc<BackEnd>, Failure> {
     let mut changes = call.shared.subscribe();
@@ -296,6 +299,12 @@
 ) -> Result<Vec<Arc<BackEnd>>, Missing> {
     let unpaused = call.shared.without_paused(now, back_ends);
     let unpaused = unpaused.map_err(Missing::Pause)?;
+    let unpaused = call
+        .shared
+        .without_full_brittle(now, &call.service, unpaused);
+    if unpaused.is_empty() {
+        return Err(Missing::Pause(BRITTLE_CHECK_INTERVAL));
+    }
     if call.shared.links.is_suspect(now) {
         // The back ends were paused because of this gateway's links.
         return Ok(unpaused);
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -348,6 +348,9 @@
     if head.parts.status != StatusCode::MISDIRECTED_REQUEST {
         call.shared.record_response(back_end, head.sent, &metadata);
     }
+    if metadata.has_not_run && head.parts.status == StatusCode::SERVICE_UNAVAILABLE {
+        call.shared.record_rejection(back_end);
+    }
     if !metadata.has_not_run {
         call.mark_may_have_run();
     }
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -59,6 +59,8 @@
     pub has_not_run: bool,
     /// The rate limit that the back end states.
     pub limit: StatedLimit,
+    /// Number of rejections per second above which the back end fails; `None` if it is not brittle.
+    pub max_rejections: Option<f64>,
     /// Whether the back end is draining: it finishes its requests for a while and then exits.
     pub is_draining: bool,
     /// Time for which the back end asks this gateway to send no requests.
--- a/crates/gateway/src/shared/mod.rs
+++ b/crates/gateway/src/shared/mod.rs
@@ -5,6 +5,7 @@
 //! `feed.parents`, then any other lock. No lock is held across an await point.
 
 mod back_end_limits;
+mod brittle;
 mod gateways;
 mod outcomes;
 mod prefill_pacing;
@@ -23,8 +24,8 @@
 use gorsebank_fleet::placement::StoreRecords;
 use gorsebank_fleet::split::WeightedSplit;
 use gorsebank_fleet::{
-    Configuration, Demand, LivenessProofs, PausedBackEnds, PrefillModel, PrefillSpeedSample,
-    RetryWindow,
+    BrittleServices, Configuration, Demand, LivenessProofs, PausedBackEnds, PrefillModel,
+    PrefillSpeedSample, RetryWindow,
 };
 use gorsebank_world::ServiceId;
 use parking_lot::{Mutex, RwLock};
@@ -82,6 +83,8 @@
     pub back_end_limits: BackEndLimits,
     /// Links to back ends, and the gateways that help when links are cut.
     pub links: Links,
+    /// Services whose back ends fail if they have to reject many requests.
+    brittle: Mutex<BrittleServices>,
     /// Proofs that back ends are alive whose exit was recorded.
     liveness: Mutex<LivenessProofs>,
     /// Requests that contend for engines that are full.
@@ -140,6 +143,7 @@
             quarantine: SharedQuarantine::default(),
             back_end_limits: BackEndLimits::default(),
             links: Links::default(),
+            brittle: Mutex::default(),
             liveness: Mutex::default(),
             engine_queues: EngineQueues::default(),
             prefill_pacing: PrefillPacing::default(),
--- a/crates/gateway/src/shared/responses.rs
+++ b/crates/gateway/src/shared/responses.rs
@@ -17,6 +17,7 @@
     /// Records the metadata of a back end's response to a request that was sent at `sent`.
     pub fn record_response(&self, back_end: &BackEnd, sent: Instant, metadata: &ResponseMetadata) {
         self.record_alive(back_end);
+        self.record_brittleness(back_end, metadata.max_rejections);
         self.record_stated_limit(back_end, sent.elapsed(), metadata.limit);
         if metadata.is_draining {
             self.record_drain(back_end);
