Leave streams at back ends that are silent for a second

A sound back end may fall silent for about a second and go on. A resumable stream was moved after one second of silence, at the cost of a retry and of the prompt's second prefill. It is moved after 1.5 s now; callers give up after two seconds at the earliest. Test: a_stream_stays_at_a_back_end_that_is_silent_for_a_second (two arrivals before, one now).

--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -35,8 +35,9 @@
 const MAX_BUFFERED_EVENTS: usize = 16;
 /// A back end that is silent for this many gap objectives is abandoned.
 const SILENT_GAPS: u32 = 4;
-/// Minimum silence after which a back end is abandoned.
-const MIN_SILENCE: Duration = Duration::from_millis(1_000);
+/// Minimum silence after which a back end is abandoned. Sound back ends may be silent for a second,
+/// and callers give up no sooner than after two.
+const MIN_SILENCE: Duration = Duration::from_millis(1_500);
 /// Silence after which a back end is abandoned if the route has no gap objective.
 const DEFAULT_SILENCE: Duration = Duration::from_secs(3);
 /// A back end must start its response within this multiple of the objective.
