Do not reuse tunnels through a gateway that is stopping

Seen once in four runs of the test of planned stops: the drain took 19 s, because polls of the other gateway kept a pooled tunnel busy; the process would have been killed at the end of its grace. Tunnels are used only through gateways that still have a row.

--- a/crates/gateway/src/links/mod.rs
+++ b/crates/gateway/src/links/mod.rs
@@ -99,6 +99,12 @@
         }
     }
 
+    /// Sets the other gateways. A gateway that stops removes its row, and idle tunnels through it are
+    /// not used any more.
+    pub fn set_peers(&self, peers: &[SocketAddr]) {
+        self.peers.lock().set_known(peers);
+    }
+
     /// Records that a gateway did not open a tunnel.
     pub fn record_peer_fault(&self, peer: SocketAddr, fault: PeerFault) {
         self.peers.lock().record_fault(peer, fault);
--- a/crates/gateway/src/links/peers.rs
+++ b/crates/gateway/src/links/peers.rs
@@ -4,7 +4,7 @@
 //! order. Requests are spread at random over the gateways that are not in cooldown, those of the
 //! own zone first, since a tunnel through them crosses no more zones than a direct connection.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -39,18 +39,24 @@
     }
 }
 
-/// The gateways that opened no tunnel recently.
+/// The other gateways, and those that opened no tunnel recently.
 #[derive(Debug, Default)]
 pub(super) struct TunnelPeers {
+    known: HashSet<SocketAddr>,
     /// End of each gateway's cooldown.
     cooldowns: HashMap<SocketAddr, Instant>,
 }
 
 impl TunnelPeers {
-    /// Whether the gateway at this address is not in cooldown.
+    /// Sets the other gateways.
+    pub fn set_known(&mut self, peers: &[SocketAddr]) {
+        self.known = peers.iter().copied().collect();
+    }
+
+    /// Whether the gateway at this address still serves gateways and is not in cooldown.
     pub fn is_usable(&self, peer: SocketAddr) -> bool {
         let until = self.cooldowns.get(&peer);
-        until.is_none_or(|until| *until <= Instant::now())
+        self.known.contains(&peer) && until.is_none_or(|until| *until <= Instant::now())
     }
 
     /// Starts the cooldown of a gateway.
--- a/crates/gateway/src/shared/gateways.rs
+++ b/crates/gateway/src/shared/gateways.rs
@@ -33,8 +33,9 @@
             .store(count.max(MIN_GATEWAYS), Ordering::Relaxed);
         let own = self.settings.node.as_str();
         let others = serving.iter().filter(|member| member.name != own);
-        self.table
-            .set_peers(others.map(|member| member.address).collect());
+        let peers: Vec<SocketAddr> = others.map(|member| member.address).collect();
+        self.links.set_peers(&peers);
+        self.table.set_peers(peers);
         let names = serving.iter().map(|member| member.name.as_str());
         self.prefill_pacing.set_gateways(names);
         let mut members = self.members.lock();
