Book no failure on a back end while a gateway suspects its own links

Failures of a cut link still lowered the health of each back end and paused it for up to four seconds, also after the heal; the pauses were only ignored while the suspicion lasted. One method records an unreachable back end now, and does not while the links are suspected.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -155,7 +155,7 @@
         let connection = match connecting {
             Ok(Ok(connection)) => connection,
             Ok(Err(error)) => return self.conclude_unconnected(error),
-            Err(_) => return AttemptResult::NotSent("not_connected"),
+            Err(_) => return self.conclude_unconnected(ConnectError::BackEnd("deadline")),
         };
         let result = self.exchange(connection, false).await;
         self.conclude(result, load).await
@@ -164,7 +164,7 @@
     async fn conclude(&self, result: ExchangeResult, load: AttemptLoad) -> AttemptResult {
         match result {
             ExchangeResult::Unsent => {
-                self.record_unreachable();
+                self.call.shared.record_unreachable(self.back_end);
                 AttemptResult::NotSent("connection_closed")
             }
             ExchangeResult::Withheld(reason) => AttemptResult::NotSent(reason),
@@ -185,19 +185,13 @@
         event_log::write(LogPriority::Decision, "back_end_connect", fields);
         match error {
             ConnectError::BackEnd(_) => {
-                self.record_unreachable();
+                self.call.shared.record_unreachable(self.back_end);
                 AttemptResult::NotSent("not_connected")
             }
             ConnectError::NoPath => AttemptResult::NotSent(NO_PATH),
         }
     }
 
-    fn record_unreachable(&self) {
-        let now = self.call.shared.now();
-        self.back_end
-            .update_health(|health| health.record_unreachable(now));
-    }
-
     async fn exchange(&mut self, mut connection: Connection, is_pooled: bool) -> ExchangeResult {
         // The request may have been quarantined since the back end was chosen.
         if self.call.quarantine_left().is_some() {
@@ -287,7 +281,7 @@
 fn record_failure(call: &Call, back_end: &BackEnd, reason: &'static str) -> AttemptResult {
     call.mark_may_have_run();
     call.clear_in_doubt();
-    back_end.update_health(|health| health.record_unreachable(call.shared.now()));
+    call.shared.record_unreachable(back_end);
     AttemptResult::MayHaveRun(reason)
 }
 
--- a/crates/gateway/src/shared/responses.rs
+++ b/crates/gateway/src/shared/responses.rs
@@ -32,6 +32,15 @@
         }
     }
 
+    /// Records that a back end could not be reached or broke off, unless this gateway's own links are
+    /// suspected.
+    pub fn record_unreachable(&self, back_end: &BackEnd) {
+        let now = self.now();
+        if !self.links.is_suspect(now) {
+            back_end.update_health(|health| health.record_unreachable(now));
+        }
+    }
+
     fn record_pause(&self, back_end: &BackEnd, pause: Duration) {
         self.count_statement("pause");
         let mut paused = self.paused.lock();
--- a/crates/gateway/src/single_response.rs
+++ b/crates/gateway/src/single_response.rs
@@ -70,7 +70,7 @@
         {
             reason = BACK_END_ENDED;
         }
-        back_end.update_health(|health| health.record_unreachable(call.shared.now()));
+        call.shared.record_unreachable(&back_end);
         return Err(attempts.after_may_have_run(call, reason));
     };
     let latency = response.age().as_millis() as u64;
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -224,7 +224,7 @@
                 }
                 reason => reason,
             };
-            back_end.update_health(|health| health.record_unreachable(self.call.shared.now()));
+            self.call.shared.record_unreachable(&back_end);
             let call = self.call.clone();
             let next = tokio::select! {
                 next = self.resume(reason) => next,
