Property tests of suspected links and of rejections at brittle back ends

The second found two faults of brittle.rs: the time to keep away was rounded down (87 rejections of 86 allowed in five seconds, stated 17, one gateway), and capped at 5 s, so that more gateways than five times the stated number would exceed it together. Rounded up now, and capped at a minute; it ends with the brittle period.

--- a/crates/fleet/src/brittle.rs
+++ b/crates/fleet/src/brittle.rs
@@ -22,8 +22,9 @@
 /// Time for which a response without a statement does not end the period: it may have been sent
 /// before the statement and arrive after it.
 const OVERTAKING_MS: u64 = 500;
-/// Maximum time without requests after a rejection, in milliseconds.
-const MAX_BACKOFF_MS: u64 = 5_000;
+/// Maximum time without requests after a rejection, in milliseconds. It ends early when the service
+/// ceases to be brittle.
+const MAX_BACKOFF_MS: f64 = 60_000.0;
 
 /// How busy a back end is.
 #[derive(Clone, Copy, Debug)]
@@ -108,7 +109,7 @@
         };
         let share = statement.rejections_per_second / f64::from(gateways);
         self.backoffs.retain(|_, until| now < *until);
-        let backoff_ms = (1_000.0 / share).min(MAX_BACKOFF_MS as f64) as u64;
+        let backoff_ms = (1_000.0 / share).min(MAX_BACKOFF_MS).ceil() as u64;
         self.backoffs.insert(back_end, now + backoff_ms);
     }
 
--- /dev/null
+++ b/crates/fleet/tests/reachability.rs
@@ -0,0 +1,105 @@
+//! When a gateway suspects its own links, and when it gives up duties that need them.
+
+use gorsebank_coordination::Timestamp;
+use gorsebank_fleet::{BrittleServices, PathOrder, Reachability};
+use proptest::prelude::*;
+
+/// The result of a connection to a back end.
+#[derive(Clone, Copy, Debug)]
+enum Observation {
+    Direct(u64),
+    Failed(u64),
+    Bridged(u64),
+}
+
+fn observation() -> impl Strategy<Value = (u64, Observation)> {
+    let back_end = 0..4_u64;
+    let observation = (0..3, back_end).prop_map(|(kind, back_end)| match kind {
+        0 => Observation::Direct(back_end),
+        1 => Observation::Failed(back_end),
+        _ => Observation::Bridged(back_end),
+    });
+    (0..700_u64, observation)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(64))]
+
+    #[test]
+    fn only_several_failures_without_a_success_since_make_links_suspect(
+        observations in prop::collection::vec(observation(), 1..40),
+    ) {
+        let mut reachability = Reachability::default();
+        let mut now = Timestamp(1_000);
+        let mut failed_since_success = std::collections::BTreeSet::new();
+        let mut is_bridged = false;
+        for (delay, observation) in observations {
+            now = now + delay;
+            match observation {
+                Observation::Direct(back_end) => {
+                    reachability.record_direct(now, back_end);
+                    failed_since_success.clear();
+                    prop_assert!(reachability.suspect_since(now).is_none());
+                    prop_assert!(!reachability.is_cut_off(now));
+                }
+                Observation::Failed(back_end) => {
+                    reachability.record_direct_failure(now, back_end);
+                    failed_since_success.insert(back_end);
+                }
+                Observation::Bridged(back_end) => {
+                    reachability.record_bridged(now, back_end);
+                    is_bridged = true;
+                }
+            }
+            if let Some(since) = reachability.suspect_since(now) {
+                prop_assert!(failed_since_success.len() >= 2);
+                prop_assert!(since <= now);
+                prop_assert_eq!(reachability.path_order(now, 99), PathOrder::PeersFirst);
+            }
+            if reachability.is_cut_off(now) {
+                prop_assert!(is_bridged, "no other gateway has shown the cut");
+            }
+        }
+        prop_assert!(reachability.suspect_since(now + 10_000).is_none(), "failures expire");
+    }
+
+    /// All gateways together cause no more rejections per second than the back end bears.
+    #[test]
+    fn rejections_of_all_gateways_stay_below_the_stated_number(
+        stated in 1..20_u32,
+        gateways in 1..40_u32,
+    ) {
+        let service = "app".into();
+        let mut known: Vec<BrittleServices> = (0..gateways).map(|_| BrittleServices::default()).collect();
+        let free = gorsebank_fleet::brittle::Occupancy { slots: 100, own: 0, others: 0 };
+        let mut rejections = 0;
+        let seconds = 5;
+        for millisecond in 0..seconds * 1_000 {
+            let now = Timestamp(1_000 + millisecond);
+            for gateway in &mut known {
+                gateway.record(now, &service, Some(f64::from(stated)));
+                if gateway.may_send(now, &service, 7, free, gateways) {
+                    gateway.record_rejection(now, &service, 7, gateways);
+                    rejections += 1;
+                }
+            }
+        }
+        // Each gateway may be rejected once before it knows that there is no room.
+        let limit = u64::from(stated) * seconds + u64::from(gateways);
+        prop_assert!(rejections <= limit, "{rejections} of {limit}");
+    }
+}
+
+#[test]
+fn one_unreachable_back_end_does_not_make_links_suspect() {
+    let mut reachability = Reachability::default();
+    for millisecond in (0..4_000).step_by(100) {
+        let now = Timestamp(millisecond);
+        reachability.record_direct_failure(now, 1);
+        assert!(reachability.suspect_since(now).is_none());
+    }
+    let now = Timestamp(4_000);
+    reachability.record_bridged(now, 1);
+    assert_eq!(reachability.path_order(now, 1), PathOrder::PeersFirst);
+    assert_eq!(reachability.path_order(now, 2), PathOrder::DirectFirst);
+}
