Comments of links and exits: say what holds since witnesses decide

On the last reading: the invariant of reachability claimed more than exit_evidence keeps, two comments described the earlier check of exits, and the order module did not say that only polls take tunnels. Comments and one line of docs only.

--- a/crates/fleet/src/reachability.rs
+++ b/crates/fleet/src/reachability.rs
@@ -8,7 +8,8 @@
 //! since, make the gateway suspect its own links. A connection through another gateway to one of
 //! them proves the fault.
 //!
-//! Invariant: no result of this gateway's own connections alone shows that a back end has failed.
+//! Invariant: without a connection through another gateway, failures are a suspicion only: they
+//! change the order of paths, but no duty is given up for them.
 
 use std::collections::HashMap;
 
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -20,7 +20,7 @@
 const MAX_SENDS: u32 = 4;
 /// Reason: the connection to a back end was lost.
 pub const CONNECTION_LOST: &str = "connection_lost";
-/// Reason: the connection was lost, and the back end's address refuses connections since.
+/// Reason: the connection was lost, and the back end's process has exited.
 pub const BACK_END_ENDED: &str = "back_end_ended";
 /// Reason: this gateway's links are cut, and no other gateway reached the back end for it.
 pub const NO_PATH: &str = "no_path";
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -1,7 +1,8 @@
 //! Sends orders and polls to engines for the placement holder.
 //!
 //! The input is an order or a poll of an engine. The output is the result of the order, or the
-//! engine's report. Each message uses an idle connection to the engine, or a new one.
+//! engine's report. Each message uses an idle connection to the engine, or a new one;
+//! only polls may pass through another gateway.
 
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/gateway/src/relay/tunnel.rs
+++ b/crates/gateway/src/relay/tunnel.rs
@@ -28,8 +28,8 @@
 
 /// Time limit for a connection to another gateway.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-/// Time limit for the response to a request for a tunnel: longer than a connection attempt of the
-/// other gateway takes.
+/// Time limit for the response to a request for a tunnel: longer than the
+/// other gateway takes to connect and to check its own links.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(800);
 /// Size of the buffer of each direction, in bytes.
 const BUFFER_BYTES: usize = 8 * 1024;
--- a/crates/gateway/src/shared/outcomes.rs
+++ b/crates/gateway/src/shared/outcomes.rs
@@ -1,8 +1,8 @@
 //! Records the outcomes of requests at back ends that other gateways need to know.
 //!
 //! Input: crashes of back ends under requests of this gateway, complete responses, and outcome
-//! notices of other gateways. Output: quarantined requests and crashed back ends. Waiting requests
-//! are notified of each change.
+//! notices and liveness proofs of other gateways. Output: quarantined requests and crashed back ends.
+//! Waiting requests are notified of each change.
 
 use std::collections::HashSet;
 use std::net::SocketAddr;
