Log and count the software versions of streams

Lines could not tell that a stream went on at a back end of another software version: the version of a back end was parsed and dropped, and a request that takes up a stream looked like any other one.

Back ends carry their software version now, requests the id in `Resumes`. The lines back_end, chosen and stream_resumed name the version, the new line stream_taken_up names the stream that is taken up, and gateway_resumed_streams_total counts streams that keep or change theirs. Nothing is decided by it yet.

--- a/crates/fleet/src/back_end.rs
+++ b/crates/fleet/src/back_end.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
-use gorsebank_world::{AdapterId, BackEndId, ModelId, ServiceId, ZoneId};
+use gorsebank_world::{AdapterId, BackEndId, ModelId, ServiceId, SoftwareVersion, ZoneId};
 use serde::{Deserialize, Serialize};
 
 use crate::incarnation::Born;
@@ -34,6 +34,8 @@
     pub born: Option<Born>,
     /// The service to which the back end belongs.
     pub service: ServiceId,
+    /// Version of the back end's software. What two versions write does not fit together.
+    pub software_version: SoftwareVersion,
     /// Address on which the back end listens.
     pub address: SocketAddr,
     /// The back end's zone.
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -474,6 +474,7 @@
                 id: engine.id.clone(),
                 born: engine.born,
                 service: service(),
+                software_version: "v1".into(),
                 address: "127.0.0.1:1".parse().expect("an address"),
                 zone: "hall".into(),
                 slots: 64,
--- a/crates/gateway/src/back_end.rs
+++ b/crates/gateway/src/back_end.rs
@@ -15,7 +15,7 @@
 use gorsebank_fleet::quarantine;
 use gorsebank_fleet::running::{self, BackEndHash};
 use gorsebank_fleet::{BackEndReport, Born, CachedPrefixes, Fingerprint};
-use gorsebank_world::{AdapterId, BackEndId, ModelId, ServiceId};
+use gorsebank_world::{AdapterId, BackEndId, ModelId, ServiceId, SoftwareVersion};
 use parking_lot::Mutex;
 use tokio::time::Instant;
 
@@ -56,6 +56,8 @@
     pub slots: u32,
     /// The service that the back end belongs to.
     pub service: ServiceId,
+    /// Version of the back end's software.
+    pub software_version: SoftwareVersion,
     /// The address that the back end listens on.
     pub address: SocketAddr,
     /// Whether the back end is in this gateway's zone.
@@ -149,6 +151,7 @@
             incarnation_hash: quarantine::incarnation_hash(&report.id, report.born),
             slots: report.slots,
             service: report.service.clone(),
+            software_version: report.software_version.clone(),
             address: report.address,
             same_zone,
             in_flight: AtomicU32::new(0),
--- a/crates/gateway/src/candidates.rs
+++ b/crates/gateway/src/candidates.rs
@@ -241,10 +241,11 @@
     let (stall, running) = (candidate.stall, candidate.running);
     let health = chosen.health();
     let fields = format_args!(
-        "request={} back_end={} eligible={eligible} running={running} in_flight={} latency_ms={:.0} waited_ms={} priority={} \
+        "request={} back_end={} software_version={} eligible={eligible} running={running} in_flight={} latency_ms={:.0} waited_ms={} priority={} \
          fresh_tokens={} stall={stall:.2} row_version={} row_age_ms={}",
         call.metadata.id,
         chosen.id,
+        chosen.software_version,
         chosen.in_flight(),
         health.latency(call.shared.now()).unwrap_or(0.0),
         call.age().as_millis(),
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -36,6 +36,9 @@
     back_end_connects: IntCounterVec,
     /// Exits of back ends that this gateway has concluded or learned of, by source.
     back_end_exits: IntCounterVec,
+    /// Streams that continue at another back end, by where the stream broke off and by whether it
+    /// keeps its software version.
+    resumed_streams: IntCounterVec,
     /// Requests for send times at back ends that state a limit, by result.
     pub reservations: IntCounterVec,
     /// Requests that waited for full engines or were refused for them, by result.
@@ -94,6 +97,13 @@
                 "Exits of back ends by source of the evidence",
                 "source",
             )?,
+            resumed_streams: IntCounterVec::new(
+                Opts::new(
+                    "gateway_resumed_streams_total",
+                    "Streams that continue at another back end",
+                ),
+                &["within", "software_version"],
+            )?,
             prompt_sends: counters(
                 "gateway_prompt_sends_total",
                 "Requests for send times of prompts by result",
@@ -151,6 +161,7 @@
             &self.attempts,
             &self.back_end_connects,
             &self.back_end_exits,
+            &self.resumed_streams,
             &self.reservations,
             &self.engine_queue,
             &self.prompt_sends,
@@ -196,6 +207,14 @@
         self.back_end_exits.with_label_values(&[source]).inc();
     }
 
+    /// Counts a stream that continues at another back end, within a response or over two requests
+    /// of its caller.
+    pub fn record_stream_resumed(&self, within: &str, keeps_version: bool) {
+        let version = if keeps_version { "kept" } else { "changed" };
+        let labels = [within, version];
+        self.resumed_streams.with_label_values(&labels).inc();
+    }
+
     /// Counts a request that waited for full engines, or was refused for them.
     pub fn record_engine_queue(&self, result: &str) {
         self.engine_queue.with_label_values(&[result]).inc();
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -33,6 +33,9 @@
     pub tokens: Option<u64>,
     /// Identifier of the last event that the caller has received.
     pub last_event: Option<String>,
+    /// Identifier of the request that brought the first event of the stream, if the caller takes up
+    /// a stream that was broken off.
+    pub resumes: Option<String>,
 }
 
 /// What a gateway sends to a back end in the headers of an attempt.
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -13,7 +13,7 @@
 use futures_util::{StreamExt, stream};
 use gorsebank_fleet::CopyTier;
 use gorsebank_fleet::events::EventSplitter;
-use gorsebank_world::ModelId;
+use gorsebank_world::{ModelId, SoftwareVersion};
 use http::{Response, StatusCode};
 use http_body::Frame;
 use http_body_util::{BodyExt, StreamBody};
@@ -82,6 +82,7 @@
     let mut attempts = Attempts::default();
     loop {
         let back_end = admit(&call, &attempts.tried).await?;
+        log_taken_up(&call, &back_end);
         attempts.record_send(&call, &back_end.id);
         let head_timeout = head_timeout(&call);
         let last_event = call.metadata.last_event.as_deref();
@@ -115,6 +116,23 @@
     demand.record_arrival(now, &call.service, model, adapter, is_urgent);
 }
 
+/// Logs where a stream continues that the caller takes up after an earlier request.
+fn log_taken_up(call: &Call, back_end: &BackEnd) {
+    let metadata = &call.metadata;
+    if metadata.last_event.is_none() && metadata.resumes.is_none() {
+        return;
+    }
+    let fields = format_args!(
+        "request={} resumes={} last_event={:?} back_end={} software_version={}",
+        metadata.id,
+        metadata.resumes.as_deref().unwrap_or("-"),
+        metadata.last_event,
+        back_end.id,
+        back_end.software_version,
+    );
+    event_log::write(LogPriority::Decision, "stream_taken_up", fields);
+}
+
 /// Maximum time until a back end's response head while another back end could be tried.
 fn head_timeout(call: &Call) -> Duration {
     call.route.objective.mul_f64(FIRST_EVENT_FACTOR)
@@ -141,6 +159,7 @@
         max_gap: Duration::ZERO,
         max_gap_end: Duration::ZERO,
         segment_last_event: None,
+        software_version: None,
         _running: running,
     };
     tokio::spawn(forwarder.run(response));
@@ -186,6 +205,8 @@
     max_gap_end: Duration,
     /// When the last event of the current segment arrived.
     segment_last_event: Option<Instant>,
+    /// Software version of the back end that sent the first event.
+    software_version: Option<SoftwareVersion>,
     _running: RunningGuard,
 }
 
@@ -269,6 +290,8 @@
                 if self.is_repeated(event.id.as_deref()) {
                     continue;
                 }
+                self.software_version
+                    .get_or_insert_with(|| response.back_end.software_version.clone());
                 // A caller whose connection went silent accepts no data and does not disconnect
                 // either.
                 match timeout_at(self.call.deadline(), self.sender.send(event.bytes)).await {
@@ -380,7 +403,7 @@
         while let NextStep::Retry = next {
             let back_end = admit(&self.call, &self.attempts.tried).await.ok()?;
             self.attempts.record_send(&self.call, &back_end.id);
-            self.log_resumed(reason, &back_end);
+            self.record_resumed(reason, &back_end);
             let head_timeout = head_timeout(&self.call);
             let last_event = self.last_event.as_deref();
             let attempts = &mut self.attempts;
@@ -403,10 +426,21 @@
         None
     }
 
-    fn log_resumed(&self, reason: &str, back_end: &BackEnd) {
+    /// Logs and counts that the stream continues at another back end within its response.
+    fn record_resumed(&self, reason: &str, back_end: &BackEnd) {
+        let began_at = self.software_version.as_ref();
+        let keeps_version = began_at.is_none_or(|began| *began == back_end.software_version);
+        let metrics = &self.call.shared.metrics;
+        metrics.record_stream_resumed("response", keeps_version);
         let fields = format_args!(
-            "request={} reason={reason} events={} back_end={} last_event={:?}",
-            self.call.metadata.id, self.events, back_end.id, self.last_event
+            "request={} reason={reason} events={} back_end={} software_version={} began_at={} \
+             last_event={:?}",
+            self.call.metadata.id,
+            self.events,
+            back_end.id,
+            back_end.software_version,
+            began_at.map_or("-", |began| began.as_str()),
+            self.last_event
         );
         event_log::write(LogPriority::Decision, "stream_resumed", fields);
     }
--- a/crates/gateway/src/table_followers.rs
+++ b/crates/gateway/src/table_followers.rs
@@ -223,8 +223,8 @@
 
 fn log_back_end(report: &BackEndReport, version: u64) {
     let fields = format_args!(
-        "back_end={} draining={} models={:?} version={version}",
-        report.id, report.draining, report.holdings
+        "back_end={} software_version={} draining={} models={:?} version={version}",
+        report.id, report.software_version, report.draining, report.holdings
     );
     event_log::write(LogPriority::Decision, "back_end", fields);
 }
--- a/crates/gateway/tests/directory.rs
+++ b/crates/gateway/tests/directory.rs
@@ -14,6 +14,7 @@
         id: id.into(),
         born: None,
         service: "llm".into(),
+        software_version: "v1".into(),
         address: "127.0.0.1:1".parse().expect("an address"),
         zone: "hall".into(),
         slots: 8,
--- a/crates/world/src/identity.rs
+++ b/crates/world/src/identity.rs
@@ -81,6 +81,10 @@
     /// A version of a model's weights.
     VersionId
 );
+identifier!(
+    /// A version of a back end's software.
+    SoftwareVersion
+);
 identifier!(
     /// A pool of interchangeable back ends, such as `meter-llm` or `customer-api`.
     ServiceId
--- a/crates/world/src/lib.rs
+++ b/crates/world/src/lib.rs
@@ -15,7 +15,8 @@
     AdapterSpec, BackEndSpec, DeploymentSpec, ModelSpec, Row, RowKey, RowKind, Spec, VersionSpec,
 };
 pub use identity::{
-    AdapterId, BackEndId, CellId, ModelId, NodeId, ServiceId, TenantId, VersionId, ZoneId,
+    AdapterId, BackEndId, CellId, ModelId, NodeId, ServiceId, SoftwareVersion, TenantId, VersionId,
+    ZoneId,
 };
 pub use labels::Labels;
 pub use machine::{Machine, MachineList, MachineRole, MachineState, NodeEntry};
