Resume a stream at back ends of its software version only

The cause is that a stream could continue at any back end with the model. Its first event fixes the software version now. From then on the version is a condition of the choice: if no back end has it, the stream ends at once.

--- a/crates/gateway/src/admission/mod.rs
+++ b/crates/gateway/src/admission/mod.rs
@@ -15,14 +15,15 @@
 
 use gorsebank_coordination::Timestamp;
 use gorsebank_fleet::CopyTier;
-use gorsebank_world::{AdapterId, BackEndId, ModelId};
+use gorsebank_world::{AdapterId, BackEndId, ModelId, SoftwareVersion};
 use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::back_end::BackEnd;
 use crate::back_end_limits::Reservation;
 use crate::candidates::{ChosenBackEnd, choose_back_end, has_unlimited, time_to_capacity};
+use crate::directory::ModelAvailability;
 use crate::failure::Failure;
-use crate::request::Call;
+use crate::request::{Call, RequiredVersion};
 use full_engines::{FullEngines, QueuePlace, below_bound, bounded_model, has_room};
 use refusal::{log_wait, refuse, refuse_quarantined};
 use waits::{ExpectedLoad, Missing, max_capacity_wait, wait_deadline};
@@ -147,7 +148,7 @@
 /// Reports what is missing to the placement holder.
 fn report_unmet_demand(call: &Call, missing: &Missing) {
     match missing {
-        Missing::BackEnd => {}
+        Missing::BackEnd | Missing::SoftwareVersion => {}
         Missing::Adapter => record_unmet_demand(call, call.metadata.adapter.as_ref()),
         Missing::Model(_) | Missing::Capacity(_) | Missing::FullEngines(_) | Missing::Pause(_) => {
             record_unmet_demand(call, None)
@@ -216,9 +217,7 @@
     let (Some(model), Some(adapter)) = (required_model(call), adapter) else {
         return Missing::FullEngines(full);
     };
-    let availability = call
-        .shared
-        .directory(|directory| directory.availability(now, &call.service, model, Some(adapter)));
+    let availability = availability(call, now, model, Some(adapter));
     let engines = availability.without_adapter;
     if !engines.is_empty() && has_room(call, now, &engines) {
         Missing::Adapter
@@ -235,9 +234,7 @@
     let (Some(model), Some(adapter)) = (required_model(call), adapter) else {
         return Missing::Capacity(time_to_capacity(call, now, back_ends));
     };
-    let availability = call
-        .shared
-        .directory(|directory| directory.availability(now, &call.service, model, Some(adapter)));
+    let availability = availability(call, now, model, Some(adapter));
     if has_unlimited(call, now, &availability.without_adapter) {
         Missing::Adapter
     } else {
@@ -252,18 +249,14 @@
     now: Timestamp,
     tried: &[BackEndId],
 ) -> Result<Vec<Arc<BackEnd>>, Missing> {
-    let service = &call.service;
+    if !is_version_served(call, now) {
+        return Err(Missing::SoftwareVersion);
+    }
     let Some(model) = required_model(call) else {
-        let members = call
-            .shared
-            .directory(|directory| directory.active_back_ends(now, service));
-        let untried = untried(members, tried).ok_or(Missing::BackEnd)?;
+        let untried = untried(active_back_ends(call, now), tried).ok_or(Missing::BackEnd)?;
         return available(call, now, untried);
     };
-    let adapter = call.metadata.adapter.as_ref();
-    let availability = call
-        .shared
-        .directory(|directory| directory.availability(now, service, model, adapter));
+    let availability = availability(call, now, model, call.metadata.adapter.as_ref());
     if let Some(untried) = untried(availability.ready, tried) {
         return available(call, now, untried);
     }
@@ -285,6 +278,40 @@
     Err(Missing::Model(load))
 }
 
+/// Whether any back end has the software version that the stream must keep.
+fn is_version_served(call: &Call, now: Timestamp) -> bool {
+    match call.required_version() {
+        None => true,
+        Some(RequiredVersion::Unknown) => false,
+        Some(RequiredVersion::Exactly(_)) => !active_back_ends(call, now).is_empty(),
+    }
+}
+
+/// The only software version that may serve the request, if there is one.
+fn exact_version(call: &Call) -> Option<&SoftwareVersion> {
+    match call.required_version()? {
+        RequiredVersion::Exactly(version) => Some(version),
+        RequiredVersion::Unknown => None,
+    }
+}
+
+fn active_back_ends(call: &Call, now: Timestamp) -> Vec<Arc<BackEnd>> {
+    let version = exact_version(call);
+    call.shared
+        .directory(|directory| directory.active_back_ends(now, &call.service, version))
+}
+
+fn availability(
+    call: &Call,
+    now: Timestamp,
+    model: &ModelId,
+    adapter: Option<&AdapterId>,
+) -> ModelAvailability {
+    let (service, version) = (&call.service, exact_version(call));
+    call.shared
+        .directory(|directory| directory.availability(now, service, model, adapter, version))
+}
+
 /// Back ends that were not tried. `None` if all were.
 fn untried(mut back_ends: Vec<Arc<BackEnd>>, tried: &[BackEndId]) -> Option<Vec<Arc<BackEnd>>> {
     back_ends.retain(|back_end| !tried.contains(&back_end.id));
--- a/crates/gateway/src/admission/refusal.rs
+++ b/crates/gateway/src/admission/refusal.rs
@@ -23,6 +23,7 @@
 pub(super) fn refuse(call: &Call, missing: &Missing) -> Failure {
     let (reason, retry_after) = match missing {
         Missing::BackEnd => ("no_back_end", MIN_RETRY_AFTER),
+        Missing::SoftwareVersion => ("no_software_version", MIN_RETRY_AFTER),
         Missing::Capacity(wait) => ("back_end_limit", MIN_RETRY_AFTER.max(*wait)),
         Missing::FullEngines(full) => {
             let retry_after = MIN_RETRY_AFTER.max(full.return_after);
@@ -57,6 +58,7 @@
         Missing::Model(_) => "model",
         Missing::Adapter => "adapter",
         Missing::BackEnd => "back_end",
+        Missing::SoftwareVersion => "software_version",
         Missing::Capacity(_) => "room",
         Missing::FullEngines(_) => "full_engines",
         Missing::Pause(_) => "pause",
@@ -92,7 +94,9 @@
             full.bound,
             full.ahead,
         ),
-        Missing::Adapter | Missing::BackEnd => "expected_ms=0 load_ordered=false".to_owned(),
+        Missing::Adapter | Missing::BackEnd | Missing::SoftwareVersion => {
+            "expected_ms=0 load_ordered=false".to_owned()
+        }
     }
 }
 
--- a/crates/gateway/src/admission/waits.rs
+++ b/crates/gateway/src/admission/waits.rs
@@ -41,6 +41,8 @@
 pub(super) enum Missing {
     /// No back end of the service can take the request.
     BackEnd,
+    /// No back end has the software version that the stream must keep.
+    SoftwareVersion,
     /// All back ends that could take the request have rate limits and no capacity. Some may have
     /// capacity after this time.
     Capacity(Duration),
@@ -75,6 +77,7 @@
         Missing::Capacity(wait) | Missing::Pause(wait) if *wait > max_capacity_wait(call) => {
             return None;
         }
+        Missing::SoftwareVersion => return None,
         Missing::Capacity(wait) | Missing::Pause(wait) => now + *wait,
         Missing::FullEngines(full) => queue_deadline(call, now, full.expected)?,
         _ if call.is_returning && !matches!(missing, Missing::Model(_)) => give_up,
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -19,7 +19,7 @@
     BackEndReport, CopyTier, DrainNotice, DrainNotices, Holdings, Incarnation, IncarnationMatch,
     PlacedRow,
 };
-use gorsebank_world::{AdapterId, BackEndId, ModelId, ServiceId, ZoneId};
+use gorsebank_world::{AdapterId, BackEndId, ModelId, ServiceId, SoftwareVersion, ZoneId};
 
 use rand::seq::IteratorRandom;
 
@@ -448,9 +448,14 @@
         self.entries.values().map(report).collect()
     }
 
-    /// Back ends of a service that accept new requests.
-    pub fn active_back_ends(&self, now: Timestamp, service: &ServiceId) -> Vec<Arc<BackEnd>> {
-        let active = self.active(now, service);
+    /// Back ends of a service that accept new requests, of one software version if it is given.
+    pub fn active_back_ends(
+        &self,
+        now: Timestamp,
+        service: &ServiceId,
+        version: Option<&SoftwareVersion>,
+    ) -> Vec<Arc<BackEnd>> {
+        let active = self.active(now, service, version);
         self.retain_warm(now, active.map(|entry| entry.back_end.clone()).collect())
     }
 
@@ -460,16 +465,18 @@
         entry.is_some_and(|entry| self.accepts_requests(entry))
     }
 
-    /// Availability of a model, and optionally of one of its adapters, at `now`.
+    /// Availability of a model, and optionally of one of its adapters, at `now`: at all back ends of
+    /// the service, or at those of one software version.
     pub fn availability(
         &self,
         now: Timestamp,
         service: &ServiceId,
         model: &ModelId,
         adapter: Option<&AdapterId>,
+        version: Option<&SoftwareVersion>,
     ) -> ModelAvailability {
         let mut availability = ModelAvailability::default();
-        for entry in self.active(now, service) {
+        for entry in self.active(now, service, version) {
             let placed = self.placed.get(&entry.report.id);
             let placed = placed.filter(|placed| entry.matches_placed_row(placed));
             self.add_availability(now, entry, placed, model, adapter, &mut availability);
@@ -516,11 +523,17 @@
 
     /// Back ends of a service that may receive new requests. The row of an exited process remains
     /// for several heartbeats, in which requests to its back end would only lose time.
-    fn active(&self, now: Timestamp, service: &ServiceId) -> impl Iterator<Item = &Entry> {
+    fn active(
+        &self,
+        now: Timestamp,
+        service: &ServiceId,
+        version: Option<&SoftwareVersion>,
+    ) -> impl Iterator<Item = &Entry> {
         let service_back_ends = self.services.get(service).into_iter().flatten();
         service_back_ends
             .filter_map(|id| self.entries.get(id))
             .filter(move |entry| self.accepts_requests(entry) && !entry.back_end.has_exited(now))
+            .filter(move |entry| version.is_none_or(|it| *it == entry.report.software_version))
     }
 
     fn accepts_requests(&self, entry: &Entry) -> bool {
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -4,13 +4,13 @@
 //! log line that states the outcome. When the caller disconnects, the future is dropped, which
 //! cancels every attempt.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use bytes::Bytes;
 use gorsebank_fleet::{Configuration, Fingerprint, Route, Tenant};
-use gorsebank_world::ServiceId;
+use gorsebank_world::{ServiceId, SoftwareVersion};
 use http::header::{self, HeaderName};
 use http::request::Parts;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Version};
@@ -94,11 +94,22 @@
     pub attempts: AtomicU32,
     /// The quota charge for the request; `None` if its tenant has no quota.
     quota_charge: Option<Grant>,
+    /// The software version that the rest of the stream must have; unset while any will do.
+    required_version: OnceLock<RequiredVersion>,
     may_have_run: AtomicBool,
     in_doubt: AtomicBool,
     is_end_logged: AtomicBool,
 }
 
+/// The software version of the back ends that may continue a stream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RequiredVersion {
+    /// The version that wrote the first event.
+    Exactly(SoftwareVersion),
+    /// It is not known which version wrote the first event, so no back end may continue the stream.
+    Unknown,
+}
+
 impl Drop for Call {
     /// Logs a call that was dropped before its end was logged, because its caller disconnected. A
     /// request that did not run is not charged to its tenant.
@@ -120,6 +131,16 @@
         self.may_have_run.store(true, Ordering::Relaxed);
     }
 
+    /// Fixes the software version of the stream, unless it is fixed already.
+    pub fn require_version(&self, version: RequiredVersion) {
+        self.required_version.get_or_init(|| version);
+    }
+
+    /// The software version that the rest of the stream must have; `None` while any will do.
+    pub fn required_version(&self) -> Option<&RequiredVersion> {
+        self.required_version.get()
+    }
+
     /// How much longer the request is quarantined, because back ends crash while they run it.
     pub fn quarantine_left(&self) -> Option<Duration> {
         let now = self.shared.now();
@@ -389,6 +410,7 @@
         is_returning,
         attempts: AtomicU32::new(0),
         quota_charge,
+        required_version: OnceLock::new(),
         may_have_run: AtomicBool::new(false),
         in_doubt: AtomicBool::new(false),
         is_end_logged: AtomicBool::new(false),
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -2,7 +2,8 @@
 //!
 //! Complete events are forwarded as they arrive. When a back end breaks off, a resumable stream
 //! continues at another back end after the last complete event, and only after the old connection
-//! was closed. Any other stream is cut off, so that the caller notices.
+//! was closed. From its first event on, it continues at back ends of one software version only, since
+//! what two versions write does not fit together. Any other stream is cut off, so that the caller notices.
 
 use std::pin::pin;
 use std::sync::Arc;
@@ -13,7 +14,7 @@
 use futures_util::{StreamExt, stream};
 use gorsebank_fleet::CopyTier;
 use gorsebank_fleet::events::EventSplitter;
-use gorsebank_world::{ModelId, SoftwareVersion};
+use gorsebank_world::ModelId;
 use http::{Response, StatusCode};
 use http_body::Frame;
 use http_body_util::{BodyExt, StreamBody};
@@ -28,7 +29,7 @@
 use crate::event_log::{self, LogPriority};
 use crate::failure::Failure;
 use crate::lost_connection;
-use crate::request::{Call, ResponseBody, TruncatedBody, response_head};
+use crate::request::{Call, RequiredVersion, ResponseBody, TruncatedBody, response_head};
 use crate::single_response::evaluate_response;
 
 /// Maximum number of events buffered for a slow caller.
@@ -159,7 +160,6 @@
         max_gap: Duration::ZERO,
         max_gap_end: Duration::ZERO,
         segment_last_event: None,
-        software_version: None,
         _running: running,
     };
     tokio::spawn(forwarder.run(response));
@@ -205,8 +205,6 @@
     max_gap_end: Duration,
     /// When the last event of the current segment arrived.
     segment_last_event: Option<Instant>,
-    /// Software version of the back end that sent the first event.
-    software_version: Option<SoftwareVersion>,
     _running: RunningGuard,
 }
 
@@ -290,8 +288,7 @@
                 if self.is_repeated(event.id.as_deref()) {
                     continue;
                 }
-                self.software_version
-                    .get_or_insert_with(|| response.back_end.software_version.clone());
+                self.fix_version(&response.back_end);
                 // A caller whose connection went silent accepts no data and does not disconnect
                 // either.
                 match timeout_at(self.call.deadline(), self.sender.send(event.bytes)).await {
@@ -341,6 +338,14 @@
         queues.record_stream(&self.call.service, self.events, milliseconds(ran));
     }
 
+    /// Fixes the software version of the stream, which its first event determines.
+    fn fix_version(&self, back_end: &BackEnd) {
+        if self.call.required_version().is_none() {
+            let version = back_end.software_version.clone();
+            self.call.require_version(RequiredVersion::Exactly(version));
+        }
+    }
+
     fn record_event(&mut self, id: Option<String>) {
         self.events += 1;
         let now = Instant::now();
@@ -428,7 +433,10 @@
 
     /// Logs and counts that the stream continues at another back end within its response.
     fn record_resumed(&self, reason: &str, back_end: &BackEnd) {
-        let began_at = self.software_version.as_ref();
+        let began_at = match self.call.required_version() {
+            Some(RequiredVersion::Exactly(version)) => Some(version),
+            Some(RequiredVersion::Unknown) | None => None,
+        };
         let keeps_version = began_at.is_none_or(|began| *began == back_end.software_version);
         let metrics = &self.call.shared.metrics;
         metrics.record_stream_resumed("response", keeps_version);
