Keep the software version of a stream that its caller takes up

The cause is that a request which takes up a stream was a new request to every gateway, and only the gateway that had served the stream could have known how it began. That one may be gone, which is when streams are taken up.

The gateway that forwards the first event records its version under the id of that request, and sends the record to two gateways, if possible in other zones; rendezvous hashing of the id selects them. A request that takes up a stream asks the highest-ranked gateways for the record, and the stream goes on at that version only. If nobody has the record, it goes on only if the service is known to have had one version for as long as a stream lasts; otherwise it is refused and not run, also at a gateway that is cut off. A gateway that stops sends its records on.

While a gateway is certain that a service has had one version only, its records stay with it, so that fleets of one version pay nothing. Once it is not certain any more, it sends them all.

Gateways of an earlier build close the connection on the new messages: they keep no record, and count as a keeper that does not respond.

--- a/crates/fleet/src/configuration.rs
+++ b/crates/fleet/src/configuration.rs
@@ -11,6 +11,11 @@
 use crate::back_end::CopyTier;
 use crate::tenant::Tenants;
 
+/// Number of timeouts of a route after which no caller takes up a stream any more.
+const STREAM_LIFETIME_TIMEOUTS: u32 = 2;
+/// Minimum time within which callers may take up a stream, however short the timeouts are.
+const MIN_STREAM_LIFETIME: Duration = Duration::from_secs(30);
+
 /// How often a request may be executed, and the form of its response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RequestKind {
@@ -245,6 +250,14 @@
         timeout.is_some_and(|timeout| load > *timeout / 2)
     }
 
+    /// Maximum time from the start of a stream of the service until a caller takes it up for the last
+    /// time.
+    pub fn longest_stream(&self, service: &ServiceId) -> Duration {
+        let timeout = self.longest_timeouts.get(service).copied();
+        let lifetime = timeout.unwrap_or_default() * STREAM_LIFETIME_TIMEOUTS;
+        lifetime.max(MIN_STREAM_LIFETIME)
+    }
+
     /// Number of routes over all hosts.
     pub fn route_count(&self) -> usize {
         self.routes.values().map(Vec::len).sum()
--- a/crates/fleet/src/fingerprint.rs
+++ b/crates/fleet/src/fingerprint.rs
@@ -34,6 +34,13 @@
         hasher.finalize_xof().fill(&mut bytes);
         Fingerprint(bytes)
     }
+
+    /// The first eight bytes as a number, which selects a group of fingerprints.
+    pub fn leading_number(self) -> u64 {
+        let mut leading = [0; 8];
+        leading.copy_from_slice(&self.0[..8]);
+        u64::from_le_bytes(leading)
+    }
 }
 
 impl fmt::Display for Fingerprint {
--- a/crates/gateway/src/admission/mod.rs
+++ b/crates/gateway/src/admission/mod.rs
@@ -283,7 +283,9 @@
     match call.required_version() {
         None => true,
         Some(RequiredVersion::Unknown) => false,
-        Some(RequiredVersion::Exactly(_)) => !active_back_ends(call, now).is_empty(),
+        Some(RequiredVersion::Exactly(_)) => active_back_ends(call, now)
+            .iter()
+            .any(|back_end| call.shared.is_version_certain(back_end)),
     }
 }
 
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -17,7 +17,7 @@
 use gorsebank_fleet::running::Counts;
 use gorsebank_fleet::{
     BackEndReport, CopyTier, DrainNotice, DrainNotices, Holdings, Incarnation, IncarnationMatch,
-    PlacedRow,
+    PlacedRow, SoftwareVersions,
 };
 use gorsebank_world::{AdapterId, BackEndId, ModelId, ServiceId, SoftwareVersion, ZoneId};
 
@@ -131,6 +131,7 @@
     evacuated: BTreeSet<ZoneId>,
     /// Whether warm back ends are preferred to those that are warming up.
     prefers_warm: bool,
+    software_versions: SoftwareVersions,
     /// Back ends whose row was removed without an announced drain.
     removed_without_drain: Vec<Arc<BackEnd>>,
 }
@@ -146,6 +147,7 @@
             drain_notices: DrainNotices::default(),
             evacuated: BTreeSet::new(),
             prefers_warm: false,
+            software_versions: SoftwareVersions::default(),
             removed_without_drain: Vec::new(),
         }
     }
@@ -155,6 +157,16 @@
         self.prefers_warm = true;
     }
 
+    /// Records that no stream is older than this gateway.
+    pub fn set_version_history_complete(&mut self) {
+        self.software_versions.set_complete();
+    }
+
+    /// Software versions of the back ends, present and past.
+    pub fn software_versions(&self) -> &SoftwareVersions {
+        &self.software_versions
+    }
+
     /// Replaces the set of zones whose back ends receive no new requests. Returns whether the set
     /// has changed.
     pub fn set_evacuated(&mut self, zones: BTreeSet<ZoneId>) -> bool {
@@ -181,7 +193,12 @@
             IncarnationMatch::Same => {
                 let moved = entry.report.service != report.service;
                 let previous_service = entry.report.service.clone();
+                let previous_version = entry.report.software_version.clone();
                 let id = report.id.clone();
+                self.software_versions
+                    .add(&report.service, &report.software_version);
+                self.software_versions
+                    .remove(now, &previous_service, &previous_version);
                 if report.draining {
                     self.drain_notices
                         .record(now, entry.back_end.incarnation_hash);
@@ -192,7 +209,7 @@
                     self.change_service(&id, &previous_service);
                 }
             }
-            IncarnationMatch::Other => self.begin_incarnation(report, row),
+            IncarnationMatch::Other => self.begin_incarnation(now, report, row),
             IncarnationMatch::Outdated => entry.deferred_row = Some((report, version)),
         }
     }
@@ -222,6 +239,8 @@
         let service_back_ends = self.services.entry(report.service.clone()).or_default();
         service_back_ends.push(report.id.clone());
         let id = report.id.clone();
+        self.software_versions
+            .add(&report.service, &report.software_version);
         let incarnation = quarantine::incarnation_hash(&id, report.born);
         if report.draining {
             self.drain_notices.record(row.seen, incarnation);
@@ -234,9 +253,9 @@
     }
 
     /// Replaces the entry of a back end that has restarted under its name.
-    fn begin_incarnation(&mut self, report: BackEndReport, row: SeenRow) {
+    fn begin_incarnation(&mut self, now: Timestamp, report: BackEndReport, row: SeenRow) {
         let placed = self.placed.remove(&report.id);
-        self.remove(&report.id);
+        self.remove(now, &report.id);
         let id = report.id.clone();
         self.add(report, row);
         // The placement holder may have learned of the new incarnation first.
@@ -321,10 +340,12 @@
     }
 
     /// Applies the removal of a back end's row.
-    pub fn remove(&mut self, id: &BackEndId) {
+    pub fn remove(&mut self, now: Timestamp, id: &BackEndId) {
         let Some(entry) = self.entries.remove(id) else {
             return;
         };
+        let (service, version) = (&entry.report.service, &entry.report.software_version);
+        self.software_versions.remove(now, service, version);
         entry.back_end.retire();
         if entry.is_active() {
             self.removed_without_drain.push(entry.back_end.clone());
@@ -350,7 +371,7 @@
         let removed = self.entries.keys().filter(|id| !listed.contains(id));
         let removed: Vec<BackEndId> = removed.cloned().collect();
         for id in removed {
-            self.remove(&id);
+            self.remove(now, &id);
         }
         for (report, version) in reports {
             self.put(now, report, version);
@@ -358,6 +379,7 @@
         for (id, version) in unreadable {
             self.put_unreadable(&id, version);
         }
+        self.software_versions.set_known_since(now);
     }
 
     /// Applies a row of the placement holder about a back end.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 //! - [`back_end_limits`] enforces the limits that overloaded back ends state.
 //! - [`links`] connects to the back end, directly or through another gateway.
 //! - [`attempt`] sends the request once.
+//! - `take_up` fixes the software version of a stream that the caller takes up.
 //! - [`single_response`] and [`stream`] combine attempts into one response.
 //!
 //! These modules run in the background:
@@ -24,6 +25,7 @@
 //! - [`feed`] receives updates of the tables from the table service or from other gateways.
 //! - [`table_followers`] applies these updates.
 //! - [`members`] registers this gateway.
+//! - [`stream_origins`] records the software versions that began streams.
 //! - [`demand_sender`] sends this gateway's demand to the placement holder.
 //! - [`holder`] maintains the placement lease.
 //! - [`placement`] places models while this process holds the lease.
@@ -71,10 +73,12 @@
 pub mod shared;
 pub mod single_response;
 pub mod stream;
+pub mod stream_origins;
 mod suspension;
 pub mod sweeper;
 mod table_era;
 pub mod table_followers;
+mod take_up;
 mod tenancy;
 pub mod tenant_quotas;
 pub mod timer_lag;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -39,6 +39,8 @@
     /// Streams that continue at another back end, by where the stream broke off and by whether it
     /// keeps its software version.
     resumed_streams: IntCounterVec,
+    /// Streams that callers take up, by how the version that began them was found out.
+    stream_origins: IntCounterVec,
     /// Requests for send times at back ends that state a limit, by result.
     pub reservations: IntCounterVec,
     /// Requests that waited for full engines or were refused for them, by result.
@@ -104,6 +106,11 @@
                 ),
                 &["within", "software_version"],
             )?,
+            stream_origins: counters(
+                "gateway_stream_origins_total",
+                "Streams that callers take up by source of the version that began them",
+                "source",
+            )?,
             prompt_sends: counters(
                 "gateway_prompt_sends_total",
                 "Requests for send times of prompts by result",
@@ -162,6 +169,7 @@
             &self.back_end_connects,
             &self.back_end_exits,
             &self.resumed_streams,
+            &self.stream_origins,
             &self.reservations,
             &self.engine_queue,
             &self.prompt_sends,
@@ -215,6 +223,11 @@
         self.resumed_streams.with_label_values(&labels).inc();
     }
 
+    /// Counts a stream that a caller takes up, by how the version that began it was found out.
+    pub fn record_stream_origin(&self, source: &str) {
+        self.stream_origins.with_label_values(&[source]).inc();
+    }
+
     /// Counts a request that waited for full engines, or was refused for them.
     pub fn record_engine_queue(&self, result: &str) {
         self.engine_queue.with_label_values(&[result]).inc();
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -19,8 +19,8 @@
 use crate::shared::Shared;
 use crate::tenant_quotas::{refunds, shards};
 use crate::{
-    demand_sender, feed, holder, members, quarantine, quarantine_row, relay, suspension,
-    table_followers, timer_lag,
+    demand_sender, feed, holder, members, quarantine, quarantine_row, relay, stream_origins,
+    suspension, table_followers, timer_lag,
 };
 
 /// Interval at which a stopping process checks whether all requests have ended.
@@ -133,6 +133,7 @@
     pub async fn drain(&self) {
         event_log::write(LogPriority::Decision, "stop", format_args!("phase=begun"));
         self.shared.stop();
+        self.shared.stream_origins.hand_over(self.shared.now());
         tokio::spawn(members::remove_own_row(self.shared.clone()));
         let grace = self.shared.settings.bounds.shutdown_grace;
         self.connections.drain(grace, DRAIN_POLL).await;
@@ -169,6 +170,7 @@
         tokio::spawn(holder::run(shared.clone())),
         tokio::spawn(shards::run(shared.clone())),
         tokio::spawn(refunds::run(shared.clone())),
+        tokio::spawn(send_stream_origins(shared.clone())),
         tokio::spawn(members::maintain_own_row(shared)),
     ]
     .map(AbortOnDrop);
@@ -176,6 +178,11 @@
     drop(tasks);
 }
 
+async fn send_stream_origins(shared: Arc<Shared>) {
+    let client = shared.table().client();
+    stream_origins::send_records(&shared.stream_origins, client, shared.as_ref()).await;
+}
+
 async fn listen(address: SocketAddr) -> eyre::Result<TcpListener> {
     TcpListener::bind(address)
         .await
--- a/crates/gateway/src/relay/message.rs
+++ b/crates/gateway/src/relay/message.rs
@@ -1,15 +1,16 @@
 //! Requests and responses between gateways: calls of the table, requests for updates, demand,
-//! quotas, and crash records for the quarantine.
+//! quotas, crash records for the quarantine, and origins of streams.
 
 use gorsebank_contract::{Transaction, TransactionResult};
-use gorsebank_fleet::DemandRow;
 use gorsebank_fleet::quarantine::{IncarnationHash, OutcomeNotice};
 use gorsebank_fleet::running::Counts;
+use gorsebank_fleet::{DemandRow, OriginRecord};
 use gorsebank_world::{BackEndId, NodeId};
 use serde::{Deserialize, Serialize};
 
 use crate::feed::{FeedRequest, FeedResponse};
 use crate::ports::{TableChanges, TableError, TableSnapshot};
+use crate::stream_origins::{OriginAnswer, OriginRequest};
 use crate::tenant_quotas::{QuotaRequest, QuotaResponse};
 
 /// The demand that the callers of one gateway cause.
@@ -138,6 +139,10 @@
     /// Send the outcomes that the sender and its children observed for requests under which back
     /// ends crashed.
     Quarantine(Vec<OutcomeNotice>),
+    /// Keep records of the software versions that began streams.
+    RecordOrigins(Vec<OriginRecord>),
+    /// Ask for the software version that began a stream.
+    FindOrigin(OriginRequest),
     /// Open a tunnel to a back end. No frame follows on the connection after the response.
     Tunnel(TunnelRequest),
     /// Execute a transaction on the table.
@@ -186,6 +191,8 @@
     /// The acknowledgement of outcomes of requests under which back ends crashed.
     #[serde(rename = "Noted")]
     Acknowledged,
+    /// What the gateway knows of the software version that began a stream.
+    Origin(OriginAnswer),
     /// The response to a request for a tunnel.
     Tunnel(TunnelResponse),
     /// The result of a transaction or a removal.
--- a/crates/gateway/src/relay/server.rs
+++ b/crates/gateway/src/relay/server.rs
@@ -94,6 +94,11 @@
             shared.merge_child_outcomes(&outcomes);
             RelayResponse::Acknowledged
         }
+        RelayRequest::RecordOrigins(records) => {
+            shared.stream_origins.merge(shared.now(), &records);
+            RelayResponse::Acknowledged
+        }
+        RelayRequest::FindOrigin(request) => RelayResponse::Origin(shared.answer_origin(&request)),
         table_call => match shared.table().direct() {
             Some(table) => call_table(table, table_call).await,
             None => RelayResponse::Failed(table_unreachable()),
@@ -179,7 +184,9 @@
         | RelayRequest::RunningCounts(_)
         | RelayRequest::Demand(_)
         | RelayRequest::Quota(_)
-        | RelayRequest::Quarantine(_) => RelayResponse::Failed(table_unreachable()),
+        | RelayRequest::Quarantine(_)
+        | RelayRequest::RecordOrigins(_)
+        | RelayRequest::FindOrigin(_) => RelayResponse::Failed(table_unreachable()),
         RelayRequest::Remove { key, version } => {
             RelayResponse::Transacted(table.remove(&key, version).await)
         }
--- a/crates/gateway/src/relay/table.rs
+++ b/crates/gateway/src/relay/table.rs
@@ -352,6 +352,7 @@
         | RelayResponse::DemandReceived { .. }
         | RelayResponse::Quota(_)
         | RelayResponse::Tunnel(_)
+        | RelayResponse::Origin(_)
         | RelayResponse::Acknowledged => false,
         RelayResponse::Transacted(response) => matches!(
             response,
--- a/crates/gateway/src/shared/gateways.rs
+++ b/crates/gateway/src/shared/gateways.rs
@@ -6,10 +6,12 @@
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 
+use gorsebank_fleet::stream_origins::KeeperGroup;
 use gorsebank_world::NodeId;
 
 use super::Shared;
 use crate::feed::Member;
+use crate::stream_origins::Keepers;
 
 /// Assumed minimum number of gateways, as long as the table of members has not been read.
 pub(super) const MIN_GATEWAYS: usize = 4;
@@ -23,6 +25,8 @@
     serving: Vec<Member>,
     /// The placement holder, according to the lease row.
     holder: Option<NodeId>,
+    /// The gateways that keep origins of streams.
+    origin_keepers: Keepers,
 }
 
 impl Shared {
@@ -41,6 +45,7 @@
         let mut members = self.members.lock();
         members.count = count;
         members.serving = serving;
+        members.origin_keepers.clear();
         self.update_feed_position(&members);
     }
 
@@ -89,6 +94,24 @@
         self.members.lock().serving.clone()
     }
 
+    /// The gateways to which the records of a group of streams are sent, in order.
+    pub(super) fn origin_keepers(&self, group: KeeperGroup) -> Vec<SocketAddr> {
+        let (own, zone) = (&self.settings.node, &self.settings.zone);
+        let members = &mut *self.members.lock();
+        members
+            .origin_keepers
+            .to_send(&members.serving, own, zone, group)
+    }
+
+    /// The gateways to ask for a record of a group of streams.
+    pub(super) fn origin_keepers_to_ask(&self, group: KeeperGroup) -> Vec<SocketAddr> {
+        let (own, zone) = (&self.settings.node, &self.settings.zone);
+        let members = &mut *self.members.lock();
+        members
+            .origin_keepers
+            .to_ask(&members.serving, own, zone, group)
+    }
+
     /// Up to `count` other gateways that may open a tunnel to a back end, in the order in which to
     /// ask them.
     pub fn tunnel_peers(&self, count: usize) -> Vec<SocketAddr> {
--- a/crates/gateway/src/shared/mod.rs
+++ b/crates/gateway/src/shared/mod.rs
@@ -13,6 +13,7 @@
 mod responses;
 mod running;
 mod shares;
+mod software_versions;
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
@@ -33,6 +34,7 @@
 
 use gateways::{MIN_GATEWAYS, Members};
 pub use shares::RetryPermit;
+pub use software_versions::OriginSource;
 
 use crate::adaptive_timeout::AdaptiveTimeout;
 use crate::back_end_limits::BackEndLimits;
@@ -50,6 +52,7 @@
 use crate::refused_rows::RefusedRows;
 use crate::relay::RelayedTable;
 use crate::settings::GatewaySettings;
+use crate::stream_origins::SharedOrigins;
 use crate::tenant_quotas::TenantQuotas;
 use crate::timer_lag::TimerLag;
 
@@ -83,6 +86,8 @@
     pub back_end_limits: BackEndLimits,
     /// Links to back ends, and the gateways that help when links are cut.
     pub links: Links,
+    /// The software versions that began streams.
+    pub stream_origins: SharedOrigins,
     /// Services whose back ends fail if they have to reject many requests.
     brittle: Mutex<BrittleServices>,
     /// Proofs that back ends are alive whose exit was recorded.
@@ -127,6 +132,9 @@
         if settings.bounds.prefers_warm_back_ends {
             directory.prefer_warm();
         }
+        if settings.is_initial_start {
+            directory.set_version_history_complete();
+        }
         let metrics = Metrics::new()?;
         let calls = metrics.table_calls.clone();
         let table = Arc::new(RelayedTable::new(platform.clone(), calls));
@@ -143,6 +151,7 @@
             quarantine: SharedQuarantine::default(),
             back_end_limits: BackEndLimits::default(),
             links: Links::default(),
+            stream_origins: SharedOrigins::default(),
             brittle: Mutex::default(),
             liveness: Mutex::default(),
             engine_queues: EngineQueues::default(),
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -31,6 +31,7 @@
 use crate::lost_connection;
 use crate::request::{Call, RequiredVersion, ResponseBody, TruncatedBody, response_head};
 use crate::single_response::evaluate_response;
+use crate::take_up;
 
 /// Maximum number of events buffered for a slow caller.
 const MAX_BUFFERED_EVENTS: usize = 16;
@@ -78,6 +79,7 @@
 
 /// Serves a stream. Returns the response head and body; a spawned task forwards the events.
 pub async fn serve(call: Arc<Call>) -> Result<Response<ResponseBody>, Failure> {
+    take_up::require_first_version(&call).await?;
     record_arrival(&call);
     let running = RunningGuard::begin(&call);
     let mut attempts = Attempts::default();
@@ -340,10 +342,20 @@
 
     /// Fixes the software version of the stream, which its first event determines.
     fn fix_version(&self, back_end: &BackEnd) {
-        if self.call.required_version().is_none() {
-            let version = back_end.software_version.clone();
-            self.call.require_version(RequiredVersion::Exactly(version));
+        let call = &self.call;
+        if call.required_version().is_some() {
+            return;
+        }
+        if !call.shared.is_version_certain(back_end) {
+            return call.require_version(RequiredVersion::Unknown);
+        }
+        let version = &back_end.software_version;
+        if call.route.kind.may_retry()
+            && let Some(stream) = take_up::stream_key(call)
+        {
+            call.shared.record_origin(&call.service, stream, version);
         }
+        call.require_version(RequiredVersion::Exactly(version.clone()));
     }
 
     fn record_event(&mut self, id: Option<String>) {
--- a/crates/gateway/src/table_followers.rs
+++ b/crates/gateway/src/table_followers.rs
@@ -284,7 +284,9 @@
                 let id = BackEndId::from(row_name(&key));
                 let fields = format_args!("back_end={id} version={version}");
                 event_log::write(LogPriority::Decision, "back_end_gone", fields);
-                self.0.change_directory(|directory| directory.remove(&id));
+                let now = self.0.now();
+                self.0
+                    .change_directory(|directory| directory.remove(now, &id));
                 self.0.evaluate_removed_back_ends();
             }
         }
--- a/crates/gateway/tests/directory.rs
+++ b/crates/gateway/tests/directory.rs
@@ -160,7 +160,7 @@
     directory.replace(NOW, Vec::new(), unreadable);
     assert!(!directory.is_active(&id));
     assert!(directory.take_removed_without_drain().is_empty());
-    directory.remove(&id);
+    directory.remove(NOW, &id);
     assert!(directory.take_removed_without_drain().is_empty());
 }
 
@@ -182,7 +182,7 @@
         } else {
             assert!(directory.record_drain(NOW, &back_end));
         }
-        directory.remove(&id);
+        directory.remove(NOW, &id);
         assert!(
             directory.take_removed_without_drain().is_empty(),
             "the back end announced its drain"
