Begin streams where another back end of the version can continue them

A stream keeps its software version, so one that begins at the only engine of a version with its model is lost with that engine, although two engines of another version hold the model too. While versions are mixed, a resumable stream begins at a version that several engines with the model have, if one of them has a free slot.

A stream whose model is left at other versions only is refused at once: the placement holder does not know versions, sees the model held, and orders no load, so the wait for one was in vain.

--- a/crates/gateway/src/admission/mod.rs
+++ b/crates/gateway/src/admission/mod.rs
@@ -10,6 +10,7 @@
 mod refusal;
 mod waits;
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -200,6 +201,7 @@
     let back_ends = eligible(call, now, tried)?;
     let back_ends = below_bound(call, now, back_ends, place, is_first_look)
         .map_err(|full| missing_room(call, now, full))?;
+    let back_ends = prefer_resumable(call, back_ends);
     let chosen = choose_back_end(call, now, &back_ends)
         .ok_or_else(|| missing_capacity(call, now, &back_ends))?;
     if let Some(model) = &call.metadata.model {
@@ -210,6 +212,31 @@
     Ok(chosen)
 }
 
+/// The back ends at which a stream can begin so that another one can continue it: those of versions
+/// that several of them have. All back ends, if there are no such ones with a free slot, or if the
+/// request does not begin a stream that may continue.
+fn prefer_resumable(call: &Call, back_ends: Vec<Arc<BackEnd>>) -> Vec<Arc<BackEnd>> {
+    let begins_stream = call.route.kind.is_stream() && call.required_version().is_none();
+    if !begins_stream || !call.route.kind.may_retry() {
+        return back_ends;
+    }
+    let mut counts: BTreeMap<&SoftwareVersion, usize> = BTreeMap::new();
+    for back_end in &back_ends {
+        *counts.entry(&back_end.software_version).or_default() += 1;
+    }
+    if counts.len() < 2 {
+        return back_ends;
+    }
+    let has_another = |it: &&Arc<BackEnd>| counts[&it.software_version] > 1;
+    let resumable: Vec<Arc<BackEnd>> = back_ends.iter().filter(has_another).cloned().collect();
+    let has_free_slot = |back_end: &Arc<BackEnd>| back_end.in_flight() < back_end.slots;
+    if resumable.iter().any(has_free_slot) {
+        resumable
+    } else {
+        back_ends
+    }
+}
+
 /// What is missing when all eligible engines are full: the adapter, if another engine that holds the
 /// model has room.
 fn missing_room(call: &Call, now: Timestamp, full: FullEngines) -> Missing {
@@ -263,6 +290,9 @@
     if !availability.without_adapter.is_empty() {
         return Err(Missing::Adapter);
     }
+    if availability.loading_until.is_none() && is_held_at_other_versions(call, now, model) {
+        return Err(Missing::SoftwareVersion);
+    }
     let load = match availability.loading_until {
         Some(until) => ExpectedLoad {
             time_left: Duration::from_millis(until.since(now)),
@@ -289,6 +319,16 @@
     }
 }
 
+/// Whether the stream must keep its version, and only engines of other versions hold the model. No
+/// load is to be expected then, since the placement holder does not know versions.
+fn is_held_at_other_versions(call: &Call, now: Timestamp, model: &ModelId) -> bool {
+    exact_version(call).is_some()
+        && call.shared.directory(|directory| {
+            let anywhere = directory.availability(now, &call.service, model, None, None);
+            !anywhere.ready.is_empty()
+        })
+}
+
 /// The only software version that may serve the request, if there is one.
 fn exact_version(call: &Call) -> Option<&SoftwareVersion> {
     match call.required_version()? {
