Log the prompt parts of requests that lost their connection

The lines could not tell which parts of their prompts the requests at a crash share, nor whether a request had begun to write when its back end crashed. connection_lost tells both now; nothing is decided by it yet.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -169,7 +169,7 @@
             }
             ExchangeResult::Withheld(reason) => AttemptResult::NotSent(reason),
             ExchangeResult::Failed(CONNECTION_LOST) => {
-                let reason = lost_connection::check_back_end(self.call, self.back_end).await;
+                let reason = lost_connection::check_back_end(self.call, self.back_end, false).await;
                 record_failure(self.call, self.back_end, reason)
             }
             ExchangeResult::Failed(reason) => record_failure(self.call, self.back_end, reason),
--- a/crates/gateway/src/lost_connection.rs
+++ b/crates/gateway/src/lost_connection.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use gorsebank_fleet::Fingerprint;
 use tokio::time::{Instant, timeout};
 
 use crate::attempts::{BACK_END_ENDED, CONNECTION_LOST};
@@ -21,12 +22,14 @@
 /// known within a round trip, and a connection attempt without a reply shows nothing.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(100);
 
-/// Records that the connection to `back_end` was lost while it handled `call`. Returns a reason for
-/// log lines, which says whether the process is known in time to have exited.
-pub async fn check_back_end(call: &Call, back_end: &Arc<BackEnd>) -> &'static str {
+/// Records that the connection to `back_end` was lost while it handled `call`, and whether it had begun
+/// to write the response. Returns a reason for log lines, which says whether the process is known in
+/// time to have exited.
+pub async fn check_back_end(call: &Call, back_end: &Arc<BackEnd>, has_begun: bool) -> &'static str {
     let lost_at = Instant::now();
     let (shared, back_end) = (call.shared.clone(), back_end.clone());
     let (request, fingerprint) = (call.metadata.id.clone(), call.fingerprint);
+    let parts = call.shared_parts.clone();
     let check = tokio::spawn(async move {
         let id = &back_end.id;
         // A back end that is draining, or whose row is removed, exits as planned.
@@ -34,8 +37,9 @@
         let check = exit_evidence::has_exited(&shared, &back_end);
         let has_exited = back_end.check_for_exit(shared.now(), lost_at, check).await;
         let fields = format_args!(
-            "request={request} fingerprint={fingerprint} back_end={id} ended={has_exited} \
-             planned={}",
+            "request={request} fingerprint={fingerprint} parts={} begun={has_begun} back_end={id} \
+             ended={has_exited} planned={}",
+            join(&parts),
             !was_active
         );
         event_log::write(LogPriority::Decision, "connection_lost", fields);
@@ -53,3 +57,9 @@
         _ => CONNECTION_LOST,
     }
 }
+
+/// Fingerprints of parts for a log line.
+fn join(parts: &[Fingerprint]) -> String {
+    let parts: Vec<String> = parts.iter().map(Fingerprint::to_string).collect();
+    parts.join(",")
+}
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use gorsebank_fleet::{Configuration, Fingerprint, Route, Tenant};
+use gorsebank_fleet::{Configuration, Fingerprint, Prompt, Route, Tenant};
 use gorsebank_world::{ServiceId, SoftwareVersion};
 use http::header::{self, HeaderName};
 use http::request::Parts;
@@ -52,6 +52,10 @@
 const OTHER_HOP_BY_HOP_HEADERS: [&str; 2] = ["keep-alive", "proxy-connection"];
 /// Refusal reason: the body was not fully received before the deadline.
 const BODY_LATE: &str = "body_late";
+/// Maximum number of shared parts of a prompt that are identified.
+const MAX_IDENTIFIED_PARTS: usize = 32;
+/// Separates fingerprints of parts from those of requests.
+const PART_LABEL: &[u8] = b"prompt part";
 /// Fraction of the grace period of a planned stop after which no stream is started.
 const STREAM_START_FRACTION: f64 = 0.35;
 /// Upper bound for the time after which a stopping process starts no stream, however long its grace
@@ -81,6 +85,8 @@
     pub body: Bytes,
     /// Identifies the content of the request; equal for every retry by the caller.
     pub fingerprint: Fingerprint,
+    /// Identify the parts of the prompt that other requests may share, in order.
+    pub shared_parts: Vec<Fingerprint>,
     /// When the request's head was read.
     arrived: Instant,
     /// The longest time for which the gateway may work on the request.
@@ -394,6 +400,7 @@
     head.headers.remove(header::CONTENT_LENGTH);
     head.version = Version::HTTP_11;
     let fingerprint = fingerprint(&head, &metadata, &body);
+    let shared_parts = fingerprints_of_parts(&service, &metadata.prompt);
     let call = Call {
         shared: shared.clone(),
         configuration,
@@ -404,6 +411,7 @@
         head,
         body,
         fingerprint,
+        shared_parts,
         arrived,
         time_limit,
         suspended_at_arrival,
@@ -437,6 +445,16 @@
     ])
 }
 
+/// Fingerprints of the shared parts of a prompt at a service. The number of parts is up to the caller, so
+/// only the first ones are identified.
+fn fingerprints_of_parts(service: &ServiceId, prompt: &Prompt) -> Vec<Fingerprint> {
+    let parts = prompt.shared.iter().take(MAX_IDENTIFIED_PARTS);
+    let service = service.as_str().as_bytes();
+    parts
+        .map(|part| Fingerprint::of(&[PART_LABEL, service, part.id.as_bytes()]))
+        .collect()
+}
+
 /// Refuses a request that a stopping process could not finish; the caller can use another gateway.
 fn refuse_while_stopping(call: &Call) -> Result<(), Failure> {
     if call.time_left_to_send() != Some(Duration::ZERO) {
--- a/crates/gateway/src/single_response.rs
+++ b/crates/gateway/src/single_response.rs
@@ -66,7 +66,7 @@
         call.mark_may_have_run();
         let mut reason = "answer_cut";
         if Instant::now() < call.deadline()
-            && lost_connection::check_back_end(call, &back_end).await == BACK_END_ENDED
+            && lost_connection::check_back_end(call, &back_end, false).await == BACK_END_ENDED
         {
             reason = BACK_END_ENDED;
         }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -45,6 +45,10 @@
 /// A back end must start its response within this multiple of the objective.
 const FIRST_EVENT_FACTOR: f64 = 1.6;
 
+/// Number of events from one back end after which it has survived the begin of the response. A crash as
+/// it begins may still let the first event out.
+const BEGUN_EVENTS: u64 = 2;
+
 /// Reason: the response of a back end ended inside an event.
 const PARTIAL_EVENT: &str = "partial_event";
 
@@ -161,6 +165,7 @@
         last_forwarded: None,
         max_gap: Duration::ZERO,
         max_gap_end: Duration::ZERO,
+        segment_events: 0,
         segment_last_event: None,
         _running: running,
     };
@@ -205,6 +210,8 @@
     max_gap: Duration,
     /// When the longest gap ended, measured from the request's arrival.
     max_gap_end: Duration,
+    /// Number of events of the current segment.
+    segment_events: u64,
     /// When the last event of the current segment arrived.
     segment_last_event: Option<Instant>,
     _running: RunningGuard,
@@ -241,7 +248,8 @@
             drop(response);
             let reason = match reason {
                 CONNECTION_LOST | PARTIAL_EVENT => {
-                    lost_connection::check_back_end(&self.call, &back_end).await
+                    let has_begun = self.segment_events >= BEGUN_EVENTS;
+                    lost_connection::check_back_end(&self.call, &back_end, has_begun).await
                 }
                 reason => reason,
             };
@@ -260,6 +268,7 @@
 
     async fn forward_events(&mut self, response: &mut BackEndResponse) -> SegmentEnd {
         let mut splitter = EventSplitter::default();
+        self.segment_events = 0;
         self.segment_last_event = None;
         let call = self.call.clone();
         let mut deadline_passed = pin!(call.wait_for_deadline());
@@ -360,6 +369,7 @@
 
     fn record_event(&mut self, id: Option<String>) {
         self.events += 1;
+        self.segment_events += 1;
         let now = Instant::now();
         let since_arrival = now - self.call.arrived();
         self.first_event.get_or_insert(since_arrival);
