Quarantine parts of prompts under which back ends crash

Callers of a whole route were not served for half a minute, twice a day: a part of prompts crashed each back end that began to write on it, and the requests with that part were no two alike.

The shared parts of a prompt are suspects now as well, each under a fingerprint of service and part, by the same messages. A part is suspected only while the back end has not begun to write, since the streams beside it are innocent of that crash. It is cleared as soon as a second event shows that a back end has survived the begin of a response on it; a bounded memory of such parts vouches beforehand, so the parts that sound requests share are never blamed while any of them is served. After the verdict, requests with the part are refused, and those that a back end has not begun are cancelled there, because they would crash it later.

--- a/crates/fleet/src/quarantine/mod.rs
+++ b/crates/fleet/src/quarantine/mod.rs
@@ -5,6 +5,11 @@
 //! Gateways therefore notify each other which requests were running when back ends crashed, and
 //! which of these requests were served. Each gateway decides by the same rules.
 //!
+//! A shared part of prompts may crash back ends as well, in requests that are no two alike. So what is
+//! quarantined is either a whole request or a part, and each has a fingerprint. A part is suspected
+//! while the back end has not begun to write the response, and is cleared as soon as another response
+//! on it has begun without a crash. The parts that sound requests share are cleared so all the time.
+//!
 //! Input: crashes and complete responses for this gateway's requests, and notices of other
 //! gateways. Output: whether a request is quarantined, and the notices to send. Notices carry an
 //! age, so that no clocks are compared between gateways.
@@ -122,6 +127,9 @@
     /// Back ends whose recorded exits up to a time were refuted by a later response.
     refuted: HashMap<IncarnationHash, Timestamp>,
     recently_served: RecentlyServed,
+    /// Parts of prompts on which back ends have begun to write. They are few and recur, and requests
+    /// must not displace them.
+    recently_begun: RecentlyServed,
     /// Quarantined requests, with the time of the last crash under each.
     quarantined: HashMap<Fingerprint, Timestamp>,
     quarantine_changes: u64,
@@ -139,6 +147,7 @@
             cleared: HashMap::new(),
             refuted: HashMap::new(),
             recently_served: RecentlyServed::default(),
+            recently_begun: RecentlyServed::default(),
             quarantined: HashMap::new(),
             quarantine_changes: 0,
         }
@@ -178,14 +187,20 @@
     pub fn record_served(&mut self, now: Timestamp, fingerprint: Fingerprint) {
         let now = shift(now);
         self.recently_served.record(now, fingerprint);
+        self.clear_if_suspected(now, fingerprint);
+    }
+
+    /// Records that a back end has begun to write a response to a prompt with this part, and is alive.
+    pub fn record_part_begun(&mut self, now: Timestamp, part: Fingerprint) {
+        let now = shift(now);
+        self.recently_begun.record(now, part);
+        self.clear_if_suspected(now, part);
+    }
+
+    fn clear_if_suspected(&mut self, now: Timestamp, fingerprint: Fingerprint) {
         if self.crashes.contains_key(&fingerprint) {
-            self.add_event(
-                now,
-                fingerprint,
-                RunOutcome::Served,
-                now,
-                EventSource::Below,
-            );
+            let served = RunOutcome::Served;
+            self.add_event(now, fingerprint, served, now, EventSource::Below);
         }
     }
 
@@ -336,9 +351,7 @@
         // A request that many callers send may be running at several back ends that crash at
         // once. Gateways that have served it recently therefore clear it at once, before it is
         // quarantined for long.
-        if matches!(outcome, RunOutcome::Ended(_))
-            && self.recently_served.contains(now, fingerprint)
-        {
+        if matches!(outcome, RunOutcome::Ended(_)) && self.is_vouched_for(now, fingerprint) {
             self.add_event(
                 now,
                 fingerprint,
@@ -350,6 +363,12 @@
         true
     }
 
+    /// Whether this gateway has served the request, or seen a response on the part begin, of late.
+    fn is_vouched_for(&mut self, now: Timestamp, fingerprint: Fingerprint) -> bool {
+        self.recently_served.contains(now, fingerprint)
+            || self.recently_begun.contains(now, fingerprint)
+    }
+
     /// Returns true if the crash was not known.
     fn add_crash(
         &mut self,
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -17,7 +17,7 @@
 use hyper::body::Incoming;
 use tokio::time::{Instant, timeout_at};
 
-use crate::attempts::{Attempts, CONNECTION_LOST, NO_PATH, PAUSED};
+use crate::attempts::{Attempts, CONNECTION_LOST, NO_PATH, PAUSED, QUARANTINED};
 use crate::back_end::{BackEnd, Connection, InFlight, PendingPrefill};
 use crate::directory::Directory;
 use crate::event_log::{self, LogPriority};
@@ -172,6 +172,11 @@
                 let reason = lost_connection::check_back_end(self.call, self.back_end, false).await;
                 record_failure(self.call, self.back_end, reason)
             }
+            ExchangeResult::Failed(QUARANTINED) => {
+                self.call.mark_may_have_run();
+                self.call.clear_in_doubt();
+                AttemptResult::MayHaveRun(QUARANTINED)
+            }
             ExchangeResult::Failed(reason) => record_failure(self.call, self.back_end, reason),
             ExchangeResult::Head(head) => accept(self.call, self.back_end, *head, load),
         }
@@ -195,7 +200,7 @@
     async fn exchange(&mut self, mut connection: Connection, is_pooled: bool) -> ExchangeResult {
         // The request may have been quarantined since the back end was chosen.
         if self.call.quarantine_left().is_some() {
-            return ExchangeResult::Withheld("quarantined");
+            return ExchangeResult::Withheld(QUARANTINED);
         }
         // The back end may have requested a pause, or started to drain, while a connection was
         // opened.
@@ -218,9 +223,15 @@
         };
         self.call.mark_in_doubt();
         let mut sending = pin!(connection.http.sender.try_send_request(request));
+        let mut quarantined = pin!(self.call.wait_for_quarantine());
         let mut until = self.call.deadline().min(sent + self.head_timeout);
         let result = loop {
-            match timeout_at(until, sending.as_mut()).await {
+            let answered = tokio::select! {
+                answered = timeout_at(until, sending.as_mut()) => answered,
+                // Dropping the request cancels it at the back end, before that crashes.
+                () = quarantined.as_mut() => return ExchangeResult::Failed(QUARANTINED),
+            };
+            match answered {
                 Ok(result) => break result,
                 Err(_) if Instant::now() >= self.call.deadline() => {
                     return ExchangeResult::Failed("no_head");
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -24,6 +24,8 @@
 pub const BACK_END_ENDED: &str = "back_end_ended";
 /// Reason: this gateway's links are cut, and no other gateway reached the back end for it.
 pub const NO_PATH: &str = "no_path";
+/// Reason: the request was quarantined, so it must not run any further.
+pub const QUARANTINED: &str = "quarantined";
 /// Reason: nothing was sent, because the back end had requested a pause in the meantime.
 pub const PAUSED: &str = "paused";
 /// Minimum `Retry-After` when back ends reject requests.
--- a/crates/gateway/src/back_end.rs
+++ b/crates/gateway/src/back_end.rs
@@ -31,9 +31,9 @@
 /// which a row is removed. The limit is needed because a back end that refuses connections under
 /// overload looks the same.
 const EXIT_LIFETIME_MS: u64 = 10_000;
-/// Maximum number of requests with a lost connection that are remembered per back end. A back end
-/// has fewer slots.
-const MAX_LOST_REQUESTS: usize = 256;
+/// Maximum number of requests and parts with a lost connection that are remembered per back end. A back
+/// end has fewer slots, and prompts have few parts.
+const MAX_LOST_SUSPECTS: usize = 1_024;
 /// Maximum time from the exit of a back end's process to the removal of its row, in milliseconds:
 /// three heartbeats of 1.2 s, as users set them, and the delivery of the update.
 const LOST_WINDOW_MS: u64 = 6_000;
@@ -75,8 +75,8 @@
     warm_up_until: Mutex<Timestamp>,
     /// When the process was observed to have exited.
     exited_at: Mutex<Option<Timestamp>>,
-    /// Requests whose connection was lost while the back end seemed alive, and when.
-    lost_requests: Mutex<VecDeque<(Fingerprint, Timestamp)>>,
+    /// Requests and parts whose connection was lost while the back end seemed alive, and when.
+    lost_suspects: Mutex<VecDeque<(Fingerprint, Timestamp)>>,
     /// For how long the machine had been suspended in total when a connection was last taken, in
     /// milliseconds.
     suspended_ms: AtomicU64,
@@ -165,7 +165,7 @@
             exit_check: tokio::sync::Mutex::default(),
             warm_up_until: Mutex::new(Timestamp(0)),
             exited_at: Mutex::default(),
-            lost_requests: Mutex::default(),
+            lost_suspects: Mutex::default(),
             suspended_ms: AtomicU64::new(0),
         }
     }
@@ -348,23 +348,24 @@
     }
 
     /// Records a request whose connection was lost while the address still accepts connections: the
-    /// back end is alive, or a proxy in front of it is.
-    pub fn record_lost(&self, now: Timestamp, request: Fingerprint) {
-        let mut lost = self.lost_requests.lock();
-        if lost.len() >= MAX_LOST_REQUESTS {
+    /// back end is alive, or a proxy in front of it is. The suspects are the request and parts of its
+    /// prompt.
+    pub fn record_lost(&self, now: Timestamp, suspects: &[Fingerprint]) {
+        let mut lost = self.lost_suspects.lock();
+        lost.extend(suspects.iter().map(|suspect| (*suspect, now)));
+        while lost.len() > MAX_LOST_SUSPECTS {
             lost.pop_front();
         }
-        lost.push_back((request, now));
     }
 
-    /// Requests whose connection was lost shortly before the row was removed. If the back end did
-    /// not drain, they were running when its process exited.
-    pub fn recently_lost_requests(&self, now: Timestamp) -> Vec<Fingerprint> {
-        let lost = self.lost_requests.lock();
+    /// Suspects of requests whose connection was lost shortly before the row was removed. If the back
+    /// end did not drain, they were running when its process exited.
+    pub fn recent_suspects(&self, now: Timestamp) -> Vec<Fingerprint> {
+        let lost = self.lost_suspects.lock();
         let recent = lost
             .iter()
             .filter(|(_, at)| now.since(*at) < LOST_WINDOW_MS);
-        recent.map(|(request, _)| *request).collect()
+        recent.map(|(suspect, _)| *suspect).collect()
     }
 
     /// Returns a connection to the pool after a complete response, if fewer than `max_idle` are
--- a/crates/gateway/src/lost_connection.rs
+++ b/crates/gateway/src/lost_connection.rs
@@ -1,6 +1,7 @@
 //! Determines whether a back end crashed when a connection to it is lost during a request.
 //!
-//! The inputs are the request and its back end. The output is whether the back end's process has
+//! The inputs are the request and its back end. The request is a suspect of a crash, and so are the
+//! shared parts of its prompt unless the back end had begun to write the response. The output is whether the back end's process has
 //! exited; it is also logged. If a proxy accepts connections in front of a back end, an exit is
 //! known only once the back end's row is removed. The request waits no longer than `CHECK_TIMEOUT`
 //! for the result. The check is completed even if the caller disconnects meanwhile.
@@ -30,6 +31,10 @@
     let (shared, back_end) = (call.shared.clone(), back_end.clone());
     let (request, fingerprint) = (call.metadata.id.clone(), call.fingerprint);
     let parts = call.shared_parts.clone();
+    let mut suspects = vec![fingerprint];
+    if !has_begun {
+        suspects.extend(&parts);
+    }
     let check = tokio::spawn(async move {
         let id = &back_end.id;
         // A back end that is draining, or whose row is removed, exits as planned.
@@ -45,9 +50,9 @@
         event_log::write(LogPriority::Decision, "connection_lost", fields);
         if has_exited && was_active {
             shared.log_exit(&back_end, "own");
-            shared.record_crash(fingerprint, back_end.incarnation_hash);
+            shared.record_crash(&suspects, back_end.incarnation_hash);
         } else if was_active {
-            back_end.record_lost(shared.now(), fingerprint);
+            back_end.record_lost(shared.now(), &suspects);
         }
         has_exited
     });
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -74,21 +74,36 @@
 }
 
 impl SharedQuarantine {
-    /// Remaining time for which a request is quarantined; `None` if it may be sent.
-    pub fn remaining(&self, now: Timestamp, fingerprint: Fingerprint) -> Option<Duration> {
-        let left = self.known.lock().remaining_ms(now, fingerprint)?;
+    /// Remaining time for which a request is quarantined, itself or a part of its prompt; `None` if it
+    /// may be sent.
+    pub fn remaining(
+        &self,
+        now: Timestamp,
+        fingerprints: impl Iterator<Item = Fingerprint>,
+    ) -> Option<Duration> {
+        let known = self.known.lock();
+        if known.quarantined_count() == 0 {
+            return None;
+        }
+        let left = fingerprints
+            .filter_map(|it| known.remaining_ms(now, it))
+            .max()?;
         Some(Duration::from_millis(left))
     }
 
-    /// Records that a back end crashed while it ran a request of this gateway. Returns whether the
-    /// quarantine entries changed.
+    /// Records that a back end crashed while it ran a request of this gateway. The suspects are the
+    /// request and parts of its prompt. Returns whether the quarantine entries changed.
     pub fn record_crash(
         &self,
         now: Timestamp,
-        request: Fingerprint,
+        suspects: &[Fingerprint],
         back_end: IncarnationHash,
     ) -> bool {
-        let has_changed = self.apply(|known| known.record_crash(now, request, back_end));
+        let has_changed = self.apply(|known| {
+            for suspect in suspects {
+                known.record_crash(now, *suspect, back_end);
+            }
+        });
         if has_changed {
             self.local_entry_change.notify_one();
         }
@@ -108,6 +123,16 @@
         self.apply(|known| known.record_served(now, request))
     }
 
+    /// Records that a back end has begun to write a response to a prompt with these parts. Returns whether
+    /// the quarantine entries changed.
+    pub fn record_parts_begun(&self, now: Timestamp, parts: &[Fingerprint]) -> bool {
+        self.apply(|known| {
+            for part in parts {
+                known.record_part_begun(now, *part);
+            }
+        })
+    }
+
     /// Withdraws exits of a back end that was alive at `at`.
     pub fn refute_exits(&self, at: Timestamp, back_end: IncarnationHash) {
         self.apply(|known| known.refute_exits(at, back_end));
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -147,10 +147,22 @@
         self.required_version.get()
     }
 
-    /// How much longer the request is quarantined, because back ends crash while they run it.
+    /// How much longer the request is quarantined, because back ends crash while they run it or other
+    /// requests with a part of its prompt.
     pub fn quarantine_left(&self) -> Option<Duration> {
+        let parts = self.shared_parts.iter().copied();
+        let fingerprints = std::iter::once(self.fingerprint).chain(parts);
         let now = self.shared.now();
-        self.shared.quarantine.remaining(now, self.fingerprint)
+        self.shared.quarantine.remaining(now, fingerprints)
+    }
+
+    /// Returns once the request is quarantined.
+    pub async fn wait_for_quarantine(&self) {
+        let mut updates = self.shared.quarantine.subscribe();
+        while self.quarantine_left().is_none() {
+            // Waiting cannot fail, since the quarantine keeps the sender.
+            let _ = updates.changed().await;
+        }
     }
 
     /// Marks the request as in doubt: it is being written to a back end, and no response has
--- a/crates/gateway/src/shared/outcomes.rs
+++ b/crates/gateway/src/shared/outcomes.rs
@@ -141,9 +141,10 @@
         self.has_read_back_ends() && !self.quarantine.is_initialized()
     }
 
-    /// Records that a back end crashed while it ran a request of this gateway.
-    pub fn record_crash(&self, request: Fingerprint, back_end: IncarnationHash) {
-        if self.quarantine.record_crash(self.now(), request, back_end) {
+    /// Records that a back end crashed while it ran a request of this gateway. The suspects are the
+    /// request and parts of its prompt.
+    pub fn record_crash(&self, suspects: &[Fingerprint], back_end: IncarnationHash) {
+        if self.quarantine.record_crash(self.now(), suspects, back_end) {
             self.notify_changed();
         }
     }
@@ -156,9 +157,8 @@
         self.change_directory(|directory| removed = directory.take_removed_without_drain());
         let now = self.now();
         for back_end in removed {
-            for request in back_end.recently_lost_requests(now) {
-                self.record_crash(request, back_end.incarnation_hash);
-            }
+            let suspects = back_end.recent_suspects(now);
+            self.record_crash(&suspects, back_end.incarnation_hash);
         }
     }
 
@@ -169,4 +169,12 @@
             self.notify_changed();
         }
     }
+
+    /// Records that a back end has begun to write a response to a prompt with these parts, and still
+    /// runs.
+    pub fn record_parts_begun(&self, parts: &[Fingerprint]) {
+        if self.quarantine.record_parts_begun(self.now(), parts) {
+            self.notify_changed();
+        }
+    }
 }
--- a/crates/gateway/src/single_response.rs
+++ b/crates/gateway/src/single_response.rs
@@ -86,6 +86,7 @@
         return Err(attempts.after_not_run(call, pause));
     }
     call.shared.record_complete_response(call.fingerprint);
+    call.shared.record_parts_begun(&call.shared_parts);
     if response.has_unconfirmed_not_run_status() {
         back_end.update_health(|health| health.record_failure(now));
         return Err(attempts.after_may_have_run(call, "untrue_promise"));
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -24,7 +24,7 @@
 
 use crate::admission::{self, admit};
 use crate::attempt::{AttemptResult, BackEndResponse, send};
-use crate::attempts::{Attempts, CONNECTION_LOST, NextStep};
+use crate::attempts::{Attempts, CONNECTION_LOST, NextStep, QUARANTINED};
 use crate::back_end::BackEnd;
 use crate::event_log::{self, LogPriority};
 use crate::failure::Failure;
@@ -232,6 +232,7 @@
                     let shared = &self.call.shared;
                     shared.record_alive(&back_end);
                     shared.record_complete_response(self.call.fingerprint);
+                    shared.record_parts_begun(&self.call.shared_parts);
                     response.return_connection(&self.call.shared);
                     self.is_complete.store(true, Ordering::Release);
                     return self.log_stream_end("served", back_end.id.as_str());
@@ -253,7 +254,9 @@
                 }
                 reason => reason,
             };
-            self.call.shared.record_unreachable(&back_end);
+            if reason != QUARANTINED {
+                self.call.shared.record_unreachable(&back_end);
+            }
             let call = self.call.clone();
             let next = tokio::select! {
                 next = self.resume(reason) => next,
@@ -272,12 +275,16 @@
         self.segment_last_event = None;
         let call = self.call.clone();
         let mut deadline_passed = pin!(call.wait_for_deadline());
+        let mut quarantined = pin!(call.wait_for_quarantine());
         loop {
             let silent_at = Instant::now() + self.silence_timeout();
             let until = silent_at.min(self.call.deadline());
+            let has_begun = self.segment_events >= BEGUN_EVENTS;
             let frame = tokio::select! {
                 () = self.sender.closed() => return SegmentEnd::CallerLeft,
                 () = &mut deadline_passed => return SegmentEnd::TimedOut,
+                // The back end would crash once it begins to write.
+                () = &mut quarantined, if !has_begun => return SegmentEnd::Broken(QUARANTINED),
                 frame = timeout_at(until, response.body.frame()) => frame,
             };
             let data = match frame {
@@ -370,6 +377,9 @@
     fn record_event(&mut self, id: Option<String>) {
         self.events += 1;
         self.segment_events += 1;
+        if self.segment_events == BEGUN_EVENTS {
+            self.call.shared.record_parts_begun(&self.call.shared_parts);
+        }
         let now = Instant::now();
         let since_arrival = now - self.call.arrived();
         self.first_event.get_or_insert(since_arrival);
