Blame the narrowest of the suspects that were at the same crashes

If all engines with a model crash before a sound request has begun on one of them, nothing has cleared the part that all prompts share. It is at the same crashes as the part that causes them, so both were blamed, and every request of the route was refused for ten minutes.

Notices name the position of a part in its prompt; earlier builds ignore the field. Of suspects at equally many crashes, whole requests come before parts, and later parts before those before them. If the narrowest one is innocent, the others are at more crashes soon, and then explain its own.

--- a/crates/fleet/src/quarantine/mod.rs
+++ b/crates/fleet/src/quarantine/mod.rs
@@ -21,7 +21,7 @@
 mod recent;
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 
 use gorsebank_coordination::Timestamp;
 use gorsebank_world::BackEndId;
@@ -31,7 +31,7 @@
 use crate::{Born, Fingerprint};
 use recent::RecentlyServed;
 
-pub use blame::{MIN_CRASHES, attribute_crashes};
+pub use blame::{MIN_CRASHES, Suspect, SuspectCrashes, attribute_crashes};
 
 /// Time after the last crash for which a request stays quarantined. Then one more attempt is
 /// permitted, since an engine or an adapter may have been repaired. If a back end crashes under
@@ -84,6 +84,19 @@
     pub outcome: RunOutcome,
     /// Time since the outcome, in milliseconds.
     pub age: u64,
+    /// Position of the part in the prompt if the notice concerns a part; gateways of earlier builds
+    /// leave it out.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub part: Option<u8>,
+}
+
+impl OutcomeNotice {
+    fn suspect(&self) -> Suspect {
+        Suspect {
+            fingerprint: self.fingerprint,
+            part: self.part,
+        }
+    }
 }
 
 /// Position up to which one gateway has received another gateway's events.
@@ -107,12 +120,30 @@
 /// An event. Events are stored in the order in which this gateway received them.
 #[derive(Clone, Copy, Debug)]
 struct Event {
-    fingerprint: Fingerprint,
+    suspect: Suspect,
     outcome: RunOutcome,
     at: Timestamp,
     source: EventSource,
 }
 
+/// The crashes that count against a suspect.
+#[derive(Clone, Debug, Default)]
+struct CountedCrashes {
+    /// Position of the part in the prompt; `None` for a whole request.
+    part: Option<u8>,
+    /// When each back end crashed.
+    times: BTreeMap<IncarnationHash, Timestamp>,
+}
+
+impl CountedCrashes {
+    fn to_suspect_crashes(&self) -> SuspectCrashes {
+        SuspectCrashes {
+            part: self.part,
+            back_ends: self.times.keys().copied().collect(),
+        }
+    }
+}
+
 /// The known crashes, and the requests that are quarantined because of them.
 #[derive(Debug)]
 pub struct Quarantine {
@@ -121,8 +152,8 @@
     /// Number of events that were dropped, and so the number of the first event that is kept.
     dropped: u64,
     known_crashes: HashSet<(Fingerprint, IncarnationHash)>,
-    /// Crashes that count against each request, with their times.
-    crashes: HashMap<Fingerprint, BTreeMap<IncarnationHash, Timestamp>>,
+    /// Crashes that count against each suspect.
+    crashes: HashMap<Fingerprint, CountedCrashes>,
     cleared: HashMap<Fingerprint, Timestamp>,
     /// Back ends whose recorded exits up to a time were refuted by a later response.
     refuted: HashMap<IncarnationHash, Timestamp>,
@@ -171,16 +202,12 @@
         self.quarantine_changes
     }
 
-    /// Records that a back end crashed while it was running this gateway's request.
-    pub fn record_crash(
-        &mut self,
-        now: Timestamp,
-        fingerprint: Fingerprint,
-        back_end: IncarnationHash,
-    ) {
+    /// Records that a back end crashed while it was running this gateway's request, or one with this part
+    /// in its prompt.
+    pub fn record_crash(&mut self, now: Timestamp, suspect: Suspect, back_end: IncarnationHash) {
         let now = shift(now);
         let outcome = RunOutcome::Ended(back_end);
-        self.add_event(now, fingerprint, outcome, now, EventSource::Below);
+        self.add_event(now, suspect, outcome, now, EventSource::Below);
     }
 
     /// Records that a back end sent the complete response to this gateway's request and is alive.
@@ -198,9 +225,12 @@
     }
 
     fn clear_if_suspected(&mut self, now: Timestamp, fingerprint: Fingerprint) {
-        if self.crashes.contains_key(&fingerprint) {
-            let served = RunOutcome::Served;
-            self.add_event(now, fingerprint, served, now, EventSource::Below);
+        if let Some(crashes) = self.crashes.get(&fingerprint) {
+            let suspect = Suspect {
+                fingerprint,
+                part: crashes.part,
+            };
+            self.add_event(now, suspect, RunOutcome::Served, now, EventSource::Below);
         }
     }
 
@@ -211,10 +241,11 @@
         let refuted = self.refuted.entry(back_end).or_insert(at);
         *refuted = at.max(*refuted);
         self.crashes.retain(|_, crashes| {
-            if crashes.get(&back_end).is_some_and(|crash| *crash <= at) {
-                crashes.remove(&back_end);
+            let times = &mut crashes.times;
+            if times.get(&back_end).is_some_and(|crash| *crash <= at) {
+                times.remove(&back_end);
             }
-            !crashes.is_empty()
+            !times.is_empty()
         });
         self.update_quarantined();
     }
@@ -235,7 +266,7 @@
         let mut is_new = false;
         for notice in notices.iter().filter(|notice| notice.age < RETENTION_MS) {
             let at = now - notice.age;
-            is_new |= self.add_event(now, notice.fingerprint, notice.outcome, at, source);
+            is_new |= self.add_event(now, notice.suspect(), notice.outcome, at, source);
         }
         is_new
     }
@@ -300,14 +331,16 @@
     }
 
     fn newest_crashes(&self, now: Timestamp, fingerprint: Fingerprint) -> Vec<OutcomeNotice> {
-        let crashes = self.crashes.get(&fingerprint).into_iter().flatten();
-        let mut notices: Vec<OutcomeNotice> = crashes
-            .map(|(back_end, at)| OutcomeNotice {
-                fingerprint,
-                outcome: RunOutcome::Ended(*back_end),
-                age: now.since(*at),
-            })
-            .collect();
+        let Some(crashes) = self.crashes.get(&fingerprint) else {
+            return Vec::new();
+        };
+        let notice = |(back_end, at): (&IncarnationHash, &Timestamp)| OutcomeNotice {
+            fingerprint,
+            outcome: RunOutcome::Ended(*back_end),
+            age: now.since(*at),
+            part: crashes.part,
+        };
+        let mut notices: Vec<OutcomeNotice> = crashes.times.iter().map(notice).collect();
         notices.sort_by_key(|crash| crash.age);
         notices.truncate(MAX_PERSISTED_CRASHES);
         notices
@@ -329,21 +362,21 @@
     fn add_event(
         &mut self,
         now: Timestamp,
-        fingerprint: Fingerprint,
+        suspect: Suspect,
         outcome: RunOutcome,
         at: Timestamp,
         source: EventSource,
     ) -> bool {
         self.remove_expired(now);
         let is_new = match outcome {
-            RunOutcome::Ended(back_end) => self.add_crash(fingerprint, back_end, at),
-            RunOutcome::Served => self.clear_crashes(fingerprint, at),
+            RunOutcome::Ended(back_end) => self.add_crash(suspect, back_end, at),
+            RunOutcome::Served => self.clear_crashes(suspect.fingerprint, at),
         };
         if !is_new {
             return false;
         }
         self.events.push_back(Event {
-            fingerprint,
+            suspect,
             outcome,
             at,
             source,
@@ -351,14 +384,9 @@
         // A request that many callers send may be running at several back ends that crash at
         // once. Gateways that have served it recently therefore clear it at once, before it is
         // quarantined for long.
-        if matches!(outcome, RunOutcome::Ended(_)) && self.is_vouched_for(now, fingerprint) {
-            self.add_event(
-                now,
-                fingerprint,
-                RunOutcome::Served,
-                now,
-                EventSource::Below,
-            );
+        if matches!(outcome, RunOutcome::Ended(_)) && self.is_vouched_for(now, suspect.fingerprint)
+        {
+            self.add_event(now, suspect, RunOutcome::Served, now, EventSource::Below);
         }
         true
     }
@@ -370,20 +398,17 @@
     }
 
     /// Returns true if the crash was not known.
-    fn add_crash(
-        &mut self,
-        fingerprint: Fingerprint,
-        back_end: IncarnationHash,
-        at: Timestamp,
-    ) -> bool {
+    fn add_crash(&mut self, suspect: Suspect, back_end: IncarnationHash, at: Timestamp) -> bool {
+        let fingerprint = suspect.fingerprint;
         if self.is_refuted(back_end, at) || !self.known_crashes.insert((fingerprint, back_end)) {
             return false;
         }
         let cleared = self.cleared.get(&fingerprint);
         if cleared.is_none_or(|cleared| at > *cleared) {
             let crashes = self.crashes.entry(fingerprint).or_default();
-            crashes.insert(back_end, at);
-            if crashes.len() >= MIN_CRASHES {
+            crashes.part = crashes.part.or(suspect.part);
+            crashes.times.insert(back_end, at);
+            if crashes.times.len() >= MIN_CRASHES {
                 self.update_quarantined();
             }
         }
@@ -394,16 +419,16 @@
     fn clear_crashes(&mut self, fingerprint: Fingerprint, at: Timestamp) -> bool {
         let known = self.cleared.get(&fingerprint).copied();
         let is_same = known.is_some_and(|known| at.since(known) < SAME_CLEARANCE_MS);
-        let crashes = self.crashes.get(&fingerprint).into_iter().flatten();
-        let clears = crashes.into_iter().any(|(_, crashed_at)| *crashed_at <= at);
+        let crashes = self.crashes.get(&fingerprint);
+        let clears = crashes.is_some_and(|it| it.times.values().any(|crash| *crash <= at));
         if is_same && !clears {
             return false;
         }
         self.cleared
             .insert(fingerprint, known.map_or(at, |known| known.max(at)));
         if let Some(crashes) = self.crashes.get_mut(&fingerprint) {
-            crashes.retain(|_, crashed_at| *crashed_at > at);
-            if crashes.is_empty() {
+            crashes.times.retain(|_, crashed_at| *crashed_at > at);
+            if crashes.times.is_empty() {
                 self.crashes.remove(&fingerprint);
             }
         }
@@ -417,12 +442,12 @@
     /// a flood of other requests adds no cost.
     fn update_quarantined(&mut self) {
         let suspects = self.crashes.iter();
-        let suspects: HashMap<Fingerprint, BTreeSet<IncarnationHash>> = suspects
-            .filter(|(_, crashes)| crashes.len() >= MIN_CRASHES)
-            .map(|(fingerprint, crashes)| (*fingerprint, crashes.keys().copied().collect()))
+        let suspects: HashMap<Fingerprint, SuspectCrashes> = suspects
+            .filter(|(_, crashes)| crashes.times.len() >= MIN_CRASHES)
+            .map(|(fingerprint, crashes)| (*fingerprint, crashes.to_suspect_crashes()))
             .collect();
         let last_crash = |fingerprint: Fingerprint| {
-            let last = self.crashes.get(&fingerprint)?.values().max()?;
+            let last = self.crashes.get(&fingerprint)?.times.values().max()?;
             Some((fingerprint, *last))
         };
         let quarantined: HashMap<_, _> = attribute_crashes(&suspects)
@@ -446,11 +471,12 @@
             self.dropped += 1;
             match oldest.outcome {
                 RunOutcome::Ended(back_end) => {
-                    self.known_crashes.remove(&(oldest.fingerprint, back_end));
-                    self.remove_crash(oldest.fingerprint, back_end);
+                    let fingerprint = oldest.suspect.fingerprint;
+                    self.known_crashes.remove(&(fingerprint, back_end));
+                    self.remove_crash(fingerprint, back_end);
                 }
                 RunOutcome::Served => {
-                    self.cleared.remove(&oldest.fingerprint);
+                    self.cleared.remove(&oldest.suspect.fingerprint);
                 }
             }
         }
@@ -460,8 +486,8 @@
         let Some(crashes) = self.crashes.get_mut(&fingerprint) else {
             return;
         };
-        crashes.remove(&back_end);
-        if crashes.is_empty() {
+        crashes.times.remove(&back_end);
+        if crashes.times.is_empty() {
             self.crashes.remove(&fingerprint);
         }
     }
@@ -476,9 +502,10 @@
 impl Event {
     fn notice(&self, now: Timestamp) -> OutcomeNotice {
         OutcomeNotice {
-            fingerprint: self.fingerprint,
+            fingerprint: self.suspect.fingerprint,
             outcome: self.outcome,
             age: now.since(self.at),
+            part: self.suspect.part,
         }
     }
 }
--- a/crates/fleet/tests/quarantine.rs
+++ b/crates/fleet/tests/quarantine.rs
@@ -6,8 +6,8 @@
 use gorsebank_coordination::Timestamp;
 use gorsebank_fleet::Fingerprint;
 use gorsebank_fleet::quarantine::{
-    EventSource, MIN_CRASHES, OutcomeNotice, QUARANTINE_MS, Quarantine, RunOutcome,
-    attribute_crashes, incarnation_hash,
+    EventSource, MIN_CRASHES, OutcomeNotice, QUARANTINE_MS, Quarantine, RunOutcome, Suspect,
+    SuspectCrashes, attribute_crashes, incarnation_hash,
 };
 use proptest::prelude::*;
 
@@ -18,7 +18,7 @@
 fn record_crash(quarantine: &mut Quarantine, at: u64, number: u8, back_end: &str) {
     quarantine.record_crash(
         Timestamp(at),
-        request(number),
+        Suspect::request(request(number)),
         incarnation_hash(&back_end.into(), None),
     );
 }
@@ -216,6 +216,7 @@
         fingerprint: request(2),
         outcome: RunOutcome::Ended(7),
         age: 3,
+        part: None,
     };
     quarantine.merge(Timestamp(5), &[notice_from_above], EventSource::Beside);
     assert_eq!(quarantine.notices_since(Timestamp(5), None).len(), 2);
@@ -259,7 +260,7 @@
         let back_end = format!("i-{}", number / 64);
         quarantine.record_crash(
             Timestamp(u64::from(number)),
-            fingerprint,
+            Suspect::request(fingerprint),
             incarnation_hash(&back_end.into(), None),
         );
     }
@@ -277,19 +278,72 @@
     fn blame_needs_three_crashes_and_explains_all_that_it_can(
         running in proptest::collection::vec((0_u8..6, 0_u64..12), 0..60)
     ) {
-        let mut crashes: HashMap<Fingerprint, BTreeSet<u64>> = HashMap::new();
+        let mut crashes: HashMap<Fingerprint, SuspectCrashes> = HashMap::new();
         for (number, back_end) in running {
-            crashes.entry(request(number)).or_default().insert(back_end);
+            let suspect = crashes.entry(request(number)).or_default();
+            suspect.part = number.checked_sub(3);
+            suspect.back_ends.insert(back_end);
         }
         let blamed = attribute_crashes(&crashes);
         for fingerprint in &blamed {
-            prop_assert!(crashes[fingerprint].len() >= MIN_CRASHES);
+            prop_assert!(crashes[fingerprint].back_ends.len() >= MIN_CRASHES);
         }
-        let explained: BTreeSet<u64> = blamed.iter().flat_map(|it| crashes[it].clone()).collect();
-        for (fingerprint, crashed) in &crashes {
+        let explained: BTreeSet<u64> =
+            blamed.iter().flat_map(|it| crashes[it].back_ends.clone()).collect();
+        for (fingerprint, suspect) in &crashes {
+            let crashed = &suspect.back_ends;
             if crashed.len() >= MIN_CRASHES {
                 prop_assert!(blamed.contains(fingerprint) || crashed.is_subset(&explained));
             }
         }
     }
 }
+
+/// Records a crash at which requests ran that share the first part and differ in the second.
+fn record_part_crash(quarantine: &mut Quarantine, at: u64, second_part: u8, back_end: &str) {
+    let parts = [request(0), request(second_part)];
+    for suspect in Suspect::parts(&parts) {
+        quarantine.record_crash(
+            Timestamp(at),
+            suspect,
+            incarnation_hash(&back_end.into(), None),
+        );
+    }
+}
+
+/// Nobody could be served meanwhile, so nothing clears the part that all requests share.
+#[test]
+fn the_narrowest_part_is_blamed_if_several_were_at_the_same_crashes() {
+    let mut quarantine = Quarantine::new(1);
+    for (at, back_end) in [(1_000, "i-1"), (2_000, "i-2"), (3_000, "i-3")] {
+        record_part_crash(&mut quarantine, at, 1, back_end);
+    }
+    assert!(is_quarantined(&quarantine, 3_000, 1));
+    assert!(!is_quarantined(&quarantine, 3_000, 0));
+
+    // Other requests with the first part crash back ends too, so that one is the cause.
+    record_part_crash(&mut quarantine, 4_000, 2, "i-4");
+    assert!(is_quarantined(&quarantine, 4_000, 0));
+    assert!(!is_quarantined(&quarantine, 4_000, 1));
+}
+
+#[test]
+fn a_part_on_which_a_back_end_has_begun_of_late_is_not_blamed() {
+    let mut own = Quarantine::new(1);
+    let mut other = Quarantine::new(2);
+    other.record_part_begun(Timestamp(500), request(0));
+    for (at, back_end) in [
+        (1_000, "i-1"),
+        (2_000, "i-2"),
+        (3_000, "i-3"),
+        (4_000, "i-4"),
+    ] {
+        record_part_crash(&mut own, at, if at < 4_000 { 1 } else { 2 }, back_end);
+        send_all(at, &own, &mut other);
+        send_all(at, &other, &mut own);
+    }
+    for quarantine in [&own, &other] {
+        assert!(is_quarantined(quarantine, 4_000, 1));
+        assert!(!is_quarantined(quarantine, 4_000, 0));
+    }
+}
--- a/crates/gateway/src/back_end.rs
+++ b/crates/gateway/src/back_end.rs
@@ -12,9 +12,9 @@
 
 use gorsebank_coordination::Timestamp;
 use gorsebank_fleet::health::Health;
-use gorsebank_fleet::quarantine;
+use gorsebank_fleet::quarantine::{self, Suspect};
 use gorsebank_fleet::running::{self, BackEndHash};
-use gorsebank_fleet::{BackEndReport, Born, CachedPrefixes, Fingerprint};
+use gorsebank_fleet::{BackEndReport, Born, CachedPrefixes};
 use gorsebank_world::{AdapterId, BackEndId, ModelId, ServiceId, SoftwareVersion};
 use parking_lot::Mutex;
 use tokio::time::Instant;
@@ -76,7 +76,7 @@
     /// When the process was observed to have exited.
     exited_at: Mutex<Option<Timestamp>>,
     /// Requests and parts whose connection was lost while the back end seemed alive, and when.
-    lost_suspects: Mutex<VecDeque<(Fingerprint, Timestamp)>>,
+    lost_suspects: Mutex<VecDeque<(Suspect, Timestamp)>>,
     /// For how long the machine had been suspended in total when a connection was last taken, in
     /// milliseconds.
     suspended_ms: AtomicU64,
@@ -350,7 +350,7 @@
     /// Records a request whose connection was lost while the address still accepts connections: the
     /// back end is alive, or a proxy in front of it is. The suspects are the request and parts of its
     /// prompt.
-    pub fn record_lost(&self, now: Timestamp, suspects: &[Fingerprint]) {
+    pub fn record_lost(&self, now: Timestamp, suspects: &[Suspect]) {
         let mut lost = self.lost_suspects.lock();
         lost.extend(suspects.iter().map(|suspect| (*suspect, now)));
         while lost.len() > MAX_LOST_SUSPECTS {
@@ -360,7 +360,7 @@
 
     /// Suspects of requests whose connection was lost shortly before the row was removed. If the back
     /// end did not drain, they were running when its process exited.
-    pub fn recent_suspects(&self, now: Timestamp) -> Vec<Fingerprint> {
+    pub fn recent_suspects(&self, now: Timestamp) -> Vec<Suspect> {
         let lost = self.lost_suspects.lock();
         let recent = lost
             .iter()
--- a/crates/gateway/src/lost_connection.rs
+++ b/crates/gateway/src/lost_connection.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use gorsebank_fleet::Fingerprint;
+use gorsebank_fleet::quarantine::Suspect;
 use tokio::time::{Instant, timeout};
 
 use crate::attempts::{BACK_END_ENDED, CONNECTION_LOST};
@@ -31,9 +32,9 @@
     let (shared, back_end) = (call.shared.clone(), back_end.clone());
     let (request, fingerprint) = (call.metadata.id.clone(), call.fingerprint);
     let parts = call.shared_parts.clone();
-    let mut suspects = vec![fingerprint];
+    let mut suspects = vec![Suspect::request(fingerprint)];
     if !has_begun {
-        suspects.extend(&parts);
+        suspects.extend(Suspect::parts(&parts));
     }
     let check = tokio::spawn(async move {
         let id = &back_end.id;
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -19,7 +19,9 @@
 use std::time::Duration;
 
 use gorsebank_coordination::Timestamp;
-use gorsebank_fleet::quarantine::{EventPosition, EventSource, IncarnationHash, OutcomeNotice};
+use gorsebank_fleet::quarantine::{
+    EventPosition, EventSource, IncarnationHash, OutcomeNotice, Suspect,
+};
 use gorsebank_fleet::{Fingerprint, Quarantine};
 
 use parking_lot::Mutex;
@@ -96,7 +98,7 @@
     pub fn record_crash(
         &self,
         now: Timestamp,
-        suspects: &[Fingerprint],
+        suspects: &[Suspect],
         back_end: IncarnationHash,
     ) -> bool {
         let has_changed = self.apply(|known| {
--- a/crates/gateway/src/shared/outcomes.rs
+++ b/crates/gateway/src/shared/outcomes.rs
@@ -8,7 +8,9 @@
 use std::net::SocketAddr;
 
 use gorsebank_coordination::Timestamp;
-use gorsebank_fleet::quarantine::{EventSource, IncarnationHash, OutcomeNotice, RunOutcome};
+use gorsebank_fleet::quarantine::{
+    EventSource, IncarnationHash, OutcomeNotice, RunOutcome, Suspect,
+};
 use gorsebank_fleet::{Fingerprint, LivenessProof};
 
 use super::Shared;
@@ -143,7 +145,7 @@
 
     /// Records that a back end crashed while it ran a request of this gateway. The suspects are the
     /// request and parts of its prompt.
-    pub fn record_crash(&self, suspects: &[Fingerprint], back_end: IncarnationHash) {
+    pub fn record_crash(&self, suspects: &[Suspect], back_end: IncarnationHash) {
         if self.quarantine.record_crash(self.now(), suspects, back_end) {
             self.notify_changed();
         }
