--- a/crates/gateway/src/admission/refusal.rs
+++ b/crates/gateway/src/admission/refusal.rs
@@ -41,9 +41,10 @@
 /// Refuses a quarantined request at once; `Retry-After` is the remaining quarantine.
 pub(super) fn refuse_quarantined(call: &Call, left: Duration) -> Failure {
     let fields = format_args!(
-        "request={} reason=quarantined fingerprint={} waited_ms={} retry_after_ms={}",
+        "request={} reason=quarantined fingerprint={} parts={} waited_ms={} retry_after_ms={}",
         call.metadata.id,
         call.fingerprint,
+        call.part_names().join(","),
         call.age().as_millis(),
         left.as_millis(),
     );
--- a/crates/gateway/src/lost_connection.rs
+++ b/crates/gateway/src/lost_connection.rs
@@ -9,7 +9,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use gorsebank_fleet::Fingerprint;
 use gorsebank_fleet::quarantine::Suspect;
 use tokio::time::{Instant, timeout};
 
@@ -31,10 +30,10 @@
     let lost_at = Instant::now();
     let (shared, back_end) = (call.shared.clone(), back_end.clone());
     let (request, fingerprint) = (call.metadata.id.clone(), call.fingerprint);
-    let parts = call.shared_parts.clone();
+    let parts = call.part_names();
     let mut suspects = vec![Suspect::request(fingerprint)];
     if !has_begun {
-        suspects.extend(Suspect::parts(&parts));
+        suspects.extend(Suspect::parts(&call.shared_parts));
     }
     let check = tokio::spawn(async move {
         let id = &back_end.id;
@@ -45,7 +44,7 @@
         let fields = format_args!(
             "request={request} fingerprint={fingerprint} parts={} begun={has_begun} back_end={id} \
              ended={has_exited} planned={}",
-            join(&parts),
+            parts.join(","),
             !was_active
         );
         event_log::write(LogPriority::Decision, "connection_lost", fields);
@@ -63,9 +62,3 @@
         _ => CONNECTION_LOST,
     }
 }
-
-/// Fingerprints of parts for a log line.
-fn join(parts: &[Fingerprint]) -> String {
-    let parts: Vec<String> = parts.iter().map(Fingerprint::to_string).collect();
-    parts.join(",")
-}
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -156,6 +156,14 @@
         self.shared.quarantine.remaining(now, fingerprints)
     }
 
+    /// Fingerprints of the shared parts of the prompt, for log lines.
+    pub fn part_names(&self) -> Vec<String> {
+        self.shared_parts
+            .iter()
+            .map(Fingerprint::to_string)
+            .collect()
+    }
+
     /// Returns once the request is quarantined.
     pub async fn wait_for_quarantine(&self) {
         let mut updates = self.shared.quarantine.subscribe();
