Close callers' connections that there are no descriptors to serve

When most new connections go to one gateway, it accepted them until its descriptors were used up. The others stayed in the listen queue, unread for longer than callers wait, and requests that had been read failed for lack of a descriptor for the back end's connection.

Connections of callers use half of the descriptors at most. Further ones are closed at once with their requests unread, which callers may repeat at any other gateway, also where a request must not run twice.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -6,7 +6,8 @@
 use parking_lot::Mutex;
 
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
 };
 
 /// Bucket bounds of latency histograms, in seconds.
@@ -61,6 +62,8 @@
     pub lease_changes: IntCounterVec,
     /// Number of restores of the table from older copies, as known from its rows.
     pub table_era: IntGauge,
+    /// Connections of callers that were closed with their requests unread, for lack of descriptors.
+    pub unread_connections: IntCounter,
     /// Requests in progress.
     pub open_requests: IntGauge,
     /// Tunnels that this gateway maintains for other gateways.
@@ -144,6 +147,10 @@
                 "gateway_table_era",
                 "Restores of the table from older copies",
             )?,
+            unread_connections: IntCounter::new(
+                "gateway_unread_connections_total",
+                "Connections of callers closed with their requests unread",
+            )?,
             open_requests: IntGauge::new("gateway_open_requests", "Requests being served")?,
             open_tunnels: IntGauge::new(
                 "gateway_open_tunnels",
@@ -183,6 +190,8 @@
         for counter in counters {
             self.registry.register(Box::new(counter.clone()))?;
         }
+        let unread = self.unread_connections.clone();
+        self.registry.register(Box::new(unread))?;
         let gauges = [
             &self.table_era,
             &self.open_requests,
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -1,5 +1,8 @@
 //! Serves callers' connections, and closes them on a planned stop without cutting off requests.
 //!
+//! A gateway reads only as many connections as it has descriptors to serve, and closes others at once
+//! with their requests unread, so that their callers can use another gateway.
+//!
 //! Once the stop begins, responses carry `Connection: close`. Connections that are still open later
 //! are closed while they are idle.
 
@@ -15,10 +18,12 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use nix::sys::resource::{Resource, getrlimit};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::time::sleep;
 
+use crate::event_log::{self, LogPriority};
 use crate::request;
 use crate::shared::Shared;
 
@@ -30,6 +35,11 @@
 const DEFAULT_MAX_HEADER_BYTES: usize = 16 * 1024;
 /// Pause after `accept` failed, for instance for lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+/// Fraction of the process's descriptors that connections of callers may use. The rest is for
+/// connections to back ends, to other gateways and to the table.
+const CALLER_DESCRIPTOR_FRACTION: f64 = 0.5;
+/// Assumed limit of descriptors if the operating system does not state one.
+const DEFAULT_DESCRIPTORS: u64 = 1_024;
 /// Fraction of the grace period of a planned stop after which idle connections are closed.
 const CLOSE_IDLE_FRACTION: f64 = 0.37;
 
@@ -67,28 +77,58 @@
     listener: TcpListener,
     connections: CallerConnections,
 ) {
+    let max_open = max_open_connections();
+    let mut was_full = false;
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                let serving = serve_connection(shared.clone(), stream, connections.clone());
-                tokio::spawn(serving);
+                let is_full = connections.open.load(Ordering::Relaxed) >= max_open;
+                if is_full != std::mem::replace(&mut was_full, is_full) {
+                    let fields = format_args!("full={is_full} max_open={max_open}");
+                    event_log::write(LogPriority::Decision, "caller_connections", fields);
+                }
+                if is_full {
+                    shared.metrics.unread_connections.inc();
+                    continue;
+                }
+                let open = OpenConnection::new(&connections);
+                let close_idle = connections.close_idle.subscribe();
+                tokio::spawn(serve_connection(shared.clone(), stream, open, close_idle));
             }
             Err(_) => sleep(ACCEPT_RETRY_DELAY).await,
         }
     }
 }
 
+/// Number of callers' connections that the process has descriptors for.
+fn max_open_connections() -> usize {
+    let limit = getrlimit(Resource::RLIMIT_NOFILE);
+    let descriptors = limit.map_or(DEFAULT_DESCRIPTORS, |(soft, _)| soft);
+    (descriptors as f64 * CALLER_DESCRIPTOR_FRACTION) as usize
+}
+
+/// Counts a connection as open until dropped.
 struct OpenConnection(Arc<AtomicUsize>);
 
+impl OpenConnection {
+    fn new(connections: &CallerConnections) -> Self {
+        connections.open.fetch_add(1, Ordering::Relaxed);
+        OpenConnection(connections.open.clone())
+    }
+}
+
 impl Drop for OpenConnection {
     fn drop(&mut self) {
         self.0.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
-async fn serve_connection(shared: Arc<Shared>, stream: TcpStream, connections: CallerConnections) {
-    connections.open.fetch_add(1, Ordering::Relaxed);
-    let _open = OpenConnection(connections.open.clone());
+async fn serve_connection(
+    shared: Arc<Shared>,
+    stream: TcpStream,
+    _open: OpenConnection,
+    mut close_idle: watch::Receiver<bool>,
+) {
     let _ = stream.set_nodelay(true);
     let (header_bytes, idle) = limits(&shared);
     let service = service_fn(move |request: Request<Incoming>| {
@@ -103,7 +143,6 @@
         .auto_date_header(false);
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
-    let mut close_idle = connections.close_idle.subscribe();
     tokio::select! {
         // An error on a connection concerns only its caller.
         _ = connection.as_mut() => return,
