--- a/crates/gateway/src/shared/gateways.rs
+++ b/crates/gateway/src/shared/gateways.rs
@@ -11,7 +11,7 @@
 
 use super::Shared;
 use crate::feed::Member;
-use crate::stream_origins::Keepers;
+use crate::stream_origins::{GroupKeepers, Keepers};
 
 /// Assumed minimum number of gateways, as long as the table of members has not been read.
 pub(super) const MIN_GATEWAYS: usize = 4;
@@ -94,22 +94,12 @@
         self.members.lock().serving.clone()
     }
 
-    /// The gateways to which the records of a group of streams are sent, in order.
-    pub(super) fn origin_keepers(&self, group: KeeperGroup) -> Vec<SocketAddr> {
+    /// The gateways that keep the records of a group of streams.
+    pub(super) fn origin_keepers(&self, group: KeeperGroup) -> GroupKeepers {
         let (own, zone) = (&self.settings.node, &self.settings.zone);
         let members = &mut *self.members.lock();
-        members
-            .origin_keepers
-            .to_send(&members.serving, own, zone, group)
-    }
-
-    /// The gateways to ask for a record of a group of streams.
-    pub(super) fn origin_keepers_to_ask(&self, group: KeeperGroup) -> Vec<SocketAddr> {
-        let (own, zone) = (&self.settings.node, &self.settings.zone);
-        let members = &mut *self.members.lock();
-        members
-            .origin_keepers
-            .to_ask(&members.serving, own, zone, group)
+        let keepers = &mut members.origin_keepers;
+        keepers.of_group(&members.serving, own, zone, group)
     }
 
     /// Up to `count` other gateways that may open a tunnel to a back end, in the order in which to
--- a/crates/gateway/src/shared/software_versions.rs
+++ b/crates/gateway/src/shared/software_versions.rs
@@ -103,7 +103,7 @@
             stream,
             service: service.clone(),
         };
-        let keepers = self.origin_keepers_to_ask(stream.keeper_group());
+        let keepers = self.origin_keepers(stream.keeper_group()).to_ask;
         let client = self.table().client();
         let answer = stream_origins::ask(client, &keepers, request).await;
         if let Some(version) = answer.version {
@@ -135,6 +135,6 @@
     }
 
     fn keepers(&self, group: KeeperGroup) -> Vec<SocketAddr> {
-        self.origin_keepers(group)
+        self.origin_keepers(group).to_send
     }
 }
--- a/crates/gateway/src/stream_origins/keepers.rs
+++ b/crates/gateway/src/stream_origins/keepers.rs
@@ -16,9 +16,11 @@
 
 /// The other gateways that have to do with the records of one group, in order.
 #[derive(Clone, Debug, Default)]
-struct GroupKeepers {
-    to_send: Vec<SocketAddr>,
-    to_ask: Vec<SocketAddr>,
+pub struct GroupKeepers {
+    /// The gateways to which records are sent.
+    pub to_send: Vec<SocketAddr>,
+    /// The gateways to ask for a record.
+    pub to_ask: Vec<SocketAddr>,
 }
 
 impl Keepers {
@@ -27,37 +29,16 @@
         self.groups.clear();
     }
 
-    /// The gateways to which the records of a group are sent.
-    pub fn to_send(
+    /// The keepers of a group among `members`, for the gateway `own` in `zone`.
+    pub fn of_group(
         &mut self,
         members: &[Member],
         own: &NodeId,
         zone: &ZoneId,
         group: KeeperGroup,
-    ) -> Vec<SocketAddr> {
-        self.group(members, own, zone, group).to_send.clone()
-    }
-
-    /// The gateways to ask for a record of a group.
-    pub fn to_ask(
-        &mut self,
-        members: &[Member],
-        own: &NodeId,
-        zone: &ZoneId,
-        group: KeeperGroup,
-    ) -> Vec<SocketAddr> {
-        self.group(members, own, zone, group).to_ask.clone()
-    }
-
-    fn group(
-        &mut self,
-        members: &[Member],
-        own: &NodeId,
-        zone: &ZoneId,
-        group: KeeperGroup,
-    ) -> &GroupKeepers {
+    ) -> GroupKeepers {
         let compute = || GroupKeepers::new(members, own, zone, group);
-        self.groups.entry(group).or_insert_with(compute)
+        self.groups.entry(group).or_insert_with(compute).clone()
     }
 }
 
--- a/crates/gateway/src/stream_origins/mod.rs
+++ b/crates/gateway/src/stream_origins/mod.rs
@@ -25,7 +25,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
 
-pub use keepers::Keepers;
+pub use keepers::{GroupKeepers, Keepers};
 pub use lookup::ask;
 pub use sender::{SenderContext, send_records};
 
