Refuse for lack of a software version only where another version serves

A stream that keeps its version was refused at once also where the service had no back end at all for the moment, or where the only engine with its model had just been given up. Before, it waited for an engine to come back; it does so again. Only if back ends of other versions serve, or hold the model, is there nothing to wait for.

Rows of a service that had one version only count as current for ten seconds without the table, where back ends keep their names over a restart.

--- a/crates/gateway/src/admission/mod.rs
+++ b/crates/gateway/src/admission/mod.rs
@@ -308,25 +308,35 @@
     Err(Missing::Model(load))
 }
 
-/// Whether any back end has the software version that the stream must keep.
+/// Whether a back end has the software version that the stream must keep. While the service has no back
+/// end at all, one may come back with that version.
 fn is_version_served(call: &Call, now: Timestamp) -> bool {
     match call.required_version() {
         None => true,
         Some(RequiredVersion::Unknown) => false,
-        Some(RequiredVersion::Exactly(_)) => active_back_ends(call, now)
-            .iter()
-            .any(|back_end| call.shared.is_version_certain(back_end)),
+        Some(RequiredVersion::Exactly(_)) => {
+            let service = &call.service;
+            let of_version = active_back_ends(call, now);
+            let is_certain = |it: &Arc<BackEnd>| call.shared.is_version_certain(it);
+            of_version.iter().any(is_certain)
+                || call.shared.directory(|directory| {
+                    directory.active_back_ends(now, service, None).is_empty()
+                })
+        }
     }
 }
 
-/// Whether the stream must keep its version, and only engines of other versions hold the model. No
-/// load is to be expected then, since the placement holder does not know versions.
+/// Whether the stream must keep its version, and engines of other versions hold the model. No load is to
+/// be expected then, since the placement holder does not know versions.
 fn is_held_at_other_versions(call: &Call, now: Timestamp, model: &ModelId) -> bool {
-    exact_version(call).is_some()
-        && call.shared.directory(|directory| {
-            let anywhere = directory.availability(now, &call.service, model, None, None);
-            !anywhere.ready.is_empty()
-        })
+    let Some(version) = exact_version(call) else {
+        return false;
+    };
+    let anywhere = call
+        .shared
+        .directory(|directory| directory.availability(now, &call.service, model, None, None));
+    let mut holders = anywhere.ready.iter();
+    holders.any(|it| it.software_version != *version)
 }
 
 /// The only software version that may serve the request, if there is one.
--- a/crates/gateway/src/shared/software_versions.rs
+++ b/crates/gateway/src/shared/software_versions.rs
@@ -12,6 +12,10 @@
 use crate::back_end::BackEnd;
 use crate::stream_origins::{self, OriginAnswer, OriginRequest, SenderContext};
 
+/// Age up to which rows tell the versions of a service that had only one: an outage of the table, within
+/// which no release replaces the back ends.
+const MAX_UNMIXED_ROW_AGE: Duration = Duration::from_secs(10);
+
 /// How the version that began a stream was found out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum OriginSource {
@@ -38,16 +42,25 @@
 }
 
 impl Shared {
+    /// Time since the table is known to have held no newer rows of back ends; `None` if it never was.
+    fn row_age(&self) -> Option<Duration> {
+        self.feed.verified_age(self.platform.tables().back_ends)
+    }
+
     /// Whether the rows of back ends are as new as the propagation bound demands.
     fn are_rows_current(&self) -> bool {
-        let age = self.feed.verified_age(self.platform.tables().back_ends);
-        age.is_some_and(|age| age <= self.settings.bounds.propagation_bound)
+        let bound = self.settings.bounds.propagation_bound;
+        self.row_age().is_some_and(|age| age <= bound)
     }
 
     /// Whether the process behind a back end's address certainly has the version of its row. Back ends
     /// that announce their start time keep their name over a restart, at which the version may change.
     pub fn is_version_certain(&self, back_end: &BackEnd) -> bool {
-        back_end.born.is_none() || self.are_rows_current()
+        if back_end.born.is_none() || self.are_rows_current() {
+            return true;
+        }
+        let is_recent = self.row_age().is_some_and(|age| age <= MAX_UNMIXED_ROW_AGE);
+        is_recent && !self.has_mixed_versions(&back_end.service)
     }
 
     /// Whether the service is known to have had several versions for as long as a stream lasts.
