Load a model at the software version of a stream that cannot go on

A stream whose model is left at engines of another version was refused on every try: the placement holder saw the model held, and did not know that it was held at the wrong version.

The holder loads the model at an engine of that version, if none holds or expects it and the load is worth what it evicts. The request waits, or is refused with the time of the load, like any request for a model that is not loaded.

--- a/crates/fleet/src/demand.rs
+++ b/crates/fleet/src/demand.rs
@@ -6,7 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use gorsebank_coordination::Timestamp;
-use gorsebank_world::{AdapterId, ModelId, ServiceId};
+use gorsebank_world::{AdapterId, ModelId, ServiceId, SoftwareVersion};
 use serde::{Deserialize, Serialize};
 
 use crate::prefill_speed::PrefillSpeedSample;
@@ -40,6 +40,10 @@
     /// Adapters that waiting requests need.
     #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
     pub missing_adapters: BTreeSet<AdapterId>,
+    /// Software versions at which streams cannot go on, because only engines of other versions hold the
+    /// model.
+    #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
+    pub missing_versions: BTreeSet<SoftwareVersion>,
 }
 
 /// Demand of one gateway, and its measurements of engines.
@@ -86,6 +90,8 @@
     adapters: BTreeMap<AdapterId, Rate>,
     /// When each adapter was last recorded as unmet.
     unmet_adapters: BTreeMap<AdapterId, Timestamp>,
+    /// When each software version was last recorded as unmet.
+    unmet_versions: BTreeMap<SoftwareVersion, Timestamp>,
 }
 
 /// Demand at one gateway.
@@ -157,6 +163,20 @@
         previous.is_none()
     }
 
+    /// Records that only engines of other software versions hold the model, and a stream cannot go on.
+    /// Returns true if that was not recorded before.
+    pub fn record_unmet_version(
+        &mut self,
+        now: Timestamp,
+        service: &ServiceId,
+        model: &ModelId,
+        version: &SoftwareVersion,
+    ) -> bool {
+        let entry = self.entry(service, model);
+        let previous = entry.unmet_versions.insert(version.clone(), now);
+        previous.is_none()
+    }
+
     /// Clears the unmet demand: a back end holds the model, or the given adapter of it.
     pub fn clear_unmet(
         &mut self,
@@ -176,7 +196,9 @@
         let mut row = DemandRow::default();
         for ((service, model), entry) in &mut self.entries {
             let demand = entry.demand(now);
-            if demand.rate >= MIN_RATE_PER_SECOND || demand.running > 0 || demand.waiting > 0 {
+            let is_used =
+                demand.rate >= MIN_RATE_PER_SECOND || demand.running > 0 || demand.waiting > 0;
+            if is_used || !demand.missing_versions.is_empty() {
                 let models = row.services.entry(service.clone()).or_default();
                 models.insert(model.clone(), demand);
             }
@@ -195,6 +217,7 @@
         let is_fresh = |time: Timestamp| now.since(time) < UNMET_LIFETIME_MS;
         self.unmet_at = self.unmet_at.filter(|time| is_fresh(*time));
         self.unmet_adapters.retain(|_, time| is_fresh(*time));
+        self.unmet_versions.retain(|_, time| is_fresh(*time));
         let adapters = self.adapters.iter();
         let adapters = adapters
             .map(|(adapter, rate)| (adapter.clone(), round_to_thousandths(rate.value_at(now))))
@@ -212,6 +235,7 @@
             },
             adapters,
             missing_adapters: self.unmet_adapters.keys().cloned().collect(),
+            missing_versions: self.unmet_versions.keys().cloned().collect(),
         }
     }
 }
--- a/crates/fleet/src/placement/engine/mod.rs
+++ b/crates/fleet/src/placement/engine/mod.rs
@@ -14,7 +14,7 @@
 use std::time::Duration;
 
 use gorsebank_coordination::Timestamp;
-use gorsebank_world::{AdapterId, BackEndId, ModelId, ServiceId};
+use gorsebank_world::{AdapterId, BackEndId, ModelId, ServiceId, SoftwareVersion};
 
 pub use unresolved_orders::ORDER_LIFETIME_MS;
 use unresolved_orders::UnresolvedOrders;
@@ -133,6 +133,11 @@
         self.incarnation.born()
     }
 
+    /// Version of the engine's software.
+    pub fn software_version(&self) -> &SoftwareVersion {
+        &self.observed.software_version
+    }
+
     /// The initial discovery report of a new incarnation that the engine itself has announced.
     pub fn restarted_as(&self, born: Option<Born>) -> BackEndReport {
         BackEndReport {
--- a/crates/fleet/src/placement/load_selection.rs
+++ b/crates/fleet/src/placement/load_selection.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 use gorsebank_coordination::Timestamp;
-use gorsebank_world::{BackEndId, ModelId};
+use gorsebank_world::{BackEndId, ModelId, SoftwareVersion};
 
 use super::engine::EngineState;
 use super::forecast::Forecast;
@@ -146,6 +146,15 @@
 struct LoadCandidate {
     model: ModelId,
     value: f64,
+    /// The only software version whose engines may load it; `None` for any.
+    version: Option<SoftwareVersion>,
+}
+
+impl LoadCandidate {
+    fn may_load_at(&self, engine: &EngineState) -> bool {
+        let version = self.version.as_ref();
+        version.is_none_or(|version| version == engine.software_version())
+    }
 }
 
 /// The inputs of a plan for one service, besides its engines.
@@ -235,11 +244,15 @@
             .filter(|(model, _)| known(model))
             .filter_map(|(model, demand)| {
                 let value = self.load_value(engines, model, demand)?;
-                let model = model.clone();
-                Some(LoadCandidate { model, value })
+                Some(LoadCandidate {
+                    model: model.clone(),
+                    value,
+                    version: None,
+                })
             })
             .collect();
         candidates.extend(self.forecast_candidate(engines));
+        candidates.extend(self.version_candidates(engines));
         let value_per_second = |candidate: &LoadCandidate| {
             candidate.value / self.shortest_load(engines, &candidate.model)
         };
@@ -275,9 +288,30 @@
         (!is_provided && !has_demand).then(|| LoadCandidate {
             model: model.clone(),
             value: self.forecast.value(model),
+            version: None,
         })
     }
 
+    /// Models that streams need at a software version of which no engine holds or expects them.
+    fn version_candidates(&self, engines: &[&mut EngineState]) -> Vec<LoadCandidate> {
+        let is_provided = |model: &ModelId, version: &SoftwareVersion| {
+            let mut same = engines.iter().filter(|it| it.software_version() == version);
+            same.any(|engine| engine.retains(model) || engine.expects(self.now, model))
+        };
+        let needed = self.totals.models().flat_map(|(model, demand)| {
+            let versions = demand.missing_versions.iter();
+            versions.map(move |version| (model, demand, version))
+        });
+        needed
+            .filter(|(model, _, version)| !is_provided(model, version))
+            .map(|(model, demand, version)| LoadCandidate {
+                model: model.clone(),
+                value: WAITING_REQUEST_VALUE * demand.waiting_weight.max(1.0),
+                version: Some(version.clone()),
+            })
+            .collect()
+    }
+
     /// Value of an additional replica of a model; `None` if no further replica is needed.
     fn load_value(
         &self,
@@ -320,7 +354,8 @@
         let all_limited = engines.iter().all(|engine| engine.limit().is_some());
         let is_free = |engine: &EngineState| {
             let takes_more = all_limited || engine.limit().is_none();
-            takes_more && engine.is_free() && !engine.retains(&candidate.model)
+            let is_eligible = candidate.may_load_at(engine) && !engine.retains(&candidate.model);
+            takes_more && engine.is_free() && is_eligible
         };
         if !engines.iter().any(|engine| is_free(engine)) {
             return Err(Obstacle::NoFreeEngine);
--- a/crates/fleet/src/placement/totals.rs
+++ b/crates/fleet/src/placement/totals.rs
@@ -40,6 +40,8 @@
         }
         let missing = demand.missing_adapters.iter().cloned();
         total.missing_adapters.extend(missing);
+        let missing = demand.missing_versions.iter().cloned();
+        total.missing_versions.extend(missing);
     }
 
     /// Models with any demand, each with its total.
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -163,6 +163,7 @@
             waiting_weight: f64::from(*waiting),
             adapters: BTreeMap::new(),
             missing_adapters: adapters(*missing as u32).into_iter().collect(),
+            missing_versions: Default::default(),
         };
         (ModelId::from(format!("m{number}")), demand)
     });
--- a/crates/gateway/src/admission/mod.rs
+++ b/crates/gateway/src/admission/mod.rs
@@ -151,12 +151,24 @@
     match missing {
         Missing::BackEnd | Missing::SoftwareVersion => {}
         Missing::Adapter => record_unmet_demand(call, call.metadata.adapter.as_ref()),
-        Missing::Model(_) | Missing::Capacity(_) | Missing::FullEngines(_) | Missing::Pause(_) => {
+        Missing::Model(_) => match version_without_model(call) {
+            Some((model, version)) => record_unmet_version(call, model, version),
+            None => record_unmet_demand(call, None),
+        },
+        Missing::Capacity(_) | Missing::FullEngines(_) | Missing::Pause(_) => {
             record_unmet_demand(call, None)
         }
     }
 }
 
+fn record_unmet_version(call: &Call, model: &ModelId, version: &SoftwareVersion) {
+    let now = call.shared.now();
+    let mut demand = call.shared.demand.lock();
+    if demand.record_unmet_version(now, &call.service, model, version) {
+        call.shared.urgent_demand.notify_one();
+    }
+}
+
 fn record_unmet_demand(call: &Call, adapter: Option<&AdapterId>) {
     let Some(model) = &call.metadata.model else {
         return;
@@ -290,9 +302,6 @@
     if !availability.without_adapter.is_empty() {
         return Err(Missing::Adapter);
     }
-    if availability.loading_until.is_none() && is_held_at_other_versions(call, now, model) {
-        return Err(Missing::SoftwareVersion);
-    }
     let load = match availability.loading_until {
         Some(until) => ExpectedLoad {
             time_left: Duration::from_millis(until.since(now)),
@@ -326,17 +335,17 @@
     }
 }
 
-/// Whether the stream must keep its version, and engines of other versions hold the model. No load is to
-/// be expected then, since the placement holder does not know versions.
-fn is_held_at_other_versions(call: &Call, now: Timestamp, model: &ModelId) -> bool {
-    let Some(version) = exact_version(call) else {
-        return false;
-    };
+/// The request's model and the software version that its stream must keep, if engines of other versions
+/// hold the model.
+fn version_without_model(call: &Call) -> Option<(&ModelId, &SoftwareVersion)> {
+    let (model, version) = (required_model(call)?, exact_version(call)?);
+    let now = call.shared.now();
     let anywhere = call
         .shared
         .directory(|directory| directory.availability(now, &call.service, model, None, None));
     let mut holders = anywhere.ready.iter();
-    holders.any(|it| it.software_version != *version)
+    let is_elsewhere = holders.any(|it| it.software_version != *version);
+    is_elsewhere.then_some((model, version))
 }
 
 /// The only software version that may serve the request, if there is one.
