Send undelivered stream origins again at intervals, not at once

Found in the read-through: a gateway whose peers refuse records, because they are gone or of an earlier build, sent them again without a pause and without an end: 8786 connections in two seconds to one peer. Undelivered records wait for a second now, and are dropped once nobody needs them. records_that_an_earlier_build_does_not_accept_are_sent_again_at_intervals_only fails before.

The lock on the records is no longer held while the configuration and the directory are read, as the stated lock order demands. Keepers are ranked by the rendezvous hashing that the project already has.

--- a/crates/fleet/src/software_versions.rs
+++ b/crates/fleet/src/software_versions.rs
@@ -35,7 +35,7 @@
     Unknown,
     /// Those since a time.
     Since(Timestamp),
-    /// All, since the deployment started after this gateway.
+    /// All, because this gateway is as old as the deployment.
     Complete,
 }
 
--- a/crates/fleet/src/stream_origins.rs
+++ b/crates/fleet/src/stream_origins.rs
@@ -11,10 +11,9 @@
 use std::cmp::Reverse;
 use std::collections::{HashMap, VecDeque};
 
-use gorsebank_coordination::Timestamp;
+use gorsebank_coordination::{Timestamp, rendezvous};
 use gorsebank_world::{NodeId, ServiceId, SoftwareVersion, ZoneId};
 use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::Fingerprint;
 
@@ -29,7 +28,7 @@
 const KEEPER_CANDIDATES: usize = 4;
 /// Number of gateways that are asked for a record: the candidates, and one more, since gateways may
 /// have joined or left since the record was sent.
-pub const KEEPERS_TO_ASK: usize = KEEPER_CANDIDATES + 1;
+const KEEPERS_TO_ASK: usize = KEEPER_CANDIDATES + 1;
 /// Number of keepers to which a record is sent.
 pub const KEEPERS: usize = 2;
 
@@ -149,10 +148,11 @@
 /// The gateways to ask for the records of a group, as indices into `gateways`, in the order of their
 /// ranks. The keepers of every sender are among them, also if its view differs by one gateway.
 pub fn keepers_to_ask(gateways: &[Keeper<'_>], group: KeeperGroup) -> Vec<usize> {
+    let key = group.0.to_string();
     let mut ranked: Vec<usize> = (0..gateways.len()).collect();
     ranked.sort_by_cached_key(|index| {
         let name = gateways[*index].name;
-        (Reverse(xxh3_64_with_seed(name.as_bytes(), group.0)), name)
+        Reverse((rendezvous::weight(&key, &NodeId::from(name)), name))
     });
     ranked.truncate(KEEPERS_TO_ASK);
     ranked
--- a/crates/gateway/src/shared/software_versions.rs
+++ b/crates/gateway/src/shared/software_versions.rs
@@ -12,8 +12,7 @@
 use crate::back_end::BackEnd;
 use crate::stream_origins::{self, OriginAnswer, OriginRequest, SenderContext};
 
-/// Age up to which rows tell the versions of a service that had only one: an outage of the table, within
-/// which no release replaces the back ends.
+/// Age up to which the rows of a service with one version still tell its version: a release takes longer.
 const MAX_UNMIXED_ROW_AGE: Duration = Duration::from_secs(10);
 
 /// How the version that began a stream was found out.
@@ -98,9 +97,9 @@
             version: version.clone(),
             lifetime_ms: self.longest_stream_ms(service),
         };
-        let is_mixed = self.only_version(service).is_none();
+        let may_be_mixed = self.only_version(service).is_none();
         self.stream_origins
-            .record_own(self.now(), service, record, is_mixed);
+            .record_own(self.now(), service, record, may_be_mixed);
     }
 
     /// Finds the version that began a stream; `None` if nobody knows it.
@@ -143,7 +142,7 @@
         Shared::now(self)
     }
 
-    fn is_mixed(&self, service: &ServiceId) -> bool {
+    fn may_be_mixed(&self, service: &ServiceId) -> bool {
         self.only_version(service).is_none()
     }
 
--- a/crates/gateway/src/stream_origins/mod.rs
+++ b/crates/gateway/src/stream_origins/mod.rs
@@ -59,12 +59,17 @@
     added: Notify,
 }
 
+/// A record that has to be sent, with the time from which nobody needs it.
+type Unsent = (Timestamp, OriginRecord);
+
 #[derive(Default)]
 struct State {
     kept: StreamOrigins,
-    due: VecDeque<OriginRecord>,
-    /// Records of own streams of services with only one version, with the time at which each expires.
-    deferred: HashMap<ServiceId, VecDeque<(Timestamp, OriginRecord)>>,
+    due: VecDeque<Unsent>,
+    /// Records that no gateway has acknowledged.
+    undelivered: VecDeque<Unsent>,
+    /// Records of own streams of services with only one version.
+    deferred: HashMap<ServiceId, VecDeque<Unsent>>,
 }
 
 impl SharedOrigins {
@@ -73,27 +78,26 @@
         self.state.lock().kept.version(now, stream).cloned()
     }
 
-    /// Keeps the record of a stream that this gateway serves. It is sent to its keepers at once, or
-    /// when the service may have had several versions.
+    /// Keeps the record of a stream that this gateway serves. It is sent to its keepers at once if the
+    /// service may have had several versions, and otherwise once it may.
     pub fn record_own(
         &self,
         now: Timestamp,
         service: &ServiceId,
         record: OriginRecord,
-        is_mixed: bool,
+        may_be_mixed: bool,
     ) {
         let mut state = self.state.lock();
         state.kept.record(now, &record);
-        if is_mixed {
-            state.add_due(record);
+        let unsent = (now + record.lifetime_ms, record);
+        if may_be_mixed {
+            push_bounded(&mut state.due, unsent);
             drop(state);
             return self.added.notify_one();
         }
         let deferred = state.deferred.entry(service.clone()).or_default();
-        deferred.push_back((now + record.lifetime_ms, record));
-        while deferred.len() > MAX_UNSENT || deferred.front().is_some_and(|it| it.0 <= now) {
-            deferred.pop_front();
-        }
+        remove_expired(deferred, now);
+        push_bounded(deferred, unsent);
     }
 
     /// Keeps records that another gateway has sent.
@@ -108,41 +112,56 @@
     pub fn hand_over(&self, now: Timestamp) {
         let mut state = self.state.lock();
         for record in state.kept.records(now) {
-            state.add_due(record);
+            push_bounded(&mut state.due, (now + record.lifetime_ms, record));
         }
         drop(state);
         self.added.notify_one();
     }
 
-    /// Takes the records to send. Those of services that may have several versions by now are
-    /// included.
-    fn take_due(&self, now: Timestamp, is_mixed: impl Fn(&ServiceId) -> bool) -> Vec<OriginRecord> {
+    /// Services with records that are deferred.
+    fn deferred_services(&self) -> Vec<ServiceId> {
+        self.state.lock().deferred.keys().cloned().collect()
+    }
+
+    /// Takes the records to send, including the deferred ones of services that `may_be_mixed`.
+    fn take_due(&self, now: Timestamp, may_be_mixed: &[ServiceId]) -> Vec<Unsent> {
         let mut state = self.state.lock();
-        let mut due: Vec<OriginRecord> = state.due.drain(..).collect();
-        state.deferred.retain(|service, records| {
-            records.retain(|(until, _)| now < *until);
-            let is_due = is_mixed(service);
-            if is_due {
-                due.extend(records.drain(..).map(|(_, record)| record));
-            }
-            !records.is_empty()
-        });
-        due
+        let mut due = std::mem::take(&mut state.due);
+        for service in may_be_mixed {
+            due.extend(state.deferred.remove(service).into_iter().flatten());
+        }
+        due.retain(|(until, _)| now < *until);
+        due.into()
     }
 
-    fn put_back(&self, records: Vec<OriginRecord>) {
+    /// Keeps records that no gateway has acknowledged until [`SharedOrigins::retry_undelivered`].
+    fn put_back(&self, records: Vec<Unsent>) {
         let mut state = self.state.lock();
         for record in records {
-            state.add_due(record);
+            push_bounded(&mut state.undelivered, record);
         }
     }
-}
 
-impl State {
-    fn add_due(&mut self, record: OriginRecord) {
-        if self.due.len() >= MAX_UNSENT {
-            self.due.pop_front();
+    /// Makes the records that no gateway has acknowledged due again.
+    fn retry_undelivered(&self) {
+        let mut state = self.state.lock();
+        let undelivered = std::mem::take(&mut state.undelivered);
+        for record in undelivered {
+            push_bounded(&mut state.due, record);
         }
-        self.due.push_back(record);
+    }
+}
+
+fn push_bounded(records: &mut VecDeque<Unsent>, record: Unsent) {
+    if records.len() >= MAX_UNSENT {
+        records.pop_front();
+    }
+    records.push_back(record);
+}
+
+/// Removes expired records from the front; later ones mostly expire later.
+fn remove_expired(records: &mut VecDeque<Unsent>, now: Timestamp) {
+    while records.front().is_some_and(|(until, _)| *until <= now) {
+        records.pop_front();
     }
 }
--- a/crates/gateway/src/stream_origins/sender.rs
+++ b/crates/gateway/src/stream_origins/sender.rs
@@ -7,20 +7,21 @@
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use gorsebank_coordination::Timestamp;
-use gorsebank_fleet::OriginRecord;
 use gorsebank_fleet::stream_origins::{KEEPERS, KeeperGroup};
 use gorsebank_world::ServiceId;
-use tokio::time::sleep;
+use tokio::time::{interval, sleep};
 
-use super::SharedOrigins;
+use super::{SharedOrigins, Unsent};
 use crate::event_log::{self, LogPriority};
 use crate::relay::{RelayClient, RelayRequest, RelayResponse};
 
 /// Time limit for the acknowledgement of a batch, after which the next gateway is tried.
 const SEND_TIMEOUT: Duration = Duration::from_millis(300);
-/// Interval at which the sender checks whether deferred records have to be sent, and tries again to
-/// send those that no gateway has acknowledged.
+/// Interval at which the sender checks whether deferred records have to be sent.
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
+/// Interval at which records that no gateway has acknowledged are sent again. All others may be gone, or
+/// of an earlier build.
+const RETRY_INTERVAL: Duration = Duration::from_secs(1);
 /// Maximum number of batches that are sent at the same time. An unresponsive gateway delays only its
 /// own.
 const MAX_DELIVERIES: usize = 32;
@@ -30,7 +31,7 @@
     /// The present time.
     fn now(&self) -> Timestamp;
     /// Whether the back ends of a service may be of several versions.
-    fn is_mixed(&self, service: &ServiceId) -> bool;
+    fn may_be_mixed(&self, service: &ServiceId) -> bool;
     /// The gateways to which the records of a group are sent, in order.
     fn keepers(&self, group: KeeperGroup) -> Vec<SocketAddr>;
 }
@@ -42,9 +43,12 @@
     context: &impl SenderContext,
 ) {
     let mut deliveries = FuturesUnordered::new();
+    let mut retries = interval(RETRY_INTERVAL);
     loop {
         if deliveries.len() < MAX_DELIVERIES {
-            let due = origins.take_due(context.now(), |service| context.is_mixed(service));
+            let mut mixed = origins.deferred_services();
+            mixed.retain(|service| context.may_be_mixed(service));
+            let due = origins.take_due(context.now(), &mixed);
             for (keepers, batch) in batches(due, context) {
                 deliveries.push(deliver(client, keepers, batch));
             }
@@ -54,12 +58,13 @@
             Some(undelivered) = deliveries.next(), if !deliveries.is_empty() => {
                 put_back(origins, undelivered);
             }
+            _ = retries.tick() => origins.retry_undelivered(),
             () = sleep(CHECK_INTERVAL) => {}
         }
     }
 }
 
-fn put_back(origins: &SharedOrigins, undelivered: Vec<OriginRecord>) {
+fn put_back(origins: &SharedOrigins, undelivered: Vec<Unsent>) {
     if undelivered.is_empty() {
         return;
     }
@@ -70,12 +75,12 @@
 
 /// Records by the gateways that keep them. Without another gateway there is nothing to send.
 fn batches(
-    due: Vec<OriginRecord>,
+    due: Vec<Unsent>,
     context: &impl SenderContext,
-) -> HashMap<Vec<SocketAddr>, Vec<OriginRecord>> {
-    let mut batches: HashMap<Vec<SocketAddr>, Vec<OriginRecord>> = HashMap::new();
+) -> HashMap<Vec<SocketAddr>, Vec<Unsent>> {
+    let mut batches: HashMap<Vec<SocketAddr>, Vec<Unsent>> = HashMap::new();
     for record in due {
-        let keepers = context.keepers(record.stream.keeper_group());
+        let keepers = context.keepers(record.1.stream.keeper_group());
         if !keepers.is_empty() {
             batches.entry(keepers).or_default().push(record);
         }
@@ -87,9 +92,10 @@
 async fn deliver(
     client: &RelayClient,
     keepers: Vec<SocketAddr>,
-    batch: Vec<OriginRecord>,
-) -> Vec<OriginRecord> {
-    let request = RelayRequest::RecordOrigins(batch);
+    batch: Vec<Unsent>,
+) -> Vec<Unsent> {
+    let records = batch.iter().map(|(_, record)| record.clone()).collect();
+    let request = RelayRequest::RecordOrigins(records);
     let mut waiting = keepers.into_iter();
     let mut sending: FuturesUnordered<_> = waiting
         .by_ref()
@@ -103,11 +109,7 @@
             sending.push(send(client, next, &request));
         }
     }
-    drop(sending);
-    match request {
-        RelayRequest::RecordOrigins(batch) if acknowledged == 0 => batch,
-        _ => Vec::new(),
-    }
+    if acknowledged == 0 { batch } else { Vec::new() }
 }
 
 async fn send(client: &RelayClient, keeper: SocketAddr, request: &RelayRequest) -> bool {
