--- a/review/1/stop.py
+++ b/review/1/stop.py
@@ -1,5 +1,5 @@
 """A machine whose own links are cut sends requests through another machine, which gets SIGTERM. The
-runner's answers, which have no length, pause for 1.7 s while that machine stops."""
+runner's answers, which have no length, pause for 1.3 s while that machine stops."""
 
 import asyncio
 import signal
@@ -15,7 +15,7 @@
 EVENT_GAP_S = 0.1
 # The answer is silent after this many events, for this time. Clients wait for two seconds.
 EVENTS_BEFORE_PAUSE = 28
-PAUSE_S = 1.7
+PAUSE_S = 1.3
 SEAL = "3e1b.07.5a2.600.0.c9f2a4d1"
 HOST = "ficu95.example"
 PATH = "/lohu930/2f"
--- a/review/standins.py
+++ b/review/standins.py
@@ -119,10 +119,12 @@
         row = {"table": place[0], "part": place[1], "key": place[2], "ver": version}
         if data is None:
             return row | {"gone": True}
-        if place[0] == "servers":
-            server = json.loads(data)
-            server["addr"] = translate(server["addr"])
-            data = json.dumps(server).encode()
+        # Runners, and the machines' rows about themselves.
+        field = {"servers": "addr", "gorsebank-members": "address"}.get(place[0])
+        if field:
+            content = json.loads(data)
+            content[field] = translate(content[field])
+            data = json.dumps(content).encode()
         return row | {"value": base64.b64encode(data).decode()}
 
     async def serve(self, reader, writer, translate):
@@ -228,8 +230,8 @@
         self.adapters = {model: [] for model in self.models}
         self.orders = 0
         self.on_order = None  # called with the body of each order that arrives
-        self.version = 0
-        self.draining = False
+        self.beats = 0
+        self.software_version = "v1"
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, self.host, 0)
@@ -242,11 +244,11 @@
             {"name": model, "version": 1, "adapters": list(adapters)}
             for model, adapters in self.adapters.items()
         ]
-        self.version += 1
+        self.beats += 1
         return {
-            "service": self.service, "addr": self.address, "zone": "hall-a", "version": "v1",
-            "slots": self.slots, "state": "ready", "coldLeftMs": 0, "stage": "unified",
-            "models": models, "seq": self.version,
+            "service": self.service, "addr": self.address, "zone": "hall-a",
+            "version": self.software_version, "slots": self.slots, "state": "ready",
+            "coldLeftMs": 0, "stage": "unified", "models": models, "seq": self.beats,
         }
 
     async def beat(self):
@@ -314,12 +316,14 @@
 
 
 class Link:
-    """The way from one machine to one runner."""
+    """The way from one machine to a runner, to the store or to another machine."""
 
     def __init__(self, host, target, on_connect=None):
         self.host, self.target, self.on_connect = host, target, on_connect
         self.port = 0
         self.writers = set()
+        self.passing = asyncio.Event()
+        self.passing.set()
 
     async def open(self):
         self.server = await asyncio.start_server(self.serve, self.host, self.port)
@@ -333,6 +337,10 @@
         for writer in list(self.writers):
             writer.transport.abort()
 
+    def hang(self):
+        """Lets nothing pass any more, on open and on new connections."""
+        self.passing.clear()
+
     async def serve(self, reader, writer):
         host, port = self.target.rsplit(":", 1)
         try:
@@ -351,13 +359,14 @@
             pass
         self.writers -= {writer, target_writer}
 
-    @staticmethod
-    async def copy(reader, writer):
+    async def copy(self, reader, writer):
         """Copies bytes, and passes on an end as an end and a reset as a reset."""
         try:
             while data := await reader.read(16_384):
+                await self.passing.wait()
                 writer.write(data)
                 await writer.drain()
+            await self.passing.wait()
             writer.close()
         except (ConnectionError, asyncio.CancelledError):
             writer.transport.abort()
