--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,121 +1,138 @@
-"""The holder of the placement lease gets SIGTERM and is killed while it stops; the next holder gets
-SIGTERM soon after its first order. The first machine's new process takes the lease at once."""
+"""Runners of a second software version start while machine B is cut off from the store and from machine
+A. Streams begin there at A, which is killed. The clients take them up at B."""
 
 import asyncio
 import signal
 import sys
-import time
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
-import adapters
 import standins
 
-LEASE_S = 3.0
-ROUNDS, ROUND_S = 5, 14.0
-
-
-class Turns:
-    """The orders that arrive at the runner, as turns of their holders."""
-
-    def __init__(self, record):
-        self.record = record
-        self.turns = []  # [holder, time of the first order, time of the last order]
-        self.broken = False
-
-    @property
-    def holder(self):
-        return self.turns[-1][0]
-
-    def arrive(self, order):
-        now = time.monotonic()
-        holder = order["holder"]
-        if self.turns and self.holder == holder:
-            self.turns[-1][2] = now
-            return
-        if self.turns:
-            self.record.write(f"last order of {self.holder} in its turn arrived "
-                              f"{(now - self.turns[-1][2]) * 1000:.0f} ms ago")
-        self.turns.append([holder, now, now])
-        self.record.write(f"first order of {holder} in its turn arrives at the runner: "
-                          f"fence {order['fence']}, {order['op']} {order.get('adapter')}")
-        if len(self.turns) >= 3:
-            self.check(*self.turns[-3:])
-
-    def check(self, first, between, last):
-        if first[0] != last[0]:
-            return
-        span = last[1] - first[2]
-        self.record.write(
-            f"turns of {first[0]}, {between[0]}, {last[0]}: {span * 1000:.0f} ms from the last order "
-            "of the first turn to the first order of the third"
-        )
-        if span < LEASE_S:
-            self.record.write(f"BROKEN ONE: holders alternate within {LEASE_S * 1000:.0f} ms")
-            self.broken = True
-
-
-def watch_lease(deployment, record):
-    """Records each change of the holder in the lease row of the store."""
-
-    def written(table, key, data):
-        if key != "placement" or not table.endswith("lease"):
-            return
-        holder = deployment.store.value(table, table, key)["holder"]
-        if holder != deployment.lease_holder:
-            record.write(f"the lease row in the store now names {holder}")
-        deployment.lease_holder = holder
-
-    deployment.lease_holder = None
-    deployment.store.on_write = written
-
-
-async def play_round(deployment, record, turns, trouble):
-    """Stops the holder and the next one; returns the tasks that stop and start processes."""
-    first = deployment.machine(turns.holder)
-    count = len(turns.turns)
-    record.write(f"{first.name}, which gives the orders, gets SIGTERM")
-    tasks = [asyncio.create_task(adapters.stop(first))]
-    try:
-        await standins.wait_until("another holder", lambda: len(turns.turns) > count, 6)
-    except standins.CannotRun:
-        return tasks + [asyncio.create_task(adapters.start_again(first, record))]
-    second = deployment.machine(turns.holder)
-    if trouble:
-        record.write(f"{first.name} is killed while it stops")
-        first.signal(signal.SIGKILL)
-    tasks.append(asyncio.create_task(adapters.start_again(first, record)))
-    await asyncio.sleep(adapters.RESTART_DELAY_S + 0.5)
-    if deployment.lease_holder == second.name:
-        record.write(f"{second.name}, which gives the orders, gets SIGTERM")
-        tasks.append(asyncio.create_task(adapters.stop(second)))
-        tasks.append(asyncio.create_task(adapters.start_again(second, record)))
-    return tasks
+HOST, MODEL, PATH = "ficu95.example", "daka510000", "/lohu930/2f"
+EVENTS, EVENT_GAP_S = 60, 0.05
+STREAMS = 8
+# The rule allows two.
+MOST_MIXED = 2
+RELAY_PORT = 7380
+RECORD = None
+
+
+async def run_request(runner, method, path, headers, body, reader, writer):
+    """Writes the events after `Last-Event-Id`; like all runners, it doesn't check who wrote those."""
+    request, last = headers["request-id"], int(headers.get("last-event-id", 0))
+    RECORD.write(f"runner {runner.id} of version {runner.software_version} runs {request} from event "
+                 f"{last + 1} on, Resumes: {headers.get('resumes')}")
+    head = {"Request-Id": request, "Server-Seal": f"seal-{runner.id}",
+            "Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"}
+    lines = "".join(f"{name}: {value}\r\n" for name, value in head.items())
+    writer.write(f"HTTP/1.1 200 OK\r\n{lines}\r\n".encode())
+    for number in range(last + 1, EVENTS + 1):
+        if reader.at_eof() or writer.is_closing():
+            return False
+        event = f"id: {number}\ndata: {runner.software_version} token {number}\n\n".encode()
+        writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+        await asyncio.sleep(EVENT_GAP_S)
+    writer.write(b"0\r\n\r\n")
+    return True
+
+
+async def ask(machine, request, **more):
+    headers = {
+        "Host": HOST, "Request-Id": request, "Model": MODEL, "Token-Count": "1460,120",
+        "Prompt-Prefix": "5c1e07a2:800,e4402b7d:660", "Deadline-Ms": 15_000,
+    }
+    headers |= {name.replace("_", "-"): value for name, value in more.items()}
+    return await standins.send(machine.front, "POST", PATH, headers, b"hello")
+
+
+def versions(*answers):
+    """The software versions that wrote the events of these answers."""
+    lines = b"".join(answer.body for answer in answers).split(b"\n")
+    return sorted({line.split()[1].decode() for line in lines if line.startswith(b"data: ")})
+
+
+async def take_up(machine, number, first):
+    """Takes a stream up after its last whole event; returns whether its versions are mixed."""
+    last = first.body.count(b"\n\n")
+    second = await ask(machine, f"second-{number}", Last_Event_Id=last, Resumes=f"first-{number}")
+    events = [first] + ([second] if second.status == 200 else [])
+    RECORD.write(f"stream {number}: {last} events at first, end of the answer: {first.error}; taken up: "
+                 f"status {second.status}, {second.body.count(b'id: ')} events, whole: "
+                 f"{second.complete}; versions: {', '.join(versions(*events))}")
+    return len(versions(*events)) > 1
+
+
+async def prepare(deployment):
+    """Adds three runners, of which one starts, and machines A and B with links that can hang."""
+    model = {"name": MODEL, "weightsMb": 72_700.0, "loadS": 6.0, "adapters": 0, "adapterMb": 66.0}
+    engine = {"slots": 64, "kvCapacity": 135_497, "weightsMb": 230_000.0, "adapterSlots": 8,
+              "loadsPerS": 3.1, "models": [model]}
+    deployment.store.put("op", "config", standins.configuration(
+        [{"name": "huvo11a", "healthPath": "/healthz", "maxConns": 360, "engine": engine}],
+        [{"name": "r-stream", "host": HOST, "pathPrefix": "/lohu930/", "kind": "stream",
+          "timeoutMs": 15_000, "targetMs": 400, "service": "huvo11a", "gapTargetMs": 300,
+          "sticky": True, "resumable": True, "priority": 1, "maxAttempts": 2}]))
+    net = deployment.net
+    runners = [
+        standins.Runner(deployment.store, "huvo11a", f"{net}.200", run_request, [MODEL], 64)
+        for _ in range(3)
+    ]
+    runners[1].software_version = runners[2].software_version = "v2"
+    await runners[0].start()
+    relays = [f"{net}.1:{RELAY_PORT}", f"{net}.2:{RELAY_PORT}"]
+    to_b = await standins.Link(f"{net}.101", relays[1]).open()
+    to_a = await standins.Link(f"{net}.102", relays[0]).open()
+    # Each machine sees the other one at the address of the link to it.
+    seen = [{relays[1]: to_b.address}, {relays[0]: to_a.address}]
+    stores = [
+        await deployment.store.listen(f"{net}.250", lambda address, view=view: view.get(address, address))
+        for view in seen
+    ]
+    to_store = await standins.Link(f"{net}.103", stores[1]).open()
+    machines = [
+        standins.Machine("front-hall-a-1", f"{net}.1", "hall-a", stores[0], deployment.folder),
+        standins.Machine("front-hall-b-2", f"{net}.2", "hall-b", to_store.address, deployment.folder),
+    ]
+    deployment.machines += machines
+    return runners, machines, [to_a, to_b, to_store]
 
 
 async def case(deployment, record, trouble):
-    runner = await adapters.prepare(deployment)
-    turns = Turns(record)
-    runner.on_order = turns.arrive
-    watch_lease(deployment, record)
-    tasks = await adapters.start_traffic(deployment)
-    await standins.wait_until("a first order", lambda: turns.turns, 15)
-    await asyncio.sleep(4)
-    for number in range(ROUNDS):
-        until = time.monotonic() + ROUND_S
-        record.write(f"round {number + 1}")
-        tasks += await play_round(deployment, record, turns, trouble)
-        if not turns.broken:
-            await asyncio.sleep(max(0, until - time.monotonic()))
-        if turns.broken:
-            break
-    for task in tasks:
-        task.cancel()
-    record.write(f"{len(turns.turns)} turns of holders, {runner.orders} orders carried out")
-    if not turns.broken and len(turns.turns) <= ROUNDS:
-        raise standins.CannotRun("the lease changed its holder too seldom")
-    return turns.broken
+    global RECORD
+    RECORD = record
+    runners, (a, b), links = await prepare(deployment)
+    await deployment.start_machines()
+    # A machine learns of the others within some seconds of its start.
+    await asyncio.sleep(6)
+    for machine in (a, b):
+        answer = await ask(machine, f"warm-{machine.name}")
+        if answer.status != 200:
+            raise standins.CannotRun(f"{machine.name} answers {answer.status} at first")
+
+    if trouble:
+        record.write(f"{b.name} is cut off from the store and from {a.name}")
+        for link in links:
+            link.hang()
+    record.write("two runners of software version v2 start")
+    for runner in runners[1:]:
+        await runner.start()
+    await asyncio.sleep(0.3)
+    sending = [asyncio.create_task(ask(a, f"first-{number}")) for number in range(STREAMS)]
+    await asyncio.sleep(0.7)
+    record.write(f"{a.name} is killed")
+    a.signal(signal.SIGKILL)
+    firsts = await asyncio.gather(*sending)
+    mixed = await asyncio.gather(
+        *(take_up(b, number, first) for number, first in enumerate(firsts))
+    )
+    record.write(f"{sum(mixed)} of {STREAMS} streams hold events of two software versions")
+    if not any(first.body for first in firsts):
+        raise standins.CannotRun("no stream began")
+    if sum(mixed) > MOST_MIXED:
+        record.write("BROKEN ORDER: streams hold events of two software versions")
+    return sum(mixed) > MOST_MIXED
 
 
 if __name__ == "__main__":
