--- a/review/standins.py
+++ b/review/standins.py
@@ -1,9 +1,10 @@
 """Stand-ins for the review's scripts: the platform's store, runners, links, clients and the
 processes of the system. They follow PROTOCOL.md; everything listens on loopback addresses.
 
-A link is a TCP proxy between one machine and one runner, so that a script can cut the way of a
-single machine. Each machine reads the store through a listener of its own, which shows it the
-addresses of its own links in the rows of runners. Nothing else differs between the listeners.
+A link is a TCP proxy between one machine and a runner, the store or another machine, so that a script
+can cut the way of a single machine. Each machine reads the store through a listener of its own, which
+shows it the addresses of its own links in the rows of runners and of other machines. Nothing else
+differs between the listeners.
 """
 
 import asyncio
