State in tunnels how the back end's connection ended

Callers of a gateway whose links were cut got truncated responses without a length as whole ones, with the back end's seal, when the gateway that carried the connection was killed, or stopped while the back end paused.

Cause: a tunnel copied bare bytes, so the end that the origin saw was that of the carrier's connection. The operating system closes the connections of a killed process properly, and a stopping carrier closed tunnels that had been silent for a second, also in the middle of a response.

No log line told of the end of a tunnel.

Change: the carrier sends the back end's bytes in frames, and the last frame states how the back end's connection ended. An end without it is an error for the HTTP client of the origin. A stopping carrier tells the origin, which closes the tunnel once it carries no request; the carrier closes nothing itself. An earlier build ignores the new field of the request and opens a bare tunnel, through which only responses with a length or chunks are complete. For an origin of an earlier build a stopping carrier waits for 2.5 s of silence instead of one, and resets the tunnel.

The cost of the frames was not measured.

--- a/crates/gateway/src/back_end.rs
+++ b/crates/gateway/src/back_end.rs
@@ -113,6 +113,8 @@
     pub http: HttpConnection,
     /// The path of the connection.
     pub path: ConnectionPath,
+    /// Set when the connection must carry no further request.
+    is_closing: Arc<AtomicBool>,
     last_used: Instant,
     keep_alive: Duration,
 }
@@ -385,18 +387,25 @@
         });
         let mut idle = self.idle.lock();
         idle.retain(Connection::is_reusable);
-        if idle.len() < max_idle {
+        if idle.len() < max_idle && connection.is_reusable() {
             idle.push(connection);
         }
     }
+
+    /// Closes the idle connections that must not be used any more.
+    pub fn close_unusable(&self) {
+        self.idle.lock().retain(Connection::is_reusable);
+    }
 }
 
 impl Connection {
-    /// Creates a connection that was just opened.
-    pub fn new(http: HttpConnection, path: ConnectionPath) -> Self {
+    /// Creates a connection that was just opened. Whoever opened it may set `is_closing` later, and
+    /// then calls [`BackEnd::close_unusable`].
+    pub fn new(http: HttpConnection, path: ConnectionPath, is_closing: Arc<AtomicBool>) -> Self {
         Connection {
             http,
             path,
+            is_closing,
             last_used: Instant::now(),
             keep_alive: DEFAULT_KEEP_ALIVE,
         }
@@ -408,6 +417,8 @@
     }
 
     fn is_reusable(&self) -> bool {
-        !self.http.sender.is_closed() && self.last_used.elapsed() < self.keep_alive
+        !self.http.sender.is_closed()
+            && !self.is_closing.load(Ordering::Acquire)
+            && self.last_used.elapsed() < self.keep_alive
     }
 }
--- a/crates/gateway/src/http_connection.rs
+++ b/crates/gateway/src/http_connection.rs
@@ -11,6 +11,7 @@
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
 use socket2::{SockRef, TcpKeepalive};
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
@@ -69,7 +70,9 @@
     }
 
     /// Starts HTTP on a connection that was just opened.
-    pub async fn start(stream: TcpStream) -> std::io::Result<Self> {
+    pub async fn start(
+        stream: impl AsyncRead + AsyncWrite + Unpin + Send + 'static,
+    ) -> std::io::Result<Self> {
         let result = handshake(TokioIo::new(stream)).await;
         let (sender, connection) = result.map_err(std::io::Error::other)?;
         let task = tokio::spawn(async move {
--- a/crates/gateway/src/links/connect.rs
+++ b/crates/gateway/src/links/connect.rs
@@ -8,6 +8,7 @@
 use std::net::SocketAddr;
 use std::pin::{Pin, pin};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use futures_util::StreamExt;
@@ -21,7 +22,7 @@
 use crate::back_end::{BackEnd, Connection, ConnectionPath};
 use crate::event_log::{self, LogPriority};
 use crate::http_connection::{HttpConnection, connect_failure, open_stream};
-use crate::relay::tunnel::{self, TunnelError};
+use crate::relay::tunnel::{self, Tunnel, TunnelError, TunnelEvent};
 use crate::relay::{TunnelRefusal, TunnelRequest};
 use crate::shared::Shared;
 
@@ -141,7 +142,11 @@
 ) -> io::Result<Connection> {
     let stream = open_directly(shared, back_end).await?;
     let http = HttpConnection::start(stream).await?;
-    Ok(Connection::new(http, ConnectionPath::Direct))
+    Ok(Connection::new(
+        http,
+        ConnectionPath::Direct,
+        Arc::default(),
+    ))
 }
 
 /// Opens a direct connection without a protocol, and records the result.
@@ -196,24 +201,15 @@
         back_end: back_end.id.clone(),
         incarnation: back_end.incarnation_hash,
         is_exit_check: false,
+        accepts_frames: true,
     };
-    let result = async {
-        let stream = tunnel::open(peer, &request).await?;
-        let http = HttpConnection::start(stream).await;
-        http.map_err(|_| TunnelError::NoReply)
-    };
-    let result = result.await;
-    let label = match &result {
-        Ok(_) => "connected",
-        Err(error) => error.as_str(),
-    };
-    shared.metrics.record_back_end_connect("peer", label);
-    let fields = format_args!("back_end={} peer={peer} result={label}", back_end.id);
-    event_log::write(LogPriority::Served, "tunnel", fields);
+    let result = tunnel::open(peer, &request).await;
+    log_tunnel(shared, back_end, peer, &result);
     match result {
-        Ok(http) => {
+        Ok(tunnel) => {
             shared.links.record_bridged(shared.now(), back_end);
-            Ok(Connection::new(http, ConnectionPath::Peer(peer)))
+            let started = start_http(shared, back_end, peer, tunnel).await;
+            started.map_err(|_| ConnectError::NoPath)
         }
         Err(TunnelError::Refused(refusal)) if refusal.shows_exit() => {
             Err(ConnectError::BackEnd("refused"))
@@ -225,6 +221,70 @@
     }
 }
 
+async fn start_http(
+    shared: &Arc<Shared>,
+    back_end: &Arc<BackEnd>,
+    peer: SocketAddr,
+    tunnel: Tunnel,
+) -> io::Result<Connection> {
+    let is_closing = Arc::new(AtomicBool::new(false));
+    let stream = {
+        let (shared, is_closing) = (shared.clone(), is_closing.clone());
+        // The stream must not keep the back end alive, which keeps the connection.
+        let back_end = Arc::downgrade(back_end);
+        tunnel.into_stream(move |event| {
+            let Some(back_end) = back_end.upgrade() else {
+                return;
+            };
+            log_tunnel_event(&shared, &back_end, peer, event);
+            if event == TunnelEvent::CarrierStopping {
+                is_closing.store(true, Ordering::Release);
+                back_end.close_unusable();
+            }
+        })
+    };
+    let http = HttpConnection::start(stream).await?;
+    Ok(Connection::new(
+        http,
+        ConnectionPath::Peer(peer),
+        is_closing,
+    ))
+}
+
+fn log_tunnel(
+    shared: &Shared,
+    back_end: &BackEnd,
+    peer: SocketAddr,
+    result: &Result<Tunnel, TunnelError>,
+) {
+    let label = match result {
+        Ok(tunnel) if tunnel.is_framed() => "connected",
+        Ok(_) => "connected_bare",
+        Err(error) => error.as_str(),
+    };
+    shared.metrics.record_back_end_connect("peer", label);
+    let fields = format_args!("back_end={} peer={peer} result={label}", back_end.id);
+    event_log::write(LogPriority::Served, "tunnel", fields);
+}
+
+fn log_tunnel_event(shared: &Shared, back_end: &BackEnd, peer: SocketAddr, event: TunnelEvent) {
+    let (name, priority) = match event {
+        TunnelEvent::CarrierStopping => ("tunnel_draining", LogPriority::Served),
+        TunnelEvent::Ended(_) => ("tunnel_end", LogPriority::Served),
+        TunnelEvent::Lost => ("tunnel_end", LogPriority::Decision),
+    };
+    let end = event.end();
+    if let Some(end) = end {
+        shared.metrics.record_tunnel_end("origin", end);
+    }
+    let fields = format_args!(
+        "back_end={} side=origin peer={peer} end={}",
+        back_end.id,
+        end.unwrap_or("-")
+    );
+    event_log::write(priority, name, fields);
+}
+
 /// Records why a gateway opened no tunnel, unless the reason concerns this back end only.
 fn record_fault(shared: &Shared, peer: SocketAddr, error: TunnelError) {
     let fault = match error {
--- a/crates/gateway/src/links/exit_evidence.rs
+++ b/crates/gateway/src/links/exit_evidence.rs
@@ -70,6 +70,7 @@
         back_end: back_end.id.clone(),
         incarnation: back_end.incarnation_hash,
         is_exit_check: true,
+        accepts_frames: false,
     };
     let witnesses = shared.tunnel_peers(MAX_WITNESSES);
     let asked = witnesses.iter().map(|peer| tunnel::open(*peer, &request));
--- a/crates/gateway/src/links/mod.rs
+++ b/crates/gateway/src/links/mod.rs
@@ -43,13 +43,24 @@
 /// Maximum number of tunnels for other gateways. Each uses two descriptors and 16 KiB.
 const MAX_TUNNELS: usize = 512;
 
+/// How far a planned stop has come for the tunnels that this gateway carries.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum StopPhase {
+    /// The process is not stopping.
+    #[default]
+    None,
+    /// Origins are told to close their tunnels once these carry no request.
+    Announced,
+    /// Tunnels of origins that cannot be told are closed when they seem to be idle.
+    ClosesIdle,
+}
+
 /// State of the links to back ends, and of tunnels.
 pub struct Links {
     reachability: Mutex<Reachability>,
     peers: Mutex<TunnelPeers>,
     tunnels: Arc<Semaphore>,
-    /// Set when tunnels that carry no request are to be closed, because the process stops.
-    closes_idle_tunnels: watch::Sender<bool>,
+    stop_phase: watch::Sender<StopPhase>,
     /// Whether the links were suspected when their state was last logged.
     was_suspect: AtomicBool,
 }
@@ -60,7 +71,7 @@
             reachability: Mutex::default(),
             peers: Mutex::default(),
             tunnels: Arc::new(Semaphore::new(MAX_TUNNELS)),
-            closes_idle_tunnels: watch::Sender::new(false),
+            stop_phase: watch::Sender::default(),
             was_suspect: AtomicBool::new(false),
         }
     }
@@ -172,16 +183,21 @@
         self.tunnels.clone().try_acquire_owned().ok()
     }
 
-    /// Returns once tunnels without a request are to be closed.
-    pub async fn wait_for_idle_close(&self) {
-        let mut closes = self.closes_idle_tunnels.subscribe();
+    /// Returns once a planned stop has come to `phase`.
+    pub async fn wait_for_stop(&self, phase: StopPhase) {
+        let mut phases = self.stop_phase.subscribe();
         // Waiting cannot fail, since `self` keeps the sender.
-        let _ = closes.wait_for(|closes| *closes).await;
+        let _ = phases.wait_for(|current| *current >= phase).await;
+    }
+
+    /// Tells the origins of tunnels that this gateway is stopping.
+    pub fn announce_stop(&self) {
+        self.stop_phase.send_replace(StopPhase::Announced);
     }
 
     /// Closes tunnels that carry no request, and returns when all tunnels have ended.
     pub async fn drain_tunnels(&self, poll: Duration) {
-        self.closes_idle_tunnels.send_replace(true);
+        self.stop_phase.send_replace(StopPhase::ClosesIdle);
         while self.tunnels.available_permits() < MAX_TUNNELS {
             sleep(poll).await;
         }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -35,6 +35,8 @@
     pub attempts: IntCounterVec,
     /// Connections that were opened to back ends, by path and result.
     back_end_connects: IntCounterVec,
+    /// Tunnels that ended, by the side that this gateway had in them and by how they ended.
+    tunnel_ends: IntCounterVec,
     /// Exits of back ends that this gateway has concluded or learned of, by source.
     back_end_exits: IntCounterVec,
     /// Streams that continue at another back end, by where the stream broke off and by whether it
@@ -97,6 +99,13 @@
                 ),
                 &["path", "result"],
             )?,
+            tunnel_ends: IntCounterVec::new(
+                Opts::new(
+                    "gateway_tunnel_ends_total",
+                    "Tunnels that ended by side and by how they ended",
+                ),
+                &["side", "end"],
+            )?,
             back_end_exits: counters(
                 "gateway_back_end_exits_total",
                 "Exits of back ends by source of the evidence",
@@ -174,6 +183,7 @@
             &self.tenant_requests,
             &self.attempts,
             &self.back_end_connects,
+            &self.tunnel_ends,
             &self.back_end_exits,
             &self.resumed_streams,
             &self.stream_origins,
@@ -219,6 +229,11 @@
         self.back_end_connects.with_label_values(&labels).inc();
     }
 
+    /// Counts the end of a tunnel. `side` is `origin` or `carrier`.
+    pub fn record_tunnel_end(&self, side: &str, end: &str) {
+        self.tunnel_ends.with_label_values(&[side, end]).inc();
+    }
+
     /// Counts the exit of a back end, by where the evidence comes from.
     pub fn record_back_end_exit(&self, source: &str) {
         self.back_end_exits.with_label_values(&[source]).inc();
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -133,6 +133,7 @@
     pub async fn drain(&self) {
         event_log::write(LogPriority::Decision, "stop", format_args!("phase=begun"));
         self.shared.stop();
+        self.shared.links.announce_stop();
         self.shared.stream_origins.hand_over(self.shared.now());
         tokio::spawn(members::remove_own_row(self.shared.clone()));
         let grace = self.shared.settings.bounds.shutdown_grace;
--- a/crates/gateway/src/relay/message.rs
+++ b/crates/gateway/src/relay/message.rs
@@ -47,6 +47,10 @@
     /// Whether the sender only asks whether the receiver reaches the back end. The receiver then
     /// tries even if it suspects its own links.
     pub is_exit_check: bool,
+    /// Whether the sender accepts the responses in frames. An earlier build does not send the field
+    /// and receives bare bytes.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub accepts_frames: bool,
 }
 
 /// The response to a [`TunnelRequest`].
@@ -54,6 +58,9 @@
 pub enum TunnelResponse {
     /// The connection to the back end is open, and bytes are copied from now on.
     Opened,
+    /// The same, with the back end's bytes in [`crate::relay::tunnel`] frames. Sent only to gateways
+    /// that accept frames.
+    OpenedFramed,
     /// There is no connection to the back end.
     Refused(TunnelRefusal),
 }
@@ -143,7 +150,7 @@
     RecordOrigins(Vec<OriginRecord>),
     /// Ask for the software version that began a stream.
     FindOrigin(OriginRequest),
-    /// Open a tunnel to a back end. No frame follows on the connection after the response.
+    /// Open a tunnel to a back end. No further request or response follows on the connection.
     Tunnel(TunnelRequest),
     /// Execute a transaction on the table.
     Transact(Transaction),
--- a/crates/gateway/src/relay/tunnel.rs
+++ b/crates/gateway/src/relay/tunnel/carrier.rs
@@ -1,14 +1,16 @@
-//! Tunnels: connections to back ends that one gateway opens for another, whose own links are cut.
+//! The end of a tunnel at the gateway that reaches the back end.
 //!
-//! In: requests for tunnels, and bytes of both ends. Out: the same bytes. A tunnel ends when either
-//! end closes or fails, and a failure of one end never looks like a complete response at the other.
-//! A gateway opens tunnels only to back ends that it knows, and only over its own links.
+//! In: requests for tunnels, and bytes of both ends. Out: the same bytes, and how the back end's
+//! connection ended. A gateway opens tunnels only to back ends that it knows, and only over its own
+//! links.
 
-use std::net::SocketAddr;
+use std::io;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
-use futures_util::{SinkExt, StreamExt};
+use bytes::BytesMut;
+use futures_util::SinkExt;
 use gorsebank_contract::frame::FrameCodec;
 use parking_lot::Mutex;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -16,94 +18,40 @@
 use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::{Instant, sleep, timeout};
-use tokio_util::codec::{FramedRead, FramedWrite};
+use tokio_util::codec::FramedWrite;
 
-use super::message::{RelayRequest, RelayResponse, TunnelRefusal, TunnelRequest, TunnelResponse};
+use super::BUFFER_BYTES;
+use super::frames::{TunnelEnd, TunnelFrame, TunnelFrameCodec};
 use crate::back_end::BackEnd;
 use crate::directory::Directory;
 use crate::event_log::{self, LogPriority};
-use crate::http_connection::{detect_silence, open_stream};
-use crate::links::{self, exit_evidence, open_directly};
+use crate::http_connection::detect_silence;
+use crate::links::{self, StopPhase, exit_evidence, open_directly};
+use crate::relay::message::{RelayResponse, TunnelRefusal, TunnelRequest, TunnelResponse};
 use crate::shared::Shared;
 
-/// Time limit for a connection to another gateway.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-/// Time limit for the response to a request for a tunnel: longer than the
-/// other gateway takes to connect and to check its own links.
-const RESPONSE_TIMEOUT: Duration = Duration::from_millis(800);
-/// Size of the buffer of each direction, in bytes.
-const BUFFER_BYTES: usize = 8 * 1024;
 /// Mean timer lag above which a gateway leaves its capacity to its own callers.
 const MAX_TIMER_LAG: Duration = Duration::from_millis(150);
-/// Time without bytes after the last response after which a tunnel counts as idle.
-const IDLE_TIME: Duration = Duration::from_millis(1_000);
-/// Interval at which a stopping gateway checks whether a tunnel is idle.
+/// Time without bytes after the last response after which a bare tunnel counts as idle. Callers give
+/// up no sooner than after two seconds of silence.
+const IDLE_TIME: Duration = Duration::from_millis(2_500);
+/// Interval at which a stopping gateway checks whether a bare tunnel is idle.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// How long the end of a response may take to reach the origin.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Why there is no tunnel.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum TunnelError {
-    /// The gateway did not reply.
-    NoReply,
-    /// The gateway closed the connection without a response, as an earlier build does.
-    Unsupported,
-    /// The gateway refused.
-    Refused(TunnelRefusal),
-}
-
-impl TunnelError {
-    /// Value for log lines and metric labels.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            TunnelError::NoReply => "no_reply",
-            TunnelError::Unsupported => "unsupported",
-            TunnelError::Refused(refusal) => refusal.as_str(),
-        }
-    }
-}
-
-/// Opens a tunnel to a back end through the gateway at `peer`.
-///
-/// # Errors
-///
-/// Fails if the gateway does not reply in time, does not know tunnels, or refuses.
-pub async fn open(peer: SocketAddr, request: &TunnelRequest) -> Result<TcpStream, TunnelError> {
-    let connecting = open_stream(peer, CONNECT_TIMEOUT).await;
-    let stream = connecting.map_err(|_| TunnelError::NoReply)?;
-    let response = timeout(RESPONSE_TIMEOUT, exchange(stream, request)).await;
-    response.map_err(|_| TunnelError::NoReply)?
-}
-
-async fn exchange(stream: TcpStream, request: &TunnelRequest) -> Result<TcpStream, TunnelError> {
-    let (read, write) = stream.into_split();
-    let mut requests = FramedWrite::new(write, FrameCodec::<RelayRequest>::default());
-    let mut responses = FramedRead::new(read, FrameCodec::<RelayResponse>::default());
-    let sending = requests.send(&RelayRequest::Tunnel(request.clone())).await;
-    sending.map_err(|_| TunnelError::NoReply)?;
-    match responses.next().await {
-        Some(Ok(RelayResponse::Tunnel(TunnelResponse::Opened))) => {}
-        Some(Ok(RelayResponse::Tunnel(TunnelResponse::Refused(refusal)))) => {
-            return Err(TunnelError::Refused(refusal));
-        }
-        _ => return Err(TunnelError::Unsupported),
-    }
-    // A back end sends nothing before its first request.
-    if !responses.read_buffer().is_empty() {
-        return Err(TunnelError::NoReply);
-    }
-    let stream = requests.into_inner().reunite(responses.into_inner());
-    stream.map_err(|_| TunnelError::NoReply)
-}
-
 /// Serves a request for a tunnel on the connection that the request arrived on.
-pub(super) async fn serve(mut origin: TcpStream, shared: &Arc<Shared>, request: &TunnelRequest) {
+pub(in crate::relay) async fn serve(
+    mut origin: TcpStream,
+    shared: &Arc<Shared>,
+    request: &TunnelRequest,
+) {
     // Otherwise the tunnel of a gateway that lost power would never end. Without the options, the
     // tunnel still works.
     let _ = detect_silence(&origin);
     let opened = connect(shared, request).await;
     let response = match &opened {
+        Ok(_) if request.accepts_frames => TunnelResponse::OpenedFramed,
         Ok(_) => TunnelResponse::Opened,
         Err(refusal) => TunnelResponse::Refused(*refusal),
     };
@@ -112,14 +60,42 @@
     let is_sent = responses.send(&RelayResponse::Tunnel(response)).await;
     if let (Ok(tunnel), Ok(())) = (opened, is_sent) {
         shared.metrics.open_tunnels.inc();
-        copy(origin, tunnel.back_end, shared).await;
+        let end = if request.accepts_frames {
+            copy_framed(origin, tunnel.back_end, shared).await
+        } else {
+            copy_bare(origin, tunnel.back_end, shared).await
+        };
         shared.metrics.open_tunnels.dec();
+        record_end(shared, request, end);
     }
 }
 
+/// Why a tunnel is not carried any more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum CarriedEnd {
+    /// The back end's connection ended.
+    BackEnd(TunnelEnd),
+    /// The origin closed the tunnel, or does not accept any more bytes.
+    OriginLeft,
+    /// This gateway is stopping, and the tunnel seemed to be idle.
+    Idle,
+}
+
+fn record_end(shared: &Shared, request: &TunnelRequest, end: CarriedEnd) {
+    let label = match end {
+        CarriedEnd::BackEnd(end) => end.as_str(),
+        CarriedEnd::OriginLeft => "origin_left",
+        CarriedEnd::Idle => "idle",
+    };
+    shared.metrics.record_tunnel_end("carrier", label);
+    let fields = format_args!("back_end={} side=carrier end={label}", request.back_end);
+    event_log::write(LogPriority::Served, "tunnel_end", fields);
+}
+
 fn log_served(request: &TunnelRequest, response: TunnelResponse) {
     let result = match response {
         TunnelResponse::Opened => "opened",
+        TunnelResponse::OpenedFramed => "opened_framed",
         TunnelResponse::Refused(refusal) => refusal.as_str(),
     };
     let fields = format_args!("back_end={} result={result}", request.back_end);
@@ -165,7 +141,7 @@
 async fn explain_failure(
     shared: &Arc<Shared>,
     back_end: &BackEnd,
-    error: &std::io::Error,
+    error: &io::Error,
 ) -> TunnelRefusal {
     let is_refused = exit_evidence::is_refusal(error);
     let reaches_others = if is_refused {
@@ -179,6 +155,63 @@
     }
 }
 
+/// Copies requests and sends responses in frames, until either end closes or fails.
+async fn copy_framed(
+    mut origin: TcpStream,
+    mut back_end: TcpStream,
+    shared: &Shared,
+) -> CarriedEnd {
+    let end = {
+        let (origin_read, origin_write) = origin.split();
+        let (back_end_read, back_end_write) = back_end.split();
+        tokio::select! {
+            () = copy_requests(origin_read, back_end_write, || {}) => return CarriedEnd::OriginLeft,
+            end = send_responses(back_end_read, origin_write, shared) => end,
+        }
+    };
+    let Ok(end) = end else {
+        return CarriedEnd::OriginLeft;
+    };
+    close(origin).await;
+    CarriedEnd::BackEnd(end)
+}
+
+/// Sends the back end's bytes in frames. Returns how its connection ended, after sending that too.
+///
+/// # Errors
+///
+/// Fails if the origin does not accept the frames.
+async fn send_responses(
+    mut from: ReadHalf<'_>,
+    to: WriteHalf<'_>,
+    shared: &Shared,
+) -> io::Result<TunnelEnd> {
+    let mut frames = FramedWrite::new(to, TunnelFrameCodec::default());
+    let mut buffer = BytesMut::new();
+    let mut stopping = pin!(shared.links.wait_for_stop(StopPhase::Announced));
+    let mut is_announced = false;
+    loop {
+        buffer.reserve(BUFFER_BYTES);
+        let end = tokio::select! {
+            () = stopping.as_mut(), if !is_announced => {
+                is_announced = true;
+                frames.send(TunnelFrame::Stopping).await?;
+                continue;
+            }
+            read = from.read_buf(&mut buffer) => match read {
+                Ok(0) => TunnelEnd::Closed,
+                Err(_) => TunnelEnd::Failed,
+                Ok(_) => {
+                    frames.send(TunnelFrame::Data(buffer.split().freeze())).await?;
+                    continue;
+                }
+            },
+        };
+        frames.send(TunnelFrame::End(end)).await?;
+        return Ok(end);
+    }
+}
+
 /// When bytes last passed a tunnel, and in which direction.
 #[derive(Clone, Copy)]
 struct LastBytes {
@@ -186,8 +219,9 @@
     are_from_back_end: bool,
 }
 
-/// Copies bytes in both directions until either end closes or fails.
-async fn copy(mut origin: TcpStream, mut back_end: TcpStream, shared: &Arc<Shared>) {
+/// Copies bytes in both directions until either end closes or fails, for an origin of an earlier
+/// build. Such an origin takes a proper end of the tunnel for the end of a response without a length.
+async fn copy_bare(mut origin: TcpStream, mut back_end: TcpStream, shared: &Shared) -> CarriedEnd {
     let last_bytes = Mutex::new(LastBytes {
         at: Instant::now(),
         are_from_back_end: true,
@@ -198,30 +232,45 @@
             are_from_back_end,
         };
     };
-    let is_response_complete = {
+    let end = {
         let (origin_read, origin_write) = origin.split();
         let (back_end_read, back_end_write) = back_end.split();
         tokio::select! {
-            // The origin has closed the connection, which cancels its request.
-            _ = copy_direction(origin_read, back_end_write, || record(false)) => return,
-            result = copy_direction(back_end_read, origin_write, || record(true)) => result.is_ok(),
-            () = wait_until_idle(shared, || *last_bytes.lock()) => true,
+            () = copy_requests(origin_read, back_end_write, || record(false)) => {
+                return CarriedEnd::OriginLeft;
+            }
+            result = copy_responses(back_end_read, origin_write, || record(true)) => match result {
+                Ok(()) => CarriedEnd::BackEnd(TunnelEnd::Closed),
+                Err(_) => CarriedEnd::BackEnd(TunnelEnd::Failed),
+            },
+            () = wait_until_idle(shared, || *last_bytes.lock()) => CarriedEnd::Idle,
         }
     };
-    if is_response_complete {
+    if end == CarriedEnd::BackEnd(TunnelEnd::Closed) {
         close(origin).await;
     } else {
-        // Without a reset, a response without a length would look complete. If the option cannot
-        // be set, the origin has closed the connection already.
+        // If the option cannot be set, the origin has closed the connection already.
         let _ = origin.set_zero_linger();
     }
+    end
+}
+
+/// Copies requests until the origin closes the tunnel. A back end that accepts no more bytes may
+/// have responded already, so its own direction decides how the tunnel ends.
+async fn copy_requests(mut from: ReadHalf<'_>, mut to: WriteHalf<'_>, record: impl Fn()) {
+    let mut buffer = vec![0; BUFFER_BYTES];
+    let mut is_accepting = true;
+    while let Ok(length @ 1..) = from.read(&mut buffer).await {
+        record();
+        is_accepting = is_accepting && to.write_all(&buffer[..length]).await.is_ok();
+    }
 }
 
-async fn copy_direction(
+async fn copy_responses(
     mut from: ReadHalf<'_>,
     mut to: WriteHalf<'_>,
     record: impl Fn(),
-) -> std::io::Result<()> {
+) -> io::Result<()> {
     let mut buffer = vec![0; BUFFER_BYTES];
     loop {
         let length = from.read(&mut buffer).await?;
@@ -251,9 +300,10 @@
     let _ = timeout(CLOSE_TIMEOUT, until_closed).await;
 }
 
-/// Returns when the process stops and the tunnel carries no request.
+/// Returns when the process stops and the tunnel seems to carry no request. Only the origin knows
+/// whether it does.
 async fn wait_until_idle(shared: &Shared, last_bytes: impl Fn() -> LastBytes) {
-    shared.links.wait_for_idle_close().await;
+    shared.links.wait_for_stop(StopPhase::ClosesIdle).await;
     loop {
         let last = last_bytes();
         if last.are_from_back_end && last.at.elapsed() >= IDLE_TIME {
--- a/crates/gateway/tests/earlier_builds.rs
+++ b/crates/gateway/tests/earlier_builds.rs
@@ -22,7 +22,7 @@
 use serde_json::Value;
 
 /// Builds that may run beside the current build.
-const BUILDS: [&str; 3] = ["4986580", "4aa18de", "db3fbfa"];
+const BUILDS: [&str; 4] = ["4986580", "4aa18de", "db3fbfa", "dfaf0bb"];
 
 fn sample(build: &str, name: &str) -> String {
     let tests = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("tests");
@@ -180,12 +180,42 @@
         back_end: "i-1".into(),
         incarnation: 7,
         is_exit_check: false,
+        accepts_frames: true,
     });
     let mut bytes = Vec::new();
     ciborium::into_writer(&request, &mut bytes).expect("the value can be encoded");
     assert!(ciborium::from_reader::<EarlierRequest, _>(bytes.as_slice()).is_err());
 }
 
+/// A request for a tunnel as build dfaf0bb decodes it.
+#[derive(Debug, Deserialize, PartialEq)]
+struct EarlierTunnelRequest {
+    back_end: String,
+    incarnation: u64,
+    is_exit_check: bool,
+}
+
+/// Build dfaf0bb opens a bare tunnel for a gateway that accepts frames.
+#[test]
+fn an_earlier_build_ignores_that_a_gateway_accepts_frames() {
+    let request = TunnelRequest {
+        back_end: "i-1".into(),
+        incarnation: 7,
+        is_exit_check: false,
+        accepts_frames: true,
+    };
+    let mut bytes = Vec::new();
+    ciborium::into_writer(&request, &mut bytes).expect("the value can be encoded");
+    let decoded: EarlierTunnelRequest =
+        ciborium::from_reader(bytes.as_slice()).expect("the message can be decoded");
+    let expected = EarlierTunnelRequest {
+        back_end: "i-1".to_owned(),
+        incarnation: 7,
+        is_exit_check: false,
+    };
+    assert_eq!(decoded, expected);
+}
+
 /// Earlier builds ignore the drain notices and liveness proofs of a feed request, and learn of a
 /// drain from the back end's row.
 #[test]
