Reset callers without chunks whose stream is truncated

A caller of HTTP/1.0 got a truncated stream as a complete one: when its back end breaks off and the stream cannot continue, the gateway ended the connection properly, and for a response without chunks that is its end.

The HTTP server drops the connection when the body ends with an error, and the operating system closes it like a finished one.

Evidence: a_caller_without_chunks_is_reset_if_its_stream_is_truncated failed before: 176 bytes with five of five events and a proper end, although the back end had not ended the stream.

Change: such a connection is reset. Callers with chunks notice the missing last chunk, and a reset could cost them events that they have not read yet.

After: the test passes, with a whole stream too.

--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -7,13 +7,14 @@
 //! are closed while they are idle.
 
 use std::convert::Infallible;
+use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, Response, StatusCode, header};
-use http_body_util::Full;
+use http::{Request, Response, StatusCode, Version, header};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -131,9 +132,21 @@
 ) {
     let _ = stream.set_nodelay(true);
     let (header_bytes, idle) = limits(&shared);
+    let has_hidden_truncation = Arc::new(AtomicBool::new(false));
+    let hidden_truncation = has_hidden_truncation.clone();
     let service = service_fn(move |request: Request<Incoming>| {
+        let has_chunks = request.version() >= Version::HTTP_11;
         let handling = request::handle(shared.clone(), request);
-        async move { Ok::<_, Infallible>(handling.await) }
+        let hidden_truncation = hidden_truncation.clone();
+        async move {
+            let response = handling.await;
+            Ok::<_, Infallible>(response.map(|body| {
+                body.map_err(move |truncated| {
+                    hidden_truncation.store(!has_chunks, Ordering::Relaxed);
+                    truncated
+                })
+            }))
+        }
     });
     let mut builder = http1::Builder::new();
     builder
@@ -141,15 +154,21 @@
         .header_read_timeout(idle)
         .max_header_size(header_bytes)
         .auto_date_header(false);
-    let connection = builder.serve_connection(TokioIo::new(stream), service);
-    let mut connection = std::pin::pin!(connection);
-    tokio::select! {
-        // An error on a connection concerns only its caller.
-        _ = connection.as_mut() => return,
-        _ = close_idle.wait_for(|close| *close) => {}
+    let mut connection = builder.serve_connection(TokioIo::new(stream), service);
+    // An error on a connection concerns only its caller.
+    let is_open = tokio::select! {
+        _ = &mut connection => false,
+        _ = close_idle.wait_for(|close| *close) => true,
+    };
+    if is_open {
+        Pin::new(&mut connection).graceful_shutdown();
+        let _ = (&mut connection).await;
+    }
+    if has_hidden_truncation.load(Ordering::Relaxed) {
+        // A caller without chunks takes a proper end of the connection for the end of the response.
+        // If the option cannot be set, the caller has closed the connection already.
+        let _ = connection.into_parts().io.into_inner().set_zero_linger();
     }
-    connection.as_mut().graceful_shutdown();
-    let _ = connection.await;
 }
 
 fn limits(shared: &Shared) -> (usize, Duration) {
