Do not rule out a gateway whose tunnel the back end ended

Callers of a gateway whose links were cut got 503 no_path for up to 1.5 s after a back end behind the cut had ended a connection: after an exit, most requests in that time.

Cause: the origin put down every lost tunnel to the gateway that carried it, and did not ask that one again for 1.5 s. With two carriers, two connections that one back end ended were enough.

Evidence: a_back_end_that_ends_its_connection_does_not_rule_out_its_carrier failed before, with 503 no_path for the request after the first ended connection.

Change: the origin learns from the carrier that the back end's connection ended, and leaves the carrier alone only if nothing was stated.

After: the test passes.

--- a/crates/gateway/src/back_end.rs
+++ b/crates/gateway/src/back_end.rs
@@ -22,6 +22,7 @@
 use crate::clock::MIN_SUSPENSION;
 use crate::http_connection::HttpConnection;
 use crate::ports::RequestMetadata;
+use crate::relay::tunnel::TunnelStatus;
 
 /// How long an idle connection is kept if the back end states no keep-alive timeout.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(4);
@@ -113,8 +114,8 @@
     pub http: HttpConnection,
     /// The path of the connection.
     pub path: ConnectionPath,
-    /// Set when the connection must carry no further request.
-    is_closing: Arc<AtomicBool>,
+    /// What is known of the tunnel, if the connection is one.
+    pub tunnel: Arc<TunnelStatus>,
     last_used: Instant,
     keep_alive: Duration,
 }
@@ -399,13 +400,13 @@
 }
 
 impl Connection {
-    /// Creates a connection that was just opened. Whoever opened it may set `is_closing` later, and
-    /// then calls [`BackEnd::close_unusable`].
-    pub fn new(http: HttpConnection, path: ConnectionPath, is_closing: Arc<AtomicBool>) -> Self {
+    /// Creates a connection that was just opened. Once the status of its tunnel makes it unusable,
+    /// [`BackEnd::close_unusable`] has to be called.
+    pub fn new(http: HttpConnection, path: ConnectionPath, tunnel: Arc<TunnelStatus>) -> Self {
         Connection {
             http,
             path,
-            is_closing,
+            tunnel,
             last_used: Instant::now(),
             keep_alive: DEFAULT_KEEP_ALIVE,
         }
@@ -418,7 +419,7 @@
 
     fn is_reusable(&self) -> bool {
         !self.http.sender.is_closed()
-            && !self.is_closing.load(Ordering::Acquire)
+            && !self.tunnel.is_carrier_stopping()
             && self.last_used.elapsed() < self.keep_alive
     }
 }
--- a/crates/gateway/src/links/connect.rs
+++ b/crates/gateway/src/links/connect.rs
@@ -8,7 +8,6 @@
 use std::net::SocketAddr;
 use std::pin::{Pin, pin};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use futures_util::StreamExt;
@@ -22,7 +21,7 @@
 use crate::back_end::{BackEnd, Connection, ConnectionPath};
 use crate::event_log::{self, LogPriority};
 use crate::http_connection::{HttpConnection, connect_failure, open_stream};
-use crate::relay::tunnel::{self, Tunnel, TunnelError, TunnelEvent};
+use crate::relay::tunnel::{self, Tunnel, TunnelError, TunnelEvent, TunnelStatus};
 use crate::relay::{TunnelRefusal, TunnelRequest};
 use crate::shared::Shared;
 
@@ -227,28 +226,24 @@
     peer: SocketAddr,
     tunnel: Tunnel,
 ) -> io::Result<Connection> {
-    let is_closing = Arc::new(AtomicBool::new(false));
+    let status = Arc::new(TunnelStatus::default());
     let stream = {
-        let (shared, is_closing) = (shared.clone(), is_closing.clone());
+        let (shared, status) = (shared.clone(), status.clone());
         // The stream must not keep the back end alive, which keeps the connection.
         let back_end = Arc::downgrade(back_end);
         tunnel.into_stream(move |event| {
+            status.record(event);
             let Some(back_end) = back_end.upgrade() else {
                 return;
             };
             log_tunnel_event(&shared, &back_end, peer, event);
             if event == TunnelEvent::CarrierStopping {
-                is_closing.store(true, Ordering::Release);
                 back_end.close_unusable();
             }
         })
     };
     let http = HttpConnection::start(stream).await?;
-    Ok(Connection::new(
-        http,
-        ConnectionPath::Peer(peer),
-        is_closing,
-    ))
+    Ok(Connection::new(http, ConnectionPath::Peer(peer), status))
 }
 
 fn log_tunnel(
--- a/crates/gateway/src/links/mod.rs
+++ b/crates/gateway/src/links/mod.rs
@@ -103,9 +103,12 @@
         }
     }
 
-    /// Records that a connection was lost under a request.
+    /// Records that a connection was lost under a request. A back end that ended its connection says
+    /// nothing about the gateway that carried it.
     pub fn record_lost(&self, connection: &Connection) {
-        if let ConnectionPath::Peer(peer) = connection.path {
+        if let ConnectionPath::Peer(peer) = connection.path
+            && !connection.tunnel.has_back_end_ended()
+        {
             self.record_peer_fault(peer, PeerFault::NoReply);
         }
     }
--- a/crates/gateway/src/relay/tunnel/mod.rs
+++ b/crates/gateway/src/relay/tunnel/mod.rs
@@ -19,7 +19,7 @@
 
 pub(in crate::relay) use carrier::serve;
 pub use frames::TunnelEnd;
-pub use origin::{Tunnel, TunnelError, TunnelEvent, TunnelStream, open};
+pub use origin::{Tunnel, TunnelError, TunnelEvent, TunnelStatus, TunnelStream, open};
 
 /// Size of the buffer of each direction, in bytes.
 const BUFFER_BYTES: usize = 8 * 1024;
--- a/crates/gateway/src/relay/tunnel/origin.rs
+++ b/crates/gateway/src/relay/tunnel/origin.rs
@@ -5,6 +5,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -90,6 +91,35 @@
     }
 }
 
+/// What the origin has learned of a tunnel so far.
+#[derive(Debug, Default)]
+pub struct TunnelStatus {
+    is_carrier_stopping: AtomicBool,
+    has_back_end_ended: AtomicBool,
+}
+
+impl TunnelStatus {
+    /// Records an event of the tunnel.
+    pub fn record(&self, event: TunnelEvent) {
+        match event {
+            TunnelEvent::CarrierStopping => self.is_carrier_stopping.store(true, Ordering::Release),
+            TunnelEvent::Ended(_) => self.has_back_end_ended.store(true, Ordering::Release),
+            TunnelEvent::Lost => {}
+        }
+    }
+
+    /// Whether the tunnel must carry no further request, since its carrier is stopping.
+    pub fn is_carrier_stopping(&self) -> bool {
+        self.is_carrier_stopping.load(Ordering::Acquire)
+    }
+
+    /// Whether the carrier stated that the back end's connection ended, so that the end of the tunnel
+    /// is no fault of the carrier.
+    pub fn has_back_end_ended(&self) -> bool {
+        self.has_back_end_ended.load(Ordering::Acquire)
+    }
+}
+
 /// The byte stream of a tunnel.
 pub type TunnelStream =
     Join<StreamReader<BoxStream<'static, io::Result<Bytes>>, Bytes>, OwnedWriteHalf>;
