Take up streams of unknown origin only with rows verified after the request

Callers that took a stream up at a gateway which had been cut off for a second got the rest of it from another software version than the one that began it.

Cause: a gateway without a record of the stream took the only version that it knew for the one that began it, as long as its rows of back ends were no older than the propagation bound. A version that appeared within the bound can have begun the stream at another gateway. The same knowledge came from keepers that were cut off themselves, and served callers that do not name their first request. A version was also forgotten once its rows were gone for as long as a stream lasts, although a gateway that is behind may still use its back ends.

The property test of the invariant fails if the evidence is ignored (minimal case kept), and a_version_counts_while_gateways_may_not_know_that_its_rows_are_gone if the longer time is.

Change: a stream without a record goes on at the only version only if the rows are verified for a moment after the request arrived. The gateway reads the changes of the table for that, one read for all requests that wait. Keepers do the same before they state an only version, and say so; answers of earlier builds are not trusted. It holds because a gateway begins streams only at back ends whose rows are or were in the table, at most eight minutes ago. New: source "unverified" in stream_origin and gateway_stream_origins_total.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -69,7 +69,7 @@
 pub use reachability::{PathOrder, Reachability};
 pub use requested_pause::{PausedBackEnds, RequestedPause};
 pub use retry_window::{RetryShare, RetryWindow};
-pub use software_versions::SoftwareVersions;
+pub use software_versions::{RowEvidence, SoftwareVersions};
 pub use stated_limits::{LimitNotice, StatedLimit, StatedLimits};
 pub use stream_origins::{OriginRecord, StreamKey, StreamOrigins};
 pub use sweep::Sweep;
--- a/crates/fleet/tests/stream_origins.rs
+++ b/crates/fleet/tests/stream_origins.rs
@@ -1,10 +1,12 @@
 //! Tests of the records of stream origins: their keepers, their bounds, and the versions that a service
 //! has had.
 
+use std::time::Duration;
+
 use gorsebank_coordination::Timestamp;
 use gorsebank_fleet::stream_origins::{KEEPERS, Keeper, keepers_of, keepers_to_ask};
-use gorsebank_fleet::{OriginRecord, SoftwareVersions, StreamKey, StreamOrigins};
-use gorsebank_world::{NodeId, ServiceId, ZoneId};
+use gorsebank_fleet::{OriginRecord, RowEvidence, SoftwareVersions, StreamKey, StreamOrigins};
+use gorsebank_world::{NodeId, ServiceId, SoftwareVersion, ZoneId};
 use proptest::prelude::*;
 
 const NOW: Timestamp = Timestamp(100_000);
@@ -127,3 +129,207 @@
     assert!(versions.is_mixed(settled + PERIOD_MS - 1, PERIOD_MS, &service));
     assert_eq!(only(&versions, settled + PERIOD_MS).as_deref(), Some("v2"));
 }
+
+const GATEWAYS: usize = 3;
+/// How far a gateway may be behind the table when it begins a stream.
+const MAX_LAG_MS: u64 = 60_000;
+
+/// A step of a fleet whose gateways read the table at different times.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    /// A back end of a version appears in the table.
+    Start(u8),
+    /// The oldest back end of a version disappears.
+    Remove(u8),
+    /// A gateway reads the changes of the table. A gateway that is cut off has no such step.
+    Read(usize),
+    /// A gateway is restarted, and reads the whole table.
+    Restart(usize),
+    /// A gateway forwards the first event of a stream, from a back end that it knows. Its row may be
+    /// gone.
+    Begin(usize, u8),
+    /// A caller takes up each stream so far at a gateway.
+    TakeUp(usize),
+    Pause(u64),
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let step = prop_oneof![
+        (0..3_u8).prop_map(Step::Start),
+        (0..3_u8).prop_map(Step::Remove),
+        (0..GATEWAYS).prop_map(Step::Read),
+        (0..GATEWAYS).prop_map(Step::Restart),
+        (0..GATEWAYS, 0..3_u8).prop_map(|(gateway, version)| Step::Begin(gateway, version)),
+        (0..GATEWAYS).prop_map(Step::TakeUp),
+        (1..PERIOD_MS / 2).prop_map(Step::Pause),
+    ];
+    prop::collection::vec(step, 1..80)
+}
+
+/// A gateway, and how far it has read the table.
+struct Reader {
+    versions: SoftwareVersions,
+    position: usize,
+    verified_at: Timestamp,
+}
+
+struct Stream {
+    version: SoftwareVersion,
+    began: Timestamp,
+}
+
+/// The table's changes (a version, and whether a back end of it appeared), gateways and streams.
+struct Fleet {
+    now: Timestamp,
+    service: ServiceId,
+    changes: Vec<(SoftwareVersion, bool)>,
+    readers: Vec<Reader>,
+    streams: Vec<Stream>,
+}
+
+impl Fleet {
+    fn new() -> Self {
+        let first = || {
+            let mut versions = SoftwareVersions::default();
+            versions.set_complete();
+            Reader {
+                versions,
+                position: 0,
+                verified_at: NOW,
+            }
+        };
+        Fleet {
+            now: NOW,
+            service: ServiceId::from("llm"),
+            changes: Vec::new(),
+            readers: (0..GATEWAYS).map(|_| first()).collect(),
+            streams: Vec::new(),
+        }
+    }
+
+    fn count(&self, version: &SoftwareVersion, changes: usize) -> usize {
+        let of_version = self.changes[..changes]
+            .iter()
+            .filter(|(it, _)| it == version);
+        let (added, removed): (Vec<_>, Vec<_>) = of_version.partition(|(_, appeared)| *appeared);
+        added.len() - removed.len()
+    }
+
+    fn may_begin(&self, gateway: &Reader, version: &SoftwareVersion) -> bool {
+        self.now.since(gateway.verified_at) < MAX_LAG_MS
+            && self.count(version, gateway.position) > 0
+    }
+
+    fn read(&mut self, gateway: usize) {
+        let reader = &mut self.readers[gateway];
+        for (version, appeared) in &self.changes[reader.position..] {
+            if *appeared {
+                reader.versions.add(&self.service, version);
+            } else {
+                reader.versions.remove(self.now, &self.service, version);
+            }
+        }
+        reader.position = self.changes.len();
+        reader.verified_at = self.now;
+    }
+
+    /// Reads the rows that the table holds, without those that it held before.
+    fn restart(&mut self, gateway: usize) {
+        let mut versions = SoftwareVersions::default();
+        for number in 0..3_u8 {
+            let version = version(number);
+            for _ in 0..self.count(&version, self.changes.len()) {
+                versions.add(&self.service, &version);
+            }
+        }
+        versions.set_known_since(self.now);
+        self.readers[gateway] = Reader {
+            versions,
+            position: self.changes.len(),
+            verified_at: self.now,
+        };
+    }
+
+    fn apply(&mut self, step: Step) {
+        match step {
+            Step::Start(number) => self.changes.push((version(number), true)),
+            Step::Remove(number) if self.count(&version(number), self.changes.len()) > 0 => {
+                self.changes.push((version(number), false));
+            }
+            Step::Read(gateway) => self.read(gateway),
+            Step::Restart(gateway) => self.restart(gateway),
+            Step::Begin(gateway, number)
+                if self.may_begin(&self.readers[gateway], &version(number)) =>
+            {
+                let (version, began) = (version(number), self.now);
+                self.streams.push(Stream { version, began });
+            }
+            Step::Remove(_) | Step::Begin(..) | Step::TakeUp(_) => {}
+            Step::Pause(length_ms) => self.now = self.now + length_ms,
+        }
+        self.now = self.now + 1;
+    }
+
+    /// The version at which a gateway would let a stream without a record go on.
+    fn only_origin(&self, gateway: usize) -> Option<&SoftwareVersion> {
+        let reader = &self.readers[gateway];
+        let evidence = RowEvidence {
+            asked_at: Duration::from_millis(self.now.0),
+            verified_at: Some(Duration::from_millis(reader.verified_at.0)),
+        };
+        let versions = &reader.versions;
+        let period_ms = PERIOD_MS + MAX_LAG_MS;
+        versions.only_origin(self.now, period_ms, &self.service, evidence)
+    }
+}
+
+fn version(number: u8) -> SoftwareVersion {
+    SoftwareVersion::from(format!("v{number}"))
+}
+
+/// Guards against a version that is forgotten while a gateway that is behind may still begin streams
+/// at its back ends.
+#[test]
+fn a_version_counts_while_gateways_may_not_know_that_its_rows_are_gone() {
+    let mut fleet = Fleet::new();
+    let steps = [
+        Step::Start(0),
+        Step::Read(0),
+        Step::Start(1),
+        Step::Remove(0),
+        Step::Read(1),
+        Step::Pause(MAX_LAG_MS / 2),
+        Step::Begin(0, 0),
+        Step::Pause(PERIOD_MS / 2),
+    ];
+    steps.into_iter().for_each(|step| fleet.apply(step));
+    assert_eq!(fleet.streams.len(), 1);
+    fleet.read(1);
+    assert_eq!(fleet.only_origin(1), None);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(2_000))]
+
+    /// A gateway may let a stream without a record go on only at the version of its first event, however
+    /// far behind this gateway and the one that began the stream are.
+    #[test]
+    fn a_stream_without_a_record_goes_on_at_its_version_only(steps in steps()) {
+        let mut fleet = Fleet::new();
+        for step in steps {
+            fleet.apply(step);
+            let Step::TakeUp(gateway) = step else { continue };
+            // The gateway may have read the table for the request.
+            for is_read in [false, true] {
+                if is_read {
+                    fleet.read(gateway);
+                }
+                let Some(only) = fleet.only_origin(gateway) else { continue };
+                let is_recent = |stream: &&Stream| fleet.now.since(stream.began) < PERIOD_MS;
+                for stream in fleet.streams.iter().filter(is_recent) {
+                    prop_assert_eq!(only, &stream.version);
+                }
+            }
+        }
+    }
+}
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -210,7 +210,12 @@
                 }
             }
             IncarnationMatch::Other => self.begin_incarnation(now, report, row),
-            IncarnationMatch::Outdated => entry.deferred_row = Some((report, version)),
+            IncarnationMatch::Outdated => {
+                // Another gateway may have applied the row and begun streams there.
+                self.software_versions
+                    .observe(now, &report.service, &report.software_version);
+                entry.deferred_row = Some((report, version));
+            }
         }
     }
 
--- a/crates/gateway/src/feed/cache.rs
+++ b/crates/gateway/src/feed/cache.rs
@@ -328,6 +328,12 @@
         cached.verified.age(self.clock.since_boot(), applied)
     }
 
+    /// The latest moment for which the table is known to have held nothing newer than the version
+    /// `applied`, as time since boot; `None` if there is no such moment.
+    pub fn verified_at(&self, table: &str, applied: u64) -> Option<Duration> {
+        self.tables.get(table)?.verified.latest(applied)
+    }
+
     /// Returns a receiver that is notified when the table changes.
     pub fn subscribe(&mut self, table: &str) -> watch::Receiver<u64> {
         self.entry(table).newest.subscribe()
--- a/crates/gateway/src/feed/mod.rs
+++ b/crates/gateway/src/feed/mod.rs
@@ -15,11 +15,13 @@
 //! [`parents`] chooses the gateways to ask, [`table_sync`] reads the table or asks a parent,
 //! [`cache`] keeps the tables, [`packed`] is the form in which rows are sent, [`page`] divides
 //! whole tables into pages, [`message`] defines the messages, and [`restores`] observes restores of
-//! the table. Updates are ordered by the table's revisions only. No clocks are compared between
-//! gateways; each gateway adds to the age of an update.
+//! the table. [`on_demand`] reads the table for decisions that cannot wait for the next update.
+//! Updates are ordered by the table's revisions only. No clocks are compared between gateways; each
+//! gateway adds to the age of an update.
 
 pub mod cache;
 pub mod message;
+pub mod on_demand;
 pub mod packed;
 pub mod page;
 mod parent_follower;
@@ -53,6 +55,10 @@
     cache: Mutex<TableCache>,
     /// The version that the follower of each table has applied.
     applied: Mutex<HashMap<&'static str, u64>>,
+    /// Notified when a follower has applied a version.
+    has_applied: Notify,
+    /// Held by the request that reads the table on demand.
+    on_demand_read: tokio::sync::Mutex<()>,
     /// The gateways to ask for updates.
     pub parents: Mutex<Parents>,
     /// The requests that all gateways have running at back ends.
@@ -78,6 +84,8 @@
         Feed {
             cache: Mutex::new(TableCache::new(clock)),
             applied: Mutex::default(),
+            has_applied: Notify::default(),
+            on_demand_read: tokio::sync::Mutex::default(),
             parents: Mutex::default(),
             running: Mutex::default(),
             update_requested: Notify::default(),
@@ -117,6 +125,7 @@
     /// Records that the follower of a table has applied it up to this version.
     pub fn record_applied(&self, table: &'static str, version: u64) {
         self.applied.lock().insert(table, version);
+        self.has_applied.notify_waiters();
     }
 
     /// Time since the latest moment for which a table is known to have held nothing newer than
@@ -126,6 +135,13 @@
         self.cache(|cache| cache.verified_age(table, applied))
     }
 
+    /// The latest moment for which a table is known to have held nothing newer than its follower has
+    /// applied, as time since boot; `None` if there is no such moment.
+    pub fn verified_at(&self, table: &str) -> Option<Duration> {
+        let applied = *self.applied.lock().get(table)?;
+        self.cache(|cache| cache.verified_at(table, applied))
+    }
+
     /// Returns a receiver that is notified when the table changes.
     pub fn subscribe(&self, table: &str) -> watch::Receiver<u64> {
         self.cache(|cache| cache.subscribe(table))
--- a/crates/gateway/src/feed/verified_contents.rs
+++ b/crates/gateway/src/feed/verified_contents.rs
@@ -40,14 +40,18 @@
         }
     }
 
-    /// Time since the latest moment for which the table is known to have held nothing newer than
-    /// the version `applied`; `None` if there is no such moment.
-    pub fn age(&self, now: Duration, applied: u64) -> Option<Duration> {
+    /// The latest moment for which the table is known to have held nothing newer than the version
+    /// `applied`; `None` if there is no such moment.
+    pub fn latest(&self, applied: u64) -> Option<Duration> {
         let known = self
             .contents
             .iter()
             .filter(|verified| verified.content <= applied);
-        let at = known.map(|verified| verified.at).max()?;
-        Some(now.saturating_sub(at))
+        known.map(|verified| verified.at).max()
+    }
+
+    /// Time since [`VerifiedContents::latest`].
+    pub fn age(&self, now: Duration, applied: u64) -> Option<Duration> {
+        Some(now.saturating_sub(self.latest(applied)?))
     }
 }
--- a/crates/gateway/src/relay/server.rs
+++ b/crates/gateway/src/relay/server.rs
@@ -98,7 +98,9 @@
             shared.stream_origins.merge(shared.now(), &records);
             RelayResponse::Acknowledged
         }
-        RelayRequest::FindOrigin(request) => RelayResponse::Origin(shared.answer_origin(&request)),
+        RelayRequest::FindOrigin(request) => {
+            RelayResponse::Origin(shared.answer_origin(&request).await)
+        }
         table_call => match shared.table().direct() {
             Some(table) => call_table(table, table_call).await,
             None => RelayResponse::Failed(table_unreachable()),
--- a/crates/gateway/src/shared/software_versions.rs
+++ b/crates/gateway/src/shared/software_versions.rs
@@ -1,19 +1,31 @@
 //! Software versions of back ends, and the versions that began streams.
 
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::time::Duration;
 
+use futures_util::future::{Either, select};
 use gorsebank_coordination::Timestamp;
 use gorsebank_fleet::stream_origins::KeeperGroup;
-use gorsebank_fleet::{OriginRecord, StreamKey};
+use gorsebank_fleet::{OriginRecord, RowEvidence, SoftwareVersions, StreamKey};
 use gorsebank_world::{ServiceId, SoftwareVersion};
+use tokio::time::timeout;
 
 use super::Shared;
 use crate::back_end::BackEnd;
+use crate::feed::on_demand;
 use crate::stream_origins::{self, OriginAnswer, OriginRequest, SenderContext};
 
 /// Age up to which the rows of a service with one version still tell its version: a release takes longer.
 const MAX_UNMIXED_ROW_AGE: Duration = Duration::from_secs(10);
+/// How far another gateway may be behind the table when it begins a stream. It may then use a back end
+/// whose row was removed that long ago, so a version is remembered for longer than a stream lasts.
+const MAX_GATEWAY_LAG_MS: u64 = 480_000;
+/// How long a request to take up a stream waits for the rows of back ends to be verified. A read of
+/// the table takes some milliseconds, and an update of the regular kind arrives within this time.
+const VERIFICATION_TIMEOUT: Duration = Duration::from_millis(500);
+/// The same for a question of another gateway, which waits for 300 ms.
+const ANSWER_VERIFICATION_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// How the version that began a stream was found out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -40,6 +52,25 @@
     }
 }
 
+/// Why it is not known which version began a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum UnknownOrigin {
+    /// Nobody has a record, and the service may have had several versions.
+    NoRecord,
+    /// Nobody has a record. Only one version is known, but others may have appeared meanwhile.
+    Unverified,
+}
+
+impl UnknownOrigin {
+    /// Value for log lines and metric labels.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            UnknownOrigin::NoRecord => "unknown",
+            UnknownOrigin::Unverified => "unverified",
+        }
+    }
+}
+
 impl Shared {
     /// Time since the table is known to have held no newer rows of back ends; `None` if it never was.
     fn row_age(&self) -> Option<Duration> {
@@ -64,26 +95,75 @@
 
     /// Whether the service is known to have had several versions for as long as a stream lasts.
     pub fn has_mixed_versions(&self, service: &ServiceId) -> bool {
-        let (now, period) = (self.now(), self.longest_stream_ms(service));
-        self.directory(|directory| {
-            let versions = directory.software_versions();
-            versions.is_mixed(now, period, service)
-        })
+        let period = self.longest_stream_ms(service);
+        self.read_versions(|versions, now| versions.is_mixed(now, period, service))
     }
 
-    /// The only version that the service has had for as long as a stream lasts; `None` if there were
-    /// several, or if this gateway is not certain.
+    /// The only version that the service has had for long enough, as of the rows that this gateway
+    /// knows; `None` if there were several, or if this gateway is not certain. Streams may have begun
+    /// at later versions: see [`Shared::only_origin`].
     fn only_version(&self, service: &ServiceId) -> Option<SoftwareVersion> {
-        if !self.are_rows_current() {
-            return None;
-        }
-        let (now, period) = (self.now(), self.longest_stream_ms(service));
-        self.directory(|directory| {
-            let versions = directory.software_versions();
-            versions.only_version(now, period, service).cloned()
+        let period = self.origin_period_ms(service);
+        let read =
+            |versions: &SoftwareVersions, now| versions.only_version(now, period, service).cloned();
+        self.are_rows_current().then(|| self.read_versions(read))?
+    }
+
+    /// The version that began each stream of the service which is taken up now, if only one can have.
+    /// Waits for at most `time_limit` until the rows of back ends are verified for a moment after the
+    /// request.
+    async fn only_origin(
+        &self,
+        service: &ServiceId,
+        time_limit: Duration,
+    ) -> Option<SoftwareVersion> {
+        self.only_version(service)?;
+        let asked_at = self.clock.since_boot();
+        self.verify_back_ends(asked_at, time_limit).await;
+        let evidence = RowEvidence {
+            asked_at,
+            verified_at: self.feed.verified_at(self.platform.tables().back_ends),
+        };
+        let period = self.origin_period_ms(service);
+        self.read_versions(|versions, now| {
+            versions
+                .only_origin(now, period, service, evidence)
+                .cloned()
         })
     }
 
+    /// The version of all back ends of the service that are known, including those that have been
+    /// started until now; `None` if there are several, or if the rows cannot be verified.
+    pub async fn only_known_version(&self, service: &ServiceId) -> Option<SoftwareVersion> {
+        let period = self.longest_stream_ms(service);
+        let read = |versions: &SoftwareVersions, now| {
+            versions.only_known_version(now, period, service).cloned()
+        };
+        self.read_versions(read)?;
+        let asked_at = self.clock.since_boot();
+        let is_verified = self.verify_back_ends(asked_at, VERIFICATION_TIMEOUT).await;
+        is_verified.then(|| self.read_versions(read))?
+    }
+
+    /// Waits until the rows of back ends are verified for `moment` or a later one. Returns whether
+    /// they are.
+    async fn verify_back_ends(&self, moment: Duration, time_limit: Duration) -> bool {
+        let table = self.platform.tables().back_ends;
+        let verified = on_demand::wait_until_verified(self, table, moment);
+        timeout(time_limit, verified).await.is_ok()
+    }
+
+    fn read_versions<T>(&self, read: impl FnOnce(&SoftwareVersions, Timestamp) -> T) -> T {
+        let now = self.now();
+        self.directory(|directory| read(directory.software_versions(), now))
+    }
+
+    /// Time for which all versions must be known to tell which one began a stream.
+    fn origin_period_ms(&self, service: &ServiceId) -> u64 {
+        let longest = self.longest_stream_ms(service);
+        longest.saturating_add(MAX_GATEWAY_LAG_MS)
+    }
+
     fn longest_stream_ms(&self, service: &ServiceId) -> u64 {
         let configuration = self.configuration();
         let longest = configuration.map(|known| known.longest_stream(service));
@@ -102,37 +182,64 @@
             .record_own(self.now(), service, record, may_be_mixed);
     }
 
-    /// Finds the version that began a stream; `None` if nobody knows it.
+    /// Finds the version that began a stream: from a record of it, or because no other version can
+    /// have begun it.
+    ///
+    /// # Errors
+    ///
+    /// Fails if nobody has a record, and nobody that answers in time is certain of the version.
     pub async fn find_origin(
         &self,
         service: &ServiceId,
         stream: StreamKey,
-    ) -> Option<(SoftwareVersion, OriginSource)> {
+    ) -> Result<(SoftwareVersion, OriginSource), UnknownOrigin> {
         if let Some(version) = self.stream_origins.version(self.now(), stream) {
-            return Some((version, OriginSource::OwnRecord));
+            return Ok((version, OriginSource::OwnRecord));
         }
+        let is_mixed = self.has_mixed_versions(service);
         let request = OriginRequest {
             stream,
             service: service.clone(),
+            // This gateway can verify the version itself, or nobody can.
+            wants_only_version: !is_mixed && self.only_version(service).is_none(),
         };
         let keepers = self.origin_keepers(stream.keeper_group()).to_ask;
         let client = self.table().client();
-        let answer = stream_origins::ask(client, &keepers, request).await;
-        if let Some(version) = answer.version {
-            return Some((version, OriginSource::KeeperRecord));
-        }
-        if let Some(version) = self.only_version(service) {
-            return Some((version, OriginSource::OnlyVersion));
-        }
-        let only_version = answer.only_version?;
-        Some((only_version, OriginSource::KeeperOnlyVersion))
+        let asking = pin!(stream_origins::ask(client, &keepers, request));
+        let verifying = pin!(self.only_origin(service, VERIFICATION_TIMEOUT));
+        let (answer, only_version) = match select(asking, verifying).await {
+            Either::Left((answer, _)) if answer.version.is_some() => (answer, None),
+            Either::Left((answer, verifying)) => (answer, verifying.await),
+            Either::Right((Some(only), _)) => (OriginAnswer::default(), Some(only)),
+            Either::Right((None, asking)) => (asking.await, None),
+        };
+        let keeper_only_version = answer.only_version.filter(|_| answer.is_verified);
+        let record = answer.version.map(|it| (it, OriginSource::KeeperRecord));
+        record
+            .or(only_version.map(|it| (it, OriginSource::OnlyVersion)))
+            .or(keeper_only_version.map(|it| (it, OriginSource::KeeperOnlyVersion)))
+            .ok_or(if is_mixed {
+                UnknownOrigin::NoRecord
+            } else {
+                UnknownOrigin::Unverified
+            })
     }
 
     /// Answers another gateway's question for the version that began a stream.
-    pub fn answer_origin(&self, request: &OriginRequest) -> OriginAnswer {
+    pub async fn answer_origin(&self, request: &OriginRequest) -> OriginAnswer {
+        let version = self.stream_origins.version(self.now(), request.stream);
+        if version.is_some() || !request.wants_only_version {
+            return OriginAnswer {
+                version,
+                ..OriginAnswer::default()
+            };
+        }
+        let verifying = self.only_origin(&request.service, ANSWER_VERIFICATION_TIMEOUT);
+        let only_version = verifying.await;
         OriginAnswer {
-            version: self.stream_origins.version(self.now(), request.stream),
-            only_version: self.only_version(&request.service),
+            version: None,
+            is_verified: only_version.is_some(),
+            only_version,
         }
     }
 }
--- a/crates/gateway/src/stream_origins/lookup.rs
+++ b/crates/gateway/src/stream_origins/lookup.rs
@@ -12,8 +12,8 @@
 /// Time limit for an answer: much longer than a round trip between regions.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Asks all keepers at once. Returns the first answer that has a record; otherwise one that states the
-/// service's only version, if there is one.
+/// Asks all keepers at once. Returns the first answer that has a record; otherwise one that states a
+/// verified only version, if there is one.
 pub async fn ask(
     client: &RelayClient,
     keepers: &[SocketAddr],
@@ -33,7 +33,9 @@
         if answer.version.is_some() {
             return answer;
         }
-        best.only_version = best.only_version.or(answer.only_version);
+        if answer.is_verified {
+            best = answer;
+        }
     }
     best
 }
--- a/crates/gateway/src/stream_origins/mod.rs
+++ b/crates/gateway/src/stream_origins/mod.rs
@@ -39,6 +39,14 @@
     pub stream: StreamKey,
     /// The service of the stream's back ends.
     pub service: ServiceId,
+    /// Whether the sender also wants to know the only version that can have begun the stream, for
+    /// which the receiver may have to read the table. Earlier builds always do.
+    #[serde(default = "yes", skip_serializing_if = "Clone::clone")]
+    pub wants_only_version: bool,
+}
+
+fn yes() -> bool {
+    true
 }
 
 /// What a gateway knows of the software version that began a stream.
@@ -49,6 +57,10 @@
     /// The only version that the service has had for as long as a stream lasts, if the gateway is
     /// certain of it.
     pub only_version: Option<SoftwareVersion>,
+    /// Whether the gateway verified after the question that the only version is the only one. Earlier
+    /// builds answer from rows of up to the propagation bound.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_verified: bool,
 }
 
 /// The records that this gateway keeps, and those that it has to send.
--- a/crates/gateway/src/take_up.rs
+++ b/crates/gateway/src/take_up.rs
@@ -39,12 +39,15 @@
         return Ok(());
     }
     let Some(stream) = stream_key(call) else {
-        return require_unmixed_versions(call);
+        return require_only_version(call).await;
     };
     let started = Instant::now();
     let found = call.shared.find_origin(&call.service, stream).await;
-    let source = found.as_ref().map_or("unknown", |(_, it)| it.as_str());
-    let version = found.map(|(version, _)| version);
+    let source = match &found {
+        Ok((_, source)) => source.as_str(),
+        Err(unknown) => unknown.as_str(),
+    };
+    let version = found.ok().map(|(version, _)| version);
     call.shared.metrics.record_stream_origin(source);
     let fields = format_args!(
         "request={} resumes={} last_event={:?} began_at={} source={source} took_ms={}",
@@ -64,11 +67,12 @@
 }
 
 /// A caller that does not name its first request can be served while all back ends fit together.
-fn require_unmixed_versions(call: &Call) -> Result<(), Failure> {
-    if call.shared.has_mixed_versions(&call.service) {
+async fn require_only_version(call: &Call) -> Result<(), Failure> {
+    let Some(version) = call.shared.only_known_version(&call.service).await else {
         call.shared.metrics.record_stream_origin("unnamed");
         return Err(refuse_unknown(call));
-    }
+    };
+    call.require_version(RequiredVersion::Exactly(version));
     Ok(())
 }
 
