Rank a back end last that ended its connection to the carrier

Callers of a gateway whose links were cut got 502 for requests that may be repeated: after a back end behind the cut had failed, requests were sent to it again and again, both tries of each, for as long as the cut lasted.

Cause: a gateway that suspects its own links puts down no failure to a back end, so the failed one was not ranked last. With a tunnel, the carrier has stated that the back end's connection ended, and that is no fault of the links.

Evidence: a_request_is_not_sent_again_to_the_back_end_that_ended_its_connection_ to_the_carrier failed before, at its first request.

Change: an end that a carrier has stated counts in the back end's health, also while the links are suspected.

After: the test passes.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -261,7 +261,11 @@
                         self.call.clear_in_doubt();
                         ExchangeResult::Unsent
                     }
-                    None => ExchangeResult::Failed(CONNECTION_LOST),
+                    None => {
+                        let shared = &self.call.shared;
+                        shared.record_lost_connection(self.back_end, &connection);
+                        ExchangeResult::Failed(CONNECTION_LOST)
+                    }
                 }
             }
         }
@@ -406,6 +410,11 @@
         drop(self.in_flight);
     }
 
+    /// Records that the connection was lost before the end of the response.
+    pub fn record_lost(&self, shared: &Shared) {
+        shared.record_lost_connection(&self.back_end, &self.connection);
+    }
+
     /// Records the end of the prefill, which the first event shows.
     pub fn record_prefill_end(&mut self) {
         drop(self.prefill.take());
--- a/crates/gateway/src/shared/responses.rs
+++ b/crates/gateway/src/shared/responses.rs
@@ -9,7 +9,7 @@
 use tokio::time::Instant;
 
 use super::Shared;
-use crate::back_end::BackEnd;
+use crate::back_end::{BackEnd, Connection};
 use crate::event_log::{self, LogPriority};
 use crate::ports::ResponseMetadata;
 
@@ -41,6 +41,15 @@
         }
     }
 
+    /// Records that a connection was lost under a request. An end that the carrier of a tunnel has stated
+    /// is the back end's, also while this gateway's own links are suspected.
+    pub fn record_lost_connection(&self, back_end: &BackEnd, connection: &Connection) {
+        let now = self.now();
+        if self.links.is_suspect(now) && connection.tunnel.has_back_end_ended() {
+            back_end.update_health(|health| health.record_unreachable(now));
+        }
+    }
+
     fn record_pause(&self, back_end: &BackEnd, pause: Duration) {
         self.count_statement("pause");
         let mut paused = self.paused.lock();
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -245,6 +245,9 @@
                 }
                 SegmentEnd::Broken(reason) => reason,
             };
+            if matches!(reason, CONNECTION_LOST | PARTIAL_EVENT) {
+                response.record_lost(&self.call.shared);
+            }
             // Closing the connection cancels the request before it continues at another back end.
             drop(response);
             let reason = match reason {
