Let only current rows vouch for the version of a back end that can restart

A stream could go on at another software version at a gateway that was cut off from the table for two to ten seconds, where back ends keep their name over a restart.

Cause: rows of up to ten seconds vouched for the process behind an address while the service had one known version. The restart with another version may be behind the same cut.

Change: such a back end's version is certain only while the rows are current by the propagation bound. Back ends without a start time in their rows have a new name after a restart and are not concerned.

--- a/crates/gateway/src/shared/software_versions.rs
+++ b/crates/gateway/src/shared/software_versions.rs
@@ -16,8 +16,6 @@
 use crate::feed::on_demand;
 use crate::stream_origins::{self, OriginAnswer, OriginRequest, SenderContext};
 
-/// Age up to which the rows of a service with one version still tell its version: a release takes longer.
-const MAX_UNMIXED_ROW_AGE: Duration = Duration::from_secs(10);
 /// How far another gateway may be behind the table when it begins a stream. It may then use a back end
 /// whose row was removed that long ago, so a version is remembered for longer than a stream lasts.
 const MAX_GATEWAY_LAG_MS: u64 = 480_000;
@@ -72,25 +70,17 @@
 }
 
 impl Shared {
-    /// Time since the table is known to have held no newer rows of back ends; `None` if it never was.
-    fn row_age(&self) -> Option<Duration> {
-        self.feed.verified_age(self.platform.tables().back_ends)
-    }
-
     /// Whether the rows of back ends are as new as the propagation bound demands.
     fn are_rows_current(&self) -> bool {
         let bound = self.settings.bounds.propagation_bound;
-        self.row_age().is_some_and(|age| age <= bound)
+        let age = self.feed.verified_age(self.platform.tables().back_ends);
+        age.is_some_and(|age| age <= bound)
     }
 
     /// Whether the process behind a back end's address certainly has the version of its row. Back ends
     /// that announce their start time keep their name over a restart, at which the version may change.
     pub fn is_version_certain(&self, back_end: &BackEnd) -> bool {
-        if back_end.born.is_none() || self.are_rows_current() {
-            return true;
-        }
-        let is_recent = self.row_age().is_some_and(|age| age <= MAX_UNMIXED_ROW_AGE);
-        is_recent && !self.has_mixed_versions(&back_end.service)
+        back_end.born.is_none() || self.are_rows_current()
     }
 
     /// Whether the service is known to have had several versions for as long as a stream lasts.
