Give the truncation of responses without chunks a type of its own

Names and structure only: the watched response of a caller's connection, the stated end of a back end's connection, and one request for a tunnel in the tests of earlier builds.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -263,7 +263,7 @@
                     }
                     None => {
                         let shared = &self.call.shared;
-                        shared.record_lost_connection(self.back_end, &connection);
+                        shared.record_stated_end(self.back_end, &connection);
                         ExchangeResult::Failed(CONNECTION_LOST)
                     }
                 }
@@ -410,9 +410,9 @@
         drop(self.in_flight);
     }
 
-    /// Records that the connection was lost before the end of the response.
-    pub fn record_lost(&self, shared: &Shared) {
-        shared.record_lost_connection(&self.back_end, &self.connection);
+    /// Records how the connection ended before the end of the response.
+    pub fn record_stated_end(&self, shared: &Shared) {
+        shared.record_stated_end(&self.back_end, &self.connection);
     }
 
     /// Records the end of the prefill, which the first event shows.
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -14,6 +14,7 @@
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode, Version, header};
+use http_body::Body;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -25,7 +26,7 @@
 use tokio::time::sleep;
 
 use crate::event_log::{self, LogPriority};
-use crate::request;
+use crate::request::{self, ResponseBody, TruncatedBody};
 use crate::shared::Shared;
 
 /// How much longer idle connections are kept than the configuration says.
@@ -132,21 +133,12 @@
 ) {
     let _ = stream.set_nodelay(true);
     let (header_bytes, idle) = limits(&shared);
-    let has_hidden_truncation = Arc::new(AtomicBool::new(false));
-    let hidden_truncation = has_hidden_truncation.clone();
+    let truncation = HiddenTruncation::default();
+    let watching = truncation.clone();
     let service = service_fn(move |request: Request<Incoming>| {
-        let has_chunks = request.version() >= Version::HTTP_11;
+        let (watching, version) = (watching.clone(), request.version());
         let handling = request::handle(shared.clone(), request);
-        let hidden_truncation = hidden_truncation.clone();
-        async move {
-            let response = handling.await;
-            Ok::<_, Infallible>(response.map(|body| {
-                body.map_err(move |truncated| {
-                    hidden_truncation.store(!has_chunks, Ordering::Relaxed);
-                    truncated
-                })
-            }))
-        }
+        async move { Ok::<_, Infallible>(watching.watch(version, handling.await)) }
     });
     let mut builder = http1::Builder::new();
     builder
@@ -164,13 +156,37 @@
         Pin::new(&mut connection).graceful_shutdown();
         let _ = (&mut connection).await;
     }
-    if has_hidden_truncation.load(Ordering::Relaxed) {
-        // A caller without chunks takes a proper end of the connection for the end of the response.
+    if truncation.has_occurred() {
         // If the option cannot be set, the caller has closed the connection already.
         let _ = connection.into_parts().io.into_inner().set_zero_linger();
     }
 }
 
+/// Whether a response was truncated without a sign of it in its bytes. A caller without chunks takes a
+/// proper end of the connection for the end of the response, so the connection has to be reset.
+#[derive(Clone, Default)]
+struct HiddenTruncation(Arc<AtomicBool>);
+
+impl HiddenTruncation {
+    /// Records if the body of this response to a request of the given HTTP version is truncated.
+    fn watch(
+        self,
+        version: Version,
+        response: Response<ResponseBody>,
+    ) -> Response<impl Body<Data = Bytes, Error = TruncatedBody>> {
+        let is_hidden = version < Version::HTTP_11;
+        let record = move |truncated| {
+            self.0.store(is_hidden, Ordering::Relaxed);
+            truncated
+        };
+        response.map(|body| body.map_err(record))
+    }
+
+    fn has_occurred(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
 fn limits(shared: &Shared) -> (usize, Duration) {
     match shared.configuration() {
         Some(configuration) => {
--- a/crates/gateway/src/shared/responses.rs
+++ b/crates/gateway/src/shared/responses.rs
@@ -41,9 +41,9 @@
         }
     }
 
-    /// Records that a connection was lost under a request. An end that the carrier of a tunnel has stated
-    /// is the back end's, also while this gateway's own links are suspected.
-    pub fn record_lost_connection(&self, back_end: &BackEnd, connection: &Connection) {
+    /// Records a connection that was lost under a request, if a carrier has stated that the back end
+    /// ended it. Then it is the back end's failure, also while this gateway's own links are suspected.
+    pub fn record_stated_end(&self, back_end: &BackEnd, connection: &Connection) {
         let now = self.now();
         if self.links.is_suspect(now) && connection.tunnel.has_back_end_ended() {
             back_end.update_health(|health| health.record_unreachable(now));
--- a/crates/gateway/src/single_response.rs
+++ b/crates/gateway/src/single_response.rs
@@ -71,7 +71,7 @@
             reason = BACK_END_ENDED;
         }
         call.shared.record_unreachable(&back_end);
-        response.record_lost(&call.shared);
+        response.record_stated_end(&call.shared);
         return Err(attempts.after_may_have_run(call, reason));
     };
     let latency = response.age().as_millis() as u64;
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -246,7 +246,7 @@
                 SegmentEnd::Broken(reason) => reason,
             };
             if matches!(reason, CONNECTION_LOST | PARTIAL_EVENT) {
-                response.record_lost(&self.call.shared);
+                response.record_stated_end(&self.call.shared);
             }
             // Closing the connection cancels the request before it continues at another back end.
             drop(response);
--- a/crates/gateway/tests/earlier_builds.rs
+++ b/crates/gateway/tests/earlier_builds.rs
@@ -173,15 +173,19 @@
     assert_eq!(decoded, EarlierRequest::Allowance(without_tenant));
 }
 
-/// Earlier builds close the connection on which they receive a request for a tunnel.
-#[test]
-fn earlier_builds_do_not_decode_a_request_for_a_tunnel() {
-    let request = RelayRequest::Tunnel(TunnelRequest {
+fn tunnel_request() -> TunnelRequest {
+    TunnelRequest {
         back_end: "i-1".into(),
         incarnation: 7,
         is_exit_check: false,
         accepts_frames: true,
-    });
+    }
+}
+
+/// Earlier builds close the connection on which they receive a request for a tunnel.
+#[test]
+fn earlier_builds_do_not_decode_a_request_for_a_tunnel() {
+    let request = RelayRequest::Tunnel(tunnel_request());
     let mut bytes = Vec::new();
     ciborium::into_writer(&request, &mut bytes).expect("the value can be encoded");
     assert!(ciborium::from_reader::<EarlierRequest, _>(bytes.as_slice()).is_err());
@@ -198,12 +202,7 @@
 /// Build dfaf0bb opens a bare tunnel for a gateway that accepts frames.
 #[test]
 fn an_earlier_build_ignores_that_a_gateway_accepts_frames() {
-    let request = TunnelRequest {
-        back_end: "i-1".into(),
-        incarnation: 7,
-        is_exit_check: false,
-        accepts_frames: true,
-    };
+    let request = tunnel_request();
     let mut bytes = Vec::new();
     ciborium::into_writer(&request, &mut bytes).expect("the value can be encoded");
     let decoded: EarlierTunnelRequest =
