Keep the direct path to the table after two throttled calls that are far apart

A gateway whose parents do not respond could learn of a new configuration more than three seconds late, after the table had throttled one call at each of two changes.

Cause: the direct path was abandoned if every call was throttled for a second, and two calls in a row met that if more than a second lay between them, as at a gateway that rarely calls the table. The next call was relayed, and each of two gateways that do not respond takes its wait and a second.

Evidence: two_throttled_calls_that_are_far_apart_do_not_abandon_the_direct_path failed before.

Change: a call abandons the path only as the third one that was throttled in a row. A task that retries makes three within half a second.

--- a/crates/gateway/src/relay/table.rs
+++ b/crates/gateway/src/relay/table.rs
@@ -33,6 +33,9 @@
 /// updates of a gateway that follows the table is shorter than 1.7 s. Users' lowest propagation
 /// bound is 2 s, and the bound on the revocation of keys is 3 s.
 const MAX_THROTTLED_TIME: Duration = Duration::from_millis(1_000);
+/// Minimum number of consecutive throttled calls after which a call abandons the direct path. Two calls
+/// of a gateway that rarely calls the table may be far apart.
+const MIN_THROTTLED_CALLS: u32 = 3;
 /// Resolution of timers.
 const TIMER_RESOLUTION: Duration = Duration::from_millis(1);
 /// Time between two probes of the direct path while calls are relayed.
@@ -61,6 +64,8 @@
     failures: u32,
     /// Since when the table has accepted no direct call and throttled at least one.
     throttled_since: Option<Instant>,
+    /// Number of direct calls that were throttled since then.
+    throttled_calls: u32,
     /// When the direct path is probed next; `None` while calls are direct.
     probe_at: Option<Instant>,
     /// Until when no calls are relayed, after no other gateway could relay one.
@@ -132,6 +137,7 @@
             return;
         }
         state.throttled_since = None;
+        state.throttled_calls = 0;
         let was_relayed = state.probe_at.take().is_some();
         drop(state);
         if was_relayed {
@@ -147,12 +153,13 @@
     /// Records that a direct call was throttled. Abandons the direct path if calls have been
     /// throttled for too long.
     fn record_throttled(&self) {
-        let since = *self
-            .state
-            .lock()
-            .throttled_since
-            .get_or_insert_with(Instant::now);
-        if since.elapsed() > MAX_THROTTLED_TIME {
+        let (since, calls) = {
+            let mut state = self.state.lock();
+            state.throttled_calls += 1;
+            let since = *state.throttled_since.get_or_insert_with(Instant::now);
+            (since, state.throttled_calls)
+        };
+        if since.elapsed() > MAX_THROTTLED_TIME && calls >= MIN_THROTTLED_CALLS {
             // The path is abandoned without a second failure, since a gateway that follows the
             // table has to learn of revoked keys within the bound on their revocation.
             self.record_failures(MAX_FAILURES);
--- a/crates/gateway/tests/throttled_table.rs
+++ b/crates/gateway/tests/throttled_table.rs
@@ -144,6 +144,19 @@
     assert!(relayed.direct().is_some(), "the time starts again");
 }
 
+/// Guards against a path that is abandoned for two calls of a gateway that rarely calls the table. The
+/// call after them was then relayed by gateways that might not respond.
+#[tokio::test(start_paused = true)]
+async fn two_throttled_calls_that_are_far_apart_do_not_abandon_the_direct_path() {
+    let (table, relayed) = relayed_table();
+    throttle(&table, &relayed).await;
+    sleep(MAX_THROTTLED_TIME * 2).await;
+    assert_eq!(relayed.read("t").await, Err(TableError::Throttled));
+    assert!(relayed.direct().is_some(), "two calls show too little");
+    assert_eq!(relayed.read("t").await, Err(TableError::Throttled));
+    assert!(relayed.direct().is_none(), "the direct path is still used");
+}
+
 /// Guards against a path that only one of several waiting tasks sees abandoned. The followers of the
 /// other tables then paused for up to 0.6 s more before their first relayed call.
 #[tokio::test(start_paused = true)]
