Match responses to orders and polls by an identifier

An engine could be ordered to load beyond its places, and fell with its streams: the placement holder took a late surplus response to a caller's request for the response to an order.

Cause: responses to callers' requests are matched by their identifier. Orders and polls were sent without one, and whatever response came next on the connection was theirs.

Change: orders and polls bear an identifier; a response with another one counts as none and ends its connection. A response without one is accepted. New line foreign_response.

--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -37,10 +37,11 @@
 /// Polls an engine for its state. Returns `None` if the engine does not respond or its report
 /// cannot be read.
 pub async fn poll_engine(shared: &Arc<Shared>, engine: &Arc<BackEnd>) -> Option<EngineReport> {
-    let request = shared.platform.report_request(&engine.id);
+    let id = shared.next_message_id();
+    let request = shared.platform.report_request(&engine.id, &id);
     let sent_at = Instant::now();
     let suspended = shared.clock.total_suspension();
-    let Ok(result) = timeout(RESPONSE_TIMEOUT, send(shared, engine, request)).await else {
+    let Ok(result) = timeout(RESPONSE_TIMEOUT, send(shared, engine, &id, request)).await else {
         engine.close_idle_since(sent_at);
         return None;
     };
@@ -78,8 +79,9 @@
     order: &FencedOrder<'_>,
     still_valid: impl Fn() -> bool,
 ) -> OrderResult {
-    let request = shared.platform.order_request(order);
-    let sending = send_if_valid(shared, engine, request, OrderPath::Direct, still_valid);
+    let id = shared.next_message_id();
+    let request = shared.platform.order_request(order, &id);
+    let sending = send_if_valid(shared, engine, &id, request, OrderPath::Direct, still_valid);
     let sent_at = Instant::now();
     let (response, connection) = match timeout(shared.order_timeout.current(), sending).await {
         Ok(Ok(result)) => result,
@@ -122,11 +124,13 @@
 async fn send(
     shared: &Arc<Shared>,
     engine: &Arc<BackEnd>,
+    id: &str,
     request: Request<Bytes>,
 ) -> Option<(Response<Incoming>, Connection)> {
-    let (response, connection) = send_if_valid(shared, engine, request, OrderPath::Any, || true)
-        .await
-        .ok()?;
+    let (response, connection) =
+        send_if_valid(shared, engine, id, request, OrderPath::Any, || true)
+            .await
+            .ok()?;
     Some((response?, connection))
 }
 
@@ -155,10 +159,12 @@
 
 /// Sends a request if `still_valid` returns true. The connection is made before that call, so that
 /// no wait lies between the check and the write. Returns no response if the connection was lost
-/// after the write.
+/// after the write, or if the response belongs to another request; then the connection must not be
+/// used again.
 async fn send_if_valid(
     shared: &Arc<Shared>,
     engine: &Arc<BackEnd>,
+    id: &str,
     request: Request<Bytes>,
     path: OrderPath,
     still_valid: impl Fn() -> bool,
@@ -178,5 +184,26 @@
     }
     let request = request.map(Full::new);
     let response = connection.http.sender.send_request(request).await.ok();
+    let response = response.filter(|response| belongs(shared, engine, id, response));
     Ok((response, connection))
 }
+
+/// Whether a response belongs to the request `id`. An engine may send a surplus response to an earlier
+/// request in the place of the one that is due. A response without an identifier is accepted, since
+/// an engine may not echo one at these endpoints.
+fn belongs(shared: &Shared, engine: &BackEnd, id: &str, response: &Response<Incoming>) -> bool {
+    let platform = &shared.platform;
+    let metadata = platform.response_metadata(response.status(), response.headers());
+    let received = metadata.request_id.as_deref();
+    let belongs = received.is_none_or(|received| received == id);
+    if !belongs {
+        let fields = format_args!(
+            "engine={} request={id} received={} status={}",
+            engine.id,
+            received.unwrap_or("-"),
+            response.status().as_u16(),
+        );
+        event_log::write(LogPriority::Decision, "foreign_response", fields);
+    }
+    belongs
+}
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -327,14 +327,14 @@
     /// Sets the header that states when the caller should retry.
     fn set_retry_after(&self, headers: &mut HeaderMap, pause: Duration);
 
-    /// Creates the request for an engine's state.
-    fn report_request(&self, engine: &BackEndId) -> Request<Bytes>;
+    /// Creates the request for an engine's state. The response bears the same identifier.
+    fn report_request(&self, engine: &BackEndId, id: &str) -> Request<Bytes>;
 
     /// Parses an engine's state.
     fn parse_report(&self, body: &[u8]) -> Result<EngineReport, SchemaError>;
 
-    /// Creates the request that sends an order.
-    fn order_request(&self, order: &FencedOrder<'_>) -> Request<Bytes>;
+    /// Creates the request that sends an order. The response bears the same identifier.
+    fn order_request(&self, order: &FencedOrder<'_>, id: &str) -> Request<Bytes>;
 
     /// Returns what the status of an engine's response to an order means.
     fn order_result(&self, status: StatusCode) -> OrderResult;
--- a/crates/gateway/src/shared/mod.rs
+++ b/crates/gateway/src/shared/mod.rs
@@ -111,6 +111,8 @@
     changes: watch::Sender<u64>,
     resumes: watch::Sender<u64>,
     gateways: AtomicUsize,
+    /// Number of orders and polls sent so far.
+    messages: AtomicU64,
     stopping: AtomicBool,
     stopping_since: AtomicU64,
     back_ends_read: AtomicBool,
@@ -168,6 +170,7 @@
             changes: watch::channel(0).0,
             resumes: watch::channel(0).0,
             gateways: AtomicUsize::new(MIN_GATEWAYS),
+            messages: AtomicU64::new(0),
             stopping: AtomicBool::new(false),
             stopping_since: AtomicU64::new(0),
             back_ends_read: AtomicBool::new(false),
@@ -365,6 +368,13 @@
         self.notify_changed();
     }
 
+    /// An identifier for an order or a poll. Callers choose the identifiers of their requests, so this
+    /// one only has to differ from those of the connections on which it is used.
+    pub fn next_message_id(&self) -> String {
+        let number = self.messages.fetch_add(1, Ordering::Relaxed);
+        format!("{}-{number}", self.settings.node)
+    }
+
     /// Whether a planned stop has started.
     pub fn is_stopping(&self) -> bool {
         self.stopping.load(Ordering::Relaxed)
--- a/crates/gateway/tests/throttled_table.rs
+++ b/crates/gateway/tests/throttled_table.rs
@@ -89,9 +89,9 @@
     fn set_attempt_headers(&self, _: &mut HeaderMap, _: &AttemptHeaders<'_>) { unreachable!() }
     fn response_metadata(&self, _: StatusCode, _: &HeaderMap) -> ResponseMetadata { unreachable!() }
     fn set_retry_after(&self, _: &mut HeaderMap, _: Duration) { unreachable!() }
-    fn report_request(&self, _: &BackEndId) -> Request<Bytes> { unreachable!() }
+    fn report_request(&self, _: &BackEndId, _: &str) -> Request<Bytes> { unreachable!() }
     fn parse_report(&self, _: &[u8]) -> Result<EngineReport, SchemaError> { unreachable!() }
-    fn order_request(&self, _: &FencedOrder<'_>) -> Request<Bytes> { unreachable!() }
+    fn order_request(&self, _: &FencedOrder<'_>, _: &str) -> Request<Bytes> { unreachable!() }
     fn order_result(&self, _: StatusCode) -> OrderResult { unreachable!() }
 }
 
