--- a/crates/gateway/src/shared/software_versions.rs
+++ b/crates/gateway/src/shared/software_versions.rs
@@ -190,7 +190,8 @@
         let request = OriginRequest {
             stream,
             service: service.clone(),
-            // This gateway can verify the version itself, or nobody can.
+            // Other gateways may know the past that this one does not. Several versions are known to it
+            // already, and one version it verifies itself.
             wants_only_version: !is_mixed && self.only_version(service).is_none(),
         };
         let keepers = self.origin_keepers(stream.keeper_group()).to_ask;
