Test comments of one line; one computation of a verified age

The age of a table's verified content is computed from its moment instead of a second time. The default of wants_only_version has a telling name.

--- a/crates/fleet/tests/stream_origins.rs
+++ b/crates/fleet/tests/stream_origins.rs
@@ -287,8 +287,7 @@
     SoftwareVersion::from(format!("v{number}"))
 }
 
-/// Guards against a version that is forgotten while a gateway that is behind may still begin streams
-/// at its back ends.
+/// Guards against a version that is forgotten while a gateway may still begin streams there.
 #[test]
 fn a_version_counts_while_gateways_may_not_know_that_its_rows_are_gone() {
     let mut fleet = Fleet::new();
@@ -311,8 +310,7 @@
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(2_000))]
 
-    /// A gateway may let a stream without a record go on only at the version of its first event, however
-    /// far behind this gateway and the one that began the stream are.
+    /// Guards against mixed versions, however far behind the two gateways of a stream are.
     #[test]
     fn a_stream_without_a_record_goes_on_at_its_version_only(steps in steps()) {
         let mut fleet = Fleet::new();
--- a/crates/gateway/src/feed/cache.rs
+++ b/crates/gateway/src/feed/cache.rs
@@ -324,8 +324,8 @@
     /// Time since the latest moment for which the table is known to have held nothing newer than
     /// the version `applied`; `None` if there is no such moment.
     pub fn verified_age(&self, table: &str, applied: u64) -> Option<Duration> {
-        let cached = self.tables.get(table)?;
-        cached.verified.age(self.clock.since_boot(), applied)
+        let verified_at = self.verified_at(table, applied)?;
+        Some(self.clock.since_boot().saturating_sub(verified_at))
     }
 
     /// The latest moment for which the table is known to have held nothing newer than the version
--- a/crates/gateway/src/shared/software_versions.rs
+++ b/crates/gateway/src/shared/software_versions.rs
@@ -22,7 +22,7 @@
 /// How long a request to take up a stream waits for the rows of back ends to be verified. A read of
 /// the table takes some milliseconds, and an update of the regular kind arrives within this time.
 const VERIFICATION_TIMEOUT: Duration = Duration::from_millis(500);
-/// The same for a question of another gateway, which waits for 300 ms.
+/// The same for a question of another gateway: shorter than that one waits for the answer.
 const ANSWER_VERIFICATION_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// How the version that began a stream was found out.
--- a/crates/gateway/src/stream_origins/mod.rs
+++ b/crates/gateway/src/stream_origins/mod.rs
@@ -41,11 +41,11 @@
     pub service: ServiceId,
     /// Whether the sender also wants to know the only version that can have begun the stream, for
     /// which the receiver may have to read the table. Earlier builds always do.
-    #[serde(default = "yes", skip_serializing_if = "Clone::clone")]
+    #[serde(default = "wants_by_default", skip_serializing_if = "Clone::clone")]
     pub wants_only_version: bool,
 }
 
-fn yes() -> bool {
+fn wants_by_default() -> bool {
     true
 }
 
--- a/crates/gateway/tests/throttled_table.rs
+++ b/crates/gateway/tests/throttled_table.rs
@@ -144,8 +144,7 @@
     assert!(relayed.direct().is_some(), "the time starts again");
 }
 
-/// Guards against a path that is abandoned for two calls of a gateway that rarely calls the table. The
-/// call after them was then relayed by gateways that might not respond.
+/// Guards against a path that is abandoned because the gateway rarely calls the table.
 #[tokio::test(start_paused = true)]
 async fn two_throttled_calls_that_are_far_apart_do_not_abandon_the_direct_path() {
     let (table, relayed) = relayed_table();
