Log who states that an attempt did not run, and on which connection

The lines of an attempt did not tell a rejection of this attempt from a copy of an earlier one, nor from a request that the HTTP client gave back: all had may_have_run=false. They now name the source, the connection and the position of the exchange on it, and gateway_attempts_not_run_total counts by source.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -18,7 +18,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::attempts::{Attempts, CONNECTION_LOST, NO_PATH, PAUSED, QUARANTINED};
-use crate::back_end::{BackEnd, Connection, InFlight, PendingPrefill};
+use crate::back_end::{BackEnd, Connection, Exchange, InFlight, PendingPrefill};
 use crate::directory::Directory;
 use crate::event_log::{self, LogPriority};
 use crate::links::{self, ConnectError};
@@ -60,6 +60,19 @@
     MayHaveRun(&'static str),
 }
 
+impl AttemptResult {
+    /// Who stated that this attempt did not run the request; `None` if it may have run.
+    fn not_run_by(&self) -> Option<&'static str> {
+        match self {
+            AttemptResult::Responded(response) => {
+                response.metadata.has_not_run.then_some("back_end")
+            }
+            AttemptResult::NotSent(_) => Some("gateway"),
+            AttemptResult::MayHaveRun(_) => None,
+        }
+    }
+}
+
 /// Sends `call` to `back_end`. If no response head has arrived after `head_timeout`, the attempt is
 /// abandoned, provided that another back end can take over.
 pub async fn send(
@@ -80,8 +93,10 @@
         last_event,
         head_timeout,
         attempts,
+        exchange: None,
     };
     let result = attempt.send(load).await;
+    let exchange = attempt.exchange;
     let result_label = match &result {
         AttemptResult::Responded(response) => {
             call.shared.metrics.record_first_byte_time(sent.elapsed());
@@ -94,14 +109,21 @@
         .attempts
         .with_label_values(&[&result_label])
         .inc();
+    let not_run_by = result.not_run_by();
+    if let Some(source) = not_run_by {
+        call.shared.metrics.record_not_run(source);
+    }
     if !matches!(&result, AttemptResult::Responded(response) if response.head.status.is_success()) {
         let may_have_run = matches!(result, AttemptResult::MayHaveRun(_));
         let fields = format_args!(
-            "request={} back_end={} result={result_label} may_have_run={may_have_run} attempt={} took_ms={} \
-             row_version={} row_age_ms={}",
+            "request={} back_end={} result={result_label} may_have_run={may_have_run} not_run_by={} attempt={} \
+             connection={} exchange={} took_ms={} row_version={} row_age_ms={}",
             call.metadata.id,
             back_end.id,
+            not_run_by.unwrap_or("-"),
             call.attempts.load(Ordering::Relaxed),
+            exchange.map_or(0, |exchange| exchange.connection),
+            exchange.map_or(0, |exchange| exchange.position),
             sent.elapsed().as_millis(),
             back_end.row().version,
             call.shared.now().since(back_end.row().seen),
@@ -124,6 +146,8 @@
     last_event: Option<&'a str>,
     head_timeout: Duration,
     attempts: &'a mut Attempts,
+    /// The exchange in which the request was last written, in whole or in part.
+    exchange: Option<Exchange>,
 }
 
 impl ActiveAttempt<'_> {
@@ -214,6 +238,7 @@
             return ExchangeResult::Unsent;
         }
         let request = build_request(self.call, self.back_end, self.last_event);
+        self.exchange = Some(connection.begin_exchange());
         let sent = Instant::now();
         let mut silence_guard = SilenceGuard {
             back_end: self.back_end,
--- a/crates/gateway/src/back_end.rs
+++ b/crates/gateway/src/back_end.rs
@@ -41,6 +41,9 @@
 /// How long a back end is not asked for a model or adapter that it said is absent, in milliseconds.
 const ABSENCE_LIFETIME_MS: u64 = 1_500;
 
+/// The number of the next connection to a back end.
+static NEXT_CONNECTION_NUMBER: AtomicU64 = AtomicU64::new(1);
+
 /// An incarnation of a back end, with what this gateway knows of it.
 #[derive(Debug)]
 pub struct BackEnd {
@@ -116,10 +119,21 @@
     pub path: ConnectionPath,
     /// What is known of the tunnel, if the connection is one.
     pub tunnel: Arc<TunnelStatus>,
+    number: u64,
+    exchanges: u32,
     last_used: Instant,
     keep_alive: Duration,
 }
 
+/// One exchange of a request and its response on a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Exchange {
+    /// Identifies the connection within the process.
+    pub connection: u64,
+    /// Position of the exchange on the connection; 1 is the first.
+    pub position: u32,
+}
+
 /// Counts a request as in flight until dropped.
 #[derive(Debug)]
 pub struct InFlight(Arc<BackEnd>);
@@ -407,11 +421,27 @@
             http,
             path,
             tunnel,
+            number: NEXT_CONNECTION_NUMBER.fetch_add(1, Ordering::Relaxed),
+            exchanges: 0,
             last_used: Instant::now(),
             keep_alive: DEFAULT_KEEP_ALIVE,
         }
     }
 
+    /// Identifies the connection within the process.
+    pub fn number(&self) -> u64 {
+        self.number
+    }
+
+    /// Counts an exchange that begins on the connection.
+    pub fn begin_exchange(&mut self) -> Exchange {
+        self.exchanges += 1;
+        Exchange {
+            connection: self.number,
+            position: self.exchanges,
+        }
+    }
+
     /// Time since the last complete response on the connection, or since it was opened.
     pub fn idle_time(&self) -> Duration {
         self.last_used.elapsed()
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -33,6 +33,8 @@
     tenants: Mutex<BTreeSet<String>>,
     /// Attempts at back ends, by result.
     pub attempts: IntCounterVec,
+    /// Attempts that did not run the request, by who stated it.
+    attempts_not_run: IntCounterVec,
     /// Connections that were opened to back ends, by path and result.
     back_end_connects: IntCounterVec,
     /// Tunnels that ended, by the side that this gateway had in them and by how they ended.
@@ -92,6 +94,11 @@
             )?,
             tenants: Mutex::default(),
             attempts: counters("gateway_attempts_total", "Sends by result", "result")?,
+            attempts_not_run: counters(
+                "gateway_attempts_not_run_total",
+                "Sends that did not run the request by who stated it",
+                "source",
+            )?,
             back_end_connects: IntCounterVec::new(
                 Opts::new(
                     "gateway_back_end_connects_total",
@@ -182,6 +189,7 @@
             &self.requests,
             &self.tenant_requests,
             &self.attempts,
+            &self.attempts_not_run,
             &self.back_end_connects,
             &self.tunnel_ends,
             &self.back_end_exits,
@@ -223,6 +231,11 @@
         Ok(())
     }
 
+    /// Counts an attempt that did not run the request, as `source` stated: `back_end` or `gateway`.
+    pub fn record_not_run(&self, source: &str) {
+        self.attempts_not_run.with_label_values(&[source]).inc();
+    }
+
     /// Counts a connection to a back end that was opened, or could not be, over a path.
     pub fn record_back_end_connect(&self, path: &str, result: &str) {
         let labels = [path, result];
