Send a request again only on a connection that did not carry it before

Callers saw non-idempotent requests run twice, and 503, which promises that a request did not run, for requests that ran (REFUSED, TWICE).

Cause: all attempts of a request have one identifier. A back end that rejected a request and asked for a pause got it again after the pause, on the same pooled connection. If it sent a copy of its rejection in the place of the next response, which the platform allows back ends in trouble, the identifier matched, and the gateway believed that the second attempt had not run either. The same holds for engines that reject requests because they are full and are asked again.

Change: an attempt never uses a connection that carried an earlier attempt of the same request. Other requests go on using it: for them the identifier tells the copy apart. This costs a connection only where a request returns to the same back end. Not pooling connections after rejections would cost one for each rejection, and not returning to the back end would leave callers unserved.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -156,7 +156,9 @@
         for _ in 0..MAX_IDLE_TRIES {
             let links = &self.call.shared.links;
             let now = self.call.shared.now();
-            let is_usable = |it: &Connection| links.is_usable(now, self.back_end, it);
+            let attempts = &self.attempts;
+            let is_usable =
+                |it: &Connection| attempts.may_use(it) && links.is_usable(now, self.back_end, it);
             let idle = self.back_end.take_idle_connection(suspended, is_usable);
             let Some(connection) = idle else {
                 break;
@@ -239,6 +241,7 @@
         }
         let request = build_request(self.call, self.back_end, self.last_event);
         self.exchange = Some(connection.begin_exchange());
+        self.attempts.record_connection(&connection);
         let sent = Instant::now();
         let mut silence_guard = SilenceGuard {
             back_end: self.back_end,
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -11,7 +11,7 @@
 use gorsebank_world::BackEndId;
 
 use crate::admission;
-use crate::back_end::BackEnd;
+use crate::back_end::{BackEnd, Connection};
 use crate::event_log::{self, LogPriority};
 use crate::failure::Failure;
 use crate::request::Call;
@@ -44,6 +44,8 @@
 pub struct Attempts {
     /// Back ends that the request was sent to and that are not tried again.
     pub tried: Vec<BackEndId>,
+    /// Connections on which the request was written, in whole or in part.
+    used_connections: Vec<u64>,
     executions: u32,
     sends: u32,
     has_reserved_retry: bool,
@@ -57,6 +59,17 @@
         call.attempts.store(self.sends, Ordering::Relaxed);
     }
 
+    /// Records that the request is written on this connection.
+    pub fn record_connection(&mut self, connection: &Connection) {
+        self.used_connections.push(connection.number());
+    }
+
+    /// Whether the request may be written on this connection. All attempts of a request have the same
+    /// identifier, so a surplus response to an earlier attempt could be taken for that to the next one.
+    pub fn may_use(&self, connection: &Connection) -> bool {
+        !self.used_connections.contains(&connection.number())
+    }
+
     /// Decides after an attempt that sent nothing. Another attempt does not use the retry budget.
     pub fn after_not_sent(&mut self, call: &Call, reason: &'static str) -> NextStep {
         if reason == PAUSED {
