Follow the table of gateways while no parent responds

Cause: a gateway without a responsive parent follows the table itself, but only the urgent tables. The table that says which gateways exist, and where, was not among them. After a restart of all gateways at other addresses, every leaf knew only addresses of the previous processes: no parent, no gateway to open a tunnel through, no witness of an exit, nobody to tell demand to, and no way to learn of any. Two back ends that exited then passed for cut links, since no gateway could be asked.

--- a/crates/gateway/src/feed/sync_policy.rs
+++ b/crates/gateway/src/feed/sync_policy.rs
@@ -48,6 +48,8 @@
     pub is_urgent: bool,
     /// Whether the table changes continuously.
     pub is_busy: bool,
+    /// Whether the table names the gateways that can be parents.
+    pub names_parents: bool,
 }
 
 impl TableSyncPolicy {
@@ -86,6 +88,7 @@
         newest_only: true,
         is_urgent: true,
         is_busy: true,
+        names_parents: false,
     };
     let non_urgent = |table| TableSyncPolicy {
         max_wait: MAX_NON_URGENT_WAIT,
@@ -110,7 +113,10 @@
             max_wait: MAX_UPDATE_WAIT,
             ..non_urgent(tables.lease)
         },
-        non_urgent(tables.members),
+        TableSyncPolicy {
+            names_parents: true,
+            ..non_urgent(tables.members)
+        },
         TableSyncPolicy {
             min_interval: PREFILL_SPEED_INTERVAL,
             ..non_urgent(tables.prefill_speeds)
