Bound the memory of responses that are collected

A back end in trouble may send bytes without an end. A gateway collected the body of such a response until its caller's deadline: 3 s of it took 170 to 1,000 MB (reported figures), and most machines have 160 MB, so that one response could end the process with all that it served.

Cause: bodies were collected without a bound, neither of one nor of all together.

Change: a body may use an eighth of the process's memory, which the settings state, and all bodies together a quarter. A longer one fails at once (502, or another back end if the request may run again), and counts as a failure of its back end. Bodies of rejections are discarded as they arrive.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -13,7 +13,7 @@
 use http::header::HeaderName;
 use http::response::Parts;
 use http::{HeaderMap, Request, StatusCode};
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use tokio::time::{Instant, timeout_at};
 
@@ -25,7 +25,9 @@
 use crate::lost_connection;
 use crate::ports::{AttemptHeaders, ResponseMetadata};
 use crate::request::Call;
+use crate::response_memory::{CollectError, CollectedBody};
 use crate::shared::Shared;
+use crate::unread_body::discard;
 
 /// How many idle connections of the pool are tried before a new one is opened.
 const MAX_IDLE_TRIES: usize = 3;
@@ -423,10 +425,25 @@
         implies_not_run && !self.metadata.has_not_run
     }
 
-    /// Reads the complete body. `None` if the body was cut off or took too long.
-    pub async fn read_body(&mut self, until: Instant) -> Option<Bytes> {
-        let body = timeout_at(until, (&mut self.body).collect()).await;
-        body.ok()?.ok().map(|collected| collected.to_bytes())
+    /// Reads the complete body.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the body is cut off, takes too long, or is longer than the memory allows.
+    pub async fn read_body(
+        &mut self,
+        shared: &Shared,
+        until: Instant,
+    ) -> Result<CollectedBody, CollectError> {
+        let collecting = shared.response_memory.collect(&mut self.body);
+        let collected = timeout_at(until, collecting).await;
+        collected.unwrap_or(Err(CollectError::Truncated))
+    }
+
+    /// Reads the complete body without keeping it. Returns whether its end was reached in time.
+    pub async fn discard_body(&mut self, until: Instant) -> bool {
+        let discarding = timeout_at(until, discard(&mut self.body));
+        discarding.await.unwrap_or(false)
     }
 
     /// Returns the connection to the pool after the body was read completely.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 //! - [`links`] connects to the back end, directly or through another gateway.
 //! - [`attempt`] sends the request once.
 //! - `take_up` fixes the software version of a stream that the caller takes up.
+//! - [`response_memory`] bounds the memory of responses that are collected.
 //! - [`single_response`] and [`stream`] combine attempts into one response.
 //!
 //! These modules run in the background:
@@ -67,6 +68,7 @@
 pub mod refused_rows;
 pub mod relay;
 pub mod request;
+pub mod response_memory;
 pub mod restorable_table;
 pub mod server;
 pub mod settings;
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -22,6 +22,8 @@
     pub link_megabits: u32,
     /// CPU share of this process in thousandths of a core; 0 if unknown.
     pub millicores: u32,
+    /// Memory that this process may use, in megabytes; 0 if unknown.
+    pub memory_megabytes: u32,
     /// Whether all gateways start together, as at the first start of a deployment.
     pub is_initial_start: bool,
     /// Bounds that the deployment sets.
--- a/crates/gateway/src/shared/mod.rs
+++ b/crates/gateway/src/shared/mod.rs
@@ -51,6 +51,7 @@
 use crate::quarantine::SharedQuarantine;
 use crate::refused_rows::RefusedRows;
 use crate::relay::RelayedTable;
+use crate::response_memory::ResponseMemory;
 use crate::settings::GatewaySettings;
 use crate::stream_origins::SharedOrigins;
 use crate::tenant_quotas::TenantQuotas;
@@ -84,6 +85,8 @@
     pub quarantine: SharedQuarantine,
     /// Rate limits that back ends state.
     pub back_end_limits: BackEndLimits,
+    /// Memory of responses that are collected.
+    pub response_memory: ResponseMemory,
     /// Links to back ends, and the gateways that help when links are cut.
     pub links: Links,
     /// The software versions that began streams.
@@ -141,6 +144,7 @@
         let calls = metrics.table_calls.clone();
         let table = Arc::new(RelayedTable::new(platform.clone(), calls));
         Ok(Shared {
+            response_memory: ResponseMemory::new(settings.memory_megabytes),
             settings,
             platform,
             demand: Mutex::default(),
--- a/crates/gateway/src/single_response.rs
+++ b/crates/gateway/src/single_response.rs
@@ -9,13 +9,14 @@
 use crate::admission::admit;
 use crate::attempt::{AttemptResult, BackEndResponse, send};
 use crate::attempts::{Attempts, BACK_END_ENDED, NextStep};
+use crate::event_log::{self, LogPriority};
 use crate::failure::Failure;
 use crate::lost_connection;
 use crate::request::{Call, ResponseBody, response_head};
-use bytes::Bytes;
+use crate::response_memory::{CollectError, CollectedBody};
 use gorsebank_fleet::RequestedPause;
 use http::{Response, StatusCode};
-use http_body_util::{BodyExt, Full};
+use http_body_util::BodyExt;
 use tokio::time::Instant;
 
 /// Minimum time that a back end is given before another one is tried.
@@ -62,30 +63,20 @@
     mut response: BackEndResponse,
 ) -> Result<Response<ResponseBody>, NextStep> {
     let back_end = response.back_end.clone();
-    let Some(body) = response.read_body(call.deadline()).await else {
-        call.mark_may_have_run();
-        let mut reason = "answer_cut";
-        if Instant::now() < call.deadline()
-            && lost_connection::check_back_end(call, &back_end, false).await == BACK_END_ENDED
-        {
-            reason = BACK_END_ENDED;
+    if response.metadata.has_not_run {
+        return Err(evaluate_rejection(call, attempts, response).await);
+    }
+    let body = match response.read_body(&call.shared, call.deadline()).await {
+        Ok(body) => body,
+        Err(CollectError::Truncated) => {
+            return Err(evaluate_truncated(call, attempts, response).await);
+        }
+        Err(CollectError::TooLong) => {
+            return Err(evaluate_too_long(call, attempts, &response));
         }
-        call.shared.record_unreachable(&back_end);
-        response.record_stated_end(&call.shared);
-        return Err(attempts.after_may_have_run(call, reason));
     };
     let latency = response.age().as_millis() as u64;
     let now = call.shared.now();
-    if response.metadata.has_not_run {
-        record_absence(call, &response);
-        let pause = response.metadata.pause;
-        let is_full = response.head.status == StatusCode::SERVICE_UNAVAILABLE;
-        response.return_connection(&call.shared);
-        if is_full && pause == RequestedPause::None {
-            attempts.record_full(call, &back_end);
-        }
-        return Err(attempts.after_not_run(call, pause));
-    }
     call.shared.record_complete_response(call.fingerprint);
     call.shared.record_parts_begun(&call.shared_parts);
     if response.has_unconfirmed_not_run_status() {
@@ -104,6 +95,61 @@
     Ok(forward_response(call, response, body))
 }
 
+/// Evaluates a response that states that the request did not run. Its body is not needed, but an
+/// incomplete response states nothing.
+async fn evaluate_rejection(
+    call: &Call,
+    attempts: &mut Attempts,
+    mut response: BackEndResponse,
+) -> NextStep {
+    if !response.discard_body(call.deadline()).await {
+        return evaluate_truncated(call, attempts, response).await;
+    }
+    let back_end = response.back_end.clone();
+    record_absence(call, &response);
+    let pause = response.metadata.pause;
+    let is_full = response.head.status == StatusCode::SERVICE_UNAVAILABLE;
+    response.return_connection(&call.shared);
+    if is_full && pause == RequestedPause::None {
+        attempts.record_full(call, &back_end);
+    }
+    attempts.after_not_run(call, pause)
+}
+
+async fn evaluate_truncated(
+    call: &Call,
+    attempts: &mut Attempts,
+    response: BackEndResponse,
+) -> NextStep {
+    call.mark_may_have_run();
+    let back_end = &response.back_end;
+    let mut reason = "answer_cut";
+    if Instant::now() < call.deadline()
+        && lost_connection::check_back_end(call, back_end, false).await == BACK_END_ENDED
+    {
+        reason = BACK_END_ENDED;
+    }
+    call.shared.record_unreachable(back_end);
+    response.record_stated_end(&call.shared);
+    attempts.after_may_have_run(call, reason)
+}
+
+/// Evaluates a response that does not end, or at least not within the memory for it.
+fn evaluate_too_long(call: &Call, attempts: &mut Attempts, response: &BackEndResponse) -> NextStep {
+    let back_end = &response.back_end;
+    let fields = format_args!(
+        "request={} back_end={} status={} max_bytes={}",
+        call.metadata.id,
+        back_end.id,
+        response.head.status.as_u16(),
+        call.shared.response_memory.max_body_bytes(),
+    );
+    event_log::write(LogPriority::Decision, "response_too_long", fields);
+    let now = call.shared.now();
+    back_end.update_health(|health| health.record_failure(now));
+    attempts.after_may_have_run(call, "response_too_long")
+}
+
 fn record_absence(call: &Call, response: &BackEndResponse) {
     let is_misdirected = response.head.status == http::StatusCode::MISDIRECTED_REQUEST;
     let Some(model) = call.metadata.model.as_ref().filter(|_| is_misdirected) else {
@@ -115,7 +161,11 @@
         .record_absent(call.shared.now(), model, adapter);
 }
 
-fn forward_response(call: &Call, response: BackEndResponse, body: Bytes) -> Response<ResponseBody> {
+fn forward_response(
+    call: &Call,
+    response: BackEndResponse,
+    body: CollectedBody,
+) -> Response<ResponseBody> {
     let status = response.head.status;
     let head = response_head(call, status, &response.head.headers);
     let outcome = if status.is_success() {
@@ -125,8 +175,6 @@
     };
     call.log_end(outcome, status.as_u16(), response.back_end.id.as_str());
     response.return_connection(&call.shared);
-    let body = Full::new(body)
-        .map_err(|never| match never {})
-        .boxed_unsync();
+    let body = body.map_err(|never| match never {}).boxed_unsync();
     head.map(|()| body)
 }
--- a/crates/gateway/src/unread_body.rs
+++ b/crates/gateway/src/unread_body.rs
@@ -1,4 +1,4 @@
-//! Discards request bodies that have not been fully read when the response is ready.
+//! Discards bodies that nobody needs, so that their connection can be used further.
 //!
 //! Closing a socket with unread data resets the connection, and the caller may lose the response.
 
@@ -9,7 +9,8 @@
 use http_body_util::BodyExt;
 use tokio::time::timeout;
 
-/// Maximum number of bytes to discard. A caller that sends more is unlikely to read the response.
+/// Maximum number of bytes to discard. A caller that sends more is unlikely to read the response,
+/// and a back end that sends more may never end.
 const MAX_DISCARDED_BYTES: usize = 8 << 20;
 /// Maximum time to spend discarding a body.
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
