Bound the bytes that may arrive in the place of a response head

A back end in trouble may send interim heads (100 Continue) without an end. The HTTP client bounds one head, but reads any number of interim ones, so the gateway was busy with them until the caller's deadline.

Change: at most 1 MiB may arrive until the head that is due is complete; then the connection fails, and the request may have run. The read buffer of a connection, and so one head, is limited to 128 KiB; it could grow to 400 KB for each of several hundred connections.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -252,7 +252,7 @@
             may_be_silent: is_pooled,
         };
         self.call.mark_in_doubt();
-        let mut sending = pin!(connection.http.sender.try_send_request(request));
+        let mut sending = pin!(connection.http.send(request));
         let mut quarantined = pin!(self.call.wait_for_quarantine());
         let mut until = self.call.deadline().min(sent + self.head_timeout);
         let result = loop {
@@ -284,6 +284,9 @@
                     sent,
                 }))
             }
+            Err(_) if connection.http.is_head_too_long() => {
+                ExchangeResult::Failed("response_head_too_long")
+            }
             Err(mut error) => {
                 self.call.shared.links.record_lost(&connection);
                 match error.take_message() {
--- a/crates/gateway/src/back_end.rs
+++ b/crates/gateway/src/back_end.rs
@@ -302,7 +302,7 @@
         idle.retain(Connection::is_reusable);
         let index = idle
             .iter()
-            .rposition(|connection| connection.http.sender.is_ready() && is_usable(connection))?;
+            .rposition(|connection| connection.http.is_ready() && is_usable(connection))?;
         Some(idle.remove(index))
     }
 
@@ -448,7 +448,7 @@
     }
 
     fn is_reusable(&self) -> bool {
-        !self.http.sender.is_closed()
+        !self.http.is_closed()
             && !self.tunnel.is_carrier_stopping()
             && self.last_used.elapsed() < self.keep_alive
     }
--- a/crates/gateway/src/http_connection.rs
+++ b/crates/gateway/src/http_connection.rs
@@ -2,12 +2,15 @@
 
 use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full};
-use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::body::Incoming;
+use hyper::client::conn::TrySendError;
+use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
 use socket2::{SockRef, TcpKeepalive};
@@ -16,12 +19,16 @@
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
+use crate::response_head::{HeadAllowance, head_limited};
+
 /// Time without bytes after which the operating system probes a connection, and interval of the
 /// probes.
 const PROBE_INTERVAL: Duration = Duration::from_secs(3);
 /// Time without an acknowledgement after which a connection is closed. It is longer than the
 /// partitions that end by themselves, after which late responses still arrive.
 const SILENCE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Maximum size of a connection's read buffer in bytes, and therefore of the head of a response.
+const MAX_READ_BUFFER_BYTES: usize = 128 << 10;
 
 /// Why a connection could not be opened, for log lines and metrics.
 pub fn connect_failure(error: &std::io::Error) -> &'static str {
@@ -58,8 +65,8 @@
 /// A connection that is closed when dropped.
 #[derive(Debug)]
 pub struct HttpConnection {
-    /// Sends requests on the connection.
-    pub sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<Full<Bytes>>,
+    head: Arc<HeadAllowance>,
     task: AbortHandle,
 }
 
@@ -73,7 +80,12 @@
     pub async fn start(
         stream: impl AsyncRead + AsyncWrite + Unpin + Send + 'static,
     ) -> std::io::Result<Self> {
-        let result = handshake(TokioIo::new(stream)).await;
+        let head = Arc::new(HeadAllowance::default());
+        let stream = head_limited(stream, head.clone());
+        let result = Builder::new()
+            .max_buf_size(MAX_READ_BUFFER_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await;
         let (sender, connection) = result.map_err(std::io::Error::other)?;
         let task = tokio::spawn(async move {
             // A request on the connection receives the error through its own future.
@@ -81,9 +93,44 @@
         });
         Ok(HttpConnection {
             sender,
+            head,
             task: task.abort_handle(),
         })
     }
+
+    /// Sends a request, and returns its response once the head is complete. On an error, the request is
+    /// returned if nothing of it was written.
+    pub fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> impl Future<Output = Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>>> + use<>
+    {
+        self.head.begin();
+        let head = self.head.clone();
+        let sending = self.sender.try_send_request(request);
+        async move {
+            let response = sending.await;
+            if response.is_ok() {
+                head.end();
+            }
+            response
+        }
+    }
+
+    /// Whether the connection failed because a response did not begin within [`MAX_HEAD_BYTES`].
+    pub fn is_head_too_long(&self) -> bool {
+        self.head.is_exceeded()
+    }
+
+    /// Whether the connection can carry a request at once.
+    pub fn is_ready(&self) -> bool {
+        self.sender.is_ready()
+    }
+
+    /// Whether the connection is closed.
+    pub fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
 }
 
 impl Drop for HttpConnection {
@@ -130,8 +177,10 @@
             Some(connection) => connection,
             None => HttpConnection::open(self.address, self.connect_timeout).await?,
         };
-        let sending = connection.sender.send_request(request.map(Full::new));
-        let response = sending.await.map_err(lost_error)?;
+        let sending = connection.send(request.map(Full::new));
+        let response = sending
+            .await
+            .map_err(|error| lost_error(error.into_error()))?;
         let (head, body) = response.into_parts();
         let body = body.collect().await.map_err(lost_error)?;
         let mut idle = self.idle.lock();
@@ -143,10 +192,8 @@
 
     fn take_idle(&self) -> Option<HttpConnection> {
         let mut idle = self.idle.lock();
-        idle.retain(|connection| !connection.sender.is_closed());
-        let index = idle
-            .iter()
-            .rposition(|connection| connection.sender.is_ready())?;
+        idle.retain(|connection| !connection.is_closed());
+        let index = idle.iter().rposition(HttpConnection::is_ready)?;
         Some(idle.remove(index))
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -68,6 +68,7 @@
 pub mod refused_rows;
 pub mod relay;
 pub mod request;
+mod response_head;
 pub mod response_memory;
 pub mod restorable_table;
 pub mod server;
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -183,7 +183,7 @@
         return Err(NotWritten);
     }
     let request = request.map(Full::new);
-    let response = connection.http.sender.send_request(request).await.ok();
+    let response = connection.http.send(request).await.ok();
     let response = response.filter(|response| belongs(shared, engine, id, response));
     Ok((response, connection))
 }
