Bound reports of engines, and discard the bodies of responses to orders

Same class as responses to callers: the placement holder collected reports and responses to orders without a bound, for a second each. An order whose response does not end in time counts as unanswered, since an incomplete response states nothing; before, its status counted.

--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -11,7 +11,7 @@
 use gorsebank_fleet::EngineReport;
 use gorsebank_fleet::placement::OrderResult;
 use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use tokio::time::{Instant, timeout};
 
@@ -22,9 +22,12 @@
 use crate::links;
 use crate::ports::FencedOrder;
 use crate::shared::Shared;
+use crate::unread_body::discard;
 
 /// Maximum time for a response of an engine.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Maximum length of an engine's report in bytes, for hundreds of models and adapters.
+const MAX_REPORT_BYTES: usize = 1 << 20;
 /// Minimum time for which an order waits for its response. While engines respond quickly, an order
 /// without a response after this time is taken to have none.
 const MIN_RESPONSE_TIMEOUT: Duration = Duration::from_millis(200);
@@ -49,10 +52,8 @@
     record_if_draining(shared, engine, &response);
     let status = response.status();
     let keep_alive = keep_alive_timeout(response.headers());
-    let body = timeout(RESPONSE_TIMEOUT, response.into_body().collect())
-        .await
-        .ok()?
-        .ok()?;
+    let body = Limited::new(response.into_body(), MAX_REPORT_BYTES).collect();
+    let body = timeout(RESPONSE_TIMEOUT, body).await.ok()?.ok()?;
     engine.return_connection(
         connection,
         keep_alive,
@@ -99,13 +100,16 @@
     record_if_draining(shared, engine, &response);
     let result = shared.platform.order_result(response.status());
     let keep_alive = keep_alive_timeout(response.headers());
-    if let Ok(Ok(_)) = timeout(RESPONSE_TIMEOUT, response.into_body().collect()).await {
-        engine.return_connection(
-            connection,
-            keep_alive,
-            shared.max_idle_connections(&engine.service),
-        );
+    let discarding = timeout(RESPONSE_TIMEOUT, discard(response.into_body()));
+    if !discarding.await.unwrap_or(false) {
+        // An incomplete response states nothing.
+        return OrderResult::Unanswered;
     }
+    engine.return_connection(
+        connection,
+        keep_alive,
+        shared.max_idle_connections(&engine.service),
+    );
     result
 }
 
