--- a/crates/gateway/src/http_connection.rs
+++ b/crates/gateway/src/http_connection.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use http::{Request, Response};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1::{Builder, SendRequest};
@@ -27,6 +27,8 @@
 /// Time without an acknowledgement after which a connection is closed. It is longer than the
 /// partitions that end by themselves, after which late responses still arrive.
 const SILENCE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Maximum length of a response that a pool reads, in bytes: many times a page of a table.
+pub const MAX_POOLED_RESPONSE_BYTES: usize = 16 << 20;
 /// Maximum size of a connection's read buffer in bytes, and therefore of the head of a response.
 const MAX_READ_BUFFER_BYTES: usize = 128 << 10;
 
@@ -170,7 +172,8 @@
     ///
     /// # Errors
     ///
-    /// Fails if no connection could be opened, or if it was lost before the end of the response.
+    /// Fails if no connection could be opened, if it was lost before the end of the response, or if the
+    /// response is longer than [`MAX_POOLED_RESPONSE_BYTES`].
     pub async fn exchange(&self, request: Request<Bytes>) -> std::io::Result<Response<Bytes>> {
         let lost_error = std::io::Error::other::<hyper::Error>;
         let mut connection = match self.take_idle() {
@@ -182,7 +185,8 @@
             .await
             .map_err(|error| lost_error(error.into_error()))?;
         let (head, body) = response.into_parts();
-        let body = body.collect().await.map_err(lost_error)?;
+        let body = Limited::new(body, MAX_POOLED_RESPONSE_BYTES).collect();
+        let body = body.await.map_err(std::io::Error::other)?;
         let mut idle = self.idle.lock();
         if idle.len() < self.max_idle {
             idle.push(connection);
