Soak: surplus, endless and garbled responses, a loss of all power, and the memory of gateways

The soak's back ends never sent surplus or endless bytes, and no run ended with the loss of all machines, so it could not show that requests ran after a refusal, nor that a response ended a process.

--- a/crates/gorsebank/tests/soak/gateways.rs
+++ b/crates/gorsebank/tests/soak/gateways.rs
@@ -29,6 +29,8 @@
     /// Link to the table, which faults can disturb.
     pub wire: TcpProxy,
     process: Option<GatewayProcess>,
+    /// Addresses of the process for callers, for its readiness and for other gateways.
+    addresses: [SocketAddr; 3],
     process_number: usize,
     /// Folder for the log of each process; logs are discarded without it.
     log_folder: Option<PathBuf>,
@@ -59,6 +61,7 @@
             name: name.to_owned(),
             wire,
             process: None,
+            addresses: [SocketAddr::from(([127, 0, 0, 1], 0)); 3],
             process_number: number,
             log_folder,
         };
@@ -66,16 +69,24 @@
         slot
     }
 
-    /// Starts another process in place of one that has exited, or kills and replaces a running one.
+    /// Starts another process at other addresses in place of one that has exited, or kills and replaces
+    /// a running one.
     pub fn restart(&mut self, number: usize) {
         self.process = None;
-        let address = || free_address().expect("a free port");
+        self.addresses = [(); 3].map(|()| free_address().expect("a free port"));
+        self.restart_in_place(number);
+    }
+
+    /// Starts another process at the addresses of the last one.
+    pub fn restart_in_place(&mut self, number: usize) {
+        self.process = None;
+        let [callers, readiness, relay] = self.addresses;
         let place = GatewayEndpoints {
             node: &self.name,
             table: self.wire.address,
-            callers: address(),
-            readiness: address(),
-            relay: Some(address()),
+            callers,
+            readiness,
+            relay: Some(relay),
         };
         self.process = Some(GatewayProcess::start_at(
             &program(number),
@@ -110,6 +121,11 @@
         })
     }
 
+    /// Returns the largest memory that the process has used so far, in bytes.
+    pub fn peak_memory(&self) -> Option<u64> {
+        self.process.as_ref()?.peak_memory()
+    }
+
     /// Sends a signal to the process and returns the number of the process.
     pub fn signal(&self, signal: Signal) -> Option<usize> {
         let process = self.process.as_ref()?;
--- a/crates/gorsebank/tests/soak/guarantees.rs
+++ b/crates/gorsebank/tests/soak/guarantees.rs
@@ -7,6 +7,7 @@
 use super::history::{
     CallerRequest, DisturbanceKind, History, LimitedBackEnd, Outcome, RequestKind,
 };
+use super::platform::process::MEMORY_MEGABYTES;
 use super::statements;
 
 /// Response statuses which promise that the request did not run and never will.
@@ -19,6 +20,8 @@
 const MAX_LATE_ARRIVALS: usize = 3;
 /// Number of models of the configuration for which an engine has memory (200 MB, 70 MB each).
 const MAX_MODELS: usize = 2;
+/// Memory of a gateway's machine in bytes.
+const MAX_GATEWAY_BYTES: u64 = MEMORY_MEGABYTES * 1_000_000;
 /// Span in which the requests at a back end with a stated limit are counted. The number of requests
 /// may reach the stated rate times the span times `LIMIT_EXCESS_FACTOR`, plus
 /// `LIMIT_EXTRA_REQUESTS`.
@@ -49,6 +52,8 @@
     EndingKeptAway,
     /// No engine is ordered to hold more models than fit into its memory.
     Memory,
+    /// No gateway uses more memory than its machine has.
+    GatewayMemory,
     /// Orders of a previous placement holder do not follow those of a newer one.
     OneHolder,
     /// All gateways together respect the limit that a back end states, after `NOTICE_BOUND`.
@@ -102,6 +107,12 @@
             findings.push(finding(Guarantee::Memory, details));
         }
     }
+    for (gateway, bytes) in &history.peak_memory {
+        if *bytes > MAX_GATEWAY_BYTES {
+            let details = format!("{gateway} used {bytes} bytes");
+            findings.push(finding(Guarantee::GatewayMemory, details));
+        }
+    }
     for back_end in &history.limited_back_ends {
         findings.extend(check_limit(history, back_end));
     }
--- a/crates/gorsebank/tests/soak/history.rs
+++ b/crates/gorsebank/tests/soak/history.rs
@@ -153,6 +153,8 @@
     pub response_drains: Vec<ResponseDrain>,
     /// Back ends that requested pauses.
     pub requested_pauses: Vec<RequestedPauses>,
+    /// Largest memory that gateways used, in bytes, with their names.
+    pub peak_memory: Vec<(String, u64)>,
     /// Gateways that did not serve requests in time after the last fault.
     pub unrecovered_gateways: Vec<String>,
     /// Gateways that did not apply the last configuration in time.
--- a/crates/gorsebank/tests/soak/main.rs
+++ b/crates/gorsebank/tests/soak/main.rs
@@ -4,7 +4,8 @@
 //! The seed of a run determines which faults occur when, and what callers send. By default, each
 //! test runs a few seeds for some seconds. `GORSEBANK_SOAK_SEEDS` sets the seeds (`FIRST..LAST`, or
 //! a count of seeds from a random first one), `GORSEBANK_SOAK_SECONDS` the length of a run, and
-//! `GORSEBANK_SOAK_GATEWAYS` the number of gateways in `guarantees_hold_under_faults`.
+//! `GORSEBANK_SOAK_GATEWAYS` the number of gateways in `guarantees_hold_under_faults` and
+//! `guarantees_hold_with_garbled_responses_and_a_loss_of_power`.
 //! `GORSEBANK_SOAK_REPORT` names a folder for reports and for the logs of the gateway processes.
 //! `GORSEBANK_SOAK_EARLIER` names the program of an earlier build, which every second process then
 //! runs. A run has three gateways, two callers per gateway and six back ends, on loopback, and
@@ -106,6 +107,21 @@
     .await;
 }
 
+/// Back ends also send surplus, endless and garbled bytes. At last all machines lose power, the table's
+/// included, and engines lose their models.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn guarantees_hold_with_garbled_responses_and_a_loss_of_power() {
+    let gateways = env_number("GORSEBANK_SOAK_GATEWAYS").unwrap_or(DEFAULT_GATEWAYS);
+    let gateways = gateways.clamp(1, MAX_GATEWAYS) as usize;
+    check_seeds(
+        selected_seeds(),
+        run_length(),
+        gateways,
+        ExtraFaults::Garbles,
+    )
+    .await;
+}
+
 /// Guards against orders that a previous placement holder sends after those of a newer holder. The
 /// previous holder was asked to stop while the table lost responses. The table had applied the
 /// release of its lease, but the holder did not receive the response and went on sending orders. In
--- a/crates/gorsebank/tests/soak/plan.rs
+++ b/crates/gorsebank/tests/soak/plan.rs
@@ -24,6 +24,10 @@
 const STATEMENT_STREAM: u64 = 3;
 /// Random stream from which restores of the table are drawn.
 const RESTORE_STREAM: u64 = 4;
+/// Random stream from which garbled responses are drawn.
+const GARBLE_STREAM: u64 = 5;
+/// Maximum number of times that a back end garbles its responses in a run.
+const MAX_GARBLES: usize = 6;
 /// Maximum number of restores of the table in a run.
 const MAX_RESTORES: usize = 3;
 /// Upper bound on the time of which a restore loses the writes, in milliseconds.
@@ -297,6 +301,44 @@
     drawn.collect()
 }
 
+/// How a back end garbles its responses.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Garble {
+    /// Copies of earlier responses and rejections arrive in the place of the next ones.
+    Surplus,
+    /// Responses have no end, or are no HTTP.
+    Endless,
+}
+
+/// A back end that garbles its responses for some time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ScheduledGarble {
+    /// Start, relative to the start of the schedule.
+    pub at: Duration,
+    /// Time for which responses are garbled.
+    pub duration: Duration,
+    /// How the responses are garbled.
+    pub garble: Garble,
+    /// Index of the back end, modulo their number.
+    pub target: usize,
+}
+
+/// Draws the times at which back ends garble their responses from a separate random stream.
+pub fn draw_garbles(seed: u64, length: Duration) -> Vec<ScheduledGarble> {
+    let mut random = random_stream(seed, GARBLE_STREAM);
+    let length = length.as_millis() as u64;
+    let count = random.random_range(2..=MAX_GARBLES);
+    let drawn = (0..count).map(|_| ScheduledGarble {
+        at: draw_duration(&mut random, 0..length),
+        duration: draw_duration(&mut random, MIN_FAULT_MS..MAX_FAULT_MS),
+        garble: *[Garble::Surplus, Garble::Endless]
+            .choose(&mut random)
+            .expect("the list is not empty"),
+        target: random.random_range(0..64),
+    });
+    drawn.collect()
+}
+
 /// Draws the faults of a run, sorted by time.
 pub fn draw_faults(seed: u64, length: Duration) -> Vec<ScheduledFault> {
     let mut random = ChaCha8Rng::seed_from_u64(seed);
--- a/crates/gorsebank/tests/soak/run.rs
+++ b/crates/gorsebank/tests/soak/run.rs
@@ -3,6 +3,7 @@
 mod behaviour;
 mod faults;
 mod observations;
+mod power_loss;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::path::PathBuf;
@@ -20,7 +21,9 @@
 use super::history::{
     Disturbance, DisturbanceKind, History, LimitedBackEnd, ResponseDrain, RowDrain,
 };
-use super::plan::{draw_faults, draw_limits, draw_restores, draw_row_faults, draw_statements};
+use super::plan::{
+    draw_faults, draw_garbles, draw_limits, draw_restores, draw_row_faults, draw_statements,
+};
 use super::platform::client::{request, send};
 use super::platform::runner::{ReceivedRequest, Reply, Runner};
 use super::platform::store::Store;
@@ -79,6 +82,7 @@
     row_drains: Mutex<Vec<RowDrain>>,
     limited_back_ends: Mutex<Vec<LimitedBackEnd>>,
     response_drains: Mutex<Vec<ResponseDrain>>,
+    peak_memory: Mutex<Vec<(String, u64)>>,
     /// Whether rows state start times, as required for back ends that restart under their names.
     announces_start_times: bool,
     /// Names of back ends that exited and are to restart under the same name.
@@ -103,6 +107,8 @@
     Statements,
     /// The table is restored from older copies.
     Restores,
+    /// Back ends send surplus, endless and garbled bytes, and at last all machines lose power.
+    Garbles,
 }
 
 /// Options of a run.
@@ -161,6 +167,11 @@
                 faults.spawn(run.clone().make_statement(statement));
             }
         }
+        ExtraFaults::Garbles => {
+            for garble in draw_garbles(seed, length) {
+                faults.spawn(run.clone().garble_responses(garble));
+            }
+        }
         ExtraFaults::Restores => {
             for restore in draw_restores(seed, length) {
                 faults.spawn(run.clone().restore_table(restore));
@@ -173,10 +184,15 @@
     }
     faults.join_all().await;
     callers.join_all().await;
+    if options.extra_faults == ExtraFaults::Garbles {
+        replacements.shutdown().await;
+        run.lose_power().await;
+    }
     let mut history = History::default();
     run.check_recovery(&mut history).await;
     run.check_last_configuration(&mut history).await;
     history.requests = std::mem::take(&mut *requests.lock());
+    (0..gateways).for_each(|index| run.record_peak_memory(index));
     run.collect_observations(&mut history);
     run.slots.iter().for_each(|slot| slot.lock().kill());
     history
@@ -209,6 +225,7 @@
             row_drains: Mutex::default(),
             limited_back_ends: Mutex::default(),
             response_drains: Mutex::default(),
+            peak_memory: Mutex::default(),
             announces_start_times: options.extra_faults == ExtraFaults::Rows,
             restarting: Mutex::default(),
             started_at: Instant::now(),
@@ -366,6 +383,14 @@
         true
     }
 
+    fn record_peak_memory(&self, index: usize) {
+        let slot = self.slots[index].lock();
+        if let Some(bytes) = slot.peak_memory() {
+            let name = slot.name().to_owned();
+            self.peak_memory.lock().push((name, bytes));
+        }
+    }
+
     async fn check_recovery(&self, history: &mut History) {
         history.unrecovered_gateways = self.find_gateways_not_serving(RECOVERY_TIMEOUT).await;
     }
--- a/crates/gorsebank/tests/soak/run/behaviour.rs
+++ b/crates/gorsebank/tests/soak/run/behaviour.rs
@@ -6,7 +6,8 @@
 use parking_lot::Mutex;
 
 use crate::guarantees::{EVENTS_PER_STREAM, PLAIN_BODY, stream_event};
-use crate::platform::runner::{ReceivedRequest, Reply, StreamEnd};
+use crate::plan::Garble;
+use crate::platform::runner::{ENDLESS_RESPONSES, ReceivedRequest, Reply, StreamEnd};
 use crate::statements::REQUESTED_PAUSE_SECONDS_TEXT;
 
 /// Time between two events of a stream, and before the first event.
@@ -14,6 +15,10 @@
 /// Time between two events at a slow back end, and delay of its other responses.
 const SLOW_DELAY: Duration = Duration::from_millis(200);
 
+/// Pause that a back end requests with rejections that it sends twice, in seconds. Callers can wait for
+/// its end.
+const SHORT_PAUSE_SECONDS_TEXT: &str = "0.05";
+
 /// Injected conditions of a back end.
 #[derive(Debug, Default)]
 pub(super) struct Conditions {
@@ -23,11 +28,29 @@
     pub(super) failing: AtomicBool,
     /// The back end rejects requests and requests a pause after each rejection.
     pub(super) rejecting: AtomicBool,
+    /// How the back end garbles its responses at present.
+    pub(super) garble: Mutex<Option<Garble>>,
+    /// Request ids of rejections that are sent twice.
+    pub(super) repeated_rejections: Mutex<Vec<String>>,
     /// Time and request id of each rejection.
     pub(super) rejections: Mutex<Vec<(Instant, String)>>,
     request_count: AtomicUsize,
 }
 
+/// Returns a reply that is sent twice. Every second request is rejected, and may return after the pause.
+fn surplus_reply(seen: &ReceivedRequest, conditions: &Conditions, number: usize) -> Reply {
+    if number.is_multiple_of(2) || is_stream(seen) {
+        let id = seen.id().to_owned();
+        conditions.repeated_rejections.lock().push(id);
+        return Reply::RetryAfterTwice(SHORT_PAUSE_SECONDS_TEXT);
+    }
+    Reply::ResponseTwice(200, PLAIN_BODY)
+}
+
+fn is_stream(seen: &ReceivedRequest) -> bool {
+    seen.request_line.contains("/stream/") || seen.request_line.contains("/resumable/")
+}
+
 /// Returns the reply of a back end to a request.
 pub(super) fn reply_to(seen: &ReceivedRequest, conditions: &Conditions) -> Reply {
     if conditions.rejecting.load(Ordering::Relaxed) {
@@ -36,12 +59,19 @@
         return Reply::RetryAfter(REQUESTED_PAUSE_SECONDS_TEXT);
     }
     let number = conditions.request_count.fetch_add(1, Ordering::Relaxed);
+    let garble = *conditions.garble.lock();
+    match garble {
+        Some(Garble::Surplus) => return surplus_reply(seen, conditions, number),
+        Some(Garble::Endless) => {
+            return Reply::Endless(ENDLESS_RESPONSES[number % ENDLESS_RESPONSES.len()]);
+        }
+        None => {}
+    }
     if conditions.failing.load(Ordering::Relaxed) && number.is_multiple_of(2) {
         return Reply::Response(500, "failed");
     }
     let is_slow = conditions.slow.load(Ordering::Relaxed);
-    let is_stream =
-        seen.request_line.contains("/stream/") || seen.request_line.contains("/resumable/");
+    let is_stream = is_stream(seen);
     if !is_stream && is_slow {
         return Reply::DelayedResponse(SLOW_DELAY, 200, PLAIN_BODY);
     }
--- a/crates/gorsebank/tests/soak/run/faults.rs
+++ b/crates/gorsebank/tests/soak/run/faults.rs
@@ -14,8 +14,8 @@
 use crate::gateways::GatewaySlot;
 use crate::history::{Disturbance, DisturbanceKind, LimitedBackEnd, ResponseDrain, RowDrain};
 use crate::plan::{
-    Fault, ResponseStatement, RowFault, ScheduledFault, ScheduledLimit, ScheduledRestore,
-    ScheduledRowFault, ScheduledStatement,
+    Fault, ResponseStatement, RowFault, ScheduledFault, ScheduledGarble, ScheduledLimit,
+    ScheduledRestore, ScheduledRowFault, ScheduledStatement,
 };
 use crate::platform::client::{Client, request_with};
 use crate::platform::store::StoreState;
@@ -150,6 +150,7 @@
 
     fn kill_gateway(&self, index: usize) -> Option<DisturbanceKind> {
         let number = self.next_process_number();
+        self.record_peak_memory(index);
         let mut slot = self.slots[index].lock();
         let killed = slot.endpoint()?.process;
         slot.kill();
@@ -278,6 +279,23 @@
         });
     }
 
+    /// Lets a back end garble its responses for some time.
+    pub(super) async fn garble_responses(self: Arc<Self>, scheduled: ScheduledGarble) {
+        sleep(scheduled.at).await;
+        let Some(back_end) = self.select_back_end(scheduled.target) else {
+            return;
+        };
+        let from = self.started_at.elapsed();
+        *back_end.conditions.garble.lock() = Some(scheduled.garble);
+        sleep(scheduled.duration).await;
+        *back_end.conditions.garble.lock() = None;
+        self.disturbances.lock().push(Disturbance {
+            from,
+            until: self.started_at.elapsed() + PROPAGATION_BOUND,
+            kind: DisturbanceKind::BackEndCutOff,
+        });
+    }
+
     /// Lets a back end make a statement about itself in its responses.
     pub(super) async fn make_statement(self: Arc<Self>, scheduled: ScheduledStatement) {
         sleep(scheduled.at).await;
--- a/crates/gorsebank/tests/soak/run/observations.rs
+++ b/crates/gorsebank/tests/soak/run/observations.rs
@@ -19,7 +19,10 @@
                 at.push(runner.id.clone());
             }
             // A request that the back end rejected did not run there.
-            for (_, id) in back_end.conditions.rejections.lock().iter() {
+            let rejections = back_end.conditions.rejections.lock();
+            let rejected = rejections.iter().map(|(_, id)| id);
+            let repeated_rejections = back_end.conditions.repeated_rejections.lock();
+            for id in rejected.chain(repeated_rejections.iter()) {
                 if let Some(at) = executions.get_mut(id)
                     && let Some(index) = at.iter().position(|name| *name == runner.id)
                 {
@@ -38,6 +41,7 @@
         executions.remove("ending");
         history.crash_arrivals = std::mem::take(&mut *self.crash_arrivals.lock());
         history.executions = executions;
+        history.peak_memory = std::mem::take(&mut *self.peak_memory.lock());
         history.disturbances = std::mem::take(&mut *self.disturbances.lock());
         history.row_drains = std::mem::take(&mut *self.row_drains.lock());
         history.limited_back_ends = std::mem::take(&mut *self.limited_back_ends.lock());
--- /dev/null
+++ b/crates/gorsebank/tests/soak/run/power_loss.rs
@@ -0,0 +1,48 @@
+//! Loss of power at all machines at once, those of the table included.
+
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use tokio::time::sleep;
+
+use super::Run;
+use crate::history::{Disturbance, DisturbanceKind};
+
+/// Time without power.
+const OUTAGE: Duration = Duration::from_millis(2_500);
+/// Time after the return of power until the table responds.
+const TABLE_DELAY: Duration = Duration::from_millis(500);
+
+impl Run {
+    /// Ends all gateways and back ends and the table at one moment. They return under their names, the
+    /// gateways at their addresses, and the engines have lost the models that they had loaded.
+    pub(super) async fn lose_power(&self) {
+        let from = self.started_at.elapsed();
+        let is_unavailable = &self.store.inner.is_unavailable;
+        is_unavailable.store(true, Ordering::Relaxed);
+        for index in 0..self.slots.len() {
+            self.record_peak_memory(index);
+            self.slots[index].lock().kill();
+        }
+        let lost = std::mem::take(&mut *self.listed.lock());
+        for back_end in &lost {
+            back_end.runner.exit();
+            back_end.wire.stop_listening();
+        }
+        sleep(OUTAGE).await;
+        for slot in self.slots.iter() {
+            slot.lock().restart_in_place(self.next_process_number());
+        }
+        for back_end in &lost {
+            let returned = self.add_back_end_as(&back_end.runner.id, back_end.service);
+            returned.await.runner.unload_all();
+        }
+        sleep(TABLE_DELAY).await;
+        is_unavailable.store(false, Ordering::Relaxed);
+        self.disturbances.lock().push(Disturbance {
+            from,
+            until: self.started_at.elapsed(),
+            kind: DisturbanceKind::Table,
+        });
+    }
+}
