Match responses to requests without an identifier

A request without an identifier accepted any response on its connection. A surplus response to another caller's request was forwarded as its own, with the back end's seal (MIXED); the new test got 200 with the seal of the request before. Now a response belongs to a request only if both have the same identifier or neither has one.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -382,8 +382,7 @@
 ) -> AttemptResult {
     let platform = &call.shared.platform;
     let metadata = platform.response_metadata(head.parts.status, &head.parts.headers);
-    let belongs = metadata.request_id.as_deref() == Some(call.metadata.id.as_str());
-    if !belongs && !call.metadata.id.is_empty() {
+    if metadata.request_id.as_deref().unwrap_or_default() != call.metadata.id {
         return record_failure(call, back_end, "foreign_answer");
     }
     // A misdirected request reached a back end other than the intended one, which responded.
