Log which response arrived in the place of the one that is due

The line of an attempt said foreign_answer, but not what the surplus response was: a rejection, whose copy could pass for the response to a later attempt, or a whole answer.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -383,6 +383,15 @@
     let platform = &call.shared.platform;
     let metadata = platform.response_metadata(head.parts.status, &head.parts.headers);
     if metadata.request_id.as_deref().unwrap_or_default() != call.metadata.id {
+        let fields = format_args!(
+            "back_end={} request={} received={} status={} not_run={}",
+            back_end.id,
+            call.metadata.id,
+            metadata.request_id.as_deref().unwrap_or("-"),
+            head.parts.status.as_u16(),
+            metadata.has_not_run,
+        );
+        event_log::write(LogPriority::Decision, "foreign_response", fields);
         return record_failure(call, back_end, "foreign_answer");
     }
     // A misdirected request reached a back end other than the intended one, which responded.
