Test: a full engine that sends its rejection twice

On deployments whose loads outlast the callers, a stream waits for full engines and returns to them, so this is the path by which streams ran twice. The test counts two executions if connections may be used again by the same request, and one as it is.

--- a/crates/gorsebank/tests/soak/run/behaviour.rs
+++ b/crates/gorsebank/tests/soak/run/behaviour.rs
@@ -42,7 +42,7 @@
     if number.is_multiple_of(2) || is_stream(seen) {
         let id = seen.id().to_owned();
         conditions.repeated_rejections.lock().push(id);
-        return Reply::RetryAfterTwice(SHORT_PAUSE_SECONDS_TEXT);
+        return Reply::RejectionTwice(Some(SHORT_PAUSE_SECONDS_TEXT));
     }
     Reply::ResponseTwice(200, PLAIN_BODY)
 }
