--- a/crates/gorsebank/tests/soak/main.rs
+++ b/crates/gorsebank/tests/soak/main.rs
@@ -108,7 +108,7 @@
 }
 
 /// Back ends also send surplus, endless and garbled bytes. At last all machines lose power, the table's
-/// included, and engines lose their models.
+/// included, engines lose their models, and some gateways return later than the others.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn guarantees_hold_with_garbled_responses_and_a_loss_of_power() {
     let gateways = env_number("GORSEBANK_SOAK_GATEWAYS").unwrap_or(DEFAULT_GATEWAYS);
--- a/crates/gorsebank/tests/soak/run.rs
+++ b/crates/gorsebank/tests/soak/run.rs
@@ -184,12 +184,17 @@
     }
     faults.join_all().await;
     callers.join_all().await;
+    let mut history = History::default();
     if options.extra_faults == ExtraFaults::Garbles {
         replacements.shutdown().await;
-        run.lose_power().await;
+        let absent = run.lose_power().await;
+        let all = 0..gateways;
+        let returned = all.filter(|index| !absent.contains(index)).collect();
+        run.check_recovery(&mut history, returned).await;
+        run.restart_gateways(&absent);
     }
-    let mut history = History::default();
-    run.check_recovery(&mut history).await;
+    run.check_recovery(&mut history, (0..gateways).collect())
+        .await;
     run.check_last_configuration(&mut history).await;
     history.requests = std::mem::take(&mut *requests.lock());
     (0..gateways).for_each(|index| run.record_peak_memory(index));
@@ -237,7 +242,8 @@
             run.add_back_end("app").await;
             run.add_back_end("llm").await;
         }
-        let not_serving = run.find_gateways_not_serving(STARTUP_TIMEOUT).await;
+        let all = (0..gateways).collect();
+        let not_serving = run.find_gateways_not_serving(all, STARTUP_TIMEOUT).await;
         assert!(
             not_serving.is_empty(),
             "gateways do not become ready: {not_serving:?}"
@@ -338,11 +344,14 @@
         self.store.put("op", "config", with_extra_models(newer));
     }
 
-    /// Polls until every gateway serves an idempotent, a mutating and a stream request. Returns the
-    /// names of the gateways that do not within `timeout`.
-    async fn find_gateways_not_serving(&self, timeout: Duration) -> Vec<String> {
+    /// Polls until each of these gateways serves an idempotent, a mutating and a stream request.
+    /// Returns the names of the gateways that do not within `timeout`.
+    async fn find_gateways_not_serving(
+        &self,
+        mut missing: Vec<usize>,
+        timeout: Duration,
+    ) -> Vec<String> {
         let started_at = Instant::now();
-        let mut missing: Vec<usize> = (0..self.slots.len()).collect();
         while !missing.is_empty() && started_at.elapsed() < timeout {
             let mut still_missing = Vec::new();
             for index in missing {
@@ -391,8 +400,9 @@
         }
     }
 
-    async fn check_recovery(&self, history: &mut History) {
-        history.unrecovered_gateways = self.find_gateways_not_serving(RECOVERY_TIMEOUT).await;
+    async fn check_recovery(&self, history: &mut History, gateways: Vec<usize>) {
+        let not_serving = self.find_gateways_not_serving(gateways, RECOVERY_TIMEOUT);
+        history.unrecovered_gateways.extend(not_serving.await);
     }
 
     async fn check_last_configuration(&self, history: &mut History) {
