--- a/crates/gorsebank/tests/soak/main.rs
+++ b/crates/gorsebank/tests/soak/main.rs
@@ -46,12 +46,10 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn guarantees_hold_under_faults() {
-    let gateways = env_number("GORSEBANK_SOAK_GATEWAYS").unwrap_or(DEFAULT_GATEWAYS);
-    let gateways = gateways.clamp(1, MAX_GATEWAYS) as usize;
     check_seeds(
         selected_seeds(),
         run_length(),
-        gateways,
+        selected_gateways(),
         ExtraFaults::Nothing,
     )
     .await;
@@ -111,12 +109,10 @@
 /// included, engines lose their models, and some gateways return later than the others.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn guarantees_hold_with_garbled_responses_and_a_loss_of_power() {
-    let gateways = env_number("GORSEBANK_SOAK_GATEWAYS").unwrap_or(DEFAULT_GATEWAYS);
-    let gateways = gateways.clamp(1, MAX_GATEWAYS) as usize;
     check_seeds(
         selected_seeds(),
         run_length(),
-        gateways,
+        selected_gateways(),
         ExtraFaults::Garbles,
     )
     .await;
@@ -205,6 +201,11 @@
     Duration::from_secs(env_number("GORSEBANK_SOAK_SECONDS").unwrap_or(DEFAULT_SECONDS))
 }
 
+fn selected_gateways() -> usize {
+    let gateways = env_number("GORSEBANK_SOAK_GATEWAYS").unwrap_or(DEFAULT_GATEWAYS);
+    gateways.clamp(1, MAX_GATEWAYS) as usize
+}
+
 fn env_number(variable: &str) -> Option<u64> {
     std::env::var(variable).ok()?.parse().ok()
 }
