--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -116,7 +116,7 @@
         call.shared.metrics.record_not_run(source);
     }
     if !matches!(&result, AttemptResult::Responded(response) if response.head.status.is_success()) {
-        let may_have_run = matches!(result, AttemptResult::MayHaveRun(_));
+        let may_have_run = not_run_by.is_none();
         let fields = format_args!(
             "request={} back_end={} result={result_label} may_have_run={may_have_run} not_run_by={} attempt={} \
              connection={} exchange={} took_ms={} row_version={} row_age_ms={}",
