--- a/crates/gateway/src/feed/sync_policy.rs
+++ b/crates/gateway/src/feed/sync_policy.rs
@@ -48,8 +48,8 @@
     pub is_urgent: bool,
     /// Whether the table changes continuously.
     pub is_busy: bool,
-    /// Whether the table names gateways that others depend on: parents, or the placement holder.
-    pub names_gateways: bool,
+    /// Whether the table names the gateways that can be parents.
+    pub names_parents: bool,
 }
 
 impl TableSyncPolicy {
@@ -88,7 +88,7 @@
         newest_only: true,
         is_urgent: true,
         is_busy: true,
-        names_gateways: false,
+        names_parents: false,
     };
     let non_urgent = |table| TableSyncPolicy {
         max_wait: MAX_NON_URGENT_WAIT,
@@ -111,11 +111,10 @@
         // not renewed.
         TableSyncPolicy {
             max_wait: MAX_UPDATE_WAIT,
-            names_gateways: true,
             ..non_urgent(tables.lease)
         },
         TableSyncPolicy {
-            names_gateways: true,
+            names_parents: true,
             ..non_urgent(tables.members)
         },
         TableSyncPolicy {
--- a/crates/gateway/src/feed/table_sync.rs
+++ b/crates/gateway/src/feed/table_sync.rs
@@ -59,10 +59,10 @@
     shared.feed.parents.lock().record_source(None);
     let is_root = shared.feed.parents.lock().position() == TreePosition::Root;
     let tables = table_sync_policies(&shared.platform.tables()).into_iter();
-    // A gateway that follows the table only temporarily has no parent that could tell it about other
-    // gateways.
+    // A gateway that follows the table only temporarily reads the urgent tables, and where its parents
+    // are, since it has none that could tell.
     let followed_tables =
-        tables.filter(|policy| is_root || policy.is_urgent || policy.names_gateways);
+        tables.filter(|policy| is_root || policy.is_urgent || policy.names_parents);
     let _table_tasks: Vec<AbortOnDrop> = followed_tables
         .map(|policy| AbortOnDrop(tokio::spawn(follow_one_table(shared.clone(), policy))))
         .collect();
