--- a/crates/gateway/src/feed/table_sync.rs
+++ b/crates/gateway/src/feed/table_sync.rs
@@ -59,8 +59,8 @@
     shared.feed.parents.lock().record_source(None);
     let is_root = shared.feed.parents.lock().position() == TreePosition::Root;
     let tables = table_sync_policies(&shared.platform.tables()).into_iter();
-    // A gateway that follows the table only temporarily reads the urgent tables, and where its parents
-    // are, since it has none that could tell.
+    // A gateway that follows the table only temporarily has no parent that could tell it which other
+    // gateways exist.
     let followed_tables =
         tables.filter(|policy| is_root || policy.is_urgent || policy.names_parents);
     let _table_tasks: Vec<AbortOnDrop> = followed_tables
