Soak: losses of all power with engines whose loads take their time

The soak's loss of power asked each gateway for one request from engines that load in no time and serve every model, so it could not show a service that returns late. Engines take 10.2 s or 1 s to load, reject requests for models that they do not hold, and return under their names with a later start time; orders to the previous processes are carried out late; application back ends lose power too; tenants have quotas; power may be lost again during the return.

--- a/crates/gorsebank/tests/soak/callers.rs
+++ b/crates/gorsebank/tests/soak/callers.rs
@@ -5,6 +5,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use http::HeaderValue;
+use http::header::AUTHORIZATION;
 use parking_lot::Mutex;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -25,6 +27,9 @@
 const COLD_FRACTION: f64 = 0.1;
 /// Models that are loaded on demand.
 const COLD_MODELS: [&str; 3] = ["cold", EXTRA_MODELS[0], EXTRA_MODELS[1]];
+/// Number of routes in `ROUTES` to back ends without models, which come first; as many follow to
+/// engines.
+const PLAIN_ROUTES: usize = 2;
 /// Request kinds with the paths of their routes.
 const ROUTES: [(RequestKind, &str); 4] = [
     (RequestKind::Idempotent, "/read/"),
@@ -33,6 +38,66 @@
     (RequestKind::Resumable, "/resumable/"),
 ];
 
+/// What callers ask for, and how often.
+#[derive(Clone, Debug)]
+pub struct Workload {
+    /// Fraction of requests for back ends without models; `None` for equal shares of all routes.
+    pub plain_fraction: Option<f64>,
+    /// Fraction of requests that ask for one of `cold_models`; the others ask for `warm`.
+    pub cold_fraction: f64,
+    /// Models that are loaded on demand, the most wanted first.
+    pub cold_models: Vec<String>,
+    /// Number of draws of a cold model, of which the most wanted one counts; 1 for equal shares.
+    pub popularity_draws: usize,
+    /// Upper bound on the pause between two requests of one caller, in milliseconds.
+    pub max_pause_ms: u64,
+    /// API keys, which the callers use in turn; empty if callers need none.
+    pub api_keys: Vec<String>,
+}
+
+impl Default for Workload {
+    fn default() -> Self {
+        Workload {
+            plain_fraction: None,
+            cold_fraction: COLD_FRACTION,
+            cold_models: COLD_MODELS.map(str::to_owned).to_vec(),
+            popularity_draws: 1,
+            max_pause_ms: MAX_PAUSE_MS,
+            api_keys: Vec::new(),
+        }
+    }
+}
+
+impl Workload {
+    fn draw_route(&self, random: &mut ChaCha8Rng) -> (RequestKind, &'static str) {
+        let Some(plain_fraction) = self.plain_fraction else {
+            return ROUTES[random.random_range(0..ROUTES.len())];
+        };
+        let is_plain = random.random_bool(plain_fraction);
+        let first = if is_plain { 0 } else { PLAIN_ROUTES };
+        ROUTES[first + random.random_range(0..PLAIN_ROUTES)]
+    }
+
+    fn authorization(&self, caller: usize) -> Option<HeaderValue> {
+        let index = caller.checked_rem(self.api_keys.len())?;
+        Some(authorization(&self.api_keys[index]))
+    }
+
+    fn draw_model(&self, random: &mut ChaCha8Rng) -> &str {
+        let is_cold = random.random_bool(self.cold_fraction);
+        let draws = 0..self.popularity_draws;
+        let draws = draws.map(|_| random.random_range(0..self.cold_models.len()));
+        let cold_model = &self.cold_models[draws.min().unwrap_or(0)];
+        if is_cold { cold_model } else { "warm" }
+    }
+}
+
+/// Returns the value of the header that states an API key.
+pub fn authorization(key: &str) -> HeaderValue {
+    let value = format!("Bearer {key}");
+    value.parse().expect("a header value")
+}
+
 /// A caller that sends one request at a time.
 pub struct Caller {
     /// Number of the caller within the run.
@@ -43,6 +108,7 @@
     pub requests: Arc<Mutex<Vec<CallerRequest>>>,
     /// Start of the run; all recorded times are relative to it.
     pub started_at: Instant,
+    workload: Workload,
     random: ChaCha8Rng,
     kept_connection: Option<(Endpoint, Client)>,
     request_count: usize,
@@ -56,12 +122,14 @@
         slots: Arc<Vec<Mutex<GatewaySlot>>>,
         requests: Arc<Mutex<Vec<CallerRequest>>>,
         started_at: Instant,
+        workload: Workload,
     ) -> Self {
         Caller {
             number,
             slots,
             requests,
             started_at,
+            workload,
             random: ChaCha8Rng::seed_from_u64(seed * 1_000 + number as u64),
             kept_connection: None,
             request_count: 0,
@@ -71,7 +139,7 @@
     /// Sends requests until the run is `until` old.
     pub async fn run(mut self, until: Duration) {
         while self.started_at.elapsed() < until {
-            let (kind, path) = ROUTES[self.random.random_range(0..ROUTES.len())];
+            let (kind, path) = self.workload.draw_route(&mut self.random);
             let response = self.send(kind, path).await;
             let retry_after = response
                 .as_ref()
@@ -80,22 +148,31 @@
             if let Some(pause) = retry_after {
                 sleep(Duration::from_secs_f64(pause.min(MAX_RETRY_AFTER_SECONDS))).await;
             }
-            let pause = self.random.random_range(1..MAX_PAUSE_MS);
+            let pause = self.random.random_range(1..self.workload.max_pause_ms);
             sleep(Duration::from_millis(pause)).await;
         }
     }
 
     async fn send(&mut self, kind: RequestKind, path: &str) -> Option<ClientResponse> {
-        let (endpoint, mut client) = self.connection().await?;
+        let (endpoint, client) = self.connection().await?;
         let id = format!("c{}-{}", self.number, self.request_count);
         self.request_count += 1;
-        let is_cold = self.random.random_bool(COLD_FRACTION);
-        let cold_model = COLD_MODELS[self.random.random_range(0..COLD_MODELS.len())];
-        let model = if is_cold { cold_model } else { "warm" };
+        let model = self.workload.draw_model(&mut self.random);
+        let mut message = request_within(&id, path, model, TIMEOUT_MS);
+        if let Some(value) = self.workload.authorization(self.number) {
+            message.headers_mut().insert(AUTHORIZATION, value);
+        }
         let sent_at = self.started_at.elapsed();
-        let response = client
-            .send(request_within(&id, path, model, TIMEOUT_MS))
-            .await;
+        let response = match client {
+            Some(mut client) => {
+                let response = client.send(message).await;
+                if client.is_open() {
+                    self.kept_connection = Some((endpoint, client));
+                }
+                response
+            }
+            None => None,
+        };
         let request = CallerRequest {
             id,
             kind,
@@ -105,24 +182,22 @@
             outcome: response.as_ref().map_or(Outcome::Closed, outcome),
         };
         self.requests.lock().push(request);
-        if client.is_open() {
-            self.kept_connection = Some((endpoint, client));
-        }
         response
     }
 
-    /// Returns the open connection, or a new connection to a randomly chosen gateway.
-    async fn connection(&mut self) -> Option<(Endpoint, Client)> {
+    /// Returns the open connection, or a new connection to a randomly chosen gateway, and the endpoint;
+    /// `None` if the gateway has no process.
+    async fn connection(&mut self) -> Option<(Endpoint, Option<Client>)> {
         if let Some((endpoint, client)) = self
             .kept_connection
             .take()
             .filter(|(_, client)| client.is_open())
         {
-            return Some((endpoint, client));
+            return Some((endpoint, Some(client)));
         }
         let index = self.random.random_range(0..self.slots.len());
         let endpoint = self.slots[index].lock().endpoint()?;
-        let client = Client::try_connect(endpoint.caller_address).await?;
+        let client = Client::try_connect(endpoint.caller_address).await;
         Some((endpoint, client))
     }
 }
--- a/crates/gorsebank/tests/soak/guarantees.rs
+++ b/crates/gorsebank/tests/soak/guarantees.rs
@@ -8,7 +8,7 @@
     CallerRequest, DisturbanceKind, History, LimitedBackEnd, Outcome, RequestKind,
 };
 use super::platform::process::MEMORY_MEGABYTES;
-use super::statements;
+use super::{service_return, statements};
 
 /// Response statuses which promise that the request did not run and never will.
 const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
@@ -66,6 +66,8 @@
     Recovery,
     /// Every gateway applies the last configuration in time.
     Configuration,
+    /// Requests are served again in time after a loss of all power.
+    Return,
 }
 
 /// A violation of a guarantee.
@@ -122,6 +124,7 @@
     for pauses in &history.requested_pauses {
         findings.extend(statements::check_requested_pauses(history, pauses));
     }
+    findings.extend(service_return::check_return(history));
     let any_suspended = history
         .disturbances
         .iter()
--- a/crates/gorsebank/tests/soak/history.rs
+++ b/crates/gorsebank/tests/soak/history.rs
@@ -17,6 +17,13 @@
     Resumable,
 }
 
+impl RequestKind {
+    /// Whether requests of this kind need a model.
+    pub fn needs_model(self) -> bool {
+        matches!(self, RequestKind::Stream | RequestKind::Resumable)
+    }
+}
+
 /// What a caller received for a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -52,6 +59,21 @@
     pub outcome: Outcome,
 }
 
+impl CallerRequest {
+    /// Whether the caller received a complete, successful response.
+    pub fn is_served(&self) -> bool {
+        let outcome = &self.outcome;
+        matches!(
+            outcome,
+            Outcome::Response {
+                status: 200,
+                is_complete: true,
+                ..
+            }
+        )
+    }
+}
+
 /// A fault that disturbed a process, the table or a back end for some time.
 #[derive(Clone, Debug)]
 pub struct Disturbance {
@@ -110,6 +132,15 @@
     pub arrivals: Vec<(Duration, usize)>,
 }
 
+/// The return of power after the last loss of it.
+#[derive(Clone, Copy, Debug)]
+pub struct PowerReturn {
+    /// Time at which power returned.
+    pub at: Duration,
+    /// Whether engines still had the copies of weights on their disks.
+    pub has_disks: bool,
+}
+
 /// A back end that announced its drain in its responses.
 #[derive(Clone, Debug)]
 pub struct ResponseDrain {
@@ -155,6 +186,8 @@
     pub requested_pauses: Vec<RequestedPauses>,
     /// Largest memory that gateways used, in bytes, with their names.
     pub peak_memory: Vec<(String, u64)>,
+    /// The return after the last loss of all power.
+    pub power_return: Option<PowerReturn>,
     /// Gateways that did not serve requests in time after the last fault.
     pub unrecovered_gateways: Vec<String>,
     /// Gateways that did not apply the last configuration in time.
--- a/crates/gorsebank/tests/soak/main.rs
+++ b/crates/gorsebank/tests/soak/main.rs
@@ -23,15 +23,17 @@
 mod plan;
 mod report;
 mod run;
+mod service_return;
 mod statements;
 
 use std::ops::Range;
 use std::path::PathBuf;
 use std::time::Duration;
 
-use plan::draw_faults;
+use plan::{draw_faults, draw_power_losses};
 use report::Report;
 use run::{ExtraFaults, RunOptions};
+use service_return::summarize_return;
 
 /// Seeds that run by default.
 const DEFAULT_SEEDS: Range<u64> = 1..4;
@@ -42,7 +44,7 @@
 /// Default number of gateways.
 const DEFAULT_GATEWAYS: u64 = 3;
 /// Upper bound on the number of gateways in a run; each gateway is a process.
-const MAX_GATEWAYS: u64 = 60;
+const MAX_GATEWAYS: u64 = 70;
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn guarantees_hold_under_faults() {
@@ -118,6 +120,18 @@
     .await;
 }
 
+/// All machines lose power, once or twice, while callers go on; loads of engines take their time.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn service_returns_after_losses_of_all_power() {
+    check_seeds(
+        selected_seeds(),
+        run_length(),
+        selected_gateways(),
+        ExtraFaults::PowerLosses,
+    )
+    .await;
+}
+
 /// Guards against orders that a previous placement holder sends after those of a newer holder. The
 /// previous holder was asked to stop while the table lost responses. The table had applied the
 /// release of its lease, but the holder did not receive the response and went on sending orders. In
@@ -170,11 +184,21 @@
             extra_faults,
             log_folder,
         };
-        let history = run::execute_run(options).await;
+        let history = match extra_faults {
+            ExtraFaults::PowerLosses => run::execute_power_losses(options).await,
+            _ => run::execute_run(options).await,
+        };
         let findings = guarantees::check_guarantees(&history);
-        let schedule = draw_faults(seed, length);
+        let schedule = match extra_faults {
+            ExtraFaults::PowerLosses => Vec::new(),
+            _ => draw_faults(seed, length),
+        };
         let report = Report::new(seed, &schedule, &history, &findings);
         println!("{}", summarize_run(&report, history.requests.len()));
+        if let Some(power_return) = history.power_return {
+            println!("  {:?}", draw_power_losses(seed));
+            println!("  {}", summarize_return(&history, power_return));
+        }
         if let Some(folder) = folder {
             let result = report.write(&folder, &schedule);
             result.expect("GORSEBANK_SOAK_REPORT names a writable folder");
--- a/crates/gorsebank/tests/soak/plan.rs
+++ b/crates/gorsebank/tests/soak/plan.rs
@@ -26,6 +26,18 @@
 const RESTORE_STREAM: u64 = 4;
 /// Random stream from which garbled responses are drawn.
 const GARBLE_STREAM: u64 = 5;
+/// Random stream from which losses of all power are drawn.
+const POWER_STREAM: u64 = 6;
+/// Bounds on the time without power, in milliseconds.
+const OUTAGE_MS: Range<u64> = 1_000..3_000;
+/// Upper bound on the time from the return of power until the table responds, and from then until
+/// the back ends write their rows, in milliseconds.
+const MAX_RETURN_DELAY_MS: u64 = 2_000;
+/// Bounds on the time from the return of power until it is lost again, in milliseconds.
+const SECOND_LOSS_MS: Range<u64> = 2_000..9_000;
+/// Upper bound on the time from the return of power until a late order is carried out, in
+/// milliseconds. An order is carried out within 13 s after it was sent or never.
+const MAX_LATE_ORDER_MS: u64 = 8_000;
 /// Maximum number of times that a back end garbles its responses in a run.
 const MAX_GARBLES: usize = 6;
 /// Maximum number of restores of the table in a run.
@@ -134,6 +146,30 @@
     pub target: usize,
 }
 
+/// A loss of power at all machines, and how they return.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PowerLoss {
+    /// Time without power.
+    pub outage: Duration,
+    /// Time from the return of power until the table responds.
+    pub table_delay: Duration,
+    /// Time from then until the back ends write their rows.
+    pub rows_delay: Duration,
+    /// Whether engines still have the copies of weights on their disks.
+    pub keeps_disks: bool,
+    /// Whether the table still contains the rows that back ends wrote before the loss.
+    pub keeps_rows: bool,
+    /// Whether gateways return at their addresses.
+    pub keeps_addresses: bool,
+    /// Whether some gateways do not return.
+    pub has_absent_gateways: bool,
+    /// Time from the return of power until orders to the previous processes, which had no response,
+    /// are carried out.
+    pub late_order_delay: Duration,
+    /// Time from the return of power until the next loss, if there is another one.
+    pub until_next: Duration,
+}
+
 /// A rate limit that a back end states for some time.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ScheduledLimit {
@@ -339,6 +375,25 @@
     drawn.collect()
 }
 
+/// Draws the losses of power of a run: one, or a second one during the return from the first.
+pub fn draw_power_losses(seed: u64) -> Vec<PowerLoss> {
+    let mut random = random_stream(seed, POWER_STREAM);
+    let keeps_disks = random.random_bool(0.6);
+    let count = random.random_range(1..=2);
+    let drawn = (0..count).map(|_| PowerLoss {
+        outage: draw_duration(&mut random, OUTAGE_MS),
+        table_delay: draw_duration(&mut random, 0..MAX_RETURN_DELAY_MS),
+        rows_delay: draw_duration(&mut random, 0..MAX_RETURN_DELAY_MS),
+        keeps_disks,
+        keeps_rows: random.random_bool(0.7),
+        keeps_addresses: random.random_bool(0.6),
+        has_absent_gateways: random.random_bool(0.4),
+        late_order_delay: draw_duration(&mut random, 0..MAX_LATE_ORDER_MS),
+        until_next: draw_duration(&mut random, SECOND_LOSS_MS),
+    });
+    drawn.collect()
+}
+
 /// Draws the faults of a run, sorted by time.
 pub fn draw_faults(seed: u64, length: Duration) -> Vec<ScheduledFault> {
     let mut random = ChaCha8Rng::seed_from_u64(seed);
--- a/crates/gorsebank/tests/soak/report.rs
+++ b/crates/gorsebank/tests/soak/report.rs
@@ -32,6 +32,10 @@
     pub served: usize,
     /// Requests among them that were rejected as not run.
     pub refused: usize,
+    /// Requests among them that need a model.
+    pub model_requests: usize,
+    /// Requests among those with a complete, successful response.
+    pub models_served: usize,
     /// Median latency of the served requests, in milliseconds.
     pub median_ms: u64,
     /// Highest latency of the served requests, in milliseconds.
@@ -189,9 +193,13 @@
         .collect();
     times.sort();
     let milliseconds = |time: Option<&Duration>| time.map_or(0, |time| time.as_millis() as u64);
+    let model_requests = ended.iter().filter(|request| request.kind.needs_model());
+    let models_served = model_requests.clone().filter(|request| request.is_served());
     Second {
         requests: ended.len(),
         served: times.len(),
+        model_requests: model_requests.count(),
+        models_served: models_served.count(),
         refused: ended.iter().filter(|request| has(request, "503")).count(),
         median_ms: milliseconds(times.get(times.len() / 2)),
         longest_ms: milliseconds(times.last()),
--- a/crates/gorsebank/tests/soak/run.rs
+++ b/crates/gorsebank/tests/soak/run.rs
@@ -4,6 +4,7 @@
 mod faults;
 mod observations;
 mod power_loss;
+mod power_return;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::path::PathBuf;
@@ -11,12 +12,13 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
+use http::header::AUTHORIZATION;
 use parking_lot::Mutex;
 use serde_json::{Value, json};
 use tokio::task::JoinSet;
 use tokio::time::{sleep, sleep_until};
 
-use super::callers::Caller;
+use super::callers::{Caller, Workload, authorization};
 use super::gateways::GatewaySlot;
 use super::history::{
     Disturbance, DisturbanceKind, History, LimitedBackEnd, ResponseDrain, RowDrain,
@@ -30,6 +32,7 @@
 use super::platform::tcp_proxy::TcpProxy;
 use super::platform::{configuration, configuration_with_prefix, server_row};
 use behaviour::{Conditions, reply_to};
+pub use power_return::execute_power_losses;
 
 /// Number of back ends of each service.
 const BACK_ENDS_PER_SERVICE: usize = 3;
@@ -52,6 +55,10 @@
 const CRASHING_BODY_PREFIX: &[u8] = b"ends whoever runs it ";
 /// Start time of the first back ends, in milliseconds since the Unix epoch.
 const FIRST_START_MS: u64 = 1_700_000_000_000;
+/// Paths of an idempotent, a mutating and a stream request.
+const SERVED_PATHS: [&str; 3] = ["/read/", "/top-up/", "/stream/"];
+/// API key of the requests that check whether a gateway serves.
+const PROBE_KEY: &str = "probe-key";
 /// Interval at which gateways are polled.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -109,6 +116,8 @@
     Restores,
     /// Back ends send surplus, endless and garbled bytes, and at last all machines lose power.
     Garbles,
+    /// All machines lose power while callers go on, and no other fault is injected.
+    PowerLosses,
 }
 
 /// Options of a run.
@@ -139,7 +148,9 @@
     let mut callers = JoinSet::new();
     for number in 0..CALLERS_PER_GATEWAY * gateways {
         let slots = run.slots.clone();
-        let caller = Caller::new(seed, number, slots, Arc::clone(&requests), run.started_at);
+        let requests = Arc::clone(&requests);
+        let workload = Workload::default();
+        let caller = Caller::new(seed, number, slots, requests, run.started_at, workload);
         callers.spawn(caller.run(run.callers_until));
     }
     let base = tokio::time::Instant::now();
@@ -151,7 +162,7 @@
         replacements.spawn(run.clone().replace_when_exited(back_end.clone()));
     }
     match options.extra_faults {
-        ExtraFaults::Nothing => {}
+        ExtraFaults::Nothing | ExtraFaults::PowerLosses => {}
         ExtraFaults::Limits => {
             for limit in draw_limits(seed, length) {
                 faults.spawn(run.clone().state_limit(limit));
@@ -205,9 +216,28 @@
 
 impl Run {
     async fn start(options: &RunOptions) -> Self {
+        let mut run = Run::start_gateways(options, with_extra_models(configuration(1))).await;
+        for _ in 0..BACK_ENDS_PER_SERVICE {
+            run.add_back_end("app").await;
+            run.add_back_end("llm").await;
+        }
+        let all = (0..options.gateways).collect();
+        let not_serving = run
+            .find_gateways_not_serving(all, STARTUP_TIMEOUT, &SERVED_PATHS)
+            .await;
+        assert!(
+            not_serving.is_empty(),
+            "gateways do not become ready: {not_serving:?}"
+        );
+        run.callers_until = run.started_at.elapsed() + options.length;
+        run
+    }
+
+    /// Starts the table with a configuration, and the gateways.
+    async fn start_gateways(options: &RunOptions, configuration: Value) -> Self {
         let gateways = options.gateways;
         let store = Store::start().await;
-        store.put("op", "config", with_extra_models(configuration(1)));
+        store.put("op", "config", configuration);
         let mut slots = Vec::new();
         for number in 0..gateways {
             let wire = TcpProxy::start(store.address).await;
@@ -219,7 +249,7 @@
             );
             slots.push(Mutex::new(slot));
         }
-        let mut run = Run {
+        Run {
             store,
             slots: Arc::new(slots),
             listed: Mutex::default(),
@@ -231,25 +261,16 @@
             limited_back_ends: Mutex::default(),
             response_drains: Mutex::default(),
             peak_memory: Mutex::default(),
-            announces_start_times: options.extra_faults == ExtraFaults::Rows,
+            announces_start_times: matches!(
+                options.extra_faults,
+                ExtraFaults::Rows | ExtraFaults::PowerLosses
+            ),
             restarting: Mutex::default(),
             started_at: Instant::now(),
             process_count: AtomicUsize::new(gateways),
             configuration_version: Mutex::new(1),
             restoring: tokio::sync::Mutex::default(),
-        };
-        for _ in 0..BACK_ENDS_PER_SERVICE {
-            run.add_back_end("app").await;
-            run.add_back_end("llm").await;
         }
-        let all = (0..gateways).collect();
-        let not_serving = run.find_gateways_not_serving(all, STARTUP_TIMEOUT).await;
-        assert!(
-            not_serving.is_empty(),
-            "gateways do not become ready: {not_serving:?}"
-        );
-        run.callers_until = run.started_at.elapsed() + options.length;
-        run
     }
 
     async fn add_back_end(&self, service: &'static str) -> BackEnd {
@@ -259,6 +280,19 @@
 
     /// Adds a back end under a name that another back end may have had before.
     async fn add_back_end_as(&self, id: &str, service: &'static str) -> BackEnd {
+        let back_end = self.start_back_end(id, service, None).await;
+        self.put_row(&back_end, "ready");
+        self.listed.lock().push(back_end.clone());
+        back_end
+    }
+
+    /// Starts a back end without a row, at the address of a previous one if there is one.
+    async fn start_back_end(
+        &self,
+        id: &str,
+        service: &'static str,
+        previous: Option<&BackEnd>,
+    ) -> BackEnd {
         let conditions = Arc::new(Conditions::default());
         let (runner_conditions, crash_arrivals, started_at) = (
             conditions.clone(),
@@ -275,17 +309,22 @@
             reply_to(seen, &runner_conditions)
         };
         let runner = Runner::start(id, behaviour).await;
-        let wire = Arc::new(TcpProxy::start(runner.address).await);
+        let wire = match previous {
+            Some(previous) => TcpProxy::start_at(previous.wire.address, runner.address).await,
+            None => TcpProxy::start(runner.address).await,
+        };
         let start = FIRST_START_MS + self.started_at.elapsed().as_millis() as u64;
+        let start_time_ms = self.announces_start_times.then_some(start);
+        if let Some(start_time_ms) = start_time_ms {
+            runner.set_start_time(start_time_ms);
+        }
         let back_end = BackEnd {
             runner,
             service,
-            wire,
+            wire: Arc::new(wire),
             conditions,
-            start_time_ms: self.announces_start_times.then_some(start),
+            start_time_ms,
         };
-        self.put_row(&back_end, "ready");
-        self.listed.lock().push(back_end.clone());
         self.all_back_ends.lock().push(back_end.clone());
         back_end
     }
@@ -344,21 +383,19 @@
         self.store.put("op", "config", with_extra_models(newer));
     }
 
-    /// Polls until each of these gateways serves an idempotent, a mutating and a stream request.
-    /// Returns the names of the gateways that do not within `timeout`.
+    /// Polls until each of these gateways serves a request on each of these paths. Returns the names of
+    /// the gateways that do not within `timeout`.
     async fn find_gateways_not_serving(
         &self,
         mut missing: Vec<usize>,
         timeout: Duration,
+        paths: &[&str],
     ) -> Vec<String> {
         let started_at = Instant::now();
         while !missing.is_empty() && started_at.elapsed() < timeout {
             let mut still_missing = Vec::new();
             for index in missing {
-                if !self
-                    .serves(index, &["/read/", "/top-up/", "/stream/"])
-                    .await
-                {
+                if !self.serves(index, paths).await {
                     still_missing.push(index);
                 }
             }
@@ -384,7 +421,11 @@
             return false;
         }
         for path in paths {
-            let response = send(endpoint.caller_address, request("probe", path)).await;
+            let mut probe = request("probe", path);
+            probe
+                .headers_mut()
+                .insert(AUTHORIZATION, authorization(PROBE_KEY));
+            let response = send(endpoint.caller_address, probe).await;
             if response.is_none_or(|response| response.status != 200) {
                 return false;
             }
@@ -401,7 +442,7 @@
     }
 
     async fn check_recovery(&self, history: &mut History, gateways: Vec<usize>) {
-        let not_serving = self.find_gateways_not_serving(gateways, RECOVERY_TIMEOUT);
+        let not_serving = self.find_gateways_not_serving(gateways, RECOVERY_TIMEOUT, &SERVED_PATHS);
         history.unrecovered_gateways.extend(not_serving.await);
     }
 
@@ -425,6 +466,9 @@
     if let Some(start_time_ms) = back_end.start_time_ms {
         row["born"] = json!(start_time_ms);
     }
+    if back_end.runner.has_load_times() {
+        (row["models"], row["resident"]) = back_end.runner.row_models();
+    }
     row
 }
 
--- a/crates/gorsebank/tests/soak/run/power_loss.rs
+++ b/crates/gorsebank/tests/soak/run/power_loss.rs
@@ -9,7 +9,7 @@
 use crate::history::{Disturbance, DisturbanceKind};
 
 /// Every gateway whose index is a multiple of this number stays away at first.
-const ABSENT_INTERVAL: usize = 3;
+pub(super) const ABSENT_INTERVAL: usize = 3;
 /// Time without power.
 const OUTAGE: Duration = Duration::from_millis(2_500);
 /// Time after the return of power until the table responds.
--- /dev/null
+++ b/crates/gorsebank/tests/soak/run/power_return.rs
@@ -0,0 +1,258 @@
+//! Losses of all power while callers go on. Gateways, back ends and the table end at one moment and
+//! return one after the other; engines return under their names, empty, and their loads take time.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use serde_json::{Value, json};
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+
+use super::power_loss::ABSENT_INTERVAL;
+use super::{BackEnd, Run, RunOptions, back_end_row};
+use crate::callers::{Caller, Workload};
+use crate::history::{Disturbance, DisturbanceKind, History, PowerReturn};
+use crate::plan::{PowerLoss, draw_power_losses};
+use crate::platform::configuration;
+use crate::platform::engine::LoadTimes;
+use crate::service_return::RETURN_BOUND;
+
+/// Number of engines.
+const ENGINES: usize = 9;
+/// Number of models. An engine has memory for two of them.
+const MODELS: usize = 12;
+/// Number of callers.
+const CALLERS: usize = 24;
+/// Number of tenants.
+const TENANTS: usize = 4;
+/// Quota of each tenant, in tokens per second. Requests of its callers cost a small part of it.
+const TOKENS_PER_SECOND: f64 = 20_000.0;
+/// Durations of loads.
+const LOAD_TIMES: LoadTimes = LoadTimes {
+    store: Duration::from_millis(10_200),
+    disk: Duration::from_millis(1_000),
+};
+/// Interval at which engines compare their rows with their models.
+const ROW_INTERVAL: Duration = Duration::from_millis(100);
+/// Time before a loss of power from which some engines do not respond to orders.
+const UNANSWERED_ORDERS_TIME: Duration = Duration::from_millis(1_500);
+/// Every engine whose index is a multiple of this number does not respond to orders then.
+const UNANSWERED_INTERVAL: usize = 3;
+/// Period after the bound in which requests are counted.
+const COUNTED_TIME: Duration = Duration::from_secs(6);
+
+/// Runs the losses of power of a seed and returns what was observed.
+pub async fn execute_power_losses(options: RunOptions) -> History {
+    let run = Arc::new(Run::start_with_loads(&options).await);
+    let mut row_writers = JoinSet::new();
+    row_writers.spawn(run.clone().maintain_engine_rows());
+    let requests = Arc::default();
+    let mut callers = JoinSet::new();
+    for number in 0..CALLERS {
+        let (slots, requests) = (run.slots.clone(), Arc::clone(&requests));
+        let (seed, started_at) = (options.seed, run.started_at);
+        let caller = Caller::new(seed, number, slots, requests, started_at, workload());
+        callers.spawn(caller.run(Duration::MAX));
+    }
+    sleep(options.length.saturating_sub(UNANSWERED_ORDERS_TIME)).await;
+    let mut history = History::default();
+    let losses = draw_power_losses(options.seed);
+    for (index, loss) in losses.iter().enumerate() {
+        run.drop_orders();
+        sleep(UNANSWERED_ORDERS_TIME).await;
+        let power_return = run.lose_and_return_power(*loss).await;
+        history.power_return = Some(power_return);
+        if index + 1 < losses.len() {
+            sleep(loss.until_next.saturating_sub(UNANSWERED_ORDERS_TIME)).await;
+        } else {
+            let until = power_return.at + RETURN_BOUND + COUNTED_TIME;
+            sleep(until.saturating_sub(run.started_at.elapsed())).await;
+        }
+    }
+    callers.shutdown().await;
+    history.requests = std::mem::take(&mut *requests.lock());
+    (0..options.gateways).for_each(|index| run.record_peak_memory(index));
+    run.collect_observations(&mut history);
+    run.slots.iter().for_each(|slot| slot.lock().kill());
+    history
+}
+
+fn workload() -> Workload {
+    Workload {
+        plain_fraction: Some(0.31),
+        cold_fraction: 1.0,
+        cold_models: (0..MODELS).map(model_name).collect(),
+        popularity_draws: 2,
+        max_pause_ms: 300,
+        api_keys: (0..TENANTS).map(api_key).collect(),
+    }
+}
+
+fn api_key(tenant: usize) -> String {
+    format!("key-{tenant}")
+}
+
+fn model_name(number: usize) -> String {
+    format!("m{number}")
+}
+
+/// Returns the configuration with models that load slowly.
+fn configuration_with_loads() -> Value {
+    let mut document = configuration(1);
+    let models = (0..MODELS).map(|number| {
+        json!({"name": model_name(number), "weightsMb": 70.0, "loadS": LOAD_TIMES.store.as_secs_f64(),
+               "diskLoadS": LOAD_TIMES.disk.as_secs_f64(), "adapters": 0, "adapterMb": 1.0})
+    });
+    document["services"][1]["engine"]["models"] = models.collect();
+    let tenants = (0..TENANTS).map(|tenant| {
+        json!({"name": format!("tenant-{tenant}"), "apiKeys": [api_key(tenant)], "unit": "token",
+               "plainTokens": 100, "ratePerS": TOKENS_PER_SECOND, "burst": TOKENS_PER_SECOND})
+    });
+    let prober = json!({"name": "prober", "apiKeys": [super::PROBE_KEY]});
+    document["tenants"] = tenants.chain([prober]).collect();
+    document
+}
+
+impl Run {
+    async fn start_with_loads(options: &RunOptions) -> Self {
+        let run = Run::start_gateways(options, configuration_with_loads()).await;
+        for _ in 0..super::BACK_ENDS_PER_SERVICE {
+            run.add_back_end("app").await;
+        }
+        for number in 0..ENGINES {
+            let engine = run.add_back_end("llm").await;
+            engine.runner.set_load_times(LOAD_TIMES);
+            let held = (0..2).map(|offset| model_name((2 * number + offset) % MODELS));
+            let held: Vec<String> = held.collect();
+            let next = (2..4).map(|offset| model_name((2 * number + offset) % MODELS));
+            engine
+                .runner
+                .set_models_on_disk(held.iter().cloned().chain(next).collect());
+            engine.runner.set_models(held);
+            run.put_row(&engine, "ready");
+        }
+        let all = (0..options.gateways).collect();
+        let not_serving = run
+            .find_gateways_not_serving(all, super::STARTUP_TIMEOUT, &["/read/"])
+            .await;
+        assert!(
+            not_serving.is_empty(),
+            "gateways do not become ready: {not_serving:?}"
+        );
+        run
+    }
+
+    /// Writes the rows of engines whenever their models change.
+    async fn maintain_engine_rows(self: Arc<Self>) {
+        loop {
+            sleep(ROW_INTERVAL).await;
+            if self.store.inner.is_unavailable.load(Ordering::Relaxed) {
+                continue;
+            }
+            let listed = self.listed.lock().clone();
+            for engine in listed.iter().filter(|back_end| back_end.service == "llm") {
+                let row = back_end_row(engine, "ready");
+                if self
+                    .store
+                    .value("servers", &engine.runner.id)
+                    .is_some_and(|known| known != row)
+                {
+                    self.store.put("servers", &engine.runner.id, row);
+                }
+            }
+        }
+    }
+
+    /// Lets some engines drop all further orders.
+    fn drop_orders(&self) {
+        let listed = self.listed.lock();
+        let engines = listed.iter().filter(|back_end| back_end.service == "llm");
+        for engine in engines.step_by(UNANSWERED_INTERVAL) {
+            engine
+                .runner
+                .orders_to_drop
+                .store(usize::MAX, Ordering::Relaxed);
+        }
+    }
+
+    async fn lose_and_return_power(self: &Arc<Self>, loss: PowerLoss) -> PowerReturn {
+        let from = self.started_at.elapsed();
+        let is_unavailable = &self.store.inner.is_unavailable;
+        is_unavailable.store(true, Ordering::Relaxed);
+        for index in 0..self.slots.len() {
+            self.record_peak_memory(index);
+            self.slots[index].lock().kill();
+        }
+        let lost = std::mem::take(&mut *self.listed.lock());
+        for back_end in &lost {
+            back_end.runner.exit();
+            back_end.wire.stop_listening();
+            if !loss.keeps_rows {
+                self.store.remove("servers", &back_end.runner.id);
+            }
+        }
+        sleep(loss.outage).await;
+        let power_return = PowerReturn {
+            at: self.started_at.elapsed(),
+            has_disks: loss.keeps_disks,
+        };
+        for index in 0..self.slots.len() {
+            if loss.has_absent_gateways && index.is_multiple_of(ABSENT_INTERVAL) {
+                continue;
+            }
+            let number = self.next_process_number();
+            let mut slot = self.slots[index].lock();
+            if loss.keeps_addresses {
+                slot.restart_in_place(number);
+            } else {
+                slot.restart(number);
+            }
+        }
+        let mut returned = Vec::new();
+        for back_end in &lost {
+            returned.push(self.return_back_end(back_end, loss).await);
+        }
+        sleep(loss.table_delay).await;
+        is_unavailable.store(false, Ordering::Relaxed);
+        sleep(loss.rows_delay).await;
+        for back_end in &returned {
+            self.put_row(back_end, "ready");
+        }
+        self.listed.lock().extend(returned);
+        self.disturbances.lock().push(Disturbance {
+            from,
+            until: self.started_at.elapsed(),
+            kind: DisturbanceKind::Table,
+        });
+        power_return
+    }
+
+    /// Starts a back end again under its name and at its address, without models.
+    async fn return_back_end(self: &Arc<Self>, lost: &BackEnd, loss: PowerLoss) -> BackEnd {
+        let returned = self
+            .start_back_end(&lost.runner.id, lost.service, Some(lost))
+            .await;
+        if lost.service != "llm" {
+            return returned;
+        }
+        returned.runner.unload_all();
+        returned.runner.set_load_times(LOAD_TIMES);
+        let kept = if loss.keeps_disks {
+            lost.runner.models_on_disk()
+        } else {
+            BTreeSet::new()
+        };
+        returned.runner.set_models_on_disk(kept);
+        let late_orders = lost.runner.dropped_orders();
+        let runner = returned.runner.clone();
+        tokio::spawn(async move {
+            sleep(loss.late_order_delay).await;
+            late_orders
+                .into_iter()
+                .for_each(|order| runner.execute_late_order(order));
+        });
+        returned
+    }
+}
