Log why no engine takes a load, and until when

After a loss of power, load_put_off said TooDear { loss: inf } for every model: neither that memory was kept free for orders to previous processes, nor until when. StoreCrowded did not say that the counted loads were those of a previous holder. Nothing told what a new holder knew at its first plan, or why a process was no candidate for the lease.

Now NoMemory gives the time until memory is free, memory_reserved and memory_released name the engines and whether unlisted orders are assumed, StoreCrowded tells counted, unconfirmed and admitted loads, placement_started what is known at the first plan, lease_candidacy why a process may not take the lease. No decision changes.

--- a/crates/fleet/src/placement/engine/mod.rs
+++ b/crates/fleet/src/placement/engine/mod.rs
@@ -20,7 +20,7 @@
 use unresolved_orders::UnresolvedOrders;
 
 use super::goal::Goal;
-use super::{OrderKind, OrderResult};
+use super::{MemoryReservation, OrderKind, OrderResult};
 use crate::back_end::{BackEndReport, CopyTier, EngineReport, Holdings, PlacedRow, PlannedLoad};
 use crate::configuration::{Engine, ModelSpec};
 use crate::incarnation::{Born, Incarnation, IncarnationMatch};
@@ -357,6 +357,16 @@
             - self.previous_orders.memory_needed(spec)
     }
 
+    /// Memory that is kept free for orders to previous incarnations, if there are any.
+    pub fn reservation(&self, now: Timestamp, spec: &Engine) -> Option<MemoryReservation> {
+        Some(MemoryReservation {
+            engine: self.observed.id.clone(),
+            memory_mb: self.previous_orders.memory_needed(spec),
+            for_ms: self.previous_orders.expires_in(now)?,
+            has_unlisted_orders: self.previous_orders.has_unlisted_orders(),
+        })
+    }
+
     /// Duration of a load on this engine, by where the engine has a copy of the weights.
     pub fn load_time(&self, model: &ModelId, spec: &ModelSpec) -> Duration {
         spec.load_from(self.observed.nearest_copy(model))
--- a/crates/fleet/src/placement/engine/unresolved_orders.rs
+++ b/crates/fleet/src/placement/engine/unresolved_orders.rs
@@ -93,6 +93,19 @@
         self.unlisted_until = self.unlisted_until.filter(|until| now < *until);
     }
 
+    /// Time until no order can be executed any more, in milliseconds; `None` if there are none.
+    pub fn expires_in(&self, now: Timestamp) -> Option<u64> {
+        let orders = self.orders.iter();
+        let expiries = orders.map(|unresolved| unresolved.sent_at + ORDER_LIFETIME_MS);
+        let last = expiries.chain(self.unlisted_until).max()?;
+        Some(last.since(now))
+    }
+
+    /// Whether orders are assumed that no row lists.
+    pub fn has_unlisted_orders(&self) -> bool {
+        self.unlisted_until.is_some()
+    }
+
     /// Models that the orders may load.
     pub fn models(&self) -> BTreeSet<&ModelId> {
         let loads = self
--- a/crates/fleet/src/placement/load_concurrency.rs
+++ b/crates/fleet/src/placement/load_concurrency.rs
@@ -133,15 +133,26 @@
     }
 
     /// Number of loads that may be in progress at the same time.
-    fn max_loads(&self) -> usize {
+    pub fn max_loads(&self) -> usize {
         self.estimate.max_loads as usize
     }
 
+    /// Number of loads that count as in progress.
+    pub fn active_loads(&self, now: Timestamp) -> usize {
+        let loads = self.active_loads.values();
+        loads.filter(|load| load.is_counted(now)).count()
+    }
+
+    /// Number of loads in progress that a previous holder ordered and no report has shown yet.
+    pub fn unconfirmed_loads(&self, now: Timestamp) -> usize {
+        let loads = self.active_loads.values();
+        let counted = loads.filter(|load| load.is_counted(now));
+        counted.filter(|load| load.sequence.is_none()).count()
+    }
+
     /// Whether another load may start besides the loads in progress and `reserved` others.
     pub fn allows(&self, now: Timestamp, reserved: usize) -> bool {
-        let loads = self.active_loads.values();
-        let active_loads = loads.filter(|load| load.is_counted(now)).count();
-        active_loads + reserved < self.max_loads()
+        self.active_loads(now) + reserved < self.max_loads()
     }
 
     /// Records a load that is about to be ordered on an engine that has accepted `sequence` orders.
--- a/crates/fleet/src/placement/load_selection.rs
+++ b/crates/fleet/src/placement/load_selection.rs
@@ -94,7 +94,14 @@
     /// The rate limit of the weight store is used up.
     Pace,
     /// The weight store is already performing as many loads as it can at full speed.
-    StoreCrowded,
+    StoreCrowded {
+        /// Number of loads that count as in progress.
+        loads: usize,
+        /// Number of those that a previous holder ordered and no report has shown yet.
+        unconfirmed: usize,
+        /// Number of loads that the weight store performs at full speed.
+        max_loads: usize,
+    },
     /// Engines exited during loads of the model, and no load of it has completed since.
     EndsEngines,
     /// No engine is free to accept an order.
@@ -105,6 +112,25 @@
     /// The cost of the load on the best engine is too high. `loss` is that cost, in requests per
     /// second.
     TooDear { loss: f64 },
+    /// No free engine has enough memory, whatever it evicts.
+    NoMemory {
+        /// Milliseconds until the first of these engines no longer reserves memory for orders to
+        /// its previous processes; `None` if none does.
+        reserved_for_ms: Option<u64>,
+    },
+}
+
+/// Memory of an engine that is kept free for orders to its previous processes.
+#[derive(Clone, Debug, PartialEq)]
+pub struct MemoryReservation {
+    /// The engine.
+    pub engine: BackEndId,
+    /// Reserved memory in megabytes.
+    pub memory_mb: f64,
+    /// Time until the last of these orders has expired, in milliseconds.
+    pub for_ms: u64,
+    /// Whether orders are assumed that no row lists.
+    pub has_unlisted_orders: bool,
 }
 
 /// A load that would be useful and is not ordered now.
@@ -140,6 +166,8 @@
     pub chosen: Vec<ChosenLoad>,
     /// Loads that would be useful and that no engine got as a goal.
     pub deferred: Vec<DeferredLoad>,
+    /// Memory that engines keep free for orders to previous processes.
+    pub reservations: Vec<MemoryReservation>,
 }
 
 /// A model that another engine should load.
@@ -376,6 +404,13 @@
             })
             .min_by(|one, other| one.1.cost(candidate).total_cmp(&other.1.cost(candidate)))
             .ok_or_else(|| store_check.err().unwrap_or(Obstacle::NoFreeEngine))?;
+        if evictions.loss.is_infinite() {
+            let free = engines.iter().filter(|engine| is_free(engine));
+            let reserved = free.filter_map(|engine| engine.reservation(self.now, self.spec));
+            return Err(Obstacle::NoMemory {
+                reserved_for_ms: reserved.map(|reservation| reservation.for_ms).min(),
+            });
+        }
         if candidate.value <= evictions.loss * MIN_VALUE_RATIO {
             return Err(Obstacle::TooDear {
                 loss: evictions.loss,
--- a/crates/fleet/src/placement/mod.rs
+++ b/crates/fleet/src/placement/mod.rs
@@ -36,7 +36,7 @@
 pub use load_concurrency::{LoadConcurrency, LoadConcurrencyEstimate};
 pub use load_crashes::LoadCrashRecord;
 pub use load_rate_limiter::{LoadRateLimit, LoadRateLimiter, RecentLoad};
-pub use load_selection::{ChosenLoad, DeferredLoad, Obstacle};
+pub use load_selection::{ChosenLoad, DeferredLoad, MemoryReservation, Obstacle};
 use load_selection::{LoadDecisions, PlanInputs};
 use totals::DemandTotals;
 use weight_store::WeightStore;
@@ -312,6 +312,9 @@
         let decisions = load_selection::set_goals(inputs, &mut engines);
         self.decisions.chosen.extend(decisions.chosen);
         self.decisions.deferred.extend(decisions.deferred);
+        let reservations = engines.iter();
+        let reservations = reservations.filter_map(|engine| engine.reservation(now, spec));
+        self.decisions.reservations.extend(reservations);
         adapters::assign(spec, totals, &forecast, &mut engines);
         for engine in engines {
             if let Some(action) = engine.next_action(now, spec, totals, store) {
@@ -330,6 +333,11 @@
         &self.decisions.chosen
     }
 
+    /// Memory that engines kept free for orders to previous processes in the last plan.
+    pub fn reservations(&self) -> &[MemoryReservation] {
+        &self.decisions.reservations
+    }
+
     /// Applies the response of an engine to a poll; `None` if the engine did not respond.
     pub fn apply_report(&mut self, now: Timestamp, id: &BackEndId, report: Option<EngineReport>) {
         let Some(engine) = self.engines.get_mut(id) else {
--- a/crates/fleet/src/placement/weight_store.rs
+++ b/crates/fleet/src/placement/weight_store.rs
@@ -94,7 +94,11 @@
         reserved: usize,
     ) -> Result<(), Obstacle> {
         if !self.concurrency.allows(now, reserved) {
-            return Err(Obstacle::StoreCrowded);
+            return Err(Obstacle::StoreCrowded {
+                loads: self.concurrency.active_loads(now) + reserved,
+                unconfirmed: self.concurrency.unconfirmed_loads(now),
+                max_loads: self.concurrency.max_loads(),
+            });
         }
         if !self.rate_limiter.allows(now, loads_per_second) {
             return Err(Obstacle::Pace);
--- a/crates/gateway/src/holder.rs
+++ b/crates/gateway/src/holder.rs
@@ -51,6 +51,7 @@
         session: LeaseSession::new(&shared, LEASE_NAME, lease),
         lease,
         take_delay: MAX_TAKE_DELAY.mul_f64(rand::random()),
+        logged_obstacle: None,
         shared,
     };
     let mut tasks: Option<HolderTasks> = None;
@@ -80,10 +81,37 @@
     lease: Duration,
     /// The random delay of this process, up to [`MAX_TAKE_DELAY`].
     take_delay: Duration,
+    /// What was last logged as the reason why this process may not take the lease.
+    logged_obstacle: Option<Option<LeaseObstacle>>,
+}
+
+/// The reason why a process may not take the lease.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum LeaseObstacle {
+    /// The process was asked to stop.
+    Stopping,
+    /// The process is not in the table of gateways.
+    NotServing,
+    /// The process has no links to back ends of its own.
+    CutOff,
+    /// The timers of the process are late.
+    LateTimers,
+}
+
+impl LeaseObstacle {
+    fn label(self) -> &'static str {
+        match self {
+            LeaseObstacle::Stopping => "stopping",
+            LeaseObstacle::NotServing => "not_serving",
+            LeaseObstacle::CutOff => "cut_off",
+            LeaseObstacle::LateTimers => "late_timers",
+        }
+    }
 }
 
 impl LeaseCandidate {
     async fn run_iteration(&mut self) {
+        self.log_obstacle();
         let candidacy = self.candidacy();
         let shared = self.shared.clone();
         let extra_put = move || store_records_row(&shared);
@@ -92,13 +120,44 @@
         }
     }
 
+    /// Why this process may not take the lease now, if it may not.
+    fn obstacle(&self) -> Option<LeaseObstacle> {
+        let shared = &self.shared;
+        if shared.is_stopping() {
+            return Some(LeaseObstacle::Stopping);
+        }
+        if !shared.may_place() {
+            return Some(LeaseObstacle::NotServing);
+        }
+        // Orders reach engines over this gateway's own links only.
+        if shared.links.is_cut_off(shared.now()) {
+            return Some(LeaseObstacle::CutOff);
+        }
+        let has_late_timers = shared.timer_lag() > MAX_CANDIDATE_TIMER_LAG;
+        has_late_timers.then_some(LeaseObstacle::LateTimers)
+    }
+
+    /// Logs whether this process may take the lease, when that changes.
+    fn log_obstacle(&mut self) {
+        let obstacle = self.obstacle();
+        if self.logged_obstacle == Some(obstacle) {
+            return;
+        }
+        self.logged_obstacle = Some(obstacle);
+        let fields = format_args!(
+            "state={} late_ms={}",
+            obstacle.map_or("candidate", LeaseObstacle::label),
+            self.shared.timer_lag().as_millis(),
+        );
+        event_log::write(LogPriority::Decision, "lease_candidacy", fields);
+    }
+
     /// When this process may take the lease. The strongest machines take it first, because the
     /// planner has to keep up with hundreds of engines.
     fn candidacy(&self) -> Candidacy {
         let shared = &self.shared;
-        // Orders reach engines over this gateway's own links only.
-        let is_cut_off = shared.links.is_cut_off(shared.now());
-        if shared.is_stopping() || !shared.may_place() || is_cut_off {
+        let obstacle = self.obstacle();
+        if obstacle.is_some_and(|obstacle| obstacle != LeaseObstacle::LateTimers) {
             return Candidacy::Never;
         }
         let own = f64::from(shared.settings.millicores);
@@ -111,7 +170,7 @@
                 Candidacy::After(0)
             };
         }
-        if shared.timer_lag() > MAX_CANDIDATE_TIMER_LAG {
+        if obstacle.is_some() {
             return Candidacy::Never;
         }
         let strongest = f64::from(shared.max_millicores());
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -31,7 +31,7 @@
 use crate::placed_rows::{
     self, AttemptedRow, MAX_ROWS_PER_TRANSACTION, RowToWrite, RowWriteResult,
 };
-use crate::placement_log::{self, PlacementLog};
+use crate::placement_log::{self, PlacementLog, PlacementStart};
 use crate::ports::{FencedOrder, WatchedTable};
 use crate::shared::Shared;
 use crate::table_followers::{NO_RESPONSE_PAUSE, row_name};
@@ -122,8 +122,10 @@
 
     /// Runs until the loop is dropped.
     pub async fn run(mut self) {
+        let started_at = Instant::now();
         self.restore().await;
         self.await_demand().await;
+        self.log_start(started_at.elapsed());
         let shared = self.shared.clone();
         let mut changes = shared.subscribe();
         loop {
@@ -169,6 +171,17 @@
         }
     }
 
+    fn log_start(&self, waited: Duration) {
+        let shared = &self.shared;
+        placement_log::write_start(&PlacementStart {
+            rows: self.published.len(),
+            back_ends: shared.directory(|directory| directory.reports().len()),
+            reporting_gateways: shared.demand_rows.reporting_gateways(shared.now()).len(),
+            known_gateways: shared.known_gateway_count(),
+            waited,
+        });
+    }
+
     /// Reads the rows of a table, and retries until the table responds.
     async fn read_rows(&self, table: &str) -> Vec<TableRow> {
         loop {
@@ -313,6 +326,7 @@
         let actions = self.planner.plan(now, &configuration, &rows);
         self.log.write_deferred(now, self.planner.deferred_loads());
         self.log.write_chosen(self.planner.chosen_loads());
+        self.log.write_reservations(self.planner.reservations());
         let records = self.planner.store_records(now);
         self.log.write_load_windows(&records);
         self.shared.set_store_records(records);
--- a/crates/gateway/src/placement_log.rs
+++ b/crates/gateway/src/placement_log.rs
@@ -4,13 +4,14 @@
 //! lines, at most one in some seconds on the same deferred model, and the counter of orders.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use gorsebank_coordination::Timestamp;
 use gorsebank_fleet::EngineReport;
 use gorsebank_fleet::placement::{
-    Action, ChosenLoad, DeferredLoad, OrderKind, OrderResult, StoreRecords,
+    Action, ChosenLoad, DeferredLoad, MemoryReservation, OrderKind, OrderResult, StoreRecords,
 };
-use gorsebank_world::{ModelId, ServiceId};
+use gorsebank_world::{BackEndId, ModelId, ServiceId};
 
 use crate::event_log::{self, LogPriority};
 use crate::shared::Shared;
@@ -22,6 +23,8 @@
 #[derive(Debug, Default)]
 pub struct PlacementLog {
     deferred_logged_at: BTreeMap<ModelId, Timestamp>,
+    /// Engines of which reserved memory was logged, with its amount.
+    reservations: BTreeMap<BackEndId, f64>,
     /// The window of concurrent loads that was last logged, by service.
     load_windows: BTreeMap<ServiceId, usize>,
 }
@@ -57,6 +60,33 @@
         }
     }
 
+    /// Logs the memory that each engine keeps free for orders to its previous processes, when it
+    /// changes and when it is free again.
+    pub fn write_reservations(&mut self, reservations: &[MemoryReservation]) {
+        let current = reservations.iter();
+        let current =
+            current.map(|reservation| (reservation.engine.clone(), reservation.memory_mb));
+        let previous = std::mem::replace(&mut self.reservations, current.collect());
+        let is_new = |reservation: &&MemoryReservation| {
+            previous.get(&reservation.engine) != Some(&reservation.memory_mb)
+        };
+        for reservation in reservations.iter().filter(is_new) {
+            let fields = format_args!(
+                "engine={} memory_mb={} for_ms={} has_unlisted_orders={}",
+                reservation.engine,
+                reservation.memory_mb,
+                reservation.for_ms,
+                reservation.has_unlisted_orders,
+            );
+            event_log::write(LogPriority::Decision, "memory_reserved", fields);
+        }
+        let is_over = |engine: &&BackEndId| !self.reservations.contains_key(*engine);
+        for engine in previous.keys().filter(is_over) {
+            let fields = format_args!("engine={engine}");
+            event_log::write(LogPriority::Decision, "memory_released", fields);
+        }
+    }
+
     /// Logs the number of concurrent loads that each weight store is thought to perform at full
     /// speed, when it changes.
     pub fn write_load_windows(&mut self, records: &StoreRecords) {
@@ -71,6 +101,33 @@
     }
 }
 
+/// What a new holder knows when it makes its first plan.
+pub struct PlacementStart {
+    /// Number of rows that previous holders wrote.
+    pub rows: usize,
+    /// Number of back ends in discovery.
+    pub back_ends: usize,
+    /// Number of gateways that have sent their demand.
+    pub reporting_gateways: usize,
+    /// Number of gateways that have a row.
+    pub known_gateways: usize,
+    /// Time since the lease was taken.
+    pub waited: Duration,
+}
+
+/// Logs what a new holder knows when it makes its first plan.
+pub fn write_start(start: &PlacementStart) {
+    let fields = format_args!(
+        "rows={} back_ends={} reporting_gateways={} known_gateways={} waited_ms={}",
+        start.rows,
+        start.back_ends,
+        start.reporting_gateways,
+        start.known_gateways,
+        start.waited.as_millis(),
+    );
+    event_log::write(LogPriority::Decision, "placement_started", fields);
+}
+
 /// Logs the response of an engine to a poll.
 pub fn write_report(action: &Action, report: Option<&EngineReport>) {
     let fields = format_args!(
