Keep memory free only for orders that rows list

Cause: an order to the previous process of an engine may be carried out after a restart under the same name. Rows did not list such orders, so a holder assumed of each engine that had restarted since its row was written, or restarted in the holder's first 13 s, that any order may still come, and counted them as the whole memory, for all engines at once.

Change: the row lists what may still come. A model is in the row before its load is ordered, as before; now a load or an adapter load without a response is in the row before the next order is sent. So the row lacks at most the last order, which can only be the load of an adapter, and the next holder keeps the listed models' memory and one adapter free. A listed load keeps nothing from the same model. Rows of builds that do not list orders are read as before. Orders are remembered while an engine is missing in discovery; the row of such an engine was passed over.

Evidence: engines_that_restart_with_the_placement_holder_load_models_at_once failed before (no model loaded 3.2 s after the return, both with the engines' new rows read before and after the holder's start) and passes. engines_restarted_under_the_same_name_are_never_overcommitted now also loses all power at once, and lets every second holder write rows of an earlier build.

--- a/crates/fleet/src/back_end.rs
+++ b/crates/fleet/src/back_end.rs
@@ -117,4 +117,16 @@
     /// begin: the next holder reserves memory for them.
     #[serde(rename = "left_over", default, skip_serializing_if = "Vec::is_empty")]
     pub orphaned_loads: Vec<ModelId>,
+    /// Models, other than that of `loading`, whose load was ordered in this incarnation without a
+    /// response, so that it may still begin. `None` in rows of gateways that do not list them.
+    #[serde(rename = "open", default, skip_serializing_if = "Option::is_none")]
+    pub unanswered_loads: Option<Vec<ModelId>>,
+    /// Number of adapter loads that were ordered in this or a previous incarnation and may still
+    /// begin.
+    #[serde(rename = "open_adapters", default, skip_serializing_if = "is_zero")]
+    pub unanswered_adapter_loads: usize,
+}
+
+fn is_zero(count: &usize) -> bool {
+    *count == 0
 }
--- a/crates/fleet/src/configuration.rs
+++ b/crates/fleet/src/configuration.rs
@@ -123,6 +123,16 @@
     pub fn longest_load(&self) -> Option<Duration> {
         self.models.values().map(|model| model.load).max()
     }
+
+    /// Memory of the largest adapter, in megabytes; 0 without adapters.
+    pub fn largest_adapter_mb(&self) -> f64 {
+        let with_adapters = self
+            .models
+            .values()
+            .filter(|model| !model.adapters.is_empty());
+        let sizes = with_adapters.map(|model| model.adapter_mb);
+        sizes.fold(0.0, f64::max)
+    }
 }
 
 /// A pool of interchangeable back ends.
--- a/crates/fleet/src/placement/engine/mod.rs
+++ b/crates/fleet/src/placement/engine/mod.rs
@@ -16,7 +16,7 @@
 use gorsebank_coordination::Timestamp;
 use gorsebank_world::{AdapterId, BackEndId, ModelId, ServiceId, SoftwareVersion};
 
-pub use unresolved_orders::ORDER_LIFETIME_MS;
+pub use unresolved_orders::PossibleOrders;
 use unresolved_orders::UnresolvedOrders;
 
 use super::goal::Goal;
@@ -148,44 +148,41 @@
     }
 
     /// Resets the state for a new incarnation under the same name, which is polled like a new
-    /// engine. A previous placement holder may have sent orders to the previous incarnation that
-    /// can take effect until `unlisted_until`.
-    pub fn begin_incarnation(
-        &mut self,
-        now: Timestamp,
-        report: BackEndReport,
-        unlisted_until: Timestamp,
-    ) {
+    /// engine. Orders to the previous incarnation may still take effect.
+    pub fn begin_incarnation(&mut self, now: Timestamp, report: BackEndReport) {
         let mut previous_orders = std::mem::take(&mut self.previous_orders);
         previous_orders.merge(std::mem::take(&mut self.unresolved_orders));
         *self = EngineState::new(now, report);
-        previous_orders.record_unlisted_orders(unlisted_until);
         previous_orders.remove_expired(now);
         self.previous_orders = previous_orders;
     }
 
-    /// Restores the state from the row of a previous placement holder, whose orders may have had no
-    /// response.
-    pub fn restore(&mut self, now: Timestamp, row: &PlacedRow) {
-        let is_previous_incarnation = row.born.is_some() && row.born != self.born();
-        if let Some(load) = &row.loading {
-            let orders = if is_previous_incarnation {
-                &mut self.previous_orders
-            } else {
-                &mut self.unresolved_orders
-            };
-            orders.record_sent(now, OrderKind::LoadModel(load.model.clone()));
-        }
-        // The row does not list all orders to the previous incarnation, so any others are assumed
-        // to be possible until orders of that age expire.
+    /// Adds orders that were sent before this state was created, to this incarnation or to an
+    /// earlier one.
+    pub fn add_possible_orders(&mut self, orders: PossibleOrders) {
+        let is_previous_incarnation = orders.born.is_some() && orders.born != self.born();
+        self.previous_orders.merge(orders.previous);
         if is_previous_incarnation {
-            self.previous_orders
-                .record_unlisted_orders(now + ORDER_LIFETIME_MS);
-            return;
+            self.previous_orders.merge(orders.unresolved);
+        } else {
+            self.unresolved_orders.merge(orders.unresolved);
+        }
+    }
+
+    /// The orders that may still be executed after the engine has disappeared from discovery.
+    pub fn possible_orders(&self) -> PossibleOrders {
+        PossibleOrders {
+            born: self.born(),
+            unresolved: self.unresolved_orders.clone(),
+            previous: self.previous_orders.clone(),
         }
-        for model in &row.orphaned_loads {
-            let order = OrderKind::LoadModel(model.clone());
-            self.previous_orders.record_sent(now, order);
+    }
+
+    /// Resumes the operation in progress that the row of a previous placement holder names, if the
+    /// row is about this incarnation.
+    pub fn resume(&mut self, row: &PlacedRow) {
+        if row.born.is_some() && row.born != self.born() {
+            return;
         }
         self.needs_poll = row.loading.is_some() || row.unloading.is_some();
         self.unloading = row.unloading.clone();
@@ -342,8 +339,9 @@
     }
 
     /// Memory that is not allocated, in megabytes. Memory for adapter loads in progress and for
-    /// orders to previous incarnations counts as allocated.
-    pub fn free_memory(&self, spec: &Engine) -> f64 {
+    /// orders to previous incarnations counts as allocated, but for loads of `target`, for which
+    /// the memory is needed.
+    pub fn free_memory(&self, spec: &Engine, target: Option<&ModelId>) -> f64 {
         let pending = self
             .confirmed
             .iter()
@@ -354,14 +352,25 @@
         spec.memory_mb
             - memory_of_holdings(spec, self.holdings())
             - pending
-            - self.previous_orders.memory_needed(spec)
+            - self.reserved_memory(spec, target)
+    }
+
+    fn reserved_memory(&self, spec: &Engine, target: Option<&ModelId>) -> f64 {
+        self.previous_orders
+            .memory_needed(spec, self.holdings(), target)
+    }
+
+    /// Whether an order to a previous incarnation may load the model, so that an unload of the model
+    /// frees no memory.
+    pub fn may_be_loaded_again(&self, model: &ModelId) -> bool {
+        self.previous_orders.models().contains(model)
     }
 
     /// Memory that is kept free for orders to previous incarnations, if there are any.
     pub fn reservation(&self, now: Timestamp, spec: &Engine) -> Option<MemoryReservation> {
         Some(MemoryReservation {
             engine: self.observed.id.clone(),
-            memory_mb: self.previous_orders.memory_needed(spec),
+            memory_mb: self.reserved_memory(spec, None),
             for_ms: self.previous_orders.expires_in(now)?,
             has_unlisted_orders: self.previous_orders.has_unlisted_orders(),
         })
@@ -525,6 +534,16 @@
         self.discard_confirmed_state(now);
     }
 
+    /// Models, other than that of the goal, that orders without a response may load.
+    fn unanswered_loads(&self) -> Vec<ModelId> {
+        let goal = self.goal.as_ref().map(|goal| &goal.model);
+        let models = self.unresolved_orders.unanswered_models().into_iter();
+        models
+            .filter(|model| goal != Some(*model))
+            .cloned()
+            .collect()
+    }
+
     /// The row for gateways, as long as it contains anything newer than discovery.
     pub fn row(&self, now: Timestamp, fence: u64) -> Option<PlacedRow> {
         let changed_at = self.changed_at?;
@@ -547,6 +566,9 @@
             unloading: self.unloading.clone(),
             loading,
             orphaned_loads: self.previous_orders.models().into_iter().cloned().collect(),
+            unanswered_loads: Some(self.unanswered_loads()),
+            unanswered_adapter_loads: self.previous_orders.adapter_loads()
+                + self.unresolved_orders.unanswered_adapter_loads(),
         })
     }
 }
--- a/crates/fleet/src/placement/engine/next.rs
+++ b/crates/fleet/src/placement/engine/next.rs
@@ -29,6 +29,7 @@
     ) -> Option<Action> {
         self.clear_finished_goal(now);
         self.previous_orders.remove_expired(now);
+        self.unresolved_orders.remove_expired(now);
         let has_work = self.needs_poll || self.goal.is_some() || !self.wanted_adapters.is_empty();
         let pending = self
             .confirmed
@@ -90,7 +91,7 @@
     ) -> Option<(OrderKind, &'static str)> {
         let model = self.goal.as_ref()?.model.clone();
         let model_spec = spec.models.get(&model)?;
-        if self.free_memory(spec) >= model_spec.memory_mb {
+        if self.free_memory(spec, Some(&model)) >= model_spec.memory_mb {
             let from_store = !self.has_local_copy(&model);
             let sequence = self.confirmed.as_ref()?.sequence;
             let is_repeat = store.is_unresolved(now, &self.observed.id, sequence);
@@ -136,7 +137,7 @@
         let taken =
             held + confirmed.pending.len() + self.previous_orders.adapter_slots_needed(spec);
         let fits = taken < spec.adapter_slots;
-        if fits && self.free_memory(spec) >= memory {
+        if fits && self.free_memory(spec, None) >= memory {
             let order = OrderKind::LoadAdapter(model.clone(), adapter.clone());
             return Some((order, "adapter in demand"));
         }
--- a/crates/fleet/src/placement/load_selection.rs
+++ b/crates/fleet/src/placement/load_selection.rs
@@ -460,10 +460,12 @@
         candidate: &LoadCandidate,
         model_spec: &ModelSpec,
     ) -> EvictionPlan {
-        let mut missing_mb = model_spec.memory_mb - engine.free_memory(self.spec);
+        let free_mb = engine.free_memory(self.spec, Some(&candidate.model));
+        let mut missing_mb = model_spec.memory_mb - free_mb;
         let mut costs: Vec<(f64, &ModelId)> = engine
             .holdings()
             .keys()
+            .filter(|model| !engine.may_be_loaded_again(model))
             .map(|model| (self.replica_value(model), model))
             .collect();
         costs.sort_by(|one, other| one.0.total_cmp(&other.0));
--- a/crates/fleet/src/placement/mod.rs
+++ b/crates/fleet/src/placement/mod.rs
@@ -31,7 +31,7 @@
 use crate::demand::DemandRow;
 use crate::incarnation::{Born, IncarnationMatch};
 
-use engine::EngineState;
+use engine::{EngineState, PossibleOrders};
 use forecast::Forecast;
 pub use load_concurrency::{LoadConcurrency, LoadConcurrencyEstimate};
 pub use load_crashes::LoadCrashRecord;
@@ -104,6 +104,8 @@
     stores: BTreeMap<ServiceId, WeightStore>,
     rate_limit: LoadRateLimit,
     previous_records: StoreRecords,
+    /// Orders to engines that are not in discovery.
+    orders_to_absent_engines: BTreeMap<BackEndId, PossibleOrders>,
     /// Engines for which the row of a previous holder names a load.
     engines_with_restored_loads: Vec<BackEndId>,
     started_at: Timestamp,
@@ -158,7 +160,7 @@
         let is_present = |id: &BackEndId| present.contains_key(id);
         self.record_missing_engines(now, |id| has_not_crashed(id) && !is_present(id));
         self.retract_returned_engines(&present);
-        self.engines.retain(|id, _| is_present(id));
+        self.remove_absent_engines(now, is_present);
         for store in self.stores.values_mut() {
             store.retain(|id| self.engines.contains_key(id));
         }
@@ -170,13 +172,30 @@
                     }
                 }
                 None => {
-                    let engine = EngineState::new(now, report.clone());
+                    let mut engine = EngineState::new(now, report.clone());
+                    if let Some(orders) = self.orders_to_absent_engines.remove(id) {
+                        engine.add_possible_orders(orders);
+                    }
                     self.engines.insert(id.clone(), engine);
                 }
             }
         }
     }
 
+    /// Removes engines that discovery no longer shows. They may return under their names, while orders
+    /// that were sent to them may still be executed.
+    fn remove_absent_engines(&mut self, now: Timestamp, is_present: impl Fn(&BackEndId) -> bool) {
+        let orders_to_absent = &mut self.orders_to_absent_engines;
+        self.engines.retain(|id, engine| {
+            let is_present = is_present(id);
+            if !is_present {
+                orders_to_absent.insert(id.clone(), engine.possible_orders());
+            }
+            is_present
+        });
+        orders_to_absent.retain(|_, orders| !orders.are_expired(now));
+    }
+
     /// Sets the rate limits that engines state, in requests per second. Engines that are not in
     /// `limits` state none.
     pub fn set_limits(&mut self, limits: &BTreeMap<BackEndId, f64>) {
@@ -197,7 +216,7 @@
             }
             store.record_restart(now, &report.id);
         }
-        engine.begin_incarnation(now, report, self.started_at + engine::ORDER_LIFETIME_MS);
+        engine.begin_incarnation(now, report);
     }
 
     /// Whether this start time may be that of the incarnation that the planner knows.
@@ -247,9 +266,13 @@
         if row.loading.is_some() {
             self.engines_with_restored_loads.push(id.clone());
         }
-        if let Some(engine) = self.engines.get_mut(id) {
-            engine.restore(self.started_at, row);
-        }
+        let orders = PossibleOrders::from_row(self.started_at, row);
+        let Some(engine) = self.engines.get_mut(id) else {
+            self.orders_to_absent_engines.insert(id.clone(), orders);
+            return;
+        };
+        engine.add_possible_orders(orders);
+        engine.resume(row);
     }
 
     /// Computes the actions to start now.
--- a/crates/fleet/tests/incarnation.rs
+++ b/crates/fleet/tests/incarnation.rs
@@ -113,6 +113,41 @@
     );
 }
 
+/// All engines lose power with the placement holder, and the next holder starts before or after it
+/// learns of their restarts. Returns the models that are loaded `until_ms` after the return.
+fn models_loaded_after_a_loss_of_power(knows_restarts: bool, until_ms: u64) -> Vec<&'static str> {
+    const MODELS: [&str; 4] = ["m0", "m1", "m2", "m3"];
+    let mut simulation = Simulation::new(4, &["m0", "m1"]);
+    let rows = vec![demand(&MODELS.map(|model| (model, 1.0, 1)))];
+    let run = |simulation: &mut Simulation, from: u64, to: u64| {
+        for now in (from..to).step_by(50) {
+            simulation.run_iteration(now, &rows);
+        }
+    };
+    let lost_at = 5_000;
+    run(&mut simulation, 0, lost_at);
+    if !knows_restarts {
+        simulation.change_holder(lost_at, 0);
+    }
+    (0..4).for_each(|engine| simulation.restart_under_same_name(lost_at, engine));
+    if knows_restarts {
+        simulation.change_holder(lost_at, 0);
+    }
+    run(&mut simulation, lost_at, lost_at + until_ms);
+    let is_loaded = |model: &&str| simulation.replica_count(model) > 0;
+    MODELS.into_iter().filter(is_loaded).collect()
+}
+
+/// Guards against engines that take no load for 13 s after a loss of all power, because any order may
+/// have been sent to their previous processes.
+#[test]
+fn engines_that_restart_with_the_placement_holder_load_models_at_once() {
+    for knows_restarts in [true, false] {
+        let loaded = models_loaded_after_a_loss_of_power(knows_restarts, LOAD_TIME_MS + 2_000);
+        assert_eq!(loaded, ["m0", "m1", "m2", "m3"], "{knows_restarts}");
+    }
+}
+
 /// An engine that begins to report its start time is still the same incarnation. If the response
 /// to an order sent before were dropped, the planner would wait for it indefinitely.
 #[test]
@@ -138,8 +173,16 @@
         faults in prop::collection::vec(0u8..12, 200..400),
         holder_changes in prop::collection::vec(1u64..16_000, 0..3),
         restarts in prop::collection::vec((0usize..4, 0u64..16_000), 1..8),
+        power_losses in prop::collection::vec((0u64..16_000, Just(0u64)), 0..3),
+        has_earlier_builds: bool,
     ) {
-        let fault_plan = FaultPlan { faults, holder_changes, restarts };
+        let fault_plan = FaultPlan {
+            faults,
+            holder_changes,
+            restarts,
+            power_losses,
+            has_earlier_builds,
+        };
         check_no_overcommitment(&rows, fault_plan, Simulation::restart_under_same_name)?;
     }
 }
--- a/crates/fleet/tests/placement.rs
+++ b/crates/fleet/tests/placement.rs
@@ -589,7 +589,7 @@
         holder_changes in prop::collection::vec(1u64..16_000, 0..3),
         restarts in prop::collection::vec((0usize..4, 0u64..16_000), 0..3),
     ) {
-        let fault_plan = FaultPlan { faults, holder_changes, restarts };
+        let fault_plan = FaultPlan { faults, holder_changes, restarts, ..FaultPlan::default() };
         check_no_overcommitment(&rows, fault_plan, |simulation, _, engine| simulation.restart(engine))?;
     }
 }
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -431,6 +431,10 @@
     orders: usize,
     /// Engines that crashed while they were running requests.
     pub crashed_under_requests: BTreeSet<BackEndId>,
+    /// Time until which discovery shows no engine, since their rows are gone.
+    hidden_until: u64,
+    /// Whether the holder is of a build whose rows do not list unanswered orders.
+    pub is_earlier_build: bool,
 }
 
 impl Simulation {
@@ -453,6 +457,8 @@
             late_orders: Vec::new(),
             orders: 0,
             crashed_under_requests: BTreeSet::new(),
+            hidden_until: 0,
+            is_earlier_build: false,
         }
     }
 
@@ -469,8 +475,10 @@
 
     /// Returns the reports that discovery shows.
     pub fn reports(&self) -> Vec<BackEndReport> {
+        let is_shown = self.last_iteration_ms >= self.hidden_until;
         self.engines
             .iter()
+            .filter(|_| is_shown)
             .map(|engine| BackEndReport {
                 id: engine.id.clone(),
                 born: engine.born,
@@ -531,6 +539,16 @@
         engine.id = BackEndId::from(format!("engine-{number}-{starts}"));
     }
 
+    /// Ends all engines and the holder at one moment. The engines return under their names, and
+    /// discovery shows them after `hidden_ms`.
+    #[allow(dead_code)]
+    pub fn lose_power(&mut self, now: u64, hidden_ms: u64) {
+        self.last_iteration_ms = now;
+        self.hidden_until = now + hidden_ms;
+        (0..self.engines.len()).for_each(|number| self.restart_under_same_name(now, number));
+        self.change_holder(now, 700);
+    }
+
     /// Passes the reports of discovery to the planner.
     pub fn observe(&mut self, now: u64) {
         let reports = self.reports();
@@ -572,7 +590,13 @@
         let actions = self.planner.plan(Timestamp(now), &self.configuration, rows);
         let deferred = self.planner.deferred_loads().iter();
         self.obstacles.extend(deferred.map(|load| load.obstacle));
-        let written = self.planner.rows(Timestamp(now), 1);
+        let mut written = self.planner.rows(Timestamp(now), 1);
+        if self.is_earlier_build {
+            for (_, row) in &mut written {
+                row.unanswered_loads = None;
+                row.unanswered_adapter_loads = 0;
+            }
+        }
         self.published.extend(written);
         for action in actions {
             self.execute_action(now, action);
@@ -719,6 +743,7 @@
 
 /// Faults of the holder and its engines in sixteen seconds.
 #[allow(dead_code)]
+#[derive(Default)]
 pub struct FaultPlan {
     /// Fault codes of orders, as in `Simulation::faults`.
     pub faults: Vec<u8>,
@@ -726,6 +751,11 @@
     pub holder_changes: Vec<u64>,
     /// Engines that restart, each with the time of its restart.
     pub restarts: Vec<(usize, u64)>,
+    /// Times at which all engines and the holder lose power, each with the time for which
+    /// discovery then shows no engine.
+    pub power_losses: Vec<(u64, u64)>,
+    /// Whether every second holder is of an earlier build.
+    pub has_earlier_builds: bool,
 }
 
 /// Timeouts of a route, in milliseconds: one is longer than two loads and one is shorter.
@@ -759,9 +789,18 @@
     simulation.faults = fault_plan.faults.clone();
     for now in (0..16_000u64).step_by(40) {
         let is_now = |at: &u64| now <= *at && *at < now + 40;
-        if fault_plan.holder_changes.iter().any(is_now) {
+        let is_loss = |(at, _): &&(u64, u64)| is_now(at);
+        let power_loss = fault_plan.power_losses.iter().find(is_loss);
+        let is_holder_change = fault_plan.holder_changes.iter().any(is_now);
+        if fault_plan.has_earlier_builds && (is_holder_change || power_loss.is_some()) {
+            simulation.is_earlier_build = !simulation.is_earlier_build;
+        }
+        if is_holder_change {
             simulation.change_holder(now, 700);
         }
+        if let Some((_, hidden_ms)) = power_loss {
+            simulation.lose_power(now, *hidden_ms);
+        }
         for (engine, _) in fault_plan.restarts.iter().filter(|(_, at)| is_now(at)) {
             restart(&mut simulation, now, *engine);
         }
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -433,4 +433,7 @@
         && published.holdings == row.holdings
         && published.unloading == row.unloading
         && model(published) == model(row)
+        && published.orphaned_loads == row.orphaned_loads
+        && published.unanswered_loads == row.unanswered_loads
+        && published.unanswered_adapter_loads == row.unanswered_adapter_loads
 }
