Restore loads that rows name as those of the process that they were ordered from

Callers got no_model for up to 20 s more after a loss of power in which engines also lost their copies of weights: no load from the weight store was ordered.

Cause: a holder counted each load that a row names as in progress at the engine's present process, until a report shows otherwise or for 20 s. A load ends with its process, and an engine that has restarted is not polled before it has a goal. Where few loads run at the same time, those that power had ended filled the window. The rate limit had the reverse fault: such a load may begin late, within 13 s, and was counted for 5.5 s only; and one that followed an older load of its engine was not counted at all.

Change: a named load of a process that is over leaves the window, and counts against the rate until it can no longer begin. Records of recent loads name the model, by which a load is told from an older one; earlier builds ignore the field, and without it nothing changes.

--- a/crates/fleet/src/placement/engine/next.rs
+++ b/crates/fleet/src/placement/engine/next.rs
@@ -100,7 +100,7 @@
                 return None;
             }
             if from_store {
-                store.record_order(now, &self.observed.id, sequence, model_spec.load);
+                store.record_order(now, &self.observed.id, sequence, &model, model_spec.load);
             }
             let expected = self.load_time(&model, model_spec);
             let goal = self.goal.as_mut()?;
--- a/crates/fleet/src/placement/load_rate_limiter.rs
+++ b/crates/fleet/src/placement/load_rate_limiter.rs
@@ -16,7 +16,7 @@
 use std::time::Duration;
 
 use gorsebank_coordination::Timestamp;
-use gorsebank_world::BackEndId;
+use gorsebank_world::{BackEndId, ModelId};
 use serde::{Deserialize, Serialize};
 
 use super::OrderResult;
@@ -65,10 +65,15 @@
     /// that incarnation has ended.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub born: Option<Born>,
+    /// The model; `None` in records of gateways that predate this field.
+    #[serde(rename = "m", default, skip_serializing_if = "Option::is_none")]
+    pub model: Option<ModelId>,
 }
 
 #[derive(Debug)]
 struct OrderedLoad {
+    /// The model, if it is known.
+    model: Option<ModelId>,
     ordered_at: Timestamp,
     /// The sequence number of the order, while the load may not have started yet.
     unresolved_sequence: Option<u64>,
@@ -76,6 +81,8 @@
     had_no_response: bool,
     /// Whether the engine has restarted since, so that its sequence numbers started again.
     is_of_previous_incarnation: bool,
+    /// Whether the load is known from a row only, so that its order may have had no response.
+    is_restored: bool,
 }
 
 impl OrderedLoad {
@@ -111,10 +118,12 @@
         };
         for load in previous {
             let ordered_load = OrderedLoad {
+                model: load.model.clone(),
                 ordered_at: now - load.age_ms,
                 unresolved_sequence: load.unresolved_sequence,
                 had_no_response: load.unresolved_sequence.is_some(),
                 is_of_previous_incarnation: false,
+                is_restored: false,
             };
             let loads = limiter.loads.entry(load.engine.clone()).or_default();
             loads.push(ordered_load);
@@ -145,8 +154,14 @@
         })
     }
 
-    /// Records a load that is about to be ordered from an engine with this sequence number.
-    pub fn record_order(&mut self, now: Timestamp, engine: &BackEndId, sequence: u64) {
+    /// Records a load of a model that is about to be ordered from an engine with this sequence number.
+    pub fn record_order(
+        &mut self,
+        now: Timestamp,
+        engine: &BackEndId,
+        sequence: u64,
+        model: &ModelId,
+    ) {
         self.forget_old(now);
         let loads = self.loads.entry(engine.clone()).or_default();
         let existing = loads
@@ -155,10 +170,12 @@
         match existing {
             Some(load) => load.ordered_at = now,
             None => loads.push(OrderedLoad {
+                model: Some(model.clone()),
                 ordered_at: now,
                 unresolved_sequence: Some(sequence),
                 had_no_response: false,
                 is_of_previous_incarnation: false,
+                is_restored: false,
             }),
         }
     }
@@ -201,6 +218,9 @@
     pub fn record_restart(&mut self, now: Timestamp, engine: &BackEndId) {
         for load in self.loads.get_mut(engine).into_iter().flatten() {
             load.is_of_previous_incarnation = true;
+            if load.is_restored {
+                load.unresolved_sequence.get_or_insert(0);
+            }
             if load.unresolved_sequence.is_some() {
                 load.ordered_at = now;
                 load.had_no_response = true;
@@ -230,16 +250,22 @@
         }
     }
 
-    /// Records a load from the row of a previous holder, unless a load on the engine is already
-    /// known. The load may have been ordered just now.
-    pub fn record_restored_load(&mut self, now: Timestamp, engine: &BackEndId) {
+    /// Records a load from the row of a previous holder, unless that load is already known. It may
+    /// have been ordered just now.
+    pub fn record_restored_load(&mut self, now: Timestamp, engine: &BackEndId, model: &ModelId) {
         let loads = self.loads.entry(engine.clone()).or_default();
-        if loads.iter().all(|load| load.is_of_previous_incarnation) {
+        let is_other = |load: &OrderedLoad| {
+            let has_other_model = load.model.as_ref().is_some_and(|known| known != model);
+            load.is_of_previous_incarnation || has_other_model
+        };
+        if loads.iter().all(is_other) {
             loads.push(OrderedLoad {
+                model: Some(model.clone()),
                 ordered_at: now,
                 unresolved_sequence: None,
                 had_no_response: false,
                 is_of_previous_incarnation: false,
+                is_restored: true,
             });
         }
     }
@@ -262,6 +288,7 @@
                     age_ms: now.since(load.ordered_at),
                     unresolved_sequence: load.unresolved_sequence,
                     born: born(engine).filter(|_| !load.is_of_previous_incarnation),
+                    model: load.model.clone(),
                 });
             }
         }
--- a/crates/fleet/src/placement/mod.rs
+++ b/crates/fleet/src/placement/mod.rs
@@ -106,8 +106,8 @@
     previous_records: StoreRecords,
     /// Orders to engines that are not in discovery.
     orders_to_absent_engines: BTreeMap<BackEndId, PossibleOrders>,
-    /// Engines for which the row of a previous holder names a load.
-    engines_with_restored_loads: Vec<BackEndId>,
+    /// Loads that rows of previous holders name.
+    restored_loads: Vec<RestoredLoad>,
     started_at: Timestamp,
     /// The decisions of the last plan.
     decisions: LoadDecisions,
@@ -115,6 +115,15 @@
     interrupted_loads: BTreeMap<BackEndId, InterruptedLoad>,
 }
 
+/// A load that the row of a previous holder names.
+#[derive(Clone, Debug)]
+struct RestoredLoad {
+    engine: BackEndId,
+    /// The start time of the incarnation that the row is about.
+    born: Option<Born>,
+    model: ModelId,
+}
+
 /// A load during which the engine disappeared from discovery.
 #[derive(Clone, Debug)]
 struct InterruptedLoad {
@@ -263,8 +272,12 @@
 
     /// Restores the row of a previous holder. The engine is polled before any order is sent to it.
     pub fn restore(&mut self, id: &BackEndId, row: &PlacedRow) {
-        if row.loading.is_some() {
-            self.engines_with_restored_loads.push(id.clone());
+        if let Some(load) = &row.loading {
+            self.restored_loads.push(RestoredLoad {
+                engine: id.clone(),
+                born: row.born,
+                model: load.model.clone(),
+            });
         }
         let orders = PossibleOrders::from_row(self.started_at, row);
         let Some(engine) = self.engines.get_mut(id) else {
@@ -310,16 +323,22 @@
             let previous = self.previous_records.remove(service);
             let record = StoreRecord::for_next_holder(previous, spec, has_long_loads);
             let mut store = WeightStore::new(self.started_at, self.rate_limit, &record);
-            // An engine that has disappeared by now may still have started its load. A load without
-            // a matching start time may belong to a previous incarnation of the engine.
+            // A load without a matching start time may belong to a previous incarnation, and so may
+            // that of an engine that is not in discovery.
+            let is_present_incarnation = |id: &BackEndId, born: Option<Born>| {
+                let known = engines.iter().find(|engine| engine.id() == id);
+                known.is_some_and(|engine| engine.born() == born)
+            };
             for load in &record.recent {
-                let known = engines.iter().find(|engine| *engine.id() == load.engine);
-                if known.is_some_and(|engine| engine.born() != load.born) {
+                if !is_present_incarnation(&load.engine, load.born) {
                     store.record_restart(self.started_at, &load.engine);
                 }
             }
-            for engine in &self.engines_with_restored_loads {
-                store.restore(self.started_at, engine);
+            for load in &self.restored_loads {
+                store.restore(self.started_at, &load.engine, &load.model);
+                if !is_present_incarnation(&load.engine, load.born) {
+                    store.record_restart(self.started_at, &load.engine);
+                }
             }
             store
         });
--- a/crates/fleet/src/placement/weight_store.rs
+++ b/crates/fleet/src/placement/weight_store.rs
@@ -135,16 +135,17 @@
         self.rate_limiter.is_unresolved(now, engine, sequence)
     }
 
-    /// Records a load that is about to be ordered. `uncontended_duration` is the duration of the
+    /// Records a load of a model that is about to be ordered. `uncontended_duration` is the duration of the
     /// load without other loads.
     pub fn record_order(
         &mut self,
         now: Timestamp,
         engine: &BackEndId,
         sequence: u64,
+        model: &ModelId,
         uncontended_duration: Duration,
     ) {
-        self.rate_limiter.record_order(now, engine, sequence);
+        self.rate_limiter.record_order(now, engine, sequence, model);
         self.concurrency
             .record_order(now, engine, sequence, uncontended_duration);
     }
@@ -188,8 +189,8 @@
     }
 
     /// Restores a load from the row of a previous holder.
-    pub fn restore(&mut self, now: Timestamp, engine: &BackEndId) {
-        self.rate_limiter.record_restored_load(now, engine);
+    pub fn restore(&mut self, now: Timestamp, engine: &BackEndId, model: &ModelId) {
+        self.rate_limiter.record_restored_load(now, engine, model);
         self.concurrency.restore(now, engine);
     }
 
