Let gateways without parents read who holds the leases

Callers of a gateway whose parents were gone got 503 for models that no engine held, although a placement holder lived, and limit_not_known for every request of a tenant with a quota: for two minutes, after which the holder removes the rows of gateways that are gone.

Cause: a gateway without a responsive parent followed the urgent tables and the table of gateways, but not the leases, which name the placement holder and the gateways that charge quotas.

Change: after three seconds without an update from any parent the gateway reads the leases once, and again after 2, 4, 8 and then 16 s while that lasts.

--- a/crates/gateway/src/feed/parent_follower.rs
+++ b/crates/gateway/src/feed/parent_follower.rs
@@ -42,6 +42,13 @@
 /// Pause after the first failed table read of a gateway whose parents do not respond. The pause
 /// doubles with each further consecutive failure.
 const FIRST_RETRY_PAUSE: Duration = Duration::from_millis(150);
+/// Time without an update from any parent after which a gateway reads the leases itself. Parents
+/// that restart respond again sooner.
+const LEASE_READ_DELAY: Duration = Duration::from_secs(3);
+/// Pause after the first read of the leases. The pause doubles with each further read.
+const FIRST_LEASE_READ_PAUSE: Duration = Duration::from_secs(2);
+/// Maximum pause between two reads of the leases.
+const MAX_LEASE_READ_PAUSE: Duration = Duration::from_secs(16);
 /// Prevents overflow of the doubled pause, which exceeds one hour at this limit.
 const MAX_PAUSE_DOUBLINGS: u32 = 15;
 
@@ -69,6 +76,34 @@
     has_outstanding_pages: bool,
     /// When a parent last responded without fresh content.
     stale_response_at: Option<Instant>,
+    /// Reads of the leases while no parent sends updates; `None` while one does.
+    lease_reads: Option<LeaseReads>,
+}
+
+/// When to read the leases, which name the gateways that place models and charge quotas. Only
+/// parents send them to a gateway that follows the table temporarily.
+struct LeaseReads {
+    next_at: Instant,
+    next_pause: Duration,
+}
+
+impl LeaseReads {
+    /// The reads of a gateway that has received the last update from a parent just now.
+    fn new() -> Self {
+        LeaseReads {
+            next_at: Instant::now() + LEASE_READ_DELAY,
+            next_pause: FIRST_LEASE_READ_PAUSE,
+        }
+    }
+
+    fn is_due(&self) -> bool {
+        Instant::now() >= self.next_at
+    }
+
+    fn record_read(&mut self) {
+        self.next_at = Instant::now() + self.next_pause;
+        self.next_pause = (self.next_pause * 2).min(MAX_LEASE_READ_PAUSE);
+    }
 }
 
 impl ParentFollower {
@@ -80,6 +115,7 @@
             failed_table_reads: 0,
             has_outstanding_pages: false,
             stale_response_at: None,
+            lease_reads: None,
         }
     }
 
@@ -95,6 +131,7 @@
             }
             match self.request_updates(parent, wait).await {
                 ParentOutcome::Fresh => {
+                    self.lease_reads = None;
                     if !self.has_outstanding_pages {
                         sleep_until(started_at + self.pause()).await;
                     }
@@ -109,9 +146,30 @@
                 ParentOutcome::Stale | ParentOutcome::NoResponse => {}
             }
         }
+        self.read_leases_if_due().await;
         self.read_table().await;
     }
 
+    /// Reads the leases if no parent has sent updates for some time.
+    async fn read_leases_if_due(&mut self) {
+        let reads = self.lease_reads.get_or_insert_with(LeaseReads::new);
+        if !reads.is_due() {
+            return;
+        }
+        reads.record_read();
+        let lease = self.shared.platform.tables().lease;
+        let policies = table_sync_policies(&self.shared.platform.tables());
+        let Some(policy) = policies.iter().find(|policy| policy.table == lease) else {
+            return;
+        };
+        let result = advance(&self.shared, policy, Duration::ZERO).await;
+        if matches!(result, Err(TableError::HistoryGone)) {
+            self.shared.feed.cache(|cache| cache.record_gap(lease));
+        }
+        let fields = format_args!("table={lease} responded={}", result.is_ok());
+        event_log::write(LogPriority::Decision, "leases_read", fields);
+    }
+
     fn pause(&self) -> Duration {
         let has_children = self.shared.feed.parents.lock().has_children();
         let min_pause = self
