Let gateways with late timers take leases that nobody else takes

Nobody placed models, and nobody charged quotas, while the timers of all gateways were late by more than 150 ms on average: then every gateway was no candidate for the placement lease and for quota shards, without an end, and requests of tenants with quotas and requests for models were refused. That is possible where all machines start at once on scarce processors; it was not seen there.

Cause: an absolute bound on the lag kept a gateway from being a candidate, whatever the others do.

Change: such a gateway waits longer, three leases or four seconds, so that others come first. Holders still hand the placement lease back when they are late by more than 500 ms.

Evidence: a_gateway_with_late_timers_takes_the_lease_if_no_other_does failed before (not taken in 22 s) and passes.

--- a/crates/gateway/src/holder.rs
+++ b/crates/gateway/src/holder.rs
@@ -34,8 +34,11 @@
 /// Minimum time for which a holder keeps the lease before it hands the lease to a stronger machine.
 /// In its first moments, the holder may not know the capacities of other machines yet.
 const MIN_HOLD_TIME: Duration = Duration::from_secs(6);
-/// Mean timer lag above which a machine does not try to take the lease.
+/// Mean timer lag above which a machine leaves the lease to others for `LATE_TIMERS_LEASES`.
 const MAX_CANDIDATE_TIMER_LAG: Duration = Duration::from_millis(150);
+/// Additional delay, in lease durations, before a machine with late timers takes the lease. If the
+/// timers of all machines are late, one of them has to hold it.
+const LATE_TIMERS_LEASES: f64 = 3.0;
 /// Mean timer lag above which the holder releases the lease.
 const MAX_HOLDER_TIMER_LAG: Duration = Duration::from_millis(500);
 
@@ -81,11 +84,11 @@
     lease: Duration,
     /// The random delay of this process, up to [`MAX_TAKE_DELAY`].
     take_delay: Duration,
-    /// What was last logged as the reason why this process may not take the lease.
+    /// What was last logged to keep this process from taking the lease.
     logged_obstacle: Option<Option<LeaseObstacle>>,
 }
 
-/// The reason why a process may not take the lease.
+/// The reason why a process may not take the lease, or takes it only if no other does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum LeaseObstacle {
     /// The process was asked to stop.
@@ -120,7 +123,7 @@
         }
     }
 
-    /// Why this process may not take the lease now, if it may not.
+    /// What keeps this process from taking the lease now, if anything does.
     fn obstacle(&self) -> Option<LeaseObstacle> {
         let shared = &self.shared;
         if shared.is_stopping() {
@@ -137,7 +140,7 @@
         has_late_timers.then_some(LeaseObstacle::LateTimers)
     }
 
-    /// Logs whether this process may take the lease, when that changes.
+    /// Logs what keeps this process from taking the lease, when that changes.
     fn log_obstacle(&mut self) {
         let obstacle = self.obstacle();
         if self.logged_obstacle == Some(obstacle) {
@@ -170,20 +173,20 @@
                 Candidacy::After(0)
             };
         }
-        if obstacle.is_some() {
-            return Candidacy::Never;
-        }
         let strongest = f64::from(shared.max_millicores());
         let capacity_fraction = if strongest > 0.0 {
             own / strongest
         } else {
             1.0
         };
-        let delay = if capacity_fraction >= EQUAL_CAPACITY_FRACTION {
+        let mut delay = if capacity_fraction >= EQUAL_CAPACITY_FRACTION {
             self.take_delay
         } else {
             self.lease.mul_f64(2.0 - capacity_fraction) + self.take_delay
         };
+        if obstacle == Some(LeaseObstacle::LateTimers) {
+            delay += self.lease.mul_f64(LATE_TIMERS_LEASES);
+        }
         Candidacy::After(delay.as_millis() as u64)
     }
 
--- a/crates/gateway/src/tenant_quotas/shards.rs
+++ b/crates/gateway/src/tenant_quotas/shards.rs
@@ -31,8 +31,11 @@
 const MIN_PAUSE: Duration = Duration::from_millis(20);
 /// A machine with at least this fraction of the strongest machine's processor counts as strong.
 const STRONG_FRACTION: f64 = 0.8;
-/// A gateway with a higher average timer lag is not a candidate for shards.
+/// A gateway with a higher average timer lag leaves shards to others for `LATE_TIMERS_DELAY`.
 const MAX_TIMER_LAG: Duration = Duration::from_millis(150);
+/// Additional delay before a gateway with late timers takes a free shard. If the timers of all
+/// gateways are late, some of them have to hold the shards.
+const LATE_TIMERS_DELAY: Duration = Duration::from_secs(4);
 /// Minimum time for which a gateway holds a shard before it hands the shard over to another
 /// gateway. Without hand-overs, the gateway that started first would keep all shards.
 const MIN_HOLD_TIME: Duration = Duration::from_secs(6);
@@ -201,11 +204,14 @@
                 Candidacy::After(0)
             };
         }
-        if shared.timer_lag() > MAX_TIMER_LAG {
-            return Candidacy::Never;
-        }
+        let late_delay = if shared.timer_lag() > MAX_TIMER_LAG {
+            LATE_TIMERS_DELAY
+        } else {
+            Duration::ZERO
+        };
         self.update_order();
-        Candidacy::After(self.order.delay_with_held_shards(shard, &self.is_active))
+        let delay = self.order.delay_with_held_shards(shard, &self.is_active);
+        Candidacy::After(delay + late_delay.as_millis() as u64)
     }
 
     /// Chooses a shard to hand over to a gateway that responds. Half of the quota of the shard's
