--- a/crates/gorsebank/tests/soak/plan.rs
+++ b/crates/gorsebank/tests/soak/plan.rs
@@ -35,6 +35,8 @@
 const MAX_RETURN_DELAY_MS: u64 = 2_000;
 /// Bounds on the time from the return of power until it is lost again, in milliseconds.
 const SECOND_LOSS_MS: Range<u64> = 2_000..9_000;
+/// Upper bound on the time for which gateways outlast the back ends, in milliseconds.
+const MAX_OUTLAST_MS: u64 = 1_500;
 /// Upper bound on the time from the return of power until a late order is carried out, in
 /// milliseconds. An order is carried out within 13 s after it was sent or never.
 const MAX_LATE_ORDER_MS: u64 = 8_000;
@@ -168,6 +170,8 @@
     pub late_order_delay: Duration,
     /// Time from the return of power until the next loss, if there is another one.
     pub until_next: Duration,
+    /// Time for which gateways and the table run on after the back ends have ended.
+    pub gateways_outlast: Duration,
 }
 
 /// A rate limit that a back end states for some time.
@@ -390,6 +394,11 @@
         has_absent_gateways: random.random_bool(0.4),
         late_order_delay: draw_duration(&mut random, 0..MAX_LATE_ORDER_MS),
         until_next: draw_duration(&mut random, SECOND_LOSS_MS),
+        gateways_outlast: if random.random_bool(0.5) {
+            draw_duration(&mut random, 0..MAX_OUTLAST_MS)
+        } else {
+            Duration::ZERO
+        },
     });
     drawn.collect()
 }
--- a/crates/gorsebank/tests/soak/run/power_return.rs
+++ b/crates/gorsebank/tests/soak/run/power_return.rs
@@ -179,19 +179,20 @@
 
     async fn lose_and_return_power(self: &Arc<Self>, loss: PowerLoss) -> PowerReturn {
         let from = self.started_at.elapsed();
+        let lost = std::mem::take(&mut *self.listed.lock());
+        for back_end in &lost {
+            back_end.runner.exit();
+            back_end.wire.stop_listening();
+        }
+        sleep(loss.gateways_outlast).await;
         let is_unavailable = &self.store.inner.is_unavailable;
         is_unavailable.store(true, Ordering::Relaxed);
         for index in 0..self.slots.len() {
             self.record_peak_memory(index);
             self.slots[index].lock().kill();
         }
-        let lost = std::mem::take(&mut *self.listed.lock());
-        for back_end in &lost {
-            back_end.runner.exit();
-            back_end.wire.stop_listening();
-            if !loss.keeps_rows {
-                self.store.remove("servers", &back_end.runner.id);
-            }
+        for back_end in lost.iter().filter(|_| !loss.keeps_rows) {
+            self.store.remove("servers", &back_end.runner.id);
         }
         sleep(loss.outage).await;
         let power_return = PowerReturn {
