--- a/crates/fleet/src/placement/engine/mod.rs
+++ b/crates/fleet/src/placement/engine/mod.rs
@@ -386,6 +386,13 @@
         self.observed.nearest_copy(model) != CopyTier::WeightStore
     }
 
+    /// Whether the engine holds no model and has no copy of one.
+    pub fn has_no_models(&self) -> bool {
+        let observed = &self.observed;
+        let has_copies = !observed.in_memory.is_empty() || !observed.on_disk.is_empty();
+        self.holdings().is_empty() && !has_copies
+    }
+
     /// Whether the engine is to load a model from the weight store once it has enough free memory.
     pub fn will_load_from_store(&self) -> bool {
         let goal = self.goal.as_ref().filter(|goal| !goal.is_load_ordered);
--- a/crates/fleet/src/placement/mod.rs
+++ b/crates/fleet/src/placement/mod.rs
@@ -365,6 +365,19 @@
         }
     }
 
+    /// Whether a service's engines hold no model and have no copy of one, and loads from the weight
+    /// store outlast its callers.
+    pub fn lacks_all_models(&self, configuration: &Configuration) -> bool {
+        let is_lacking = |service: &ServiceId| {
+            let engines = self.engines.values();
+            let mut engines = engines.filter(|engine| engine.serves(service)).peekable();
+            engines.peek().is_some() && engines.all(EngineState::has_no_models)
+        };
+        configuration.engine_services().any(|(service, _)| {
+            configuration.longest_load_outlasts_callers(service) && is_lacking(service)
+        })
+    }
+
     /// Loads that the last plan deferred, with the reasons.
     pub fn deferred_loads(&self) -> &[DeferredLoad] {
         &self.decisions.deferred
--- a/crates/fleet/tests/long_loads.rs
+++ b/crates/fleet/tests/long_loads.rs
@@ -5,7 +5,7 @@
 
 use gorsebank_coordination::Timestamp;
 use gorsebank_fleet::placement::{LoadConcurrencyEstimate, Planner, StoreRecord, StoreRecords};
-use support::{Simulation, demand, running};
+use support::{SimulatedEngine, Simulation, demand, running};
 
 /// Milliseconds that a load from the weight store takes without other loads.
 const STORE_LOAD_MS: u64 = 13_200;
@@ -176,3 +176,22 @@
         );
     }
 }
+
+/// Guards against first loads of models that nobody is known to want most yet.
+#[test]
+fn engines_lack_all_models_only_where_nothing_is_held_or_copied() {
+    let mut simulation = Simulation::new(2, &[]);
+    simulation.set_load_time_and_timeout(10_200, 8_000);
+    let lacks_all = |simulation: &mut Simulation| {
+        simulation.observe(0);
+        let configuration = &simulation.configuration;
+        simulation.planner.lacks_all_models(configuration)
+    };
+    assert!(lacks_all(&mut simulation));
+    simulation.engines[1].models_in_memory.push("m0".into());
+    assert!(!lacks_all(&mut simulation), "one engine has a copy");
+    simulation.engines[1] = SimulatedEngine::new(1, &["m0"]);
+    assert!(!lacks_all(&mut simulation), "one engine holds a model");
+    let mut simulation = Simulation::new(2, &[]);
+    assert!(!lacks_all(&mut simulation), "loads are short");
+}
