--- a/crates/gorsebank/tests/soak/run/power_return.rs
+++ b/crates/gorsebank/tests/soak/run/power_return.rs
@@ -251,7 +251,7 @@
         tokio::spawn(async move {
             sleep(loss.late_order_delay).await;
             late_orders
-                .into_iter()
+                .iter()
                 .for_each(|order| runner.execute_late_order(order));
         });
         returned
