--- a/crates/fleet/src/placement/engine/mod.rs
+++ b/crates/fleet/src/placement/engine/mod.rs
@@ -368,11 +368,13 @@
 
     /// Memory that is kept free for orders to previous incarnations, if there are any.
     pub fn reservation(&self, now: Timestamp, spec: &Engine) -> Option<MemoryReservation> {
+        let orders = &self.previous_orders;
+        let for_ms = orders.expires_in(now)?;
         Some(MemoryReservation {
             engine: self.observed.id.clone(),
             memory_mb: self.reserved_memory(spec, None),
-            for_ms: self.previous_orders.expires_in(now)?,
-            has_unlisted_orders: self.previous_orders.has_unlisted_orders(),
+            for_ms,
+            has_unlisted_orders: orders.has_unlisted_orders(),
         })
     }
 
--- a/crates/fleet/src/placement/engine/unresolved_orders.rs
+++ b/crates/fleet/src/placement/engine/unresolved_orders.rs
@@ -190,7 +190,14 @@
         let of_models: f64 = further
             .map(|model| known(model).unwrap_or(spec.memory_mb))
             .sum();
-        of_models + self.adapter_loads() as f64 * spec.largest_adapter_mb()
+        of_models + self.adapter_memory_needed(spec)
+    }
+
+    fn adapter_memory_needed(&self, spec: &Engine) -> f64 {
+        match self.adapter_loads() {
+            0 => 0.0,
+            count => count as f64 * spec.largest_adapter_mb(),
+        }
     }
 
     /// Adapter slots that the orders may still use.
