--- a/crates/gorsebank/tests/soak/run/power_return.rs
+++ b/crates/gorsebank/tests/soak/run/power_return.rs
@@ -1,5 +1,6 @@
-//! Losses of all power while callers go on. Gateways, back ends and the table end at one moment and
-//! return one after the other; engines return under their names, empty, and their loads take time.
+//! Losses of all power while callers go on. Back ends end first, or at the same moment as gateways and
+//! the table; all return one after the other. Engines return under their names, empty, and their loads
+//! take time.
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
