--- a/crates/gorsebank/tests/soak/run/power_return.rs
+++ b/crates/gorsebank/tests/soak/run/power_return.rs
@@ -7,7 +7,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use serde_json::{Value, json};
+use serde_json::Value;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
@@ -16,8 +16,8 @@
 use crate::callers::{Caller, Workload};
 use crate::history::{Disturbance, DisturbanceKind, History, PowerReturn};
 use crate::plan::{PowerLoss, draw_power_losses};
-use crate::platform::configuration;
-use crate::platform::engine::LoadTimes;
+use crate::platform::engine::{LoadTimes, configuration_with_models};
+use crate::platform::tenants::{set_tenants, tenant, tenant_with_quota};
 use crate::service_return::RETURN_BOUND;
 
 /// Number of engines.
@@ -99,20 +99,16 @@
     format!("m{number}")
 }
 
-/// Returns the configuration with models that load slowly.
+/// Returns the configuration with models that load slowly, and with tenants.
 fn configuration_with_loads() -> Value {
-    let mut document = configuration(1);
-    let models = (0..MODELS).map(|number| {
-        json!({"name": model_name(number), "weightsMb": 70.0, "loadS": LOAD_TIMES.store.as_secs_f64(),
-               "diskLoadS": LOAD_TIMES.disk.as_secs_f64(), "adapters": 0, "adapterMb": 1.0})
-    });
-    document["services"][1]["engine"]["models"] = models.collect();
+    let models: Vec<String> = (0..MODELS).map(model_name).collect();
     let tenants = (0..TENANTS).map(|tenant| {
-        json!({"name": format!("tenant-{tenant}"), "apiKeys": [api_key(tenant)], "unit": "token",
-               "plainTokens": 100, "ratePerS": TOKENS_PER_SECOND, "burst": TOKENS_PER_SECOND})
+        let name = format!("tenant-{tenant}");
+        tenant_with_quota(&name, &api_key(tenant), TOKENS_PER_SECOND)
     });
-    let prober = json!({"name": "prober", "apiKeys": [super::PROBE_KEY]});
-    document["tenants"] = tenants.chain([prober]).collect();
+    let prober = tenant("prober", super::PROBE_KEY);
+    let mut document = configuration_with_models(&models, LOAD_TIMES);
+    set_tenants(&mut document, tenants.chain([prober]));
     document
 }
 
