--- a/crates/fleet/tests/incarnation.rs
+++ b/crates/fleet/tests/incarnation.rs
@@ -138,8 +138,7 @@
     MODELS.into_iter().filter(is_loaded).collect()
 }
 
-/// Guards against engines that take no load for 13 s after a loss of all power, because any order may
-/// have been sent to their previous processes.
+/// Guards against engines that take no load while any order may still come from before their restart.
 #[test]
 fn engines_that_restart_with_the_placement_holder_load_models_at_once() {
     for knows_restarts in [true, false] {
