Read the table when a read is due although children ask for updates

Callers of a gateway that others take for a root got no_configuration for 15 s and longer after all gateways had returned, while the others served.

Cause: a gateway without content waits for its turn to read the table, and ends that wait when a child asks. A timer in the past needs a turn of the timer wheel, a stored notification does not, so with children that ask all the time the read never came.

--- a/crates/gateway/src/feed/parent_follower.rs
+++ b/crates/gateway/src/feed/parent_follower.rs
@@ -429,13 +429,14 @@
             self.table_read_at.get_or_insert_with(Instant::now);
         }
         let due = self.table_read_at.map_or(Instant::now(), |at| at + pause);
-        let update_requested = self.shared.feed.update_requested.notified();
-        tokio::select! {
-            () = sleep_until(due) => {}
-            // A child waits for updates, so the next iteration starts early.
-            () = update_requested => return sleep(MIN_PAUSE).await,
-            // The cooldown of a parent may have ended.
-            () = sleep(MAX_UPDATE_WAIT) => return,
+        if Instant::now() < due {
+            tokio::select! {
+                () = sleep_until(due) => {}
+                // A child waits for updates, so the next iteration starts early.
+                () = self.shared.feed.update_requested.notified() => return sleep(MIN_PAUSE).await,
+                // The cooldown of a parent may have ended.
+                () = sleep(MAX_UPDATE_WAIT) => return,
+            }
         }
         let started_at = Instant::now();
         self.table_read_at = Some(started_at);
