Pace the calls of a slow table in large fleets, and read the members first

Callers were refused for 15 s and longer (no_configuration) after all gateways had returned at other addresses to a table that executes 50 calls a second.

Cause: nobody knows an address that responds, so 48 gateways read leases and configuration, repeat writes and lease attempts, and follow tables for themselves. Each has a bound, their sum has none; calls wait for up to 3.2 s, are given up after 1.2 s, and are executed all the same.

Evidence: calls by second and table in the postmortem; no call had a response for ten seconds. Bounds on single kinds (own rows, leases, take delays) and longer timeouts were tried one by one and did not end the state.

Roots and lease holders are not limited. A gateway without content reads the members until one of them responds, leaves leases alone, and does not follow a slow table.

--- a/crates/gateway/src/feed/parent_follower.rs
+++ b/crates/gateway/src/feed/parent_follower.rs
@@ -197,7 +197,8 @@
         let reads = self
             .lease_reads
             .get_or_insert_with(|| LeaseReads::new(first_delay));
-        if !reads.is_due() {
+        let is_paced = self.shared.time_until_paced_call() > Duration::ZERO;
+        if !reads.is_due() || is_paced || self.shared.lacks_content() {
             return;
         }
         let lease = self.shared.platform.tables().lease;
@@ -205,6 +206,7 @@
         let Some(policy) = policies.iter().find(|policy| policy.table == lease) else {
             return;
         };
+        self.shared.wait_for_paced_call().await;
         let result = advance(&self.shared, policy, Duration::ZERO).await;
         if matches!(result, Err(TableError::HistoryGone)) {
             self.shared.feed.cache(|cache| cache.record_gap(lease));
@@ -429,6 +431,7 @@
             self.table_read_at.get_or_insert_with(Instant::now);
         }
         let due = self.table_read_at.map_or(Instant::now(), |at| at + pause);
+        let due = due.max(Instant::now() + self.shared.time_until_paced_call());
         if Instant::now() < due {
             tokio::select! {
                 () = sleep_until(due) => {}
@@ -438,18 +441,34 @@
                 () = sleep(MAX_UPDATE_WAIT) => return,
             }
         }
+        self.shared.wait_for_paced_call().await;
         let started_at = Instant::now();
         self.table_read_at = Some(started_at);
         let tables = table_sync_policies(&self.shared.platform.tables());
-        let Some(first) = tables.iter().find(|policy| policy.is_urgent) else {
+        let lacks_parents = self.lacks_parents();
+        let mut policies = tables.iter();
+        let policy = policies.find(|policy| {
+            if lacks_parents {
+                policy.names_parents
+            } else {
+                policy.is_urgent
+            }
+        });
+        let Some(policy) = policy else {
             return;
         };
-        let result = advance(&self.shared, first, first.max_wait).await;
+        let max_wait = if lacks_parents {
+            Duration::ZERO
+        } else {
+            policy.max_wait
+        };
+        let result = advance(&self.shared, policy, max_wait).await;
         let has_responded = matches!(result, Ok(()) | Err(TableError::HistoryGone));
-        let is_late = started_at.elapsed() > first.max_wait + SLOW_RESPONSE_TIME;
+        let is_late = started_at.elapsed() > max_wait + SLOW_RESPONSE_TIME;
         let is_slow = is_late && self.shared.is_large_fleet();
-        self.record_table_read(first.table, has_responded, is_slow);
-        if has_responded && !is_slow {
+        self.record_table_read(policy.table, has_responded, is_slow);
+        let is_paced = self.shared.paces_calls() && self.shared.table().pacer().is_slow();
+        if has_responded && !is_slow && !is_paced {
             self.shared.feed.parents.lock().record_direct_response();
         }
     }
@@ -480,6 +499,12 @@
         self.stale_response_at.is_some_and(is_recent)
     }
 
+    /// Whether this gateway has no content yet, and none of many known gateways responds. All of them
+    /// may have started at other addresses, and each reads the whole table unless it learns these.
+    fn lacks_parents(&self) -> bool {
+        self.shared.lacks_content() && !self.has_stale_parent()
+    }
+
     /// Whether this gateway has no content yet, as when all gateways start, and a responsive parent
     /// waits for content as well. The parent reads the table on behalf of all its children, each of
     /// which would otherwise have to read the whole table.
--- a/crates/gateway/src/lease_session.rs
+++ b/crates/gateway/src/lease_session.rs
@@ -114,6 +114,9 @@
         if must_pause && !self.is_held() {
             return LeaseStepResult::Idle(retry_pause);
         }
+        if let Some(pause) = self.candidate_pause() {
+            return LeaseStepResult::Idle(pause);
+        }
         let now = self.shared.now();
         let step = self.keeper.lock().step(now, candidacy);
         match step {
@@ -129,6 +132,7 @@
         let shared = &self.shared;
         let table = shared.platform.tables().lease;
         let snapshot = if self.must_read_table {
+            self.pace_call().await;
             let snapshot = shared.table().read(table).await.ok();
             self.record_call(snapshot.is_some());
             snapshot
@@ -167,6 +171,7 @@
         };
         let mut transaction = Transaction::put_if(self.key.clone(), expected, value);
         transaction.puts.extend(extra_put);
+        self.pace_call().await;
         let response = shared.table().transact(transaction).await;
         let has_responded = matches!(
             response,
@@ -193,6 +198,29 @@
         }
     }
 
+    /// Time for which a candidate leaves the table's next calls to others, if it should.
+    fn candidate_pause(&self) -> Option<Duration> {
+        let shared = &self.shared;
+        if self.is_held() || !shared.paces_calls() {
+            return None;
+        }
+        let pause = shared.time_until_paced_call();
+        let must_read_content = shared.lacks_content() && shared.table().pacer().is_slow();
+        let pause = if must_read_content {
+            pause.max(NO_RESPONSE_PAUSE)
+        } else {
+            pause
+        };
+        (pause > Duration::ZERO).then_some(pause)
+    }
+
+    /// Lets a candidate wait for its turn to call the table. The holder's calls are never delayed.
+    async fn pace_call(&self) {
+        if !self.is_held() {
+            self.shared.wait_for_paced_call().await;
+        }
+    }
+
     /// Records whether the table responded to a call.
     fn record_call(&self, has_responded: bool) {
         let mut retries = self.shared.lease_retries.lock();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod back_end;
 pub mod back_end_limits;
 pub mod backoff;
+pub mod call_pacer;
 pub mod candidates;
 pub mod clock;
 pub mod demand_rows;
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -123,6 +123,7 @@
     let mut version = known.map_or(0, |known| known.modified);
     while !shared.is_stopping() {
         let transaction = Transaction::put_if(key.clone(), version, value.clone());
+        shared.wait_for_paced_call().await;
         match shared.table().transact(transaction).await {
             TransactionResult::Committed { .. } => return,
             TransactionResult::Conflict { rows } => {
--- a/crates/gateway/src/relay/table.rs
+++ b/crates/gateway/src/relay/table.rs
@@ -23,6 +23,7 @@
 
 use super::client::RelayClient;
 use super::message::{RelayRequest, RelayResponse};
+use crate::call_pacer::CallPacer;
 use crate::event_log::{self, LogPriority};
 use crate::ports::{Platform, TableChanges, TableError, TableSnapshot, WatchedTable};
 
@@ -55,6 +56,7 @@
     state: Mutex<State>,
     /// Notified when the direct path is abandoned, for pending direct calls.
     direct_abandoned: Notify,
+    pacer: CallPacer,
 }
 
 #[derive(Default)]
@@ -91,6 +93,7 @@
             client: RelayClient::default(),
             state: Mutex::default(),
             direct_abandoned: Notify::new(),
+            pacer: CallPacer::default(),
         }
     }
 
@@ -104,6 +107,11 @@
         &self.client
     }
 
+    /// The pace of the calls that many gateways may make at the same time.
+    pub fn pacer(&self) -> &CallPacer {
+        &self.pacer
+    }
+
     /// The table by the direct path, unless that path was abandoned.
     pub fn direct(&self) -> Option<&dyn WatchedTable> {
         let is_abandoned = self.state.lock().probe_at.is_some();
@@ -267,8 +275,10 @@
 
     async fn read_by_path(&self, table: &str) -> Result<TableSnapshot, TableError> {
         if self.choose_path() == CallPath::Direct {
+            let requested_at = Instant::now();
             let result = self.platform.table().read(table).await;
             self.record_read(Instant::now(), &result);
+            self.pace_after(requested_at, Duration::ZERO, !is_lost(&result));
             return result;
         }
         let table = table.to_owned();
@@ -293,6 +303,7 @@
             return tokio::select! {
                 result = self.platform.table().changes(table, version, wait) => {
                     self.record_read(accepted_at, &result);
+                    self.pace_after(accepted_at, wait, !is_lost(&result));
                     result
                 }
                 () = abandoned => Err(table_unreachable()),
@@ -312,8 +323,11 @@
 
     async fn transact_by_path(&self, transaction: Transaction) -> TransactionResult {
         if self.choose_path() == CallPath::Direct {
+            let requested_at = Instant::now();
             let response = self.platform.table().transact(transaction).await;
             self.record_write(&response);
+            let has_responded = response != TransactionResult::Unknown;
+            self.pace_after(requested_at, Duration::ZERO, has_responded);
             return response;
         }
         self.relay_write(RelayRequest::Transact(transaction)).await
@@ -330,6 +344,12 @@
             .await
     }
 
+    /// Records the time of a direct call, which may have waited for a change for up to `wait`.
+    fn pace_after(&self, requested_at: Instant, wait: Duration, has_responded: bool) {
+        let time = requested_at.elapsed().saturating_sub(wait);
+        self.pacer.record_call(has_responded.then_some(time));
+    }
+
     fn record_write(&self, response: &TransactionResult) {
         match response {
             TransactionResult::Committed { .. } | TransactionResult::Conflict { .. } => {
@@ -350,6 +370,11 @@
     }
 }
 
+/// Whether a call had no response.
+fn is_lost<T>(result: &Result<T, TableError>) -> bool {
+    matches!(result, Err(TableError::NoResponse(_)))
+}
+
 /// Whether a response of another gateway contains a response of the table.
 fn is_from_table(response: &RelayResponse) -> bool {
     match response {
--- a/crates/gateway/src/shared/gateways.rs
+++ b/crates/gateway/src/shared/gateways.rs
@@ -5,6 +5,7 @@
 
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use gorsebank_fleet::stream_origins::KeeperGroup;
 use gorsebank_world::NodeId;
@@ -150,6 +151,35 @@
         self.gateways.load(Ordering::Relaxed) + UNKNOWN_GATEWAYS
     }
 
+    /// Whether this gateway's calls are among those whose combined rate is limited while the table is
+    /// slow.
+    pub fn paces_calls(&self) -> bool {
+        self.is_large_fleet() && !self.feed.parents.lock().is_root()
+    }
+
+    /// Whether this gateway is one of many and has not read the back ends since its start. It cannot serve
+    /// callers yet, so its calls of the table are for its content only.
+    pub fn lacks_content(&self) -> bool {
+        self.is_large_fleet() && !self.has_read_back_ends()
+    }
+
+    /// Time until this gateway may make the next call of the table that others could make instead.
+    pub fn time_until_paced_call(&self) -> Duration {
+        if self.paces_calls() {
+            self.table().pacer().time_left()
+        } else {
+            Duration::ZERO
+        }
+    }
+
+    /// Waits until this gateway may make such a call.
+    pub async fn wait_for_paced_call(&self) {
+        if self.paces_calls() {
+            let gateways = self.max_gateway_count();
+            self.table().pacer().wait(gateways).await;
+        }
+    }
+
     /// Whether the gateways together may call the table more often than it bears.
     pub fn is_large_fleet(&self) -> bool {
         self.max_gateway_count() > MAX_SMALL_FLEET
