Soak: a weight store that bears few loads, many models and callers that repeat

The stand-ins loaded any number of models at full speed, twelve models had about equal shares, and refused requests were not repeated at once, so the soak could not show what the weight store does to a return without disks. Engines may now share a store that slows down with the number of loads; 30 of 195 models get 0.785 of the requests for models, and some callers repeat a refused request three times.

--- a/crates/gorsebank/tests/soak/callers.rs
+++ b/crates/gorsebank/tests/soak/callers.rs
@@ -21,6 +21,8 @@
 const MAX_PAUSE_MS: u64 = 40;
 /// Time that a caller waits for a response, in milliseconds.
 const TIMEOUT_MS: u32 = 1_500;
+/// Pause before an impatient caller repeats a refused request.
+const REPEAT_PAUSE: Duration = Duration::from_millis(100);
 /// Longest time that a caller waits after a `retry-after` header, in seconds.
 const MAX_RETRY_AFTER_SECONDS: f64 = 0.3;
 /// Fraction of requests that ask for a model that is loaded on demand.
@@ -49,6 +51,9 @@
     pub cold_models: Vec<String>,
     /// Number of draws of a cold model, of which the most wanted one counts; 1 for equal shares.
     pub popularity_draws: usize,
+    /// Number of the first cold models that get this fraction of the requests for cold ones; `None` to
+    /// draw as `popularity_draws` says.
+    pub popular: Option<(usize, f64)>,
     /// Upper bound on the pause between two requests of one caller, in milliseconds.
     pub max_pause_ms: u64,
     /// API keys, which the callers use in turn; empty if callers need none.
@@ -57,6 +62,9 @@
     pub adapters: usize,
     /// Every caller whose number is a multiple of this repeats refused requests at once.
     pub impatient_interval: Option<usize>,
+    /// Number of times that such a caller repeats a refused request for the same model; 0 to continue
+    /// with another request at once.
+    pub repeats: usize,
 }
 
 impl Default for Workload {
@@ -66,10 +74,12 @@
             cold_fraction: COLD_FRACTION,
             cold_models: COLD_MODELS.map(str::to_owned).to_vec(),
             popularity_draws: 1,
+            popular: None,
             max_pause_ms: MAX_PAUSE_MS,
             api_keys: Vec::new(),
             adapters: 0,
             impatient_interval: None,
+            repeats: 0,
         }
     }
 }
@@ -94,12 +104,27 @@
         interval.is_some_and(|interval| caller.is_multiple_of(interval))
     }
 
+    /// Draws the index of a cold model.
+    fn draw_cold_model(&self, random: &mut ChaCha8Rng) -> usize {
+        let models = self.cold_models.len();
+        if let Some((popular, fraction)) = self.popular {
+            let is_popular = random.random_bool(fraction);
+            let range = if is_popular {
+                0..popular
+            } else {
+                popular..models
+            };
+            return random.random_range(range);
+        }
+        let draws = 0..self.popularity_draws;
+        let draws = draws.map(|_| random.random_range(0..models));
+        draws.min().unwrap_or(0)
+    }
+
     /// Draws a model, or one of its adapters: `MODEL/ADAPTER`.
     fn draw_model(&self, random: &mut ChaCha8Rng) -> String {
         let is_cold = random.random_bool(self.cold_fraction);
-        let draws = 0..self.popularity_draws;
-        let draws = draws.map(|_| random.random_range(0..self.cold_models.len()));
-        let cold_model = &self.cold_models[draws.min().unwrap_or(0)];
+        let cold_model = &self.cold_models[self.draw_cold_model(random)];
         let model = if is_cold { cold_model } else { "warm" };
         if self.adapters == 0 || random.random_bool(0.5) {
             return model.to_owned();
@@ -156,7 +181,17 @@
     pub async fn run(mut self, until: Duration) {
         while self.started_at.elapsed() < until {
             let (kind, path) = self.workload.draw_route(&mut self.random);
-            let response = self.send(kind, path).await;
+            let model = self.workload.draw_model(&mut self.random);
+            let mut response = self.send(kind, path, &model).await;
+            if self.workload.is_impatient(self.number) {
+                for _ in 0..self.workload.repeats {
+                    if !response.as_ref().is_some_and(is_refusal) {
+                        break;
+                    }
+                    sleep(REPEAT_PAUSE).await;
+                    response = self.send(kind, path, &model).await;
+                }
+            }
             let retry_after = response
                 .as_ref()
                 .and_then(|response| response.header("retry-after"));
@@ -169,12 +204,11 @@
         }
     }
 
-    async fn send(&mut self, kind: RequestKind, path: &str) -> Option<ClientResponse> {
+    async fn send(&mut self, kind: RequestKind, path: &str, model: &str) -> Option<ClientResponse> {
         let (endpoint, client) = self.connection().await?;
         let id = format!("c{}-{}", self.number, self.request_count);
         self.request_count += 1;
-        let model = self.workload.draw_model(&mut self.random);
-        let mut message = request_within(&id, path, &model, TIMEOUT_MS);
+        let mut message = request_within(&id, path, model, TIMEOUT_MS);
         if let Some(value) = self.workload.authorization(self.number) {
             message.headers_mut().insert(AUTHORIZATION, value);
         }
@@ -218,6 +252,10 @@
     }
 }
 
+fn is_refusal(response: &ClientResponse) -> bool {
+    response.header("retry-after").is_some()
+}
+
 fn outcome(response: &ClientResponse) -> Outcome {
     Outcome::Response {
         status: response.status,
--- a/crates/gorsebank/tests/soak/main.rs
+++ b/crates/gorsebank/tests/soak/main.rs
@@ -41,6 +41,8 @@
 
 /// Seeds that run by default.
 const DEFAULT_SEEDS: Range<u64> = 1..4;
+/// Seeds that run by default with a busy weight store, which takes longest.
+const BUSY_STORE_SEEDS: Range<u64> = 1..2;
 /// Seeds that exposed a fault; the list does not depend on the environment.
 const REGRESSION_SEEDS: [u64; 1] = [557];
 /// Default period in which faults are injected, in seconds.
@@ -155,6 +157,20 @@
     .await;
 }
 
+/// All machines lose power and their disks; the weight store performs two loads at full speed, thirty of
+/// 195 models get most requests, and some callers repeat refused requests.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn service_returns_after_losses_of_all_power_with_a_busy_weight_store() {
+    let seconds = env_number("GORSEBANK_SOAK_SECONDS").unwrap_or(SECONDS_BEFORE_POWER_LOSS);
+    check_seeds(
+        selected_seeds_or(BUSY_STORE_SEEDS),
+        Duration::from_secs(seconds),
+        selected_gateways(),
+        ExtraFaults::PowerLossesWithBusyStore,
+    )
+    .await;
+}
+
 /// Guards against orders that a previous placement holder sends after those of a newer holder. The
 /// previous holder was asked to stop while the table lost responses. The table had applied the
 /// release of its lease, but the holder did not receive the response and went on sending orders. In
@@ -265,8 +281,12 @@
 }
 
 fn selected_seeds() -> Range<u64> {
+    selected_seeds_or(DEFAULT_SEEDS)
+}
+
+fn selected_seeds_or(default: Range<u64>) -> Range<u64> {
     let Ok(setting) = std::env::var("GORSEBANK_SOAK_SEEDS") else {
-        return DEFAULT_SEEDS;
+        return default;
     };
     let bounds = setting.split_once("..");
     let bounds = bounds.and_then(|(first, last)| Some((first.parse().ok()?, last.parse().ok()?)));
--- a/crates/gorsebank/tests/soak/run.rs
+++ b/crates/gorsebank/tests/soak/run.rs
@@ -32,6 +32,7 @@
 use super::platform::runner::{ReceivedRequest, Reply, Runner};
 use super::platform::store::Store;
 use super::platform::tcp_proxy::TcpProxy;
+use super::platform::weight_store::WeightStore;
 use super::platform::{configuration, configuration_with_prefix, server_row};
 use behaviour::{Conditions, reply_to};
 pub use power_return::execute_power_losses;
@@ -102,6 +103,8 @@
     configuration_version: Mutex<u64>,
     /// Held while the table is restored.
     restoring: tokio::sync::Mutex<()>,
+    /// The weight store that all engines share; `None` if their loads do not slow each other down.
+    weight_store: Option<Arc<Mutex<WeightStore>>>,
 }
 
 /// Faults that are injected in addition to the schedule, drawn from separate random streams.
@@ -124,6 +127,10 @@
     /// All machines lose power as in `PowerLosses`; models have adapters, some callers do not wait, and
     /// the table may have lost writes.
     HarshPowerLosses,
+    /// All machines lose power and their disks; many engines share a weight store that performs few
+    /// loads at full speed, a few of many models get most requests, and some callers repeat refused
+    /// requests.
+    PowerLossesWithBusyStore,
 }
 
 impl ExtraFaults {
@@ -131,7 +138,9 @@
     pub fn are_power_losses(self) -> bool {
         matches!(
             self,
-            ExtraFaults::PowerLosses | ExtraFaults::HarshPowerLosses
+            ExtraFaults::PowerLosses
+                | ExtraFaults::HarshPowerLosses
+                | ExtraFaults::PowerLossesWithBusyStore
         )
     }
 }
@@ -207,7 +216,10 @@
         replacements.spawn(run.clone().replace_when_exited(back_end.clone()));
     }
     match options.extra_faults {
-        ExtraFaults::Nothing | ExtraFaults::PowerLosses | ExtraFaults::HarshPowerLosses => {}
+        ExtraFaults::Nothing
+        | ExtraFaults::PowerLosses
+        | ExtraFaults::HarshPowerLosses
+        | ExtraFaults::PowerLossesWithBusyStore => {}
         ExtraFaults::Limits => {
             for limit in draw_limits(seed, length) {
                 faults.spawn(run.clone().state_limit(limit));
@@ -319,6 +331,7 @@
             process_count: AtomicUsize::new(gateways),
             configuration_version: Mutex::new(1),
             restoring: tokio::sync::Mutex::default(),
+            weight_store: None,
         }
     }
 
--- a/crates/gorsebank/tests/soak/run/power_return.rs
+++ b/crates/gorsebank/tests/soak/run/power_return.rs
@@ -7,6 +7,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use parking_lot::Mutex;
 use serde_json::{Value, json};
 use tokio::task::JoinSet;
 use tokio::time::sleep;
@@ -19,12 +20,39 @@
 use crate::platform::engine::{LoadTimes, configuration_with_models};
 use crate::platform::store::StoreCopy;
 use crate::platform::tenants::{set_tenants, tenant, tenant_with_quota};
+use crate::platform::weight_store::WeightStore;
 use crate::service_return::RETURN_BOUND;
 
-/// Number of engines.
-const ENGINES: usize = 9;
-/// Number of models. An engine has memory for two of them.
-const MODELS: usize = 12;
+/// What engines hold, and what callers ask them for. An engine has memory for two models.
+#[derive(Clone, Copy, Debug)]
+struct Deployment {
+    engines: usize,
+    models: usize,
+    /// Number of models that get [`POPULAR_FRACTION`] of the requests for models; `None` if a few draws
+    /// favour the first ones.
+    popular_models: Option<usize>,
+    /// Number of loads that the weight store performs at full speed; `None` for any number.
+    full_speed_loads: Option<usize>,
+}
+
+/// The usual deployment.
+const SMALL_DEPLOYMENT: Deployment = Deployment {
+    engines: 9,
+    models: 12,
+    popular_models: None,
+    full_speed_loads: None,
+};
+/// A deployment whose models return one after the other after a loss of all disks.
+const BUSY_STORE_DEPLOYMENT: Deployment = Deployment {
+    engines: 60,
+    models: 195,
+    popular_models: Some(30),
+    full_speed_loads: Some(2),
+};
+/// Fraction of the requests for models that ask for popular ones.
+const POPULAR_FRACTION: f64 = 0.785;
+/// Number of times that an impatient caller repeats a request while the weight store is busy.
+const REPEATS: usize = 3;
 /// Number of adapters of each model in a harsh run.
 const ADAPTERS: usize = 2;
 /// Every caller whose number is a multiple of this repeats refused requests at once in a harsh run.
@@ -56,6 +84,7 @@
 /// Runs the losses of power of a seed and returns what was observed.
 pub async fn execute_power_losses(options: RunOptions) -> History {
     let is_harsh = options.extra_faults == ExtraFaults::HarshPowerLosses;
+    let deployment = Deployment::of(options.extra_faults);
     let harsh_return = is_harsh.then(|| draw_harsh_return(options.seed));
     let run = Arc::new(Run::start_with_loads(&options).await);
     let mut row_writers = JoinSet::new();
@@ -65,13 +94,17 @@
     for number in 0..options.callers {
         let (slots, requests) = (run.slots.clone(), Arc::clone(&requests));
         let (seed, started_at) = (options.seed, run.started_at);
-        let workload = workload(is_harsh);
+        let workload = workload(is_harsh, deployment);
         let caller = Caller::new(seed, number, slots, requests, started_at, workload);
         callers.spawn(caller.run(Duration::MAX));
     }
     sleep(options.length.saturating_sub(UNANSWERED_ORDERS_TIME)).await;
     let mut history = History::default();
-    let losses = draw_power_losses(options.seed);
+    let mut losses = draw_power_losses(options.seed);
+    if deployment.full_speed_loads.is_some() {
+        losses.truncate(1);
+        losses.iter_mut().for_each(|loss| loss.keeps_disks = false);
+    }
     for (index, loss) in losses.iter().enumerate() {
         run.drop_orders();
         let older = harsh_return.and_then(|conditions| run.older_table(conditions));
@@ -99,16 +132,35 @@
     history
 }
 
-fn workload(is_harsh: bool) -> Workload {
+impl Deployment {
+    fn of(extra_faults: ExtraFaults) -> Self {
+        if extra_faults == ExtraFaults::PowerLossesWithBusyStore {
+            BUSY_STORE_DEPLOYMENT
+        } else {
+            SMALL_DEPLOYMENT
+        }
+    }
+
+    fn models(self) -> Vec<String> {
+        (0..self.models).map(model_name).collect()
+    }
+}
+
+fn workload(is_harsh: bool, deployment: Deployment) -> Workload {
+    let is_store_busy = deployment.full_speed_loads.is_some();
     Workload {
         plain_fraction: Some(0.31),
         cold_fraction: 1.0,
-        cold_models: (0..MODELS).map(model_name).collect(),
+        cold_models: deployment.models(),
         popularity_draws: 2,
+        popular: deployment
+            .popular_models
+            .map(|models| (models, POPULAR_FRACTION)),
         max_pause_ms: 300,
         api_keys: (0..TENANTS).map(api_key).collect(),
         adapters: if is_harsh { ADAPTERS } else { 0 },
-        impatient_interval: is_harsh.then_some(IMPATIENT_INTERVAL),
+        impatient_interval: (is_harsh || is_store_busy).then_some(IMPATIENT_INTERVAL),
+        repeats: if is_store_busy { REPEATS } else { 0 },
     }
 }
 
@@ -121,8 +173,8 @@
 }
 
 /// Returns the configuration with models that load slowly, and with this number of tenants.
-fn configuration_with_loads(tenants: usize, adapters: usize) -> Value {
-    let models: Vec<String> = (0..MODELS).map(model_name).collect();
+fn configuration_with_loads(tenants: usize, adapters: usize, deployment: Deployment) -> Value {
+    let models = deployment.models();
     let tenants = (0..tenants).map(|tenant| {
         let name = format!("tenant-{tenant}");
         tenant_with_quota(&name, &api_key(tenant), TOKENS_PER_SECOND)
@@ -137,20 +189,25 @@
     async fn start_with_loads(options: &RunOptions) -> Self {
         let is_harsh = options.extra_faults == ExtraFaults::HarshPowerLosses;
         let adapters = if is_harsh { ADAPTERS } else { 0 };
-        let configuration = configuration_with_loads(TENANTS, adapters);
-        let run = Run::start_gateways(options, configuration).await;
+        let deployment = Deployment::of(options.extra_faults);
+        let configuration = configuration_with_loads(TENANTS, adapters, deployment);
+        let mut run = Run::start_gateways(options, configuration).await;
+        let weight_store = deployment.full_speed_loads.map(WeightStore::new);
+        run.weight_store = weight_store.map(|store| Arc::new(Mutex::new(store)));
         if is_harsh {
             *run.store.inner.page_rows.lock() = Some(HARSH_PAGE_ROWS);
         }
         for _ in 0..super::BACK_ENDS_PER_SERVICE {
             run.add_back_end("app").await;
         }
-        for number in 0..ENGINES {
+        let models = deployment.models;
+        for number in 0..deployment.engines {
             let engine = run.add_back_end("llm").await;
             engine.runner.set_load_times(LOAD_TIMES);
-            let held = (0..2).map(|offset| model_name((2 * number + offset) % MODELS));
+            engine.runner.set_weight_store(run.weight_store.clone());
+            let held = (0..2).map(|offset| model_name((2 * number + offset) % models));
             let held: Vec<String> = held.collect();
-            let next = (2..4).map(|offset| model_name((2 * number + offset) % MODELS));
+            let next = (2..4).map(|offset| model_name((2 * number + offset) % models));
             engine
                 .runner
                 .set_models_on_disk(held.iter().cloned().chain(next).collect());
@@ -215,7 +272,7 @@
     fn revoke_key(&self) {
         let mut version = self.configuration_version.lock();
         *version += 1;
-        let mut document = configuration_with_loads(REVOKED_TENANT, ADAPTERS);
+        let mut document = configuration_with_loads(REVOKED_TENANT, ADAPTERS, SMALL_DEPLOYMENT);
         document["version"] = json!(*version);
         self.store.put("op", "config", document);
     }
@@ -232,6 +289,7 @@
         let from = self.started_at.elapsed();
         let lost = std::mem::take(&mut *self.listed.lock());
         for back_end in &lost {
+            back_end.runner.abort_load();
             back_end.runner.exit();
             back_end.wire.stop_listening();
         }
@@ -296,6 +354,7 @@
         }
         returned.runner.unload_all();
         returned.runner.set_load_times(LOAD_TIMES);
+        returned.runner.set_weight_store(self.weight_store.clone());
         let kept = if loss.keeps_disks {
             lost.runner.models_on_disk()
         } else {
