Rank a model's load by copies at engines that could load it

After a loss of all disks, callers of 28 of 30 popular models were refused while the weight store loaded the first two models a second time.

Cause: loads are ranked by value per second of their shortest load. That counted the copy at the engine that holds the model already, where nothing is loaded, so a replica from the weight store (10.2 s) ranked as if it took 0.7 s.

Change: only engines that do not hold the model count. a_replica_does_not_precede_models_without_one_for_a_copy_at_the_engine_that_holds_it failed before (loads of m0 and m1 instead of m1 and m2).

--- a/crates/fleet/src/placement/load_selection.rs
+++ b/crates/fleet/src/placement/load_selection.rs
@@ -292,12 +292,14 @@
         ranked.into_iter().map(|(_, candidate)| candidate).collect()
     }
 
-    /// Duration of the shortest load of a model among the free engines, in seconds.
+    /// Duration of the shortest load of a model among the free engines that do not hold it, in seconds.
     fn shortest_load(&self, engines: &[&mut EngineState], model: &ModelId) -> f64 {
         let Some(spec) = self.spec.models.get(model) else {
             return MIN_LOAD_DURATION.as_secs_f64();
         };
-        let free = engines.iter().filter(|engine| engine.is_free());
+        let free = engines
+            .iter()
+            .filter(|engine| engine.is_free() && !engine.retains(model));
         let loads = free.map(|engine| engine.load_time(model, spec));
         let shortest = loads.min().unwrap_or(spec.load);
         shortest.max(MIN_LOAD_DURATION).as_secs_f64()
--- a/crates/fleet/tests/long_loads.rs
+++ b/crates/fleet/tests/long_loads.rs
@@ -195,3 +195,22 @@
     let mut simulation = Simulation::new(2, &[]);
     assert!(!lacks_all(&mut simulation), "loads are short");
 }
+
+/// Guards against second replicas from a busy weight store while models in demand have none: the copy of
+/// the engine that holds the model already does not shorten the load.
+#[test]
+fn a_replica_does_not_precede_models_without_one_for_a_copy_at_the_engine_that_holds_it() {
+    let mut simulation = Simulation::new(3, &[]);
+    simulation.set_load_time_and_timeout(STORE_LOAD_MS, TIMEOUT_MS);
+    simulation.engines[0] = SimulatedEngine::new(0, &["m0"]);
+    simulation.engines[0].models_in_memory = vec!["m0".into()];
+    let rows = vec![demand(&[("m0", 4.0, 0), ("m1", 3.0, 1), ("m2", 3.0, 1)])];
+    let mut chosen = Vec::new();
+    for now in (0..3_000).step_by(50) {
+        simulation.run_iteration(now, &rows);
+        let loads = simulation.planner.chosen_loads().iter();
+        chosen.extend(loads.map(|load| load.model.to_string()));
+    }
+    chosen.sort();
+    assert_eq!(chosen, ["m1", "m2"]);
+}
