Expect an overdue load the later the longer it is overdue

Callers of models whose load was overdue were told Retry-After 0.6 s again and again for up to three seconds, with a weight store that slows down with the number of loads for each load.

Cause: the end of an overdue load was expected at once. Nothing tells why it is late, so it is now expected to take as much longer as it is late.

an_overdue_load_is_expected_later_the_longer_it_is_overdue failed before (0 ms where 1,000 ms are expected).

--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -596,11 +596,14 @@
 }
 
 impl ReceivedPlacedRow {
+    /// When a load of the model is expected to end. Nothing tells why a load is overdue, so it is
+    /// expected to take as much longer as it is late.
     fn loading_until(&self, now: Timestamp, model: &ModelId) -> Option<Timestamp> {
         let loading = self.row.loading.as_ref()?;
-        let until = self.received + loading.ready_in;
-        let is_expected = loading.model == *model && now.since(until) < LOAD_GRACE_MS;
-        is_expected.then_some(until)
+        let planned_end = self.received + loading.ready_in;
+        let overdue_ms = now.since(planned_end);
+        let is_expected = loading.model == *model && overdue_ms < LOAD_GRACE_MS;
+        is_expected.then(|| planned_end.max(now) + overdue_ms)
     }
 }
 
--- a/crates/gateway/tests/directory.rs
+++ b/crates/gateway/tests/directory.rs
@@ -3,7 +3,7 @@
 use std::collections::HashSet;
 
 use gorsebank_coordination::Timestamp;
-use gorsebank_fleet::{BackEndReport, Born, PlacedRow, quarantine};
+use gorsebank_fleet::{BackEndReport, Born, PlacedRow, PlannedLoad, quarantine};
 use gorsebank_gateway::directory::Directory;
 use gorsebank_world::{BackEndId, ModelId, ServiceId};
 
@@ -245,3 +245,30 @@
             .all(|it| it.drain_notices(later).is_empty())
     );
 }
+
+/// Guards against callers that return every 0.6 s for a load that the weight store slows down.
+#[test]
+fn an_overdue_load_is_expected_later_the_longer_it_is_overdue() {
+    let mut directory = Directory::new("hall".into());
+    directory.put(NOW, engine("i-1"), 1);
+    let loading = PlannedLoad {
+        model: "slow".into(),
+        ready_in: 500,
+    };
+    let placed = PlacedRow {
+        loading: Some(loading),
+        ..PlacedRow::default()
+    };
+    directory.put_placed(NOW, "i-1".into(), placed, 2);
+    let expected_in = |age_ms: u64| {
+        let now = NOW + age_ms;
+        let (service, model) = (ServiceId::from("llm"), ModelId::from("slow"));
+        let availability = directory.availability(now, &service, &model, None, None);
+        availability.loading_until.map(|until| until.since(now))
+    };
+    assert_eq!(expected_in(100), Some(400));
+    assert_eq!(expected_in(500), Some(0));
+    assert_eq!(expected_in(1_500), Some(1_000));
+    assert_eq!(expected_in(2_500), Some(2_000));
+    assert_eq!(expected_in(4_000), None);
+}
