Claim the memory of long bodies as they grow, with a share for each back end

Callers of all back ends waited up to 3.7 s for responses of 200 kB while two bodies of one back end came slowly.

Cause: a body over 64 KiB reserved all that it might need; two of unstated length were all there is, until their deadlines.

Change: MemoryLedger. A body claims what it has received. A claim grows only while all claims can still be completed one after the other (banker's algorithm), so none waits for another in a cycle, and those of one back end, but for the one that lacks least, get half of the memory beside a maximum body. Bodies over 16 KiB are counted instead of 64, since two thousand of those alone are 130 MB.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -446,7 +446,8 @@
         shared: &Shared,
         until: Instant,
     ) -> Result<CollectedBody, CollectError> {
-        let collecting = shared.response_memory.collect(&mut self.body);
+        let back_end = self.back_end.id.as_str();
+        let collecting = shared.response_memory.collect(&mut self.body, back_end);
         let collected = timeout_at(until, collecting).await;
         collected.unwrap_or(Err(CollectError::Truncated))
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -56,6 +56,7 @@
 mod listener;
 mod lost_connection;
 pub mod members;
+pub mod memory_ledger;
 pub mod metrics;
 pub mod orders;
 mod placed_rows;
--- a/crates/gateway/src/response_memory.rs
+++ b/crates/gateway/src/response_memory.rs
@@ -3,9 +3,8 @@
 //! In: the body of a response. Out: its bytes, or why there are none. The bytes keep their share of the
 //! memory until the caller has received them.
 //!
-//! A body reserves its whole share before it grows beyond [`SMALL_BODY_BYTES`], so that every body
-//! that has a share can be collected to its end. A body without a share is not read any further: flow
-//! control stops the back end until another body has been forwarded.
+//! A body longer than [`SMALL_BODY_BYTES`] claims memory as it grows. A body that gets none is not read
+//! any further: flow control stops the back end until other bodies have been forwarded.
 
 use std::collections::VecDeque;
 use std::convert::Infallible;
@@ -16,12 +15,11 @@
 use bytes::{Bytes, BytesMut};
 use http_body::{Body, Frame, SizeHint};
 use http_body_util::BodyExt;
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+
+use crate::memory_ledger::{MemoryClaim, MemoryHold, MemoryLedger};
 
 /// Maximum length of a body that needs no share of the memory, in bytes.
-const SMALL_BODY_BYTES: usize = 64 << 10;
-/// Unit in which memory is reserved, in bytes.
-const UNIT_BYTES: usize = 64 << 10;
+const SMALL_BODY_BYTES: usize = 16 << 10;
 /// Length of the pieces in which a body is kept, in bytes. Pieces are filled completely, because a back
 /// end may send a body byte by byte.
 const PIECE_BYTES: usize = 64 << 10;
@@ -44,10 +42,10 @@
     TooLong,
 }
 
-/// The memory for collected bodies.
+/// The memory for responses.
 #[derive(Debug)]
 pub struct ResponseMemory {
-    units: Arc<Semaphore>,
+    bodies: Arc<MemoryLedger>,
     max_body_bytes: usize,
 }
 
@@ -59,11 +57,11 @@
         } else {
             megabytes
         };
-        let bytes = f64::from(megabytes) * 1e6 * MEMORY_FRACTION;
-        let units = (bytes / UNIT_BYTES as f64) as usize;
+        let body_bytes = f64::from(megabytes) * 1e6 * MEMORY_FRACTION;
+        let max_body_bytes = (body_bytes * BODY_FRACTION) as usize;
         ResponseMemory {
-            units: Arc::new(Semaphore::new(units)),
-            max_body_bytes: (bytes * BODY_FRACTION) as usize,
+            bodies: MemoryLedger::new(body_bytes as usize, max_body_bytes),
+            max_body_bytes,
         }
     }
 
@@ -72,7 +70,7 @@
         self.max_body_bytes
     }
 
-    /// Collects a body. Waits for memory if the body is long.
+    /// Collects a body that a back end sends. Waits for memory if the body is long.
     ///
     /// # Errors
     ///
@@ -80,46 +78,35 @@
     pub async fn collect(
         &self,
         mut body: impl Body<Data = Bytes> + Unpin,
+        back_end: &str,
     ) -> Result<CollectedBody, CollectError> {
-        let stated_bytes = body.size_hint().exact();
+        let stated_bytes = body.size_hint().exact().map(|bytes| bytes as usize);
+        let max_bytes = stated_bytes.unwrap_or(self.max_body_bytes);
+        if max_bytes > self.max_body_bytes {
+            return Err(CollectError::TooLong);
+        }
         let mut collected = CollectedBody::default();
+        let mut claim: Option<MemoryClaim> = None;
         let mut counted_bytes = 0;
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(|_| CollectError::Truncated)?;
             let Ok(data) = frame.into_data() else {
                 continue;
             };
-            let length = collected.length + data.len();
-            if length > SMALL_BODY_BYTES && collected.share.is_none() {
-                let stated_bytes = stated_bytes.map(|bytes| bytes as usize);
-                collected.share = Some(self.reserve(stated_bytes).await?);
-            }
             counted_bytes += data.len().max(MIN_COUNTED_BYTES);
             if counted_bytes > self.max_body_bytes {
                 return Err(CollectError::TooLong);
             }
+            let length = collected.length + data.len();
+            if length > SMALL_BODY_BYTES {
+                let claim = claim.get_or_insert_with(|| self.bodies.claim(back_end, max_bytes));
+                claim.grow_to(length).await;
+            }
             collected.append(&data);
         }
-        collected.finish();
+        collected.finish(claim);
         Ok(collected)
     }
-
-    /// Reserves memory for a body, whose length may be stated.
-    async fn reserve(
-        &self,
-        stated_bytes: Option<usize>,
-    ) -> Result<OwnedSemaphorePermit, CollectError> {
-        let bytes = stated_bytes.unwrap_or(self.max_body_bytes);
-        if bytes > self.max_body_bytes {
-            return Err(CollectError::TooLong);
-        }
-        let reserving = self.units.clone().acquire_many_owned(units_for(bytes));
-        Ok(reserving.await.expect("the semaphore is never closed"))
-    }
-}
-
-fn units_for(bytes: usize) -> u32 {
-    u32::try_from(bytes.div_ceil(UNIT_BYTES)).unwrap_or(u32::MAX)
 }
 
 /// A collected body, which can be sent to a caller.
@@ -129,7 +116,8 @@
     last_piece: BytesMut,
     /// Number of bytes that are kept.
     length: usize,
-    share: Option<OwnedSemaphorePermit>,
+    /// The memory of a body that is not small.
+    hold: Option<MemoryHold>,
 }
 
 impl CollectedBody {
@@ -156,15 +144,12 @@
         }
     }
 
-    /// Ends the body, and returns the memory that was reserved and is not needed.
-    fn finish(&mut self) {
+    /// Ends the body, and returns the claimed memory that it does not need.
+    fn finish(&mut self, claim: Option<MemoryClaim>) {
         if !self.last_piece.is_empty() {
             self.pieces.push_back(self.last_piece.split().freeze());
         }
-        let needed = units_for(self.length) as usize;
-        if let Some(share) = &mut self.share {
-            drop(share.split(share.num_permits().saturating_sub(needed)));
-        }
+        self.hold = claim.map(|claim| claim.complete(self.length));
     }
 }
 
--- a/crates/gateway/tests/response_memory.rs
+++ b/crates/gateway/tests/response_memory.rs
@@ -1,19 +1,24 @@
 //! The memory for collected responses: bodies that do not fit wait, and bodies that are too long fail.
 
 use std::convert::Infallible;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use futures_util::stream;
+use futures_util::{StreamExt, stream};
 use gorsebank_gateway::response_memory::{CollectError, CollectedBody, ResponseMemory};
 use http_body::{Body, Frame};
 use http_body_util::{BodyExt, Full, StreamBody};
 use proptest::prelude::*;
+use tokio::task::JoinSet;
 use tokio::time::timeout;
 
 /// Memory of the process. A quarter of it is for bodies, and half of that for one body.
 const MEGABYTES: u32 = 8;
 const MAX_BODY_BYTES: usize = 1_000_000;
+/// Back ends that send bodies.
+const BACK_END: &str = "i-1";
+const OTHER_BACK_END: &str = "i-2";
 /// Time after which a body that is not collected counts as waiting.
 const WAIT_TIME: Duration = Duration::from_millis(100);
 
@@ -25,7 +30,7 @@
 async fn collect_all(memory: &ResponseMemory, count: usize) -> Vec<CollectedBody> {
     let mut bodies = Vec::new();
     for _ in 0..count {
-        let body = memory.collect(chunks(10_000, 60)).await;
+        let body = memory.collect(chunks(10_000, 60), BACK_END).await;
         bodies.push(body.expect("a body"));
     }
     bodies
@@ -35,11 +40,14 @@
 async fn a_body_that_is_too_long_fails() {
     let memory = ResponseMemory::new(MEGABYTES);
     assert_eq!(memory.max_body_bytes(), MAX_BODY_BYTES);
-    let endless = memory.collect(chunks(10_000, usize::MAX)).await;
+    let endless = memory.collect(chunks(10_000, usize::MAX), BACK_END).await;
     assert_eq!(endless.err(), Some(CollectError::TooLong));
-    let stated = memory.collect(Full::new(Bytes::from(vec![7; MAX_BODY_BYTES + 1])));
+    let stated = memory.collect(
+        Full::new(Bytes::from(vec![7; MAX_BODY_BYTES + 1])),
+        BACK_END,
+    );
     assert_eq!(stated.await.err(), Some(CollectError::TooLong));
-    assert!(memory.collect(chunks(10_000, 100)).await.is_ok());
+    assert!(memory.collect(chunks(10_000, 100), BACK_END).await.is_ok());
 }
 
 /// Guards against bodies that are bounded one by one, but not together.
@@ -47,12 +55,12 @@
 async fn a_body_waits_while_the_memory_is_in_use() {
     let memory = ResponseMemory::new(MEGABYTES);
     let mut bodies = collect_all(&memory, 2).await;
-    let waiting = timeout(WAIT_TIME, memory.collect(chunks(10_000, 60))).await;
+    let waiting = timeout(WAIT_TIME, memory.collect(chunks(10_000, 60), BACK_END)).await;
     assert!(waiting.is_err(), "there is no memory for a third body");
-    let small = timeout(WAIT_TIME, memory.collect(chunks(100, 10))).await;
+    let small = timeout(WAIT_TIME, memory.collect(chunks(100, 10), BACK_END)).await;
     assert!(matches!(small, Ok(Ok(_))), "a small body needs no share");
     bodies.pop();
-    let third = timeout(WAIT_TIME, memory.collect(chunks(10_000, 60))).await;
+    let third = timeout(WAIT_TIME, memory.collect(chunks(10_000, 60), BACK_END)).await;
     assert!(matches!(third, Ok(Ok(_))), "the caller has received a body");
 }
 
@@ -61,7 +69,10 @@
 async fn concurrent_bodies_are_all_collected() {
     let memory = ResponseMemory::new(MEGABYTES);
     let collecting = (0..20).map(|_| async {
-        let body = memory.collect(chunks(10_000, 90)).await.expect("a body");
+        let body = memory
+            .collect(chunks(10_000, 90), BACK_END)
+            .await
+            .expect("a body");
         assert_eq!(body.len(), 900_000);
     });
     let all = futures_util::future::join_all(collecting);
@@ -70,6 +81,29 @@
         .expect("no body waits for ever");
 }
 
+/// A body whose first bytes arrive and whose end does not.
+fn unfinished(bytes: usize) -> impl Body<Data = Bytes, Error = Infallible> + Unpin + Send {
+    let first = stream::iter([Ok::<_, Infallible>(Frame::data(vec![7; bytes].into()))]);
+    StreamBody::new(first.chain(stream::pending()))
+}
+
+/// Guards against slow bodies of one back end that stop those of others.
+#[tokio::test]
+async fn unfinished_bodies_of_one_back_end_leave_memory_for_others() {
+    let memory = Arc::new(ResponseMemory::new(MEGABYTES));
+    let mut slow = JoinSet::new();
+    for bytes in [900_000, 400_000, 400_000, 400_000] {
+        let memory = memory.clone();
+        slow.spawn(async move { memory.collect(unfinished(bytes), BACK_END).await });
+    }
+    tokio::time::sleep(WAIT_TIME).await;
+    for _ in 0..10 {
+        let sound = memory.collect(chunks(10_000, 40), OTHER_BACK_END);
+        let sound = timeout(WAIT_TIME, sound).await;
+        assert!(matches!(sound, Ok(Ok(_))), "400 kB from another back end");
+    }
+}
+
 proptest! {
     /// The collected bytes are those of the body, in their order, and their number is stated.
     #[test]
@@ -81,7 +115,7 @@
             let expected = pieces.concat();
             let frames = pieces.into_iter().map(|piece| Ok::<_, Infallible>(Frame::data(piece)));
             let memory = ResponseMemory::new(MEGABYTES);
-            let body = memory.collect(StreamBody::new(stream::iter(frames))).await.expect("a body");
+            let body = memory.collect(StreamBody::new(stream::iter(frames)), BACK_END).await.expect("a body");
             prop_assert_eq!(body.size_hint().exact(), Some(expected.len() as u64));
             prop_assert_eq!(body.collect().await.expect("bytes").to_bytes(), expected);
             Ok(())
