Bound the memory of all streams together

A gateway of 160 MB grew beyond it while callers did not read their streams, or back ends sent events without an end, and would have ended with everybody's requests.

Cause: each event had a maximum, and nothing bounded the sum: 16 events of up to 1 MiB in a stream's channel, more in the write buffer, and an incomplete one.

Change: the bytes of an event keep their memory until the connection has written them. A stream has 16 KiB of its own; longer events share an eighth of the process's memory, one of each stream at a time, and incomplete ones claim it as they grow. Read buffers of connections to back ends grow to 32 KiB instead of 128, which also bounds response heads.

--- a/crates/fleet/src/events.rs
+++ b/crates/fleet/src/events.rs
@@ -56,6 +56,11 @@
         Some(CompleteEvent { bytes, id })
     }
 
+    /// Number of buffered bytes.
+    pub fn buffered_bytes(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Whether bytes of an incomplete event are buffered.
     pub fn has_partial(&self) -> bool {
         !self.buffer.is_empty()
--- a/crates/gateway/src/http_connection.rs
+++ b/crates/gateway/src/http_connection.rs
@@ -30,7 +30,7 @@
 /// Maximum length of a response that a pool reads, in bytes: many times a page of a table.
 pub const MAX_POOLED_RESPONSE_BYTES: usize = 16 << 20;
 /// Maximum size of a connection's read buffer in bytes, and therefore of the head of a response.
-const MAX_READ_BUFFER_BYTES: usize = 128 << 10;
+const MAX_READ_BUFFER_BYTES: usize = 32 << 10;
 
 /// Why a connection could not be opened, for log lines and metrics.
 pub fn connect_failure(error: &std::io::Error) -> &'static str {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -79,6 +79,7 @@
 pub mod shared;
 pub mod single_response;
 pub mod stream;
+pub mod stream_memory;
 pub mod stream_origins;
 mod suspension;
 pub mod sweeper;
--- a/crates/gateway/src/response_memory.rs
+++ b/crates/gateway/src/response_memory.rs
@@ -17,6 +17,7 @@
 use http_body_util::BodyExt;
 
 use crate::memory_ledger::{MemoryClaim, MemoryHold, MemoryLedger};
+use crate::stream_memory::StreamMemory;
 
 /// Maximum length of a body that needs no share of the memory, in bytes.
 const SMALL_BODY_BYTES: usize = 16 << 10;
@@ -47,6 +48,8 @@
 pub struct ResponseMemory {
     bodies: Arc<MemoryLedger>,
     max_body_bytes: usize,
+    /// The memory for events of streams.
+    pub streams: StreamMemory,
 }
 
 impl ResponseMemory {
@@ -57,11 +60,13 @@
         } else {
             megabytes
         };
-        let body_bytes = f64::from(megabytes) * 1e6 * MEMORY_FRACTION;
+        let bytes = f64::from(megabytes) * 1e6;
+        let body_bytes = bytes * MEMORY_FRACTION;
         let max_body_bytes = (body_bytes * BODY_FRACTION) as usize;
         ResponseMemory {
             bodies: MemoryLedger::new(body_bytes as usize, max_body_bytes),
             max_body_bytes,
+            streams: StreamMemory::new(bytes),
         }
     }
 
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -31,6 +31,7 @@
 use crate::lost_connection;
 use crate::request::{Call, RequiredVersion, ResponseBody, TruncatedBody, response_head};
 use crate::single_response::evaluate_response;
+use crate::stream_memory::StreamAccount;
 use crate::take_up;
 
 /// Maximum number of events buffered for a slow caller.
@@ -156,6 +157,7 @@
     let is_complete = Arc::new(AtomicBool::new(false));
     let forwarder = StreamForwarder {
         last_event: call.metadata.last_event.clone(),
+        memory: call.shared.response_memory.streams.open(),
         call,
         attempts,
         sender,
@@ -201,6 +203,8 @@
     call: Arc<Call>,
     attempts: Attempts,
     sender: mpsc::Sender<Bytes>,
+    /// The memory of events that the caller has not received.
+    memory: StreamAccount,
     /// Whether the last event was forwarded.
     is_complete: Arc<AtomicBool>,
     last_event: Option<String>,
@@ -274,6 +278,7 @@
 
     async fn forward_events(&mut self, response: &mut BackEndResponse) -> SegmentEnd {
         let mut splitter = EventSplitter::default();
+        self.memory.release_incomplete(0);
         self.segment_events = 0;
         self.segment_last_event = None;
         let call = self.call.clone();
@@ -301,6 +306,13 @@
                 Ok(Some(Err(_))) => return SegmentEnd::Broken(CONNECTION_LOST),
                 Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
             };
+            let incomplete_bytes = splitter.buffered_bytes() + data.len();
+            let back_end = response.back_end.id.as_str();
+            tokio::select! {
+                () = self.sender.closed() => return SegmentEnd::CallerLeft,
+                () = &mut deadline_passed => return SegmentEnd::TimedOut,
+                () = self.memory.reserve(incomplete_bytes, back_end) => {}
+            }
             if splitter.push(&data).is_err() {
                 return SegmentEnd::Broken("event_too_long");
             }
@@ -310,18 +322,34 @@
                     continue;
                 }
                 self.fix_version(&response.back_end);
-                // A caller whose connection went silent accepts no data and does not disconnect
-                // either.
-                match timeout_at(self.call.deadline(), self.sender.send(event.bytes)).await {
-                    Ok(Ok(())) => self.record_event(event.id),
-                    Ok(Err(_)) => return SegmentEnd::CallerLeft,
-                    Err(_) => return SegmentEnd::TimedOut,
+                match self.send_event(&event.bytes).await {
+                    Ok(()) => self.record_event(event.id),
+                    Err(end) => return end,
                 }
             }
+            self.memory.release_incomplete(splitter.buffered_bytes());
             self.record_speed(response, self.events - events_before);
         }
     }
 
+    /// Passes an event on to the caller's connection. A caller whose connection went silent accepts no
+    /// data and does not disconnect either.
+    async fn send_event(&mut self, event: &Bytes) -> Result<(), SegmentEnd> {
+        let sending = async {
+            let event = self.memory.hold(event).await;
+            self.sender.send(event).await
+        };
+        let sent = tokio::select! {
+            sent = timeout_at(self.call.deadline(), sending) => sent,
+            () = self.sender.closed() => return Err(SegmentEnd::CallerLeft),
+        };
+        match sent {
+            Ok(Ok(())) => Ok(()),
+            Ok(Err(_)) => Err(SegmentEnd::CallerLeft),
+            Err(_) => Err(SegmentEnd::TimedOut),
+        }
+    }
+
     /// Measures the engine's speed from the `events` that were just forwarded.
     fn record_speed(&mut self, response: &mut BackEndResponse, events: u64) {
         let Some(model) = self.call.metadata.model.as_ref().filter(|_| events > 0) else {
