Send nothing in a planned stop that may outlast it, and answer late callers

Callers of a stopping gateway lost requests: some were passed on up to 5.5 s of a grace of 8 s, or sent to a second back end after 5 to 7.5 s, and cut by the kill; callers that connected after 3 s got no response at all, and could not know that their request did not run.

Cause: single responses were begun until 0.69 of the grace, whatever they need; nothing looked at the grace before an attempt was repeated; connections accepted after idle ones were closed were closed as well.

Change: requests of all kinds are sent until 0.35 of the grace, at most 2.8 s, and single ones only if the objective and the slowest recent mean of the service's back ends fit into 0.9 of it. The same holds for repeats, but not for streams that go on. A connection that is opened late gets a response to one request: 503, not run.

--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -143,7 +143,11 @@
     }
 
     fn take_retry_if_allowed(&self, call: &Call) -> bool {
-        let is_allowed = call.quarantine_left().is_none()
+        // A stream goes on although the process is stopping: its caller has a part of it.
+        let has_time =
+            call.route.kind.is_stream() || call.time_left_to_send() != Some(Duration::ZERO);
+        let is_allowed = has_time
+            && call.quarantine_left().is_none()
             && call.route.kind.may_retry()
             && self.executions < call.route.max_attempts
             && self.sends < MAX_SENDS;
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -56,14 +56,14 @@
 const MAX_IDENTIFIED_PARTS: usize = 32;
 /// Separates fingerprints of parts from those of requests.
 const PART_LABEL: &[u8] = b"prompt part";
-/// Fraction of the grace period of a planned stop after which no stream is started.
-const STREAM_START_FRACTION: f64 = 0.35;
-/// Upper bound for the time after which a stopping process starts no stream, however long its grace
-/// period is. Callers use other gateways by then, and a stream may last longer than the rest of the
+/// Fraction of the grace period of a planned stop after which no request is sent to a back end.
+const SEND_FRACTION: f64 = 0.35;
+/// Upper bound for the time after which a stopping process sends no request, however long its grace
+/// period is. Callers use other gateways by then, and a response may take longer than the rest of the
 /// grace period.
-const MAX_STREAM_START: Duration = Duration::from_millis(2_800);
-/// Fraction of the grace period of a planned stop after which no other request is started.
-const REQUEST_START_FRACTION: f64 = 0.69;
+const MAX_SEND_TIME: Duration = Duration::from_millis(2_800);
+/// Fraction of the grace period within which a response must be expected to end.
+const RESPONSE_FRACTION: f64 = 0.9;
 
 /// A request that was read completely, with the state needed to forward it.
 pub struct Call {
@@ -194,12 +194,41 @@
     pub fn time_left_to_send(&self) -> Option<Duration> {
         let stopping_for_ms = self.shared.stopping_for_ms()?;
         let grace = self.shared.settings.bounds.shutdown_grace;
-        let start_limit = if self.route.kind.is_stream() {
-            grace.mul_f64(STREAM_START_FRACTION).min(MAX_STREAM_START)
-        } else {
-            grace.mul_f64(REQUEST_START_FRACTION)
-        };
-        Some(start_limit.saturating_sub(Duration::from_millis(stopping_for_ms)))
+        let send_limit = grace.mul_f64(SEND_FRACTION).min(MAX_SEND_TIME);
+        let response_limit = grace.mul_f64(RESPONSE_FRACTION);
+        let limit = send_limit.min(response_limit.saturating_sub(self.expected_response_time()));
+        Some(limit.saturating_sub(Duration::from_millis(stopping_for_ms)))
+    }
+
+    /// How long a single response may take by what is known: its objective, or longer if the service's
+    /// back ends have been slower. The length of a stream is not known.
+    fn expected_response_time(&self) -> Duration {
+        if self.route.kind.is_stream() {
+            return Duration::ZERO;
+        }
+        let now = self.shared.now();
+        let back_ends = self
+            .shared
+            .directory(|directory| directory.active_back_ends(now, &self.service, None));
+        let latencies = back_ends
+            .iter()
+            .filter_map(|back_end| back_end.health().latency(now));
+        let slowest = latencies.fold(0.0, f64::max);
+        self.route
+            .objective
+            .max(Duration::from_millis(slowest as u64))
+    }
+
+    /// Refuses a request that a stopping process could not finish; the caller can use another gateway.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the process is stopping and no time is left to send the request.
+    pub fn refuse_while_stopping(&self) -> Result<(), Failure> {
+        if self.time_left_to_send() == Some(Duration::ZERO) {
+            return Err(self.refuse("stopping", Duration::ZERO));
+        }
+        Ok(())
     }
 
     /// Priority of the tenant, or else of the route; 0 is the most urgent.
@@ -443,7 +472,9 @@
         in_doubt: AtomicBool::new(false),
         is_end_logged: AtomicBool::new(false),
     };
-    refuse_while_stopping(&call)?;
+    call.refuse_while_stopping().inspect_err(|failure| {
+        call.log_end(failure.reason(), failure.status().as_u16(), "-");
+    })?;
     Ok(call)
 }
 
@@ -475,16 +506,6 @@
         .collect()
 }
 
-/// Refuses a request that a stopping process could not finish; the caller can use another gateway.
-fn refuse_while_stopping(call: &Call) -> Result<(), Failure> {
-    if call.time_left_to_send() != Some(Duration::ZERO) {
-        return Ok(());
-    }
-    let failure = call.refuse("stopping", Duration::ZERO);
-    call.log_end(failure.reason(), failure.status().as_u16(), "-");
-    Err(failure)
-}
-
 fn find_route(configuration: &Configuration, head: &Parts) -> Option<Arc<Route>> {
     let host_header = head.headers.get(header::HOST);
     let host = match host_header.and_then(|host| host.to_str().ok()) {
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -4,7 +4,7 @@
 //! with their requests unread, so that their callers can use another gateway.
 //!
 //! Once the stop begins, responses carry `Connection: close`. Connections that are still open later
-//! are closed while they are idle.
+//! are closed while they are idle; one that is opened then gets a response to one request.
 
 use std::convert::Infallible;
 use std::pin::Pin;
@@ -42,6 +42,9 @@
 const CALLER_DESCRIPTOR_FRACTION: f64 = 0.5;
 /// Assumed limit of descriptors if the operating system does not state one.
 const DEFAULT_DESCRIPTORS: u64 = 1_024;
+/// Time within which the request must arrive on a connection that was opened after idle connections were
+/// closed.
+const LATE_REQUEST_TIMEOUT: Duration = Duration::from_millis(500);
 /// Fraction of the grace period of a planned stop after which idle connections are closed.
 const CLOSE_IDLE_FRACTION: f64 = 0.37;
 
@@ -146,11 +149,21 @@
         .header_read_timeout(idle)
         .max_header_size(header_bytes)
         .auto_date_header(false);
+    let is_late = *close_idle.borrow_and_update();
+    if is_late {
+        builder.header_read_timeout(LATE_REQUEST_TIMEOUT);
+    }
     let mut connection = builder.serve_connection(TokioIo::new(stream), service);
     // An error on a connection concerns only its caller.
-    let is_open = tokio::select! {
-        _ = &mut connection => false,
-        _ = close_idle.wait_for(|close| *close) => true,
+    let is_open = if is_late {
+        // The caller is told that its request did not run, and the response ends the connection.
+        let _ = (&mut connection).await;
+        false
+    } else {
+        tokio::select! {
+            _ = &mut connection => false,
+            _ = close_idle.wait_for(|close| *close) => true,
+        }
     };
     if is_open {
         Pin::new(&mut connection).graceful_shutdown();
--- a/crates/gateway/src/single_response.rs
+++ b/crates/gateway/src/single_response.rs
@@ -29,6 +29,7 @@
     let mut attempts = Attempts::default();
     loop {
         let back_end = admit(call, &attempts.tried).await?;
+        call.refuse_while_stopping()?;
         attempts.record_send(call, &back_end.id);
         let head_timeout = head_timeout(call, back_end.health().latency(call.shared.now()));
         let next = match send(call, &back_end, None, head_timeout, &mut attempts).await {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -90,6 +90,7 @@
     let mut attempts = Attempts::default();
     loop {
         let back_end = admit(&call, &attempts.tried).await?;
+        call.refuse_while_stopping()?;
         log_taken_up(&call, &back_end);
         attempts.record_send(&call, &back_end.id);
         let head_timeout = head_timeout(&call);
