Trust the version in a row only while rows are current

Cause: a back end without a start time counted as the process that its row describes, however old the row was.

Change: the same evidence is asked for all back ends. While the table is away, streams that begin at back ends without a start time can no longer be taken up.

a_stream_does_not_go_on_at_a_back_end_without_a_start_time_behind_a_cut failed before: status 200 and two versions, 503 and one expected.

--- a/crates/gateway/src/admission/mod.rs
+++ b/crates/gateway/src/admission/mod.rs
@@ -334,9 +334,8 @@
         Some(RequiredVersion::Unknown) => false,
         Some(RequiredVersion::Exactly(_)) => {
             let service = &call.service;
-            let of_version = active_back_ends(call, now);
-            let is_certain = |it: &Arc<BackEnd>| call.shared.is_version_certain(it);
-            of_version.iter().any(is_certain)
+            let is_served = !active_back_ends(call, now).is_empty();
+            is_served && call.shared.are_versions_certain()
                 || call.shared.directory(|directory| {
                     directory.active_back_ends(now, service, None).is_empty()
                 })
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,12 +18,13 @@
 //! - [`links`] connects to the back end, directly or through another gateway.
 //! - [`attempt`] sends the request once.
 //! - `take_up` fixes the software version of a stream that the caller takes up.
-//! - [`response_memory`] bounds the memory of responses that are collected.
+//! - [`response_memory`] and [`stream_memory`] bound the memory of responses.
 //! - [`single_response`] and [`stream`] combine attempts into one response.
 //!
 //! These modules run in the background:
 //!
 //! - [`feed`] receives updates of the tables from the table service or from other gateways.
+//! - [`call_pacer`] limits the calls of a slow table in a large fleet.
 //! - [`table_followers`] applies these updates.
 //! - [`members`] registers this gateway.
 //! - [`stream_origins`] records the software versions that began streams.
--- a/crates/gateway/src/shared/software_versions.rs
+++ b/crates/gateway/src/shared/software_versions.rs
@@ -12,7 +12,6 @@
 use tokio::time::timeout;
 
 use super::Shared;
-use crate::back_end::BackEnd;
 use crate::feed::on_demand;
 use crate::stream_origins::{self, OriginAnswer, OriginRequest, SenderContext};
 
@@ -77,10 +76,10 @@
         age.is_some_and(|age| age <= bound)
     }
 
-    /// Whether the process behind a back end's address certainly has the version of its row. Back ends
-    /// that announce their start time keep their name over a restart, at which the version may change.
-    pub fn is_version_certain(&self, back_end: &BackEnd) -> bool {
-        back_end.born.is_none() || self.are_rows_current()
+    /// Whether the processes behind the addresses of back ends certainly have the versions of their rows.
+    /// A back end may keep its name over a restart, at which the version may change.
+    pub fn are_versions_certain(&self) -> bool {
+        self.are_rows_current()
     }
 
     /// Whether the service is known to have had several versions for as long as a stream lasts.
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -394,7 +394,7 @@
         if call.required_version().is_some() {
             return;
         }
-        if !call.shared.is_version_certain(back_end) {
+        if !call.shared.are_versions_certain() {
             return call.require_version(RequiredVersion::Unknown);
         }
         let version = &back_end.software_version;
