Let a claim grow that can be completed although others cannot

A body that fits into the free memory waited while a longer one waited for memory that callers had not received yet.

Cause: a claim grew only if all claims could be completed then, also those that have nothing yet.

Change: a claim grows if it can be completed itself and keeps no claim from being completed that could be before.

a_body_that_fits_is_collected_while_a_longer_one_waits failed before; the other tests of the memory pass.

--- a/crates/gateway/src/memory_ledger.rs
+++ b/crates/gateway/src/memory_ledger.rs
@@ -3,12 +3,12 @@
 //! In: the owner of a response and its length so far. Out: a claim that grows with the response, and may
 //! have to wait. A claim that is complete becomes a hold, which returns the memory when it is dropped.
 //!
-//! Invariant: the claims can be completed one after the other, each with the free memory and that of the
-//! claims before it, as in the banker's algorithm. So claims never wait for each other in a cycle, and a
-//! slow response takes from others only what it has received. All claims of one owner but the one that
-//! lacks least may use a part of the memory only.
+//! Invariant: a claim grows only if it can then be completed, with the free memory and that of claims which
+//! are completed before it, and if it keeps no other claim from that (the banker's algorithm). So claims
+//! never wait for each other in a cycle, and a slow response takes from others only what it has received.
+//! All claims of one owner but the one that lacks least may use a part of the memory only.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use parking_lot::Mutex;
@@ -62,21 +62,21 @@
         Some(*id)
     }
 
-    /// Whether all claims can be completed one after the other.
-    fn is_safe(&self, max_claim: usize) -> bool {
-        if self.free >= max_claim {
-            return true;
-        }
-        let claims = self.claims.values();
-        let mut needs: Vec<(usize, usize)> =
-            claims.map(|claim| (claim.lacking(), claim.units)).collect();
+    /// The claims that can be completed one after the other, each with the free memory and that of the
+    /// claims before it.
+    fn completable(&self) -> BTreeSet<u64> {
+        let claims = self.claims.iter();
+        let mut needs: Vec<(usize, u64, usize)> = claims
+            .map(|(id, claim)| (claim.lacking(), *id, claim.units))
+            .collect();
         needs.sort_unstable();
         let mut free = self.free;
-        needs.into_iter().all(|(lacking, units)| {
-            let is_possible = lacking <= free;
+        let completable = needs.into_iter().take_while(|(lacking, _, units)| {
+            let is_completable = *lacking <= free;
             free += units;
-            is_possible
-        })
+            is_completable
+        });
+        completable.map(|(_, id, _)| id).collect()
     }
 
     /// Changes the size of a claim, and the free memory with it.
@@ -148,8 +148,15 @@
         if state.free < additional || (exempt != Some(id) && !is_within_share) {
             return false;
         }
+        // With as much free memory as any claim may need, all of them can be completed.
+        if state.free - additional >= self.max_claim {
+            state.set_units(id, units);
+            return true;
+        }
+        let completable_before = state.completable();
         state.set_units(id, units);
-        if state.is_safe(self.max_claim) {
+        let completable = state.completable();
+        if completable.contains(&id) && completable.is_superset(&completable_before) {
             return true;
         }
         state.set_units(id, previous);
--- a/crates/gateway/tests/response_memory.rs
+++ b/crates/gateway/tests/response_memory.rs
@@ -1,6 +1,7 @@
 //! The memory for collected responses: bodies that do not fit wait, and bodies that are too long fail.
 
 use std::convert::Infallible;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -104,6 +105,18 @@
     }
 }
 
+/// Guards against bodies that wait for one that needs more memory than callers leave free.
+#[tokio::test]
+async fn a_body_that_fits_is_collected_while_a_longer_one_waits() {
+    let memory = ResponseMemory::new(MEGABYTES);
+    let _unsent = collect_all(&memory, 2).await;
+    let mut waiting = pin!(memory.collect(chunks(10_000, 60), BACK_END));
+    assert!(timeout(WAIT_TIME, &mut waiting).await.is_err());
+    let stated = Full::new(Bytes::from(vec![7; 400_000]));
+    let stated = timeout(WAIT_TIME, memory.collect(stated, OTHER_BACK_END)).await;
+    assert!(matches!(stated, Ok(Ok(_))), "there is memory for this one");
+}
+
 proptest! {
     /// The collected bytes are those of the body, in their order, and their number is stated.
     #[test]
