--- a/crates/gorsebank/tests/slow_readers.rs
+++ b/crates/gorsebank/tests/slow_readers.rs
@@ -10,10 +10,10 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
-use platform::client::{request, send, stream_bytes};
+use platform::client::{request, send, stream_bytes_within};
 use platform::process::{GatewayProcess, MEMORY_MEGABYTES};
 use platform::runner::{EndlessResponse, ReceivedRequest, Reply, Runner, StreamEnd, events};
-use platform::{configuration, server_row, start_store_with, wait_until};
+use platform::{configuration_for_many_streams, server_row, start_store_with, wait_until};
 use serde_json::json;
 
 /// Number of events of a stream, which its back end sends without a pause.
@@ -50,10 +50,7 @@
     let mut row = server_row(&runner, "llm", "ready");
     row["slots"] = json!(MAX_REQUESTS);
     store.put("servers", &runner.id, row);
-    let mut document = configuration(2);
-    document["services"][1]["maxConns"] = json!(MAX_REQUESTS);
-    document["services"][1]["engine"]["slots"] = json!(MAX_REQUESTS);
-    document["routes"][2]["timeoutMs"] = json!(TIMEOUT_MS);
+    let document = configuration_for_many_streams(MAX_REQUESTS, TIMEOUT_MS);
     store.put("op", "config", document);
     let addresses = [0, 1].map(|_| free_address().expect("a free port"));
     let program = Path::new(env!("CARGO_BIN_EXE_gorsebank"));
@@ -64,8 +61,7 @@
         let mut caller = TcpStream::connect(gateway.callers)
             .await
             .expect("a connection");
-        let head = stream_bytes(&format!("silent-{number}"));
-        let head = head.replace("Deadline-Ms: 4000", &format!("Deadline-Ms: {TIMEOUT_MS}"));
+        let head = stream_bytes_within(&format!("silent-{number}"), TIMEOUT_MS);
         caller
             .write_all(head.as_bytes())
             .await
