Read-through: one name for current rows, shorter comments

are_versions_certain only repeated are_rows_current, so callers use that. Regression tests have one line of comment each, constants say what they bound. No check or bound changes.

--- a/crates/fleet/tests/long_loads.rs
+++ b/crates/fleet/tests/long_loads.rs
@@ -196,8 +196,7 @@
     assert!(!lacks_all(&mut simulation), "loads are short");
 }
 
-/// Guards against second replicas from a busy weight store while models in demand have none: the copy of
-/// the engine that holds the model already does not shorten the load.
+/// Guards against second replicas from a busy weight store while models in demand have none.
 #[test]
 fn a_replica_does_not_precede_models_without_one_for_a_copy_at_the_engine_that_holds_it() {
     let mut simulation = Simulation::new(3, &[]);
--- a/crates/gateway/src/admission/mod.rs
+++ b/crates/gateway/src/admission/mod.rs
@@ -335,7 +335,7 @@
         Some(RequiredVersion::Exactly(_)) => {
             let service = &call.service;
             let is_served = !active_back_ends(call, now).is_empty();
-            is_served && call.shared.are_versions_certain()
+            is_served && call.shared.are_rows_current()
                 || call.shared.directory(|directory| {
                     directory.active_back_ends(now, service, None).is_empty()
                 })
--- a/crates/gateway/src/call_pacer.rs
+++ b/crates/gateway/src/call_pacer.rs
@@ -13,12 +13,11 @@
 use parking_lot::Mutex;
 use tokio::time::{Instant, sleep_until};
 
-/// Response time from which a table is slow. At the combined rate of a large fleet, a table that bears it
-/// responds within a few tens of milliseconds.
+/// Response time from which a table is slow.
 const SLOW_RESPONSE_TIME: Duration = Duration::from_millis(250);
 /// Time for which a table counts as slow after a slow response, or none.
 const SLOW_LIFETIME: Duration = Duration::from_secs(5);
-/// Maximum combined rate of these calls of all gateways while the table is slow.
+/// Maximum combined rate of the paced calls of all gateways while the table is slow.
 const CALLS_PER_SECOND: f64 = 25.0;
 
 /// The pace of one gateway's calls.
--- a/crates/gateway/src/shared/software_versions.rs
+++ b/crates/gateway/src/shared/software_versions.rs
@@ -69,19 +69,14 @@
 }
 
 impl Shared {
-    /// Whether the rows of back ends are as new as the propagation bound demands.
-    fn are_rows_current(&self) -> bool {
+    /// Whether the rows of back ends are as new as the propagation bound demands. Only then do the processes
+    /// certainly have the versions of their rows: a back end may keep its name over a restart.
+    pub fn are_rows_current(&self) -> bool {
         let bound = self.settings.bounds.propagation_bound;
         let age = self.feed.verified_age(self.platform.tables().back_ends);
         age.is_some_and(|age| age <= bound)
     }
 
-    /// Whether the processes behind the addresses of back ends certainly have the versions of their rows.
-    /// A back end may keep its name over a restart, at which the version may change.
-    pub fn are_versions_certain(&self) -> bool {
-        self.are_rows_current()
-    }
-
     /// Whether the service is known to have had several versions for as long as a stream lasts.
     pub fn has_mixed_versions(&self, service: &ServiceId) -> bool {
         let period = self.longest_stream_ms(service);
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -394,7 +394,7 @@
         if call.required_version().is_some() {
             return;
         }
-        if !call.shared.are_versions_certain() {
+        if !call.shared.are_rows_current() {
             return call.require_version(RequiredVersion::Unknown);
         }
         let version = &back_end.software_version;
--- a/crates/gateway/src/stream_memory.rs
+++ b/crates/gateway/src/stream_memory.rs
@@ -11,9 +11,9 @@
 
 use crate::memory_ledger::{MemoryClaim, MemoryHold, MemoryLedger};
 
-/// Length of the buffer of each stream, in bytes: many usual events.
+/// Length of the buffer of each stream, in bytes.
 const STREAM_BUFFER_BYTES: usize = 16 << 10;
-/// Length of incomplete events that needs no share of the memory, in bytes: what arrives at once.
+/// Length of incomplete events that need no claim, in bytes: the most that one read returns.
 const FREE_INCOMPLETE_BYTES: usize = 32 << 10;
 /// Maximum length of an incomplete event with the bytes that arrived last, in bytes.
 const MAX_INCOMPLETE_BYTES: usize = (1 << 20) + (64 << 10);
@@ -50,7 +50,7 @@
     ledger: Arc<MemoryLedger>,
     /// Free bytes of the stream's own buffer.
     buffer: Arc<Semaphore>,
-    /// The claim for an incomplete event that is longer than the buffer.
+    /// The claim for incomplete events longer than [`FREE_INCOMPLETE_BYTES`].
     incomplete: Option<MemoryClaim>,
 }
 
