--- a/crates/gorsebank/tests/slow_readers.rs
+++ b/crates/gorsebank/tests/slow_readers.rs
@@ -81,11 +81,6 @@
             "beside {callers} others"
         );
     }
-    eprintln!(
-        "REACHED {} {:?}",
-        runner.requests().len(),
-        gateway.peak_memory()
-    );
     gateway.peak_memory().expect("a running process") / 1_000_000
 }
 
