Connect to back ends that have not failed while links are only suspected

Cause: two refused or silent connections made a gateway suspect its links. From then on it connected through other gateways only, which refused since they suspected theirs, and tried four direct connections a second, to the back ends that it had chosen. Nothing was recorded against those, and the request was given up after the first, so the same ones were chosen again. The direct connection to a sound back end that would have ended the suspicion was withheld by it.

Change: - Only a tunnel to an unreachable back end proves that the links are at fault. Until then direct connections are withheld only from back ends that were silent themselves, and failures are booked on the back ends, which pauses them. - While the links are at fault, a back end is paused if another gateway, which reaches others, does not reach it either.

--- a/crates/fleet/src/health.rs
+++ b/crates/fleet/src/health.rs
@@ -25,6 +25,8 @@
     failure_rate_updated: Timestamp,
     latency: Option<MeanLatency>,
     pause_ms: u64,
+    /// When the latest pause began.
+    paused_at: Timestamp,
     paused_until: Timestamp,
 }
 
@@ -61,6 +63,7 @@
     pub fn record_unreachable(&mut self, now: Timestamp) {
         self.update_failure_rate(now, 1.0);
         self.pause_ms = (self.pause_ms * 2).clamp(MIN_PAUSE_MS, MAX_PAUSE_MS);
+        self.paused_at = now;
         self.paused_until = now + self.pause_ms;
     }
 
@@ -69,6 +72,11 @@
         now < self.paused_until
     }
 
+    /// Whether this is so because of a failure at `since` or later.
+    pub fn is_paused_since(&self, now: Timestamp, since: Timestamp) -> bool {
+        self.is_paused(now) && self.paused_at >= since
+    }
+
     /// Recent fraction of failed requests, 0 to 1.
     pub fn failure_rate(&self, now: Timestamp) -> f64 {
         let age = now.since(self.failure_rate_updated) as f64;
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -67,7 +67,7 @@
 pub use prefill_speed::{GapSample, PrefillSpeedRow, PrefillSpeedSample};
 pub use prompt::{CachedPrefixes, Prompt, PromptPart};
 pub use quarantine::Quarantine;
-pub use reachability::{PathOrder, Reachability};
+pub use reachability::{DirectFailureKind, PathOrder, Reachability};
 pub use requested_pause::{PausedBackEnds, RequestedPause};
 pub use retry_window::{RetryShare, RetryWindow};
 pub use software_versions::{RowEvidence, SoftwareVersions};
--- a/crates/fleet/src/reachability.rs
+++ b/crates/fleet/src/reachability.rs
@@ -8,8 +8,9 @@
 //! since, make the gateway suspect its own links. A connection through another gateway to one of
 //! them proves the fault.
 //!
-//! Invariant: without a connection through another gateway, failures are a suspicion only: they
-//! change the order of paths, but no duty is given up for them.
+//! Invariants: without a connection through another gateway, failures are a suspicion only, and no
+//! duty is given up for them. A suspicion withholds direct connections only from back ends that were
+//! silent themselves, because a direct connection to another one is what would end it.
 
 use std::collections::HashMap;
 
@@ -34,6 +35,17 @@
     DirectFirst,
     /// Another gateway, and a direct connection if that fails.
     PeersFirst,
+    /// Other gateways only; a direct connection only probes the links.
+    PeersOnly,
+}
+
+/// How a direct connection failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DirectFailureKind {
+    /// The address refused it, which takes no longer than a connection.
+    Refused,
+    /// There was no reply, or none before another gateway reached the back end.
+    Silent,
 }
 
 /// A failed direct connection to a back end.
@@ -42,8 +54,12 @@
     /// The first failure since the last success.
     first: Timestamp,
     latest: Timestamp,
-    /// When another gateway reached the back end since the first failure.
+    /// How the latest connection failed.
+    kind: DirectFailureKind,
+    /// When another gateway first reached the back end since the first failure.
     bridged: Option<Timestamp>,
+    /// When another gateway, which reaches others, last was refused by the back end too.
+    confirmed: Option<Timestamp>,
 }
 
 impl DirectFailure {
@@ -69,23 +85,45 @@
 
     /// Records a direct connection that failed, or that had no reply when another gateway reached
     /// the back end.
-    pub fn record_direct_failure(&mut self, now: Timestamp, back_end: IncarnationHash) {
+    pub fn record_direct_failure(
+        &mut self,
+        now: Timestamp,
+        back_end: IncarnationHash,
+        kind: DirectFailureKind,
+    ) {
         self.failures.retain(|_, failure| failure.is_current(now));
         let failure = self.failures.entry(back_end).or_insert(DirectFailure {
             first: now,
             latest: now,
+            kind,
             bridged: None,
+            confirmed: None,
         });
         failure.latest = now;
+        failure.kind = kind;
     }
 
     /// Records that another gateway reached a back end.
     pub fn record_bridged(&mut self, now: Timestamp, back_end: IncarnationHash) {
         if let Some(failure) = self.failures.get_mut(&back_end) {
-            failure.bridged = Some(now);
+            failure.bridged.get_or_insert(now);
+            failure.confirmed = None;
         }
     }
 
+    /// Records that another gateway, which reaches others, was refused by a back end too.
+    pub fn record_confirmed(&mut self, now: Timestamp, back_end: IncarnationHash) {
+        if let Some(failure) = self.failures.get_mut(&back_end) {
+            failure.confirmed = Some(now);
+        }
+    }
+
+    /// Whether another gateway has confirmed recently that the back end refuses connections.
+    pub fn is_confirmed(&self, now: Timestamp, back_end: IncarnationHash) -> bool {
+        let confirmed = self.failures.get(&back_end).and_then(|it| it.confirmed);
+        confirmed.is_some_and(|at| now.since(at) < FAILURE_LIFETIME_MS)
+    }
+
     /// Since when the gateway's links are suspected; `None` if they are not.
     pub fn suspect_since(&self, now: Timestamp) -> Option<Timestamp> {
         let unreachable = || self.unreachable_since_last_success(now);
@@ -96,26 +134,36 @@
         unreachable().map(|failure| failure.first.max(last)).min()
     }
 
-    /// Whether the gateway's links are at fault: several back ends are unreachable, and another
-    /// gateway reaches one of them.
+    /// Since when the gateway's links are known to be at fault: several back ends are unreachable,
+    /// and another gateway reaches one of them. `None` if this is not known.
+    pub fn faulty_since(&self, now: Timestamp) -> Option<Timestamp> {
+        self.suspect_since(now)?;
+        let unreachable = self.unreachable_since_last_success(now);
+        unreachable.filter_map(|failure| failure.bridged).min()
+    }
+
+    /// Whether the links have been at fault for so long that duties which need them are given up.
     pub fn is_cut_off(&self, now: Timestamp) -> bool {
-        let Some(since) = self.suspect_since(now) else {
-            return false;
-        };
-        let is_bridged = |failure: &DirectFailure| failure.bridged.is_some();
-        now.since(since) >= MIN_CUT_OFF_MS
-            && self.unreachable_since_last_success(now).any(is_bridged)
+        let suspect_since = self.suspect_since(now);
+        self.faulty_since(now).is_some()
+            && suspect_since.is_some_and(|since| now.since(since) >= MIN_CUT_OFF_MS)
     }
 
     /// The order of paths for the next connection to a back end.
     pub fn path_order(&self, now: Timestamp, back_end: IncarnationHash) -> PathOrder {
+        if self.faulty_since(now).is_some() {
+            return PathOrder::PeersOnly;
+        }
         let failure = self.failures.get(&back_end);
-        let is_bridged =
-            failure.is_some_and(|failure| failure.is_current(now) && failure.bridged.is_some());
-        if is_bridged || self.suspect_since(now).is_some() {
-            PathOrder::PeersFirst
-        } else {
-            PathOrder::DirectFirst
+        match failure.filter(|failure| failure.is_current(now)) {
+            Some(failure) if failure.bridged.is_some() => PathOrder::PeersFirst,
+            Some(failure)
+                if failure.kind == DirectFailureKind::Silent
+                    && self.suspect_since(now).is_some() =>
+            {
+                PathOrder::PeersOnly
+            }
+            _ => PathOrder::DirectFirst,
         }
     }
 
--- a/crates/gateway/src/admission/mod.rs
+++ b/crates/gateway/src/admission/mod.rs
@@ -401,13 +401,11 @@
     if unpaused.is_empty() {
         return Err(Missing::Pause(BRITTLE_CHECK_INTERVAL));
     }
-    if call.shared.links.is_suspect(now) {
-        // The back ends were paused because of this gateway's links.
-        return Ok(unpaused);
-    }
+    // Earlier pauses are due to this gateway's links.
+    let since = call.shared.links.faulty_since(now).unwrap_or_default();
     let responding: Vec<Arc<BackEnd>> = unpaused
         .iter()
-        .filter(|back_end| !back_end.health().is_paused(now))
+        .filter(|back_end| !back_end.health().is_paused_since(now, since))
         .cloned()
         .collect();
     Ok(if responding.is_empty() {
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -17,7 +17,7 @@
 use hyper::body::Incoming;
 use tokio::time::{Instant, timeout_at};
 
-use crate::attempts::{Attempts, CONNECTION_LOST, NO_PATH, PAUSED, QUARANTINED};
+use crate::attempts::{Attempts, CONNECTION_LOST, NO_PATH, NOT_CONNECTED, PAUSED, QUARANTINED};
 use crate::back_end::{BackEnd, Connection, Exchange, InFlight, PendingPrefill};
 use crate::directory::Directory;
 use crate::event_log::{self, LogPriority};
@@ -219,9 +219,16 @@
         match error {
             ConnectError::BackEnd(_) => {
                 self.call.shared.record_unreachable(self.back_end);
-                AttemptResult::NotSent("not_connected")
+                AttemptResult::NotSent(NOT_CONNECTED)
+            }
+            ConnectError::Confirmed => {
+                self.call.shared.record_own_fault(self.back_end);
+                AttemptResult::NotSent(NOT_CONNECTED)
+            }
+            ConnectError::NoPath => {
+                self.call.shared.record_unreachable(self.back_end);
+                AttemptResult::NotSent(NO_PATH)
             }
-            ConnectError::NoPath => AttemptResult::NotSent(NO_PATH),
         }
     }
 
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -22,6 +22,8 @@
 pub const CONNECTION_LOST: &str = "connection_lost";
 /// Reason: the connection was lost, and the back end's process has exited.
 pub const BACK_END_ENDED: &str = "back_end_ended";
+/// Reason: no connection to the back end could be opened.
+pub const NOT_CONNECTED: &str = "not_connected";
 /// Reason: this gateway's links are cut, and no other gateway reached the back end for it.
 pub const NO_PATH: &str = "no_path";
 /// Reason: the request was quarantined, so it must not run any further.
@@ -75,14 +77,15 @@
         if reason == PAUSED {
             self.tried.pop();
         }
-        if reason == NO_PATH {
-            // The same holds for every other back end, and the caller may use another gateway.
-            return NextStep::GiveUp(call.refuse(NO_PATH, MIN_REJECTION_RETRY_AFTER));
-        }
         if self.sends < MAX_SENDS {
             return NextStep::Retry;
         }
-        NextStep::GiveUp(call.refuse("not_connected", MIN_REJECTION_RETRY_AFTER))
+        let reason = if reason == NO_PATH {
+            NO_PATH
+        } else {
+            NOT_CONNECTED
+        };
+        NextStep::GiveUp(call.refuse(reason, MIN_REJECTION_RETRY_AFTER))
     }
 
     /// Decides after a back end stated that it did not run the request. A back end that requested a
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -450,13 +450,30 @@
 
     /// Up to `count` other back ends that accept requests and have not exited, chosen at random.
     pub fn sample_others(&self, now: Timestamp, id: &BackEndId, count: usize) -> Vec<Arc<BackEnd>> {
-        let entries = self.entries.values();
-        let others = entries.filter(|entry| {
+        self.others(now, id).sample(&mut rand::rng(), count)
+    }
+
+    /// Same as [`Directory::sample_others`], but a back end that could not be reached recently is chosen
+    /// only if there are too few others.
+    pub fn sample_responding_others(
+        &self,
+        now: Timestamp,
+        id: &BackEndId,
+        count: usize,
+    ) -> Vec<Arc<BackEnd>> {
+        let is_paused = |back_end: &Arc<BackEnd>| back_end.health().is_paused(now);
+        let (paused, responding): (Vec<_>, Vec<_>) = self.others(now, id).partition(is_paused);
+        let mut sampled = responding.into_iter().sample(&mut rand::rng(), count);
+        let missing = count - sampled.len();
+        sampled.extend(paused.into_iter().sample(&mut rand::rng(), missing));
+        sampled
+    }
+
+    fn others(&self, now: Timestamp, id: &BackEndId) -> impl Iterator<Item = Arc<BackEnd>> {
+        let others = self.entries.values().filter(move |entry| {
             entry.is_active() && !entry.back_end.has_exited(now) && entry.report.id != *id
         });
-        others
-            .map(|entry| entry.back_end.clone())
-            .sample(&mut rand::rng(), count)
+        others.map(|entry| entry.back_end.clone())
     }
 
     /// Records exits of back ends that other gateways have reported. Returns the back ends whose
--- a/crates/gateway/src/links/connect.rs
+++ b/crates/gateway/src/links/connect.rs
@@ -12,11 +12,12 @@
 
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
-use gorsebank_fleet::PathOrder;
+use gorsebank_fleet::{DirectFailureKind, PathOrder};
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
+use super::exit_evidence;
 use super::peers::PeerFault;
 use crate::back_end::{BackEnd, Connection, ConnectionPath};
 use crate::event_log::{self, LogPriority};
@@ -38,6 +39,8 @@
 pub enum ConnectError {
     /// The back end cannot be reached, for the given reason.
     BackEnd(&'static str),
+    /// Neither this gateway nor another one, which reaches other back ends, reaches the back end.
+    Confirmed,
     /// This gateway's links are suspected, and no other gateway reached the back end for it.
     NoPath,
 }
@@ -46,6 +49,7 @@
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             ConnectError::BackEnd(cause) => formatter.write_str(cause),
+            ConnectError::Confirmed => formatter.write_str("confirmed"),
             ConnectError::NoPath => formatter.write_str("no_path"),
         }
     }
@@ -58,7 +62,8 @@
 ) -> Result<Connection, ConnectError> {
     match shared.links.path_order(shared.now(), back_end) {
         PathOrder::DirectFirst => connect_direct_first(shared, back_end).await,
-        PathOrder::PeersFirst => connect_peers_first(shared, back_end).await,
+        PathOrder::PeersFirst => connect_peers_first(shared, back_end, true).await,
+        PathOrder::PeersOnly => connect_peers_first(shared, back_end, false).await,
     }
 }
 
@@ -72,6 +77,9 @@
         Ok(Err(error)) => error,
         Err(_) => return race(shared, back_end, direct).await,
     };
+    if shared.links.is_confirmed(shared.now(), back_end) {
+        return Err(ConnectError::BackEnd(connect_failure(&error)));
+    }
     let bridged = connect_through_peers(shared, back_end).await;
     bridged.map_err(|_| ConnectError::BackEnd(connect_failure(&error)))
 }
@@ -92,7 +100,8 @@
         result = through_peers.as_mut() => match result {
             Ok(connection) => {
                 let now = shared.now();
-                shared.links.record_direct_failure(now, back_end);
+                let kind = DirectFailureKind::Silent;
+                shared.links.record_direct_failure(now, back_end, kind);
                 shared.links.record_bridged(now, back_end);
                 Ok(connection)
             }
@@ -101,21 +110,25 @@
     }
 }
 
+/// Asks other gateways, and connects directly if that fails and is permitted, or if a probe is due.
 async fn connect_peers_first(
     shared: &Arc<Shared>,
     back_end: &Arc<BackEnd>,
+    may_connect_directly: bool,
 ) -> Result<Connection, ConnectError> {
-    let is_suspect = shared.links.is_suspect(shared.now());
     let probe = start_probe(shared, back_end);
     let error = match connect_through_peers(shared, back_end).await {
         Ok(connection) => return Ok(connection),
         Err(error) => error,
     };
     let direct = match probe {
-        Some(probe) => probe.await.map_err(io::Error::other).flatten(),
-        None if is_suspect => return Err(error),
-        None => connect_directly(shared, back_end).await,
+        Some(probe) if may_connect_directly => probe.await,
+        // A connection that works is established within the head start. A later result is still recorded.
+        Some(probe) => timeout(HEAD_START, probe).await.map_err(|_| error)?,
+        None if may_connect_directly => Ok(connect_directly(shared, back_end).await),
+        None => return Err(error),
     };
+    let direct = direct.map_err(io::Error::other).flatten();
     direct.map_err(|_| error)
 }
 
@@ -162,7 +175,12 @@
             "connected"
         }
         Err(error) => {
-            shared.links.record_direct_failure(now, back_end);
+            let kind = if exit_evidence::is_refusal(error) {
+                DirectFailureKind::Refused
+            } else {
+                DirectFailureKind::Silent
+            };
+            shared.links.record_direct_failure(now, back_end, kind);
             connect_failure(error)
         }
     };
@@ -177,25 +195,38 @@
 ) -> Result<Connection, ConnectError> {
     let mut peers = shared.tunnel_peers(MAX_PEERS).into_iter();
     let mut pending = FuturesUnordered::new();
+    let mut last_error = ConnectError::NoPath;
     loop {
         match peers.next() {
             Some(peer) => pending.push(connect_through(shared, back_end, peer)),
-            None if pending.is_empty() => return Err(ConnectError::NoPath),
+            None if pending.is_empty() => return Err(last_error),
             None => {}
         }
         match timeout(HEAD_START, pending.next()).await {
             Ok(Some(Ok(connection))) => return Ok(connection),
-            Ok(Some(Err(error @ ConnectError::BackEnd(_)))) => return Err(error),
-            Ok(Some(Err(ConnectError::NoPath)) | None) | Err(_) => {}
+            Ok(Some(Err(PeerError::Refused))) => return Err(ConnectError::Confirmed),
+            Ok(Some(Err(PeerError::Silent))) => last_error = ConnectError::Confirmed,
+            Ok(Some(Err(PeerError::Unknown)) | None) | Err(_) => {}
         }
     }
 }
 
+/// What another gateway that opened no tunnel says about the back end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum PeerError {
+    /// Its address refuses connections, while the gateway reaches others.
+    Refused,
+    /// It does not reply, while the gateway reaches others.
+    Silent,
+    /// Nothing.
+    Unknown,
+}
+
 async fn connect_through(
     shared: &Arc<Shared>,
     back_end: &Arc<BackEnd>,
     peer: SocketAddr,
-) -> Result<Connection, ConnectError> {
+) -> Result<Connection, PeerError> {
     let request = TunnelRequest {
         back_end: back_end.id.clone(),
         incarnation: back_end.incarnation_hash,
@@ -208,14 +239,21 @@
         Ok(tunnel) => {
             shared.links.record_bridged(shared.now(), back_end);
             let started = start_http(shared, back_end, peer, tunnel).await;
-            started.map_err(|_| ConnectError::NoPath)
+            started.map_err(|_| PeerError::Unknown)
         }
         Err(TunnelError::Refused(refusal)) if refusal.shows_exit() => {
-            Err(ConnectError::BackEnd("refused"))
+            shared.links.record_confirmed(shared.now(), back_end);
+            Err(PeerError::Refused)
         }
         Err(error) => {
             record_fault(shared, peer, error);
-            Err(ConnectError::NoPath)
+            Err(match error {
+                TunnelError::Refused(TunnelRefusal::NotConnected {
+                    reaches_others: true,
+                    ..
+                }) => PeerError::Silent,
+                _ => PeerError::Unknown,
+            })
         }
     }
 }
--- a/crates/gateway/src/links/exit_evidence.rs
+++ b/crates/gateway/src/links/exit_evidence.rs
@@ -12,6 +12,7 @@
 
 use super::open_directly;
 use crate::back_end::BackEnd;
+use crate::directory::Directory;
 use crate::event_log::{self, LogPriority};
 use crate::relay::tunnel::{self, TunnelError};
 use crate::relay::{TunnelRefusal, TunnelRequest};
@@ -97,23 +98,25 @@
 
 /// Whether this gateway reaches any other back end at present, so that not all its links are cut.
 pub async fn reaches_any_other(shared: &Arc<Shared>, back_end: &BackEnd) -> bool {
-    let reached = connect_to_others(shared, back_end).await;
+    let now = shared.now();
+    let sample = |it: &Directory| it.sample_responding_others(now, &back_end.id, MAX_OTHERS);
+    let reached = connect_to(shared, shared.directory(sample)).await;
     reached.contains(&true)
 }
 
 /// Whether this gateway reaches most other back ends at present. Without witnesses, some of its
 /// links may be cut.
 async fn reaches_most_others(shared: &Arc<Shared>, back_end: &BackEnd) -> bool {
-    let reached = connect_to_others(shared, back_end).await;
+    let now = shared.now();
+    let sample = |it: &Directory| it.sample_others(now, &back_end.id, MAX_OTHERS);
+    let reached = connect_to(shared, shared.directory(sample)).await;
     let count = reached.iter().filter(|is_reached| **is_reached).count();
     count * 2 > reached.len()
 }
 
-async fn connect_to_others(shared: &Arc<Shared>, back_end: &BackEnd) -> Vec<bool> {
-    let now = shared.now();
-    let others =
-        shared.directory(|directory| directory.sample_others(now, &back_end.id, MAX_OTHERS));
-    let connecting = others.iter().map(|other| open_directly(shared, other));
+/// Whether each of these back ends accepts a connection of this gateway.
+async fn connect_to(shared: &Arc<Shared>, back_ends: Vec<Arc<BackEnd>>) -> Vec<bool> {
+    let connecting = back_ends.iter().map(|it| open_directly(shared, it));
     let connected = join_all(connecting).await;
     connected.iter().map(Result::is_ok).collect()
 }
--- a/crates/gateway/src/links/mod.rs
+++ b/crates/gateway/src/links/mod.rs
@@ -13,7 +13,7 @@
 //! In: results of connections. Out: connections, whether this gateway's links are cut, and
 //! ([`exit_evidence`]) whether a back end has exited.
 //!
-//! Lock order: `reachability` before `peers`.
+//! Lock order: `reachability` before `peers`. `logged_state` is taken alone.
 
 mod connect;
 pub mod exit_evidence;
@@ -21,12 +21,11 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use gorsebank_coordination::Timestamp;
 use gorsebank_fleet::quarantine::IncarnationHash;
-use gorsebank_fleet::{PathOrder, Reachability};
+use gorsebank_fleet::{DirectFailureKind, PathOrder, Reachability};
 use gorsebank_world::{NodeId, ZoneId};
 use parking_lot::Mutex;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
@@ -61,8 +60,15 @@
     peers: Mutex<TunnelPeers>,
     tunnels: Arc<Semaphore>,
     stop_phase: watch::Sender<StopPhase>,
-    /// Whether the links were suspected when their state was last logged.
-    was_suspect: AtomicBool,
+    /// What was last logged of the links.
+    logged_state: Mutex<LinkState>,
+}
+
+/// What is known of the links.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct LinkState {
+    is_suspect: bool,
+    is_faulty: bool,
 }
 
 impl Default for Links {
@@ -72,7 +78,7 @@
             peers: Mutex::default(),
             tunnels: Arc::new(Semaphore::new(MAX_TUNNELS)),
             stop_phase: watch::Sender::default(),
-            was_suspect: AtomicBool::new(false),
+            logged_state: Mutex::default(),
         }
     }
 }
@@ -83,7 +89,13 @@
         self.reachability.lock().suspect_since(now).is_some()
     }
 
-    /// Whether this gateway's own links are cut, as another gateway has shown.
+    /// Since when this gateway's own links are known to be at fault, because another gateway reached
+    /// a back end that this one does not reach. `None` if this is not known.
+    pub fn faulty_since(&self, now: Timestamp) -> Option<Timestamp> {
+        self.reachability.lock().faulty_since(now)
+    }
+
+    /// Whether this gateway's own links have been at fault for a while.
     pub fn is_cut_off(&self, now: Timestamp) -> bool {
         self.reachability.lock().is_cut_off(now)
     }
@@ -93,12 +105,14 @@
     pub fn is_usable(&self, now: Timestamp, back_end: &BackEnd, connection: &Connection) -> bool {
         let reachability = self.reachability.lock();
         match connection.path {
-            ConnectionPath::Direct => reachability.suspect_since(now).is_none_or(|since| {
-                connection.idle_time() < Duration::from_millis(now.since(since))
-            }),
+            ConnectionPath::Direct if reachability.faulty_since(now).is_some() => {
+                let suspect_since = reachability.suspect_since(now).unwrap_or(now);
+                connection.idle_time() < Duration::from_millis(now.since(suspect_since))
+            }
+            ConnectionPath::Direct => true,
             ConnectionPath::Peer(peer) => {
                 let order = reachability.path_order(now, back_end.incarnation_hash);
-                order == PathOrder::PeersFirst && self.peers.lock().is_usable(peer)
+                order != PathOrder::DirectFirst && self.peers.lock().is_usable(peer)
             }
         }
     }
@@ -135,7 +149,8 @@
         self.peers.lock().select(members, own, zone, count)
     }
 
-    fn path_order(&self, now: Timestamp, back_end: &BackEnd) -> PathOrder {
+    /// The order of paths for the next connection to a back end.
+    pub fn path_order(&self, now: Timestamp, back_end: &BackEnd) -> PathOrder {
         let reachability = self.reachability.lock();
         reachability.path_order(now, back_end.incarnation_hash)
     }
@@ -150,17 +165,27 @@
         self.update(now, back_end, act);
     }
 
-    fn record_direct_failure(&self, now: Timestamp, back_end: &BackEnd) {
-        let act = |it: &mut Reachability, hash| it.record_direct_failure(now, hash);
+    fn record_direct_failure(&self, now: Timestamp, back_end: &BackEnd, kind: DirectFailureKind) {
+        let act = |it: &mut Reachability, hash| it.record_direct_failure(now, hash, kind);
         self.update(now, back_end, act);
     }
 
+    fn record_confirmed(&self, now: Timestamp, back_end: &BackEnd) {
+        let act = |it: &mut Reachability, hash| it.record_confirmed(now, hash);
+        self.update(now, back_end, act);
+    }
+
+    fn is_confirmed(&self, now: Timestamp, back_end: &BackEnd) -> bool {
+        let reachability = self.reachability.lock();
+        reachability.is_confirmed(now, back_end.incarnation_hash)
+    }
+
     fn record_bridged(&self, now: Timestamp, back_end: &BackEnd) {
         let act = |it: &mut Reachability, hash| it.record_bridged(now, hash);
         self.update(now, back_end, act);
     }
 
-    /// Changes what is known of the links, and logs whether they are suspected if that changed.
+    /// Changes what is known of the links, and logs their state if that changed.
     fn update(
         &self,
         now: Timestamp,
@@ -169,12 +194,19 @@
     ) {
         let mut reachability = self.reachability.lock();
         act(&mut reachability, back_end.incarnation_hash);
-        let is_suspect = reachability.suspect_since(now).is_some();
+        let state = LinkState {
+            is_suspect: reachability.suspect_since(now).is_some(),
+            is_faulty: reachability.faulty_since(now).is_some(),
+        };
         let is_cut_off = reachability.is_cut_off(now);
         drop(reachability);
-        if self.was_suspect.swap(is_suspect, Ordering::Relaxed) != is_suspect {
+        if std::mem::replace(&mut *self.logged_state.lock(), state) != state {
+            let LinkState {
+                is_suspect,
+                is_faulty,
+            } = state;
             let fields = format_args!(
-                "suspect={is_suspect} cut_off={is_cut_off} back_end={}",
+                "suspect={is_suspect} faulty={is_faulty} cut_off={is_cut_off} back_end={}",
                 back_end.id
             );
             event_log::write(LogPriority::Decision, "links", fields);
--- a/crates/gateway/src/relay/tunnel/carrier.rs
+++ b/crates/gateway/src/relay/tunnel/carrier.rs
@@ -12,6 +12,7 @@
 use bytes::BytesMut;
 use futures_util::SinkExt;
 use gorsebank_contract::frame::FrameCodec;
+use gorsebank_fleet::PathOrder;
 use parking_lot::Mutex;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -122,11 +123,20 @@
     let permit = shared.links.reserve_tunnel();
     let permit = permit.filter(|_| shared.timer_lag() <= MAX_TIMER_LAG);
     let permit = permit.ok_or(TunnelRefusal::Overloaded)?;
-    if !request.is_exit_check && shared.links.is_suspect(shared.now()) {
+    if !request.is_exit_check && shared.links.faulty_since(shared.now()).is_some() {
         // The other gateway is better served by a third one, and this one learns of a heal.
         drop(links::start_probe(shared, &back_end));
         return Err(TunnelRefusal::CutOff);
     }
+    let now = shared.now();
+    let is_withheld = shared.links.path_order(now, &back_end) == PathOrder::PeersOnly;
+    if !request.is_exit_check && is_withheld {
+        drop(links::start_probe(shared, &back_end));
+        return Err(TunnelRefusal::NotConnected {
+            is_refused: false,
+            reaches_others: knows_responding_other(shared, &back_end),
+        });
+    }
     match open_directly(shared, &back_end).await {
         Ok(stream) => Ok(Tunnel {
             back_end: stream,
@@ -147,7 +157,7 @@
     let reaches_others = if is_refused {
         exit_evidence::reaches_any_other(shared, back_end).await
     } else {
-        !shared.links.is_suspect(shared.now())
+        !shared.links.is_suspect(shared.now()) || knows_responding_other(shared, back_end)
     };
     TunnelRefusal::NotConnected {
         is_refused,
@@ -155,6 +165,14 @@
     }
 }
 
+/// Whether there is another back end that did not fail recently.
+fn knows_responding_other(shared: &Shared, back_end: &BackEnd) -> bool {
+    let now = shared.now();
+    let sample = |it: &Directory| it.sample_responding_others(now, &back_end.id, 1);
+    let sampled = shared.directory(sample);
+    sampled.iter().any(|other| !other.health().is_paused(now))
+}
+
 /// Copies requests and sends responses in frames, until either end closes or fails.
 async fn copy_framed(
     mut origin: TcpStream,
--- a/crates/gateway/src/shared/responses.rs
+++ b/crates/gateway/src/shared/responses.rs
@@ -33,20 +33,26 @@
     }
 
     /// Records that a back end could not be reached or broke off, unless this gateway's own links are
-    /// suspected.
+    /// at fault.
     pub fn record_unreachable(&self, back_end: &BackEnd) {
-        let now = self.now();
-        if !self.links.is_suspect(now) {
-            back_end.update_health(|health| health.record_unreachable(now));
+        if self.links.faulty_since(self.now()).is_none() {
+            self.record_own_fault(back_end);
         }
     }
 
+    /// Records that a back end is unreachable whatever the state of this gateway's links is, as another
+    /// gateway has observed.
+    pub fn record_own_fault(&self, back_end: &BackEnd) {
+        let now = self.now();
+        back_end.update_health(|health| health.record_unreachable(now));
+    }
+
     /// Records a connection that was lost under a request, if a carrier has stated that the back end
-    /// ended it. Then it is the back end's failure, also while this gateway's own links are suspected.
+    /// ended it. Then it is the back end's failure, also while this gateway's own links are at fault.
     pub fn record_stated_end(&self, back_end: &BackEnd, connection: &Connection) {
-        let now = self.now();
-        if self.links.is_suspect(now) && connection.tunnel.has_back_end_ended() {
-            back_end.update_health(|health| health.record_unreachable(now));
+        let is_faulty = self.links.faulty_since(self.now()).is_some();
+        if is_faulty && connection.tunnel.has_back_end_ended() {
+            self.record_own_fault(back_end);
         }
     }
 
