Count a prompt as cached only once it is written to the back end

Callers whose prompts share a part were sent to a back end that could not be reached, again and again, since its cache was believed to hold the part.

Cause: the parts were recorded as cached when an attempt began, before there was a connection, and stayed recorded when nothing was sent.

Change: the prefill work still counts from the beginning of the attempt; the parts are recorded when the request is written.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -86,7 +86,7 @@
 ) -> AttemptResult {
     let load = AttemptLoad {
         in_flight: back_end.count_in_flight(),
-        prefill: back_end.begin_prefill(call.shared.now(), &call.metadata),
+        prefill: back_end.begin_prefill(&call.metadata),
     };
     let sent = Instant::now();
     let mut attempt = ActiveAttempt {
@@ -259,6 +259,7 @@
             may_be_silent: is_pooled,
         };
         self.call.mark_in_doubt();
+        self.back_end.record_prompt(now, &self.call.metadata);
         let mut sending = pin!(connection.http.send(request));
         let mut quarantined = pin!(self.call.wait_for_quarantine());
         let mut until = self.call.deadline().min(sent + self.head_timeout);
--- a/crates/gateway/src/back_end.rs
+++ b/crates/gateway/src/back_end.rs
@@ -259,18 +259,9 @@
         prefixes.uncached_tokens(model, metadata.adapter.as_ref(), &metadata.prompt)
     }
 
-    /// Counts the prompt of a request that is being sent as prefill work, and its prefixes as
-    /// cached.
-    pub fn begin_prefill(
-        self: &Arc<Self>,
-        now: Timestamp,
-        metadata: &RequestMetadata,
-    ) -> PendingPrefill {
+    /// Counts the prompt of a request that is about to be sent as prefill work.
+    pub fn begin_prefill(self: &Arc<Self>, metadata: &RequestMetadata) -> PendingPrefill {
         let tokens = self.uncached_tokens(metadata);
-        if let Some(model) = &metadata.model {
-            let mut prefixes = self.cached_prefixes.lock();
-            prefixes.record(now, model, metadata.adapter.as_ref(), &metadata.prompt);
-        }
         self.pending_prefill_tokens
             .fetch_add(tokens, Ordering::Relaxed);
         PendingPrefill {
@@ -279,6 +270,14 @@
         }
     }
 
+    /// Records the prefixes of a prompt that is written to the back end as cached there.
+    pub fn record_prompt(&self, now: Timestamp, metadata: &RequestMetadata) {
+        if let Some(model) = &metadata.model {
+            let mut prefixes = self.cached_prefixes.lock();
+            prefixes.record(now, model, metadata.adapter.as_ref(), &metadata.prompt);
+        }
+    }
+
     /// Number of tokens of this gateway's requests that are not prefilled yet.
     pub fn pending_prefill_tokens(&self) -> u32 {
         self.pending_prefill_tokens.load(Ordering::Relaxed)
