Soak: back ends return under new names beside the rows of previous ones

Real gateway processes lose all power with the back ends, which return under new names and at other addresses, while the rows of the previous ones stay. The stand-ins brought them back under their names before, so the soak could not show a service that does not return because of such rows.

--- a/crates/gorsebank/tests/soak/main.rs
+++ b/crates/gorsebank/tests/soak/main.rs
@@ -43,6 +43,8 @@
 const DEFAULT_SEEDS: Range<u64> = 1..4;
 /// Seeds that run by default with a busy weight store, which takes longest.
 const BUSY_STORE_SEEDS: Range<u64> = 1..2;
+/// Seeds that run by default beside rows of previous back ends.
+const PREVIOUS_ROWS_SEEDS: Range<u64> = 1..3;
 /// Seeds that exposed a fault; the list does not depend on the environment.
 const REGRESSION_SEEDS: [u64; 1] = [557];
 /// Default period in which faults are injected, in seconds.
@@ -171,6 +173,20 @@
     .await;
 }
 
+/// All machines lose power; back ends return under new names and at other addresses, and the rows of
+/// the previous ones stay beside theirs.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn service_returns_after_losses_of_all_power_beside_rows_of_previous_back_ends() {
+    let seconds = env_number("GORSEBANK_SOAK_SECONDS").unwrap_or(SECONDS_BEFORE_POWER_LOSS);
+    check_seeds(
+        selected_seeds_or(PREVIOUS_ROWS_SEEDS),
+        Duration::from_secs(seconds),
+        selected_gateways(),
+        ExtraFaults::PowerLossesUnderNewNames,
+    )
+    .await;
+}
+
 /// Guards against orders that a previous placement holder sends after those of a newer holder. The
 /// previous holder was asked to stop while the table lost responses. The table had applied the
 /// release of its lease, but the holder did not receive the response and went on sending orders. In
--- a/crates/gorsebank/tests/soak/plan.rs
+++ b/crates/gorsebank/tests/soak/plan.rs
@@ -165,6 +165,9 @@
     pub keeps_disks: bool,
     /// Whether the table still contains the rows that back ends wrote before the loss.
     pub keeps_rows: bool,
+    /// Whether back ends return under their names and at their addresses. Otherwise the rows of the
+    /// previous ones stay beside theirs.
+    pub keeps_names: bool,
     /// Whether gateways return at their addresses.
     pub keeps_addresses: bool,
     /// Whether some gateways do not return.
@@ -417,6 +420,7 @@
         rows_delay: draw_duration(&mut random, 0..MAX_RETURN_DELAY_MS),
         keeps_disks,
         keeps_rows: random.random_bool(0.7),
+        keeps_names: true,
         keeps_addresses: random.random_bool(0.6),
         has_absent_gateways: random.random_bool(0.4),
         late_order_delay: draw_duration(&mut random, 0..MAX_LATE_ORDER_MS),
--- a/crates/gorsebank/tests/soak/run.rs
+++ b/crates/gorsebank/tests/soak/run.rs
@@ -131,6 +131,9 @@
     /// loads at full speed, a few of many models get most requests, and some callers repeat refused
     /// requests.
     PowerLossesWithBusyStore,
+    /// All machines lose power as in `PowerLosses`; back ends return under new names and at other
+    /// addresses, and the rows of the previous ones stay.
+    PowerLossesUnderNewNames,
 }
 
 impl ExtraFaults {
@@ -141,6 +144,7 @@
             ExtraFaults::PowerLosses
                 | ExtraFaults::HarshPowerLosses
                 | ExtraFaults::PowerLossesWithBusyStore
+                | ExtraFaults::PowerLossesUnderNewNames
         )
     }
 }
@@ -219,7 +223,8 @@
         ExtraFaults::Nothing
         | ExtraFaults::PowerLosses
         | ExtraFaults::HarshPowerLosses
-        | ExtraFaults::PowerLossesWithBusyStore => {}
+        | ExtraFaults::PowerLossesWithBusyStore
+        | ExtraFaults::PowerLossesUnderNewNames => {}
         ExtraFaults::Limits => {
             for limit in draw_limits(seed, length) {
                 faults.spawn(run.clone().state_limit(limit));
@@ -336,8 +341,12 @@
     }
 
     async fn add_back_end(&self, service: &'static str) -> BackEnd {
-        let id = format!("i-{}", self.all_back_ends.lock().len());
-        self.add_back_end_as(&id, service).await
+        self.add_back_end_as(&self.next_name(), service).await
+    }
+
+    /// The name of the next back end that has a name of its own.
+    fn next_name(&self) -> String {
+        format!("i-{}", self.all_back_ends.lock().len())
     }
 
     /// Adds a back end under a name that another back end may have had before.
--- a/crates/gorsebank/tests/soak/run/power_return.rs
+++ b/crates/gorsebank/tests/soak/run/power_return.rs
@@ -1,6 +1,6 @@
 //! Losses of all power while callers go on. Back ends end first, or at the same moment as gateways and
-//! the table; all return one after the other. Engines return under their names, empty, and their loads
-//! take time.
+//! the table; all return one after the other. Engines return empty, under their names or under new
+//! ones, and their loads take time.
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -105,6 +105,12 @@
         losses.truncate(1);
         losses.iter_mut().for_each(|loss| loss.keeps_disks = false);
     }
+    if options.extra_faults == ExtraFaults::PowerLossesUnderNewNames {
+        losses.iter_mut().for_each(|loss| {
+            loss.keeps_names = false;
+            loss.keeps_rows = true;
+        });
+    }
     for (index, loss) in losses.iter().enumerate() {
         run.drop_orders();
         let older = harsh_return.and_then(|conditions| run.older_table(conditions));
@@ -344,11 +350,14 @@
         power_return
     }
 
-    /// Starts a back end again under its name and at its address, without models.
+    /// Starts a back end again without models, under its name and at its address if it keeps them.
     async fn return_back_end(self: &Arc<Self>, lost: &BackEnd, loss: PowerLoss) -> BackEnd {
-        let returned = self
-            .start_back_end(&lost.runner.id, lost.service, Some(lost))
-            .await;
+        let name = match loss.keeps_names {
+            true => lost.runner.id.clone(),
+            false => self.next_name(),
+        };
+        let previous = loss.keeps_names.then_some(lost);
+        let returned = self.start_back_end(&name, lost.service, previous).await;
         if lost.service != "llm" {
             return returned;
         }
@@ -361,6 +370,9 @@
             BTreeSet::new()
         };
         returned.runner.set_models_on_disk(kept);
+        if !loss.keeps_names {
+            return returned;
+        }
         let late_orders = lost.runner.dropped_orders();
         let runner = returned.runner.clone();
         tokio::spawn(async move {
