Streams go on at their version after all gateways were lost while two versions serve

What callers saw: two software versions served, all gateways ended at once and came back, and every request to take up a stream was refused (503) although the version that began it served.

Cause: records of which version began a stream were kept by gateways only, so they ended with the gateways. The list of versions in the table does not tell which of several began a stream. Class: state that must outlast its keepers, kept only by processes that may all end at once.

Why this works: records that go to keepers go to the placement holder too, which adds them to rows of a table of their own, at most four writes a second whatever the size of the fleet, and only while a service has several versions. A gateway reads the rows, every two seconds at most, for a request that it would refuse otherwise. A record never changes, so late, repeated or restored rows name the right version or nothing; a stream without a record is still refused.

--- a/crates/fleet/src/configuration.rs
+++ b/crates/fleet/src/configuration.rs
@@ -226,6 +226,11 @@
         self.services.get(id)
     }
 
+    /// All services.
+    pub fn service_ids(&self) -> impl Iterator<Item = &ServiceId> {
+        self.services.keys()
+    }
+
     /// Services whose back ends are model engines.
     pub fn engine_services(&self) -> impl Iterator<Item = (&ServiceId, &Engine)> {
         self.services
--- a/crates/fleet/src/fingerprint.rs
+++ b/crates/fleet/src/fingerprint.rs
@@ -35,6 +35,17 @@
         Fingerprint(bytes)
     }
 
+    /// The fingerprint as a hexadecimal number.
+    pub fn to_hex(self) -> String {
+        format!("{:032x}", u128::from_be_bytes(self.0))
+    }
+
+    /// Parses a hexadecimal number; `None` if it is not one, or too large.
+    pub fn from_hex(text: &str) -> Option<Self> {
+        let number = u128::from_str_radix(text, 16).ok()?;
+        Some(Fingerprint(number.to_be_bytes()))
+    }
+
     /// The first eight bytes as a number, which selects a group of fingerprints.
     pub fn leading_number(self) -> u64 {
         let mut leading = [0; 8];
--- a/crates/fleet/src/stream_origins.rs
+++ b/crates/fleet/src/stream_origins.rs
@@ -44,6 +44,16 @@
         StreamKey(Fingerprint::of(&parts))
     }
 
+    /// The key as a hexadecimal number.
+    pub fn to_hex(self) -> String {
+        self.0.to_hex()
+    }
+
+    /// Parses a hexadecimal number; `None` if it is not a key.
+    pub fn from_hex(text: &str) -> Option<Self> {
+        Fingerprint::from_hex(text).map(StreamKey)
+    }
+
     /// The group of streams that have the same keepers as this one.
     pub fn keeper_group(self) -> KeeperGroup {
         KeeperGroup(self.0.leading_number() % KEEPER_GROUPS)
@@ -68,6 +78,8 @@
 struct Kept {
     version: SoftwareVersion,
     until: Timestamp,
+    /// Whether this gateway has passed the record on to be stored, or has read it from the table.
+    is_stored: bool,
 }
 
 /// The records that a gateway keeps, of its own streams and of other gateways.
@@ -88,7 +100,12 @@
             return;
         }
         let version = record.version.clone();
-        self.kept.insert(record.stream, Kept { version, until });
+        let kept = Kept {
+            version,
+            until,
+            is_stored: false,
+        };
+        self.kept.insert(record.stream, kept);
         self.order.push_back(record.stream);
         while self.order.len() > MAX_RECORDS {
             self.remove_oldest();
@@ -101,6 +118,12 @@
         (now < kept.until).then_some(&kept.version)
     }
 
+    /// Marks a record as stored. Returns false if it was already.
+    pub fn mark_stored(&mut self, stream: StreamKey) -> bool {
+        let kept = self.kept.get_mut(&stream);
+        kept.is_none_or(|kept| !std::mem::replace(&mut kept.is_stored, true))
+    }
+
     /// All records that are still needed.
     pub fn records(&self, now: Timestamp) -> Vec<OriginRecord> {
         let needed = self.kept.iter().filter(|(_, kept)| now < kept.until);
--- a/crates/gateway/src/holder.rs
+++ b/crates/gateway/src/holder.rs
@@ -16,7 +16,7 @@
 use crate::lease_session::{LeaseSession, LeaseStepResult};
 use crate::placement::Placement;
 use crate::shared::Shared;
-use crate::{prefill_speed_rows, quarantine_row, sweeper};
+use crate::{prefill_speed_rows, quarantine_row, stream_origin_rows, sweeper};
 
 /// The name of the placement lease's row.
 pub const LEASE_NAME: &str = "placement";
@@ -75,7 +75,7 @@
 }
 
 /// The tasks of the lease holder, which end when they are dropped.
-type HolderTasks = [AbortOnDrop; 4];
+type HolderTasks = [AbortOnDrop; 5];
 
 /// This process as a candidate for the lease, and as its holder.
 struct LeaseCandidate {
@@ -212,6 +212,7 @@
             tokio::spawn(prefill_speed_rows::run(shared.clone())),
             tokio::spawn(sweeper::run(shared.clone())),
             tokio::spawn(quarantine_row::maintain(shared.clone())),
+            tokio::spawn(stream_origin_rows::run(shared.clone())),
         ]
         .map(AbortOnDrop)
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -81,6 +81,7 @@
 pub mod single_response;
 pub mod stream;
 pub mod stream_memory;
+mod stream_origin_rows;
 pub mod stream_origins;
 mod suspension;
 pub mod sweeper;
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -290,6 +290,9 @@
     pub saved_state: &'static str,
     /// Table of engine speeds with one row for each service, written by the placement holder.
     pub prefill_speeds: &'static str,
+    /// Table of the software versions that began streams, written by the placement holder while
+    /// versions are mixed.
+    pub stream_origins: &'static str,
 }
 
 /// A platform, as a gateway uses it.
--- a/crates/gateway/src/shared/software_versions.rs
+++ b/crates/gateway/src/shared/software_versions.rs
@@ -13,6 +13,7 @@
 
 use super::Shared;
 use crate::feed::on_demand;
+use crate::stream_origin_rows;
 use crate::stream_origins::{self, OriginAnswer, OriginRequest, SenderContext};
 
 /// How far another gateway may be behind the table when it begins a stream. It may then use a back end
@@ -31,6 +32,8 @@
     OwnRecord,
     /// Another gateway has one.
     KeeperRecord,
+    /// The table has one.
+    StoredRecord,
     /// The service has had one version only, as this gateway knows.
     OnlyVersion,
     /// The service has had one version only, as another gateway knows.
@@ -43,6 +46,7 @@
         match self {
             OriginSource::OwnRecord => "own_record",
             OriginSource::KeeperRecord => "keeper_record",
+            OriginSource::StoredRecord => "stored_record",
             OriginSource::OnlyVersion => "only_version",
             OriginSource::KeeperOnlyVersion => "keeper_only_version",
         }
@@ -83,6 +87,14 @@
         self.read_versions(|versions, now| versions.is_mixed(now, period, service))
     }
 
+    /// The same for any service.
+    pub fn has_mixed_versions_of_any(&self) -> bool {
+        self.configuration().is_some_and(|configuration| {
+            let mut services = configuration.service_ids();
+            services.any(|service| self.has_mixed_versions(service))
+        })
+    }
+
     /// The only version that the service has had for long enough, as of the rows that this gateway
     /// knows; `None` if there were several, or if this gateway is not certain. Streams may have begun
     /// at later versions: see [`Shared::only_origin`].
@@ -141,12 +153,17 @@
         longest.saturating_add(MAX_GATEWAY_LAG_MS)
     }
 
-    /// Time for which a software version of any service counts after its last back end has left.
-    pub fn longest_origin_period_ms(&self) -> u64 {
+    /// Time for which records of streams of any service are needed, in milliseconds.
+    pub fn longest_stream_of_any_ms(&self) -> u64 {
         let configuration = self.configuration();
         let longest = configuration.map(|known| known.longest_stream_of_any());
-        let longest_ms = longest.unwrap_or(Duration::MAX).as_millis() as u64;
-        longest_ms.saturating_add(MAX_GATEWAY_LAG_MS)
+        longest.unwrap_or(Duration::MAX).as_millis() as u64
+    }
+
+    /// Time for which a software version of any service counts after its last back end has left.
+    pub fn longest_origin_period_ms(&self) -> u64 {
+        self.longest_stream_of_any_ms()
+            .saturating_add(MAX_GATEWAY_LAG_MS)
     }
 
     fn longest_stream_ms(&self, service: &ServiceId) -> u64 {
@@ -172,11 +189,27 @@
     ///
     /// # Errors
     ///
-    /// Fails if nobody has a record, and nobody that answers in time is certain of the version.
+    /// Fails if neither a gateway nor the table has a record, and no gateway that answers in time is
+    /// certain of the version.
     pub async fn find_origin(
         &self,
         service: &ServiceId,
         stream: StreamKey,
+    ) -> Result<(SoftwareVersion, OriginSource), UnknownOrigin> {
+        let unknown = match self.find_origin_at_gateways(service, stream).await {
+            Ok(found) => return Ok(found),
+            Err(unknown) => unknown,
+        };
+        stream_origin_rows::learn_stored(self).await;
+        let stored = self.stream_origins.version(self.now(), stream);
+        let version = stored.ok_or(unknown)?;
+        Ok((version, OriginSource::StoredRecord))
+    }
+
+    async fn find_origin_at_gateways(
+        &self,
+        service: &ServiceId,
+        stream: StreamKey,
     ) -> Result<(SoftwareVersion, OriginSource), UnknownOrigin> {
         if let Some(version) = self.stream_origins.version(self.now(), stream) {
             return Ok((version, OriginSource::OwnRecord));
@@ -242,4 +275,9 @@
     fn keepers(&self, group: KeeperGroup) -> Vec<SocketAddr> {
         self.origin_keepers(group).to_send
     }
+
+    fn storing_gateway(&self) -> Option<SocketAddr> {
+        let is_own = self.holder().as_ref() == Some(&self.settings.node);
+        if is_own { None } else { self.holder_address() }
+    }
 }
--- a/crates/gateway/src/stream_origins/mod.rs
+++ b/crates/gateway/src/stream_origins/mod.rs
@@ -3,7 +3,8 @@
 //!
 //! ```text
 //! first event --> own record --> two keepers (in batches, while versions may be mixed)
-//! take-up ------> own record, or the keepers' answers --> version, or a refusal
+//!                            --> placement holder --> rows of the table
+//! take-up ------> own record, or the keepers' answers, or the rows --> version, or a refusal
 //! ```
 //!
 //! While a service has had back ends of one version only, records stay at this gateway, since every
@@ -19,17 +20,19 @@
 use std::collections::{HashMap, VecDeque};
 
 use gorsebank_coordination::Timestamp;
+use gorsebank_fleet::stream_origin_row::MAX_BATCH_RECORDS;
 use gorsebank_fleet::{OriginRecord, StreamKey, StreamOrigins};
 use gorsebank_world::{ServiceId, SoftwareVersion};
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
-use tokio::sync::Notify;
+use tokio::sync::{Mutex as AsyncMutex, Notify};
+use tokio::time::Instant;
 
 pub use keepers::{GroupKeepers, Keepers};
 pub use lookup::ask;
 pub use sender::{SenderContext, send_records};
 
-/// Maximum number of records that wait to be sent; the oldest are dropped first.
+/// Maximum number of records that wait to be sent, and to be stored; the oldest are dropped first.
 const MAX_UNSENT: usize = 8_192;
 
 /// Asks a gateway for the software version that began a stream.
@@ -69,10 +72,14 @@
     state: Mutex<State>,
     /// Notified when there are records to send.
     added: Notify,
+    /// Notified when there are records to store.
+    unstored_added: Notify,
+    /// When this gateway last read the rows of the table. Locked during a read.
+    rows_read_at: AsyncMutex<Option<Instant>>,
 }
 
-/// A record that has to be sent, with the time from which nobody needs it.
-type Unsent = (Timestamp, OriginRecord);
+/// A record that has to be sent or stored, with the time from which nobody needs it.
+pub type Unsent = (Timestamp, OriginRecord);
 
 #[derive(Default)]
 struct State {
@@ -80,6 +87,11 @@
     due: VecDeque<Unsent>,
     /// Records that no gateway has acknowledged.
     undelivered: VecDeque<Unsent>,
+    /// Records that the table does not have yet. The placement holder stores them, and every other
+    /// gateway sends them to it.
+    unstored: VecDeque<Unsent>,
+    /// Whether this gateway stores the records of all gateways.
+    is_storing: bool,
     /// Records of own streams of services with only one version.
     deferred: HashMap<ServiceId, VecDeque<Unsent>>,
 }
@@ -117,6 +129,60 @@
         let mut state = self.state.lock();
         for record in records {
             state.kept.record(now, record);
+            if state.is_storing {
+                self.add_unstored(&mut state, &(now + record.lifetime_ms, record.clone()));
+            }
+        }
+    }
+
+    /// Keeps records that were read from the table.
+    pub fn merge_stored(&self, now: Timestamp, records: impl Iterator<Item = OriginRecord>) {
+        let mut state = self.state.lock();
+        for record in records {
+            state.kept.record(now, &record);
+            state.kept.mark_stored(record.stream);
+        }
+    }
+
+    /// When this gateway last read the rows of the table. Locked during a read.
+    pub fn rows_read_at(&self) -> &AsyncMutex<Option<Instant>> {
+        &self.rows_read_at
+    }
+
+    /// Sets whether this gateway stores the records of all gateways.
+    pub fn set_storing(&self, is_storing: bool) {
+        self.state.lock().is_storing = is_storing;
+    }
+
+    /// Waits until there may be records to store.
+    pub async fn wait_for_unstored(&self) {
+        self.unstored_added.notified().await;
+    }
+
+    /// Takes records to store, at most [`MAX_BATCH_RECORDS`].
+    pub fn take_unstored(&self, now: Timestamp) -> Vec<Unsent> {
+        let unstored = &mut self.state.lock().unstored;
+        remove_expired(unstored, now);
+        let count = unstored.len().min(MAX_BATCH_RECORDS);
+        if count < unstored.len() {
+            self.unstored_added.notify_one();
+        }
+        unstored.drain(..count).collect()
+    }
+
+    /// Returns records that could not be stored.
+    pub fn put_back_unstored(&self, records: Vec<Unsent>) {
+        let mut state = self.state.lock();
+        for record in records {
+            push_bounded(&mut state.unstored, record);
+        }
+        self.unstored_added.notify_one();
+    }
+
+    fn add_unstored(&self, state: &mut State, record: &Unsent) {
+        if state.kept.mark_stored(record.1.stream) {
+            push_bounded(&mut state.unstored, record.clone());
+            self.unstored_added.notify_one();
         }
     }
 
@@ -135,7 +201,8 @@
         self.state.lock().deferred.keys().cloned().collect()
     }
 
-    /// Takes the records to send, including the deferred ones of services that `may_be_mixed`.
+    /// Takes the records to send, including the deferred ones of services that `may_be_mixed`, and
+    /// adds them to those that have to be stored.
     fn take_due(&self, now: Timestamp, may_be_mixed: &[ServiceId]) -> Vec<Unsent> {
         let mut state = self.state.lock();
         let mut due = std::mem::take(&mut state.due);
@@ -143,6 +210,9 @@
             due.extend(state.deferred.remove(service).into_iter().flatten());
         }
         due.retain(|(until, _)| now < *until);
+        for record in &due {
+            self.add_unstored(&mut state, record);
+        }
         due.into()
     }
 
--- a/crates/gateway/src/stream_origins/sender.rs
+++ b/crates/gateway/src/stream_origins/sender.rs
@@ -1,4 +1,4 @@
-//! Sends records to their keepers, in batches.
+//! Sends records to their keepers, and to the gateway that stores them, in batches.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -7,6 +7,7 @@
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use gorsebank_coordination::Timestamp;
+use gorsebank_fleet::OriginRecord;
 use gorsebank_fleet::stream_origins::{KEEPERS, KeeperGroup};
 use gorsebank_world::ServiceId;
 use tokio::time::{interval, sleep};
@@ -22,6 +23,9 @@
 /// Interval at which records that no gateway has acknowledged are sent again. All others may be gone, or
 /// of an earlier build.
 const RETRY_INTERVAL: Duration = Duration::from_secs(1);
+/// Minimum pause between two batches for the gateway that stores records, which receives the batches of
+/// all gateways.
+const STORING_PAUSE: Duration = Duration::from_millis(100);
 /// Maximum number of batches that are sent at the same time. An unresponsive gateway delays only its
 /// own.
 const MAX_DELIVERIES: usize = 32;
@@ -34,6 +38,8 @@
     fn may_be_mixed(&self, service: &ServiceId) -> bool;
     /// The gateways to which the records of a group are sent, in order.
     fn keepers(&self, group: KeeperGroup) -> Vec<SocketAddr>;
+    /// The other gateway that stores records; `None` if it is this one, or not known.
+    fn storing_gateway(&self) -> Option<SocketAddr>;
 }
 
 /// Sends records until the future is dropped.
@@ -41,6 +47,44 @@
     origins: &SharedOrigins,
     client: &RelayClient,
     context: &impl SenderContext,
+) {
+    tokio::join!(
+        send_to_keepers(origins, client, context),
+        send_to_storing_gateway(origins, client, context),
+    );
+}
+
+async fn send_to_storing_gateway(
+    origins: &SharedOrigins,
+    client: &RelayClient,
+    context: &impl SenderContext,
+) {
+    loop {
+        origins.wait_for_unstored().await;
+        let Some(gateway) = context.storing_gateway() else {
+            // They stay for the task that stores them here, or until there is such a gateway.
+            origins.unstored_added.notify_one();
+            sleep(RETRY_INTERVAL).await;
+            continue;
+        };
+        let unstored = origins.take_unstored(context.now());
+        if unstored.is_empty() {
+            continue;
+        }
+        let request = RelayRequest::RecordOrigins(records_of(&unstored));
+        if send(client, gateway, &request).await {
+            sleep(STORING_PAUSE).await;
+        } else {
+            origins.put_back_unstored(unstored);
+            sleep(RETRY_INTERVAL).await;
+        }
+    }
+}
+
+async fn send_to_keepers(
+    origins: &SharedOrigins,
+    client: &RelayClient,
+    context: &impl SenderContext,
 ) {
     let mut deliveries = FuturesUnordered::new();
     let mut retries = interval(RETRY_INTERVAL);
@@ -94,8 +138,7 @@
     keepers: Vec<SocketAddr>,
     batch: Vec<Unsent>,
 ) -> Vec<Unsent> {
-    let records = batch.iter().map(|(_, record)| record.clone()).collect();
-    let request = RelayRequest::RecordOrigins(records);
+    let request = RelayRequest::RecordOrigins(records_of(&batch));
     let mut waiting = keepers.into_iter();
     let mut sending: FuturesUnordered<_> = waiting
         .by_ref()
@@ -112,6 +155,10 @@
     if acknowledged == 0 { batch } else { Vec::new() }
 }
 
+fn records_of(batch: &[Unsent]) -> Vec<OriginRecord> {
+    batch.iter().map(|(_, record)| record.clone()).collect()
+}
+
 async fn send(client: &RelayClient, keeper: SocketAddr, request: &RelayRequest) -> bool {
     let response = client.call(keeper, request, SEND_TIMEOUT).await;
     matches!(response, Some(RelayResponse::Acknowledged))
--- a/crates/gateway/tests/rhythm.rs
+++ b/crates/gateway/tests/rhythm.rs
@@ -13,6 +13,7 @@
     lease: "lease",
     saved_state: "loads",
     prefill_speeds: "reading",
+    stream_origins: "stream-origins",
 };
 
 /// Two or three gateways read the tables for the whole fleet. A read that finds no changes is a
