Keep asking gateways that were refused by a back end for other back ends

Callers of a gateway whose links are cut got 503 no_path beside many rows of previous back ends, although the others reached the sound ones.

Cause: a carrier that was refused samples four other back ends to check its own links. Beside 40 previous rows all four may be previous ones, so it said that it reaches no others, and the cut gateway left it alone for 700 ms. Soon all carriers were left out.

Change: only a carrier that got no reply may be left alone. One that is refused answers at once, and one whose own links are known to be cut says so.

--- a/crates/gateway/src/links/connect.rs
+++ b/crates/gateway/src/links/connect.rs
@@ -324,8 +324,12 @@
         TunnelError::NoReply => PeerFault::NoReply,
         TunnelError::Unsupported => PeerFault::Unsupported,
         TunnelError::Refused(TunnelRefusal::UnknownBackEnd) => return,
-        TunnelError::Refused(TunnelRefusal::NotConnected { reaches_others, .. }) => {
-            if reaches_others {
+        // A gateway that is refused replies at once, so asking it about another back end costs little.
+        TunnelError::Refused(TunnelRefusal::NotConnected {
+            is_refused,
+            reaches_others,
+        }) => {
+            if is_refused || reaches_others {
                 return;
             }
             PeerFault::Unavailable
