Withdraw the proof of cut links once others are refused by the back end too

A gateway with sound links sent everything through other gateways and gave up the placement lease, for as long as rows of two back ends that were gone stayed.

Cause: a back end that another gateway once reached after this one had failed proved that the links are cut, also after it had ended and refused the others too. The record lived as long as its connections failed.

Change: the confirmation withdraws the proof. a_back_end_that_others_no_longer_reach_proves_no_fault_of_the_links fails without it.

--- a/crates/fleet/src/reachability.rs
+++ b/crates/fleet/src/reachability.rs
@@ -115,6 +115,8 @@
     pub fn record_confirmed(&mut self, now: Timestamp, back_end: IncarnationHash) {
         if let Some(failure) = self.failures.get_mut(&back_end) {
             failure.confirmed = Some(now);
+            // Whoever reached the back end did so before it ended.
+            failure.bridged = None;
         }
     }
 
--- a/crates/fleet/tests/reachability.rs
+++ b/crates/fleet/tests/reachability.rs
@@ -126,3 +126,22 @@
     reachability.record_direct(now, 3);
     assert_eq!(reachability.path_order(now, 2), PathOrder::DirectFirst);
 }
+
+/// Guards against links that count as cut for good because a back end was once reached by others.
+#[test]
+fn a_back_end_that_others_no_longer_reach_proves_no_fault_of_the_links() {
+    let mut reachability = Reachability::default();
+    for second in 1..10 {
+        let now = Timestamp(1_000 * second);
+        for back_end in [1, 2] {
+            reachability.record_direct_failure(now, back_end, DirectFailureKind::Refused);
+        }
+        if second == 1 {
+            reachability.record_bridged(now, 1);
+            assert!(reachability.faulty_since(now).is_some());
+        } else {
+            reachability.record_confirmed(now, 1);
+            assert!(reachability.faulty_since(now).is_none());
+        }
+    }
+}
