Report demand for models that only unreachable back ends are thought to hold

After a loss of all power, requests for models were refused for as long as the rows of the previous engines stayed, while the new ones stood empty: no load was ordered.

Cause: rows of previous engines name models, so a request found back ends for its model. When it had tried four of them in vain it was given up without a word to the placement holder, and choosing one of them even withdrew earlier reports. Without demand the holder does not ask engines whether they still respond, and counts the rows as replicas.

Demand for adapters leads the holder to the engines by chance, which hid this.

Change: a request that is given up without a connection reports unmet demand, and so does one for which only paused back ends are left. The holder then polls the engines, and one that does not respond counts as holding nothing.

--- a/crates/gateway/src/admission/mod.rs
+++ b/crates/gateway/src/admission/mod.rs
@@ -216,7 +216,9 @@
     let back_ends = prefer_resumable(call, back_ends);
     let chosen = choose_back_end(call, now, &back_ends)
         .ok_or_else(|| missing_capacity(call, now, &back_ends))?;
-    if let Some(model) = &call.metadata.model {
+    if chosen.back_end.health().is_paused(now) {
+        report_unreachable(call);
+    } else if let Some(model) = &call.metadata.model {
         let adapter = call.metadata.adapter.as_ref();
         let mut demand = call.shared.demand.lock();
         demand.clear_unmet(&call.service, model, adapter);
@@ -224,6 +226,12 @@
     Ok(chosen)
 }
 
+/// Reports to the placement holder that back ends which are thought to hold the request's model cannot be
+/// reached. The holder finds out whether they still respond.
+pub fn report_unreachable(call: &Call) {
+    record_unmet_demand(call, None);
+}
+
 /// The back ends at which a stream can begin so that another one can continue it: those of versions
 /// that several of them have, and that gateways which start later know of. All back ends, if there are
 /// no such ones with a free slot, or if the request does not begin a stream that may continue.
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -80,6 +80,7 @@
         if self.sends < MAX_SENDS {
             return NextStep::Retry;
         }
+        admission::report_unreachable(call);
         let reason = if reason == NO_PATH {
             NO_PATH
         } else {
