Event log: write the last lines before the process ends

Operators missed the last line of a planned stop (stop phase=drained): the process ended while the line was still in the queue of the log's thread.

A gateway that ends now waits until the queue is empty, for 200 ms at most, so that a reader that has stopped reading does not delay the end.

--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -7,10 +7,10 @@
 
 use std::fmt;
 use std::io::Write;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::mpsc::{SyncSender, TrySendError, sync_channel};
 use std::sync::{Arc, OnceLock};
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use eyre::eyre;
 use logforth::append::Append;
@@ -24,8 +24,14 @@
 const MAX_SERVED_PER_SECOND: u32 = 40;
 /// Maximum number of all other log lines per second.
 const MAX_OTHER_PER_SECOND: u32 = 300;
+/// Time for which [`flush`] waits for a reader of the log.
+const MAX_FLUSH_TIME: Duration = Duration::from_millis(200);
+/// Interval at which [`flush`] checks whether the queue is empty.
+const FLUSH_POLL: Duration = Duration::from_millis(2);
 
 static DROPPED: AtomicU64 = AtomicU64::new(0);
+/// Number of log lines that are queued or being written.
+static UNWRITTEN: AtomicUsize = AtomicUsize::new(0);
 static BUDGET: OnceLock<Mutex<LineBudget>> = OnceLock::new();
 
 /// Priority of a log line when there are too many.
@@ -59,6 +65,7 @@
                 // A write error is ignored, because the gateway must keep serving requests without
                 // a reader of its log.
                 let _ = output.write_all(line.as_bytes());
+                UNWRITTEN.fetch_sub(1, Ordering::Release);
             }
         })?;
     let append = QueueAppend {
@@ -88,6 +95,15 @@
     DROPPED.load(Ordering::Relaxed)
 }
 
+/// Waits until all log lines are written, for a short time at most: a process that ends must not
+/// wait for a reader that has stopped reading.
+pub fn flush() {
+    let until = Instant::now() + MAX_FLUSH_TIME;
+    while UNWRITTEN.load(Ordering::Acquire) > 0 && Instant::now() < until {
+        std::thread::sleep(FLUSH_POLL);
+    }
+}
+
 fn is_within_budget(priority: LogPriority) -> bool {
     let budget = BUDGET.get_or_init(|| {
         Mutex::new(LineBudget {
@@ -129,13 +145,18 @@
             dropped_lines(),
             record.payload()
         );
-        if let Err(TrySendError::Full(_)) = self.sender.try_send(line) {
-            DROPPED.fetch_add(1, Ordering::Relaxed);
+        UNWRITTEN.fetch_add(1, Ordering::Relaxed);
+        if let Err(error) = self.sender.try_send(line) {
+            UNWRITTEN.fetch_sub(1, Ordering::Relaxed);
+            if let TrySendError::Full(_) = error {
+                DROPPED.fetch_add(1, Ordering::Relaxed);
+            }
         }
         Ok(())
     }
 
     fn flush(&self) -> Result<(), Error> {
+        flush();
         Ok(())
     }
 }
--- a/crates/gorsebank/src/commands/gateway.rs
+++ b/crates/gorsebank/src/commands/gateway.rs
@@ -16,5 +16,7 @@
     let settings = NodeSettings::read(&path, arguments.metrics.as_deref())?;
     event_log::start(settings.gateway.node.as_str())?;
     let platform = Arc::new(UsersPlatform::new(&settings));
-    gorsebank_gateway::run(settings.gateway, platform).await
+    let result = gorsebank_gateway::run(settings.gateway, platform).await;
+    event_log::flush();
+    result
 }
