Gateway: log signals, and that a start still waits for an address

An end by a signal and a start that waits for an address could not be told from the log: the first left no line, the second one line in a minute. Now each handled signal has a line (event=signal), and a waiting start has a line every ten seconds (event=address_unavailable with waited_ms).

--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -21,6 +21,8 @@
 const INITIAL_PAUSE: Duration = Duration::from_millis(20);
 /// Longest pause between two attempts.
 const MAX_PAUSE: Duration = Duration::from_millis(250);
+/// Interval of the log lines of a gateway that waits for an address.
+const LOG_INTERVAL: Duration = Duration::from_secs(10);
 
 /// Binds a listener that callers depend on.
 pub async fn listen(address: SocketAddr) -> eyre::Result<TcpListener> {
@@ -44,26 +46,31 @@
 
 /// Binds a listener, and tries again for `max_wait` while the address is unavailable.
 async fn bind(address: SocketAddr, max_wait: Duration) -> Result<TcpListener, Error> {
-    let until = Instant::now() + max_wait;
+    let start = Instant::now();
     let mut backoff = Backoff::new(INITIAL_PAUSE, MAX_PAUSE);
-    let mut is_logged = false;
+    let mut next_log = start;
     loop {
         let error = match TcpListener::bind(address).await {
-            Err(error) if may_pass(&error) && Instant::now() < until => error,
+            Err(error) if may_pass(&error) && start.elapsed() < max_wait => error,
             result => return result,
         };
-        if !is_logged {
-            let fields = format_args!(
-                "address={address} error=\"{error}\" longest_ms={}",
-                max_wait.as_millis()
-            );
-            event_log::write(LogPriority::Decision, "address_unavailable", fields);
-            is_logged = true;
+        if Instant::now() >= next_log {
+            log_unavailable(address, &error, start.elapsed(), max_wait);
+            next_log = Instant::now() + LOG_INTERVAL;
         }
         backoff.wait().await;
     }
 }
 
+fn log_unavailable(address: SocketAddr, error: &Error, waited: Duration, max_wait: Duration) {
+    let fields = format_args!(
+        "address={address} error=\"{error}\" waited_ms={} longest_ms={}",
+        waited.as_millis(),
+        max_wait.as_millis()
+    );
+    event_log::write(LogPriority::Decision, "address_unavailable", fields);
+}
+
 /// Whether the cause may end by itself.
 fn may_pass(error: &Error) -> bool {
     matches!(
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -224,11 +224,22 @@
     let mut hang_up = signal(SignalKind::hangup()).wrap_err("SIGHUP")?;
     loop {
         tokio::select! {
-            _ = terminate.recv() => return Ok(()),
-            _ = interrupt.recv() => return Ok(()),
+            _ = terminate.recv() => {
+                log_signal("SIGTERM");
+                return Ok(());
+            }
+            _ = interrupt.recv() => {
+                log_signal("SIGINT");
+                return Ok(());
+            }
             _ = hang_up.recv() => {
+                log_signal("SIGHUP");
                 event_log::write(LogPriority::Decision, "reload", format_args!("changed=nothing"));
             }
         }
     }
 }
+
+fn log_signal(name: &str) {
+    event_log::write(LogPriority::Decision, "signal", format_args!("name={name}"));
+}
