Gateway: handle signals from the start of the process

What operators saw: a SIGHUP, which says that the settings file has changed, ended a gateway that was starting (signal 1), and so did SIGTERM and SIGINT (15 and 2) in place of a planned stop.

Cause: the handlers were installed after the listeners had been opened. Until then the default action of these signals ends the process: for as long as an address is in use, and while the settings are read.

One value, GatewaySignals, now owns the signals. It is created before the settings are read and is handed to the run, which ends the start on SIGTERM or SIGINT and only logs signals while it drains. A signal that arrives before it is waited for is kept.

The tests hold the address, or hand over the settings through a pipe, so that they do not depend on the speed of the machine.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -78,6 +78,7 @@
 pub mod server;
 pub mod settings;
 pub mod shared;
+pub mod signals;
 pub mod single_response;
 pub mod stream;
 pub mod stream_memory;
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -4,11 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use eyre::WrapErr;
 use futures_util::future::OptionFuture;
 use http::StatusCode;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::JoinHandle;
 
 use crate::clock::Clock;
@@ -19,6 +17,7 @@
 use crate::server::{self, CallerConnections};
 use crate::settings::GatewaySettings;
 use crate::shared::Shared;
+use crate::signals::GatewaySignals;
 use crate::tenant_quotas::{refunds, shards};
 use crate::{
     demand_sender, feed, holder, members, quarantine, quarantine_row, relay, stream_origins,
@@ -157,11 +156,23 @@
     }
 }
 
-/// Runs a gateway until SIGTERM or SIGINT, then drains it.
-pub async fn run(settings: GatewaySettings, platform: Arc<dyn Platform>) -> eyre::Result<()> {
-    let gateway = Gateway::start(settings, platform).await?;
-    wait_for_stop().await?;
-    gateway.drain().await;
+/// Runs a gateway until SIGTERM or SIGINT, then drains it. A signal during the start ends the start.
+pub async fn run(
+    settings: GatewaySettings,
+    platform: Arc<dyn Platform>,
+    mut signals: GatewaySignals,
+) -> eyre::Result<()> {
+    let gateway = tokio::select! {
+        biased;
+        () = signals.wait_for_stop() => {
+            let fields = format_args!("phase=not_started");
+            event_log::write(LogPriority::Decision, "stop", fields);
+            return Ok(());
+        }
+        gateway = Gateway::start(settings, platform) => gateway?,
+    };
+    signals.wait_for_stop().await;
+    signals.log_until(gateway.drain()).await;
     Ok(())
 }
 
@@ -215,31 +226,3 @@
     };
     tokio::spawn(server::serve_pages(listener, respond))
 }
-
-/// Returns on SIGTERM or SIGINT. SIGHUP is only logged: everything that can change at run time
-/// comes from the table, not from the settings file.
-async fn wait_for_stop() -> eyre::Result<()> {
-    let mut terminate = signal(SignalKind::terminate()).wrap_err("SIGTERM")?;
-    let mut interrupt = signal(SignalKind::interrupt()).wrap_err("SIGINT")?;
-    let mut hang_up = signal(SignalKind::hangup()).wrap_err("SIGHUP")?;
-    loop {
-        tokio::select! {
-            _ = terminate.recv() => {
-                log_signal("SIGTERM");
-                return Ok(());
-            }
-            _ = interrupt.recv() => {
-                log_signal("SIGINT");
-                return Ok(());
-            }
-            _ = hang_up.recv() => {
-                log_signal("SIGHUP");
-                event_log::write(LogPriority::Decision, "reload", format_args!("changed=nothing"));
-            }
-        }
-    }
-}
-
-fn log_signal(name: &str) {
-    event_log::write(LogPriority::Decision, "signal", format_args!("name={name}"));
-}
--- /dev/null
+++ b/crates/gorsebank/tests/signals_during_a_start.rs
@@ -0,0 +1,166 @@
+//! Signals that arrive while a gateway waits for its address, or reads its settings.
+
+#[path = "../../../platform/tests/support/mod.rs"]
+mod platform;
+
+use std::fs::{File, OpenOptions};
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{ChildStdout, Command, Stdio};
+
+use gorsebank_replay::live::free_address;
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+
+use platform::client::{request, send};
+use platform::process::{GatewayEndpoints, GatewayProcess, settings_path, settings_text};
+use platform::runner::{Reply, Runner};
+use platform::store::Store;
+use platform::{start_store_with, wait_until};
+
+/// A back end and the store that lists it.
+struct Service {
+    store: Store,
+    _runner: Runner,
+}
+
+impl Service {
+    async fn start() -> Self {
+        let runner = Runner::start("i-1", |_| Reply::Response(200, "done")).await;
+        Service {
+            store: start_store_with("app", &[&runner]).await,
+            _runner: runner,
+        }
+    }
+
+    fn endpoints(&self, callers: SocketAddr) -> GatewayEndpoints<'static> {
+        GatewayEndpoints {
+            node: "front-1",
+            table: self.store.address,
+            callers,
+            readiness: free_address().expect("a free port"),
+            relay: None,
+            machine: None,
+        }
+    }
+}
+
+/// A gateway whose address for callers is in use.
+struct WaitingGateway {
+    gateway: GatewayProcess,
+    occupant: TcpListener,
+    _output: BufReader<ChildStdout>,
+}
+
+impl WaitingGateway {
+    /// Starts a gateway and returns when it waits for its address.
+    fn start(service: &Service) -> Self {
+        let occupant = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let endpoints = service.endpoints(occupant.local_addr().expect("an address"));
+        let mut gateway = GatewayProcess::start_at(program(), &endpoints, Stdio::piped());
+        let mut output = BufReader::new(gateway.child.stdout.take().expect("a pipe"));
+        read_until(&mut output, "event=address_unavailable");
+        WaitingGateway {
+            gateway,
+            occupant,
+            _output: output,
+        }
+    }
+}
+
+fn program() -> &'static Path {
+    Path::new(env!("CARGO_BIN_EXE_gorsebank"))
+}
+
+/// Reads log lines up to the first that contains `text`; panics if the output ends before.
+fn read_until(output: &mut impl BufRead, text: &str) {
+    let found = output
+        .lines()
+        .any(|line| line.is_ok_and(|it| it.contains(text)));
+    assert!(found, "the process ended without {text}");
+}
+
+fn send_signal(gateway: &GatewayProcess, signal: Signal) {
+    let id = Pid::from_raw(gateway.child.id() as i32);
+    kill(id, signal).expect("the process exists");
+}
+
+/// Waits until the gateway has served a request; panics if its process ends.
+async fn wait_until_serving(gateway: &mut GatewayProcess) {
+    wait_until(async || {
+        let ended = gateway.child.try_wait().expect("a child process");
+        assert_eq!(ended, None, "the process ended");
+        gateway.is_ready().await
+    })
+    .await;
+    let response = send(gateway.callers, request("r1", "/read/")).await;
+    assert_eq!(response.expect("a response").status, 200);
+}
+
+/// Waits until the process has ended, and asserts that it stopped as planned.
+async fn assert_planned_stop(gateway: &mut GatewayProcess, signal: Signal) {
+    wait_until(async || gateway.child.try_wait().is_ok_and(|it| it.is_some())).await;
+    let status = gateway.child.wait().expect("an exit status");
+    assert!(status.success(), "{signal}: {status}");
+}
+
+/// Creates a pipe from which a gateway reads its settings.
+fn settings_pipe() -> PathBuf {
+    let path = settings_path();
+    let created = Command::new("mkfifo").arg(&path).status();
+    assert!(created.expect("mkfifo").success());
+    path
+}
+
+/// Opens the pipe for writing, which blocks until the gateway reads from it.
+fn open_while_read(pipe: &Path) -> File {
+    OpenOptions::new().write(true).open(pipe).expect("a pipe")
+}
+
+/// Starts a gateway and sends it a signal while it reads its settings.
+async fn signal_while_settings_are_read(service: &Service, signal: Signal) -> GatewayProcess {
+    let endpoints = service.endpoints(free_address().expect("a free port"));
+    let pipe = settings_pipe();
+    let gateway = GatewayProcess::start_from(program(), pipe.clone(), &endpoints, Stdio::null());
+    let mut settings = open_while_read(&pipe);
+    send_signal(&gateway, signal);
+    // A process that the signal ended has closed the pipe.
+    let _ = settings.write_all(settings_text(&endpoints).as_bytes());
+    gateway
+}
+
+#[tokio::test]
+async fn a_hang_up_does_not_end_a_gateway_that_waits_for_its_address() {
+    let service = Service::start().await;
+    let mut start = WaitingGateway::start(&service);
+    send_signal(&start.gateway, Signal::SIGHUP);
+    drop(start.occupant);
+    wait_until_serving(&mut start.gateway).await;
+}
+
+#[tokio::test]
+async fn a_stop_of_a_gateway_that_waits_for_its_address_is_a_planned_stop() {
+    let service = Service::start().await;
+    for signal in [Signal::SIGTERM, Signal::SIGINT] {
+        let mut start = WaitingGateway::start(&service);
+        send_signal(&start.gateway, signal);
+        assert_planned_stop(&mut start.gateway, signal).await;
+    }
+}
+
+#[tokio::test]
+async fn a_hang_up_does_not_end_a_gateway_that_reads_its_settings() {
+    let service = Service::start().await;
+    let mut gateway = signal_while_settings_are_read(&service, Signal::SIGHUP).await;
+    wait_until_serving(&mut gateway).await;
+}
+
+#[tokio::test]
+async fn a_stop_of_a_gateway_that_reads_its_settings_is_a_planned_stop() {
+    let service = Service::start().await;
+    for signal in [Signal::SIGTERM, Signal::SIGINT] {
+        let mut gateway = signal_while_settings_are_read(&service, signal).await;
+        assert_planned_stop(&mut gateway, signal).await;
+    }
+}
