--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -54,7 +54,7 @@
 pub mod http_connection;
 mod lease_session;
 pub mod links;
-mod listener;
+pub mod listener;
 mod lost_connection;
 pub mod members;
 pub mod memory_ledger;
