Node, dev: handle stop signals from the start of the process

SIGTERM or SIGINT while a node read its settings, or while dev started its services, ended the process by the signal in place of a planned stop.

StopSignals is now created first. dev ends its start on a signal.

--- a/crates/gorsebank/src/commands/dev.rs
+++ b/crates/gorsebank/src/commands/dev.rs
@@ -16,12 +16,13 @@
 use gorsebank_emulator::server::table::TableServer;
 use gorsebank_emulator::server::{application, engine, machine_list, serve, table};
 use gorsebank_node::admin::probes::StatusReport;
+use gorsebank_gateway::signals::StopSignals;
 use gorsebank_node::{NodeProcess, NodeSettings, logging};
 use http::Method;
 
 use crate::admin_client::AdminClient;
 use crate::arguments::DevArguments;
-use crate::commands::{apply, node};
+use crate::commands::apply;
 
 /// The initial configuration, a JSON list of rows.
 const INITIAL_ROWS: &str = include_str!("dev_rows.json");
@@ -31,8 +32,22 @@
 const ENGINE_MEMORY: &str = "24GiB";
 const ANY_PORT: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 
-/// Runs all services until SIGTERM or SIGINT.
+/// Runs all services until SIGTERM or SIGINT. A signal during the start ends the start.
 pub async fn run(arguments: DevArguments) -> eyre::Result<()> {
+    let mut signals = StopSignals::register()?;
+    let process = tokio::select! {
+        biased;
+        _ = signals.wait() => return Ok(()),
+        process = start(arguments) => process?,
+    };
+    println!("listening on {}", process.caller_address());
+    signals.wait().await;
+    process.stop().await;
+    Ok(())
+}
+
+/// Starts all services and writes the initial configuration.
+async fn start(arguments: DevArguments) -> eyre::Result<NodeProcess> {
     let machines = start_back_ends().await?;
     let (table, _) =
         serve::serve(ANY_PORT, table::router(Arc::new(TableServer::default()))).await?;
@@ -42,10 +57,7 @@
     logging::start(&settings.log)?;
     let process = NodeProcess::start(settings).await?;
     write_initial_rows(process.admin_address()).await?;
-    println!("listening on {}", process.caller_address());
-    node::wait_for_stop().await?;
-    process.stop().await;
-    Ok(())
+    Ok(process)
 }
 
 /// Starts the engines and the application service. Returns their entries of the machine list.
--- a/crates/gorsebank/src/commands/node.rs
+++ b/crates/gorsebank/src/commands/node.rs
@@ -1,13 +1,13 @@
 //! `gorsebank node`: runs a node until SIGTERM or SIGINT, then drains it.
 
-use eyre::Context;
+use gorsebank_gateway::signals::StopSignals;
 use gorsebank_node::{NodeProcess, NodeSettings, logging};
-use tokio::signal::unix::{SignalKind, signal};
 
 use crate::arguments::NodeArguments;
 
 /// Runs the node with the settings file; flags override its values.
 pub async fn run(arguments: NodeArguments) -> eyre::Result<()> {
+    let mut signals = StopSignals::register()?;
     let settings = read_settings(arguments)?;
     logging::start(&settings.log)?;
     let process = NodeProcess::start(settings).await?;
@@ -19,7 +19,7 @@
         process.node_address(),
         process.admin_address()
     );
-    wait_for_stop().await?;
+    signals.wait().await;
     process.stop().await;
     Ok(())
 }
@@ -41,14 +41,3 @@
         *field = value;
     }
 }
-
-/// Waits for SIGTERM or SIGINT.
-pub async fn wait_for_stop() -> eyre::Result<()> {
-    let mut terminate = signal(SignalKind::terminate()).wrap_err("cannot handle SIGTERM")?;
-    let mut interrupt = signal(SignalKind::interrupt()).wrap_err("cannot handle SIGINT")?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
-    Ok(())
-}
--- a/crates/gorsebank/tests/signals_during_a_start.rs
+++ b/crates/gorsebank/tests/signals_during_a_start.rs
@@ -1,4 +1,4 @@
-//! Signals that arrive while a gateway waits for its address, or reads its settings.
+//! Signals that arrive while a gateway waits for its address, or while a process reads its settings.
 
 #[path = "../../../platform/tests/support/mod.rs"]
 mod platform;
@@ -7,7 +7,7 @@
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
-use std::process::{ChildStdout, Command, Stdio};
+use std::process::{Child, ChildStdout, Command, Stdio};
 
 use gorsebank_replay::live::free_address;
 use nix::sys::signal::{Signal, kill};
@@ -105,7 +105,7 @@
     assert!(status.success(), "{signal}: {status}");
 }
 
-/// Creates a pipe from which a gateway reads its settings.
+/// Creates a pipe from which a process reads its settings.
 fn settings_pipe() -> PathBuf {
     let path = settings_path();
     let created = Command::new("mkfifo").arg(&path).status();
@@ -113,7 +113,7 @@
     path
 }
 
-/// Opens the pipe for writing, which blocks until the gateway reads from it.
+/// Opens the pipe for writing, which blocks until the process reads from it.
 fn open_while_read(pipe: &Path) -> File {
     OpenOptions::new().write(true).open(pipe).expect("a pipe")
 }
@@ -164,3 +164,51 @@
         assert_planned_stop(&mut gateway, signal).await;
     }
 }
+
+/// Settings of a node that reaches no other service.
+const NODE_SETTINGS: &str = r#"
+[node]
+id = "n1"
+zone = "a"
+cell = "c"
+listen_callers = "127.0.0.1:0"
+listen_nodes = "127.0.0.1:0"
+listen_admin = "127.0.0.1:0"
+[platform]
+tables = ["127.0.0.1:9"]
+machine_list = "127.0.0.1:9"
+[drain]
+linger = "10ms"
+"#;
+
+/// A child process that is killed when this value is dropped.
+struct KillOnDrop(Child);
+
+impl Drop for KillOnDrop {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+#[test]
+fn a_stop_of_a_node_that_reads_its_settings_is_a_planned_stop() {
+    for signal in [Signal::SIGTERM, Signal::SIGINT] {
+        let pipe = settings_pipe();
+        let node = Command::new(program())
+            .args(["node", "--settings"])
+            .arg(&pipe)
+            .stdout(Stdio::null())
+            .stderr(Stdio::null())
+            .spawn();
+        let mut node = KillOnDrop(node.expect("the program starts"));
+        let mut settings = open_while_read(&pipe);
+        kill(Pid::from_raw(node.0.id() as i32), signal).expect("the process exists");
+        // A process that the signal ended has closed the pipe.
+        let _ = settings.write_all(NODE_SETTINGS.as_bytes());
+        drop(settings);
+        let status = node.0.wait().expect("an exit status");
+        std::fs::remove_file(&pipe).expect("the pipe is removed");
+        assert!(status.success(), "{signal}: {status}");
+    }
+}
