--- a/crates/gorsebank/src/commands/dev.rs
+++ b/crates/gorsebank/src/commands/dev.rs
@@ -15,8 +15,8 @@
 use gorsebank_emulator::server::store::StoreServer;
 use gorsebank_emulator::server::table::TableServer;
 use gorsebank_emulator::server::{application, engine, machine_list, serve, table};
-use gorsebank_node::admin::probes::StatusReport;
 use gorsebank_gateway::signals::StopSignals;
+use gorsebank_node::admin::probes::StatusReport;
 use gorsebank_node::{NodeProcess, NodeSettings, logging};
 use http::Method;
 
--- a/crates/gorsebank/tests/signals_during_a_start.rs
+++ b/crates/gorsebank/tests/signals_during_a_start.rs
@@ -3,18 +3,18 @@
 #[path = "../../../platform/tests/support/mod.rs"]
 mod platform;
 
-use std::fs::{File, OpenOptions};
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener};
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::process::{Child, ChildStdout, Command, Stdio};
 
 use gorsebank_replay::live::free_address;
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 
-use platform::client::{request, send};
-use platform::process::{GatewayEndpoints, GatewayProcess, settings_path, settings_text};
+use platform::process::{
+    GatewayEndpoints, GatewayProcess, open_while_read, settings_pipe, settings_text,
+};
 use platform::runner::{Reply, Runner};
 use platform::store::Store;
 use platform::{start_store_with, wait_until};
@@ -86,18 +86,6 @@
     kill(id, signal).expect("the process exists");
 }
 
-/// Waits until the gateway has served a request; panics if its process ends.
-async fn wait_until_serving(gateway: &mut GatewayProcess) {
-    wait_until(async || {
-        let ended = gateway.child.try_wait().expect("a child process");
-        assert_eq!(ended, None, "the process ended");
-        gateway.is_ready().await
-    })
-    .await;
-    let response = send(gateway.callers, request("r1", "/read/")).await;
-    assert_eq!(response.expect("a response").status, 200);
-}
-
 /// Waits until the process has ended, and asserts that it stopped as planned.
 async fn assert_planned_stop(gateway: &mut GatewayProcess, signal: Signal) {
     wait_until(async || gateway.child.try_wait().is_ok_and(|it| it.is_some())).await;
@@ -105,19 +93,6 @@
     assert!(status.success(), "{signal}: {status}");
 }
 
-/// Creates a pipe from which a process reads its settings.
-fn settings_pipe() -> PathBuf {
-    let path = settings_path();
-    let created = Command::new("mkfifo").arg(&path).status();
-    assert!(created.expect("mkfifo").success());
-    path
-}
-
-/// Opens the pipe for writing, which blocks until the process reads from it.
-fn open_while_read(pipe: &Path) -> File {
-    OpenOptions::new().write(true).open(pipe).expect("a pipe")
-}
-
 /// Starts a gateway and sends it a signal while it reads its settings.
 async fn signal_while_settings_are_read(service: &Service, signal: Signal) -> GatewayProcess {
     let endpoints = service.endpoints(free_address().expect("a free port"));
@@ -136,7 +111,7 @@
     let mut start = WaitingGateway::start(&service);
     send_signal(&start.gateway, Signal::SIGHUP);
     drop(start.occupant);
-    wait_until_serving(&mut start.gateway).await;
+    start.gateway.wait_until_serving().await;
 }
 
 #[tokio::test]
@@ -153,7 +128,7 @@
 async fn a_hang_up_does_not_end_a_gateway_that_reads_its_settings() {
     let service = Service::start().await;
     let mut gateway = signal_while_settings_are_read(&service, Signal::SIGHUP).await;
-    wait_until_serving(&mut gateway).await;
+    gateway.wait_until_serving().await;
 }
 
 #[tokio::test]
