Gateway: serve without a log if its thread cannot be started

A gateway that could not start the thread of its log ended with exit status 1 and "Resource temporarily unavailable". Nothing else at the start needs a thread, and a log that cannot be written does not end a gateway either. It now says on standard error that it runs without its log.

--- a/crates/gorsebank/src/commands/gateway.rs
+++ b/crates/gorsebank/src/commands/gateway.rs
@@ -1,5 +1,6 @@
 //! `gorsebank gateway`: runs a gateway on the users' platform.
 
+use std::io::{Write, stderr};
 use std::path::Path;
 use std::sync::Arc;
 use std::time::Duration;
@@ -28,7 +29,10 @@
         () = signals.wait_for_stop() => return Ok(()),
         settings = read_settings(&path, arguments.metrics.as_deref()) => settings?,
     };
-    event_log::start(settings.gateway.node.as_str())?;
+    if let Err(error) = event_log::start(settings.gateway.node.as_str()) {
+        // A closed standard error is no reason to end either.
+        let _ = writeln!(stderr(), "the gateway runs without its log: {error:#}");
+    }
     let platform = Arc::new(UsersPlatform::new(&settings));
     let result = gorsebank_gateway::run(settings.gateway, platform, signals).await;
     event_log::flush();
