Event log: log panics

A panic ends only its task, and the process goes on without that task's work. Standard error had a message without the time and the gateway; the log had nothing. No such panic is known; the line (event=panic) tells it from other causes of the same effect.

--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -7,6 +7,7 @@
 
 use std::fmt;
 use std::io::Write;
+use std::panic::PanicHookInfo;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::mpsc::{SyncSender, TrySendError, sync_channel};
 use std::sync::{Arc, OnceLock};
@@ -95,6 +96,26 @@
     DROPPED.load(Ordering::Relaxed)
 }
 
+/// Logs panics as well, from now on. A panic ends only the task in which it occurs, and standard error
+/// names neither the gateway nor the time.
+pub fn log_panics() {
+    let previous = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |panic| {
+        log_panic(panic);
+        previous(panic);
+    }));
+}
+
+fn log_panic(panic: &PanicHookInfo<'_>) {
+    let location = panic.location().map(ToString::to_string);
+    let fields = format_args!(
+        "location={} message={:?}",
+        location.as_deref().unwrap_or("-"),
+        panic.payload_as_str().unwrap_or("-")
+    );
+    write(LogPriority::Decision, "panic", fields);
+}
+
 /// Waits until all log lines are written, for a short time at most: a process that ends must not
 /// wait for a reader that has stopped reading.
 pub fn flush() {
--- a/crates/gorsebank/src/commands/gateway.rs
+++ b/crates/gorsebank/src/commands/gateway.rs
@@ -33,6 +33,7 @@
         // A closed standard error is no reason to end either.
         let _ = writeln!(stderr(), "the gateway runs without its log: {error:#}");
     }
+    event_log::log_panics();
     let platform = Arc::new(UsersPlatform::new(&settings));
     let result = gorsebank_gateway::run(settings.gateway, platform, signals).await;
     event_log::flush();
