--- a/crates/gorsebank/tests/missing_threads.rs
+++ b/crates/gorsebank/tests/missing_threads.rs
@@ -18,9 +18,10 @@
 /// A user to whom the limit applies, other than to the superuser.
 const UNPRIVILEGED_USER: u32 = 65_534;
 
-/// A gateway that is killed, and whose settings file is removed, when this value is dropped.
+/// A gateway that is killed, and whose files are removed, when this value is dropped.
 struct LimitedGateway {
     child: Child,
+    program: PathBuf,
     settings: PathBuf,
 }
 
@@ -29,17 +30,26 @@
     fn start(endpoints: &GatewayEndpoints<'_>) -> Self {
         let settings = settings_path();
         std::fs::write(&settings, settings_text(endpoints)).expect("the settings file is written");
+        // The folder of the program may be closed to the other user.
+        let program = settings.with_extension("program");
+        std::fs::copy(env!("CARGO_BIN_EXE_gorsebank"), &program).expect("the program is copied");
         let mut command = Command::new("prlimit");
         command
-            .args(["--nproc=1", "--", env!("CARGO_BIN_EXE_gorsebank")])
+            .args(["--nproc=1", "--"])
+            .arg(&program)
             .args(["gateway", "--settings"])
             .arg(&settings)
+            .current_dir(std::env::temp_dir())
             .stdout(Stdio::null());
         if is_superuser() {
             command.uid(UNPRIVILEGED_USER).gid(UNPRIVILEGED_USER);
         }
         let child = command.spawn().expect("the program starts");
-        LimitedGateway { child, settings }
+        LimitedGateway {
+            child,
+            program,
+            settings,
+        }
     }
 }
 
@@ -48,6 +58,7 @@
         let _ = self.child.kill();
         let _ = self.child.wait();
         let _ = std::fs::remove_file(&self.settings);
+        let _ = std::fs::remove_file(&self.program);
     }
 }
 
