Responses without the status of a final response do not reach callers

Callers saw: a back end's response with the status 600 or 999 arrived with the seal, as did 101, although nobody had asked for an upgrade.

Cause: the HTTP client rejects a status that is no number of three digits or begins with 0, and skips interim responses but 101. Nothing else looked at the range, so what is left (101, 600 to 999) was forwarded. The same client reads reports, responses to orders and the table: such a status to an order counted as a refusal, although the order may be under way.

Fix: the connection decides what is a final response, 200 to 599, for all its users. After anything else the request may have run: one that may be repeated goes to another back end within the budget, others get 502 without the seal; an order counts as unanswered; a table response states nothing (its contents were not used before either, only its era).

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -21,6 +21,7 @@
 use crate::back_end::{BackEnd, Connection, Exchange, InFlight, PendingPrefill};
 use crate::directory::Directory;
 use crate::event_log::{self, LogPriority};
+use crate::http_connection::SendError;
 use crate::links::{self, ConnectError};
 use crate::lost_connection;
 use crate::ports::{AttemptHeaders, ResponseMetadata};
@@ -287,22 +288,33 @@
             Err(_) if connection.http.is_head_too_long() => {
                 ExchangeResult::Failed("response_head_too_long")
             }
-            Err(mut error) => {
+            Err(SendError::InvalidStatus(status)) => {
+                self.log_invalid_status(status);
+                ExchangeResult::Failed("invalid_status")
+            }
+            Err(SendError::Unsent) => {
                 self.call.shared.links.record_lost(&connection);
-                match error.take_message() {
-                    Some(_) => {
-                        self.call.clear_in_doubt();
-                        ExchangeResult::Unsent
-                    }
-                    None => {
-                        let shared = &self.call.shared;
-                        shared.record_stated_end(self.back_end, &connection);
-                        ExchangeResult::Failed(CONNECTION_LOST)
-                    }
-                }
+                self.call.clear_in_doubt();
+                ExchangeResult::Unsent
+            }
+            Err(SendError::Failed(_)) => {
+                let shared = &self.call.shared;
+                shared.links.record_lost(&connection);
+                shared.record_stated_end(self.back_end, &connection);
+                ExchangeResult::Failed(CONNECTION_LOST)
             }
         }
     }
+
+    fn log_invalid_status(&self, status: StatusCode) {
+        let fields = format_args!(
+            "request={} back_end={} status={}",
+            self.call.metadata.id,
+            self.back_end.id,
+            status.as_u16(),
+        );
+        event_log::write(LogPriority::Decision, "invalid_status", fields);
+    }
 }
 
 /// Closes the idle connections of a back end when a wait on one of them was in vain.
--- a/crates/gateway/src/http_connection.rs
+++ b/crates/gateway/src/http_connection.rs
@@ -1,12 +1,13 @@
 //! HTTP/1.1 client connections to one address, and a pool of them.
 
-use std::io::ErrorKind;
+use std::io::{Error, ErrorKind};
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, Response};
+use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::TrySendError;
@@ -14,6 +15,7 @@
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
 use socket2::{SockRef, TcpKeepalive};
+use thiserror::Error;
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
@@ -29,6 +31,9 @@
 const SILENCE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Maximum length of a response that a pool reads, in bytes: many times a page of a table.
 pub const MAX_POOLED_RESPONSE_BYTES: usize = 16 << 20;
+/// The statuses of final responses. The client skips interim responses but 101, which only answers a
+/// request to upgrade the connection.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
 /// Maximum size of a connection's read buffer in bytes, and therefore of the head of a response.
 const MAX_READ_BUFFER_BYTES: usize = 32 << 10;
 
@@ -64,6 +69,29 @@
     socket.set_tcp_user_timeout(Some(SILENCE_TIMEOUT))
 }
 
+/// Why a request got no response. Its connection must not be used again.
+#[derive(Debug, Error)]
+pub enum SendError {
+    /// Nothing of the request was written.
+    #[error("the connection was closed before the request was written")]
+    Unsent,
+    /// The connection failed after part of the request was written.
+    #[error("the connection failed: {0}")]
+    Failed(#[source] hyper::Error),
+    /// What arrived has a status that no final response has.
+    #[error("the response has the invalid status {0}")]
+    InvalidStatus(StatusCode),
+}
+
+impl From<TrySendError<Request<Full<Bytes>>>> for SendError {
+    fn from(mut error: TrySendError<Request<Full<Bytes>>>) -> Self {
+        match error.take_message() {
+            Some(_) => SendError::Unsent,
+            None => SendError::Failed(error.into_error()),
+        }
+    }
+}
+
 /// A connection that is closed when dropped.
 #[derive(Debug)]
 pub struct HttpConnection {
@@ -100,22 +128,26 @@
         })
     }
 
-    /// Sends a request, and returns its response once the head is complete. On an error, the request is
-    /// returned if nothing of it was written.
+    /// Sends a request, and returns its response once the head is complete.
+    ///
+    /// # Errors
+    ///
+    /// Fails if nothing arrives that is a final response.
     pub fn send(
         &mut self,
         request: Request<Full<Bytes>>,
-    ) -> impl Future<Output = Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>>> + use<>
-    {
+    ) -> impl Future<Output = Result<Response<Incoming>, SendError>> + use<> {
         self.head.begin();
         let head = self.head.clone();
         let sending = self.sender.try_send_request(request);
         async move {
-            let response = sending.await;
-            if response.is_ok() {
-                head.end();
+            let response = sending.await?;
+            head.end();
+            let status = response.status();
+            if !FINAL_STATUSES.contains(&status.as_u16()) {
+                return Err(SendError::InvalidStatus(status));
             }
-            response
+            Ok(response)
         }
     }
 
@@ -172,18 +204,15 @@
     ///
     /// # Errors
     ///
-    /// Fails if no connection could be opened, if it was lost before the end of the response, or if the
-    /// response is longer than [`MAX_POOLED_RESPONSE_BYTES`].
+    /// Fails if no connection could be opened, if it was lost before the end of the response, if no final
+    /// response arrived, or if the response is longer than [`MAX_POOLED_RESPONSE_BYTES`].
     pub async fn exchange(&self, request: Request<Bytes>) -> std::io::Result<Response<Bytes>> {
-        let lost_error = std::io::Error::other::<hyper::Error>;
         let mut connection = match self.take_idle() {
             Some(connection) => connection,
             None => HttpConnection::open(self.address, self.connect_timeout).await?,
         };
         let sending = connection.send(request.map(Full::new));
-        let response = sending
-            .await
-            .map_err(|error| lost_error(error.into_error()))?;
+        let response = sending.await.map_err(Error::other)?;
         let (head, body) = response.into_parts();
         let body = Limited::new(body, MAX_POOLED_RESPONSE_BYTES).collect();
         let body = body.await.map_err(std::io::Error::other)?;
