A response that is no HTTP does not rule out the gateway that carried it

Callers saw: at a gateway that reaches back ends through one other gateway only, the request after a response that is no HTTP (status 000, ICY and the like) was not served, for 1.5 s.

Cause: a response that the HTTP client rejects counted as a connection that was lost on the way, and a lost connection is charged to the gateway that carries it.

Fix: the connection tells a malformed response from a failed connection. The bytes of the former came from the back end, so nothing is charged to the carrier. Whether the back end has exited is still checked, and a request that may be repeated still goes elsewhere within the budget. The log line `invalid_response` has the error.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -288,10 +288,17 @@
             Err(_) if connection.http.is_head_too_long() => {
                 ExchangeResult::Failed("response_head_too_long")
             }
-            Err(SendError::InvalidStatus(status)) => {
-                self.log_invalid_status(status);
+            Err(error @ SendError::InvalidStatus(_)) => {
+                self.log_invalid_response(&error);
                 ExchangeResult::Failed("invalid_status")
             }
+            // The bytes came from the back end, whichever gateway carried them.
+            Err(error @ SendError::Malformed(_)) => {
+                self.log_invalid_response(&error);
+                let shared = &self.call.shared;
+                shared.record_stated_end(self.back_end, &connection);
+                ExchangeResult::Failed(CONNECTION_LOST)
+            }
             Err(SendError::Unsent) => {
                 self.call.shared.links.record_lost(&connection);
                 self.call.clear_in_doubt();
@@ -306,14 +313,12 @@
         }
     }
 
-    fn log_invalid_status(&self, status: StatusCode) {
+    fn log_invalid_response(&self, error: &SendError) {
         let fields = format_args!(
-            "request={} back_end={} status={}",
-            self.call.metadata.id,
-            self.back_end.id,
-            status.as_u16(),
+            "request={} back_end={} error=\"{error}\"",
+            self.call.metadata.id, self.back_end.id
         );
-        event_log::write(LogPriority::Decision, "invalid_status", fields);
+        event_log::write(LogPriority::Decision, "invalid_response", fields);
     }
 }
 
--- a/crates/gateway/src/http_connection.rs
+++ b/crates/gateway/src/http_connection.rs
@@ -78,6 +78,9 @@
     /// The connection failed after part of the request was written.
     #[error("the connection failed: {0}")]
     Failed(#[source] hyper::Error),
+    /// What arrived is not HTTP.
+    #[error("no HTTP response: {0}")]
+    Malformed(#[source] hyper::Error),
     /// What arrived has a status that no final response has.
     #[error("the response has the invalid status {0}")]
     InvalidStatus(StatusCode),
@@ -85,9 +88,14 @@
 
 impl From<TrySendError<Request<Full<Bytes>>>> for SendError {
     fn from(mut error: TrySendError<Request<Full<Bytes>>>) -> Self {
-        match error.take_message() {
-            Some(_) => SendError::Unsent,
-            None => SendError::Failed(error.into_error()),
+        if error.take_message().is_some() {
+            return SendError::Unsent;
+        }
+        let error = error.into_error();
+        if error.is_parse() {
+            SendError::Malformed(error)
+        } else {
+            SendError::Failed(error)
         }
     }
 }
