Counts in rows stay at the end of their range

Callers saw nothing yet: found by reading, while odd rows were tried.

Cause: the number of starts of a software version, and that of exits during loads of a model, continue from the row and are incremented without a bound. A row with the greatest number ends the task in builds that check additions, and starts again from 0 in others, so that a model that ends engines would be loaded again without a pause.

Fix: the counts stay at their greatest value.

The count of exits has the same change and no test of its own.

--- a/crates/fleet/src/placement/load_crashes.rs
+++ b/crates/fleet/src/placement/load_crashes.rs
@@ -58,7 +58,7 @@
             count: 0,
             last: now,
         });
-        exits.count += 1;
+        exits.count = exits.count.saturating_add(1);
         exits.last = now;
     }
 
--- a/crates/fleet/src/version_history.rs
+++ b/crates/fleet/src/version_history.rs
@@ -56,7 +56,7 @@
         let versions = self.services.entry(service.clone()).or_default();
         let listed = versions.entry(version.clone()).or_default();
         if !listed.is_serving {
-            listed.starts += 1;
+            listed.starts = listed.starts.saturating_add(1);
             listed.is_serving = true;
         }
     }
--- a/crates/fleet/tests/version_history.rs
+++ b/crates/fleet/tests/version_history.rs
@@ -312,3 +312,15 @@
         }
     }
 }
+
+/// Guards against a count that another program wrote and that has no successor.
+#[test]
+fn a_version_that_is_listed_with_the_greatest_number_of_starts_starts_again() {
+    let text = r#"{"era":0,"services":{"llm":{"v1":{"starts":4294967295,"is_serving":false}}}}"#;
+    let mut row: VersionHistoryRow = serde_json::from_str(text).expect("a row");
+    let (service, version) = (ServiceId::from("llm"), SoftwareVersion::from("v1"));
+    row.start(&service, &version);
+    let listed = row.listed(&service, &version).expect("a version");
+    assert!(listed.is_serving);
+    assert_eq!(listed.starts, u32::MAX);
+}
