Weights of a route have a sum beyond their own type

Callers saw nothing yet: found by reading, while odd rows were tried.

Cause: the weights of a route's services are summed as 32-bit integers. A configuration with two weights that large ends each connection with a request to the route in builds that check additions; in others the sum starts again from 0, and all requests go to one service.

Fix: the sum is a floating-point number, as the share is.

--- a/crates/fleet/src/split.rs
+++ b/crates/fleet/src/split.rs
@@ -22,8 +22,8 @@
     /// The service of the next request; `None` if all weights are 0.
     pub fn next<'a>(&mut self, services: &'a [(ServiceId, u32)]) -> Option<&'a ServiceId> {
         self.0 = (self.0 + GOLDEN_FRACTION).fract();
-        let total: u32 = services.iter().map(|(_, weight)| weight).sum();
-        let mut remaining = self.0 * f64::from(total);
+        let weights = services.iter().map(|(_, weight)| f64::from(*weight));
+        let mut remaining = self.0 * weights.sum::<f64>();
         let weighted = services.iter().filter(|(_, weight)| *weight > 0);
         let mut last = None;
         for (service, weight) in weighted {
--- a/crates/fleet/tests/configuration.rs
+++ b/crates/fleet/tests/configuration.rs
@@ -1,7 +1,9 @@
 //! Tests the lookup of routes by host and path prefix, and which kinds of requests may be retried.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
+use gorsebank_fleet::split::WeightedSplit;
 use gorsebank_fleet::{Configuration, Limits, RequestKind, Route};
 
 fn route(name: &str, host: &str, prefix: &str) -> Route {
@@ -70,3 +72,15 @@
     assert!(RequestKind::Stream { resumable: true }.may_retry());
     assert!(!RequestKind::Stream { resumable: false }.may_retry());
 }
+
+/// Guards against a route whose weights have no sum of their own type.
+#[test]
+fn requests_are_split_over_services_with_the_greatest_weights() {
+    let services = [("app".into(), u32::MAX), ("other".into(), u32::MAX)];
+    let mut split = WeightedSplit::new(0.0);
+    let mut chosen = BTreeSet::new();
+    for _ in 0..10 {
+        chosen.insert(split.next(&services).expect("a service").clone());
+    }
+    assert_eq!(chosen.len(), 2);
+}
