One odd row of an engine does not end each placement holder in turn

Operators saw, on like systems: one odd entry, and the machines that read the list ended again and again.

Cause: a row of the placement holder names a number of adapter loads that may still begin, and the next holder makes a record for each. A row with 2^32 - 1 takes 34 GB: the process ends, the lease passes on, and so does each next holder. With 2^64 - 1 the placement task panics and no model is placed any more.

Fix: the holder believes in 1,000 of them at most, far more than an engine has slots for adapters, so its reserve is the same.

--- a/crates/fleet/src/placement/engine/unresolved_orders.rs
+++ b/crates/fleet/src/placement/engine/unresolved_orders.rs
@@ -25,6 +25,9 @@
 
 /// An order without a response is executed within this time or never, in milliseconds.
 const ORDER_LIFETIME_MS: u64 = 13_000;
+/// Maximum number of adapter loads that a row is believed to name: far more than any engine has slots
+/// for adapters.
+const MAX_RESTORED_ADAPTER_LOADS: usize = 1_000;
 
 /// An order whose result is unknown.
 #[derive(Clone, Debug)]
@@ -93,6 +96,7 @@
     /// Records adapter loads that a previous holder may have ordered.
     fn record_restored_adapter_loads(&mut self, now: Timestamp, count: usize) {
         let until = now + ORDER_LIFETIME_MS;
+        let count = count.min(MAX_RESTORED_ADAPTER_LOADS);
         self.adapter_loads_until
             .extend(std::iter::repeat_n(until, count));
     }
--- a/crates/fleet/tests/placement.rs
+++ b/crates/fleet/tests/placement.rs
@@ -625,3 +625,19 @@
     }
     assert_eq!(simulation.replica_count("m0"), 2);
 }
+
+/// Guards against a row that ends each placement holder in turn.
+#[test]
+fn a_row_with_too_many_unanswered_adapter_loads_does_not_end_the_placement_holder() {
+    let mut simulation = Simulation::new(1, &["m0"]);
+    let row = PlacedRow {
+        unanswered_adapter_loads: usize::MAX,
+        ..PlacedRow::default()
+    };
+    simulation.planner.restore(&"engine-0-0".into(), &row);
+    for now in (0..20_000).step_by(50) {
+        simulation.observe(now);
+        simulation.run_iteration(now, &[demand(&[("m1", 0.7, 1)])]);
+    }
+    assert_eq!(simulation.replica_count("m1"), 1);
+}
