--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -21,6 +21,7 @@
 use crate::back_end::{BackEnd, Connection, Exchange, InFlight, PendingPrefill};
 use crate::directory::Directory;
 use crate::event_log::{self, LogPriority};
+use crate::http_connection::SendError;
 use crate::links::{self, ConnectError};
 use crate::lost_connection;
 use crate::ports::{AttemptHeaders, ResponseMetadata};
@@ -295,22 +296,38 @@
             Err(_) if connection.http.is_head_too_long() => {
                 ExchangeResult::Failed("response_head_too_long")
             }
-            Err(mut error) => {
+            Err(error @ SendError::InvalidStatus(_)) => {
+                self.log_invalid_response(&error);
+                ExchangeResult::Failed("invalid_status")
+            }
+            // The bytes came from the back end, whichever gateway carried them.
+            Err(error @ SendError::Malformed(_)) => {
+                self.log_invalid_response(&error);
+                let shared = &self.call.shared;
+                shared.record_stated_end(self.back_end, &connection);
+                ExchangeResult::Failed(CONNECTION_LOST)
+            }
+            Err(SendError::Unsent) => {
                 self.call.shared.links.record_lost(&connection);
-                match error.take_message() {
-                    Some(_) => {
-                        self.call.clear_in_doubt();
-                        ExchangeResult::Unsent
-                    }
-                    None => {
-                        let shared = &self.call.shared;
-                        shared.record_stated_end(self.back_end, &connection);
-                        ExchangeResult::Failed(CONNECTION_LOST)
-                    }
-                }
+                self.call.clear_in_doubt();
+                ExchangeResult::Unsent
+            }
+            Err(SendError::Failed(_)) => {
+                let shared = &self.call.shared;
+                shared.links.record_lost(&connection);
+                shared.record_stated_end(self.back_end, &connection);
+                ExchangeResult::Failed(CONNECTION_LOST)
             }
         }
     }
+
+    fn log_invalid_response(&self, error: &SendError) {
+        let fields = format_args!(
+            "request={} back_end={} error=\"{error}\"",
+            self.call.metadata.id, self.back_end.id
+        );
+        event_log::write(LogPriority::Decision, "invalid_response", fields);
+    }
 }
 
 /// Closes the idle connections of a back end when a wait on one of them was in vain.
