Bound the memory of all request bodies together

Callers saw a gateway end for lack of memory while others sent many large bodies, whole, in pieces, in large or very small chunks, or far over the limit.

Cause: each body was collected up to the configured maximum, and nothing bounded their sum. Received frames were kept one by one with their read buffers, so a byte in a chunk of its own cost some 40 bytes, and the whole was copied again. A stated length over the limit was read up to the limit first.

Request bodies now claim memory as they grow, from a quarter of the process's memory, and hold it while another attempt may need them. They share the ledger and the pieces of collected responses; claims without an owner are bounded by the free memory alone. A body that finds no memory waits for 3 s at most; bodies that do not progress are given up meanwhile. Both are refused with 503, and nothing ran. Bodies up to 16 KiB need no claim. The bytes of a fingerprint are the same as before; the test has a value computed by the previous code.

--- a/crates/fleet/src/fingerprint.rs
+++ b/crates/fleet/src/fingerprint.rs
@@ -25,14 +25,12 @@
     /// The fingerprint of a request's parts, in a fixed order. The boundaries of parts matter:
     /// `[a, bc]` and `[ab, c]` differ.
     pub fn of(parts: &[&[u8]]) -> Self {
-        let mut hasher = blake3::Hasher::new_derive_key(HASH_CONTEXT);
+        let mut hasher = FingerprintHasher::default();
         for part in parts {
-            hasher.update(&(part.len() as u64).to_le_bytes());
-            hasher.update(part);
+            hasher.begin_part(part.len());
+            hasher.append(part);
         }
-        let mut bytes = [0; FINGERPRINT_BYTES];
-        hasher.finalize_xof().fill(&mut bytes);
-        Fingerprint(bytes)
+        hasher.finish()
     }
 
     /// The first eight bytes as a number, which selects a group of fingerprints.
@@ -43,6 +41,35 @@
     }
 }
 
+/// Computes the fingerprint of parts that are not contiguous in memory.
+#[derive(Debug)]
+pub struct FingerprintHasher(blake3::Hasher);
+
+impl Default for FingerprintHasher {
+    fn default() -> Self {
+        FingerprintHasher(blake3::Hasher::new_derive_key(HASH_CONTEXT))
+    }
+}
+
+impl FingerprintHasher {
+    /// Begins a part of `length` bytes.
+    pub fn begin_part(&mut self, length: usize) {
+        self.0.update(&(length as u64).to_le_bytes());
+    }
+
+    /// Adds bytes to the part that was begun last.
+    pub fn append(&mut self, bytes: &[u8]) {
+        self.0.update(bytes);
+    }
+
+    /// Returns the fingerprint of the parts.
+    pub fn finish(&self) -> Fingerprint {
+        let mut bytes = [0; FINGERPRINT_BYTES];
+        self.0.finalize_xof().fill(&mut bytes);
+        Fingerprint(bytes)
+    }
+}
+
 impl fmt::Display for Fingerprint {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         let mut logged = self.0.iter().take(LOGGED_BYTES);
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -53,7 +53,7 @@
 pub use configuration::{Configuration, Engine, Limits, ModelSpec, RequestKind, Route, Service};
 pub use demand::{Demand, DemandRow, ModelDemand};
 pub use drain_notices::{DrainNotice, DrainNotices};
-pub use fingerprint::Fingerprint;
+pub use fingerprint::{Fingerprint, FingerprintHasher};
 pub use hash_ring::HashRing;
 pub use incarnation::{Born, Incarnation, IncarnationMatch};
 pub use lease::{Candidacy, LeaseKeeper, LeaseRow, LeaseStep};
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -9,23 +9,22 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::header::HeaderName;
 use http::response::Parts;
 use http::{HeaderMap, Request, StatusCode};
-use http_body_util::Full;
 use hyper::body::Incoming;
 use tokio::time::{Instant, timeout_at};
 
 use crate::attempts::{Attempts, CONNECTION_LOST, NO_PATH, PAUSED, QUARANTINED};
 use crate::back_end::{BackEnd, Connection, Exchange, InFlight, PendingPrefill};
+use crate::collected_body::CollectedBody;
 use crate::directory::Directory;
 use crate::event_log::{self, LogPriority};
 use crate::links::{self, ConnectError};
 use crate::lost_connection;
 use crate::ports::{AttemptHeaders, ResponseMetadata};
 use crate::request::Call;
-use crate::response_memory::{CollectError, CollectedBody};
+use crate::response_memory::CollectError;
 use crate::shared::Shared;
 use crate::unread_body::discard;
 
@@ -355,8 +354,8 @@
     call: &Call,
     back_end: &BackEnd,
     last_event: Option<&str>,
-) -> Request<Full<Bytes>> {
-    let mut request = Request::new(Full::new(call.body.clone()));
+) -> Request<CollectedBody> {
+    let mut request = Request::new(call.body.clone());
     *request.method_mut() = call.head.method.clone();
     *request.uri_mut() = call.head.uri.clone();
     *request.headers_mut() = call.head.headers.clone();
--- a/crates/gateway/src/http_connection.rs
+++ b/crates/gateway/src/http_connection.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use http::{Request, Response};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1::{Builder, SendRequest};
@@ -19,6 +19,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
+use crate::collected_body::CollectedBody;
 use crate::response_head::{HeadAllowance, head_limited};
 
 /// Time without bytes after which the operating system probes a connection, and interval of the
@@ -67,7 +68,7 @@
 /// A connection that is closed when dropped.
 #[derive(Debug)]
 pub struct HttpConnection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<CollectedBody>,
     head: Arc<HeadAllowance>,
     task: AbortHandle,
 }
@@ -104,8 +105,8 @@
     /// returned if nothing of it was written.
     pub fn send(
         &mut self,
-        request: Request<Full<Bytes>>,
-    ) -> impl Future<Output = Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>>> + use<>
+        request: Request<CollectedBody>,
+    ) -> impl Future<Output = Result<Response<Incoming>, TrySendError<Request<CollectedBody>>>> + use<>
     {
         self.head.begin();
         let head = self.head.clone();
@@ -180,7 +181,7 @@
             Some(connection) => connection,
             None => HttpConnection::open(self.address, self.connect_timeout).await?,
         };
-        let sending = connection.send(request.map(Full::new));
+        let sending = connection.send(request.map(CollectedBody::from));
         let response = sending
             .await
             .map_err(|error| lost_error(error.into_error()))?;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,7 +18,7 @@
 //! - [`links`] connects to the back end, directly or through another gateway.
 //! - [`attempt`] sends the request once.
 //! - `take_up` fixes the software version of a stream that the caller takes up.
-//! - [`response_memory`] and [`stream_memory`] bound the memory of responses.
+//! - [`request_memory`], [`response_memory`] and [`stream_memory`] bound the memory of bodies and events.
 //! - [`single_response`] and [`stream`] combine attempts into one response.
 //!
 //! These modules run in the background:
@@ -40,9 +40,11 @@
 pub mod back_end;
 pub mod back_end_limits;
 pub mod backoff;
+mod body_progress;
 pub mod call_pacer;
 pub mod candidates;
 pub mod clock;
+pub mod collected_body;
 pub mod demand_rows;
 pub mod demand_sender;
 pub mod directory;
@@ -72,6 +74,7 @@
 pub mod refused_rows;
 pub mod relay;
 pub mod request;
+pub mod request_memory;
 mod response_head;
 pub mod response_memory;
 pub mod restorable_table;
--- a/crates/gateway/src/memory_ledger.rs
+++ b/crates/gateway/src/memory_ledger.rs
@@ -1,11 +1,11 @@
-//! Shares a fixed amount of memory among responses whose lengths are not known in advance.
+//! Shares a fixed amount of memory among bodies and events whose lengths are not known in advance.
 //!
-//! In: the owner of a response and its length so far. Out: a claim that grows with the response, and may
-//! have to wait. A claim that is complete becomes a hold, which returns the memory when it is dropped.
+//! In: the length of a body so far, and its owner if there is one. Out: a claim that grows with the body,
+//! and may have to wait. A claim that is complete becomes a hold, which returns the memory when it is dropped.
 //!
 //! Invariant: a claim grows only if it can then be completed, with the free memory and that of claims which
 //! are completed before it, and if it keeps no other claim from that (the banker's algorithm). So claims
-//! never wait for each other in a cycle, and a slow response takes from others only what it has received.
+//! never wait for each other in a cycle, and a slow body takes from others only what it has received.
 //! All claims of one owner but the one that lacks least may use a part of the memory only.
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -16,6 +16,8 @@
 
 /// Unit in which memory is claimed, in bytes.
 const UNIT_BYTES: usize = 16 << 10;
+/// Assumed memory of the process in megabytes if the settings do not state it.
+const DEFAULT_MEGABYTES: u32 = 256;
 /// Fraction of the memory beside a maximum claim that the claims of one owner may use, apart from the claim
 /// that lacks least.
 const OWNER_FRACTION: f64 = 0.5;
@@ -42,7 +44,8 @@
 
 #[derive(Debug)]
 struct ClaimState {
-    owner: Arc<str>,
+    /// Whose other claims count with this one; `None` for a claim that counts alone.
+    owner: Option<Arc<str>>,
     units: usize,
     /// Number of units that the claim may need in total.
     max_units: usize,
@@ -90,8 +93,8 @@
     /// Number of units of an owner's claims other than the claim `excluded`.
     fn units_of(&self, owner: &str, excluded: Option<u64>) -> usize {
         let claims = self.claims.iter();
-        let of_owner =
-            claims.filter(|(id, claim)| Some(**id) != excluded && *claim.owner == *owner);
+        let of_owner = claims
+            .filter(|(id, claim)| Some(**id) != excluded && claim.owner.as_deref() == Some(owner));
         of_owner.map(|(_, claim)| claim.units).sum()
     }
 }
@@ -114,13 +117,14 @@
         })
     }
 
-    /// Begins an empty claim of an owner, which grows as the response does, to `max_bytes` at most.
-    pub fn claim(self: &Arc<Self>, owner: &str, max_bytes: usize) -> MemoryClaim {
+    /// Begins an empty claim, which grows to `max_bytes` at most. Without an owner, only the free memory
+    /// bounds it.
+    pub fn claim(self: &Arc<Self>, owner: Option<&str>, max_bytes: usize) -> MemoryClaim {
         let mut state = self.state.lock();
         let id = state.next_id;
         state.next_id += 1;
         let claim = ClaimState {
-            owner: owner.into(),
+            owner: owner.map(Arc::from),
             units: 0,
             max_units: units_for(max_bytes).min(self.max_claim),
         };
@@ -128,6 +132,7 @@
         MemoryClaim {
             ledger: self.clone(),
             id,
+            units: 0,
         }
     }
 
@@ -144,7 +149,10 @@
         if additional == 0 {
             return true;
         }
-        let is_within_share = state.units_of(&claim.owner, exempt) + additional <= self.owner_units;
+        let is_within_share = claim
+            .owner
+            .as_deref()
+            .is_none_or(|owner| state.units_of(owner, exempt) + additional <= self.owner_units);
         if state.free < additional || (exempt != Some(id) && !is_within_share) {
             return false;
         }
@@ -164,6 +172,9 @@
     }
 
     fn release(&self, units: usize) {
+        if units == 0 {
+            return;
+        }
         self.state.lock().free += units;
         self.released.notify_waiters();
     }
@@ -175,32 +186,54 @@
     }
 }
 
+/// Memory of a process that may use `megabytes`, in bytes; 0 if this is unknown.
+pub fn process_bytes(megabytes: u32) -> f64 {
+    let megabytes = if megabytes == 0 {
+        DEFAULT_MEGABYTES
+    } else {
+        megabytes
+    };
+    f64::from(megabytes) * 1e6
+}
+
 fn units_for(bytes: usize) -> usize {
     bytes.div_ceil(UNIT_BYTES)
 }
 
-/// The memory of an incomplete response, which is returned when this value is dropped.
+/// The memory of an incomplete body, which is returned when this value is dropped.
 #[derive(Debug)]
 pub struct MemoryClaim {
     ledger: Arc<MemoryLedger>,
     id: u64,
+    /// Number of units that are sufficient for the length so far.
+    units: usize,
 }
 
 impl MemoryClaim {
     /// Raises the claim to `bytes`, at most the maximum of a claim. Waits for memory.
     pub async fn grow_to(&mut self, bytes: usize) {
-        let units = units_for(bytes);
+        let ledger = self.ledger.clone();
         loop {
-            let mut released = std::pin::pin!(self.ledger.released.notified());
+            let mut released = std::pin::pin!(ledger.released.notified());
             released.as_mut().enable();
-            if self.ledger.try_grow(self.id, units) {
+            if self.try_grow_to(bytes) {
                 return;
             }
             released.await;
         }
     }
 
-    /// Turns the claim of a complete response of `bytes` into a hold, and returns what it does not need.
+    /// Raises the claim to `bytes`, at most the maximum of a claim. Returns whether there is memory for it.
+    pub fn try_grow_to(&mut self, bytes: usize) -> bool {
+        let units = units_for(bytes);
+        let is_sufficient = units <= self.units || self.ledger.try_grow(self.id, units);
+        if is_sufficient {
+            self.units = self.units.max(units);
+        }
+        is_sufficient
+    }
+
+    /// Turns the claim of a complete body of `bytes` into a hold, and returns what it does not need.
     pub fn complete(self, bytes: usize) -> MemoryHold {
         let units = self.ledger.end_claim(self.id);
         let needed = units_for(bytes).min(units);
@@ -219,7 +252,7 @@
     }
 }
 
-/// The memory of a complete response, which is returned when this value is dropped.
+/// The memory of a complete body, which is returned when this value is dropped.
 #[derive(Debug)]
 pub struct MemoryHold {
     ledger: Arc<MemoryLedger>,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -68,6 +68,8 @@
     pub lease_changes: IntCounterVec,
     /// Number of restores of the table from older copies, as known from its rows.
     pub table_era: IntGauge,
+    /// Requests that were refused because memory for their bodies was short, by reason.
+    pub refused_bodies: IntCounterVec,
     /// Connections of callers that were closed with their requests unread, for lack of descriptors.
     pub unread_connections: IntCounter,
     /// Requests in progress.
@@ -170,6 +172,11 @@
                 "gateway_table_era",
                 "Restores of the table from older copies",
             )?,
+            refused_bodies: counters(
+                "gateway_refused_bodies_total",
+                "Requests refused for lack of memory for their bodies",
+                "reason",
+            )?,
             unread_connections: IntCounter::new(
                 "gateway_unread_connections_total",
                 "Connections of callers closed with their requests unread",
@@ -212,6 +219,7 @@
             &self.quarantine_row,
             &self.version_history_row,
             &self.lease_changes,
+            &self.refused_bodies,
         ];
         for counter in counters {
             self.registry.register(Box::new(counter.clone()))?;
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -11,13 +11,14 @@
 use gorsebank_fleet::EngineReport;
 use gorsebank_fleet::placement::OrderResult;
 use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use tokio::time::{Instant, timeout};
 
 use crate::adaptive_timeout::AdaptiveTimeout;
 use crate::attempt::keep_alive_timeout;
 use crate::back_end::{BackEnd, Connection, ConnectionPath};
+use crate::collected_body::CollectedBody;
 use crate::event_log::{self, LogPriority};
 use crate::links;
 use crate::ports::FencedOrder;
@@ -186,7 +187,7 @@
     if !still_valid() {
         return Err(NotWritten);
     }
-    let request = request.map(Full::new);
+    let request = request.map(CollectedBody::from);
     let response = connection.http.send(request).await.ok();
     let response = response.filter(|response| belongs(shared, engine, id, response));
     Ok((response, connection))
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -9,21 +9,23 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use gorsebank_fleet::{Configuration, Fingerprint, Prompt, Route, Tenant};
+use gorsebank_fleet::{Configuration, Fingerprint, FingerprintHasher, Prompt, Route, Tenant};
 use gorsebank_world::{ServiceId, SoftwareVersion};
 use http::header::{self, HeaderName};
 use http::request::Parts;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Version};
 use http_body::Body as _;
 use http_body_util::combinators::UnsyncBoxBody;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use thiserror::Error;
+use tokio::task::yield_now;
 use tokio::time::{Instant, timeout_at};
 
+use crate::collected_body::{CollectedBody, SMALL_BODY_BYTES};
 use crate::event_log::{self, LogPriority};
 use crate::failure::Failure;
 use crate::ports::RequestMetadata;
+use crate::request_memory::BodyError;
 use crate::shared::Shared;
 use crate::tenancy::{self, Caller};
 use crate::tenant_quotas::Grant;
@@ -52,6 +54,12 @@
 const OTHER_HOP_BY_HOP_HEADERS: [&str; 2] = ["keep-alive", "proxy-connection"];
 /// Refusal reason: the body was not fully received before the deadline.
 const BODY_LATE: &str = "body_late";
+/// Refusal reason: the body did not progress while memory was short.
+const BODY_STALLED: &str = "body_stalled";
+/// Refusal reason: there was no memory for the body.
+const NO_BODY_MEMORY: &str = "no_body_memory";
+/// Time after which a request that got no memory for its body may be repeated.
+const BODY_MEMORY_PAUSE: Duration = Duration::from_secs(1);
 /// Maximum number of shared parts of a prompt that are identified.
 const MAX_IDENTIFIED_PARTS: usize = 32;
 /// Separates fingerprints of parts from those of requests.
@@ -82,7 +90,7 @@
     /// Method, path and headers as they are forwarded.
     pub head: Parts,
     /// The complete request body.
-    pub body: Bytes,
+    pub body: CollectedBody,
     /// Identifies the content of the request; equal for every retry by the caller.
     pub fingerprint: Fingerprint,
     /// Identify the parts of the prompt that other requests may share, in order.
@@ -350,7 +358,8 @@
             // Reading the body makes hyper send 100 Continue, which asks the caller to send it.
             // This has already happened when the body is found to be too large.
             let may_discard = !expects_continue || failure == Failure::BodyTooLarge;
-            let may_discard = may_discard && failure.reason() != BODY_LATE;
+            let is_stalled = [BODY_LATE, BODY_STALLED].contains(&failure.reason());
+            let may_discard = may_discard && !is_stalled;
             let body_consumed = body.is_end_stream() || may_discard && discard(body).await;
             (response, body_consumed)
         }
@@ -435,7 +444,7 @@
     let suspended_at_arrival = shared.clock.total_suspension();
     let is_returning = shared.is_retrying(&route.name, metadata.deadline);
     let limit = configuration.limits.max_body_bytes;
-    let body = read_body(body, limit, deadline)
+    let body = read_body(shared, body, limit, deadline)
         .await
         .map_err(|failure| log_rejected(&metadata, &route.name, failure))?;
     let quota_charge = tenancy::charge(shared, &caller, tenant.as_deref())
@@ -448,7 +457,7 @@
     strip_hop_by_hop_headers(&mut head.headers);
     head.headers.remove(header::CONTENT_LENGTH);
     head.version = Version::HTTP_11;
-    let fingerprint = fingerprint(&head, &metadata, &body);
+    let fingerprint = fingerprint(&head, &metadata, &body).await;
     let shared_parts = fingerprints_of_parts(&service, &metadata.prompt);
     let call = Call {
         shared: shared.clone(),
@@ -481,19 +490,36 @@
 /// Fingerprint of method, host, target, model and body: everything that a retry by the caller has
 /// in common with this request. Headers are left out, because deadline, id and last event differ
 /// between retries.
-fn fingerprint(head: &Parts, metadata: &RequestMetadata, body: &Bytes) -> Fingerprint {
+async fn fingerprint(
+    head: &Parts,
+    metadata: &RequestMetadata,
+    body: &CollectedBody,
+) -> Fingerprint {
     let host = head.headers.get(header::HOST);
     let target = head.uri.path_and_query();
     let model = metadata.model.as_ref().map_or("", |model| model.as_str());
     let adapter = metadata.adapter.as_ref();
-    Fingerprint::of(&[
+    let parts = [
         head.method.as_str().as_bytes(),
         host.map_or(&[], |host| host.as_bytes()),
         target.map_or(&[], |target| target.as_str().as_bytes()),
         model.as_bytes(),
         adapter.map_or(&[], |adapter| adapter.as_str().as_bytes()),
-        body,
-    ])
+    ];
+    let mut hasher = FingerprintHasher::default();
+    for part in parts {
+        hasher.begin_part(part.len());
+        hasher.append(part);
+    }
+    hasher.begin_part(body.len());
+    for piece in body.pieces() {
+        hasher.append(piece);
+        // A long body must not keep other requests from running.
+        if body.len() > SMALL_BODY_BYTES {
+            yield_now().await;
+        }
+    }
+    hasher.finish()
 }
 
 /// Fingerprints of the shared parts of a prompt at a service. The number of parts is up to the caller, so
@@ -525,16 +551,34 @@
     event_log::write(LogPriority::Decision, "request_end", fields);
 }
 
-async fn read_body(body: &mut Incoming, limit: usize, deadline: Instant) -> Result<Bytes, Failure> {
-    let collecting = Limited::new(body, limit).collect();
-    match timeout_at(deadline, collecting).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Failure::BodyTooLarge),
-        Ok(Err(_)) => Err(Failure::BadBody),
-        Err(_) => Err(Failure::Refused {
+async fn read_body(
+    shared: &Shared,
+    body: &mut Incoming,
+    limit: usize,
+    deadline: Instant,
+) -> Result<CollectedBody, Failure> {
+    let collecting = shared.request_memory.collect(body, limit);
+    let Ok(collected) = timeout_at(deadline, collecting).await else {
+        return Err(Failure::Refused {
             reason: BODY_LATE,
             retry_after: Duration::ZERO,
-        }),
+        });
+    };
+    collected.map_err(|error| match error {
+        BodyError::Broken => Failure::BadBody,
+        BodyError::TooLong => Failure::BodyTooLarge,
+        BodyError::Stalled => refuse_body(shared, BODY_STALLED),
+        BodyError::NoMemory => refuse_body(shared, NO_BODY_MEMORY),
+    })
+}
+
+/// Counts and refuses a request for whose body memory is short.
+fn refuse_body(shared: &Shared, reason: &'static str) -> Failure {
+    let refused_bodies = &shared.metrics.refused_bodies;
+    refused_bodies.with_label_values(&[reason]).inc();
+    Failure::Refused {
+        reason,
+        retry_after: BODY_MEMORY_PAUSE,
     }
 }
 
--- a/crates/gateway/src/shared/mod.rs
+++ b/crates/gateway/src/shared/mod.rs
@@ -52,6 +52,7 @@
 use crate::quarantine::SharedQuarantine;
 use crate::refused_rows::RefusedRows;
 use crate::relay::RelayedTable;
+use crate::request_memory::RequestMemory;
 use crate::response_memory::ResponseMemory;
 use crate::settings::GatewaySettings;
 use crate::stream_origins::SharedOrigins;
@@ -86,6 +87,8 @@
     pub quarantine: SharedQuarantine,
     /// Rate limits that back ends state.
     pub back_end_limits: BackEndLimits,
+    /// Memory of request bodies.
+    pub request_memory: RequestMemory,
     /// Memory of responses that are collected.
     pub response_memory: ResponseMemory,
     /// Links to back ends, and the gateways that help when links are cut.
@@ -147,6 +150,7 @@
         let calls = metrics.table_calls.clone();
         let table = Arc::new(RelayedTable::new(platform.clone(), calls));
         Ok(Shared {
+            request_memory: RequestMemory::new(settings.memory_megabytes),
             response_memory: ResponseMemory::new(settings.memory_megabytes),
             settings,
             platform,
--- a/crates/gateway/src/stream_memory.rs
+++ b/crates/gateway/src/stream_memory.rs
@@ -63,7 +63,7 @@
         let ledger = &self.ledger;
         let claim = self
             .incomplete
-            .get_or_insert_with(|| ledger.claim(back_end, MAX_INCOMPLETE_BYTES));
+            .get_or_insert_with(|| ledger.claim(Some(back_end), MAX_INCOMPLETE_BYTES));
         claim.grow_to(claimed).await;
     }
 
--- a/crates/gateway/tests/response_memory.rs
+++ b/crates/gateway/tests/response_memory.rs
@@ -7,7 +7,8 @@
 
 use bytes::Bytes;
 use futures_util::{StreamExt, stream};
-use gorsebank_gateway::response_memory::{CollectError, CollectedBody, ResponseMemory};
+use gorsebank_gateway::collected_body::CollectedBody;
+use gorsebank_gateway::response_memory::{CollectError, ResponseMemory};
 use http_body::{Body, Frame};
 use http_body_util::{BodyExt, Full, StreamBody};
 use proptest::prelude::*;
