Bound the read buffers of callers' and page connections

Connections of callers and those to the readiness and metrics addresses used read buffers of up to 410 KB each, whatever memory the machine has. 360 heads that stop short of that and stay open used more than a small machine has.

Cause: the HTTP server's default maximum; only connections to back ends had a bound. Buffers now grow to 16 KiB beyond the maximum head for callers, and to 16 KiB for pages.

--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -35,6 +35,10 @@
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Maximum size of a request head before a configuration is known, in bytes.
 const DEFAULT_MAX_HEADER_BYTES: usize = 16 * 1024;
+/// Size up to which the read buffer of a caller's connection grows beyond the maximum head, in bytes.
+const READ_BUFFER_BYTES: usize = 16 << 10;
+/// Maximum size of the read buffer of a connection that asks for a page, in bytes.
+const PAGE_READ_BUFFER_BYTES: usize = 16 << 10;
 /// Pause after `accept` failed, for instance for lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Fraction of the process's descriptors that connections of callers may use. The rest is for
@@ -148,6 +152,7 @@
         .timer(TokioTimer::new())
         .header_read_timeout(idle)
         .max_header_size(header_bytes)
+        .max_buf_size(header_bytes.saturating_add(READ_BUFFER_BYTES))
         .auto_date_header(false);
     let is_late = *close_idle.borrow_and_update();
     if is_late {
@@ -227,6 +232,7 @@
                 async move { Ok::<_, Infallible>(text_response(status, text)) }
             });
             let serving = http1::Builder::new()
+                .max_buf_size(PAGE_READ_BUFFER_BYTES)
                 .auto_date_header(false)
                 .serve_connection(TokioIo::new(stream), service);
             let _ = serving.await;
--- a/crates/gorsebank/tests/client_crowds.rs
+++ b/crates/gorsebank/tests/client_crowds.rs
@@ -9,6 +9,7 @@
 
 use gorsebank_replay::live::free_address;
 use serde_json::json;
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::sync::{Mutex, MutexGuard};
 use tokio::task::JoinSet;
@@ -57,6 +58,13 @@
 /// Time within which a gateway that does not hang serves a request.
 const SERVING_LIMIT: Duration = Duration::from_secs(60);
 
+/// Number of connections to the readiness address.
+const PAGE_CALLERS: usize = 360;
+/// Length of a head that does not end, in bytes.
+const LONG_HEAD_BYTES: usize = 400_000;
+/// Maximum time for which a head is written.
+const HEAD_TIME: Duration = Duration::from_millis(100);
+
 /// Framing of the longest body inside the limits.
 const ANNOUNCED: BodyFraming = BodyFraming::Length(MAX_BODY_BYTES as u64);
 
@@ -233,6 +241,23 @@
     check_beside_crowd("far too long, in chunks", body).await;
 }
 
+/// Guards against connections without an end that use more memory than those of callers.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn many_heads_without_an_end_at_the_readiness_address_do_not_use_up_the_memory() {
+    let mut service = Service::start().await;
+    let head = format!("GET / HTTP/1.1\r\nA: {}", "x".repeat(LONG_HEAD_BYTES));
+    let mut connections = Vec::new();
+    for _ in 0..PAGE_CALLERS {
+        let connection = TcpStream::connect(service.gateway.readiness).await;
+        let mut connection = connection.expect("a connection");
+        // The gateway may close the connection before the head is written.
+        let _ = timeout(HEAD_TIME, connection.write_all(head.as_bytes())).await;
+        connections.push(connection);
+    }
+    let _ = timeout(MAX_SETTLING_TIME, service.wait_until_settled()).await;
+    service.check("heads without an end").await;
+}
+
 /// Guards against bounds that a single request inside the limits meets.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn single_bodies_inside_the_limits_reach_the_back_end_unchanged() {
