Refuse incomplete bodies once a stopping process sends no more requests

A gateway that was stopped while callers did not finish their bodies waited for the deadlines of these requests, and was killed at the end of its grace period.

Cause: the time left in a planned stop was checked only after the body was complete. A body that is still incomplete when no more requests are sent to back ends is now refused with 503; nothing ran.

--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -19,7 +19,7 @@
 use hyper::body::Incoming;
 use thiserror::Error;
 use tokio::task::yield_now;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::collected_body::{CollectedBody, SMALL_BODY_BYTES};
 use crate::event_log::{self, LogPriority};
@@ -54,6 +54,10 @@
 const OTHER_HOP_BY_HOP_HEADERS: [&str; 2] = ["keep-alive", "proxy-connection"];
 /// Refusal reason: the body was not fully received before the deadline.
 const BODY_LATE: &str = "body_late";
+/// Refusal reason: the process is stopping.
+const STOPPING: &str = "stopping";
+/// Interval at which an incomplete body is checked against the time left in a planned stop.
+const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// Refusal reason: the body did not progress while memory was short.
 const BODY_STALLED: &str = "body_stalled";
 /// Refusal reason: there was no memory for the body.
@@ -202,7 +206,7 @@
     pub fn time_left_to_send(&self) -> Option<Duration> {
         let stopping_for_ms = self.shared.stopping_for_ms()?;
         let grace = self.shared.settings.bounds.shutdown_grace;
-        let send_limit = grace.mul_f64(SEND_FRACTION).min(MAX_SEND_TIME);
+        let send_limit = max_send_time(&self.shared);
         let response_limit = grace.mul_f64(RESPONSE_FRACTION);
         let limit = send_limit.min(response_limit.saturating_sub(self.expected_response_time()));
         Some(limit.saturating_sub(Duration::from_millis(stopping_for_ms)))
@@ -234,7 +238,7 @@
     /// Fails if the process is stopping and no time is left to send the request.
     pub fn refuse_while_stopping(&self) -> Result<(), Failure> {
         if self.time_left_to_send() == Some(Duration::ZERO) {
-            return Err(self.refuse("stopping", Duration::ZERO));
+            return Err(self.refuse(STOPPING, Duration::ZERO));
         }
         Ok(())
     }
@@ -558,11 +562,16 @@
     deadline: Instant,
 ) -> Result<CollectedBody, Failure> {
     let collecting = shared.request_memory.collect(body, limit);
-    let Ok(collected) = timeout_at(deadline, collecting).await else {
-        return Err(Failure::Refused {
-            reason: BODY_LATE,
-            retry_after: Duration::ZERO,
-        });
+    let not_received = |reason| Failure::Refused {
+        reason,
+        retry_after: Duration::ZERO,
+    };
+    let collected = tokio::select! {
+        biased;
+        collected = timeout_at(deadline, collecting) => {
+            collected.map_err(|_| not_received(BODY_LATE))?
+        }
+        () = wait_for_end_of_sending(shared) => return Err(not_received(STOPPING)),
     };
     collected.map_err(|error| match error {
         BodyError::Broken => Failure::BadBody,
@@ -572,6 +581,23 @@
     })
 }
 
+/// Time from the beginning of a planned stop after which no request is sent to a back end.
+fn max_send_time(shared: &Shared) -> Duration {
+    let grace = shared.settings.bounds.shutdown_grace;
+    grace.mul_f64(SEND_FRACTION).min(MAX_SEND_TIME)
+}
+
+/// Returns once the process is stopping and sends no more requests to back ends.
+async fn wait_for_end_of_sending(shared: &Shared) {
+    let may_send = || {
+        let stopping_for = shared.stopping_for_ms().map(Duration::from_millis);
+        stopping_for.is_none_or(|stopping_for| stopping_for < max_send_time(shared))
+    };
+    while may_send() {
+        sleep(STOP_CHECK_INTERVAL).await;
+    }
+}
+
 /// Counts and refuses a request for whose body memory is short.
 fn refuse_body(shared: &Shared, reason: &'static str) -> Failure {
     let refused_bodies = &shared.metrics.refused_bodies;
--- a/crates/gorsebank/tests/client_crowds.rs
+++ b/crates/gorsebank/tests/client_crowds.rs
@@ -8,6 +8,8 @@
 use std::time::Duration;
 
 use gorsebank_replay::live::free_address;
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
 use serde_json::json;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -19,7 +21,9 @@
 use platform::process::{GatewayProcess, MEMORY_MEGABYTES};
 use platform::runner::{ReceivedRequest, Reply, Runner, large_body};
 use platform::store::Store;
-use platform::{configuration_for_large_bodies, server_row, start_store_with, wait_until};
+use platform::{
+    configuration_for_large_bodies, server_row, start_store_with, wait_until, wait_until_within,
+};
 
 /// Number of callers in a crowd.
 const CALLERS: usize = 100;
@@ -58,6 +62,8 @@
 /// Time within which a gateway that does not hang serves a request.
 const SERVING_LIMIT: Duration = Duration::from_secs(60);
 
+/// Time within which a process stops, which is less than the deadline of the bodies.
+const STOP_LIMIT: Duration = Duration::from_secs(30);
 /// Number of connections to the readiness address.
 const PAGE_CALLERS: usize = 360;
 /// Length of a head that does not end, in bytes.
@@ -258,6 +264,20 @@
     service.check("heads without an end").await;
 }
 
+/// Guards against bodies without an end that keep a stopping process from ending.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_process_stops_while_bodies_do_not_end() {
+    let mut service = Service::start().await;
+    let body = body(BodyFraming::Chunks, SMALL_CHUNKS_BYTES);
+    let connections = service.send_crowd(body).await;
+    let process = Pid::from_raw(service.gateway.child.id() as i32);
+    kill(process, Signal::SIGTERM).expect("a running process");
+    let child = &mut service.gateway.child;
+    let has_ended = async || child.try_wait().expect("the child's state").is_some();
+    wait_until_within(STOP_LIMIT, has_ended).await;
+    drop(connections);
+}
+
 /// Guards against bounds that a single request inside the limits meets.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn single_bodies_inside_the_limits_reach_the_back_end_unchanged() {
