--- a/crates/gateway/src/http_connection.rs
+++ b/crates/gateway/src/http_connection.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1::{Builder, SendRequest};
@@ -21,6 +21,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
+use crate::collected_body::CollectedBody;
 use crate::response_head::{HeadAllowance, head_limited};
 
 /// Time without bytes after which the operating system probes a connection, and interval of the
@@ -86,8 +87,8 @@
     InvalidStatus(StatusCode),
 }
 
-impl From<TrySendError<Request<Full<Bytes>>>> for SendError {
-    fn from(mut error: TrySendError<Request<Full<Bytes>>>) -> Self {
+impl From<TrySendError<Request<CollectedBody>>> for SendError {
+    fn from(mut error: TrySendError<Request<CollectedBody>>) -> Self {
         if error.take_message().is_some() {
             return SendError::Unsent;
         }
@@ -103,7 +104,7 @@
 /// A connection that is closed when dropped.
 #[derive(Debug)]
 pub struct HttpConnection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<CollectedBody>,
     head: Arc<HeadAllowance>,
     task: AbortHandle,
 }
@@ -143,7 +144,7 @@
     /// Fails if nothing arrives that is a final response.
     pub fn send(
         &mut self,
-        request: Request<Full<Bytes>>,
+        request: Request<CollectedBody>,
     ) -> impl Future<Output = Result<Response<Incoming>, SendError>> + use<> {
         self.head.begin();
         let head = self.head.clone();
@@ -219,7 +220,7 @@
             Some(connection) => connection,
             None => HttpConnection::open(self.address, self.connect_timeout).await?,
         };
-        let sending = connection.send(request.map(Full::new));
+        let sending = connection.send(request.map(CollectedBody::from));
         let response = sending.await.map_err(Error::other)?;
         let (head, body) = response.into_parts();
         let body = Limited::new(body, MAX_POOLED_RESPONSE_BYTES).collect();
