--- a/crates/gateway/src/adaptive_client.rs
+++ b/crates/gateway/src/adaptive_client.rs
@@ -111,3 +111,14 @@
         }
     }
 }
+
+/// Percent-encodes a value for the query of an address. Other programs choose keys freely.
+pub fn encode_parameter(value: &str) -> String {
+    let encode = |byte: u8| match byte {
+        b'a'..=b'z' | b'A'..=b'Z' | b'0'..=b'9' | b'-' | b'.' | b'_' | b'~' => {
+            char::from(byte).to_string()
+        }
+        _ => format!("%{byte:02X}"),
+    };
+    value.bytes().map(encode).collect()
+}
