Platform: move checks of values out of the translation

What does not name wire formats moves to where the values are used: ranges of settings and entries that are no rows to the gateway, bounds on adapters and durations to the configuration, the check of a version to revisions.

--- a/crates/contract/src/revision.rs
+++ b/crates/contract/src/revision.rs
@@ -53,6 +53,15 @@
     }
 }
 
+/// Checks that a version may be part of a revision.
+///
+/// # Errors
+///
+/// If the version is out of range.
+pub fn check_version(version: u64) -> Result<(), RevisionOutOfRange> {
+    TableRevision { era: 0, version }.to_number().map(|_| ())
+}
+
 /// The era of a revision.
 pub fn era_of(revision: u64) -> u64 {
     revision >> VERSION_BITS
--- a/crates/fleet/src/configuration.rs
+++ b/crates/fleet/src/configuration.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use gorsebank_world::{AdapterId, ModelId, ServiceId};
+use thiserror::Error;
 
 use crate::back_end::CopyTier;
 use crate::tenant::Tenants;
@@ -16,6 +17,39 @@
 /// Minimum time within which callers may take up a stream, however short the timeouts are.
 const MIN_STREAM_LIFETIME: Duration = Duration::from_secs(30);
 
+/// Maximum number of adapters in a configuration. A gateway keeps a name for each.
+const MAX_ADAPTERS: u64 = 200_000;
+/// Longest duration that is told from one without an end. Points in time so far ahead can be computed.
+const MAX_DURATION: Duration = Duration::from_secs(365 * 24 * 60 * 60);
+
+/// A configuration has more adapters than a gateway keeps names of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[error("{0} adapters, of at most {MAX_ADAPTERS}")]
+pub struct TooManyAdapters(u64);
+
+/// Checks the numbers of adapters of all models.
+///
+/// # Errors
+///
+/// If there are too many in total.
+pub fn check_adapters(counts: impl Iterator<Item = u32>) -> Result<(), TooManyAdapters> {
+    let total: u64 = counts.map(u64::from).sum();
+    if total > MAX_ADAPTERS {
+        return Err(TooManyAdapters(total));
+    }
+    Ok(())
+}
+
+/// Converts a number of seconds; a longer duration than a year becomes a year.
+pub fn seconds(value: f64) -> Duration {
+    Duration::from_secs_f64(value.clamp(0.0, MAX_DURATION.as_secs_f64()))
+}
+
+/// Converts a number of milliseconds in the same way.
+pub fn milliseconds(value: f64) -> Duration {
+    seconds(value / 1_000.0)
+}
+
 /// How often a request may be executed, and the form of its response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RequestKind {
--- a/crates/gateway/src/refused_rows.rs
+++ b/crates/gateway/src/refused_rows.rs
@@ -7,11 +7,12 @@
 
 use std::collections::HashMap;
 
+use gorsebank_contract::TableRow;
 use parking_lot::Mutex;
 use prometheus::IntCounterVec;
 
 use crate::event_log::{self, LogPriority};
-use crate::ports::RowFault;
+use crate::ports::{RowChange, RowFault, UNREADABLE_VALUE};
 
 /// Maximum number of refused rows that are remembered to avoid repeated log lines. Each takes a few
 /// hundred bytes.
@@ -24,6 +25,23 @@
     versions: Mutex<HashMap<String, u64>>,
 }
 
+/// Logs an entry of a page that is no row, because another program wrote it. Returns an unreadable row
+/// in its place, so that all others of the page stay in use; `None` if the entry names no key.
+pub fn unreadable_entry(
+    key: Option<String>,
+    page_version: u64,
+    error: &dyn std::fmt::Display,
+) -> Option<RowChange> {
+    let logged = key.as_deref().unwrap_or("-");
+    let fields = format_args!("row={logged:?} error=\"{error}\"");
+    event_log::write(LogPriority::Decision, "row_entry_refused", fields);
+    Some(RowChange::Put(TableRow {
+        key: key?,
+        value: UNREADABLE_VALUE.to_owned(),
+        modified: page_version,
+    }))
+}
+
 impl RefusedRows {
     /// Creates an empty record. `counter` counts refused rows by reason.
     pub fn new(counter: IntCounterVec) -> Self {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -7,6 +7,33 @@
 use gorsebank_fleet::{KeyBounds, LimitBound, RetryShare};
 use gorsebank_world::{NodeId, ZoneId};
 
+/// Largest value of a duration, in the unit of its field; larger ones do not fit into a deadline.
+const MAX_DURATION: f64 = 1e12;
+
+/// The range of a number in a settings file.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ValueRange {
+    /// A duration above 0.
+    Duration,
+    /// A number above 0.
+    Positive,
+    /// A number of at least 0.
+    NonNegative,
+}
+
+impl ValueRange {
+    /// Why a value is outside the range; `None` if it is inside.
+    pub fn violation(self, value: f64) -> Option<&'static str> {
+        match self {
+            ValueRange::NonNegative if value.is_nan() || value < 0.0 => Some("must not be below 0"),
+            ValueRange::NonNegative => None,
+            _ if value.is_nan() || value <= 0.0 => Some("must be above 0"),
+            ValueRange::Duration if value > MAX_DURATION => Some("is too large"),
+            ValueRange::Duration | ValueRange::Positive => None,
+        }
+    }
+}
+
 /// Settings of one process.
 #[derive(Clone, Debug, PartialEq)]
 pub struct GatewaySettings {
