--- a/crates/gorsebank/tests/changed_settings.rs
+++ b/crates/gorsebank/tests/changed_settings.rs
@@ -19,14 +19,8 @@
 async fn a_gateway_starts_although_its_settings_file_was_incomplete_at_first() {
     let runner = Runner::start("i-1", |_| Reply::Response(200, "done")).await;
     let store = start_store_with("app", &[&runner]).await;
-    let endpoints = GatewayEndpoints {
-        node: "front-1",
-        table: store.address,
-        callers: free_address().expect("a free port"),
-        readiness: free_address().expect("a free port"),
-        relay: None,
-        machine: None,
-    };
+    let addresses = [0, 1].map(|_| free_address().expect("a free port"));
+    let endpoints = GatewayEndpoints::without_relay(&store, addresses);
     let text = settings_text(&endpoints);
     let program = Path::new(env!("CARGO_BIN_EXE_gorsebank"));
     let path = settings_pipe();
--- a/crates/gorsebank/tests/missing_threads.rs
+++ b/crates/gorsebank/tests/missing_threads.rs
@@ -70,14 +70,8 @@
 async fn a_gateway_without_a_thread_for_its_log_serves_requests() {
     let runner = Runner::start("i-1", |_| Reply::Response(200, "done")).await;
     let store = start_store_with("app", &[&runner]).await;
-    let endpoints = GatewayEndpoints {
-        node: "front-1",
-        table: store.address,
-        callers: free_address().expect("a free port"),
-        readiness: free_address().expect("a free port"),
-        relay: None,
-        machine: None,
-    };
+    let addresses = [0, 1].map(|_| free_address().expect("a free port"));
+    let endpoints = GatewayEndpoints::without_relay(&store, addresses);
     let mut gateway = LimitedGateway::start(&endpoints);
     wait_until(async || {
         let ended = gateway.child.try_wait().expect("a child process");
--- a/crates/gorsebank/tests/signals_during_a_start.rs
+++ b/crates/gorsebank/tests/signals_during_a_start.rs
@@ -35,14 +35,8 @@
     }
 
     fn endpoints(&self, callers: SocketAddr) -> GatewayEndpoints<'static> {
-        GatewayEndpoints {
-            node: "front-1",
-            table: self.store.address,
-            callers,
-            readiness: free_address().expect("a free port"),
-            relay: None,
-            machine: None,
-        }
+        let readiness = free_address().expect("a free port");
+        GatewayEndpoints::without_relay(&self.store, [callers, readiness])
     }
 }
 
