Log paced calls, turns, and the configuration that decided a request

No line told that a gateway paced its calls or waited for a turn, and none told the age or the timeout of the configuration that decided a request.

Lines about what a gateway knows of the tables and where it learns it have a limit of their own. New: table_pace, table_turn; configuration says from where; request_end says configuration_age_ms, timeout_ms and the weight of the chosen service. No logic is changed.

--- a/crates/fleet/src/configuration.rs
+++ b/crates/fleet/src/configuration.rs
@@ -107,6 +107,15 @@
     pub is_public: bool,
 }
 
+impl Route {
+    /// The traffic weight of one of the route's services; 0 for any other service.
+    pub fn weight_of(&self, service: &ServiceId) -> u32 {
+        let mut services = self.services.iter();
+        let found = services.find(|(id, _)| id == service);
+        found.map_or(0, |(_, weight)| *weight)
+    }
+}
+
 /// A model that the back ends of an engine service may load.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ModelSpec {
--- a/crates/gateway/src/call_pacer.rs
+++ b/crates/gateway/src/call_pacer.rs
@@ -48,10 +48,16 @@
 
 impl CallPacer {
     /// Records a direct call that took `time` apart from a requested wait; `None` without a response.
-    pub fn record_call(&self, time: Option<Duration>) {
-        if time.is_none_or(|time| time > SLOW_RESPONSE_TIME) {
-            self.state.lock().slow_until = Instant::now() + SLOW_LIFETIME;
+    /// Returns whether the table counts as slow from now on and did not before.
+    pub fn record_call(&self, time: Option<Duration>) -> bool {
+        if time.is_some_and(|time| time <= SLOW_RESPONSE_TIME) {
+            return false;
         }
+        let now = Instant::now();
+        let mut state = self.state.lock();
+        let begins = now >= state.slow_until;
+        state.slow_until = now + SLOW_LIFETIME;
+        begins
     }
 
     /// Whether a recent call had a slow response, or none.
--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -23,6 +23,8 @@
 const MAX_QUEUED_LINES: usize = 2_048;
 /// Maximum number of log lines about served requests per second.
 const MAX_SERVED_PER_SECOND: u32 = 40;
+/// Maximum number of log lines about this process's own state per second.
+const MAX_STATE_PER_SECOND: u32 = 60;
 /// Maximum number of all other log lines per second.
 const MAX_OTHER_PER_SECOND: u32 = 300;
 /// Time for which [`flush`] waits for a reader of the log.
@@ -42,12 +44,16 @@
     Served,
     /// A failed request, or a change of state.
     Decision,
+    /// A change of what this process knows or of where it learns it, which hundreds of changes of back
+    /// ends must not displace.
+    State,
 }
 
 #[derive(Debug)]
 struct LineBudget {
     window_start: Instant,
     served: u32,
+    state: u32,
     other: u32,
 }
 
@@ -87,7 +93,7 @@
     }
     match priority {
         LogPriority::Served => log::info!("event={event} {fields}"),
-        LogPriority::Decision => log::warn!("event={event} {fields}"),
+        LogPriority::Decision | LogPriority::State => log::warn!("event={event} {fields}"),
     }
 }
 
@@ -130,6 +136,7 @@
         Mutex::new(LineBudget {
             window_start: Instant::now(),
             served: 0,
+            state: 0,
             other: 0,
         })
     });
@@ -137,10 +144,12 @@
     if budget.window_start.elapsed().as_secs() >= 1 {
         budget.window_start = Instant::now();
         budget.served = 0;
+        budget.state = 0;
         budget.other = 0;
     }
     let (count, max) = match priority {
         LogPriority::Served => (&mut budget.served, MAX_SERVED_PER_SECOND),
+        LogPriority::State => (&mut budget.state, MAX_STATE_PER_SECOND),
         LogPriority::Decision => (&mut budget.other, MAX_OTHER_PER_SECOND),
     };
     *count += 1;
--- a/crates/gateway/src/feed/parent_follower.rs
+++ b/crates/gateway/src/feed/parent_follower.rs
@@ -226,7 +226,7 @@
             "table={lease} responded={is_read} revision={}",
             revision.unwrap_or(0)
         );
-        event_log::write(LogPriority::Decision, "leases_read", fields);
+        event_log::write(LogPriority::State, "leases_read", fields);
     }
 
     /// Time until the first read of the leases. A gateway that has never read them needs them for all
@@ -490,7 +490,7 @@
             "table={table} result={result} consecutive_failures={}",
             self.failed_table_reads
         );
-        event_log::write(LogPriority::Decision, "table_tried", fields);
+        event_log::write(LogPriority::State, "table_tried", fields);
     }
 
     /// Whether a parent recently responded without fresh content.
--- a/crates/gateway/src/feed/parents.rs
+++ b/crates/gateway/src/feed/parents.rs
@@ -99,7 +99,7 @@
                 order.position,
                 members.len()
             );
-            event_log::write(LogPriority::Decision, "feed_place", fields);
+            event_log::write(LogPriority::State, "feed_place", fields);
         }
         previous != order.position
     }
@@ -164,14 +164,27 @@
         self.position == TreePosition::Middle || self.last_request.is_some_and(is_recent)
     }
 
+    /// The gateway that sent the last update; `None` if the table itself did.
+    pub fn source(&self) -> Option<SocketAddr> {
+        self.source
+    }
+
     /// Records the source of the last update: a gateway, or `None` for the table itself. Logs a
     /// change of the source.
     pub fn record_source(&mut self, source: Option<SocketAddr>) {
         let previous = std::mem::replace(&mut self.source, source);
         if previous != source {
-            let name = |it: Option<SocketAddr>| it.map_or("table".to_owned(), |it| it.to_string());
-            let fields = format_args!("from={} former={}", name(source), name(previous));
-            event_log::write(LogPriority::Decision, "fed", fields);
+            let fields = format_args!(
+                "from={} former={}",
+                source_name(source),
+                source_name(previous)
+            );
+            event_log::write(LogPriority::State, "fed", fields);
         }
     }
 }
+
+/// The name of a source of updates in the log.
+pub fn source_name(source: Option<SocketAddr>) -> String {
+    source.map_or("table".to_owned(), |address| address.to_string())
+}
--- a/crates/gateway/src/feed/table_sync.rs
+++ b/crates/gateway/src/feed/table_sync.rs
@@ -161,7 +161,7 @@
             }
             Err(TableError::HistoryGone) => {
                 let fields = format_args!("table={}", policy.table);
-                event_log::write(LogPriority::Decision, "history_gone", fields);
+                event_log::write(LogPriority::State, "history_gone", fields);
                 shared.feed.cache(|cache| cache.record_gap(policy.table));
             }
             Err(error) => {
@@ -192,11 +192,11 @@
     match error {
         Some(error) if !was_lost => {
             let fields = format_args!("table={} error=\"{error}\"", policy.table);
-            event_log::write(LogPriority::Decision, "table_lost", fields);
+            event_log::write(LogPriority::State, "table_lost", fields);
         }
         None if was_lost => {
             let fields = format_args!("table={}", policy.table);
-            event_log::write(LogPriority::Decision, "table_regained", fields);
+            event_log::write(LogPriority::State, "table_regained", fields);
         }
         _ => {}
     }
--- a/crates/gateway/src/relay/table.rs
+++ b/crates/gateway/src/relay/table.rs
@@ -150,11 +150,7 @@
         drop(state);
         if was_relayed {
             self.client.close_idle_connections();
-            event_log::write(
-                LogPriority::Decision,
-                "table_way",
-                format_args!("way=direct"),
-            );
+            event_log::write(LogPriority::State, "table_way", format_args!("way=direct"));
         }
     }
 
@@ -217,7 +213,7 @@
         drop(state);
         self.direct_abandoned.notify_waiters();
         let fields = format_args!("way=relayed failures={MAX_FAILURES} gateways={peers}");
-        event_log::write(LogPriority::Decision, "table_way", fields);
+        event_log::write(LogPriority::State, "table_way", fields);
     }
 
     /// Increments the metric of calls for a path or result.
@@ -347,7 +343,14 @@
     /// Records the time of a direct call, which may have waited for a change for up to `wait`.
     fn pace_after(&self, requested_at: Instant, wait: Duration, has_responded: bool) {
         let time = requested_at.elapsed().saturating_sub(wait);
-        self.pacer.record_call(has_responded.then_some(time));
+        let begins = self.pacer.record_call(has_responded.then_some(time));
+        if begins {
+            let fields = format_args!(
+                "state=slow responded={has_responded} call_ms={}",
+                time.as_millis()
+            );
+            event_log::write(LogPriority::State, "table_pace", fields);
+        }
     }
 
     fn record_write(&self, response: &TransactionResult) {
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -321,7 +321,7 @@
             format_args!(
                 "request={} outcome={outcome} status={status} route={} service={} back_end={back_end} \
                  model={model} adapter={} tenant={} attempts={} exposed={} total_ms={} left_ms={} objective_ms={} returning={} configuration={} \
-                 fingerprint={}",
+                 configuration_age_ms={} timeout_ms={} weight={} fingerprint={}",
                 self.metadata.id,
                 self.route.name,
                 self.service,
@@ -338,6 +338,9 @@
                 self.route.objective.as_millis(),
                 self.is_returning,
                 self.configuration.version,
+                self.shared.configuration_age_ms(),
+                self.route.timeout.as_millis(),
+                self.route.weight_of(&self.service),
                 self.fingerprint,
             ),
         );
@@ -431,7 +434,7 @@
         return Err(log_rejected(&metadata, "-", Failure::NoConfiguration));
     };
     let Some(route) = find_route(&configuration, &head) else {
-        log_unrouted(&metadata, &head, configuration.version);
+        log_unrouted(shared, &metadata, &head, configuration.version);
         return Err(Failure::NoRoute);
     };
     let caller = Caller {
@@ -545,12 +548,14 @@
     configuration.route(host, head.uri.path()).cloned()
 }
 
-fn log_unrouted(metadata: &RequestMetadata, head: &Parts, version: u64) {
+fn log_unrouted(shared: &Shared, metadata: &RequestMetadata, head: &Parts, version: u64) {
     let host = head.headers.get(header::HOST);
     let fields = format_args!(
-        "request={} outcome=no_route status=404 host={host:?} path={} configuration={version}",
+        "request={} outcome=no_route status=404 host={host:?} path={} configuration={version} \
+         configuration_age_ms={}",
         metadata.id,
         head.uri.path(),
+        shared.configuration_age_ms(),
     );
     event_log::write(LogPriority::Decision, "request_end", fields);
 }
--- a/crates/gateway/src/shared/gateways.rs
+++ b/crates/gateway/src/shared/gateways.rs
@@ -9,8 +9,10 @@
 
 use gorsebank_fleet::stream_origins::KeeperGroup;
 use gorsebank_world::NodeId;
+use tokio::time::Instant;
 
 use super::Shared;
+use crate::event_log::{self, LogPriority};
 use crate::feed::Member;
 use crate::stream_origins::{GroupKeepers, Keepers};
 
@@ -23,6 +25,9 @@
 /// children, and roots read busy tables without an additional pause, since the cost is low.
 const MAX_SMALL_FLEET: usize = 32;
 
+/// Minimum wait for a turn to call the table that is logged.
+const MIN_LOGGED_WAIT: Duration = Duration::from_millis(100);
+
 /// The known gateways.
 #[derive(Debug, Default)]
 pub(super) struct Members {
@@ -174,9 +179,16 @@
 
     /// Waits until this gateway may make such a call.
     pub async fn wait_for_paced_call(&self) {
-        if self.paces_calls() {
-            let gateways = self.max_gateway_count();
-            self.table().pacer().wait(gateways).await;
+        if !self.paces_calls() {
+            return;
+        }
+        let started_at = Instant::now();
+        let gateways = self.max_gateway_count();
+        self.table().pacer().wait(gateways).await;
+        let waited = started_at.elapsed();
+        if waited > MIN_LOGGED_WAIT {
+            let fields = format_args!("waited_ms={}", waited.as_millis());
+            event_log::write(LogPriority::State, "table_turn", fields);
         }
     }
 
--- a/crates/gateway/src/shared/mod.rs
+++ b/crates/gateway/src/shared/mod.rs
@@ -264,6 +264,12 @@
         self.feed.verified_age(table)
     }
 
+    /// [`Shared::configuration_age`] in milliseconds, for the log; -1 if there is no such moment.
+    pub fn configuration_age_ms(&self) -> i128 {
+        let age = self.configuration_age();
+        age.map_or(-1, |age| age.as_millis() as i128)
+    }
+
     /// The active configuration and, where callers have API keys, the time since the moment for
     /// which it is verified. The time is computed only where callers have API keys, because it has
     /// a cost.
--- a/crates/gateway/src/table_followers.rs
+++ b/crates/gateway/src/table_followers.rs
@@ -17,6 +17,7 @@
 
 use crate::directory::Directory;
 use crate::event_log::{self, LogPriority};
+use crate::feed::parents::source_name;
 use crate::feed::restores;
 use crate::feed::{FollowerUpdate, TablePosition, TableSyncPolicy, table_sync_policies};
 use crate::holder;
@@ -157,12 +158,15 @@
                 let version = configuration.version;
                 let routes = configuration.route_count();
                 let was_activated = self.shared.set_configuration(configuration);
-                let fields = format_args!("version={version} routes={routes} news={was_activated}");
-                event_log::write(LogPriority::Decision, "configuration", fields);
+                let source = source_name(self.shared.feed.parents.lock().source());
+                let fields = format_args!(
+                    "version={version} routes={routes} news={was_activated} from={source}"
+                );
+                event_log::write(LogPriority::State, "configuration", fields);
             }
             Err(error) => {
                 let fields = format_args!("error=\"{error}\"");
-                event_log::write(LogPriority::Decision, "configuration_refused", fields);
+                event_log::write(LogPriority::State, "configuration_refused", fields);
             }
         }
     }
