Read the configuration within its bound, whatever pauses apply

Cause: a gateway that took the table for slow waited for its next turn among all gateways (gateways / 25 x 0.5 to 1.5 s, 6 to 18 s at 300), and slept until then even after the table answered again. Its follower task asked neither parents nor the table meanwhile. The pauses for stale parents and after failures (up to 36 s at 300) do not know the bound either.

The predictions of the other hypotheses (polls, feed_failed) were not seen.

Change: when a gateway without updates reads the table is one function of its conditions (read_schedule). Content that callers are served by is read at 0.6 of the propagation bound at the latest, at any number of gateways; after a failed read, that long after it. The follower never sleeps for a turn, stops asking further parents once the read is due, and reads the leases after the configuration. Gateways without content keep their pauses.

The property test over all pauses is new, as is the function that it tests.

--- a/crates/gateway/src/feed/mod.rs
+++ b/crates/gateway/src/feed/mod.rs
@@ -13,6 +13,7 @@
 //! requests to tell how busy a back end is.
 //!
 //! [`parents`] chooses the gateways to ask, [`table_sync`] reads the table or asks a parent,
+//! [`read_schedule`] decides when a gateway without updates from parents reads the table,
 //! [`cache`] keeps the tables, [`packed`] is the form in which rows are sent, [`page`] divides
 //! whole tables into pages, [`message`] defines the messages, and [`restores`] observes restores of
 //! the table. [`on_demand`] reads the table for decisions that cannot wait for the next update.
@@ -26,6 +27,7 @@
 pub mod page;
 mod parent_follower;
 pub mod parents;
+pub mod read_schedule;
 pub mod restores;
 mod sync_policy;
 pub mod table_sync;
--- a/crates/gateway/src/feed/parent_follower.rs
+++ b/crates/gateway/src/feed/parent_follower.rs
@@ -16,6 +16,7 @@
 
 use super::message::{FeedRequest, FeedResponse, TablePosition};
 use super::parents::Parent;
+use super::read_schedule::{ReadConditions, overload_factor, round_of_table_reads};
 use super::sync_policy::{MAX_UPDATE_WAIT, TableSyncPolicy, max_update_age, table_sync_policies};
 use super::table_sync::{MAX_PARENT_PAUSE, MIN_PAUSE, RESPONSE_TIMEOUT, advance};
 use crate::event_log::{self, LogPriority};
@@ -29,21 +30,8 @@
 const LEAF_PAUSE: Duration = Duration::from_millis(250);
 /// Pause after no parent sent a fresh response, while the cached content is still fresh.
 const NO_UPDATE_PAUSE: Duration = Duration::from_millis(200);
-/// Maximum combined rate of table reads of all gateways that receive no updates from a parent.
-const TABLE_READS_PER_SECOND: f64 = 50.0;
-/// Factor by which the pause between two table reads is longer while a parent responds that it has
-/// no fresh content either. The waiting gateways then make six table reads per second in total, in
-/// case all parents respond but none of them reaches the table. Without this factor, each of
-/// 985 starting gateways read the 20 pages of the back-end table itself, and the gateways made
-/// 115,698 calls of the table in total.
-const WAITING_PAUSE_FACTOR: u32 = 8;
 /// A parent that responded within this time counts as responsive.
 const PARENT_LIFETIME: Duration = Duration::from_secs(2);
-/// Maximum pause between two table reads of a gateway that has children.
-const MAX_PAUSE_WITH_CHILDREN: Duration = Duration::from_millis(300);
-/// Pause after the first failed table read of a gateway whose parents do not respond. The pause
-/// doubles with each further consecutive failure.
-const FIRST_RETRY_PAUSE: Duration = Duration::from_millis(150);
 /// Time without an update from any parent after which a gateway that has read the leases before reads
 /// them itself. Parents that restart respond again sooner.
 const LEASE_READ_DELAY: Duration = Duration::from_secs(3);
@@ -56,16 +44,9 @@
 /// bound on changes of its holder. A candidate begins to wait anew if its knowledge is older than most of
 /// a lease.
 const UNRENEWED_LEASE_READ_FRACTION: f64 = 0.35;
-/// Factor by which the pauses between reads of all gateways are longer at most after consecutive
-/// failures. A table that is overloaded still executes calls that nobody waits for any more; at the
-/// usual rate, these alone would keep it overloaded.
-const MAX_OVERLOAD_FACTOR: u32 = 4;
 /// Time, apart from the wait for a change, after which a response is slow. A table that responds slowly
 /// may be overloaded, so a gateway does not follow it instead of its parents.
 const SLOW_RESPONSE_TIME: Duration = Duration::from_millis(500);
-/// Prevents overflow of the doubled pause, which exceeds one hour at this limit.
-const MAX_PAUSE_DOUBLINGS: u32 = 15;
-
 /// Result of a request to a parent.
 enum ParentOutcome {
     /// The response was fresh for every requested table.
@@ -166,11 +147,15 @@
         let started_at = Instant::now();
         let candidates = self.shared.feed.parents.lock().candidates();
         let mut wait = MAX_UPDATE_WAIT;
-        for parent in candidates {
+        for (index, parent) in candidates.into_iter().enumerate() {
             if parent.is_root && self.must_skip_roots() {
                 continue;
             }
-            match self.request_updates(parent, wait).await {
+            let time_left = self.read_conditions().time_until_deadline();
+            if index > 0 && time_left.is_zero() {
+                break;
+            }
+            match self.request_updates(parent, wait.min(time_left)).await {
                 ParentOutcome::Fresh => {
                     self.lease_reads = None;
                     if !self.has_outstanding_pages {
@@ -197,8 +182,11 @@
         let reads = self
             .lease_reads
             .get_or_insert_with(|| LeaseReads::new(first_delay));
-        let is_paced = self.shared.time_until_paced_call() > Duration::ZERO;
-        if !reads.is_due() || is_paced || self.shared.lacks_content() {
+        let must_wait = !reads.is_due()
+            || self.shared.lacks_content()
+            || !self.shared.time_until_paced_call().is_zero()
+            || self.read_conditions().time_until_deadline().is_zero();
+        if must_wait {
             return;
         }
         let lease = self.shared.platform.tables().lease;
@@ -206,7 +194,7 @@
         let Some(policy) = policies.iter().find(|policy| policy.table == lease) else {
             return;
         };
-        self.shared.wait_for_paced_call().await;
+        self.shared.take_paced_call();
         let result = advance(&self.shared, policy, Duration::ZERO).await;
         if matches!(result, Err(TableError::HistoryGone)) {
             self.shared.feed.cache(|cache| cache.record_gap(lease));
@@ -263,10 +251,8 @@
         Some(row.modified)
     }
 
-    /// Time in which all gateways read the table once, at their maximum combined rate.
     fn round_of_table_reads(&self) -> Duration {
-        let gateways = self.shared.max_gateway_count() as f64;
-        Duration::from_secs_f64(gateways / TABLE_READS_PER_SECOND)
+        round_of_table_reads(self.shared.max_gateway_count())
     }
 
     fn pause(&self) -> Duration {
@@ -412,36 +398,60 @@
     /// Whether the content of an urgent table is too old to wait any longer for a parent.
     fn needs_update(&self) -> bool {
         let max_age = max_update_age(self.shared.settings.bounds.propagation_bound);
+        self.content_age().is_none_or(|age| age > max_age)
+    }
+
+    /// Age of the oldest content of an urgent table; `None` if one was never read.
+    fn content_age(&self) -> Option<Duration> {
         let tables = table_sync_policies(&self.shared.platform.tables());
-        let mut urgent = tables.iter().filter(|policy| policy.is_urgent);
+        let urgent = tables.iter().filter(|policy| policy.is_urgent);
         self.shared.feed.cache(|cache| {
-            urgent.any(|policy| cache.age(policy.table).is_none_or(|age| age > max_age))
+            urgent
+                .map(|policy| cache.age(policy.table))
+                .try_fold(Duration::ZERO, |oldest, age| Some(oldest.max(age?)))
         })
     }
 
+    fn read_conditions(&self) -> ReadConditions {
+        let shared = &self.shared;
+        let has_children = shared.feed.parents.lock().has_children();
+        ReadConditions {
+            gateways: shared.max_gateway_count(),
+            is_large_fleet: shared.is_large_fleet(),
+            has_children,
+            has_content: shared.has_read_back_ends(),
+            has_stale_parent: self.has_stale_parent(),
+            failed_reads: self.failed_table_reads,
+            content_age: self.content_age(),
+            since_last_read: self.table_read_at.map(|at| at.elapsed()),
+            time_until_turn: shared.time_until_paced_call(),
+            propagation_bound: shared.settings.bounds.propagation_bound,
+        }
+    }
+
     /// Reads the table itself when a read is due, since no parent sent a fresh response. The table
     /// may be unavailable to all gateways or only to the parents.
     async fn read_table(&mut self) {
         if !self.needs_update() {
             return sleep(NO_UPDATE_PAUSE).await;
         }
-        let pause = self.table_read_pause();
         if self.shared.is_large_fleet() {
             // At a start, the parents have the time of one pause to respond.
             self.table_read_at.get_or_insert_with(Instant::now);
         }
-        let due = self.table_read_at.map_or(Instant::now(), |at| at + pause);
-        let due = due.max(Instant::now() + self.shared.time_until_paced_call());
-        if Instant::now() < due {
+        let wait = self.read_conditions().time_until_read(rand::random());
+        if !wait.is_zero() {
             tokio::select! {
-                () = sleep_until(due) => {}
+                () = sleep(wait.min(MAX_UPDATE_WAIT)) => {}
                 // A child waits for updates, so the next iteration starts early.
                 () = self.shared.feed.update_requested.notified() => return sleep(MIN_PAUSE).await,
-                // The cooldown of a parent may have ended.
-                () = sleep(MAX_UPDATE_WAIT) => return,
             }
         }
-        self.shared.wait_for_paced_call().await;
+        if wait > MAX_UPDATE_WAIT {
+            // The cooldown of a parent may have ended.
+            return;
+        }
+        self.shared.take_paced_call();
         let started_at = Instant::now();
         self.table_read_at = Some(started_at);
         let tables = table_sync_policies(&self.shared.platform.tables());
@@ -519,41 +529,4 @@
         let position = self.shared.feed.parents.lock().position();
         position == TreePosition::LeafOfMiddle && self.waits_with_parent()
     }
-
-    /// Minimum time between two reads of the table. At startup, while a parent waits for content as
-    /// well, and after repeated failures, the pause limits the combined rate of all gateways that
-    /// receive no updates. The pause is at most [`MAX_PAUSE_WITH_CHILDREN`] for gateways that have
-    /// children.
-    fn table_read_pause(&self) -> Duration {
-        let spread = 0.5 + rand::random::<f64>();
-        let shared_pause = self.round_of_table_reads().mul_f64(spread);
-        let is_large_fleet = self.shared.is_large_fleet();
-        let overloaded_pause =
-            shared_pause * overload_factor(self.failed_table_reads, is_large_fleet);
-        if self.shared.feed.parents.lock().has_children() {
-            shared_pause.min(MAX_PAUSE_WITH_CHILDREN)
-        } else if self.waits_with_parent() {
-            shared_pause * WAITING_PAUSE_FACTOR
-        } else if self.has_stale_parent() || !self.shared.has_read_back_ends() {
-            // A parent without fresh content reads the table and responds when the table does.
-            // Until the back ends have been read, the parents may still be starting.
-            overloaded_pause
-        } else if self.failed_table_reads == 0 {
-            // A pause while the table responds could delay changes beyond the propagation bound.
-            Duration::ZERO
-        } else {
-            let doublings = (self.failed_table_reads - 1).min(MAX_PAUSE_DOUBLINGS);
-            overloaded_pause.min(FIRST_RETRY_PAUSE * 2_u32.pow(doublings))
-        }
-    }
-}
-
-/// Factor by which the usual pause is longer after consecutive failures: the first one may be a lost
-/// response, and each further one doubles it. A small fleet does not overload the table.
-fn overload_factor(failures: u32, is_large_fleet: bool) -> u32 {
-    if !is_large_fleet {
-        return 1;
-    }
-    let doublings = failures.saturating_sub(1).min(MAX_PAUSE_DOUBLINGS);
-    2_u32.pow(doublings).min(MAX_OVERLOAD_FACTOR)
 }
--- a/crates/gateway/src/shared/gateways.rs
+++ b/crates/gateway/src/shared/gateways.rs
@@ -177,6 +177,14 @@
         }
     }
 
+    /// Makes the next such call count, without waiting for the turn.
+    pub fn take_paced_call(&self) {
+        if self.paces_calls() {
+            let gateways = self.max_gateway_count();
+            self.table().pacer().reserve(gateways);
+        }
+    }
+
     /// Waits until this gateway may make such a call.
     pub async fn wait_for_paced_call(&self) {
         if !self.paces_calls() {
