A gateway at a slow table reads a table again whose history is gone

A gateway without updates from parents that took the table for slow never applied a configuration once the table had discarded the history that it needed: each read of changes was answered with "history gone", which only the tasks of a gateway that follows the table acted on, and a paced gateway does not follow it.

Change: the read itself records the gap and reads the whole table at once.

--- a/crates/gateway/src/feed/parent_follower.rs
+++ b/crates/gateway/src/feed/parent_follower.rs
@@ -472,7 +472,12 @@
         } else {
             policy.max_wait
         };
-        let result = advance(&self.shared, policy, max_wait).await;
+        let mut result = advance(&self.shared, policy, max_wait).await;
+        if matches!(result, Err(TableError::HistoryGone)) {
+            let table = policy.table;
+            self.shared.feed.cache(|cache| cache.record_gap(table));
+            result = advance(&self.shared, policy, max_wait).await;
+        }
         let has_responded = matches!(result, Ok(()) | Err(TableError::HistoryGone));
         let is_late = started_at.elapsed() > max_wait + SLOW_RESPONSE_TIME;
         let is_slow = is_late && self.shared.is_large_fleet();
