Count the read deadline from the last read, not from the pause before it

The first time that a gateway of a large fleet lacked updates, the begin of the pause was recorded as a read of the table, so that its content could be 1.05 of the propagation bound old before it was read.

--- a/crates/gateway/src/feed/parent_follower.rs
+++ b/crates/gateway/src/feed/parent_follower.rs
@@ -64,6 +64,8 @@
     updated_at: HashMap<&'static str, Instant>,
     /// When this gateway last read the table itself.
     table_read_at: Option<Instant>,
+    /// When the pause before the next table read began.
+    pause_began_at: Option<Instant>,
     /// Number of consecutive table reads without a response, or with a slow one.
     failed_table_reads: u32,
     /// Whether pages of a table are outstanding after the last response, so that the next page is
@@ -134,6 +136,7 @@
             shared,
             updated_at: HashMap::new(),
             table_read_at: None,
+            pause_began_at: None,
             failed_table_reads: 0,
             has_outstanding_pages: false,
             stale_response_at: None,
@@ -424,6 +427,7 @@
             failed_reads: self.failed_table_reads,
             content_age: self.content_age(),
             since_last_read: self.table_read_at.map(|at| at.elapsed()),
+            since_pause_began: self.pause_began_at.map_or(Duration::MAX, |at| at.elapsed()),
             time_until_turn: shared.time_until_paced_call(),
             propagation_bound: shared.settings.bounds.propagation_bound,
         }
@@ -437,7 +441,7 @@
         }
         if self.shared.is_large_fleet() {
             // At a start, the parents have the time of one pause to respond.
-            self.table_read_at.get_or_insert_with(Instant::now);
+            self.pause_began_at.get_or_insert_with(Instant::now);
         }
         let wait = self.read_conditions().time_until_read(rand::random());
         if !wait.is_zero() {
@@ -454,6 +458,7 @@
         self.shared.take_paced_call();
         let started_at = Instant::now();
         self.table_read_at = Some(started_at);
+        self.pause_began_at = Some(started_at);
         let tables = table_sync_policies(&self.shared.platform.tables());
         let lacks_parents = self.lacks_parents();
         let mut policies = tables.iter();
--- a/crates/gateway/src/feed/read_schedule.rs
+++ b/crates/gateway/src/feed/read_schedule.rs
@@ -51,6 +51,8 @@
     pub content_age: Option<Duration>,
     /// Time since the gateway last read the table itself; `None` if it never did.
     pub since_last_read: Option<Duration>,
+    /// Time since the last read, or since a read was needed for the first time.
+    pub since_pause_began: Duration,
     /// Time until the gateway's turn among all gateways that call a slow table.
     pub time_until_turn: Duration,
     /// The deployment's propagation bound.
@@ -61,8 +63,8 @@
     /// Time until the next read. `spread` is a random number from 0 to 1 that keeps gateways from
     /// reading together.
     pub fn time_until_read(&self, spread: f64) -> Duration {
-        let since_last_read = self.since_last_read.unwrap_or(Duration::MAX);
-        let pause_left = self.pause(0.5 + spread).saturating_sub(since_last_read);
+        let pause = self.pause(0.5 + spread);
+        let pause_left = pause.saturating_sub(self.since_pause_began);
         pause_left
             .max(self.time_until_turn)
             .min(self.time_until_deadline())
--- a/crates/gateway/tests/read_schedule.rs
+++ b/crates/gateway/tests/read_schedule.rs
@@ -12,6 +12,7 @@
         failed_reads in 0_u32..40,
         content_age_ms in proptest::option::of(0_u64..100_000),
         since_last_read_ms in proptest::option::of(0_u64..100_000),
+        pause_ms in 0_u64..100_000,
         turn_ms in 0_u64..500_000,
         bound_ms in 1_000_u64..20_000,
     ) -> ReadConditions {
@@ -25,6 +26,7 @@
             failed_reads,
             content_age: content_age_ms.map(Duration::from_millis),
             since_last_read: since_last_read_ms.map(Duration::from_millis),
+            since_pause_began: Duration::from_millis(pause_ms),
             time_until_turn: Duration::from_millis(turn_ms),
             propagation_bound: Duration::from_millis(bound_ms),
         }
@@ -49,7 +51,7 @@
         let conditions = ReadConditions {
             has_content: false,
             has_children: false,
-            since_last_read: Some(Duration::ZERO),
+            since_pause_began: Duration::ZERO,
             ..conditions
         };
         // One hundred reads a second of all gateways together, with the shortest pauses.
