--- a/crates/gateway/src/feed/parent_follower.rs
+++ b/crates/gateway/src/feed/parent_follower.rs
@@ -2,8 +2,8 @@
 //!
 //! In: responses of parents, each to one request for all tables. Out: updates of the cache. If no
 //! parent sends a fresh response, the gateway reads the table itself from time to time. The
-//! combined rate of such reads of all gateways is bounded, so the reads cost little while the table
-//! is unavailable. When the table responds, the gateway follows the table for a time, for itself
+//! combined rate of such reads of all gateways is limited as far as the propagation bound allows, so
+//! the reads cost little while the table is unavailable. When the table responds, the gateway follows the table for a time, for itself
 //! and for its children.
 
 use std::collections::HashMap;
