--- a/crates/gateway/src/feed/parent_follower.rs
+++ b/crates/gateway/src/feed/parent_follower.rs
@@ -155,6 +155,7 @@
                 continue;
             }
             let time_left = self.read_conditions().time_until_deadline();
+            // A read that is due does not wait for further parents.
             if index > 0 && time_left.is_zero() {
                 break;
             }
--- a/crates/gateway/src/shared/gateways.rs
+++ b/crates/gateway/src/shared/gateways.rs
@@ -177,7 +177,7 @@
         }
     }
 
-    /// Makes the next such call count, without waiting for the turn.
+    /// Takes the turn for such a call without waiting for it, so that the next turn is later.
     pub fn take_paced_call(&self) {
         if self.paces_calls() {
             let gateways = self.max_gateway_count();
--- a/crates/gateway/src/shared/mod.rs
+++ b/crates/gateway/src/shared/mod.rs
@@ -265,9 +265,9 @@
     }
 
     /// [`Shared::configuration_age`] in milliseconds, for the log; -1 if there is no such moment.
-    pub fn configuration_age_ms(&self) -> i128 {
+    pub fn configuration_age_ms(&self) -> i64 {
         let age = self.configuration_age();
-        age.map_or(-1, |age| age.as_millis() as i128)
+        age.map_or(-1, |age| age.as_millis() as i64)
     }
 
     /// The active configuration and, where callers have API keys, the time since the moment for
