Feed: state once when a gateway waits with its parent, and drop a constant log field

waits_with_parent stood in ParentFollower and again in ReadConditions; it is a method of the latter now. table_pace had a field with one value only. A constant told how it was chosen. The decisions are the same.

--- a/crates/gateway/src/feed/parent_follower.rs
+++ b/crates/gateway/src/feed/parent_follower.rs
@@ -3,8 +3,8 @@
 //! In: responses of parents, each to one request for all tables. Out: updates of the cache. If no
 //! parent sends a fresh response, the gateway reads the table itself from time to time. The
 //! combined rate of such reads of all gateways is limited as far as the propagation bound allows, so
-//! the reads cost little while the table is unavailable. When the table responds, the gateway follows the table for a time, for itself
-//! and for its children.
+//! the reads cost little while the table is unavailable. When the table responds, the gateway follows
+//! the table for a time, for itself and for its children.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -526,18 +526,10 @@
         self.shared.lacks_content() && !self.has_stale_parent()
     }
 
-    /// Whether this gateway has no content yet, as when all gateways start, and a responsive parent
-    /// waits for content as well. The parent reads the table on behalf of all its children, each of
-    /// which would otherwise have to read the whole table.
-    fn waits_with_parent(&self) -> bool {
-        let is_large_fleet = self.shared.is_large_fleet();
-        self.has_stale_parent() && is_large_fleet && !self.shared.has_read_back_ends()
-    }
-
     /// Whether this gateway must not ask roots. At a start, roots serve the intermediate gateways,
     /// and not all leaves at once.
     fn must_skip_roots(&self) -> bool {
         let position = self.shared.feed.parents.lock().position();
-        position == TreePosition::LeafOfMiddle && self.waits_with_parent()
+        position == TreePosition::LeafOfMiddle && self.read_conditions().waits_with_parent()
     }
 }
--- a/crates/gateway/src/feed/read_schedule.rs
+++ b/crates/gateway/src/feed/read_schedule.rs
@@ -15,10 +15,8 @@
 /// Maximum combined rate of table reads of all gateways that receive no updates from a parent.
 const TABLE_READS_PER_SECOND: f64 = 50.0;
 /// Factor by which the pause between two table reads is longer while a parent responds that it has
-/// no fresh content either. The waiting gateways then make six table reads per second in total, in
-/// case all parents respond but none of them reaches the table. Without this factor, each of
-/// 985 starting gateways read the 20 pages of the back-end table itself, and the gateways made
-/// 115,698 calls of the table in total.
+/// no fresh content either. The waiting gateways still make some table reads, in case all parents
+/// respond but none of them reaches the table.
 const WAITING_PAUSE_FACTOR: u32 = 8;
 /// Maximum pause between two table reads of a gateway that has children.
 const MAX_PAUSE_WITH_CHILDREN: Duration = Duration::from_millis(300);
@@ -81,6 +79,13 @@
         deadline.saturating_sub(age.min(self.since_last_read.unwrap_or(Duration::MAX)))
     }
 
+    /// Whether this gateway has no content yet, as when all gateways start, and a responsive parent
+    /// waits for content as well. The parent reads the table on behalf of all its children, each of
+    /// which would otherwise have to read the whole table.
+    pub fn waits_with_parent(&self) -> bool {
+        self.has_stale_parent && self.is_large_fleet && !self.has_content
+    }
+
     /// Minimum time between two reads. At startup, while a parent waits for content as well, and after
     /// repeated failures, the pause limits the combined rate of all gateways that receive no updates.
     /// The pause is at most [`MAX_PAUSE_WITH_CHILDREN`] for gateways that have children.
@@ -88,10 +93,9 @@
         let shared_pause = round_of_table_reads(self.gateways).mul_f64(spread);
         let overloaded_pause =
             shared_pause * overload_factor(self.failed_reads, self.is_large_fleet);
-        let waits_with_parent = self.has_stale_parent && self.is_large_fleet && !self.has_content;
         if self.has_children {
             shared_pause.min(MAX_PAUSE_WITH_CHILDREN)
-        } else if waits_with_parent {
+        } else if self.waits_with_parent() {
             shared_pause * WAITING_PAUSE_FACTOR
         } else if self.has_stale_parent || !self.has_content {
             // A parent without fresh content reads the table and responds when the table does.
--- a/crates/gateway/src/relay/table.rs
+++ b/crates/gateway/src/relay/table.rs
@@ -345,10 +345,7 @@
         let time = requested_at.elapsed().saturating_sub(wait);
         let begins = self.pacer.record_call(has_responded.then_some(time));
         if begins {
-            let fields = format_args!(
-                "state=slow responded={has_responded} call_ms={}",
-                time.as_millis()
-            );
+            let fields = format_args!("responded={has_responded} call_ms={}", time.as_millis());
             event_log::write(LogPriority::State, "table_pace", fields);
         }
     }
