Placement: log how long loads from the store took, and what a load was chosen by

Hypotheses on late returns (models loaded too many at once, or chosen while nothing is known) could not be told apart: nothing said how long a load took beside how many others, how many requests the holder knew of, and how many engines counted as holding models without having responded. store_load_ended, gateway_store_loads_total{speed}, and the fields observed_requests, unverified_engines (load_chosen) and has_been_saturated (load_window) do. No decision changes.

--- a/crates/fleet/src/demand.rs
+++ b/crates/fleet/src/demand.rs
@@ -12,7 +12,7 @@
 use crate::prefill_speed::PrefillSpeedSample;
 
 /// Time constant of the moving average of the request rate.
-const RATE_TIME_CONSTANT_MS: f64 = 8_000.0;
+pub(crate) const RATE_TIME_CONSTANT_MS: f64 = 8_000.0;
 /// Rate below which a model has no demand.
 const MIN_RATE_PER_SECOND: f64 = 0.005;
 /// Time after which unmet demand that was not recorded again is dropped.
--- a/crates/fleet/src/placement/engine/mod.rs
+++ b/crates/fleet/src/placement/engine/mod.rs
@@ -395,6 +395,12 @@
         self.holdings().is_empty() && !has_copies
     }
 
+    /// Whether the engine is thought to hold models only because of its discovery row, and has never
+    /// responded to this holder.
+    pub fn is_unverified(&self) -> bool {
+        self.confirmed.is_none() && !self.is_unresponsive && !self.holdings().is_empty()
+    }
+
     /// Whether the engine is to load a model from the weight store once it has enough free memory.
     pub fn will_load_from_store(&self) -> bool {
         let goal = self.goal.as_ref().filter(|goal| !goal.is_load_ordered);
--- a/crates/fleet/src/placement/load_concurrency.rs
+++ b/crates/fleet/src/placement/load_concurrency.rs
@@ -91,6 +91,32 @@
     /// Largest number of concurrent loads of which one ran at full speed, and the time at which
     /// that was observed.
     full_speed: (usize, Timestamp),
+    ended_loads: Vec<EndedLoad>,
+}
+
+/// A load from the weight store that has ended.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EndedLoad {
+    /// The engine that loaded.
+    pub engine: BackEndId,
+    /// Time from the order until the end, in milliseconds.
+    pub duration_ms: u64,
+    /// Duration without other loads.
+    pub uncontended_duration: Duration,
+    /// Number of loads in progress when this load started, including this load.
+    pub concurrent_loads: usize,
+}
+
+impl EndedLoad {
+    /// Ratio of the duration to that without other loads.
+    fn slowdown(&self) -> f64 {
+        self.duration_ms as f64 / self.uncontended_duration.as_millis().max(1) as f64
+    }
+
+    /// Whether the load took longer than loads at full speed do.
+    pub fn is_slow(&self) -> bool {
+        self.slowdown() > SLOW_LOAD_RATIO
+    }
 }
 
 #[derive(Debug)]
@@ -124,6 +150,7 @@
             },
             active_loads: BTreeMap::new(),
             full_speed: (0, Timestamp(0)),
+            ended_loads: Vec::new(),
         }
     }
 
@@ -223,23 +250,33 @@
         if let Some(load) = self.active_loads.remove(engine)
             && let Some(uncontended_duration) = load.uncontended_duration
         {
-            let duration_ms = now
-                .since(load.started_at)
-                .saturating_sub(OBSERVATION_DELAY_MS);
-            let slowdown = duration_ms as f64 / uncontended_duration.as_millis().max(1) as f64;
-            self.record_completed_load(now, load.concurrent_loads, slowdown);
+            let ended = EndedLoad {
+                engine: engine.clone(),
+                duration_ms: now
+                    .since(load.started_at)
+                    .saturating_sub(OBSERVATION_DELAY_MS),
+                uncontended_duration,
+                concurrent_loads: load.concurrent_loads,
+            };
+            self.record_ended_load(now, &ended);
+            self.ended_loads.push(ended);
         }
     }
 
-    /// Updates the estimate for a completed load that started as one of `concurrent_loads` loads
-    /// and took `slowdown` times its duration without other loads.
-    fn record_completed_load(&mut self, now: Timestamp, concurrent_loads: usize, slowdown: f64) {
+    /// Returns the loads that have ended since the last call.
+    pub fn take_ended_loads(&mut self) -> Vec<EndedLoad> {
+        std::mem::take(&mut self.ended_loads)
+    }
+
+    /// Updates the estimate for a load that has ended.
+    fn record_ended_load(&mut self, now: Timestamp, ended: &EndedLoad) {
+        let concurrent_loads = ended.concurrent_loads;
         let (full_speed_loads, full_speed_at) = self.full_speed;
         let is_within_full_speed = concurrent_loads <= full_speed_loads
             && now.since(full_speed_at) <= FULL_SPEED_LIFETIME_MS;
-        if slowdown > SLOW_LOAD_RATIO {
+        if ended.is_slow() {
             if !is_within_full_speed {
-                self.decrease(concurrent_loads as f64 / slowdown);
+                self.decrease(concurrent_loads as f64 / ended.slowdown());
             }
             return;
         }
--- a/crates/fleet/src/placement/load_selection.rs
+++ b/crates/fleet/src/placement/load_selection.rs
@@ -157,6 +157,10 @@
     pub loss: f64,
     /// Whether the weights come from the weight store.
     pub is_from_store: bool,
+    /// Number of recent requests for any model of the service that the holder knew of.
+    pub observed_requests: f64,
+    /// Number of engines that counted as holding models and had not responded to this holder.
+    pub unverified_engines: usize,
 }
 
 /// The loads that a plan decided on, and those that it deferred.
@@ -427,6 +431,8 @@
             value: candidate.value,
             loss: evictions.loss,
             is_from_store: !engines[index].has_local_copy(&candidate.model),
+            observed_requests: self.totals.observed_requests(),
+            unverified_engines: engines.iter().filter(|it| it.is_unverified()).count(),
         };
         engines[index].set_goal(
             self.now,
--- a/crates/fleet/src/placement/mod.rs
+++ b/crates/fleet/src/placement/mod.rs
@@ -33,7 +33,7 @@
 
 use engine::{EngineState, PossibleOrders};
 use forecast::Forecast;
-pub use load_concurrency::{LoadConcurrency, LoadConcurrencyEstimate};
+pub use load_concurrency::{EndedLoad, LoadConcurrency, LoadConcurrencyEstimate};
 pub use load_crashes::LoadCrashRecord;
 pub use load_rate_limiter::{LoadRateLimit, LoadRateLimiter, RecentLoad};
 pub use load_selection::{ChosenLoad, DeferredLoad, MemoryReservation, Obstacle};
@@ -378,6 +378,16 @@
         })
     }
 
+    /// Returns the loads from weight stores that have ended since the last call, by service.
+    pub fn take_ended_loads(&mut self) -> Vec<(ServiceId, EndedLoad)> {
+        let stores = self.stores.iter_mut();
+        let ended = stores.flat_map(|(service, store)| {
+            let loads = store.take_ended_loads().into_iter();
+            loads.map(|load| (service.clone(), load))
+        });
+        ended.collect()
+    }
+
     /// Loads that the last plan deferred, with the reasons.
     pub fn deferred_loads(&self) -> &[DeferredLoad] {
         &self.decisions.deferred
--- a/crates/fleet/src/placement/totals.rs
+++ b/crates/fleet/src/placement/totals.rs
@@ -6,7 +6,7 @@
 
 use gorsebank_world::{AdapterId, ModelId, ServiceId};
 
-use crate::demand::{DemandRow, ModelDemand};
+use crate::demand::{DemandRow, ModelDemand, RATE_TIME_CONSTANT_MS};
 
 /// Weight of a request that can wait for a load, relative to an urgent one, which cannot.
 const NON_URGENT_WEIGHT: f64 = 0.6;
@@ -63,6 +63,12 @@
         self.models.get(model).map_or(0.0, |demand| demand.rate)
     }
 
+    /// Number of requests that the rates are computed from, of which older ones count for less.
+    pub fn observed_requests(&self) -> f64 {
+        let rates = self.models.values().map(|demand| demand.rate);
+        rates.sum::<f64>() * RATE_TIME_CONSTANT_MS / 1_000.0
+    }
+
     /// Number of running requests on a model.
     pub fn running(&self, model: &ModelId) -> u32 {
         self.models.get(model).map_or(0, |demand| demand.running)
--- a/crates/fleet/src/placement/weight_store.rs
+++ b/crates/fleet/src/placement/weight_store.rs
@@ -12,7 +12,7 @@
 use gorsebank_world::{BackEndId, ModelId, ServiceId};
 use serde::{Deserialize, Serialize};
 
-use super::load_concurrency::{LoadConcurrency, LoadConcurrencyEstimate};
+use super::load_concurrency::{EndedLoad, LoadConcurrency, LoadConcurrencyEstimate};
 use super::load_crashes::{LoadCrashRecord, LoadCrashes};
 use super::load_rate_limiter::{LoadRateLimit, LoadRateLimiter, RecentLoad};
 use super::{Obstacle, OrderResult};
@@ -199,6 +199,11 @@
         self.concurrency.retain(known);
     }
 
+    /// Returns the loads that have ended since the last call.
+    pub fn take_ended_loads(&mut self) -> Vec<EndedLoad> {
+        self.concurrency.take_ended_loads()
+    }
+
     /// The record for the next holder. `born` returns the start times of engines.
     pub fn record(&self, now: Timestamp, born: impl Fn(&BackEndId) -> Option<Born>) -> StoreRecord {
         StoreRecord {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -56,6 +56,8 @@
     pub back_end_statements: IntCounterVec,
     /// Orders to engines, by result.
     pub orders: IntCounterVec,
+    /// Loads from weight stores that have ended, by speed.
+    pub store_loads: IntCounterVec,
     /// Table calls, by result.
     pub table_calls: IntCounterVec,
     /// Table rows that could not be parsed, by reason.
@@ -155,6 +157,11 @@
                 "kind",
             )?,
             orders: counters("gateway_orders_total", "Orders by result", "result")?,
+            store_loads: counters(
+                "gateway_store_loads_total",
+                "Loads from weight stores that have ended by speed",
+                "speed",
+            )?,
             table_calls: counters("gateway_table_calls_total", "Table calls", "result")?,
             refused_rows: counters("gateway_refused_rows_total", "Refused rows", "reason")?,
             quarantine_row: counters(
@@ -214,6 +221,7 @@
             &self.prompt_sends,
             &self.back_end_statements,
             &self.orders,
+            &self.store_loads,
             &self.table_calls,
             &self.refused_rows,
             &self.quarantine_row,
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -337,6 +337,7 @@
         self.log.write_deferred(now, self.planner.deferred_loads());
         self.log.write_chosen(self.planner.chosen_loads());
         self.log.write_reservations(self.planner.reservations());
+        placement_log::write_ended_loads(&self.shared, &self.planner.take_ended_loads());
         let records = self.planner.store_records(now);
         self.log.write_load_windows(&records);
         self.shared.set_store_records(records);
--- a/crates/gateway/src/placement_log.rs
+++ b/crates/gateway/src/placement_log.rs
@@ -9,7 +9,8 @@
 use gorsebank_coordination::Timestamp;
 use gorsebank_fleet::EngineReport;
 use gorsebank_fleet::placement::{
-    Action, ChosenLoad, DeferredLoad, MemoryReservation, OrderKind, OrderResult, StoreRecords,
+    Action, ChosenLoad, DeferredLoad, EndedLoad, MemoryReservation, OrderKind, OrderResult,
+    StoreRecords,
 };
 use gorsebank_world::{BackEndId, ModelId, ServiceId};
 
@@ -53,8 +54,14 @@
     pub fn write_chosen(&self, chosen: &[ChosenLoad]) {
         for load in chosen {
             let fields = format_args!(
-                "model={} engine={} worth={:.2} loss={:.2} from_store={}",
-                load.model, load.engine, load.value, load.loss, load.is_from_store
+                "model={} engine={} worth={:.2} loss={:.2} from_store={} observed_requests={:.0} unverified_engines={}",
+                load.model,
+                load.engine,
+                load.value,
+                load.loss,
+                load.is_from_store,
+                load.observed_requests,
+                load.unverified_engines,
             );
             event_log::write(LogPriority::Decision, "load_chosen", fields);
         }
@@ -94,13 +101,32 @@
             let max_loads = record.concurrency.max_loads as usize;
             let previous = self.load_windows.insert(service.clone(), max_loads);
             if previous != Some(max_loads) {
-                let fields = format_args!("service={service} max_loads={max_loads}");
+                let fields = format_args!(
+                    "service={service} max_loads={max_loads} has_been_saturated={}",
+                    record.concurrency.has_been_saturated
+                );
                 event_log::write(LogPriority::Decision, "load_window", fields);
             }
         }
     }
 }
 
+/// Logs loads from weight stores that have ended, and counts them.
+pub fn write_ended_loads(shared: &Shared, ended: &[(ServiceId, EndedLoad)]) {
+    for (service, load) in ended {
+        let speed = if load.is_slow() { "slow" } else { "full" };
+        shared.metrics.store_loads.with_label_values(&[speed]).inc();
+        let fields = format_args!(
+            "service={service} engine={} took_ms={} uncontended_ms={} concurrent_loads={} speed={speed}",
+            load.engine,
+            load.duration_ms,
+            load.uncontended_duration.as_millis(),
+            load.concurrent_loads,
+        );
+        event_log::write(LogPriority::Decision, "store_load_ended", fields);
+    }
+}
+
 /// What a new holder knows when it makes its first plan.
 pub struct PlacementStart {
     /// Number of rows that previous holders wrote.
