--- a/crates/gorsebank/tests/soak/callers.rs
+++ b/crates/gorsebank/tests/soak/callers.rs
@@ -256,7 +256,8 @@
     response.header("retry-after").is_some()
 }
 
-fn outcome(response: &ClientResponse) -> Outcome {
+/// What a response is to its caller.
+pub fn outcome(response: &ClientResponse) -> Outcome {
     Outcome::Response {
         status: response.status,
         is_complete: response.is_complete,
--- a/crates/gorsebank/tests/soak/history.rs
+++ b/crates/gorsebank/tests/soak/history.rs
@@ -139,6 +139,8 @@
     pub at: Duration,
     /// Whether engines still had the copies of weights on their disks.
     pub has_disks: bool,
+    /// Whether a model is to serve within the bound although no engine has a copy of its weights.
+    pub bounds_first_model: bool,
 }
 
 /// A back end that announced its drain in its responses.
--- a/crates/gorsebank/tests/soak/main.rs
+++ b/crates/gorsebank/tests/soak/main.rs
@@ -5,8 +5,8 @@
 //! test runs a few seeds for some seconds. `GORSEBANK_SOAK_SEEDS` sets the seeds (`FIRST..LAST`, or
 //! a count of seeds from a random first one), `GORSEBANK_SOAK_SECONDS` the length of a run (up to the
 //! first loss of power in `service_returns_after_losses_of_all_power`), and `GORSEBANK_SOAK_GATEWAYS`
-//! the number of gateways in that test, in `guarantees_hold_under_faults` and in
-//! `guarantees_hold_with_garbled_responses_and_a_loss_of_power`. In that test and in
+//! the number of gateways in that test, in those of the return of a whole site, in
+//! `guarantees_hold_under_faults` and in `guarantees_hold_with_garbled_responses_and_a_loss_of_power`. In that test and in
 //! `service_returns_after_losses_of_all_power_and_of_table_writes`, `GORSEBANK_SOAK_CALLERS` sets the number
 //! of callers, and `GORSEBANK_SOAK_SCARCE` gives most gateways the processor time of a small machine.
 //! `GORSEBANK_SOAK_REPORT` names a folder for reports and for the logs of the gateway processes.
@@ -18,6 +18,7 @@
 #[path = "../../../../platform/tests/support/mod.rs"]
 mod platform;
 
+mod arrivals;
 mod callers;
 mod cpu_quota;
 mod gateways;
@@ -34,7 +35,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-use plan::{draw_faults, draw_harsh_return, draw_power_losses};
+use plan::{SiteReturn, draw_faults, draw_harsh_return, draw_power_losses};
 use report::Report;
 use run::{ExtraFaults, RunOptions};
 use service_return::summarize_return;
@@ -45,6 +46,12 @@
 const BUSY_STORE_SEEDS: Range<u64> = 1..2;
 /// Seeds that run by default beside rows of previous back ends.
 const PREVIOUS_ROWS_SEEDS: Range<u64> = 1..3;
+/// Seeds that run by default with the return of a whole site.
+const SITE_RETURN_SEEDS: Range<u64> = 1..2;
+/// Time for which the rows of previous engines stay beside those of the new ones.
+const PREVIOUS_ROWS_LIFETIME: Duration = Duration::from_secs(60);
+/// Default number of gateways in the return of a whole site.
+const SITE_GATEWAYS: u64 = 24;
 /// Seeds that exposed a fault; the list does not depend on the environment.
 const REGRESSION_SEEDS: [u64; 1] = [557];
 /// Default period in which faults are injected, in seconds.
@@ -187,6 +194,33 @@
     .await;
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn hot_models_return_in_time_after_a_loss_of_all_disks() {
+    check_site_return(SiteReturn {
+        keeps_disks: false,
+        previous_rows: None,
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn hot_models_return_in_time_beside_rows_of_previous_engines() {
+    check_site_return(SiteReturn {
+        keeps_disks: true,
+        previous_rows: Some(PREVIOUS_ROWS_LIFETIME),
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn hot_models_return_in_time_without_disks_beside_rows_of_previous_engines() {
+    check_site_return(SiteReturn {
+        keeps_disks: false,
+        previous_rows: Some(PREVIOUS_ROWS_LIFETIME),
+    })
+    .await;
+}
+
 /// Guards against orders that a previous placement holder sends after those of a newer holder. The
 /// previous holder was asked to stop while the table lost responses. The table had applied the
 /// release of its lease, but the holder did not receive the response and went on sending orders. In
@@ -281,6 +315,42 @@
     );
 }
 
+/// Held while a whole site runs, of which the machine bears one.
+static SITE_RUN: tokio::sync::Mutex<()> = tokio::sync::Mutex::const_new(());
+
+/// Runs the return of a site and fails if any guarantee was violated.
+async fn check_site_return(conditions: SiteReturn) {
+    let _site_run = SITE_RUN.lock().await;
+    let seconds = env_number("GORSEBANK_SOAK_SECONDS").unwrap_or(SECONDS_BEFORE_POWER_LOSS);
+    let gateways = env_number("GORSEBANK_SOAK_GATEWAYS").unwrap_or(SITE_GATEWAYS);
+    for seed in selected_seeds_or(SITE_RETURN_SEEDS) {
+        let folder = std::env::var_os("GORSEBANK_SOAK_REPORT").map(PathBuf::from);
+        let log_folder = folder.map(|folder| folder.join(format!("site-{seed}-{conditions:?}")));
+        let history = run::execute_site_return(
+            RunOptions {
+                seed,
+                length: Duration::from_secs(seconds),
+                gateways: gateways.clamp(1, MAX_GATEWAYS) as usize,
+                extra_faults: ExtraFaults::PowerLossOfSite,
+                has_scarce_machines: std::env::var_os("GORSEBANK_SOAK_SCARCE").is_some(),
+                callers: 0,
+                log_folder,
+            },
+            conditions,
+        )
+        .await;
+        let findings = guarantees::check_guarantees(&history);
+        println!(
+            "seed {seed}, {conditions:?}: {} tries",
+            history.requests.len()
+        );
+        if let Some(power_return) = history.power_return {
+            println!("  {}", summarize_return(&history, power_return));
+        }
+        assert!(findings.is_empty(), "seed {seed}: {findings:#?}");
+    }
+}
+
 /// Returns the period in which faults are injected: `GORSEBANK_SOAK_SECONDS`, or `DEFAULT_SECONDS`.
 /// Regression seeds ignore the variable.
 fn run_length() -> Duration {
--- a/crates/gorsebank/tests/soak/plan.rs
+++ b/crates/gorsebank/tests/soak/plan.rs
@@ -181,6 +181,16 @@
     pub gateways_outlast: Duration,
 }
 
+/// How a site returns after a loss of all power.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SiteReturn {
+    /// Whether engines still have the copies of weights on their disks.
+    pub keeps_disks: bool,
+    /// Time for which the rows of the previous back ends stay beside those of back ends under new
+    /// names; `None` if back ends return under their names.
+    pub previous_rows: Option<Duration>,
+}
+
 /// What the table contains when power returns.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum TableReturn {
--- a/crates/gorsebank/tests/soak/run.rs
+++ b/crates/gorsebank/tests/soak/run.rs
@@ -5,6 +5,7 @@
 mod observations;
 mod power_loss;
 mod power_return;
+mod site_return;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::path::PathBuf;
@@ -36,6 +37,7 @@
 use super::platform::{configuration, configuration_with_prefix, server_row};
 use behaviour::{Conditions, reply_to};
 pub use power_return::execute_power_losses;
+pub use site_return::execute_site_return;
 
 /// Number of back ends of each service.
 const BACK_ENDS_PER_SERVICE: usize = 3;
@@ -134,6 +136,8 @@
     /// All machines lose power as in `PowerLosses`; back ends return under new names and at other
     /// addresses, and the rows of the previous ones stay.
     PowerLossesUnderNewNames,
+    /// All machines of a whole site lose power once.
+    PowerLossOfSite,
 }
 
 impl ExtraFaults {
@@ -145,6 +149,7 @@
                 | ExtraFaults::HarshPowerLosses
                 | ExtraFaults::PowerLossesWithBusyStore
                 | ExtraFaults::PowerLossesUnderNewNames
+                | ExtraFaults::PowerLossOfSite
         )
     }
 }
@@ -224,7 +229,8 @@
         | ExtraFaults::PowerLosses
         | ExtraFaults::HarshPowerLosses
         | ExtraFaults::PowerLossesWithBusyStore
-        | ExtraFaults::PowerLossesUnderNewNames => {}
+        | ExtraFaults::PowerLossesUnderNewNames
+        | ExtraFaults::PowerLossOfSite => {}
         ExtraFaults::Limits => {
             for limit in draw_limits(seed, length) {
                 faults.spawn(run.clone().state_limit(limit));
@@ -283,16 +289,20 @@
             run.add_back_end("app").await;
             run.add_back_end("llm").await;
         }
-        let all = (0..options.gateways).collect();
-        let not_serving = run
-            .find_gateways_not_serving(all, STARTUP_TIMEOUT, &SERVED_PATHS)
-            .await;
+        run.assert_ready(&SERVED_PATHS).await;
+        run.callers_until = run.started_at.elapsed() + options.length;
+        run
+    }
+
+    /// Waits until all gateways serve requests on these paths.
+    async fn assert_ready(&self, paths: &[&str]) {
+        let all = (0..self.slots.len()).collect();
+        let not_serving = self.find_gateways_not_serving(all, STARTUP_TIMEOUT, paths);
+        let not_serving = not_serving.await;
         assert!(
             not_serving.is_empty(),
             "gateways do not become ready: {not_serving:?}"
         );
-        run.callers_until = run.started_at.elapsed() + options.length;
-        run
     }
 
     /// Starts the table with a configuration, and the gateways.
--- a/crates/gorsebank/tests/soak/run/power_return.rs
+++ b/crates/gorsebank/tests/soak/run/power_return.rs
@@ -58,7 +58,7 @@
 /// Every caller whose number is a multiple of this repeats refused requests at once in a harsh run.
 const IMPATIENT_INTERVAL: usize = 3;
 /// Number of tenants.
-const TENANTS: usize = 4;
+pub(super) const TENANTS: usize = 4;
 /// Number of rows on a page of the table in a harsh run, where calls may take long.
 const HARSH_PAGE_ROWS: usize = 100;
 /// The tenant whose key may be revoked.
@@ -68,7 +68,7 @@
 /// Quota of each tenant, in tokens per second. Requests of its callers cost a small part of it.
 const TOKENS_PER_SECOND: f64 = 20_000.0;
 /// Durations of loads.
-const LOAD_TIMES: LoadTimes = LoadTimes {
+pub(super) const LOAD_TIMES: LoadTimes = LoadTimes {
     store: Duration::from_millis(10_200),
     disk: Duration::from_millis(1_000),
 };
@@ -79,7 +79,7 @@
 /// Every engine whose index is a multiple of this number does not respond to orders then.
 const UNANSWERED_INTERVAL: usize = 3;
 /// Period after the bound in which requests are counted.
-const COUNTED_TIME: Duration = Duration::from_secs(6);
+pub(super) const COUNTED_TIME: Duration = Duration::from_secs(6);
 
 /// Runs the losses of power of a seed and returns what was observed.
 pub async fn execute_power_losses(options: RunOptions) -> History {
@@ -170,23 +170,26 @@
     }
 }
 
-fn api_key(tenant: usize) -> String {
+pub(super) fn api_key(tenant: usize) -> String {
     format!("key-{tenant}")
 }
 
-fn model_name(number: usize) -> String {
+pub(super) fn model_name(number: usize) -> String {
     format!("m{number}")
 }
 
 /// Returns the configuration with models that load slowly, and with this number of tenants.
-fn configuration_with_loads(tenants: usize, adapters: usize, deployment: Deployment) -> Value {
-    let models = deployment.models();
+pub(super) fn configuration_with_loads(
+    tenants: usize,
+    adapters: usize,
+    models: &[String],
+) -> Value {
     let tenants = (0..tenants).map(|tenant| {
         let name = format!("tenant-{tenant}");
         tenant_with_quota(&name, &api_key(tenant), TOKENS_PER_SECOND)
     });
     let prober = tenant("prober", super::PROBE_KEY);
-    let mut document = configuration_with_models(&models, LOAD_TIMES, adapters);
+    let mut document = configuration_with_models(models, LOAD_TIMES, adapters);
     set_tenants(&mut document, tenants.chain([prober]));
     document
 }
@@ -196,7 +199,7 @@
         let is_harsh = options.extra_faults == ExtraFaults::HarshPowerLosses;
         let adapters = if is_harsh { ADAPTERS } else { 0 };
         let deployment = Deployment::of(options.extra_faults);
-        let configuration = configuration_with_loads(TENANTS, adapters, deployment);
+        let configuration = configuration_with_loads(TENANTS, adapters, &deployment.models());
         let mut run = Run::start_gateways(options, configuration).await;
         let weight_store = deployment.full_speed_loads.map(WeightStore::new);
         run.weight_store = weight_store.map(|store| Arc::new(Mutex::new(store)));
@@ -220,19 +223,12 @@
             engine.runner.set_models(held);
             run.put_row(&engine, "ready");
         }
-        let all = (0..options.gateways).collect();
-        let not_serving = run
-            .find_gateways_not_serving(all, super::STARTUP_TIMEOUT, &["/read/"])
-            .await;
-        assert!(
-            not_serving.is_empty(),
-            "gateways do not become ready: {not_serving:?}"
-        );
+        run.assert_ready(&["/read/"]).await;
         run
     }
 
     /// Writes the rows of engines whenever their models change.
-    async fn maintain_engine_rows(self: Arc<Self>) {
+    pub(super) async fn maintain_engine_rows(self: Arc<Self>) {
         loop {
             sleep(ROW_INTERVAL).await;
             if self.store.inner.is_unavailable.load(Ordering::Relaxed) {
@@ -278,7 +274,8 @@
     fn revoke_key(&self) {
         let mut version = self.configuration_version.lock();
         *version += 1;
-        let mut document = configuration_with_loads(REVOKED_TENANT, ADAPTERS, SMALL_DEPLOYMENT);
+        let mut document =
+            configuration_with_loads(REVOKED_TENANT, ADAPTERS, &SMALL_DEPLOYMENT.models());
         document["version"] = json!(*version);
         self.store.put("op", "config", document);
     }
@@ -286,7 +283,7 @@
     /// All machines lose power, which then returns. If the table has lost writes, it continues from an
     /// `older` copy, and the operator and the back ends write their rows again. From then on, a call
     /// occupies the table for `table_call_time`.
-    async fn lose_and_return_power(
+    pub(super) async fn lose_and_return_power(
         self: &Arc<Self>,
         loss: PowerLoss,
         older: Option<&StoreCopy>,
@@ -313,6 +310,7 @@
         let power_return = PowerReturn {
             at: self.started_at.elapsed(),
             has_disks: loss.keeps_disks,
+            bounds_first_model: false,
         };
         for index in 0..self.slots.len() {
             if loss.has_absent_gateways && index.is_multiple_of(ABSENT_INTERVAL) {
--- a/crates/gorsebank/tests/soak/service_return.rs
+++ b/crates/gorsebank/tests/soak/service_return.rs
@@ -59,7 +59,29 @@
             service.served, service.sent
         ),
     };
-    too_few.map(to_finding).collect()
+    let first_model = power_return
+        .bounds_first_model
+        .then(|| check_first_model(history, power_return));
+    too_few
+        .map(to_finding)
+        .chain(first_model.flatten())
+        .collect()
+}
+
+/// Checks that a model serves within the bound after the return of power.
+fn check_first_model(history: &History, power_return: PowerReturn) -> Option<Finding> {
+    let served = history.requests.iter().filter(|request| {
+        request.sent_at > power_return.at && request.kind.needs_model() && request.is_served()
+    });
+    let first = served
+        .map(|request| request.ended_at - power_return.at)
+        .min();
+    println!("  first response of a model after {first:?}");
+    let is_late = first.is_none_or(|first| first > RETURN_BOUND);
+    is_late.then(|| Finding {
+        guarantee: Guarantee::Return,
+        details: format!("the first response of a model came after {first:?}"),
+    })
 }
 
 /// Describes the served fraction of requests for models and of other requests for each period since
