Tests: engines of a whole site answer each route for models with a stream

The engines of the site's return answered the restock route without a stream, which gateways rightly took for lost connections: 0.30 of the requests for models could not be served.

--- a/crates/gorsebank/tests/soak/run/behaviour.rs
+++ b/crates/gorsebank/tests/soak/run/behaviour.rs
@@ -10,6 +10,8 @@
 use crate::platform::runner::{ENDLESS_RESPONSES, ReceivedRequest, Reply, StreamEnd};
 use crate::statements::REQUESTED_PAUSE_SECONDS_TEXT;
 
+/// Paths of the routes of streams.
+const STREAM_PATHS: [&str; 3] = ["/stream/", "/resumable/", "/restock/"];
 /// Time between two events of a stream, and before the first event.
 const EVENT_GAP: Duration = Duration::from_millis(20);
 /// Time between two events at a slow back end, and delay of its other responses.
@@ -48,7 +50,8 @@
 }
 
 fn is_stream(seen: &ReceivedRequest) -> bool {
-    seen.request_line.contains("/stream/") || seen.request_line.contains("/resumable/")
+    let line = &seen.request_line;
+    STREAM_PATHS.iter().any(|path| line.contains(path))
 }
 
 /// Returns the reply of a back end to a request.
