Placement: first long loads are as few as return in time, and unconfirmed windows do not last

Callers saw models return 17 to 18 s after all machines, at a site whose rule is 15 s. Cause: with nothing known of a weight store, 35 s / 10.2 s let three loads begin at once; a store that bears two makes them 15.3 s each, and loads cannot be cancelled. A later holder took the window over with its record whether or not any load had confirmed it, and after the first pair at full speed the window grew fourfold, to eight loads of 41 s.

Long loads now begin with 25 s / duration (two of 10.2 s, one of 13.2 s), widen by half a load at a time, and the record says which number of loads has run at full speed: a new holder takes over no more than that, nor less than the first window. Records of earlier builds are read as before.

Three tests had the old window of two loads of 13.2 s: the first window is one now (stricter bound in a_first_load_is_complete_before_many_others_begin); the choice of m1 and m2 before a replica is checked over 25 s instead of 3 s, since they follow one another; the cases of records are kept and four added.

--- a/crates/fleet/src/placement/load_concurrency.rs
+++ b/crates/fleet/src/placement/load_concurrency.rs
@@ -26,15 +26,17 @@
 /// limit (standard error 0.004), and by 0.007 compared to an initial estimate of 8 (standard error
 /// 0.0045).
 const INITIAL_MAX_LOADS: f64 = 8.0;
-/// Bound on the number of the first concurrent loads times the duration of one: the time that they
-/// take together from a store that performs only one at full speed. Loads cannot be cancelled, and
-/// nothing is known about the store until one has ended.
-const MAX_INITIAL_WINDOW_DURATION: Duration = Duration::from_secs(35);
+/// Bound on the number of the first concurrent long loads times the duration of one: the time that
+/// they take together from a store that performs only one at full speed. Loads cannot be cancelled,
+/// nothing is known about the store until one has ended, and callers of a model that returns later
+/// than this have given up.
+const MAX_INITIAL_WINDOW_DURATION: Duration = Duration::from_secs(25);
 /// Factor by which a load at full speed that filled the window widens it, until the first slow
 /// load. A store for a hundred engines performs more than eighty loads at full speed.
 const INITIAL_GROWTH_FACTOR: f64 = 4.0;
 /// Number of loads by which a load at full speed that filled the window widens it after the first
-/// slow load.
+/// slow load, and from the beginning where loads are long: a window that is too wide by a few loads
+/// then delays all of them beyond their callers' deadlines.
 const GROWTH_LOADS: f64 = 0.5;
 /// A load is slow if it takes more than this multiple of its duration without other loads.
 const SLOW_LOAD_RATIO: f64 = 1.25;
@@ -60,6 +62,10 @@
     /// Whether any load was slow because of too many concurrent loads.
     #[serde(rename = "has_been_slow")]
     pub has_been_saturated: bool,
+    /// Largest number of concurrent loads of which one has run at full speed; `None` in records of
+    /// builds that do not store it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub confirmed_loads: Option<usize>,
 }
 
 impl Default for LoadConcurrencyEstimate {
@@ -67,6 +73,7 @@
         LoadConcurrencyEstimate {
             max_loads: INITIAL_MAX_LOADS,
             has_been_saturated: false,
+            confirmed_loads: Some(0),
         }
     }
 }
@@ -81,6 +88,20 @@
             ..LoadConcurrencyEstimate::default()
         }
     }
+
+    /// The estimate without the part that no load has confirmed, but not below the initial one.
+    pub fn confirmed(self, initial: Self) -> Self {
+        let is_unchanged = !self.has_been_saturated && self.max_loads == INITIAL_MAX_LOADS;
+        let confirmed = match self.confirmed_loads {
+            Some(loads) => loads as f64,
+            None if is_unchanged => 0.0,
+            None => self.max_loads,
+        };
+        LoadConcurrencyEstimate {
+            max_loads: self.max_loads.min(confirmed.max(initial.max_loads)),
+            ..self
+        }
+    }
 }
 
 /// The loads in progress and the estimated limit on their number.
@@ -92,6 +113,8 @@
     /// that was observed.
     full_speed: (usize, Timestamp),
     ended_loads: Vec<EndedLoad>,
+    /// Whether loads outlast the callers of the service.
+    has_long_loads: bool,
 }
 
 /// A load from the weight store that has ended.
@@ -139,8 +162,9 @@
 }
 
 impl LoadConcurrency {
-    /// Creates a window without loads. `estimate` is the one of a previous holder.
-    pub fn new(estimate: LoadConcurrencyEstimate) -> Self {
+    /// Creates a window without loads. `estimate` is the one of a previous holder, and `has_long_loads`
+    /// tells whether loads outlast the callers of the service.
+    pub fn new(estimate: LoadConcurrencyEstimate, has_long_loads: bool) -> Self {
         // The value comes from a stored row, which may contain any number.
         let max_loads = estimate.max_loads.max(1.0);
         LoadConcurrency {
@@ -151,6 +175,7 @@
             active_loads: BTreeMap::new(),
             full_speed: (0, Timestamp(0)),
             ended_loads: Vec::new(),
+            has_long_loads,
         }
     }
 
@@ -283,6 +308,8 @@
         if !is_within_full_speed || concurrent_loads == full_speed_loads {
             self.full_speed = (concurrent_loads, now);
         }
+        let confirmed_loads = self.estimate.confirmed_loads;
+        self.estimate.confirmed_loads = confirmed_loads.map(|loads| loads.max(concurrent_loads));
         if concurrent_loads >= self.max_loads() {
             self.increase();
         }
@@ -294,12 +321,14 @@
         estimate.has_been_saturated = true;
         let at_full_speed = at_full_speed.clamp(1.0, estimate.max_loads);
         estimate.max_loads += (at_full_speed - estimate.max_loads) * SLOW_LOAD_WEIGHT;
+        let max_loads = estimate.max_loads as usize;
+        estimate.confirmed_loads = estimate.confirmed_loads.map(|loads| loads.min(max_loads));
     }
 
     /// Raises the estimate after a load that filled the window ran at full speed.
     fn increase(&mut self) {
         let estimate = &mut self.estimate;
-        if estimate.has_been_saturated {
+        if estimate.has_been_saturated || self.has_long_loads {
             estimate.max_loads += GROWTH_LOADS;
         } else {
             estimate.max_loads *= INITIAL_GROWTH_FACTOR;
--- a/crates/fleet/src/placement/mod.rs
+++ b/crates/fleet/src/placement/mod.rs
@@ -322,7 +322,8 @@
         let store = self.stores.entry(service.clone()).or_insert_with(|| {
             let previous = self.previous_records.remove(service);
             let record = StoreRecord::for_next_holder(previous, spec, has_long_loads);
-            let mut store = WeightStore::new(self.started_at, self.rate_limit, &record);
+            let mut store =
+                WeightStore::new(self.started_at, self.rate_limit, &record, has_long_loads);
             // A load without a matching start time may belong to a previous incarnation, and so may
             // that of an engine that is not in discovery.
             let is_present_incarnation = |id: &BackEndId, born: Option<Born>| {
--- a/crates/fleet/src/placement/weight_store.rs
+++ b/crates/fleet/src/placement/weight_store.rs
@@ -37,18 +37,16 @@
 }
 
 impl StoreRecord {
-    /// The record that a holder starts with, given the one of previous holders. An estimate there
-    /// that equals the default may be one that no load has confirmed, of a build whose first
-    /// estimate does not depend on the duration of loads; so the initial estimate replaces it.
+    /// The record that a holder starts with, given the one of previous holders. Where loads are long,
+    /// the holder takes over only as much of the estimate as loads have confirmed: it may start right
+    /// after all engines have lost their models.
     pub fn for_next_holder(previous: Option<Self>, spec: &Engine, has_long_loads: bool) -> Self {
         let initial = StoreRecord::initial(spec, has_long_loads);
         match previous {
-            Some(previous) if previous.concurrency == LoadConcurrencyEstimate::default() => {
-                StoreRecord {
-                    concurrency: initial.concurrency,
-                    ..previous
-                }
-            }
+            Some(previous) if has_long_loads => StoreRecord {
+                concurrency: previous.concurrency.confirmed(initial.concurrency),
+                ..previous
+            },
             Some(previous) => previous,
             None => initial,
         }
@@ -78,10 +76,16 @@
 
 impl WeightStore {
     /// Creates the state for a holder that starts at `now`, from the record of previous holders.
-    pub fn new(now: Timestamp, rate_limit: LoadRateLimit, previous: &StoreRecord) -> Self {
+    /// `has_long_loads` tells whether loads outlast the callers of the service.
+    pub fn new(
+        now: Timestamp,
+        rate_limit: LoadRateLimit,
+        previous: &StoreRecord,
+        has_long_loads: bool,
+    ) -> Self {
         WeightStore {
             rate_limiter: LoadRateLimiter::new(now, rate_limit, &previous.recent),
-            concurrency: LoadConcurrency::new(previous.concurrency),
+            concurrency: LoadConcurrency::new(previous.concurrency, has_long_loads),
             crashes: LoadCrashes::new(now, &previous.load_crashes),
         }
     }
--- a/crates/fleet/tests/load_window.rs
+++ b/crates/fleet/tests/load_window.rs
@@ -30,7 +30,7 @@
     fn new(full_speed: usize) -> Self {
         Store {
             full_speed,
-            window: LoadConcurrency::new(LoadConcurrencyEstimate::default()),
+            window: LoadConcurrency::new(LoadConcurrencyEstimate::default(), false),
             under_way: Vec::new(),
             started_count: 0,
             max_under_way: 0,
@@ -108,7 +108,7 @@
 
 #[test]
 fn a_slow_engine_does_not_lower_the_estimate() {
-    let mut window = LoadConcurrency::new(LoadConcurrencyEstimate::default());
+    let mut window = LoadConcurrency::new(LoadConcurrencyEstimate::default(), false);
     record_loads(&mut window, 0, 0..8, 4_000);
     let before = window.estimate();
     record_loads(&mut window, 10_000, 10..16, 7_000);
@@ -129,8 +129,9 @@
     let limit = LoadConcurrencyEstimate {
         max_loads: 1.0,
         has_been_saturated: true,
+        confirmed_loads: None,
     };
-    let mut window = LoadConcurrency::new(limit);
+    let mut window = LoadConcurrency::new(limit, false);
     window.record_order(Timestamp(0), &engine(0), 4, SINGLE_LOAD_TIME);
     assert!(!window.allows(Timestamp(5_000), 0));
     window.record_idle(Timestamp(100), &engine(0), 4);
@@ -148,7 +149,7 @@
 
 #[test]
 fn an_order_without_a_response_counts_and_leaves_the_estimate_unchanged() {
-    let mut window = LoadConcurrency::new(LoadConcurrencyEstimate::default());
+    let mut window = LoadConcurrency::new(LoadConcurrencyEstimate::default(), false);
     let before = window.estimate();
     for number in 0..8 {
         window.record_order(Timestamp(0), &engine(number), 0, SINGLE_LOAD_TIME);
@@ -172,7 +173,7 @@
 
 #[test]
 fn loads_of_removed_or_silent_engines_stop_counting() {
-    let mut window = LoadConcurrency::new(LoadConcurrencyEstimate::default());
+    let mut window = LoadConcurrency::new(LoadConcurrencyEstimate::default(), false);
     for number in 0..8 {
         window.record_order(Timestamp(0), &engine(number), 0, SINGLE_LOAD_TIME);
     }
@@ -188,8 +189,9 @@
     let limit = LoadConcurrencyEstimate {
         max_loads: 2.0,
         has_been_saturated: true,
+        confirmed_loads: None,
     };
-    let mut window = LoadConcurrency::new(limit);
+    let mut window = LoadConcurrency::new(limit, false);
     window.restore(Timestamp(0), &engine(0));
     window.restore(Timestamp(0), &engine(1));
     assert!(!window.allows(Timestamp(5_000), 0));
@@ -200,10 +202,12 @@
 #[test]
 fn an_invalid_stored_estimate_permits_one_load() {
     for max_loads in [0.0, -3.0, f64::NAN] {
-        let mut window = LoadConcurrency::new(LoadConcurrencyEstimate {
+        let estimate = LoadConcurrencyEstimate {
             max_loads,
             has_been_saturated: true,
-        });
+            confirmed_loads: None,
+        };
+        let mut window = LoadConcurrency::new(estimate, false);
         assert!(window.allows(Timestamp(0), 0), "{max_loads}");
         record_loads(&mut window, 0, 0..1, 30_000);
         assert!(window.allows(Timestamp(40_000), 0), "{max_loads}");
--- a/crates/fleet/tests/long_loads.rs
+++ b/crates/fleet/tests/long_loads.rs
@@ -14,7 +14,7 @@
 /// Milliseconds within which the first load of a model that is in demand must be complete.
 const FIRST_LOAD_BOUND_MS: u64 = 30_000;
 /// Loads of that duration that may begin before the first of them is complete.
-const FIRST_WINDOW: usize = 2;
+const FIRST_WINDOW: usize = 1;
 
 /// Returns engines that hold `m0` only, and a weight store that performs one load at full speed.
 fn engines_with_a_slow_store(count: usize) -> Simulation {
@@ -93,7 +93,7 @@
 
 #[test]
 fn the_first_window_of_loads_is_narrow_only_where_loads_outlast_callers() {
-    for ((load_ms, timeout_ms), window) in [(SHORT_LOADS, 8.0), (LONG_LOADS, 2.0)] {
+    for ((load_ms, timeout_ms), window) in [(SHORT_LOADS, 8.0), (LONG_LOADS, 1.0)] {
         let mut simulation = Simulation::new(1, &["m0"]);
         simulation.set_load_time_and_timeout(load_ms, timeout_ms);
         simulation.run_iteration(0, &[]);
@@ -104,19 +104,24 @@
 }
 
 #[test]
-fn only_a_window_equal_to_the_default_is_replaced_by_the_first_one() {
+fn a_new_holder_takes_over_only_what_loads_have_confirmed_of_a_window() {
     let cases = [
-        (LONG_LOADS, 8.0, false, 2.0),
-        (LONG_LOADS, 8.0, true, 8.0),
-        (LONG_LOADS, 32.0, false, 32.0),
-        (LONG_LOADS, 1.5, true, 1.5),
-        (SHORT_LOADS, 8.0, false, 8.0),
+        (LONG_LOADS, 8.0, false, None, 1.0),
+        (LONG_LOADS, 8.0, true, None, 8.0),
+        (LONG_LOADS, 32.0, false, None, 32.0),
+        (LONG_LOADS, 1.5, true, None, 1.5),
+        (LONG_LOADS, 3.0, false, Some(0), 1.0),
+        (LONG_LOADS, 3.3, true, Some(2), 2.0),
+        (LONG_LOADS, 32.0, false, Some(8), 8.0),
+        (SHORT_LOADS, 8.0, false, None, 8.0),
+        (SHORT_LOADS, 32.0, false, Some(8), 32.0),
     ];
-    for ((load_ms, timeout_ms), max_loads, has_been_saturated, expected) in cases {
+    for ((load_ms, timeout_ms), max_loads, has_been_saturated, confirmed_loads, expected) in cases {
         let record = StoreRecord {
             concurrency: LoadConcurrencyEstimate {
                 max_loads,
                 has_been_saturated,
+                confirmed_loads,
             },
             ..StoreRecord::default()
         };
@@ -205,7 +210,7 @@
     simulation.engines[0].models_in_memory = vec!["m0".into()];
     let rows = vec![demand(&[("m0", 4.0, 0), ("m1", 3.0, 1), ("m2", 3.0, 1)])];
     let mut chosen = Vec::new();
-    for now in (0..3_000).step_by(50) {
+    for now in (0..2 * STORE_LOAD_MS - 1_000).step_by(50) {
         simulation.run_iteration(now, &rows);
         let loads = simulation.planner.chosen_loads().iter();
         chosen.extend(loads.map(|load| load.model.to_string()));
