Placement: first loads wait until the models in demand are known, whatever rows name

Callers saw models return 17 s after all machines beside rows of previous engines, since the first loads, which cannot be cancelled, were of models that one or two requests had asked for. Cause: a new holder waited for demand only if no row named any model; rows of engines that were gone ended that wait, and their models, the hot ones, counted as loaded until requests had failed there.

Test hot_models_return_in_time_without_disks_beside_rows_of_previous_engines failed: 171 of 921 tries served, first response 17.0 s (24 gateways), 389 of 2,463 and 17.4 s (70).

While an engine of a service with long loads lacks all models, loads from the store now wait until 100 requests are known and the engines that are thought to hold models in demand have responded or not, 1.5 s at most (as before where no engine had any model; a warm holder has both at once). The wait is part of the planner and no longer holds back polls, orders and loads of copies.

engines_lack_all_models_only_where_nothing_is_held_or_copied tested the removed predicate; its cases are in the new table, with the wait itself. loads_that_a_loss_of_power_ended_do_not_delay_others has demand that is known at once (4 requests a second instead of 1), since the planner now contains the wait that its caller had; its bound is unchanged.

--- a/crates/fleet/src/placement/engine/mod.rs
+++ b/crates/fleet/src/placement/engine/mod.rs
@@ -246,6 +246,11 @@
         }
     }
 
+    /// Schedules a poll of the engine before any other action.
+    pub fn schedule_poll(&mut self) {
+        self.needs_poll = true;
+    }
+
     /// Whether the model is the goal of this engine and is not late.
     pub fn expects(&self, now: Timestamp, model: &ModelId) -> bool {
         let goal = self.goal.as_ref().filter(|goal| goal.model == *model);
--- a/crates/fleet/src/placement/load_selection.rs
+++ b/crates/fleet/src/placement/load_selection.rs
@@ -102,6 +102,13 @@
         /// Number of loads that the weight store performs at full speed.
         max_loads: usize,
     },
+    /// The models in most demand are not known yet, and an engine lacks all models.
+    DemandUnknown {
+        /// Number of recent requests for any model of the service.
+        observed_requests: u64,
+        /// Number of engines that are thought to hold models in demand and have not responded yet.
+        unverified_engines: usize,
+    },
     /// Engines exited during loads of the model, and no load of it has completed since.
     EndsEngines,
     /// No engine is free to accept an order.
@@ -198,6 +205,8 @@
     pub totals: &'a DemandTotals,
     pub forecast: &'a Forecast,
     pub store: &'a WeightStore,
+    /// What keeps all loads from the weight store from being chosen.
+    pub store_obstacle: Option<Obstacle>,
 }
 
 /// The inputs of a plan with what is computed from them once.
@@ -208,6 +217,7 @@
     totals: &'a DemandTotals,
     forecast: &'a Forecast,
     store: &'a WeightStore,
+    store_obstacle: Option<Obstacle>,
     replicas: Replicas,
 }
 
@@ -223,6 +233,7 @@
         totals: inputs.totals,
         forecast: inputs.forecast,
         store: inputs.store,
+        store_obstacle: inputs.store_obstacle,
     };
     let mut decisions = LoadDecisions::default();
     let mut store_check = context.check_store_limits(engines);
@@ -259,6 +270,9 @@
     /// Checks whether the limits of the weight store admit another load besides the goals that will
     /// load from it.
     fn check_store_limits(&self, engines: &[&mut EngineState]) -> Result<(), Obstacle> {
+        if let Some(obstacle) = self.store_obstacle {
+            return Err(obstacle);
+        }
         let reserved = engines
             .iter()
             .filter(|engine| engine.will_load_from_store());
--- a/crates/fleet/src/placement/mod.rs
+++ b/crates/fleet/src/placement/mod.rs
@@ -11,6 +11,7 @@
 
 mod adapters;
 mod engine;
+mod first_loads;
 mod forecast;
 mod goal;
 mod load_concurrency;
@@ -32,6 +33,7 @@
 use crate::incarnation::{Born, IncarnationMatch};
 
 use engine::{EngineState, PossibleOrders};
+use first_loads::FirstLoads;
 use forecast::Forecast;
 pub use load_concurrency::{EndedLoad, LoadConcurrency, LoadConcurrencyEstimate};
 pub use load_crashes::LoadCrashRecord;
@@ -102,6 +104,7 @@
 pub struct Planner {
     engines: BTreeMap<BackEndId, EngineState>,
     stores: BTreeMap<ServiceId, WeightStore>,
+    first_loads: BTreeMap<ServiceId, FirstLoads>,
     rate_limit: LoadRateLimit,
     previous_records: StoreRecords,
     /// Orders to engines that are not in discovery.
@@ -344,6 +347,12 @@
             store
         });
         let forecast = Forecast::new(spec, totals);
+        let store_obstacle = if has_long_loads {
+            let first_loads = self.first_loads.entry(service.clone()).or_default();
+            first_loads.obstacle(now, totals, &mut engines)
+        } else {
+            None
+        };
         let inputs = PlanInputs {
             now,
             spec,
@@ -351,6 +360,7 @@
             totals,
             forecast: &forecast,
             store,
+            store_obstacle,
         };
         let decisions = load_selection::set_goals(inputs, &mut engines);
         self.decisions.chosen.extend(decisions.chosen);
@@ -366,19 +376,6 @@
         }
     }
 
-    /// Whether a service's engines hold no model and have no copy of one, and loads from the weight
-    /// store outlast its callers.
-    pub fn lacks_all_models(&self, configuration: &Configuration) -> bool {
-        let is_lacking = |service: &ServiceId| {
-            let engines = self.engines.values();
-            let mut engines = engines.filter(|engine| engine.serves(service)).peekable();
-            engines.peek().is_some() && engines.all(EngineState::has_no_models)
-        };
-        configuration.engine_services().any(|(service, _)| {
-            configuration.longest_load_outlasts_callers(service) && is_lacking(service)
-        })
-    }
-
     /// Returns the loads from weight stores that have ended since the last call, by service.
     pub fn take_ended_loads(&mut self) -> Vec<(ServiceId, EndedLoad)> {
         let stores = self.stores.iter_mut();
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -18,7 +18,7 @@
 use gorsebank_fleet::placement::{
     Action, ActionKind, OrderKind, OrderResult, Planner, StoreRecords,
 };
-use gorsebank_fleet::{Born, Configuration, EngineReport, Incarnation, LeaseKeeper, PlacedRow};
+use gorsebank_fleet::{Born, EngineReport, Incarnation, LeaseKeeper, PlacedRow};
 use gorsebank_world::BackEndId;
 use parking_lot::Mutex;
 use tokio::sync::{mpsc, watch};
@@ -50,10 +50,6 @@
 const REPORTING_GATEWAY_FRACTION: f64 = 0.8;
 /// Maximum time that a new holder waits for the demand of gateways before its first plan.
 const MAX_DEMAND_WAIT: Duration = Duration::from_millis(1_000);
-/// Time for which a holder observes demand before its first loads if no engine has any model. Few
-/// loads run at the same time and each takes long, so the first ones should be of the models in most
-/// demand.
-const FIRST_LOADS_WAIT: Duration = Duration::from_millis(1_500);
 /// Maximum interval between two checks for how many gateways have sent their demand.
 const DEMAND_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// The completion of an asynchronous operation of the placement loop.
@@ -94,8 +90,6 @@
     is_write_in_progress: bool,
     /// The start of the last write.
     last_write_at: Option<Instant>,
-    /// When this holder first found that no engine has any model.
-    lacks_models_since: Option<Instant>,
     log: PlacementLog,
     completions: mpsc::UnboundedReceiver<Completion>,
     completion_sender: mpsc::UnboundedSender<Completion>,
@@ -119,7 +113,6 @@
             waiting_actions: BTreeMap::new(),
             is_write_in_progress: false,
             last_write_at: None,
-            lacks_models_since: None,
             log: PlacementLog::default(),
             completions,
             completion_sender,
@@ -329,9 +322,6 @@
             return;
         };
         self.observe();
-        if self.observes_demand_first(&configuration) {
-            return;
-        }
         let rows = self.shared.demand_rows.recent_rows(now);
         let actions = self.planner.plan(now, &configuration, &rows);
         self.log.write_deferred(now, self.planner.deferred_loads());
@@ -347,16 +337,6 @@
         }
     }
 
-    /// Whether loads wait until demand tells the models apart, since each has to be loaded from the
-    /// weight store.
-    fn observes_demand_first(&mut self, configuration: &Configuration) -> bool {
-        if !self.planner.lacks_all_models(configuration) {
-            return false;
-        }
-        let since = self.lacks_models_since.get_or_insert_with(Instant::now);
-        since.elapsed() < FIRST_LOADS_WAIT
-    }
-
     /// Queues the rows that changed, unless a row of the same engine is being written.
     fn publish(&mut self, now: Timestamp, fence: u64) {
         for (id, row) in self.planner.rows(now, fence) {
