Placement: a holder after a loss of all gateways knows the demand from before it

Callers of the hottest models waited 20 s or more instead of 12 s: the first loads after a loss of all gateways were chosen by some hundred requests, of which a model that few ask for may have as many as the second hottest.

The holder now records the 16 models in most demand with the weight store's record (some 320 bytes with each renewal of the lease, where loads are long). The next holder lets those rates decay as those of gateways do, and counts them for models that are asked for again, until the first loads are chosen. It hands them on, so a second loss soon after does not lose them. Records without demand are read as before, and builds before this one ignore it.

--- a/crates/fleet/src/demand.rs
+++ b/crates/fleet/src/demand.rs
@@ -68,8 +68,7 @@
 
 impl Rate {
     fn value_at(&self, now: Timestamp) -> f64 {
-        let age = now.since(self.updated) as f64;
-        self.value * (-age / RATE_TIME_CONSTANT_MS).exp()
+        decayed_rate(self.value, now.since(self.updated))
     }
 
     fn record_arrival(&mut self, now: Timestamp) {
@@ -249,7 +248,12 @@
     }
 }
 
+/// A rate after `age_ms` milliseconds without arrivals.
+pub(crate) fn decayed_rate(rate: f64, age_ms: u64) -> f64 {
+    rate * (-(age_ms as f64) / RATE_TIME_CONSTANT_MS).exp()
+}
+
 /// Rounds to three decimal places.
-fn round_to_thousandths(rate: f64) -> f64 {
+pub(crate) fn round_to_thousandths(rate: f64) -> f64 {
     (rate * 1_000.0).round() / 1_000.0
 }
--- a/crates/fleet/src/placement/mod.rs
+++ b/crates/fleet/src/placement/mod.rs
@@ -33,7 +33,7 @@
 use crate::incarnation::{Born, IncarnationMatch};
 
 use engine::{EngineState, PossibleOrders};
-use first_loads::FirstLoads;
+pub use first_loads::DemandRecord;
 use forecast::Forecast;
 pub use load_concurrency::{EndedLoad, LoadConcurrency, LoadConcurrencyEstimate};
 pub use load_crashes::LoadCrashRecord;
@@ -104,7 +104,6 @@
 pub struct Planner {
     engines: BTreeMap<BackEndId, EngineState>,
     stores: BTreeMap<ServiceId, WeightStore>,
-    first_loads: BTreeMap<ServiceId, FirstLoads>,
     rate_limit: LoadRateLimit,
     previous_records: StoreRecords,
     /// Orders to engines that are not in discovery.
@@ -303,7 +302,7 @@
         for (service, spec) in configuration.engine_services() {
             let totals = DemandTotals::new(service, rows);
             let has_long_loads = configuration.longest_load_outlasts_callers(service);
-            self.plan_service(now, service, spec, has_long_loads, &totals, &mut actions);
+            self.plan_service(now, service, spec, has_long_loads, totals, &mut actions);
         }
         actions
     }
@@ -314,7 +313,7 @@
         service: &ServiceId,
         spec: &Engine,
         has_long_loads: bool,
-        totals: &DemandTotals,
+        mut totals: DemandTotals,
         actions: &mut Vec<Action>,
     ) {
         let mut engines: Vec<&mut EngineState> = self
@@ -346,13 +345,9 @@
             }
             store
         });
+        let store_obstacle = store.first_loads_obstacle(now, &mut totals, &mut engines);
+        let totals = &totals;
         let forecast = Forecast::new(spec, totals);
-        let store_obstacle = if has_long_loads {
-            let first_loads = self.first_loads.entry(service.clone()).or_default();
-            first_loads.obstacle(now, totals, &mut engines)
-        } else {
-            None
-        };
         let inputs = PlanInputs {
             now,
             spec,
--- a/crates/fleet/src/placement/totals.rs
+++ b/crates/fleet/src/placement/totals.rs
@@ -44,6 +44,13 @@
         total.missing_versions.extend(missing);
     }
 
+    /// Raises the request rate of a model that has requests to at least `rate`.
+    pub fn raise_rate(&mut self, model: &ModelId, rate: f64) {
+        if let Some(demand) = self.models.get_mut(model) {
+            demand.rate = demand.rate.max(rate);
+        }
+    }
+
     /// Models with any demand, each with its total.
     pub fn models(&self) -> impl Iterator<Item = (&ModelId, &ModelDemand)> {
         self.models.iter()
--- a/crates/fleet/src/placement/weight_store.rs
+++ b/crates/fleet/src/placement/weight_store.rs
@@ -12,9 +12,12 @@
 use gorsebank_world::{BackEndId, ModelId, ServiceId};
 use serde::{Deserialize, Serialize};
 
+use super::engine::EngineState;
+use super::first_loads::{DemandRecord, FirstLoads};
 use super::load_concurrency::{EndedLoad, LoadConcurrency, LoadConcurrencyEstimate};
 use super::load_crashes::{LoadCrashRecord, LoadCrashes};
 use super::load_rate_limiter::{LoadRateLimit, LoadRateLimiter, RecentLoad};
+use super::totals::DemandTotals;
 use super::{Obstacle, OrderResult};
 use crate::back_end::EngineReport;
 use crate::configuration::Engine;
@@ -34,6 +37,9 @@
     /// Models during whose loads engines exited.
     #[serde(rename = "ended", default)]
     pub load_crashes: Vec<LoadCrashRecord>,
+    /// The models in most demand, where loads outlast the callers of the service.
+    #[serde(default, skip_serializing_if = "DemandRecord::is_empty")]
+    pub demand: DemandRecord,
 }
 
 impl StoreRecord {
@@ -72,6 +78,7 @@
     rate_limiter: LoadRateLimiter,
     concurrency: LoadConcurrency,
     crashes: LoadCrashes,
+    first_loads: Option<FirstLoads>,
 }
 
 impl WeightStore {
@@ -87,9 +94,21 @@
             rate_limiter: LoadRateLimiter::new(now, rate_limit, &previous.recent),
             concurrency: LoadConcurrency::new(previous.concurrency, has_long_loads),
             crashes: LoadCrashes::new(now, &previous.load_crashes),
+            first_loads: has_long_loads.then(|| FirstLoads::new(now, previous.demand.clone())),
         }
     }
 
+    /// What keeps the first loads from being chosen now: [`FirstLoads::obstacle`].
+    pub fn first_loads_obstacle(
+        &mut self,
+        now: Timestamp,
+        totals: &mut DemandTotals,
+        engines: &mut [&mut EngineState],
+    ) -> Option<Obstacle> {
+        let first_loads = self.first_loads.as_mut()?;
+        first_loads.obstacle(now, totals, engines)
+    }
+
     /// Checks whether another load may start besides `reserved` loads that are still to be ordered.
     pub fn check_limits(
         &self,
@@ -214,6 +233,11 @@
             recent: self.rate_limiter.recent_loads(now, born),
             concurrency: self.concurrency.estimate(),
             load_crashes: self.crashes.records(now),
+            demand: self
+                .first_loads
+                .as_ref()
+                .map(FirstLoads::demand_record)
+                .unwrap_or_default(),
         }
     }
 }
--- a/crates/fleet/tests/long_loads.rs
+++ b/crates/fleet/tests/long_loads.rs
@@ -223,6 +223,35 @@
     );
 }
 
+/// Guards against first loads by the few requests since a loss of all gateways.
+#[test]
+fn first_loads_are_of_models_that_were_in_most_demand_before_the_holder_started() {
+    let mut simulation = Simulation::new(3, &[]);
+    simulation.set_load_time_and_timeout(TWO_FIRST_LOADS.0, TWO_FIRST_LOADS.1);
+    let before = [
+        ("m0", 9.0, 0),
+        ("m1", 5.0, 0),
+        ("m2", 0.2, 0),
+        ("m3", 4.0, 0),
+    ];
+    simulation.run_iteration(0, &[demand(&before)]);
+    simulation.change_holder(0, 0);
+    simulation.restart_all();
+    // No request for m3 has returned, and m2 happens to have most.
+    let rows = [demand(&[("m0", 0.1, 1), ("m1", 0.1, 1), ("m2", 0.4, 2)])];
+    let chosen = chosen_loads(&mut simulation, &rows, 2 * FIRST_LOADS_WAIT_MS);
+    let models: Vec<&str> = chosen.iter().map(|(_, model)| model.as_str()).collect();
+    assert_eq!(models, ["m0", "m1"], "{chosen:?}");
+    let records = simulation
+        .planner
+        .store_records(Timestamp(FIRST_LOADS_WAIT_MS));
+    let kept = records[&support::service()].demand[&"m3".into()];
+    assert!(
+        (2.5..4.0).contains(&kept),
+        "{kept} of m3 for the next holder"
+    );
+}
+
 #[test]
 fn first_loads_wait_for_requests_only_where_an_engine_lacks_all_models_and_loads_are_long() {
     let empty = || SimulatedEngine::new(1, &[]);
--- a/crates/gorsebank/tests/soak/main.rs
+++ b/crates/gorsebank/tests/soak/main.rs
@@ -199,6 +199,7 @@
     check_site_return(SiteReturn {
         keeps_disks: false,
         previous_rows: None,
+        are_previous_silent: false,
     })
     .await;
 }
@@ -208,6 +209,7 @@
     check_site_return(SiteReturn {
         keeps_disks: true,
         previous_rows: Some(PREVIOUS_ROWS_LIFETIME),
+        are_previous_silent: false,
     })
     .await;
 }
@@ -217,6 +219,17 @@
     check_site_return(SiteReturn {
         keeps_disks: false,
         previous_rows: Some(PREVIOUS_ROWS_LIFETIME),
+        are_previous_silent: false,
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn hot_models_return_in_time_without_disks_beside_rows_of_silent_engines() {
+    check_site_return(SiteReturn {
+        keeps_disks: false,
+        previous_rows: Some(PREVIOUS_ROWS_LIFETIME),
+        are_previous_silent: true,
     })
     .await;
 }
--- a/crates/gorsebank/tests/soak/plan.rs
+++ b/crates/gorsebank/tests/soak/plan.rs
@@ -189,6 +189,8 @@
     /// Time for which the rows of the previous back ends stay beside those of back ends under new
     /// names; `None` if back ends return under their names.
     pub previous_rows: Option<Duration>,
+    /// Whether connections to the previous back ends get no reply; otherwise they are refused.
+    pub are_previous_silent: bool,
 }
 
 /// What the table contains when power returns.
--- a/crates/gorsebank/tests/soak/run/site_return.rs
+++ b/crates/gorsebank/tests/soak/run/site_return.rs
@@ -15,6 +15,7 @@
 use crate::arrivals::{Arrivals, RequestClass};
 use crate::history::{History, PowerReturn, RequestKind};
 use crate::plan::{PowerLoss, SiteReturn};
+use crate::platform::tcp_proxy::NewConnections;
 use crate::platform::weight_store::WeightStore;
 use crate::service_return::RETURN_BOUND;
 
@@ -61,6 +62,10 @@
         .lose_and_return_power(conditions.power_loss(), None, None)
         .await;
     if let Some(lifetime) = conditions.previous_rows {
+        if conditions.are_previous_silent {
+            let wires = previous.iter().map(|back_end| &back_end.wire);
+            wires.for_each(|wire| wire.set_new_connections(NewConnections::Hanging));
+        }
         tasks.spawn(run.clone().remove_rows(previous, lifetime));
     }
     arriving.await.expect("the callers do not panic");
