Placement: verify loads of engines that discovery shows only after the holder has read their rows

Callers saw the first models 3 to 6 s later beside rows of previous engines: both places of the weight store were held by loads that the previous holder had ordered at engines which were gone. Cause: an engine that discovery had not shown yet when the holder read the rows was not polled, but its load counted as in progress, for up to 20 s, once discovery showed it.

Such an engine is polled when discovery shows it.

--- a/crates/fleet/src/placement/mod.rs
+++ b/crates/fleet/src/placement/mod.rs
@@ -187,6 +187,10 @@
                     if let Some(orders) = self.orders_to_absent_engines.remove(id) {
                         engine.add_possible_orders(orders);
                     }
+                    // The load counts as in progress until the engine's response.
+                    if self.restored_loads.iter().any(|load| load.engine == *id) {
+                        engine.schedule_poll();
+                    }
                     self.engines.insert(id.clone(), engine);
                 }
             }
--- a/crates/fleet/tests/long_loads.rs
+++ b/crates/fleet/tests/long_loads.rs
@@ -252,6 +252,35 @@
     );
 }
 
+/// Guards against places of the weight store that loads of engines which are gone occupy.
+#[test]
+fn loads_of_engines_that_discovery_shows_late_are_verified() {
+    let mut simulation = Simulation::new(4, &[]);
+    simulation.set_load_time_and_timeout(STORE_LOAD_MS, TIMEOUT_MS);
+    let before = [demand(&[("m0", 20.0, 1)])];
+    let loading = chosen_loads(&mut simulation, &before, 1_000);
+    assert_eq!(loading.len(), 1, "{loading:?}");
+    let is_loading = |engine: &&SimulatedEngine| engine.is_loading("m0");
+    let gone = simulation
+        .engines
+        .iter()
+        .find(is_loading)
+        .expect("a load")
+        .id
+        .clone();
+    simulation.unresponsive = Some(gone);
+    simulation.hide_until(1_000);
+    simulation.change_holder(1_000, 0);
+    let rows = [demand(&[("m1", 20.0, 1)])];
+    let mut chosen = Vec::new();
+    for now in (1_050..3_000).step_by(50) {
+        simulation.run_iteration(now, &rows);
+        let loads = simulation.planner.chosen_loads().iter();
+        chosen.extend(loads.map(|load| load.model.to_string()));
+    }
+    assert_eq!(chosen, ["m1"], "{:?}", simulation.obstacles.last());
+}
+
 #[test]
 fn first_loads_wait_for_requests_only_where_an_engine_lacks_all_models_and_loads_are_long() {
     let empty = || SimulatedEngine::new(1, &[]);
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -557,6 +557,12 @@
         self.change_holder(now, 700);
     }
 
+    /// Hides all engines from discovery until this time.
+    #[allow(dead_code)]
+    pub fn hide_until(&mut self, until: u64) {
+        self.hidden_until = until;
+    }
+
     /// Passes the reports of discovery to the planner.
     pub fn observe(&mut self, now: u64) {
         let reports = self.reports();
