--- a/crates/fleet/src/placement/engine/mod.rs
+++ b/crates/fleet/src/placement/engine/mod.rs
@@ -400,8 +400,8 @@
         self.holdings().is_empty() && !has_copies
     }
 
-    /// Whether the engine is thought to hold models only because of its discovery row, and has never
-    /// responded to this holder.
+    /// Whether the engine is thought to hold models because of its discovery row, and has not confirmed
+    /// that to this holder.
     pub fn is_unverified(&self) -> bool {
         self.confirmed.is_none() && !self.is_unresponsive && !self.holdings().is_empty()
     }
--- a/crates/fleet/src/placement/first_loads.rs
+++ b/crates/fleet/src/placement/first_loads.rs
@@ -65,9 +65,10 @@
         self.demand.clone()
     }
 
-    /// What keeps loads from the weight store from being chosen now. Nothing does as long as every
-    /// engine holds a model or has a copy of one. Until then, `totals` is raised to the recorded demand.
-    pub fn obstacle(
+    /// Returns what keeps loads from the weight store from being chosen now. Nothing does as long as
+    /// every engine holds a model or has a copy of one, and once the wait has ended. Until the first
+    /// choice, raises `totals` to the recorded demand and schedules polls of engines.
+    pub fn review(
         &mut self,
         now: Timestamp,
         totals: &mut DemandTotals,
--- a/crates/fleet/src/placement/load_concurrency.rs
+++ b/crates/fleet/src/placement/load_concurrency.rs
@@ -62,8 +62,8 @@
     /// Whether any load was slow because of too many concurrent loads.
     #[serde(rename = "has_been_slow")]
     pub has_been_saturated: bool,
-    /// Largest number of concurrent loads of which one has run at full speed; `None` in records of
-    /// builds that do not store it.
+    /// Largest number of concurrent loads of which one has run at full speed, lowered with the estimate
+    /// by slow loads; `None` in records of builds that do not store it.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub confirmed_loads: Option<usize>,
 }
--- a/crates/fleet/src/placement/mod.rs
+++ b/crates/fleet/src/placement/mod.rs
@@ -187,7 +187,7 @@
                     if let Some(orders) = self.orders_to_absent_engines.remove(id) {
                         engine.add_possible_orders(orders);
                     }
-                    // The load counts as in progress until the engine's response.
+                    // The load that a row names counts as in progress until the engine responds.
                     if self.restored_loads.iter().any(|load| load.engine == *id) {
                         engine.schedule_poll();
                     }
@@ -349,7 +349,7 @@
             }
             store
         });
-        let store_obstacle = store.first_loads_obstacle(now, &mut totals, &mut engines);
+        let store_obstacle = store.review_first_loads(now, &mut totals, &mut engines);
         let totals = &totals;
         let forecast = Forecast::new(spec, totals);
         let inputs = PlanInputs {
--- a/crates/fleet/src/placement/weight_store.rs
+++ b/crates/fleet/src/placement/weight_store.rs
@@ -98,15 +98,15 @@
         }
     }
 
-    /// What keeps the first loads from being chosen now: [`FirstLoads::obstacle`].
-    pub fn first_loads_obstacle(
+    /// Reviews the first loads of the holder, if loads are long: [`FirstLoads::review`].
+    pub fn review_first_loads(
         &mut self,
         now: Timestamp,
         totals: &mut DemandTotals,
         engines: &mut [&mut EngineState],
     ) -> Option<Obstacle> {
         let first_loads = self.first_loads.as_mut()?;
-        first_loads.obstacle(now, totals, engines)
+        first_loads.review(now, totals, engines)
     }
 
     /// Checks whether another load may start besides `reserved` loads that are still to be ordered.
