--- a/crates/gorsebank/tests/soak/run/site_return.rs
+++ b/crates/gorsebank/tests/soak/run/site_return.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use serde_json::{Value, json};
+use serde_json::Value;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
@@ -15,6 +15,7 @@
 use crate::arrivals::{Arrivals, RequestClass};
 use crate::history::{History, PowerReturn, RequestKind};
 use crate::plan::{PowerLoss, SiteReturn};
+use crate::platform::engine::{EngineLimits, RouteLimits, add_route, set_limits};
 use crate::platform::tcp_proxy::NewConnections;
 use crate::platform::weight_store::WeightStore;
 use crate::service_return::RETURN_BOUND;
@@ -27,10 +28,12 @@
 const POPULAR_REPLICAS: usize = 4;
 /// Number of loads that the weight store performs at full speed.
 const FULL_SPEED_LOADS: usize = 2;
-/// Requests that an engine runs at once.
-const ENGINE_SLOTS: usize = 48;
-/// Connections that an engine accepts.
-const ENGINE_CONNECTIONS: usize = 680;
+/// Limits of the engines.
+const ENGINE_LIMITS: EngineLimits = EngineLimits {
+    slots: 48,
+    connections: 680,
+    loads_per_second: 24.0,
+};
 /// Shares of the popular models in the requests of the classes that ask for them.
 const POPULAR_SHARES: [f64; 12] = [
     0.106, 0.0575, 0.0471, 0.0414, 0.0377, 0.0349, 0.0328, 0.0311, 0.0296, 0.0284, 0.0274, 0.0265,
@@ -107,28 +110,20 @@
 fn configuration() -> Value {
     let models: Vec<String> = (0..MODELS).map(model_name).collect();
     let mut document = configuration_with_loads(TENANTS, 0, &models);
-    let routes = document["routes"].as_array_mut().expect("a list of routes");
-    let mut restock = routes[3].clone();
-    restock["name"] = json!(RESTOCK_ROUTE);
-    restock["pathPrefix"] = json!(format!("/{RESTOCK_ROUTE}/"));
-    routes.push(restock);
-    let limits = [
-        (300, 1_500, 0),
-        (300, 1_500, 0),
-        (5_000, 20_000, 2),
-        (800, 15_000, 0),
-        (2_000, 8_000, 1),
+    add_route(&mut document, RESTOCK_ROUTE);
+    let limits = |objective_ms, timeout_ms, priority| RouteLimits {
+        objective_ms,
+        timeout_ms,
+        priority,
+    };
+    let routes = [
+        limits(300, 1_500, 0),
+        limits(300, 1_500, 0),
+        limits(5_000, 20_000, 2),
+        limits(800, 15_000, 0),
+        limits(2_000, 8_000, 1),
     ];
-    for (route, (objective, timeout, priority)) in routes.iter_mut().zip(limits) {
-        route["targetMs"] = json!(objective);
-        route["timeoutMs"] = json!(timeout);
-        route["priority"] = json!(priority);
-        route["gapTargetMs"] = json!(300);
-    }
-    let service = &mut document["services"][1];
-    service["maxConns"] = json!(ENGINE_CONNECTIONS);
-    service["engine"]["slots"] = json!(ENGINE_SLOTS);
-    service["engine"]["loadsPerS"] = json!(24.0);
+    set_limits(&mut document, &routes, ENGINE_LIMITS);
     document
 }
 
