--- a/crates/gorsebank/tests/soak/run/site_return.rs
+++ b/crates/gorsebank/tests/soak/run/site_return.rs
@@ -42,6 +42,8 @@
 const MODELS: usize = 195;
 /// First of the models that get the requests for rare ones.
 const FIRST_RARE_MODEL: usize = 30;
+/// Number of gateways that share the site's requests.
+const SITE_GATEWAYS: f64 = 70.0;
 /// Time without power.
 const OUTAGE: Duration = Duration::from_millis(1_500);
 /// Time from the return of power until the back ends write their rows.
@@ -116,6 +118,7 @@
         timeout_ms,
         priority,
     };
+    // In the order of the routes: read, top-up, stream, resumable, restock.
     let routes = [
         limits(300, 1_500, 0),
         limits(300, 1_500, 0),
@@ -127,7 +130,7 @@
     document
 }
 
-/// Returns the kinds of requests with their rates at each of the site's 70 gateways.
+/// Returns the kinds of requests with their rates at each gateway.
 fn classes() -> Vec<RequestClass> {
     let popular = POPULAR_SHARES.iter().enumerate();
     let popular: Vec<_> = popular
@@ -137,7 +140,7 @@
     let class = |route, kind, site_rate: f64, deadline_ms, models| RequestClass {
         route,
         kind,
-        rate: site_rate / 70.0,
+        rate: site_rate / SITE_GATEWAYS,
         deadline: Duration::from_millis(deadline_ms),
         models,
     };
