Read-through: one place for what a return is judged by, names and comments; load_window says what is confirmed

The requests counted after the bound and the first response of a model were each computed or printed in two places; two constants of the soak had one name. No decision changes; load_window has confirmed_loads.

--- a/crates/fleet/src/placement/first_loads.rs
+++ b/crates/fleet/src/placement/first_loads.rs
@@ -28,7 +28,6 @@
 const MIN_OBSERVED_REQUESTS: f64 = 100.0;
 /// Maximum time from the first request until loads may start.
 const MAX_WAIT: Duration = Duration::from_millis(1_500);
-
 /// Number of models whose demand is recorded for the next holder. Few loads run at the same time.
 const MAX_RECORDED_MODELS: usize = 16;
 
--- a/crates/fleet/src/placement/load_concurrency.rs
+++ b/crates/fleet/src/placement/load_concurrency.rs
@@ -91,10 +91,11 @@
 
     /// The estimate without the part that no load has confirmed, but not below the initial one.
     pub fn confirmed(self, initial: Self) -> Self {
-        let is_unchanged = !self.has_been_saturated && self.max_loads == INITIAL_MAX_LOADS;
+        // Without the field, the default may be the first estimate of a holder that saw no load end.
+        let is_default = !self.has_been_saturated && self.max_loads == INITIAL_MAX_LOADS;
         let confirmed = match self.confirmed_loads {
             Some(loads) => loads as f64,
-            None if is_unchanged => 0.0,
+            None if is_default => 0.0,
             None => self.max_loads,
         };
         LoadConcurrencyEstimate {
--- a/crates/gateway/src/feed/parent_follower.rs
+++ b/crates/gateway/src/feed/parent_follower.rs
@@ -47,6 +47,7 @@
 /// Time, apart from the wait for a change, after which a response is slow. A table that responds slowly
 /// may be overloaded, so a gateway does not follow it instead of its parents.
 const SLOW_RESPONSE_TIME: Duration = Duration::from_millis(500);
+
 /// Result of a request to a parent.
 enum ParentOutcome {
     /// The response was fresh for every requested table.
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -52,6 +52,7 @@
 const MAX_DEMAND_WAIT: Duration = Duration::from_millis(1_000);
 /// Maximum interval between two checks for how many gateways have sent their demand.
 const DEMAND_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
 /// The completion of an asynchronous operation of the placement loop.
 enum Completion {
     EngineResponded(EngineResponse),
--- a/crates/gateway/src/placement_log.rs
+++ b/crates/gateway/src/placement_log.rs
@@ -102,8 +102,9 @@
             let previous = self.load_windows.insert(service.clone(), max_loads);
             if previous != Some(max_loads) {
                 let fields = format_args!(
-                    "service={service} max_loads={max_loads} has_been_saturated={}",
-                    record.concurrency.has_been_saturated
+                    "service={service} max_loads={max_loads} has_been_saturated={} confirmed_loads={}",
+                    record.concurrency.has_been_saturated,
+                    record.concurrency.confirmed_loads.unwrap_or(0),
                 );
                 event_log::write(LogPriority::Decision, "load_window", fields);
             }
--- a/crates/gorsebank/tests/soak/arrivals.rs
+++ b/crates/gorsebank/tests/soak/arrivals.rs
@@ -67,8 +67,8 @@
 }
 
 impl Arrivals {
-    /// Sends requests until the run is `until` old. Requests that have no response by then are dropped
-    /// with the returned future.
+    /// Sends requests until the run is `until` old, and waits for outstanding responses for `grace` more.
+    /// Requests without a response by then stay recorded as closed.
     pub async fn run(self: Arc<Self>, seed: u64, until: Duration, grace: Duration) {
         let mut random = ChaCha8Rng::seed_from_u64(seed);
         let rates = self.classes.iter().map(|class| class.rate);
--- a/crates/gorsebank/tests/soak/main.rs
+++ b/crates/gorsebank/tests/soak/main.rs
@@ -6,7 +6,8 @@
 //! a count of seeds from a random first one), `GORSEBANK_SOAK_SECONDS` the length of a run (up to the
 //! first loss of power in `service_returns_after_losses_of_all_power`), and `GORSEBANK_SOAK_GATEWAYS`
 //! the number of gateways in that test, in those of the return of a whole site, in
-//! `guarantees_hold_under_faults` and in `guarantees_hold_with_garbled_responses_and_a_loss_of_power`. In that test and in
+//! `guarantees_hold_under_faults` and in
+//! `guarantees_hold_with_garbled_responses_and_a_loss_of_power`. In that test and in
 //! `service_returns_after_losses_of_all_power_and_of_table_writes`, `GORSEBANK_SOAK_CALLERS` sets the number
 //! of callers, and `GORSEBANK_SOAK_SCARCE` gives most gateways the processor time of a small machine.
 //! `GORSEBANK_SOAK_REPORT` names a folder for reports and for the logs of the gateway processes.
@@ -51,7 +52,7 @@
 /// Time for which the rows of previous engines stay beside those of the new ones.
 const PREVIOUS_ROWS_LIFETIME: Duration = Duration::from_secs(60);
 /// Default number of gateways in the return of a whole site.
-const SITE_GATEWAYS: u64 = 24;
+const DEFAULT_SITE_GATEWAYS: u64 = 24;
 /// Seeds that exposed a fault; the list does not depend on the environment.
 const REGRESSION_SEEDS: [u64; 1] = [557];
 /// Default period in which faults are injected, in seconds.
@@ -335,7 +336,7 @@
 async fn check_site_return(conditions: SiteReturn) {
     let _site_run = SITE_RUN.lock().await;
     let seconds = env_number("GORSEBANK_SOAK_SECONDS").unwrap_or(SECONDS_BEFORE_POWER_LOSS);
-    let gateways = env_number("GORSEBANK_SOAK_GATEWAYS").unwrap_or(SITE_GATEWAYS);
+    let gateways = env_number("GORSEBANK_SOAK_GATEWAYS").unwrap_or(DEFAULT_SITE_GATEWAYS);
     for seed in selected_seeds_or(SITE_RETURN_SEEDS) {
         let folder = std::env::var_os("GORSEBANK_SOAK_REPORT").map(PathBuf::from);
         let log_folder = folder.map(|folder| folder.join(format!("site-{seed}-{conditions:?}")));
--- a/crates/gorsebank/tests/soak/service_return.rs
+++ b/crates/gorsebank/tests/soak/service_return.rs
@@ -38,9 +38,7 @@
     let Some(power_return) = history.power_return else {
         return Vec::new();
     };
-    let counted_from = power_return.at + RETURN_BOUND;
-    let counted = history.requests.iter();
-    let counted = counted.filter(|request| request.sent_at > counted_from);
+    let counted = counted_requests(history, power_return);
     let (for_models, others) = counted
         .clone()
         .partition::<Vec<&CallerRequest>, _>(|request| request.kind.needs_model());
@@ -68,15 +66,19 @@
         .collect()
 }
 
+/// Returns the requests that were sent later than the bound after the return of power.
+fn counted_requests(
+    history: &History,
+    power_return: PowerReturn,
+) -> impl Iterator<Item = &CallerRequest> + Clone {
+    let counted_from = power_return.at + RETURN_BOUND;
+    let requests = history.requests.iter();
+    requests.filter(move |request| request.sent_at > counted_from)
+}
+
 /// Checks that a model serves within the bound after the return of power.
 fn check_first_model(history: &History, power_return: PowerReturn) -> Option<Finding> {
-    let served = history.requests.iter().filter(|request| {
-        request.sent_at > power_return.at && request.kind.needs_model() && request.is_served()
-    });
-    let first = served
-        .map(|request| request.ended_at - power_return.at)
-        .min();
-    println!("  first response of a model after {first:?}");
+    let first = first_model_response(history, power_return);
     let is_late = first.is_none_or(|first| first > RETURN_BOUND);
     is_late.then(|| Finding {
         guarantee: Guarantee::Return,
@@ -84,6 +86,16 @@
     })
 }
 
+/// Returns the time from the return of power until a model has served a request that was sent since.
+fn first_model_response(history: &History, power_return: PowerReturn) -> Option<Duration> {
+    let served = history.requests.iter().filter(|request| {
+        request.sent_at > power_return.at && request.kind.needs_model() && request.is_served()
+    });
+    served
+        .map(|request| request.ended_at - power_return.at)
+        .min()
+}
+
 /// Describes the served fraction of requests for models and of other requests for each period since
 /// the return of power, by the time of sending.
 pub fn summarize_return(history: &History, power_return: PowerReturn) -> String {
@@ -102,9 +114,11 @@
         format!("{:.2}/{:.2}", fraction(from, true), fraction(from, false))
     };
     let fractions: Vec<String> = (0..=periods).map(describe).collect();
-    let counted_from = power_return.at + RETURN_BOUND;
-    let counted = history.requests.iter();
-    let counted = Service::of(counted.filter(|request| request.sent_at > counted_from));
+    let counted = Service::of(counted_requests(history, power_return));
     let (served, sent, fractions) = (counted.served, counted.sent, fractions.join(" "));
-    format!("{served} of {sent} served after the bound; served (models/others): {fractions}")
+    let first = first_model_response(history, power_return);
+    format!(
+        "first response of a model after {first:?}; {served} of {sent} served after the bound; \
+         served (models/others): {fractions}"
+    )
 }
