Tests: a return from a weight store that performs one load breaks the rule, known red

The number of loads that the store performs is a condition of the site's return now; the others keep two.

--- a/crates/gorsebank/tests/soak/main.rs
+++ b/crates/gorsebank/tests/soak/main.rs
@@ -51,6 +51,8 @@
 const SITE_RETURN_SEEDS: Range<u64> = 1..2;
 /// Time for which the rows of previous engines stay beside those of the new ones.
 const PREVIOUS_ROWS_LIFETIME: Duration = Duration::from_secs(60);
+/// Number of loads that the weight store of the site performs at full speed.
+const SITE_FULL_SPEED_LOADS: usize = 2;
 /// Default number of gateways in the return of a whole site.
 const DEFAULT_SITE_GATEWAYS: u64 = 24;
 /// Seeds that exposed a fault; the list does not depend on the environment.
@@ -201,6 +203,18 @@
         keeps_disks: false,
         previous_rows: None,
         are_previous_silent: false,
+        full_speed_loads: SITE_FULL_SPEED_LOADS,
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn hot_models_return_in_time_from_a_weight_store_that_performs_one_load() {
+    check_site_return(SiteReturn {
+        keeps_disks: false,
+        previous_rows: None,
+        are_previous_silent: false,
+        full_speed_loads: 1,
     })
     .await;
 }
@@ -211,6 +225,7 @@
         keeps_disks: true,
         previous_rows: Some(PREVIOUS_ROWS_LIFETIME),
         are_previous_silent: false,
+        full_speed_loads: SITE_FULL_SPEED_LOADS,
     })
     .await;
 }
@@ -221,6 +236,7 @@
         keeps_disks: false,
         previous_rows: Some(PREVIOUS_ROWS_LIFETIME),
         are_previous_silent: false,
+        full_speed_loads: SITE_FULL_SPEED_LOADS,
     })
     .await;
 }
@@ -231,6 +247,7 @@
         keeps_disks: false,
         previous_rows: Some(PREVIOUS_ROWS_LIFETIME),
         are_previous_silent: true,
+        full_speed_loads: SITE_FULL_SPEED_LOADS,
     })
     .await;
 }
--- a/crates/gorsebank/tests/soak/plan.rs
+++ b/crates/gorsebank/tests/soak/plan.rs
@@ -191,6 +191,8 @@
     pub previous_rows: Option<Duration>,
     /// Whether connections to the previous back ends get no reply; otherwise they are refused.
     pub are_previous_silent: bool,
+    /// Number of loads that the weight store performs at full speed.
+    pub full_speed_loads: usize,
 }
 
 /// What the table contains when power returns.
--- a/crates/gorsebank/tests/soak/run/site_return.rs
+++ b/crates/gorsebank/tests/soak/run/site_return.rs
@@ -26,8 +26,6 @@
 const MODELS_PER_ENGINE: usize = 2;
 /// Number of engines that hold each popular model before the loss.
 const POPULAR_REPLICAS: usize = 4;
-/// Number of loads that the weight store performs at full speed.
-const FULL_SPEED_LOADS: usize = 2;
 /// Limits of the engines.
 const ENGINE_LIMITS: EngineLimits = EngineLimits {
     slots: 48,
@@ -55,7 +53,7 @@
 
 /// Runs a loss of power and the return from it, and returns what was observed.
 pub async fn execute_site_return(options: RunOptions, conditions: SiteReturn) -> History {
-    let run = Arc::new(Run::start_site(&options).await);
+    let run = Arc::new(Run::start_site(&options, conditions.full_speed_loads).await);
     let mut tasks = JoinSet::new();
     tasks.spawn(run.clone().maintain_engine_rows());
     let arrivals = Arc::new(run.arrivals());
@@ -171,9 +169,9 @@
 }
 
 impl Run {
-    async fn start_site(options: &RunOptions) -> Self {
+    async fn start_site(options: &RunOptions, full_speed_loads: usize) -> Self {
         let mut run = Run::start_gateways(options, configuration()).await;
-        let weight_store = WeightStore::new(FULL_SPEED_LOADS);
+        let weight_store = WeightStore::new(full_speed_loads);
         run.weight_store = Some(Arc::new(parking_lot::Mutex::new(weight_store)));
         for _ in 0..super::BACK_ENDS_PER_SERVICE {
             run.add_back_end("app").await;
